--- /dev/null
+++ b/crates/skylarkpick-command/src/commands/entry.rs
@@ -0,0 +1,91 @@
+//! `skylarkpick entry`.
+
+use crate::{
+    command::{Command, Example, Exit, Signature, WrongUse},
+    console::Console,
+};
+use anyhow::Context;
+use getopts::Matches;
+use skylarkpick_config::{Settings, parse_settings};
+use skylarkpick_entry::{Entry, EntryParts, Front};
+use skylarkpick_http::{HttpConnector, HttpPlatform};
+use skylarkpick_interface::BootClock;
+use std::{sync::Arc, time::Duration};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Runs an entry process.
+pub(crate) struct EntryCommand;
+
+impl Command for EntryCommand {
+    fn name(&self) -> &'static str {
+        "entry"
+    }
+
+    fn summary(&self) -> &'static str {
+        "Run an entry process"
+    }
+
+    fn signature(&self) -> Signature {
+        Signature {
+            usage: "SETTINGS-FILE".to_string(),
+            arguments_floor: 1,
+            arguments_limit: 1,
+            ..Signature::plain()
+        }
+    }
+
+    fn description(&self) -> &'static str {
+        "Runs an entry process until SIGTERM or SIGINT, then finishes every answer under way and \
+         exits. The settings file is JSON with comments."
+    }
+
+    fn examples(&self) -> Vec<Example> {
+        vec![Example {
+            description: "A settings file that does not exist is wrong use",
+            arguments: &["no-such-file.jsonc"],
+            exit: Exit::WrongUse,
+            shows: "",
+        }]
+    }
+
+    fn run(&self, matches: &Matches, console: &mut Console) -> anyhow::Result<Exit> {
+        let settings = read_settings(&matches.free[0])?;
+        let runtime = tokio::runtime::Runtime::new().context("no runtime could be started")?;
+        runtime.block_on(serve(settings, console))
+    }
+}
+
+fn read_settings(path: &str) -> anyhow::Result<Settings> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| WrongUse(format!("{path} cannot be read: {error}")))?;
+    let settings = parse_settings(&text).map_err(|faults| {
+        let lines: Vec<String> = faults.0.iter().map(|fault| format!("{path}:{fault}")).collect();
+        WrongUse(lines.join("\n"))
+    })?;
+    Ok(settings)
+}
+
+async fn serve(mut settings: Settings, console: &mut Console) -> anyhow::Result<Exit> {
+    if settings.entry_id.is_empty() {
+        settings.entry_id = format!("entry-{:016x}", rand::random::<u64>());
+    }
+    let platform_timeout = Duration::from_millis(settings.limits.platform_timeout_ms);
+    let platform = HttpPlatform::open(&settings.platform_address, platform_timeout);
+    let entry = Entry::spawn(EntryParts {
+        platform: Arc::new(platform),
+        connector: Arc::new(HttpConnector::open()),
+        clock: Arc::new(BootClock),
+        settings,
+    });
+    let front = Front::bind(entry).await.context("the HTTP address cannot be taken")?;
+    console.message(&format!("listening on {}", front.address()));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    console.message("draining");
+    let whole = front.shutdown().await;
+    Ok(if whole { Exit::Success } else { Exit::Failed })
+}
--- /dev/null
+++ b/crates/skylarkpick-command/src/demo/fleet.rs
@@ -0,0 +1,205 @@
+//! The stand-ins and entry processes of the demo, all on loopback.
+
+use anyhow::Context;
+use serde_json::json;
+use skylarkpick_config::{Limits, Settings, hash_token};
+use skylarkpick_entry::{Entry, EntryParts, Front};
+use skylarkpick_http::{HttpConnector, HttpPlatform, Server};
+use skylarkpick_interface::{BootClock, ObjectStore, Runner};
+use skylarkpick_standin::{
+    FakeRunner, FakeService, FakeStore, MemoryPlatform, PlatformRates, RunnerSettings,
+    StoreSettings, WeightStore, serve_platform, serve_runner, serve_service, serve_store,
+};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+/// Any free port of the loopback.
+const FREE_PORT: &str = "127.0.0.1:0";
+/// Lag of the platform's list of VMs.
+const LIST_LAG: Duration = Duration::from_secs(5);
+/// Time for a runner to load weights.
+const LOAD_TIME: Duration = Duration::from_millis(600);
+/// Time for the platform to answer.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Data centres of the demo.
+pub(super) const DATA_CENTRES: [&str; 2] = ["mnl-a", "mnl-b"];
+/// Runners in a data centre.
+const RUNNERS_PER_CENTRE: usize = 3;
+/// Entry processes in a data centre.
+const ENTRIES_PER_CENTRE: usize = 2;
+/// Model of the demo.
+pub(super) const MODEL: &str = "tala-llm";
+/// Client accounts of the demo.
+pub(super) const ACCOUNTS: [&str; 4] = ["cubesat", "imaging", "relay", "weather"];
+
+/// The running stand-ins and entry processes.
+pub(super) struct Fleet {
+    pub(super) platform: Arc<MemoryPlatform>,
+    pub(super) runners: BTreeMap<String, FakeRunner>,
+    pub(super) stores: Vec<Arc<FakeStore>>,
+    pub(super) service: Arc<FakeService>,
+    pub(super) weight_store: Arc<WeightStore>,
+    pub(super) entries: Vec<Entry>,
+    pub(super) fronts: Vec<Front>,
+    _servers: Vec<Server>,
+}
+
+/// Token of an account in the demo.
+pub(super) fn token(account: &str) -> String {
+    format!("{account}-token")
+}
+
+struct Targets {
+    servers: Vec<Server>,
+    runners: BTreeMap<String, FakeRunner>,
+    stores: Vec<Arc<FakeStore>>,
+    service: Arc<FakeService>,
+    weight_store: Arc<WeightStore>,
+    document: serde_json::Value,
+}
+
+impl Fleet {
+    /// Starts everything and waits until every entry is ready.
+    pub(super) async fn spawn() -> anyhow::Result<Fleet> {
+        let platform = MemoryPlatform::open(LIST_LAG, PlatformRates::default());
+        let platform_server = serve_platform(FREE_PORT, platform.clone()).await?;
+        let mut targets = spawn_targets().await?;
+        let record = json!({"version": 1, "history": [], "configuration": targets.document});
+        platform
+            .put("config/current", None, serde_json::to_vec(&record)?)
+            .await
+            .context("the first configuration was not written")?;
+        let platform_address = platform_server.address().to_string();
+        targets.servers.push(platform_server);
+        let (entries, fronts) = spawn_entries(&platform_address).await?;
+        let fleet = Fleet {
+            platform,
+            runners: targets.runners,
+            stores: targets.stores,
+            service: targets.service,
+            weight_store: targets.weight_store,
+            entries,
+            fronts,
+            _servers: targets.servers,
+        };
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn wait_ready(&self) -> anyhow::Result<()> {
+        let ready = async {
+            loop {
+                let mut known = 0;
+                for entry in &self.entries {
+                    let state = entry.state().await;
+                    let all = state.runners.iter().all(|runner| runner.weight_version.is_some());
+                    known += usize::from(entry.is_ready() && all);
+                }
+                if known == self.entries.len() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(5), ready).await.context("the fleet is not ready")
+    }
+}
+
+async fn spawn_targets() -> anyhow::Result<Targets> {
+    let weight_store = WeightStore::open(LOAD_TIME, 2);
+    let service = FakeService::open();
+    let mut servers = Vec::new();
+    let mut runners = BTreeMap::new();
+    let mut stores = Vec::new();
+    let mut centres = json!({});
+    for centre in DATA_CENTRES {
+        let mut runner_targets = json!({});
+        for index in 0..RUNNERS_PER_CENTRE {
+            let runner = open_runner(weight_store.clone());
+            let server = serve_runner(FREE_PORT, Arc::new(runner.clone())).await?;
+            let name = format!("{centre}-runner-{index}");
+            let address = server.address().to_string();
+            runner_targets[&name] =
+                json!({"address": address, "model": MODEL, "checks_fencing": true});
+            runners.insert(name, runner);
+            servers.push(server);
+        }
+        let store = FakeStore::open(StoreSettings::default());
+        let store_server = serve_store(FREE_PORT, store.clone()).await?;
+        let service_server = serve_service(FREE_PORT, service.clone()).await?;
+        let store_address = store_server.address().to_string();
+        let service_address = service_server.address().to_string();
+        centres[centre] = json!({
+            "region": "mnl",
+            "runners": runner_targets,
+            "stores": {format!("{centre}-store"): {
+                "address": store_address, "link_bytes_per_second": 12.5e9,
+            }},
+            "services": {format!("{centre}-book"): {
+                "address": service_address, "service": "book-api",
+            }},
+        });
+        stores.push(store);
+        servers.extend([store_server, service_server]);
+    }
+    let document = document(&centres);
+    Ok(Targets { servers, runners, stores, service, weight_store, document })
+}
+
+fn open_runner(weight_store: Arc<WeightStore>) -> FakeRunner {
+    let settings = RunnerSettings {
+        model: MODEL.to_string(),
+        cache_blocks: 96,
+        token_interval: Duration::from_millis(5),
+        load_lag: Duration::from_millis(200),
+        ..RunnerSettings::default()
+    };
+    FakeRunner::open(settings, Arc::new(HttpConnector::open()), weight_store)
+}
+
+fn document(centres: &serde_json::Value) -> serde_json::Value {
+    let mut accounts = json!({"operator": {
+        "role": "operator", "token_hashes": [hash_token(&token("operator"))],
+    }});
+    for account in ACCOUNTS {
+        accounts[account] = json!({"token_hashes": [hash_token(&token(account))]});
+    }
+    json!({
+        "accounts": accounts,
+        "models": {MODEL: {"weight_version": 1, "serving": "ordinary"}},
+        "serving": {"ordinary": {"deadline_ms": 20_000}},
+        "services": {"book-api": {"not_repeatable": ["POST /bookings"]}},
+        "data_centres": centres,
+    })
+}
+
+async fn spawn_entries(platform_address: &str) -> anyhow::Result<(Vec<Entry>, Vec<Front>)> {
+    let (mut entries, mut fronts) = (Vec::new(), Vec::new());
+    for centre in DATA_CENTRES {
+        for index in 0..ENTRIES_PER_CENTRE {
+            let settings = Settings {
+                entry_id: format!("{centre}-entry-{index}"),
+                data_centre: centre.to_string(),
+                http_address: FREE_PORT.to_string(),
+                platform_address: platform_address.to_string(),
+                peer_address: String::new(),
+                seed_peers: Vec::new(),
+                limits: Limits { drain_notice_ms: 300, ..Limits::default() },
+            };
+            let entry = Entry::spawn(EntryParts {
+                settings,
+                platform: Arc::new(HttpPlatform::open(platform_address, PLATFORM_TIMEOUT)),
+                connector: Arc::new(HttpConnector::open()),
+                clock: Arc::new(BootClock),
+            });
+            fronts.push(Front::bind(entry.clone()).await?);
+            entries.push(entry);
+        }
+    }
+    Ok((entries, fronts))
+}
+
+/// Whether a runner serves these weights now.
+pub(super) async fn serves(runner: &FakeRunner, weight_version: u64) -> bool {
+    runner.status().await.is_ok_and(|status| status.weight_version == weight_version)
+}
--- /dev/null
+++ b/crates/skylarkpick-config/src/validate.rs
@@ -0,0 +1,176 @@
+//! Checks that span fields of a configuration.
+
+use crate::{
+    document::{Account, Configuration, Serving},
+    fault::Fault,
+};
+
+/// Finds every fault of a configuration.
+///
+/// ```
+/// use skylarkpick_config::{Configuration, validate};
+/// assert!(validate(&Configuration::default()).is_empty());
+/// ```
+pub fn validate(configuration: &Configuration) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    check_accounts(configuration, &mut faults);
+    check_models(configuration, &mut faults);
+    check_serving(configuration, &mut faults);
+    check_services(configuration, &mut faults);
+    check_targets(configuration, &mut faults);
+    faults
+}
+
+fn check_accounts(configuration: &Configuration, faults: &mut Vec<Fault>) {
+    let mut seen = std::collections::BTreeMap::new();
+    for (name, account) in &configuration.accounts {
+        check_account(name, account, faults);
+        for (index, hash) in account.token_hashes.iter().enumerate() {
+            let path = format!("accounts.{name}.token_hashes[{index}]");
+            if hash.len() != 64 || !hash.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+                faults.push(Fault::at(&path, "is no token hash", "64 hexadecimal digits"));
+            }
+            if let Some(other) = seen.insert(hash.clone(), name.clone()) {
+                let message = format!("is also a token of account {other}");
+                faults.push(Fault::at(&path, message, "a token of one account"));
+            }
+        }
+    }
+}
+
+fn check_account(name: &str, account: &Account, faults: &mut Vec<Fault>) {
+    let path = |field: &str| format!("accounts.{name}.{field}");
+    if !(account.weight.is_finite() && account.weight > 0.0) {
+        faults.push(Fault::at(path("weight"), "is not positive", "a number above 0"));
+    }
+    if account.requests_limit == 0 {
+        faults.push(Fault::at(path("requests_limit"), "allows nothing", "at least 1"));
+    }
+    if !(account.tokens_per_second_limit.is_finite() && account.tokens_per_second_limit > 0.0) {
+        let path = path("tokens_per_second_limit");
+        faults.push(Fault::at(path, "is not positive", "a number above 0"));
+    }
+}
+
+fn check_models(configuration: &Configuration, faults: &mut Vec<Fault>) {
+    for (name, model) in &configuration.models {
+        if !configuration.serving.contains_key(&model.serving) {
+            faults.push(Fault::at(
+                format!("models.{name}.serving"),
+                format!("names {:?}, which does not exist", model.serving),
+                "a name under `serving`",
+            ));
+        }
+        if model.weight_version == 0 {
+            let path = format!("models.{name}.weight_version");
+            faults.push(Fault::at(path, "is 0", "a version from 1"));
+        }
+    }
+}
+
+fn check_serving(configuration: &Configuration, faults: &mut Vec<Fault>) {
+    for (name, serving) in &configuration.serving {
+        check_one_serving(name, serving, faults);
+    }
+}
+
+fn check_one_serving(name: &str, serving: &Serving, faults: &mut Vec<Fault>) {
+    let path = |field: &str| format!("serving.{name}.{field}");
+    let weights = [
+        ("first_token_weight", serving.first_token_weight),
+        ("recompute_weight", serving.recompute_weight),
+        ("link_weight", serving.link_weight),
+    ];
+    for (field, weight) in weights {
+        if !(weight.is_finite() && weight >= 0.0) {
+            faults.push(Fault::at(path(field), "is negative", "a number from 0"));
+        }
+    }
+    let shares = [
+        ("link_share_limit", serving.link_share_limit),
+        ("serving_share_floor", serving.serving_share_floor),
+    ];
+    for (field, share) in shares {
+        if !(0.0..=1.0).contains(&share) {
+            faults.push(Fault::at(path(field), "is no share", "a number from 0 to 1"));
+        }
+    }
+    let counts = [
+        ("first_token_target_ms", serving.first_token_target_ms),
+        ("deadline_ms", serving.deadline_ms),
+        ("attempts_limit", u64::from(serving.attempts_limit)),
+        ("loads_limit", u64::from(serving.loads_limit)),
+    ];
+    for (field, count) in counts {
+        if count == 0 {
+            faults.push(Fault::at(path(field), "is 0", "at least 1"));
+        }
+    }
+}
+
+fn check_services(configuration: &Configuration, faults: &mut Vec<Fault>) {
+    for (name, rules) in &configuration.services {
+        for (index, call) in rules.not_repeatable.iter().enumerate() {
+            let well_formed = call.split_once(' ').is_some_and(|(method, path)| {
+                !method.is_empty()
+                    && method.bytes().all(|byte| byte.is_ascii_uppercase())
+                    && path.starts_with('/')
+            });
+            if !well_formed {
+                let path = format!("services.{name}.not_repeatable[{index}]");
+                faults.push(Fault::at(path, format!("{call:?} is no call"), "`METHOD /path`"));
+            }
+        }
+    }
+}
+
+fn check_targets(configuration: &Configuration, faults: &mut Vec<Fault>) {
+    let mut owners = std::collections::BTreeMap::new();
+    for (centre, targets) in &configuration.data_centres {
+        let runners =
+            targets.runners.iter().map(|(name, target)| ("runners", name, &target.address));
+        let stores = targets.stores.iter().map(|(name, target)| ("stores", name, &target.address));
+        let services =
+            targets.services.iter().map(|(name, target)| ("services", name, &target.address));
+        for (kind, name, address) in runners.chain(stores).chain(services) {
+            let path = format!("data_centres.{centre}.{kind}.{name}");
+            if address.parse::<std::net::SocketAddr>().is_err() {
+                let path = format!("{path}.address");
+                faults.push(Fault::at(path, format!("{address:?} is no address"), "IP:port"));
+            }
+            if let Some(other) = owners.insert(name.clone(), path.clone()) {
+                let message = format!("has the same name as {other}");
+                faults.push(Fault::at(path, message, "a name of its own for each target"));
+            }
+        }
+        check_references(configuration, centre, faults);
+    }
+}
+
+fn check_references(configuration: &Configuration, centre: &str, faults: &mut Vec<Fault>) {
+    let Some(targets) = configuration.data_centres.get(centre) else { return };
+    for (name, runner) in &targets.runners {
+        if !configuration.models.contains_key(&runner.model) {
+            faults.push(Fault::at(
+                format!("data_centres.{centre}.runners.{name}.model"),
+                format!("names {:?}, which does not exist", runner.model),
+                "a name under `models`",
+            ));
+        }
+    }
+    for (name, store) in &targets.stores {
+        if !(store.link_bytes_per_second.is_finite() && store.link_bytes_per_second > 0.0) {
+            let path = format!("data_centres.{centre}.stores.{name}.link_bytes_per_second");
+            faults.push(Fault::at(path, "is not positive", "a number above 0"));
+        }
+    }
+    for (name, instance) in &targets.services {
+        if !configuration.services.contains_key(&instance.service) {
+            faults.push(Fault::at(
+                format!("data_centres.{centre}.services.{name}.service"),
+                format!("names {:?}, which does not exist", instance.service),
+                "a name under `services`",
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/src/completion.rs
@@ -0,0 +1,124 @@
+//! Takes a prompt in, checks it, and sets its attempts going.
+
+use crate::{
+    attempts::Attempts,
+    entry::Shared,
+    failure::{Failure, FailureCode},
+    request::{AnswerEvent, CompletionRequest},
+};
+use futures::Stream;
+use skylarkpick_cache::{KeyScope, estimate_tokens, prefix_keys};
+use skylarkpick_config::{Model, Serving};
+use skylarkpick_schedule::RouteRequest;
+use std::{
+    pin::Pin,
+    sync::Arc,
+    sync::atomic::Ordering,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{sync::mpsc, time::Instant};
+
+/// Events that wait for a slow caller before the run's frames wait too.
+const EVENTS_AHEAD: usize = 64;
+
+/// Events of one answer. Dropping it cancels the run.
+pub struct AnswerStream {
+    events: mpsc::Receiver<AnswerEvent>,
+}
+
+impl Stream for AnswerStream {
+    type Item = AnswerEvent;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<AnswerEvent>> {
+        self.events.poll_recv(context)
+    }
+}
+
+/// Counts a request as under way until dropped.
+pub(crate) struct UnderWay(Arc<Shared>);
+
+impl UnderWay {
+    pub(crate) fn begin(shared: Arc<Shared>) -> UnderWay {
+        shared.requests_under_way.fetch_add(1, Ordering::SeqCst);
+        UnderWay(shared)
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.requests_under_way.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Checks a request and starts its first attempt in the background.
+pub(crate) fn begin(
+    shared: Arc<Shared>,
+    request: CompletionRequest,
+) -> Result<AnswerStream, Failure> {
+    let in_force = shared.in_force.borrow().clone();
+    if in_force.version == 0 {
+        let failure = Failure::not_run(FailureCode::NotReady, "no configuration yet");
+        return Err(failure.retry_after(Duration::from_secs(1)));
+    }
+    let configuration = &in_force.configuration;
+    let model = configuration
+        .models
+        .get(&request.model)
+        .ok_or_else(|| not_found(format!("no model {:?}", request.model)))?;
+    check_adapter(model, &request)?;
+    let serving = configuration.serving.get(&model.serving).cloned().unwrap_or_default();
+    let deadline = Instant::now() + time_allowed(&serving, &request);
+    let route_request = Arc::new(route_request(model, &request));
+    let (sender, events) = mpsc::channel(EVENTS_AHEAD);
+    let attempts = Attempts {
+        under_way: UnderWay::begin(shared.clone()),
+        shared,
+        request,
+        route_request,
+        configuration_version: in_force.version,
+        weight_version: None,
+        attempts_limit: serving.attempts_limit,
+        deadline,
+        events: sender,
+        delivered: Vec::new(),
+    };
+    tokio::spawn(attempts.run());
+    Ok(AnswerStream { events })
+}
+
+fn not_found(message: String) -> Failure {
+    Failure::not_run(FailureCode::NotFound, message)
+}
+
+fn check_adapter(model: &Model, request: &CompletionRequest) -> Result<(), Failure> {
+    match &request.adapter {
+        Some(adapter) if !model.adapters.contains(adapter) => {
+            Err(not_found(format!("model {:?} has no adapter {adapter:?}", request.model)))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn time_allowed(serving: &Serving, request: &CompletionRequest) -> Duration {
+    let longest = Duration::from_millis(serving.deadline_ms);
+    request.deadline.map_or(longest, |deadline| deadline.min(longest))
+}
+
+fn route_request(model: &Model, request: &CompletionRequest) -> RouteRequest {
+    let scope = |weight_version| KeyScope {
+        account: request.account.clone(),
+        model: request.model.clone(),
+        adapter: request.adapter.clone(),
+        weight_version,
+    };
+    let versions = model.usable_weight_versions().into_iter();
+    RouteRequest {
+        model: request.model.clone(),
+        prefix_keys: versions
+            .map(|version| (version, prefix_keys(&scope(version), &request.prompt)))
+            .collect(),
+        prompt_tokens: estimate_tokens(&request.prompt),
+        avoid: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -0,0 +1,183 @@
+//! An entry process without its doors.
+
+use crate::{
+    completion::{self, AnswerStream},
+    configuration_actor::{ConfigurationActor, Install, follow_platform},
+    failure::Failure,
+    in_force::InForce,
+    parts::EntryParts,
+    request::{CallRequest, CompletionRequest},
+    router_actor::{Observed, ReadCandidates, RouterActor, SetConfiguration},
+    service_call,
+    state_dump::{RunnerState, StateDump},
+};
+use kameo::{actor::Spawn, prelude::ActorRef};
+use skylarkpick_config::{
+    ConfigurationKeeper, ConfigurationRecord, Patch, PatchOutcome, ReadError,
+};
+use skylarkpick_interface::{ServiceReply, TargetConnector};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{sync::watch, task::JoinSet};
+
+/// Time between two reads of a runner's load.
+const LOAD_READ_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A running entry process without its doors. Dropping the last handle stops it.
+#[derive(Clone)]
+pub struct Entry {
+    pub(crate) shared: Arc<Shared>,
+}
+
+/// What the requests under way share.
+pub(crate) struct Shared {
+    pub(crate) parts: EntryParts,
+    pub(crate) in_force: watch::Receiver<Arc<InForce>>,
+    pub(crate) router: ActorRef<RouterActor>,
+    pub(crate) requests_under_way: AtomicU64,
+    pub(crate) next_service_instance: AtomicU64,
+    configuration: ActorRef<ConfigurationActor>,
+    keeper: ConfigurationKeeper,
+    draining: AtomicBool,
+    _tasks: JoinSet<()>,
+}
+
+impl Entry {
+    /// Starts the actors of an entry process.
+    pub fn spawn(parts: EntryParts) -> Entry {
+        let (sender, in_force) = watch::channel(Arc::new(InForce::default()));
+        let configuration = ConfigurationActor::spawn(ConfigurationActor::open(sender));
+        let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre));
+        let mut tasks = JoinSet::new();
+        let poll = Duration::from_millis(parts.settings.limits.configuration_poll_ms);
+        tasks.spawn(follow_platform(parts.platform.clone(), configuration.clone(), poll));
+        tasks.spawn(follow_targets(parts.connector.clone(), in_force.clone(), router.clone()));
+        let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
+        let shared = Shared {
+            parts,
+            in_force,
+            router,
+            requests_under_way: AtomicU64::new(0),
+            next_service_instance: AtomicU64::new(0),
+            configuration,
+            keeper,
+            draining: AtomicBool::new(false),
+            _tasks: tasks,
+        };
+        Entry { shared: Arc::new(shared) }
+    }
+
+    /// The configuration in force.
+    pub fn in_force(&self) -> Arc<InForce> {
+        self.shared.in_force.borrow().clone()
+    }
+
+    /// Whether the process should get new requests.
+    pub fn is_ready(&self) -> bool {
+        !self.shared.draining.load(Ordering::SeqCst) && self.in_force().version > 0
+    }
+
+    /// Fails the readiness check from now on; requests under way go on.
+    pub fn drain(&self) {
+        self.shared.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Requests that have no answer yet.
+    pub fn requests_under_way(&self) -> u64 {
+        self.shared.requests_under_way.load(Ordering::SeqCst)
+    }
+
+    /// Answers a prompt. Dropping the stream cancels the run.
+    ///
+    /// # Errors
+    /// A refusal, with nothing sent.
+    pub fn complete(&self, request: CompletionRequest) -> Result<AnswerStream, Failure> {
+        completion::begin(self.shared.clone(), request)
+    }
+
+    /// Makes a call to a plain service.
+    ///
+    /// # Errors
+    /// With whether the call ran.
+    pub async fn call(&self, request: CallRequest) -> Result<ServiceReply, Failure> {
+        service_call::call(&self.shared, request).await
+    }
+
+    /// Applies an operator's patch.
+    pub async fn patch(&self, patch: &Patch, author: &str) -> PatchOutcome {
+        let outcome = self.shared.keeper.patch(patch, author).await;
+        if matches!(outcome, PatchOutcome::Accepted(_))
+            && let Ok(record) = self.shared.keeper.read().await
+        {
+            // A stopped actor means that the process ends.
+            let _ = self.shared.configuration.ask(Install(record)).await;
+        }
+        outcome
+    }
+
+    /// Reads the configuration in the platform.
+    ///
+    /// # Errors
+    /// When the platform is away or the object cannot be read.
+    pub async fn read_configuration(&self) -> Result<ConfigurationRecord, ReadError> {
+        self.shared.keeper.read().await
+    }
+
+    /// Dumps the state of the process, without secrets.
+    pub async fn state(&self) -> StateDump {
+        let candidates = self.shared.router.ask(ReadCandidates).await.unwrap_or_default();
+        StateDump {
+            entry_id: self.shared.parts.settings.entry_id.clone(),
+            data_centre: self.shared.parts.settings.data_centre.clone(),
+            configuration_version: self.in_force().version,
+            is_ready: self.is_ready(),
+            requests_under_way: self.requests_under_way(),
+            runners: candidates.into_iter().map(RunnerState::from).collect(),
+        }
+    }
+}
+
+/// Reads the runners' loads and hands each new configuration to the router.
+async fn follow_targets(
+    connector: Arc<dyn TargetConnector>,
+    mut in_force: watch::Receiver<Arc<InForce>>,
+    router: ActorRef<RouterActor>,
+) {
+    loop {
+        let current = in_force.borrow_and_update().clone();
+        // A stopped actor means that the process ends.
+        let _ = router.ask(SetConfiguration(current.clone())).await;
+        let mut reads = JoinSet::new();
+        for targets in current.configuration.data_centres.values() {
+            for (name, target) in &targets.runners {
+                let runner = connector.runner(&target.address);
+                reads.spawn(follow_load(name.clone(), runner, router.clone()));
+            }
+        }
+        if in_force.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_load(
+    name: String,
+    runner: Arc<dyn skylarkpick_interface::Runner>,
+    router: ActorRef<RouterActor>,
+) {
+    loop {
+        if let Ok(load) = runner.load().await {
+            // A stopped actor means that the process ends.
+            let _ = router.tell(Observed::Load(name.clone(), load)).await;
+        }
+        if let Ok(status) = runner.status().await {
+            let _ = router.tell(Observed::Status(name.clone(), status)).await;
+        }
+        tokio::time::sleep(LOAD_READ_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/src/front.rs
@@ -0,0 +1,10 @@
+//! The callers' and operators' HTTP before an entry.
+
+mod answer;
+mod completions;
+mod door;
+mod operators;
+mod services;
+mod wire;
+
+pub use door::Front;
--- /dev/null
+++ b/crates/skylarkpick-entry/src/front/door.rs
@@ -0,0 +1,139 @@
+//! Listens, authenticates and hands requests to their paths.
+
+use super::{answer::Answer, completions, operators, services};
+use crate::{
+    entry::Entry,
+    failure::{Failure, FailureCode},
+};
+use async_trait::async_trait;
+use http::{Method, Request, StatusCode, header::AUTHORIZATION, request::Parts};
+use hyper::body::Incoming;
+use skylarkpick_config::AccountRole;
+use skylarkpick_http::{Handler, ReadBodyError, Server, ServerLimits, empty_response, read_body};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// Time between two looks at the requests under way during a shutdown.
+const DRAIN_LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The open door of an entry.
+pub struct Front {
+    entry: Entry,
+    server: Server,
+}
+
+impl Front {
+    /// Opens the door at the address in the entry's settings.
+    ///
+    /// # Errors
+    /// When the address cannot be taken.
+    pub async fn bind(entry: Entry) -> std::io::Result<Front> {
+        let settings = &entry.shared.parts.settings;
+        let limits = ServerLimits {
+            headers_size_bytes: settings.limits.headers_size_bytes,
+            headers_read_timeout: Duration::from_millis(settings.limits.request_read_timeout_ms),
+        };
+        let handler = Arc::new(Door { entry: entry.clone() });
+        let server = Server::bind(&settings.http_address, handler, limits).await?;
+        Ok(Front { entry, server })
+    }
+
+    /// Address that callers connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Fails the readiness check, gives the balancer time to notice, takes nothing more, and
+    /// waits for every answer. Gives whether all answers ended in time.
+    pub async fn shutdown(self) -> bool {
+        let limits = &self.entry.shared.parts.settings.limits;
+        let notice = Duration::from_millis(limits.drain_notice_ms);
+        let timeout = Duration::from_millis(limits.drain_timeout_ms);
+        self.entry.drain();
+        tokio::time::sleep(notice).await;
+        let all_ended = self.server.shutdown(timeout).await;
+        let entry = self.entry;
+        let idle = async {
+            while entry.requests_under_way() > 0 {
+                tokio::time::sleep(DRAIN_LOOK_INTERVAL).await;
+            }
+        };
+        tokio::time::timeout(timeout, idle).await.is_ok() && all_ended
+    }
+}
+
+struct Door {
+    entry: Entry,
+}
+
+impl Door {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        request_id: &str,
+    ) -> Result<Answer, Failure> {
+        let (head, body) = request.into_parts();
+        let (account, role) = self.authenticate(&head)?;
+        let limits = &self.entry.shared.parts.settings.limits;
+        let timeout = Duration::from_millis(limits.request_read_timeout_ms);
+        let content =
+            read_body(body, limits.body_size_bytes, timeout).await.map_err(read_failure)?;
+        let path = head.uri.path();
+        if let Some(path) = path.strip_prefix("/v1/services/") {
+            let line = (&head.method, path, &head.headers);
+            return services::call(&self.entry, &account, request_id, line, &content).await;
+        }
+        if head.method == Method::POST && path == "/v1/completions" {
+            return completions::complete(&self.entry, &account, request_id, &content).await;
+        }
+        if role != AccountRole::Operator {
+            let message = "this path is for operators, or does not exist";
+            return Err(Failure::not_run(FailureCode::Forbidden, message));
+        }
+        operators::answer(&self.entry, &account, &head.method, path, &content).await
+    }
+
+    fn authenticate(&self, head: &Parts) -> Result<(String, AccountRole), Failure> {
+        let header = head.headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let token = header.and_then(|value| value.strip_prefix("Bearer "));
+        let in_force = self.entry.in_force();
+        if in_force.version == 0 {
+            let failure = Failure::not_run(FailureCode::NotReady, "no configuration yet");
+            return Err(failure.retry_after(Duration::from_secs(1)));
+        }
+        let account = token.and_then(|token| in_force.account_of(token));
+        account.map(|(name, account)| (name.clone(), account.role)).ok_or_else(|| {
+            let message = "give a token of a client account as `Authorization: Bearer TOKEN`";
+            Failure::not_run(FailureCode::Unauthorized, message)
+        })
+    }
+
+    fn health(&self, path: &str) -> Option<Answer> {
+        match path {
+            "/live" => Some(empty_response(StatusCode::OK)),
+            "/ready" if self.entry.is_ready() => Some(empty_response(StatusCode::OK)),
+            "/ready" => Some(empty_response(StatusCode::SERVICE_UNAVAILABLE)),
+            _ => None,
+        }
+    }
+}
+
+fn read_failure(error: ReadBodyError) -> Failure {
+    let code = match error {
+        ReadBodyError::TooLarge(_) => FailureCode::TooLarge,
+        ReadBodyError::TooSlow(_) | ReadBodyError::Broken(_) => FailureCode::BadRequest,
+    };
+    Failure::not_run(code, error.to_string())
+}
+
+#[async_trait]
+impl Handler for Door {
+    async fn handle(&self, request: Request<Incoming>) -> Answer {
+        if let Some(answer) = self.health(request.uri().path()) {
+            return answer;
+        }
+        let request_id = format!("r{:032x}", rand::random::<u128>());
+        self.answer(request, &request_id)
+            .await
+            .unwrap_or_else(|failure| completions::refuse(&failure, &request_id))
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/src/front/operators.rs
@@ -0,0 +1,72 @@
+//! The operators' paths: configuration and state.
+
+use super::answer::Answer;
+use crate::{
+    entry::Entry,
+    failure::{Failure, FailureCode},
+};
+use http::{Method, StatusCode};
+use serde_json::json;
+use skylarkpick_config::{ConfigurationRecord, Patch, PatchOutcome, PatchRefusal};
+use skylarkpick_http::json_response;
+use std::time::Duration;
+
+/// When to come back while the platform is away.
+const PLATFORM_RETRY: Duration = Duration::from_secs(2);
+
+/// Answers an operator's request.
+pub(super) async fn answer(
+    entry: &Entry,
+    account: &str,
+    method: &Method,
+    path: &str,
+    content: &[u8],
+) -> Result<Answer, Failure> {
+    match (method, path) {
+        (&Method::GET, "/v1/configuration") => {
+            let record = read(entry).await?;
+            let body = json!({
+                "version": record.version,
+                "configuration": record.configuration,
+            });
+            Ok(json_response(StatusCode::OK, &body))
+        }
+        (&Method::PATCH, "/v1/configuration") => patch(entry, account, content).await,
+        (&Method::GET, "/v1/configuration/history") => {
+            Ok(json_response(StatusCode::OK, &read(entry).await?.history))
+        }
+        (&Method::GET, "/state") => Ok(json_response(StatusCode::OK, &entry.state().await)),
+        _ => Err(Failure::not_run(FailureCode::NotFound, "no such path")),
+    }
+}
+
+async fn read(entry: &Entry) -> Result<ConfigurationRecord, Failure> {
+    entry.read_configuration().await.map_err(|error| {
+        Failure::not_run(FailureCode::PlatformAway, error.to_string()).retry_after(PLATFORM_RETRY)
+    })
+}
+
+async fn patch(entry: &Entry, account: &str, content: &[u8]) -> Result<Answer, Failure> {
+    let patch: Patch = serde_json::from_slice(content)
+        .map_err(|error| Failure::not_run(FailureCode::BadRequest, error.to_string()))?;
+    match entry.patch(&patch, account).await {
+        PatchOutcome::Accepted(version) => {
+            let body = json!({"patch_id": patch.patch_id, "version": version});
+            Ok(json_response(StatusCode::OK, &body))
+        }
+        PatchOutcome::Refused(refusal) => {
+            let code = match refusal {
+                PatchRefusal::OutOfDate { .. } => FailureCode::Conflict,
+                PatchRefusal::Invalid(_) => FailureCode::BadRequest,
+            };
+            Err(Failure::not_run(code, refusal.to_string()))
+        }
+        PatchOutcome::NotSent(why) => {
+            Err(Failure::not_run(FailureCode::PlatformAway, why).retry_after(PLATFORM_RETRY))
+        }
+        PatchOutcome::Unknown(why) => {
+            let message = format!("{why}; ask again with the same patch id");
+            Err(Failure::unknown(FailureCode::PlatformAway, message).retry_after(PLATFORM_RETRY))
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/src/in_force.rs
@@ -0,0 +1,34 @@
+//! The configuration in force in this process.
+
+use skylarkpick_config::{Account, Configuration, hash_token};
+use skylarkpick_interface::{AccountId, ConfigurationVersion};
+use std::collections::HashMap;
+
+/// The configuration in force, with what is looked up for each request.
+#[derive(Clone, Debug, Default)]
+pub struct InForce {
+    /// Number of the configuration; 0 before the first.
+    pub version: ConfigurationVersion,
+    /// The configuration.
+    pub configuration: Configuration,
+    accounts_by_token: HashMap<String, AccountId>,
+}
+
+impl InForce {
+    /// Prepares a configuration for look-ups.
+    pub fn open(version: ConfigurationVersion, configuration: Configuration) -> InForce {
+        let mut accounts_by_token = HashMap::new();
+        for (name, account) in &configuration.accounts {
+            for hash in &account.token_hashes {
+                accounts_by_token.insert(hash.to_lowercase(), name.clone());
+            }
+        }
+        InForce { version, configuration, accounts_by_token }
+    }
+
+    /// The account that a token acts for.
+    pub fn account_of(&self, token: &str) -> Option<(&AccountId, &Account)> {
+        let name = self.accounts_by_token.get(&hash_token(token))?;
+        self.configuration.accounts.get_key_value(name)
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-http/src/platform_client.rs
@@ -0,0 +1,156 @@
+//! The platform's object API over HTTP.
+//!
+//! | call | path |
+//! |---|---|
+//! | get | `GET /objects/KEY`: 200 with the version in a header, or 404 |
+//! | put | `PUT /objects/KEY` with `if-match: VERSION` or `if-none-match: *`; 412 on a conflict |
+//! | delete | `DELETE /objects/KEY` with `if-match: VERSION` |
+//! | list | `GET /list?prefix=P&after=A&limit=N` |
+//! | watch | `GET /watch/KEY?seen=VERSION&timeout_ms=N`: as get, or 204 when the time ran out |
+//! | VMs | `GET /vms` |
+
+use crate::client::{CallError, HttpClient};
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+use skylarkpick_interface::{
+    ListedObject, ListedVm, Object, ObjectStore, ObjectVersion, PlatformError, WriteError,
+};
+use std::time::Duration;
+
+/// Header that carries an object's version.
+pub const OBJECT_VERSION_HEADER: &str = "x-object-version";
+
+/// The platform's object API over HTTP.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    client: HttpClient,
+    address: String,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// Opens a handle to the platform at `address`; each call may take `timeout`.
+    pub fn open(address: &str, timeout: Duration) -> HttpPlatform {
+        HttpPlatform { client: HttpClient::open(), address: address.to_string(), timeout }
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        condition: Option<(&str, String)>,
+        value: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let mut request =
+            Request::builder().method(method).uri(format!("http://{}/{path}", self.address));
+        if let Some((name, value)) = condition {
+            request = request.header(name, value);
+        }
+        let request = request
+            .body(Full::new(Bytes::from(value)))
+            .map_err(|error| CallError::NotConnected(error.to_string()))?;
+        self.client.send_whole(request, timeout).await
+    }
+
+    async fn read(&self, path: &str, timeout: Duration) -> Result<Response<Bytes>, PlatformError> {
+        let answer = self
+            .call("GET", path, None, Vec::new(), timeout)
+            .await
+            .map_err(|error| PlatformError::Unavailable(error.to_string()))?;
+        match answer.status() {
+            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::RateLimited),
+            status if status.is_server_error() => {
+                Err(PlatformError::Unavailable(status.to_string()))
+            }
+            _ => Ok(answer),
+        }
+    }
+
+    async fn read_json<A: DeserializeOwned>(&self, path: &str) -> Result<A, PlatformError> {
+        let answer = self.read(path, self.timeout).await?;
+        serde_json::from_slice(answer.body())
+            .map_err(|error| PlatformError::Unavailable(format!("unreadable answer: {error}")))
+    }
+}
+
+fn object(answer: &Response<Bytes>) -> Option<Object> {
+    if answer.status() != StatusCode::OK {
+        return None;
+    }
+    Some(Object { version: version(answer)?, value: answer.body().to_vec() })
+}
+
+fn version(answer: &Response<Bytes>) -> Option<ObjectVersion> {
+    answer.headers().get(OBJECT_VERSION_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+fn written(answer: Result<Response<Bytes>, CallError>) -> Result<ObjectVersion, WriteError> {
+    let answer = answer.map_err(|error| match error {
+        CallError::NotConnected(why) => WriteError::NotWritten(why),
+        other => WriteError::Unknown(other.to_string()),
+    })?;
+    match answer.status() {
+        StatusCode::PRECONDITION_FAILED => Err(WriteError::Conflict { current: version(&answer) }),
+        status if status.is_client_error() => Err(WriteError::NotWritten(status.to_string())),
+        status if !status.is_success() => Err(WriteError::Unknown(status.to_string())),
+        _ => version(&answer).ok_or_else(|| WriteError::Unknown("no version".to_string())),
+    }
+}
+
+#[async_trait]
+impl ObjectStore for HttpPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        let answer = self.read(&format!("objects/{key}"), self.timeout).await?;
+        Ok(object(&answer))
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expected: Option<ObjectVersion>,
+        value: Vec<u8>,
+    ) -> Result<ObjectVersion, WriteError> {
+        let condition = match expected {
+            Some(version) => ("if-match", version.to_string()),
+            None => ("if-none-match", "*".to_string()),
+        };
+        let path = format!("objects/{key}");
+        written(self.call("PUT", &path, Some(condition), value, self.timeout).await)
+    }
+
+    async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<(), WriteError> {
+        let condition = ("if-match", expected.to_string());
+        let path = format!("objects/{key}");
+        let answer = self.call("DELETE", &path, Some(condition), Vec::new(), self.timeout).await;
+        written(answer).map(|_| ())
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        count_limit: usize,
+    ) -> Result<Vec<ListedObject>, PlatformError> {
+        self.read_json(&format!("list?prefix={prefix}&after={after}&limit={count_limit}")).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        seen: ObjectVersion,
+        timeout: Duration,
+    ) -> Result<Option<Object>, PlatformError> {
+        let timeout_ms = timeout.as_millis();
+        let path = format!("watch/{key}?seen={seen}&timeout_ms={timeout_ms}");
+        let answer = self.read(&path, timeout + self.timeout).await?;
+        Ok(object(&answer))
+    }
+
+    async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError> {
+        self.read_json("vms").await
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-http/src/runner_client.rs
@@ -0,0 +1,167 @@
+//! A runner over HTTP.
+//!
+//! | call | path |
+//! |---|---|
+//! | start | `POST /v1/runs`, answered by one JSON frame a line |
+//! | resume | `GET /v1/runs/ID?account=A&offset=N` |
+//! | cancel | `DELETE /v1/runs/ID` |
+//! | load, status | `GET /v1/load`, `GET /v1/status` |
+//! | cache events | `GET /v1/cache-events?after=N&snapshot=BOOL` |
+//! | import, export, order | `POST /v1/imports`, `POST /v1/exports`, `POST /v1/orders` |
+//!
+//! A refusal is status 409 with the error as JSON.
+
+use crate::client::{CallError, HttpClient, json_request, ndjson, status_error};
+use async_trait::async_trait;
+use futures::StreamExt;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use serde::{Serialize, de::DeserializeOwned};
+use skylarkpick_interface::{
+    CacheEventBatch, ExportOrder, ExportReceipt, FrameStream, ImportOrder, ImportReceipt,
+    LoadReport, Order, OrderError, RunFrame, RunRequest, Runner, RunnerStatus, StartError,
+    TransferError,
+};
+use std::time::Duration;
+
+/// Time for a runner to answer a question about itself.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a runner to take up a run or refuse it.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for a transfer or an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A runner over HTTP.
+pub struct HttpRunner {
+    client: HttpClient,
+    address: String,
+}
+
+impl HttpRunner {
+    /// Opens a handle to the runner at `address`.
+    pub fn open(client: HttpClient, address: &str) -> HttpRunner {
+        HttpRunner { client, address: address.to_string() }
+    }
+
+    fn uri(&self, path: &str) -> String {
+        format!("http://{}/v1/{path}", self.address)
+    }
+
+    async fn question<A: DeserializeOwned>(&self, path: &str) -> Result<A, StartError> {
+        self.client
+            .exchange("GET", &self.uri(path), &(), QUESTION_TIMEOUT)
+            .await
+            .map_err(start_error)
+    }
+
+    async fn frames(
+        &self,
+        request: Request<Full<bytes::Bytes>>,
+    ) -> Result<FrameStream, StartError> {
+        let sent = tokio::time::timeout(START_TIMEOUT, self.client.send(request));
+        let answer = sent
+            .await
+            .unwrap_or_else(|_| {
+                Err(CallError::NoAnswer(format!("nothing within {START_TIMEOUT:?}")))
+            })
+            .map_err(start_error)?;
+        let status = answer.status();
+        if !status.is_success() {
+            let content = answer.into_body().collect().await.map(|body| body.to_bytes());
+            return Err(start_error(status_error(status, &content.unwrap_or_default())));
+        }
+        let frames = ndjson::<RunFrame>(answer.into_body());
+        Ok(frames.map(|frame| frame.map_err(|error| StartError::Broken(error.to_string()))).boxed())
+    }
+}
+
+fn start_error(error: CallError) -> StartError {
+    match error {
+        CallError::NotConnected(why) => StartError::NotReached(why),
+        CallError::Status { status: 409, message } => {
+            serde_json::from_str(&message).unwrap_or(StartError::Refused(message))
+        }
+        other => StartError::Broken(other.to_string()),
+    }
+}
+
+fn transfer_error(error: CallError) -> TransferError {
+    match error {
+        CallError::Status { status: 409, message } => {
+            serde_json::from_str(&message).unwrap_or(TransferError::Failed(message))
+        }
+        other => TransferError::Failed(other.to_string()),
+    }
+}
+
+fn order_error(error: CallError) -> OrderError {
+    match error {
+        CallError::NotConnected(why) => OrderError::Refused(why),
+        CallError::Status { status: 409, message } => {
+            serde_json::from_str(&message).unwrap_or(OrderError::Unknown(message))
+        }
+        other => OrderError::Unknown(other.to_string()),
+    }
+}
+
+impl HttpRunner {
+    async fn post<A: DeserializeOwned>(
+        &self,
+        path: &str,
+        value: &impl Serialize,
+    ) -> Result<A, CallError> {
+        self.client.exchange("POST", &self.uri(path), value, ORDER_TIMEOUT).await
+    }
+}
+
+#[async_trait]
+impl Runner for HttpRunner {
+    async fn start(&self, request: RunRequest) -> Result<FrameStream, StartError> {
+        let request = json_request("POST", &self.uri("runs"), &request).map_err(start_error)?;
+        self.frames(request).await
+    }
+
+    async fn resume(
+        &self,
+        run_id: &str,
+        account: &str,
+        offset: u64,
+    ) -> Result<FrameStream, StartError> {
+        let path = format!("runs/{run_id}?account={account}&offset={offset}");
+        let request = json_request("GET", &self.uri(&path), &()).map_err(start_error)?;
+        self.frames(request).await
+    }
+
+    async fn cancel(&self, run_id: &str) -> Result<(), StartError> {
+        let uri = self.uri(&format!("runs/{run_id}"));
+        self.client.exchange("DELETE", &uri, &(), QUESTION_TIMEOUT).await.map_err(start_error)
+    }
+
+    async fn load(&self) -> Result<LoadReport, StartError> {
+        self.question("load").await
+    }
+
+    async fn cache_events(
+        &self,
+        after: u64,
+        snapshot: bool,
+    ) -> Result<CacheEventBatch, StartError> {
+        self.question(&format!("cache-events?after={after}&snapshot={snapshot}")).await
+    }
+
+    async fn import(&self, order: ImportOrder) -> Result<ImportReceipt, TransferError> {
+        self.post("imports", &order).await.map_err(transfer_error)
+    }
+
+    async fn export(&self, order: ExportOrder) -> Result<ExportReceipt, TransferError> {
+        self.post("exports", &order).await.map_err(transfer_error)
+    }
+
+    async fn order(&self, order: Order) -> Result<(), OrderError> {
+        self.post("orders", &order).await.map_err(order_error)
+    }
+
+    async fn status(&self) -> Result<RunnerStatus, StartError> {
+        self.question("status").await
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -0,0 +1,36 @@
+//! Traits and message types at the border to outside systems.
+//!
+//! The rest of the workspace meets the platform, the targets and the clock only through these
+//! traits, always as trait objects. HTTP adapters stand behind them in production and small
+//! in-memory stand-ins in tests.
+
+mod clock;
+mod hexadecimal;
+mod ids;
+mod plain_service;
+mod platform;
+mod runner;
+mod store;
+mod targets;
+
+pub use clock::{BootClock, Clock, TokioClock};
+pub use hexadecimal::{format_prefix_key, parse_prefix_key};
+pub use ids::{
+    AccountId, AdapterName, AttemptId, ConfigurationVersion, DataCentreId, EntryId, FencingNumber,
+    Generation, IdempotencyKey, ModelName, PrefixKey, RequestId, RunId, RunnerId, ServiceName,
+    StoreId, WeightVersion,
+};
+pub use plain_service::{PlainService, ServiceCall, ServiceError, ServiceReply};
+pub use platform::{
+    ListedObject, ListedVm, Object, ObjectKey, ObjectStore, ObjectVersion, PlatformError, VmState,
+    WriteError,
+};
+pub use runner::{
+    CacheChange, CacheEvent, CacheEventBatch, ExportOrder, ExportReceipt, FinishReason, FrameBody,
+    FrameStream, ImportOrder, ImportReceipt, LoadReport, Order, OrderError, OrderKind, Priority,
+    RunFrame, RunRequest, Runner, RunnerStatus, StartError, TransferError,
+};
+pub use store::{
+    Manifest, ManifestState, PinId, SavedPrefix, Store, StoreError, StoreStatus, StoreTier,
+};
+pub use targets::TargetConnector;
--- /dev/null
+++ b/crates/skylarkpick-lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases on platform objects, with fencing numbers.
--- /dev/null
+++ b/crates/skylarkpick-protocol/src/lib.rs
@@ -0,0 +1,7 @@
+//! Inner messages and stored objects: the `.proto` files and their committed generated code.
+
+/// Objects that the system keeps in the platform's service.
+#[allow(missing_docs)]
+pub mod stored {
+    include!("generated/skylarkpick.stored.rs");
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! The scenario language, its runner, and the independent judge.
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -0,0 +1,5 @@
+//! Routing, queues, limits, retries and roll-out plans as pure decisions.
+
+mod router;
+
+pub use router::{Candidate, NoRoute, Route, RouteRequest, Router};
--- /dev/null
+++ b/crates/skylarkpick-standin/src/gate.rs
@@ -0,0 +1,90 @@
+//! Admits a limited number of holders, by priority and then by arrival.
+
+use skylarkpick_interface::Priority;
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+use tokio::sync::oneshot;
+
+/// Admits a limited number of holders, by priority and then by arrival.
+#[derive(Clone)]
+pub struct Gate {
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    free: u32,
+    arrivals: u64,
+    waiting: BTreeMap<(Reverse<Priority>, u64), oneshot::Sender<Place>>,
+}
+
+/// A holder's place, given back on drop.
+pub struct Place {
+    gate: Gate,
+}
+
+impl Gate {
+    /// Opens a gate with `places` places.
+    pub fn open(places: u32) -> Gate {
+        let state = State { free: places, arrivals: 0, waiting: BTreeMap::new() };
+        Gate { state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Waits for a place.
+    pub async fn enter(&self, priority: Priority) -> Place {
+        let receiver = {
+            let mut state = self.lock();
+            if state.free > 0 {
+                state.free -= 1;
+                return Place { gate: self.clone() };
+            }
+            let (sender, receiver) = oneshot::channel();
+            state.arrivals += 1;
+            let order = (Reverse(priority), state.arrivals);
+            state.waiting.insert(order, sender);
+            receiver
+        };
+        match receiver.await {
+            Ok(place) => place,
+            // The sender lives in the gate's own state, which this call keeps alive.
+            Err(_) => unreachable!("a gate dropped a waiter"),
+        }
+    }
+
+    /// Holders that wait.
+    pub fn waiting(&self) -> usize {
+        self.lock().waiting.values().filter(|waiter| !waiter.is_closed()).count()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn give_back(&self) {
+        loop {
+            let next = {
+                let mut state = self.lock();
+                match state.waiting.pop_first() {
+                    Some((_, waiter)) => waiter,
+                    None => {
+                        state.free += 1;
+                        return;
+                    }
+                }
+            };
+            match next.send(Place { gate: self.clone() }) {
+                Ok(()) => return,
+                // The waiter has gone: forget the place that it did not take, and try the next.
+                Err(place) => std::mem::forget(place),
+            }
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.gate.give_back();
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-standin/src/serve.rs
@@ -0,0 +1,12 @@
+//! Serves stand-ins over HTTP, in the protocols that `skylarkpick-http` describes.
+
+mod answer;
+mod platform;
+mod runner;
+mod service;
+mod store;
+
+pub use platform::serve_platform;
+pub use runner::serve_runner;
+pub use service::serve_service;
+pub use store::serve_store;
--- /dev/null
+++ b/crates/skylarkpick-transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! QUIC with mutual TLS between entry processes.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,8 @@
+//! The skylarkpick binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    skylarkpick_command::run_main(&arguments)
+}
