Give entry processes a border trait for the network between them

Cause: peers, directory and scenarios need one place where messages between entry processes pass, and a way to cut it. Change: PeerNetwork and PeerHandler as traits, an in-memory network with cuts, and a seed in the parts of an entry so that a test decides every random choice.

--- a/crates/skylarkpick-command/src/commands/entry.rs
+++ b/crates/skylarkpick-command/src/commands/entry.rs
@@ -9,7 +9,7 @@
 use skylarkpick_config::{Settings, parse_settings};
 use skylarkpick_entry::{Entry, EntryParts, Front};
 use skylarkpick_http::{HttpConnector, HttpPlatform};
-use skylarkpick_interface::BootClock;
+use skylarkpick_interface::{BootClock, NoPeers};
 use std::{sync::Arc, time::Duration};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -74,7 +74,9 @@
     let entry = Entry::spawn(EntryParts {
         platform: Arc::new(platform),
         connector: Arc::new(HttpConnector::open()),
+        peers: NoPeers::open(),
         clock: Arc::new(BootClock),
+        seed: rand::random(),
         settings,
     });
     let front = Front::bind(entry).await.context("the HTTP address cannot be taken")?;
--- a/crates/skylarkpick-command/src/demo/fleet.rs
+++ b/crates/skylarkpick-command/src/demo/fleet.rs
@@ -5,7 +5,7 @@
 use skylarkpick_config::{Limits, Settings, hash_token};
 use skylarkpick_entry::{Entry, EntryParts, Front};
 use skylarkpick_http::{HttpConnector, HttpPlatform, Server};
-use skylarkpick_interface::{BootClock, ObjectStore, Runner};
+use skylarkpick_interface::{BootClock, NoPeers, ObjectStore, Runner};
 use skylarkpick_standin::{
     FakeRunner, FakeService, FakeStore, MemoryPlatform, PlatformRates, RunnerSettings,
     StoreSettings, WeightStore, serve_platform, serve_runner, serve_service, serve_store,
@@ -190,7 +190,9 @@
                 settings,
                 platform: Arc::new(HttpPlatform::open(platform_address, PLATFORM_TIMEOUT)),
                 connector: Arc::new(HttpConnector::open()),
+                peers: NoPeers::open(),
                 clock: Arc::new(BootClock),
+                seed: index as u64,
             });
             fronts.push(Front::bind(entry.clone()).await?);
             entries.push(entry);
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod hexadecimal;
 mod ids;
+mod peers;
 mod plain_service;
 mod platform;
 mod runner;
@@ -20,6 +21,7 @@
     Generation, IdempotencyKey, ModelName, PrefixKey, RequestId, RunId, RunnerId, ServiceName,
     StoreId, WeightVersion,
 };
+pub use peers::{NoPeers, PeerError, PeerHandler, PeerNetwork};
 pub use plain_service::{PlainService, ServiceCall, ServiceError, ServiceReply};
 pub use platform::{
     ListedObject, ListedVm, Object, ObjectKey, ObjectStore, ObjectVersion, PlatformError, VmState,
--- a/crates/skylarkpick-standin/src/lib.rs
+++ b/crates/skylarkpick-standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod connector;
 mod gate;
+mod peers;
 mod platform;
 mod prefix_cache;
 mod runner;
@@ -15,6 +16,7 @@
 
 pub use connector::MemoryConnector;
 pub use gate::{Gate, Place};
+pub use peers::MemoryPeers;
 pub use platform::{MemoryPlatform, PlatformCalls, PlatformFaults, PlatformRates};
 pub use prefix_cache::PrefixCache;
 pub use runner::{FakeRunner, RunRecord, RunnerFaults, RunnerSettings, expected_token};
