Add leases with fencing numbers as a library

Cause: roles that one process may hold at a time need a guard that does not rest on wall clocks or on who believes to lead. Change: a pure state machine and a thin driver; the object's version is the fencing number, the holder counts from when it sent the write, the successor from when it first saw the version. Conclusion: safe against the faults listed; a pause between permit and sending is left to targets.

--- /dev/null
+++ b/crates/skylarkpick-lease/tests/lease.rs
@@ -0,0 +1,247 @@
+//! Leases on the platform stand-in, on paused time: one case a fault.
+
+use skylarkpick_interface::{Clock, ObjectStore, Order, OrderError, OrderKind, Runner, TokioClock};
+use skylarkpick_lease::{Lease, LeaseSettings};
+use skylarkpick_standin::{
+    FakeRunner, MemoryConnector, MemoryPlatform, PlatformFaults, PlatformRates, RunnerSettings,
+    WeightStore,
+};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicI64, Ordering},
+    },
+    time::{Duration, SystemTime},
+};
+
+const KEY: &str = "leases/planner/mnl-a";
+
+fn platform() -> Arc<MemoryPlatform> {
+    MemoryPlatform::open(Duration::ZERO, PlatformRates::default())
+}
+
+fn spawn(platform: &Arc<MemoryPlatform>, name: &str) -> Lease {
+    let clock = Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH));
+    Lease::spawn(platform.clone(), clock, LeaseSettings::new(KEY, name), 7)
+}
+
+async fn wait(seconds: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+}
+
+/// A fault, and who may give orders at points of time after it.
+struct Case {
+    name: &'static str,
+    fault: fn(&mut PlatformFaults),
+    /// Seconds after the fault, and whether the holder may order then.
+    expected: &'static [(f64, bool)],
+    /// Whether the fault ends after the last point and the holder comes back within 3 s.
+    comes_back: bool,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "a lost answer after the effect",
+        fault: |faults| faults.lost_write_answers = 1,
+        expected: &[(0.5, true), (1.2, true), (3.0, true), (30.0, true)],
+        comes_back: true,
+    },
+    Case {
+        name: "a write lost before its effect",
+        fault: |faults| faults.lost_writes = 1,
+        expected: &[(0.5, true), (1.2, true), (3.0, true), (30.0, true)],
+        comes_back: true,
+    },
+    Case {
+        name: "many answers lost after the effect",
+        fault: |faults| faults.lost_write_answers = 5,
+        expected: &[(0.5, true), (3.0, true), (30.0, true)],
+        comes_back: true,
+    },
+    Case {
+        name: "an outage lapses the lease before the term ends",
+        fault: |faults| faults.away = true,
+        expected: &[(0.5, true), (2.5, true), (4.5, false), (600.0, false)],
+        comes_back: true,
+    },
+    Case {
+        name: "a platform slower than the call timeout",
+        fault: |faults| faults.delay = Duration::from_secs(2),
+        expected: &[(0.5, true), (4.5, false), (60.0, false)],
+        comes_back: true,
+    },
+];
+
+#[tokio::test(start_paused = true)]
+async fn the_holder_stops_in_time_and_comes_back() {
+    for case in CASES {
+        let platform = platform();
+        let holder = spawn(&platform, "entry-1");
+        wait(0.1).await;
+        assert!(holder.permit().is_some(), "{}: not held at first", case.name);
+        platform.set_faults(case.fault);
+        let mut elapsed = 0.0;
+        for (at, may_order) in case.expected {
+            wait(at - elapsed).await;
+            elapsed = *at;
+            assert_eq!(holder.permit().is_some(), *may_order, "{} at {at} s", case.name);
+        }
+        platform.set_faults(|faults| *faults = PlatformFaults::default());
+        wait(3.0).await;
+        assert_eq!(holder.permit().is_some(), case.comes_back, "{} afterwards", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_successor_waits_out_the_term_and_the_order_timeout() {
+    let platform = platform();
+    let first = spawn(&platform, "entry-1");
+    wait(0.1).await;
+    let first_number = first.permit().unwrap().fencing_number;
+    let second = spawn(&platform, "entry-2");
+    wait(20.0).await;
+    assert!(first.permit().is_some() && second.permit().is_none());
+    drop(first);
+    wait(6.5).await;
+    assert!(second.permit().is_none(), "the successor did not wait");
+    wait(4.0).await;
+    let second_number = second.permit().expect("the successor took over").fencing_number;
+    assert!(second_number > first_number);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_released_lease_is_taken_at_the_next_poll() {
+    let platform = platform();
+    let first = spawn(&platform, "entry-1");
+    wait(0.1).await;
+    let second = spawn(&platform, "entry-2");
+    wait(3.0).await;
+    first.release().await;
+    wait(1.1).await;
+    assert!(second.permit().is_some());
+    assert_eq!(second.status().last_holder.as_deref(), Some("entry-2"));
+}
+
+/// A clock whose wall time steps while its time since boot goes on.
+struct SteppingClock {
+    inner: TokioClock,
+    step_s: AtomicI64,
+}
+
+impl Clock for SteppingClock {
+    fn since_boot(&self) -> Duration {
+        self.inner.since_boot()
+    }
+
+    fn wall(&self) -> SystemTime {
+        let step_s = self.step_s.load(Ordering::SeqCst);
+        let step = Duration::from_secs(step_s.unsigned_abs());
+        if step_s < 0 { self.inner.wall() - step } else { self.inner.wall() + step }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn steps_of_the_wall_clock_change_nothing() {
+    for step_s in [-86_400, 86_400] {
+        let platform = platform();
+        let start = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+        let clock =
+            Arc::new(SteppingClock { inner: TokioClock::start(start), step_s: AtomicI64::new(0) });
+        let settings = LeaseSettings::new(KEY, "entry-1");
+        let holder = Lease::spawn(platform.clone(), clock.clone(), settings, 7);
+        wait(0.1).await;
+        let other = spawn(&platform, "entry-2");
+        wait(2.0).await;
+        clock.step_s.store(step_s, Ordering::SeqCst);
+        wait(5.0).await;
+        assert!(holder.permit().is_some(), "a step of {step_s} s ended the lease");
+        assert!(other.permit().is_none(), "a step of {step_s} s gave the lease away");
+    }
+}
+
+/// A clock that a suspended machine's tasks see jump ahead.
+struct JumpingClock {
+    inner: TokioClock,
+    jump_s: AtomicI64,
+}
+
+impl Clock for JumpingClock {
+    fn since_boot(&self) -> Duration {
+        let jump_s = self.jump_s.load(Ordering::SeqCst).unsigned_abs();
+        self.inner.since_boot() + Duration::from_secs(jump_s)
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.inner.wall()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_was_paused_gives_no_order_on_waking() {
+    let platform = platform();
+    let clock = TokioClock::start(SystemTime::UNIX_EPOCH);
+    let clock = Arc::new(JumpingClock { inner: clock, jump_s: AtomicI64::new(0) });
+    let holder =
+        Lease::spawn(platform.clone(), clock.clone(), LeaseSettings::new(KEY, "entry-1"), 7);
+    wait(0.1).await;
+    assert!(holder.permit().is_some());
+    clock.jump_s.store(5, Ordering::SeqCst);
+    assert!(holder.permit().is_none(), "the pause was not counted");
+    wait(2.0).await;
+    assert!(holder.permit().is_some(), "nobody took over, so the renewal stands");
+}
+
+/// A late order of a former holder, at a target of one kind.
+struct LateOrderCase {
+    checks_fencing: bool,
+    expected: Result<u64, OrderError>,
+}
+
+/// A target that checks refuses the old number; one that ignores it takes the order, after which
+/// the holder of the lease reads the other state and orders the wanted end again.
+#[tokio::test(start_paused = true)]
+async fn late_orders_are_refused_or_repaired() {
+    let platform = platform();
+    let first = spawn(&platform, "entry-1");
+    wait(0.1).await;
+    let old_number = first.permit().unwrap().fencing_number;
+    drop(first);
+    let second = spawn(&platform, "entry-2");
+    wait(12.0).await;
+    let new_number = second.permit().unwrap().fencing_number;
+    let cases = [
+        LateOrderCase { checks_fencing: true, expected: Err(OrderError::Fenced(new_number)) },
+        LateOrderCase { checks_fencing: false, expected: Ok(2) },
+    ];
+    for case in cases {
+        let settings =
+            RunnerSettings { checks_fencing: case.checks_fencing, ..RunnerSettings::default() };
+        let model = settings.model.clone();
+        let runner = FakeRunner::open(
+            settings,
+            MemoryConnector::open(),
+            WeightStore::open(Duration::from_millis(100), 2),
+        );
+        let load = |fencing_number, weight_version| Order {
+            fencing_number,
+            kind: OrderKind::Load { model: model.clone(), weight_version, adapters: Vec::new() },
+        };
+        runner.order(load(new_number, 3)).await.unwrap();
+        let outcome = runner.order(load(old_number, 2)).await;
+        let served = runner.status().await.unwrap().weight_version;
+        assert_eq!(outcome.map(|()| served), case.expected);
+        runner.order(load(new_number, 3)).await.unwrap();
+        assert_eq!(runner.status().await.unwrap().weight_version, 3);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_object_is_waited_out_for_the_longest_term() {
+    let platform = platform();
+    platform.put(KEY, None, b"not a lease".to_vec()).await.unwrap();
+    let candidate = spawn(&platform, "entry-1");
+    wait(299.0).await;
+    assert!(candidate.permit().is_none());
+    wait(5.0).await;
+    assert!(candidate.permit().is_some());
+}
