Define the messages between entry processes

The processes have a network border but no messages to put on it. One envelope, PeerMessage, carries gossip, probes, digests, configuration requests and the first form of the directory messages (updates, look-ups and answers over 16-byte prefix keys), so that membership and the directory can be built side by side. Loads and in-force versions name their subject by a 64-bit digest, since names would be most of their bytes.

--- a/crates/skylarkpick-protocol/src/lib.rs
+++ b/crates/skylarkpick-protocol/src/lib.rs
@@ -1,5 +1,11 @@
 //! Inner messages and stored objects: the `.proto` files and their committed generated code.
 
+/// Messages between entry processes.
+#[allow(missing_docs)]
+pub mod peer {
+    include!("generated/skylarkpick.peer.rs");
+}
+
 /// Objects that the system keeps in the platform's service.
 #[allow(missing_docs)]
 pub mod stored {
