Choose a runner together with a way to get its context

Cause: the router knew one way only, cached or computed, and counted load by its own requests alone.

Change: one cost over queue, transfer, prefill, recomputed share and link bytes, with the weights of the serving configuration. A route now says whether the context is cached, imported from a saved copy or computed. Reports are corrected by what was sent since they were taken; an import of a prefix to a runner is shared; prompts being computed count as held; leaving, loading, ejected and silent runners are left out; above 32 runners only holders and a sample are weighed. A saving policy decides by chance of return x seconds to recompute over bytes, within a share of the link.

--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -248,6 +248,9 @@
         match body {
             FrameBody::Started { weight_version, cached_tokens } => {
                 let expected = guard.route.weight_version;
+                if weight_version == expected {
+                    guard.note_started(cached_tokens).await;
+                }
                 self.announce(expected, weight_version, cached_tokens).await
             }
             FrameBody::Token { offset, text } => self.pass_token(offset, text, guard).await,
@@ -330,16 +333,18 @@
 }
 
 impl RunGuard {
+    async fn note_started(&self, cached_tokens: u64) {
+        let (route, request) = (self.route.clone(), self.route_request.clone());
+        // A stopped actor means that the process ends.
+        let _ = self.shared.router.tell(Observed::Started { route, request, cached_tokens }).await;
+    }
+
     async fn note_first_token(&mut self) {
         if self.had_first_token {
             return;
         }
         self.had_first_token = true;
-        let observed = Observed::FirstToken(
-            self.route.runner.clone(),
-            self.route.weight_version,
-            self.route_request.clone(),
-        );
+        let observed = Observed::FirstToken(self.route.clone(), self.route_request.clone());
         // A stopped actor means that the process ends.
         let _ = self.shared.router.tell(observed).await;
     }
@@ -348,7 +353,7 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let observed = Observed::End {
-            runner: self.route.runner.clone(),
+            route: self.route.clone(),
             request: self.route_request.clone(),
             had_first_token: self.had_first_token,
         };
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -52,7 +52,7 @@
     pub fn spawn(parts: EntryParts) -> Entry {
         let (sender, in_force) = watch::channel(Arc::new(InForce::default()));
         let configuration = ConfigurationActor::spawn(ConfigurationActor::open(sender));
-        let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre));
+        let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre, parts.seed));
         let mut tasks = JoinSet::new();
         let poll = Duration::from_millis(parts.settings.limits.configuration_poll_ms);
         tasks.spawn(follow_platform(parts.platform.clone(), configuration.clone(), poll));
--- a/crates/skylarkpick-entry/src/router_actor.rs
+++ b/crates/skylarkpick-entry/src/router_actor.rs
@@ -2,22 +2,62 @@
 
 use crate::in_force::InForce;
 use kameo::prelude::*;
-use skylarkpick_interface::{LoadReport, RunnerId, RunnerStatus, WeightVersion};
-use skylarkpick_schedule::{Candidate, NoRoute, Route, RouteRequest, Router};
-use std::{collections::BTreeMap, sync::Arc};
+use skylarkpick_cache::{BLOCK_TOKENS, Directory};
+use skylarkpick_interface::{LoadReport, PrefixKey, RunnerId, RunnerStatus};
+use skylarkpick_schedule::{
+    Candidate, Holder, NoRoute, PrefixView, Route, RouteRequest, Router, SavedCopy,
+};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
 /// Owns the router.
 #[derive(Actor)]
 pub(crate) struct RouterActor {
     router: Router,
+    directory: Directory,
 }
 
 impl RouterActor {
-    pub(crate) fn open(data_centre: &str) -> RouterActor {
-        RouterActor { router: Router::open(data_centre) }
+    pub(crate) fn open(data_centre: &str, seed: u64) -> RouterActor {
+        RouterActor { router: Router::open(data_centre, seed), directory: Directory::default() }
+    }
+
+    fn note_started(&mut self, route: &Route, request: &RouteRequest, cached_tokens: u64) {
+        let held_blocks = (cached_tokens / BLOCK_TOKENS) as usize;
+        let correction =
+            self.router.observe_started(route, request.prompt_tokens, cached_tokens, now());
+        if correction.is_some_and(|found| found.held_tokens < found.believed_tokens) {
+            for key in request.keys(route.weight_version).iter().skip(held_blocks) {
+                self.directory.remove(&route.runner, *key);
+            }
+        }
+    }
+}
+
+/// Beliefs about the runners' caches, as the router reads them.
+struct Beliefs<'a> {
+    directory: &'a Directory,
+    runners: Vec<RunnerId>,
+}
+
+impl PrefixView for Beliefs<'_> {
+    fn holders(&self, keys: &[PrefixKey]) -> Vec<Holder> {
+        let held = |runner: &RunnerId| Holder {
+            runner: runner.clone(),
+            tokens: self.directory.held(runner, keys) as u64 * BLOCK_TOKENS,
+        };
+        self.runners.iter().map(held).filter(|holder| holder.tokens > 0).collect()
+    }
+
+    fn saved_copies(&self, _: &[PrefixKey]) -> Vec<SavedCopy> {
+        Vec::new()
     }
 }
 
+/// The time on tokio's clock, which tests can pause.
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
 /// Takes over the targets of a configuration.
 pub(crate) struct SetConfiguration(pub(crate) Arc<InForce>);
 
@@ -35,10 +75,12 @@
     Status(RunnerId, RunnerStatus),
     /// The runner leaves.
     Leaving(RunnerId),
+    /// A run was taken up, sparing so many prompt tokens.
+    Started { route: Route, request: Arc<RouteRequest>, cached_tokens: u64 },
     /// A run has its first token.
-    FirstToken(RunnerId, WeightVersion, Arc<RouteRequest>),
+    FirstToken(Route, Arc<RouteRequest>),
     /// A run has ended.
-    End { runner: RunnerId, request: Arc<RouteRequest>, had_first_token: bool },
+    End { route: Route, request: Arc<RouteRequest>, had_first_token: bool },
 }
 
 impl Message<SetConfiguration> for RouterActor {
@@ -57,7 +99,9 @@
         message: Choose,
         _: &mut Context<Self, Self::Reply>,
     ) -> Result<Route, NoRoute> {
-        self.router.choose(&message.0)
+        let runners = self.router.candidates().into_keys().collect();
+        let beliefs = Beliefs { directory: &self.directory, runners };
+        self.router.choose(&message.0, &beliefs, now())
     }
 }
 
@@ -69,7 +113,7 @@
         _: ReadCandidates,
         _: &mut Context<Self, Self::Reply>,
     ) -> BTreeMap<RunnerId, Candidate> {
-        self.router.candidates().clone()
+        self.router.candidates()
     }
 }
 
@@ -78,14 +122,18 @@
 
     async fn handle(&mut self, message: Observed, _: &mut Context<Self, Self::Reply>) {
         match message {
-            Observed::Load(runner, load) => self.router.observe_load(&runner, load),
+            Observed::Load(runner, load) => self.router.observe_load(&runner, load, now()),
             Observed::Leaving(runner) => self.router.observe_leaving(&runner),
             Observed::Status(runner, status) => self.router.observe_status(&runner, &status),
-            Observed::FirstToken(runner, weight_version, request) => {
-                self.router.observe_first_token(&runner, weight_version, &request);
+            Observed::Started { route, request, cached_tokens } => {
+                self.note_started(&route, &request, cached_tokens);
+            }
+            Observed::FirstToken(route, request) => {
+                self.directory.add(&route.runner, request.keys(route.weight_version));
+                self.router.observe_first_token(&route, &request, now());
             }
-            Observed::End { runner, request, had_first_token } => {
-                self.router.observe_end(&runner, &request, had_first_token);
+            Observed::End { route, request, had_first_token } => {
+                self.router.observe_end(&route, &request, had_first_token, now());
             }
         }
     }
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/saving.rs
@@ -0,0 +1,11 @@
+//! Decides which prefixes are saved to which store and tier, and which saved ones give way.
+
+mod policy;
+mod returns;
+mod types;
+
+pub use policy::SavingPolicy;
+pub use types::{SaveDecision, SavedEntry, SavingSettings, StoreRoom};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/saving/policy.rs
@@ -0,0 +1,263 @@
+//! The saving policy.
+
+use super::{
+    returns::{ReturnTable, UseHistory},
+    types::{SaveDecision, SavedEntry, SavingSettings, StoreRoom},
+};
+use crate::route::Backlog;
+use skylarkpick_interface::{AccountId, PrefixKey, StoreId, StoreTier};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Instant,
+};
+
+/// Bytes in a gigabyte.
+const GIGABYTE: f64 = 1e9;
+/// Uses of prefixes between two sweeps for prefixes that were given up.
+const SWEEP_INTERVAL_USES: u64 = 1_024;
+/// Seconds of exports that may wait for a link before no more are begun.
+const EXPORT_QUEUE_SECONDS: f64 = 4.0;
+
+/// Decides what is saved where, and what gives way.
+///
+/// The value of a copy is the chance that the prefix returns times the seconds that computing
+/// it takes; the price is its bytes. Pure: told of uses and times, gives decisions.
+#[derive(Debug)]
+pub struct SavingPolicy {
+    settings: SavingSettings,
+    prefixes: HashMap<PrefixKey, UseHistory>,
+    returns: ReturnTable,
+    rooms: BTreeMap<StoreId, StoreRoom>,
+    exports: BTreeMap<StoreId, Backlog>,
+    saved: HashMap<PrefixKey, Vec<StoreId>>,
+    uses_since_sweep: u64,
+}
+
+impl SavingPolicy {
+    /// Opens a policy that has seen nothing.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::{SavingPolicy, SavingSettings};
+    /// use std::time::Instant;
+    /// let mut policy = SavingPolicy::open(SavingSettings::default());
+    /// assert!(policy.on_use(1, "account", 4_096, Instant::now()).is_empty());
+    /// ```
+    pub fn open(settings: SavingSettings) -> SavingPolicy {
+        SavingPolicy {
+            settings,
+            prefixes: HashMap::new(),
+            returns: ReturnTable::open(),
+            rooms: BTreeMap::new(),
+            exports: BTreeMap::new(),
+            saved: HashMap::new(),
+            uses_since_sweep: 0,
+        }
+    }
+
+    /// Takes in room and link of a store; a store never reported gets no copies.
+    pub fn set_store(&mut self, room: StoreRoom) {
+        self.rooms.insert(room.store.clone(), room);
+    }
+
+    /// Notes that a store holds a copy, so that it is not saved there again.
+    pub fn note_saved(&mut self, prefix_key: PrefixKey, store: &str) {
+        let stores = self.saved.entry(prefix_key).or_default();
+        if !stores.iter().any(|known| known == store) {
+            stores.push(store.to_string());
+        }
+    }
+
+    /// Notes that a store holds a copy no longer, or that saving it failed.
+    pub fn note_lost(&mut self, prefix_key: PrefixKey, store: &str) {
+        if let Some(stores) = self.saved.get_mut(&prefix_key) {
+            stores.retain(|known| known != store);
+            if stores.is_empty() {
+                self.saved.remove(&prefix_key);
+            }
+        }
+    }
+
+    /// Notes that a store has lost all that it held.
+    pub fn note_store_emptied(&mut self, store: &str) {
+        self.saved.retain(|_, stores| {
+            stores.retain(|known| known != store);
+            !stores.is_empty()
+        });
+    }
+
+    /// Takes in a use of a prefix, named by its last block, that a runner now holds. Gives the
+    /// copies to save, each counted as begun.
+    pub fn on_use(
+        &mut self,
+        prefix_key: PrefixKey,
+        _account: &str,
+        tokens: u64,
+        now: Instant,
+    ) -> Vec<SaveDecision> {
+        let uses = self.note_use(prefix_key, now);
+        self.sweep(now);
+        if tokens < self.settings.tokens_floor || uses < self.settings.uses_floor {
+            return Vec::new();
+        }
+        let value_seconds = self.value_seconds(prefix_key, tokens, now);
+        let size_bytes = tokens * self.settings.context_bytes_per_token;
+        let per_gigabyte = value_seconds / (size_bytes as f64 / GIGABYTE).max(1e-9);
+        if per_gigabyte < self.settings.seconds_per_gigabyte_floor {
+            return Vec::new();
+        }
+        let copies = if value_seconds >= self.settings.two_copies_seconds { 2 } else { 1 };
+        let mut decisions = Vec::new();
+        while self.saved.get(&prefix_key).map_or(0, Vec::len) < copies {
+            let Some((store, tier)) = self.pick_store(prefix_key, size_bytes, now) else { break };
+            self.begin_export(&store, size_bytes, now);
+            self.note_saved(prefix_key, &store);
+            let decision =
+                SaveDecision { store, tier, prefix_key, tokens, size_bytes, value_seconds };
+            decisions.push(decision);
+        }
+        decisions
+    }
+
+    /// Seconds of recomputing that a copy of a prefix is expected to spare.
+    pub fn value_seconds(&self, prefix_key: PrefixKey, tokens: u64, now: Instant) -> f64 {
+        let history = self.prefixes.get(&prefix_key);
+        let uses = history.map_or(1, |history| history.uses);
+        let away = history.map(|history| now.saturating_duration_since(history.last_used_at));
+        let chance = self.returns.chance(uses, away.unwrap_or_default());
+        chance * tokens as f64 / self.settings.prefill_tokens_per_second.max(1.0)
+    }
+
+    /// Copies that give way, least worth for their bytes first, until `wanted_bytes` are free.
+    ///
+    /// Copies of accounts above their share of `size_bytes` go before those of others.
+    pub fn evict(
+        &self,
+        entries: &[SavedEntry],
+        size_bytes: u64,
+        wanted_bytes: u64,
+        now: Instant,
+    ) -> Vec<PrefixKey> {
+        let mut used: BTreeMap<&AccountId, u64> = BTreeMap::new();
+        for entry in entries {
+            *used.entry(&entry.account).or_default() += entry.size_bytes;
+        }
+        let share_bytes = (self.settings.account_share_limit * size_bytes as f64) as u64;
+        let rank = |entry: &SavedEntry| self.worth(entry, now);
+        let mut by_worth: Vec<(f64, &SavedEntry)> =
+            entries.iter().map(|entry| (rank(entry), entry)).collect();
+        by_worth.sort_by(|left, right| {
+            left.0.total_cmp(&right.0).then(left.1.prefix_key.cmp(&right.1.prefix_key))
+        });
+        let mut freed_bytes = 0;
+        let mut evicted = Vec::new();
+        for over_share in [true, false] {
+            for (_, entry) in &by_worth {
+                if freed_bytes >= wanted_bytes {
+                    return evicted;
+                }
+                let account_bytes = used.entry(&entry.account).or_default();
+                let is_over = *account_bytes > share_bytes;
+                if is_over == over_share && !evicted.contains(&entry.prefix_key) {
+                    *account_bytes = account_bytes.saturating_sub(entry.size_bytes);
+                    freed_bytes += entry.size_bytes;
+                    evicted.push(entry.prefix_key);
+                }
+            }
+        }
+        evicted
+    }
+
+    /// Prefixes remembered.
+    pub fn len(&self) -> usize {
+        self.prefixes.len()
+    }
+
+    /// Whether no prefix is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.prefixes.is_empty()
+    }
+
+    /// Expected seconds spared for each byte kept; of equals, the one away longest goes first.
+    fn worth(&self, entry: &SavedEntry, now: Instant) -> f64 {
+        let away = now.saturating_duration_since(entry.last_used_at).as_secs_f64();
+        let value = self.value_seconds(entry.prefix_key, entry.tokens, now);
+        value / entry.size_bytes.max(1) as f64 / (1.0 + away)
+    }
+
+    fn note_use(&mut self, prefix_key: PrefixKey, now: Instant) -> u32 {
+        if let Some(history) = self.prefixes.get_mut(&prefix_key) {
+            let gap = history.note(now);
+            self.returns.note_return(gap, history.uses);
+            return history.uses;
+        }
+        self.prefixes.insert(prefix_key, UseHistory::open(now));
+        self.returns.note_first();
+        1
+    }
+
+    /// Forgets prefixes that did not return, and learns from them.
+    fn sweep(&mut self, now: Instant) {
+        self.uses_since_sweep += 1;
+        if self.uses_since_sweep < SWEEP_INTERVAL_USES {
+            return;
+        }
+        self.uses_since_sweep = 0;
+        let (returns, limit) = (&mut self.returns, self.settings.forgotten_after);
+        self.prefixes.retain(|_, history| {
+            let away = now.saturating_duration_since(history.last_used_at);
+            if away > limit {
+                returns.note_given_up(away);
+            }
+            away <= limit
+        });
+    }
+
+    /// The store with the shortest export queue that has room, memory before disk.
+    fn pick_store(
+        &self,
+        prefix_key: PrefixKey,
+        size_bytes: u64,
+        now: Instant,
+    ) -> Option<(StoreId, StoreTier)> {
+        let holders = self.saved.get(&prefix_key);
+        let free = |room: &&StoreRoom| {
+            room.usable
+                && holders.is_none_or(|stores| !stores.contains(&room.store))
+                && self.export_seconds(room, now) < EXPORT_QUEUE_SECONDS
+                && size_bytes <= room.memory_size_bytes.max(room.disk_size_bytes)
+        };
+        let by_queue = |left: &&StoreRoom, right: &&StoreRoom| {
+            let (left_seconds, right_seconds) =
+                (self.export_seconds(left, now), self.export_seconds(right, now));
+            left_seconds
+                .total_cmp(&right_seconds)
+                .then(right.memory_free_bytes.cmp(&left.memory_free_bytes))
+                .then(left.store.cmp(&right.store))
+        };
+        let room = self.rooms.values().filter(free).min_by(by_queue)?;
+        let in_memory = size_bytes <= room.memory_free_bytes
+            || (size_bytes > room.disk_free_bytes && size_bytes <= room.memory_size_bytes);
+        let tier = if in_memory { StoreTier::Memory } else { StoreTier::Disk };
+        Some((room.store.clone(), tier))
+    }
+
+    fn export_rate(&self, room: &StoreRoom) -> f64 {
+        (room.link_bytes_per_second * self.settings.export_link_share).max(1.0)
+    }
+
+    fn export_seconds(&self, room: &StoreRoom, now: Instant) -> f64 {
+        let rate = self.export_rate(room);
+        self.exports.get(&room.store).map_or(0.0, |queue| queue.estimate(rate, now) / rate)
+    }
+
+    fn begin_export(&mut self, store: &str, size_bytes: u64, now: Instant) {
+        let Some(room) = self.rooms.get_mut(store) else { return };
+        if size_bytes <= room.memory_free_bytes {
+            room.memory_free_bytes -= size_bytes;
+        } else {
+            room.disk_free_bytes = room.disk_free_bytes.saturating_sub(size_bytes);
+        }
+        let rate = (room.link_bytes_per_second * self.settings.export_link_share).max(1.0);
+        self.exports.entry(store.to_string()).or_default().add(size_bytes as f64, rate, now);
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/saving/tests.rs
@@ -0,0 +1,113 @@
+//! Tables of cases for the saving policy.
+
+use super::*;
+use skylarkpick_interface::StoreTier;
+use std::time::{Duration, Instant};
+
+fn room(store: &str, memory_free_bytes: u64) -> StoreRoom {
+    StoreRoom {
+        store: store.to_string(),
+        memory_free_bytes,
+        memory_size_bytes: 64 << 30,
+        disk_free_bytes: 1 << 40,
+        disk_size_bytes: 1 << 40,
+        link_bytes_per_second: 12.5e9,
+        usable: true,
+    }
+}
+
+#[test]
+fn a_use_is_saved_where_it_is_worth_its_bytes() {
+    struct Case {
+        name: &'static str,
+        settings: SavingSettings,
+        tokens: u64,
+        uses: u32,
+        memory_free_bytes: u64,
+        saved: Vec<StoreTier>,
+    }
+    let settings = SavingSettings::default();
+    let cases = [
+        Case {
+            name: "a long prefix goes to memory",
+            settings,
+            tokens: 32_768,
+            uses: 1,
+            memory_free_bytes: 64 << 30,
+            saved: vec![StoreTier::Memory],
+        },
+        Case {
+            name: "without room in memory it goes to disk",
+            settings,
+            tokens: 32_768,
+            uses: 1,
+            memory_free_bytes: 0,
+            saved: vec![StoreTier::Disk],
+        },
+        Case {
+            name: "a short prefix is not worth it",
+            settings,
+            tokens: 512,
+            uses: 1,
+            memory_free_bytes: 64 << 30,
+            saved: vec![],
+        },
+        Case {
+            name: "the second-return rule waits",
+            settings: SavingSettings { uses_floor: 2, ..settings },
+            tokens: 32_768,
+            uses: 1,
+            memory_free_bytes: 64 << 30,
+            saved: vec![],
+        },
+        Case {
+            name: "worth much: two stores",
+            settings: SavingSettings { two_copies_seconds: 0.1, ..settings },
+            tokens: 32_768,
+            uses: 1,
+            memory_free_bytes: 64 << 30,
+            saved: vec![StoreTier::Memory, StoreTier::Memory],
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut policy = SavingPolicy::open(case.settings);
+        policy.set_store(room("tala-cache", case.memory_free_bytes));
+        policy.set_store(room("tala-cache-b", case.memory_free_bytes));
+        let mut saved = Vec::new();
+        for _ in 0..case.uses {
+            saved.extend(policy.on_use(1, "davao", case.tokens, now));
+        }
+        let tiers: Vec<StoreTier> = saved.iter().map(|decision| decision.tier).collect();
+        assert_eq!(tiers, case.saved, "{}", case.name);
+    }
+}
+
+#[test]
+fn exports_stop_when_the_link_has_enough() {
+    let now = Instant::now();
+    let mut policy = SavingPolicy::open(SavingSettings::default());
+    policy.set_store(room("tala-cache", 64 << 30));
+    let begun = (0..64).filter(|key| !policy.on_use(*key, "davao", 32_768, now).is_empty());
+    let at_once = begun.count();
+    assert!(at_once < 64, "{at_once} exports at once");
+    let later = now + Duration::from_secs(60);
+    assert!(!policy.on_use(100, "davao", 32_768, later).is_empty());
+}
+
+#[test]
+fn an_account_over_its_share_gives_way_first() {
+    let now = Instant::now();
+    let policy = SavingPolicy::open(SavingSettings::default());
+    let entry = |prefix_key, account: &str, age: u64| SavedEntry {
+        prefix_key,
+        account: account.to_string(),
+        tokens: 1_000,
+        size_bytes: 100,
+        last_used_at: now.checked_sub(Duration::from_secs(age)).unwrap_or(now),
+    };
+    let entries =
+        [entry(1, "small", 50), entry(2, "large", 10), entry(3, "large", 20), entry(4, "large", 5)];
+    assert_eq!(policy.evict(&entries, 400, 100, now), vec![3]);
+    assert_eq!(policy.evict(&entries, 400, 200, now), vec![3, 1]);
+}
