--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -5,7 +5,7 @@
 use skylarkpick_interface::{DataCentreId, EntryId};
 
 /// Settings of an entry process.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the process; made at random when missing.
