Replay traces with the routing and saving code that entry processes run

Cause: no decision could be measured.

Change: a trace format (docs/TRACES.md), a generator for both fleets and a fifth of the planned size, nine kinds of traces, and a discrete event replay in virtual time that drives Router, SavingPolicy and TransferQueue against small fakes of runner, store and link, beside round robin, least loaded, sticky, always importing and two floors. Admission stands before routing as a trait. A runner that could not be reached is left out until its next report.

--- /dev/null
+++ b/crates/skylarkpick-replay/src/engine.rs
@@ -0,0 +1,15 @@
+//! Discrete event replay of one trace under one policy.
+
+mod admission;
+mod agenda;
+mod beliefs;
+mod faults;
+mod links;
+mod requests;
+mod runner;
+mod setup;
+mod store;
+mod world;
+
+pub use admission::{Admission, AdmitAll, Verdict};
+pub(crate) use world::{Played, RequestRecord, World};
--- /dev/null
+++ b/crates/skylarkpick-replay/src/engine/store.rs
@@ -0,0 +1,173 @@
+//! A small fake of a store VM: memory and disk behind one link.
+
+use super::agenda::{ContextId, RunId};
+use crate::trace::FleetStore;
+use skylarkpick_interface::{PrefixKey, StoreTier};
+use skylarkpick_schedule::{
+    ImportOrdering, SavedEntry, SavingPolicy, StoreRoom, TransferId, TransferQueue,
+};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// A saved copy.
+#[derive(Clone, Debug)]
+pub(super) struct Saved {
+    pub(super) tokens: u64,
+    pub(super) entry: SavedEntry,
+}
+
+/// What a transfer is for.
+#[derive(Clone, Debug)]
+pub(super) enum Purpose {
+    /// Runs that wait for an import to a runner.
+    Import { entry: usize, runner: usize, context: ContextId, tokens: u64, waiters: Vec<RunId> },
+    /// A copy to save.
+    Export { context: ContextId, tier: StoreTier, saved: Saved },
+}
+
+/// A transfer that waits or is under way.
+#[derive(Clone, Debug)]
+pub(super) struct TransferState {
+    pub(super) purpose: Purpose,
+    pub(super) size_bytes: u64,
+    pub(super) begun_at: Option<Duration>,
+}
+
+/// A small fake of a store VM.
+#[derive(Debug)]
+pub(super) struct FakeStore {
+    pub(super) sizes: FleetStore,
+    pub(super) data_centre: usize,
+    pub(super) down: bool,
+    pub(super) epoch: u32,
+    pub(super) link_factor: f64,
+    pub(super) queue: TransferQueue,
+    pub(super) transfers: BTreeMap<TransferId, TransferState>,
+    pub(super) disk_free_at: Duration,
+    /// Begin, end and bytes of everything that crossed the link.
+    pub(super) carried: Vec<(Duration, Duration, u64)>,
+    link_share: f64,
+    memory: BTreeMap<ContextId, Saved>,
+    disk: BTreeMap<ContextId, Saved>,
+}
+
+impl FakeStore {
+    pub(super) fn open(
+        sizes: &FleetStore,
+        data_centre: usize,
+        link_share: f64,
+        ordering: ImportOrdering,
+    ) -> FakeStore {
+        let budget = sizes.link_bytes_per_second * link_share;
+        FakeStore {
+            sizes: sizes.clone(),
+            data_centre,
+            down: false,
+            epoch: 0,
+            link_factor: 1.0,
+            queue: TransferQueue::open(budget, ordering),
+            transfers: BTreeMap::new(),
+            disk_free_at: Duration::ZERO,
+            carried: Vec::new(),
+            link_share,
+            memory: BTreeMap::new(),
+            disk: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn link_rate(&self) -> f64 {
+        self.sizes.link_bytes_per_second * self.link_factor
+    }
+
+    pub(super) fn set_link_factor(&mut self, factor: f64) {
+        self.link_factor = factor;
+        self.queue.set_budget(self.link_rate() * self.link_share);
+    }
+
+    pub(super) fn tier(&self, tier: StoreTier) -> &BTreeMap<ContextId, Saved> {
+        match tier {
+            StoreTier::Memory => &self.memory,
+            StoreTier::Disk => &self.disk,
+        }
+    }
+
+    fn tier_mut(&mut self, tier: StoreTier) -> &mut BTreeMap<ContextId, Saved> {
+        match tier {
+            StoreTier::Memory => &mut self.memory,
+            StoreTier::Disk => &mut self.disk,
+        }
+    }
+
+    fn size_bytes(&self, tier: StoreTier) -> u64 {
+        match tier {
+            StoreTier::Memory => self.sizes.memory_size_bytes,
+            StoreTier::Disk => self.sizes.disk_size_bytes,
+        }
+    }
+
+    fn used_bytes(&self, tier: StoreTier) -> u64 {
+        self.tier(tier).values().map(|saved| saved.entry.size_bytes).sum()
+    }
+
+    pub(super) fn touch(&mut self, context: ContextId, now: Instant) {
+        for tier in [StoreTier::Memory, StoreTier::Disk] {
+            if let Some(saved) = self.tier_mut(tier).get_mut(&context) {
+                saved.entry.last_used_at = now;
+            }
+        }
+    }
+
+    /// Puts a copy, evicting others as the policy says; gives the contexts that went.
+    pub(super) fn put(
+        &mut self,
+        context: ContextId,
+        tier: StoreTier,
+        saved: Saved,
+        policy: &SavingPolicy,
+        now: Instant,
+    ) -> Vec<(ContextId, PrefixKey)> {
+        let size_bytes = self.size_bytes(tier);
+        let wanted = (self.used_bytes(tier) + saved.entry.size_bytes).saturating_sub(size_bytes);
+        let mut gone = Vec::new();
+        if wanted > 0 {
+            let entries: Vec<SavedEntry> =
+                self.tier(tier).values().map(|saved| saved.entry.clone()).collect();
+            let evicted = policy.evict(&entries, size_bytes, wanted, now);
+            let held = self.tier_mut(tier);
+            let contexts: BTreeMap<PrefixKey, ContextId> =
+                held.iter().map(|(context, saved)| (saved.entry.prefix_key, *context)).collect();
+            for key in evicted {
+                if let Some(context) = contexts.get(&key) {
+                    held.remove(context);
+                    gone.push((*context, key));
+                }
+            }
+        }
+        self.tier_mut(tier).insert(context, saved);
+        gone
+    }
+
+    /// Loses everything; gives the transfers that broke off.
+    pub(super) fn crash(&mut self) -> Vec<TransferState> {
+        self.epoch += 1;
+        self.memory.clear();
+        self.disk.clear();
+        self.queue.clear();
+        std::mem::take(&mut self.transfers).into_values().collect()
+    }
+
+    pub(super) fn room(&self) -> StoreRoom {
+        let free = |tier| self.size_bytes(tier).saturating_sub(self.used_bytes(tier));
+        StoreRoom {
+            store: self.sizes.name.clone(),
+            memory_free_bytes: free(StoreTier::Memory),
+            memory_size_bytes: self.sizes.memory_size_bytes,
+            disk_free_bytes: free(StoreTier::Disk),
+            disk_size_bytes: self.sizes.disk_size_bytes,
+            link_bytes_per_second: self.link_rate(),
+            usable: !self.down,
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-replay/src/replay.rs
@@ -0,0 +1,182 @@
+//! Replays a trace under several policies and judges its stated outcomes.
+
+use crate::{
+    engine::{Admission, AdmitAll, Played, World},
+    measure::{Floors, Measures},
+    outcome::{JudgedOutcome, Measure, Outcome, Reference},
+    policy::PolicyName,
+    trace::Trace,
+};
+use serde::Serialize;
+use skylarkpick_schedule::{DEFAULT_RULES, ImportOrdering, RoutingRules, SavingSettings};
+use std::collections::BTreeMap;
+
+/// How a trace is replayed.
+#[derive(Clone, Debug)]
+pub struct ReplayOptions {
+    /// Policy that the outcomes are about.
+    pub policy: PolicyName,
+    /// Policies beside it.
+    pub baselines: Vec<PolicyName>,
+    /// Rules of the router.
+    pub rules: RoutingRules,
+    /// Rules of saving; bytes and rates are taken from the fleet.
+    pub saving: SavingSettings,
+    /// Order of imports over a link.
+    pub ordering: ImportOrdering,
+    /// Opens what stands before routing.
+    pub admission: fn(&Trace) -> Box<dyn Admission>,
+}
+
+impl Default for ReplayOptions {
+    fn default() -> ReplayOptions {
+        ReplayOptions {
+            policy: PolicyName::Skylarkpick,
+            baselines: PolicyName::ALL.iter().skip(1).map(|(_, policy)| *policy).collect(),
+            rules: DEFAULT_RULES,
+            saving: SavingSettings::default(),
+            ordering: ImportOrdering::default(),
+            admission: |_| Box::new(AdmitAll),
+        }
+    }
+}
+
+/// The figures of one trace.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Replay {
+    /// Name of the trace.
+    pub trace: String,
+    /// What it is about.
+    pub description: String,
+    /// Policy that the outcomes are about.
+    pub policy: PolicyName,
+    /// Floors.
+    pub floors: Floors,
+    /// Figures by policy.
+    pub measures: BTreeMap<PolicyName, Measures>,
+    /// Stated outcomes with what was found.
+    pub outcomes: Vec<JudgedOutcome>,
+}
+
+impl Replay {
+    /// Whether every stated outcome holds.
+    pub fn holds(&self) -> bool {
+        self.outcomes.iter().all(|outcome| outcome.holds)
+    }
+}
+
+/// Replays a trace under the policy and the baselines of the options.
+///
+/// ```
+/// use skylarkpick_replay::{ReplayOptions, parse_trace, replay_trace, write_trace};
+/// use skylarkpick_replay::{FleetName, TraceKind, generate_trace};
+/// let mut trace = generate_trace(FleetName::Bantay, TraceKind::Ordinary, 1);
+/// trace.requests.truncate(50);
+/// let replay = replay_trace(&trace, &ReplayOptions::default());
+/// assert_eq!(replay, replay_trace(&trace, &ReplayOptions::default()));
+/// ```
+pub fn replay_trace(trace: &Trace, options: &ReplayOptions) -> Replay {
+    let floors = Floors::of(trace);
+    let mut measures = BTreeMap::new();
+    let played = play(trace, options.policy, options);
+    measures.insert(options.policy, Measures::take(trace, &played, &floors));
+    for policy in &options.baselines {
+        let played = play(trace, *policy, options);
+        measures.insert(*policy, Measures::take(trace, &played, &floors));
+    }
+    let judge = Judge { trace, options, floors: &floors, measures: &measures, played: &played };
+    let outcomes = trace.outcomes.iter().map(|outcome| judge.judge(outcome)).collect();
+    Replay {
+        trace: trace.name.clone(),
+        description: trace.description.clone(),
+        policy: options.policy,
+        floors,
+        measures,
+        outcomes,
+    }
+}
+
+fn play(trace: &Trace, policy: PolicyName, options: &ReplayOptions) -> Played {
+    let saving = SavingSettings {
+        context_bytes_per_token: trace.fleet.context_bytes_per_token,
+        prefill_tokens_per_second: trace.fleet.prefill_tokens_per_second,
+        ..options.saving
+    };
+    let admission = (options.admission)(trace);
+    World::open(trace, policy, options.rules, saving, options.ordering, admission).play()
+}
+
+struct Judge<'a> {
+    trace: &'a Trace,
+    options: &'a ReplayOptions,
+    floors: &'a Floors,
+    measures: &'a BTreeMap<PolicyName, Measures>,
+    played: &'a Played,
+}
+
+impl Judge<'_> {
+    fn judge(&self, outcome: &Outcome) -> JudgedOutcome {
+        let own = &self.measures[&self.options.policy];
+        let found = match (outcome.measure, &outcome.account) {
+            (Measure::OtherAccountsP95Ms, Some(account)) => {
+                Measures::others_p95_ms(self.trace, self.played, account)
+            }
+            (measure, _) => figure(own, measure),
+        };
+        outcome.judge(found, outcome.times.and_then(|times| self.reference(times, outcome)))
+    }
+
+    fn reference(&self, reference: Reference, outcome: &Outcome) -> Option<f64> {
+        let of = |policy: PolicyName| {
+            self.measures.get(&policy).map(|measures| figure(measures, outcome.measure))
+        };
+        match reference {
+            Reference::Floor => self.floor(outcome.measure),
+            Reference::RoundRobin => of(PolicyName::RoundRobin),
+            Reference::LeastLoaded => of(PolicyName::LeastLoaded),
+            Reference::Sticky => of(PolicyName::Sticky),
+            Reference::AlwaysImport => of(PolicyName::AlwaysImport),
+            Reference::BestBaseline => {
+                let all = [PolicyName::RoundRobin, PolicyName::LeastLoaded, PolicyName::Sticky];
+                all.into_iter().filter_map(of).min_by(f64::total_cmp)
+            }
+            Reference::BeforeFaults => {
+                Some(self.measures[&self.options.policy].before_faults_p95_ms)
+            }
+            Reference::WithoutAccount => self.without(outcome.account.as_deref()?),
+        }
+    }
+
+    fn floor(&self, measure: Measure) -> Option<f64> {
+        match measure {
+            Measure::FirstTokenP50Ms => Some(self.floors.first_token_p50_ms),
+            Measure::FirstTokenP95Ms => Some(self.floors.first_token_p95_ms),
+            Measure::FirstTokenP99Ms => Some(self.floors.first_token_p99_ms),
+            Measure::RecomputedShare => Some(self.floors.recomputed_share),
+            _ => None,
+        }
+    }
+
+    /// The figure of the other accounts on the trace without one account.
+    fn without(&self, account: &str) -> Option<f64> {
+        let mut trace = self.trace.clone();
+        trace.requests.retain(|request| request.account != account);
+        let played = play(&trace, self.options.policy, self.options);
+        Some(Measures::others_p95_ms(&trace, &played, account))
+    }
+}
+
+fn figure(measures: &Measures, measure: Measure) -> f64 {
+    match measure {
+        Measure::FirstTokenP50Ms => measures.first_token_p50_ms,
+        Measure::FirstTokenP95Ms | Measure::OtherAccountsP95Ms => measures.first_token_p95_ms,
+        Measure::FirstTokenP99Ms => measures.first_token_p99_ms,
+        Measure::DuringFaultsP95Ms => measures.during_faults_p95_ms,
+        Measure::RecomputedShare => measures.recomputed_share,
+        Measure::LinkBytes => measures.link_bytes as f64,
+        Measure::LinkPeakShare => measures.link_peak_share,
+        Measure::Refusals => measures.refusals as f64,
+        Measure::Fairness => measures.fairness,
+        Measure::LoadsAtOnce => measures.loads_at_once as f64,
+    }
+}
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -2,9 +2,13 @@
 
 mod route;
 mod saving;
+mod transfer;
 
 pub use route::{
     Backlog, BeliefCorrection, Candidate, ContextPlan, DEFAULT_RULES, Holder, ImportPlan, NoRoute,
     PrefixView, Route, RouteRequest, Router, RoutingRules, SavedCopy, StoreCandidate,
 };
 pub use saving::{SaveDecision, SavedEntry, SavingPolicy, SavingSettings, StoreRoom};
+pub use transfer::{
+    ImportOrdering, NextTransfer, Transfer, TransferId, TransferKind, TransferQueue,
+};
--- a/crates/skylarkpick-schedule/src/route/candidate.rs
+++ b/crates/skylarkpick-schedule/src/route/candidate.rs
@@ -40,6 +40,8 @@
     pub load: LoadReport,
     /// When the last report came.
     pub reported_at: Option<Instant>,
+    /// When it could last not be reached.
+    pub failed_at: Option<Instant>,
     /// Runs sent to it from here and not yet ended.
     pub in_flight: u32,
     /// Prompt tokens that wait to be computed there.
@@ -67,6 +69,7 @@
                 ..LoadReport::default()
             },
             reported_at: None,
+            failed_at: None,
             in_flight: 0,
             backlog: Backlog::default(),
             runs: Backlog::default(),
--- a/crates/skylarkpick-schedule/src/route/observe.rs
+++ b/crates/skylarkpick-schedule/src/route/observe.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Notes that a runner could not be reached; it is left out until its next report.
+    pub fn observe_failure(&mut self, runner: &str, now: Instant) {
+        if let Some(place) = self.runner_place(runner) {
+            self.runners[place].failed_at = Some(now);
+        }
+    }
+
     /// Leaves a runner out, or takes it in again.
     pub fn set_ejected(&mut self, runner: &str, ejected: bool) {
         if let Some(place) = self.runner_place(runner) {
--- a/crates/skylarkpick-schedule/src/route/router.rs
+++ b/crates/skylarkpick-schedule/src/route/router.rs
@@ -183,7 +183,10 @@
     fn is_in_reach(&self, runner: &Candidate, now: Instant) -> bool {
         let is_recent =
             |at: Instant| now.saturating_duration_since(at) <= self.rules.report_timeout;
-        !runner.ejected && runner.reported_at.is_none_or(is_recent)
+        let has_failed = runner.failed_at.is_some_and(|failed_at| {
+            runner.reported_at.is_none_or(|reported_at| reported_at <= failed_at)
+        });
+        !runner.ejected && !has_failed && runner.reported_at.is_none_or(is_recent)
     }
 
     /// All of a few runners; of many, the holders and a random sample.
