Keep membership, leaving flags and loads by bounded gossip

Each process read every runner and knew no other process. That grows with the product of both, and a leaving flag seen by one process reached no other.

skylarkpick-membership is a pure state machine: probes with indirect probes, suspicion and refutation by incarnation, piggy-backed news in messages of at most 1,100 bytes, digests for repair, two bridges a data centre, one reporter a runner. A leaving flag is the highest incarnation known to leave and only grows.

Guards taken away, each turning a test red, and put back: the maximum over leaving flags (a_word_of_leaving_reaches_...), indirect probes (a_broken_link_ alone_...), refutation (a_paused_process_refutes_...), versions only grow (nothing_known_is_undone), incarnations only grow (two tests), forgiveness after a pause of one's own (a_process_back_from_a_pause_...).

--- a/crates/skylarkpick-membership/src/lib.rs
+++ b/crates/skylarkpick-membership/src/lib.rs
@@ -1,1 +1,23 @@
 //! Heartbeats, gossip, load deltas and leaving flags as pure state machines.
+//!
+//! A [`Membership`] takes messages and the time in and gives messages out; it holds no socket,
+//! clock or task. What it knows is a hint: a wrong belief costs time, never correctness.
+
+mod bridges;
+mod detection;
+mod digests;
+mod knowledge;
+mod membership;
+mod outbox;
+mod rendezvous;
+mod roles;
+mod runners;
+mod status;
+mod timing;
+
+pub use knowledge::{Change, Knowledge, NewsKey};
+pub use membership::{Membership, MembershipParts, Outgoing, RunnerPlace};
+pub use rendezvous::{digest_of, highest};
+pub use runners::{RunnerLoadView, load_report};
+pub use status::{LaggingMember, MemberView, VersionStatus};
+pub use timing::Timing;
--- /dev/null
+++ b/crates/skylarkpick-membership/src/runners.rs
@@ -0,0 +1,167 @@
+//! What reporters see of runners, and its compact form in messages.
+
+use crate::{knowledge::is_leaving, membership::Membership, rendezvous::digest_of};
+use skylarkpick_interface::{LoadReport, RunnerStatus};
+use skylarkpick_protocol::peer::{CentreLoad, Gossip, RunnerLoad, RunnerState};
+use std::time::Duration;
+
+/// Prompt tokens in one unit of a compact load.
+const TOKENS_PER_UNIT: u64 = 64;
+/// Shortest time between two reads of one runner.
+const LOAD_INTERVAL_FLOOR: Duration = Duration::from_millis(250);
+/// Bytes of one runner's load in a message.
+const LOAD_SIZE_BYTES: f64 = 24.0;
+/// Milliseconds of incarnation for each step of a first sequence number.
+const SEQUENCE_STEP_MS: u64 = 256;
+
+/// What is known of a runner, for the router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunnerLoadView {
+    /// What the runner serves, once known; `leaving` by anybody's word.
+    pub status: Option<RunnerStatus>,
+    /// Its load; for a runner of another data centre, the mean over its model there.
+    pub load: Option<LoadReport>,
+}
+
+/// The report that a compact load stands for.
+pub fn load_report(load: &RunnerLoad) -> LoadReport {
+    LoadReport {
+        queued_runs: load.queued_runs,
+        queued_prompt_tokens: u64::from(load.queued_prompt_units) * TOKENS_PER_UNIT,
+        active_runs: load.active_runs,
+        slots: load.slots,
+        prefill_tokens_per_second: f64::from(load.prefill_units_per_second)
+            * TOKENS_PER_UNIT as f64,
+        age: Duration::ZERO,
+        leaving: false,
+    }
+}
+
+fn mean_report(sum: &CentreLoad) -> Option<LoadReport> {
+    let runners = sum.runners;
+    (runners > 0).then(|| LoadReport {
+        queued_runs: sum.queued_runs / runners,
+        queued_prompt_tokens: u64::from(sum.queued_prompt_units) * TOKENS_PER_UNIT
+            / u64::from(runners),
+        active_runs: sum.active_runs / runners,
+        slots: sum.slots / runners,
+        prefill_tokens_per_second: f64::from(sum.prefill_units_per_second) * TOKENS_PER_UNIT as f64
+            / f64::from(runners),
+        age: Duration::ZERO,
+        leaving: false,
+    })
+}
+
+fn units(tokens: u64) -> u32 {
+    u32::try_from(tokens.div_ceil(TOKENS_PER_UNIT)).unwrap_or(u32::MAX)
+}
+
+impl Membership {
+    /// Time between two reads of one runner, so that spreading the loads of the data centre stays
+    /// within its bytes a second.
+    pub fn load_interval(&self) -> Duration {
+        let centre = &self.parts.data_centre;
+        let runners = self.places.values().filter(|place| place.data_centre == *centre).count();
+        let copies = f64::from(self.parts.timing.load_copies);
+        let bytes = runners as f64 * LOAD_SIZE_BYTES * copies;
+        let interval = Duration::from_secs_f64(bytes / self.parts.timing.load_bytes_per_second);
+        interval.max(LOAD_INTERVAL_FLOOR)
+    }
+
+    /// Takes in what a runner says of itself.
+    pub fn observe_status(&mut self, now: Duration, runner: &str, status: &RunnerStatus) {
+        let known = self.state_of(runner);
+        let leaving_now = if status.leaving { status.incarnation + 1 } else { 0 };
+        let seen = RunnerState {
+            runner: known.runner,
+            incarnation: status.incarnation,
+            revision: known.revision,
+            weight_version: status.weight_version,
+            loading_plus_one: status.loading.map_or(0, |version| version + 1),
+            leaving_plus_one: known.leaving_plus_one.max(leaving_now),
+            unreachable: false,
+        };
+        self.offer_state(now, &known, seen);
+    }
+
+    /// Takes in that a runner gave its reporter no answer.
+    pub fn observe_unreachable(&mut self, now: Duration, runner: &str) {
+        let known = self.state_of(runner);
+        self.offer_state(now, &known, RunnerState { unreachable: true, ..known });
+    }
+
+    /// Takes in that the present incarnation of a runner leaves, from whichever source.
+    pub fn observe_leaving(&mut self, now: Duration, runner: &str) {
+        let known = self.state_of(runner);
+        let leaving_plus_one = known.leaving_plus_one.max(known.incarnation + 1);
+        let seen = RunnerState { leaving_plus_one, ..known };
+        if seen != known {
+            self.merge(now, Gossip { runner_states: vec![seen], ..Gossip::default() });
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn observe_load(&mut self, now: Duration, runner: &str, report: &LoadReport) {
+        if report.leaving {
+            self.observe_leaving(now, runner);
+        }
+        let key = digest_of(runner);
+        let known = self.knowledge.runner_loads.get(&key).copied();
+        let first = self.first_sequence();
+        let load = RunnerLoad {
+            runner: key,
+            sequence: known.map_or(first, |known| (known.sequence + 1).max(first)),
+            queued_runs: report.queued_runs,
+            queued_prompt_units: units(report.queued_prompt_tokens),
+            active_runs: report.active_runs,
+            slots: report.slots,
+            prefill_units_per_second: units(report.prefill_tokens_per_second as u64),
+        };
+        let same =
+            known.is_some_and(|known| RunnerLoad { sequence: load.sequence, ..known } == load);
+        if !same {
+            self.merge(now, Gossip { runner_loads: vec![load], ..Gossip::default() });
+        }
+    }
+
+    /// What is known of a runner.
+    pub fn runner_view(&self, runner: &str) -> RunnerLoadView {
+        let key = digest_of(runner);
+        let place = self.places.get(&key);
+        let status = self.knowledge.runner_states.get(&key).filter(|state| state.incarnation > 0);
+        let status = status.map(|state| RunnerStatus {
+            model: place.map(|place| place.model.clone()).unwrap_or_default(),
+            weight_version: state.weight_version,
+            loading: state.loading_plus_one.checked_sub(1),
+            leaving: is_leaving(state),
+            incarnation: state.incarnation,
+        });
+        let load = self.knowledge.runner_loads.get(&key).map(load_report).or_else(|| {
+            let place = place?;
+            let sum = (place.data_centre.clone(), place.model.clone());
+            mean_report(self.knowledge.centre_loads.get(&sum)?)
+        });
+        RunnerLoadView { status, load }
+    }
+
+    fn state_of(&self, runner: &str) -> RunnerState {
+        let key = digest_of(runner);
+        let known = self.knowledge.runner_states.get(&key).copied();
+        known.unwrap_or(RunnerState { runner: key, ..RunnerState::default() })
+    }
+
+    fn offer_state(&mut self, now: Duration, known: &RunnerState, seen: RunnerState) {
+        if seen == *known {
+            return;
+        }
+        let restarted = seen.incarnation > known.incarnation;
+        let revision = if restarted { 1 } else { known.revision + 1 };
+        let seen = RunnerState { revision, ..seen };
+        self.merge(now, Gossip { runner_states: vec![seen], ..Gossip::default() });
+    }
+
+    /// First number of a row of loads, above those of every process that started earlier.
+    pub(crate) fn first_sequence(&self) -> u64 {
+        self.parts.incarnation / SEQUENCE_STEP_MS + 1
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-membership/tests/fleet.rs
@@ -0,0 +1,293 @@
+//! Fleets in virtual time: joining, death, suspicion, leaving, cuts and healing.
+
+mod support;
+
+use skylarkpick_interface::RunnerStatus;
+use skylarkpick_membership::Membership;
+use skylarkpick_protocol::peer::{Gossip, Member, MemberState, PeerMessage, peer_message::Body};
+use std::{collections::BTreeMap, time::Duration};
+use support::{Fleet, name, runner};
+
+/// Time for a word of leaving to reach every process of a data centre.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+/// Time for a dead process to be counted out.
+const DEATH_LIMIT: Duration = Duration::from_secs(15);
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn all_know(nodes: &BTreeMap<String, Membership>, count: usize) -> bool {
+    nodes.values().all(|node| node.live_members().len() == count)
+}
+
+fn state_at(node: &Membership, entry: &str) -> Option<MemberState> {
+    let views = node.member_views();
+    views.into_iter().find(|view| view.entry_id == entry).map(|view| view.state)
+}
+
+fn status(incarnation: u64, leaving: bool) -> RunnerStatus {
+    RunnerStatus {
+        model: "tala-llm".to_string(),
+        weight_version: 1,
+        loading: None,
+        leaving,
+        incarnation,
+    }
+}
+
+struct Shape {
+    centres: usize,
+    entries: usize,
+}
+
+const SHAPES: [Shape; 3] = [
+    Shape { centres: 1, entries: 7 },
+    Shape { centres: 2, entries: 4 },
+    Shape { centres: 3, entries: 8 },
+];
+
+#[test]
+fn every_process_learns_of_every_other() {
+    for Shape { centres, entries } in SHAPES {
+        let mut fleet = Fleet::spawn(centres, entries, 0, 1);
+        let joined = fleet.run_until(seconds(30), |nodes| all_know(nodes, centres * entries));
+        assert!(joined.is_some(), "{centres} x {entries}");
+    }
+}
+
+#[test]
+fn nobody_is_suspected_while_all_live() {
+    let mut fleet = Fleet::spawn(2, 6, 0, 2);
+    fleet.run(seconds(120));
+    for node in fleet.nodes.values() {
+        assert_eq!(node.own().incarnation, 1_000, "{} had to refute", node.own().entry_id);
+    }
+}
+
+#[test]
+fn a_dead_process_is_counted_out_and_its_new_start_is_taken_in() {
+    let mut fleet = Fleet::spawn(1, 7, 0, 3);
+    fleet.run(seconds(15));
+    fleet.stopped.insert(name(0, 3));
+    let counted_out = fleet.run_until(DEATH_LIMIT, |nodes| {
+        let mut others = nodes.values().filter(|node| node.own().entry_id != name(0, 3));
+        others.all(|node| state_at(node, &name(0, 3)) == Some(MemberState::Dead))
+    });
+    assert!(counted_out.is_some());
+    fleet.nodes.remove(&name(0, 3));
+    fleet.start(0, 3, 2_000, 3);
+    assert!(fleet.run_until(seconds(15), |nodes| all_know(nodes, 7)).is_some());
+}
+
+#[test]
+fn a_broken_link_alone_makes_nobody_suspect() {
+    let mut fleet = Fleet::spawn(1, 7, 0, 4);
+    fleet.run(seconds(15));
+    fleet.cut_links.insert((name(0, 1), name(0, 2)));
+    fleet.cut_links.insert((name(0, 2), name(0, 1)));
+    fleet.run(seconds(60));
+    for node in fleet.nodes.values() {
+        assert_eq!(node.own().incarnation, 1_000, "{} had to refute", node.own().entry_id);
+    }
+}
+
+#[test]
+fn a_paused_process_refutes_and_returns() {
+    let mut fleet = Fleet::spawn(1, 7, 0, 5);
+    fleet.run(seconds(15));
+    fleet.stopped.insert(name(0, 2));
+    fleet.run(seconds(30));
+    assert_eq!(state_at(fleet.node(0, 0), &name(0, 2)), Some(MemberState::Dead));
+    fleet.stopped.remove(&name(0, 2));
+    assert!(fleet.run_until(seconds(30), |nodes| all_know(nodes, 7)).is_some());
+    assert!(fleet.node(0, 2).own().incarnation > 1_000);
+}
+
+#[test]
+fn a_leaving_process_is_no_member_any_more_within_seconds() {
+    let mut fleet = Fleet::spawn(2, 6, 0, 6);
+    fleet.run(seconds(20));
+    let now = fleet.now;
+    let out = fleet.node(0, 4).leave(now);
+    fleet.send(&name(0, 4), out);
+    let left = fleet.run_until(LEAVING_LIMIT, |nodes| {
+        nodes.values().all(|node| state_at(node, &name(0, 4)) == Some(MemberState::Left))
+    });
+    assert!(left.is_some());
+    fleet.run(seconds(60));
+    for node in fleet.nodes.values() {
+        assert_eq!(state_at(node, &name(0, 4)), Some(MemberState::Left));
+    }
+}
+
+#[test]
+fn a_word_of_leaving_reaches_the_data_centre_in_time_from_any_source() {
+    struct Case {
+        source: &'static str,
+        say: fn(&mut Membership, Duration, &str),
+    }
+    let cases = [
+        Case {
+            source: "list, refusal or peer",
+            say: |node, now, name| node.observe_leaving(now, name),
+        },
+        Case {
+            source: "status",
+            say: |node, now, name| node.observe_status(now, name, &status(5, true)),
+        },
+    ];
+    for Case { source, say } in cases {
+        for entries in [7, 72] {
+            let mut fleet = Fleet::spawn(1, entries, 3, 7);
+            fleet.run(seconds(30));
+            let target = runner(0, 1);
+            let now = fleet.now;
+            fleet.node(0, 5).observe_status(now, &target, &status(5, false));
+            fleet.run(seconds(15));
+            let now = fleet.now;
+            say(fleet.node(0, 3), now, &target);
+            let known = fleet.run_until(LEAVING_LIMIT, |nodes| {
+                nodes.values().all(|node| node.is_runner_leaving(&target))
+            });
+            assert!(known.is_some(), "{source} among {entries}");
+            // Its reporter still hears the old word; the flag stays, until a new start.
+            let now = fleet.now;
+            fleet.node(0, 5).observe_status(now, &target, &status(5, false));
+            fleet.run(seconds(20));
+            assert!(fleet.nodes.values().all(|node| node.is_runner_leaving(&target)));
+            let now = fleet.now;
+            fleet.node(0, 5).observe_status(now, &target, &status(6, false));
+            fleet.run(seconds(20));
+            assert!(fleet.nodes.values().all(|node| !node.is_runner_leaving(&target)));
+        }
+    }
+}
+
+#[test]
+fn data_centres_cut_off_go_on_and_converge_after_healing() {
+    let mut fleet = Fleet::spawn(2, 6, 2, 8);
+    fleet.run(seconds(20));
+    fleet.cut(0, 1);
+    fleet.run(seconds(60));
+    let now = fleet.now;
+    assert!(fleet.node(0, 0).is_silent(now, "dc1"));
+    assert!(fleet.node(1, 0).is_silent(now, "dc0"));
+    // Meanwhile: a version, a leaving runner, a death and a graceful end.
+    fleet.node(0, 2).set_in_force(now, 9);
+    fleet.node(1, 2).observe_leaving(now, &runner(1, 1));
+    let out = fleet.node(0, 3).leave(now);
+    fleet.send(&name(0, 3), out);
+    fleet.stopped.insert(name(1, 4));
+    fleet.run(seconds(30));
+    assert_eq!(fleet.node(0, 5).newest_version(), 9);
+    assert_eq!(fleet.node(1, 5).newest_version(), 0);
+    fleet.cut_centres.clear();
+    let stopped = name(1, 4);
+    let healed = fleet.run_until(seconds(60), |nodes| {
+        nodes.values().filter(|node| node.own().entry_id != stopped).all(|node| {
+            node.newest_version() == 9
+                && node.is_runner_leaving(&runner(1, 1))
+                && state_at(node, &name(0, 3)) == Some(MemberState::Left)
+                && state_at(node, &stopped) == Some(MemberState::Dead)
+        })
+    });
+    assert!(healed.is_some());
+    fleet.run(seconds(20));
+    assert!(!{
+        let now = fleet.now;
+        fleet.node(0, 0).is_silent(now, "dc1")
+    });
+}
+
+#[test]
+fn dead_bridges_are_replaced() {
+    let mut fleet = Fleet::spawn(2, 6, 0, 9);
+    fleet.run(seconds(20));
+    let bridges: Vec<String> = fleet
+        .nodes
+        .values()
+        .filter(|node| node.is_bridge())
+        .map(|node| node.own().entry_id.clone())
+        .collect();
+    assert_eq!(bridges.len(), 4);
+    fleet.stopped.extend(bridges.iter().cloned());
+    fleet.run(seconds(40));
+    let alive = |node: &&Membership| !bridges.contains(&node.own().entry_id);
+    let now = fleet.now;
+    let writer = fleet.nodes.keys().find(|name| !bridges.contains(name)).cloned().unwrap();
+    fleet.nodes.get_mut(&writer).unwrap().set_in_force(now, 4);
+    let spread = fleet.run_until(seconds(19), |nodes| {
+        nodes.values().filter(alive).all(|node| node.newest_version() == 4)
+    });
+    assert!(spread.is_some());
+    assert_eq!(fleet.nodes.values().filter(alive).filter(|node| node.is_bridge()).count(), 4);
+}
+
+#[test]
+fn one_process_holds_each_role_in_a_data_centre() {
+    let mut fleet = Fleet::spawn(2, 6, 5, 10);
+    fleet.run(seconds(20));
+    for centre in ["dc0", "dc1"] {
+        let nodes = || fleet.nodes.values().filter(|node| node.own().data_centre == centre);
+        let now = fleet.now;
+        assert_eq!(nodes().filter(|node| node.holds_role("configuration")).count(), 1);
+        let here = centre.strip_prefix("dc").unwrap().parse().unwrap();
+        for index in 0..5 {
+            let target = runner(here, index);
+            assert_eq!(nodes().filter(|node| node.is_reporter(now, &target)).count(), 1);
+        }
+    }
+}
+
+#[test]
+fn the_status_names_who_lags_and_for_how_long() {
+    let mut fleet = Fleet::spawn(2, 3, 0, 11);
+    fleet.run(seconds(20));
+    let now = fleet.now;
+    for index in 0..3 {
+        fleet.node(0, index).set_in_force(now, 5);
+        fleet.node(1, index).set_in_force(now, if index == 1 { 4 } else { 5 });
+    }
+    fleet.run(seconds(20));
+    let now = fleet.now;
+    let status = fleet.node(0, 0).version_status(now);
+    assert_eq!((status.version, status.in_force_on, status.members), (5, 5, 6));
+    assert_eq!(status.lagging.len(), 1);
+    assert_eq!(status.lagging[0].member.entry_id, name(1, 1));
+    assert_eq!(status.lagging[0].member.version, 4);
+    assert!(status.lagging[0].lagging_for >= seconds(19));
+}
+
+#[test]
+fn a_process_back_from_a_pause_does_not_hold_it_against_others() {
+    struct Case {
+        what: &'static str,
+        tick_interval: Duration,
+        expected: MemberState,
+    }
+    let cases = [
+        Case {
+            what: "no pause",
+            tick_interval: Duration::from_millis(200),
+            expected: MemberState::Dead,
+        },
+        Case { what: "a pause", tick_interval: seconds(4), expected: MemberState::Suspect },
+    ];
+    for Case { what, tick_interval, expected } in cases {
+        let mut fleet = Fleet::spawn(1, 2, 0, 12);
+        let other = fleet.node(0, 1).own().clone();
+        let node = fleet.node(0, 0);
+        for state in [MemberState::Alive, MemberState::Suspect] {
+            let members = vec![Member { state: state as i32, ..other.clone() }];
+            let body = Body::Gossip(Gossip { members, ..Gossip::default() });
+            node.receive(Duration::ZERO, PeerMessage { body: Some(body) });
+        }
+        let mut now = Duration::ZERO;
+        while now <= seconds(4) {
+            node.tick(now);
+            now += tick_interval;
+        }
+        assert_eq!(state_at(node, &other.entry_id), Some(expected), "{what}");
+    }
+}
