Find every fault of a document in one go, with its position

Settings were read through serde, which stops at the first fault and forgets where it stood. A schema (name, kind, bounds, meaning) is now walked over the syntax tree of jsonc-parser, which keeps positions: unknown fields with a hint, missing units, wrong types, values out of bounds, fields given twice, missing fields, and settings that contradict each other all come at once. Placeholders stand for what cannot be read, so that the rest is still checked, and checks that concern an unreadable field are held back. Configuration documents go the same way and reuse validate().

--- /dev/null
+++ b/crates/skylarkpick-config/src/contradictions.rs
@@ -0,0 +1,52 @@
+//! Settings that are right alone and wrong together.
+
+use crate::{fault::Fault, settings::Settings};
+
+/// Finds settings that contradict each other.
+///
+/// ```
+/// use skylarkpick_config::{Settings, find_contradictions};
+/// let mut settings = Settings::default();
+/// assert!(find_contradictions(&settings).is_empty());
+/// settings.limits.drain_notice_ms = settings.limits.drain_timeout_ms + 1;
+/// assert_eq!(find_contradictions(&settings)[0].path, "limits.drain_notice_ms");
+/// ```
+pub fn find_contradictions(settings: &Settings) -> Vec<Fault> {
+    let limits = &settings.limits;
+    let mut faults = Vec::new();
+    if limits.drain_notice_ms > limits.drain_timeout_ms {
+        faults.push(longer(
+            ("limits.drain_notice_ms", limits.drain_notice_ms),
+            ("drain_timeout_ms", limits.drain_timeout_ms),
+        ));
+    }
+    if limits.headers_size_bytes > limits.body_size_bytes {
+        let message = format!(
+            "({}) is larger than `body_size_bytes` ({})",
+            limits.headers_size_bytes, limits.body_size_bytes
+        );
+        let expected = "a head no larger than `body_size_bytes`";
+        faults.push(Fault::at("limits.headers_size_bytes", message, expected));
+    }
+    if !settings.seed_peers.is_empty() && settings.peer_address.is_empty() {
+        let message = "names peers, but there is no `peer_address` to meet them from";
+        faults.push(Fault::at("seed_peers", message, "a `peer_address`, or no seeds"));
+    }
+    faults.extend(shared_address(settings));
+    faults
+}
+
+fn longer((path, value): (&str, u64), (other, other_value): (&str, u64)) -> Fault {
+    let message = format!("({value} ms) is longer than `{other}` ({other_value} ms)");
+    Fault::at(path, message, &format!("at most `{other}`"))
+}
+
+/// The port of the platform cannot be a port of this process.
+fn shared_address(settings: &Settings) -> Option<Fault> {
+    let is_shared =
+        !settings.http_address.is_empty() && settings.http_address == settings.platform_address;
+    is_shared.then(|| {
+        let message = "is also the `platform_address`";
+        Fault::at("http_address", message, "an address of its own")
+    })
+}
--- a/crates/skylarkpick-config/src/fault.rs
+++ b/crates/skylarkpick-config/src/fault.rs
@@ -1,9 +1,10 @@
 //! Faults found in a document, with where they are and what was expected.
 
+use serde::Serialize;
 use std::fmt::{Display, Formatter};
 
 /// One fault of a document.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Fault {
     /// Path of the field, for example `models.tala-llm.serving`.
     pub path: String,
--- a/crates/skylarkpick-config/src/lib.rs
+++ b/crates/skylarkpick-config/src/lib.rs
@@ -3,16 +3,20 @@
 //! A [`Configuration`] is held by the platform under one object and changed by [`Patch`]es
 //! against a numbered version. A [`Settings`] file belongs to one process.
 
+mod contradictions;
 mod document;
 mod fault;
 mod keeper;
 mod patch;
+mod read;
 mod record;
+mod schema;
 mod secret;
 mod settings;
 mod tokens;
 mod validate;
 
+pub use contradictions::find_contradictions;
 pub use document::{
     Account, AccountRole, Configuration, DataCentre, Model, RunnerTarget, ServiceRules,
     ServiceTarget, Serving, StoreTarget,
@@ -20,8 +24,13 @@
 pub use fault::{Fault, Faults};
 pub use keeper::{ConfigurationKeeper, PatchOutcome, ReadError};
 pub use patch::{Patch, PatchId, PatchRefusal, apply_patch};
+pub use read::{
+    DOCUMENT_SIZE_LIMIT_BYTES, DocumentKind, guess_document_kind, parse_configuration,
+    parse_settings,
+};
 pub use record::{AcceptedPatch, CONFIGURATION_KEY, ConfigurationRecord};
+pub use schema::{CONFIGURATION_FIELDS, Field, Kind, SETTINGS_FIELDS};
 pub use secret::{Secret, SecretError, SecretSource};
-pub use settings::{Limits, Settings, parse_settings};
+pub use settings::{Limits, Settings};
 pub use tokens::{TokenHash, hash_token};
 pub use validate::validate;
--- /dev/null
+++ b/crates/skylarkpick-config/src/schema/settings.rs
@@ -0,0 +1,35 @@
+//! Fields of a settings file.
+
+use super::{Field, Kind, field, required};
+
+/// Longest time that a setting may name: a day.
+const LONGEST_TIME_MS: u64 = 86_400_000;
+/// Largest size that a setting may name.
+const LARGEST_SIZE_BYTES: u64 = 1 << 30;
+
+const TIME: Kind = Kind::Whole { floor: 1, limit: LONGEST_TIME_MS };
+const WAIT: Kind = Kind::Whole { floor: 0, limit: LONGEST_TIME_MS };
+const SIZE: Kind = Kind::Whole { floor: 1_024, limit: LARGEST_SIZE_BYTES };
+
+/// Fields of a settings file.
+pub const SETTINGS_FIELDS: &[Field] = &[
+    field("entry_id", Kind::Text, "name of the process; made at random when empty"),
+    required("data_centre", Kind::Name, "data centre that the process runs in"),
+    required("http_address", Kind::Address, "where callers and operators connect"),
+    required("platform_address", Kind::Address, "where the platform's object API answers"),
+    field("peer_address", Kind::AddressOrNone, "where other entry processes connect"),
+    field("seed_peers", Kind::List(&Kind::Address), "entry processes to meet first"),
+    field("limits", Kind::Object(LIMITS_FIELDS), "limits on input and waiting"),
+];
+
+const LIMITS_FIELDS: &[Field] = &[
+    field("headers_size_bytes", SIZE, "largest head of a request"),
+    field("body_size_bytes", SIZE, "largest body of a request"),
+    field("frame_size_bytes", SIZE, "largest message between entry processes"),
+    field("request_read_timeout_ms", TIME, "time for a caller to send a whole request"),
+    field("platform_timeout_ms", TIME, "time for the platform to answer"),
+    field("configuration_poll_ms", TIME, "time between two slow reads of the configuration"),
+    field("resume_window_ms", WAIT, "time that a broken stream is kept for its caller"),
+    field("drain_notice_ms", WAIT, "time for the balancer to notice a shutdown"),
+    field("drain_timeout_ms", TIME, "longest time that a shutdown waits for streams"),
+];
--- /dev/null
+++ b/crates/skylarkpick-config/src/schema/walk.rs
@@ -0,0 +1,231 @@
+//! Holds a parsed document against its schema and collects every fault with its place.
+
+use super::{Field, Kind, UNIT_SUFFIXES};
+use crate::fault::Fault;
+use jsonc_parser::{
+    ast::{Object, Value},
+    common::Ranged,
+};
+use serde_json::{Map, Number, Value as Json};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+/// Likeness from which an unknown field gets a hint.
+const HINT_LIKENESS: f64 = 0.8;
+
+/// What a walk found.
+#[derive(Debug, Default)]
+pub(crate) struct Findings {
+    /// The faults, with their byte offset in the text.
+    pub(crate) faults: Vec<(usize, Fault)>,
+    /// Byte offset of each field's value by its path.
+    pub(crate) places: BTreeMap<String, usize>,
+    /// Fields whose value is not known because of a fault.
+    pub(crate) doubtful: BTreeSet<String>,
+}
+
+/// Walks a document; gives it without its faulty parts.
+pub(crate) fn walk(value: &Value<'_>, fields: &'static [Field], findings: &mut Findings) -> Json {
+    walk_value("", value, &Kind::Object(fields), findings)
+        .unwrap_or_else(|| Json::Object(Map::new()))
+}
+
+fn walk_value(path: &str, value: &Value<'_>, kind: &Kind, findings: &mut Findings) -> Option<Json> {
+    findings.places.insert(path.to_string(), value.start());
+    match (kind, value) {
+        (Kind::Object(fields), Value::Object(object)) => {
+            Some(walk_object(path, object, fields, findings))
+        }
+        (Kind::Map(element), Value::Object(object)) => {
+            Some(walk_map(path, object, element, findings))
+        }
+        (Kind::List(element), Value::Array(array)) => {
+            let elements = array.elements.iter().enumerate().filter_map(|(index, value)| {
+                walk_value(&format!("{path}[{index}]"), value, element, findings)
+            });
+            Some(Json::Array(elements.collect()))
+        }
+        (Kind::Secret, value) => read_secret(path, value, findings),
+        (Kind::Flag, Value::BooleanLit(flag)) => Some(Json::Bool(flag.value)),
+        (_, Value::StringLit(text)) => read_text(path, value, &text.value, kind, findings),
+        (_, Value::NumberLit(number)) => read_number(path, value, number.value, kind, findings),
+        _ => wrong(path, value, format!("is {}", kind_of(value)), kind, findings),
+    }
+}
+
+fn walk_object(path: &str, object: &Object<'_>, fields: &[Field], findings: &mut Findings) -> Json {
+    let mut read = Map::new();
+    let mut seen = BTreeSet::new();
+    for property in &object.properties {
+        let name = property.name.as_str();
+        let field_path = join(path, name);
+        let Some(field) = fields.iter().find(|field| field.name == name) else {
+            unknown_field(path, name, property.name.start(), fields, findings);
+            continue;
+        };
+        if !seen.insert(field.name) {
+            given_twice(&field_path, property.name.start(), findings);
+        }
+        if let Some(value) = walk_value(&field_path, &property.value, &field.kind, findings) {
+            read.insert(name.to_string(), value);
+        }
+    }
+    for field in fields.iter().filter(|field| field.is_required) {
+        let field_path = join(path, field.name);
+        if !seen.contains(field.name) && findings.doubtful.insert(field_path.clone()) {
+            let expected = format!("{}: {}", field.kind.expected(), field.meaning);
+            let fault = Fault::at(field_path, "is missing", &expected);
+            findings.faults.push((object.range.start, fault));
+        }
+        read.entry(field.name).or_insert_with(|| field.kind.placeholder());
+    }
+    Json::Object(read)
+}
+
+fn walk_map(path: &str, object: &Object<'_>, element: &Kind, findings: &mut Findings) -> Json {
+    let mut read = Map::new();
+    for property in &object.properties {
+        let name = property.name.as_str();
+        let entry_path = join(path, name);
+        if read.contains_key(name) {
+            given_twice(&entry_path, property.name.start(), findings);
+        }
+        let value = walk_value(&entry_path, &property.value, element, findings);
+        read.insert(name.to_string(), value.unwrap_or_else(|| element.placeholder()));
+    }
+    Json::Object(read)
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_string() } else { format!("{path}.{name}") }
+}
+
+fn given_twice(path: &str, place: usize, findings: &mut Findings) {
+    findings.faults.push((place, Fault::at(path, "is given twice", "each field once")));
+    findings.doubtful.insert(path.to_string());
+}
+
+fn unknown_field(path: &str, name: &str, place: usize, fields: &[Field], findings: &mut Findings) {
+    let field_path = join(path, name);
+    let Some(known) = nearest_field(name, fields) else {
+        let names: Vec<&str> = fields.iter().map(|field| field.name).collect();
+        let expected = format!("one of {}", super::quoted(&names));
+        findings.faults.push((place, Fault::at(field_path, "is no known field", &expected)));
+        return;
+    };
+    findings.doubtful.insert(join(path, known.name));
+    let why = if lacks_unit(name, known.name) { "lacks its unit" } else { "is no known field" };
+    let message = format!("{why}; did you mean `{}`?", known.name);
+    let expected = format!("`{}`, {}", known.name, known.kind.expected());
+    findings.faults.push((place, Fault::at(field_path, message, &expected)));
+}
+
+fn lacks_unit(name: &str, known: &str) -> bool {
+    UNIT_SUFFIXES.iter().any(|suffix| known.strip_suffix(suffix) == Some(name))
+}
+
+fn nearest_field<'a>(name: &str, fields: &'a [Field]) -> Option<&'a Field> {
+    if let Some(known) = fields.iter().find(|known| lacks_unit(name, known.name)) {
+        return Some(known);
+    }
+    let likeness = |known: &Field| strsim::jaro_winkler(name, known.name);
+    let nearest = fields.iter().max_by(|left, right| likeness(left).total_cmp(&likeness(right)))?;
+    (likeness(nearest) >= HINT_LIKENESS).then_some(nearest)
+}
+
+fn wrong(
+    path: &str,
+    value: &Value<'_>,
+    message: String,
+    kind: &Kind,
+    findings: &mut Findings,
+) -> Option<Json> {
+    let shown = if path.is_empty() { "document" } else { path };
+    findings.faults.push((value.start(), Fault::at(shown, message, &kind.expected())));
+    findings.doubtful.insert(path.to_string());
+    None
+}
+
+fn read_text(
+    path: &str,
+    value: &Value<'_>,
+    text: &str,
+    kind: &Kind,
+    findings: &mut Findings,
+) -> Option<Json> {
+    let is_address = text.parse::<SocketAddr>().is_ok();
+    let is_right = match kind {
+        Kind::Text => true,
+        Kind::Name => !text.is_empty(),
+        Kind::Address => is_address,
+        Kind::AddressOrNone => text.is_empty() || is_address,
+        Kind::Choice(words) => words.contains(&text),
+        _ => return wrong(path, value, "is a text".to_string(), kind, findings),
+    };
+    if is_right {
+        return Some(Json::String(text.to_string()));
+    }
+    wrong(path, value, format!("cannot be {text:?}"), kind, findings)
+}
+
+fn read_number(
+    path: &str,
+    value: &Value<'_>,
+    text: &str,
+    kind: &Kind,
+    findings: &mut Findings,
+) -> Option<Json> {
+    let read = match kind {
+        Kind::Whole { floor, limit } => text
+            .parse::<u64>()
+            .ok()
+            .filter(|number| (*floor..=*limit).contains(number))
+            .map(Number::from),
+        Kind::Number { floor, limit } => text
+            .parse::<f64>()
+            .ok()
+            .filter(|number| (*floor..=*limit).contains(number))
+            .and_then(Number::from_f64),
+        _ => return wrong(path, value, "is a number".to_string(), kind, findings),
+    };
+    match read {
+        Some(number) => Some(Json::Number(number)),
+        None => wrong(path, value, format!("cannot be {text}"), kind, findings),
+    }
+}
+
+fn read_secret(path: &str, value: &Value<'_>, findings: &mut Findings) -> Option<Json> {
+    let Value::Object(object) = value else {
+        if matches!(value, Value::NullKeyword(_)) {
+            return Some(Json::Null);
+        }
+        let message = "must not stand in the file itself".to_string();
+        return wrong(path, value, message, &Kind::Secret, findings);
+    };
+    let [property] = object.properties.as_slice() else {
+        return wrong(path, value, "names no single source".to_string(), &Kind::Secret, findings);
+    };
+    let name = property.name.as_str();
+    let Value::StringLit(text) = &property.value else {
+        return wrong(path, value, "names no source".to_string(), &Kind::Secret, findings);
+    };
+    if !["environment", "path"].contains(&name) || text.value.is_empty() {
+        return wrong(path, value, "names no source".to_string(), &Kind::Secret, findings);
+    }
+    let mut source = Map::new();
+    source.insert(name.to_string(), Json::String(text.value.to_string()));
+    Some(Json::Object(source))
+}
+
+fn kind_of(value: &Value<'_>) -> &'static str {
+    match value {
+        Value::StringLit(_) => "a text",
+        Value::NumberLit(_) => "a number",
+        Value::BooleanLit(_) => "true or false",
+        Value::Object(_) => "an object",
+        Value::Array(_) => "a list",
+        Value::NullKeyword(_) => "null",
+    }
+}
--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -1,15 +1,13 @@
 //! Settings of one process, read from a file of JSON with comments.
 
-use crate::fault::{Fault, Faults};
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{DataCentreId, EntryId};
 
 /// Settings of an entry process.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Name of the process; made at random when missing.
-    #[serde(default)]
     pub entry_id: EntryId,
     /// Data centre that the process runs in.
     pub data_centre: DataCentreId,
@@ -18,13 +16,10 @@
     /// Where the platform's object API answers, as IP:port.
     pub platform_address: String,
     /// Where other entry processes connect, as IP:port; empty for a process alone.
-    #[serde(default)]
     pub peer_address: String,
     /// Entry processes to meet first, as IP:port.
-    #[serde(default)]
     pub seed_peers: Vec<String>,
     /// Limits on input and waiting.
-    #[serde(default)]
     pub limits: Limits,
 }
 
@@ -67,29 +62,3 @@
         }
     }
 }
-
-/// Reads settings from text.
-///
-/// # Errors
-/// Gives every fault found, with its position.
-///
-/// ```
-/// let text = r#"{
-///     // The data centre of this VM.
-///     "data_centre": "mnl-a",
-///     "http_address": "127.0.0.1:0",
-///     "platform_address": "127.0.0.1:9000",
-/// }"#;
-/// let settings = skylarkpick_config::parse_settings(text)?;
-/// assert_eq!(settings.data_centre, "mnl-a");
-/// # Ok::<(), skylarkpick_config::Faults>(())
-/// ```
-pub fn parse_settings(text: &str) -> Result<Settings, Faults> {
-    let value =
-        jsonc_parser::parse_to_serde_value::<Option<serde_json::Value>>(text, &Default::default())
-            .map_err(|error| {
-                Faults(vec![Fault::at("document", error.to_string(), "JSON with comments")])
-            })?
-            .ok_or_else(|| Faults(vec![Fault::at("document", "is empty", "an object")]))?;
-    Ok(serde_json::from_value(value)?)
-}
