Script failures in a small language and let an independent judge name broken promises

Cause: promises need proofs under kills, cuts, freezes and outages that give the same verdict on every run, and a judge that does not ask the code under test. Change: skylarkpick-scenario: steps one a file behind one trait, read by datadriven; a fleet of entry processes over in-memory stand-ins on paused time, in which everything a process does to the outside passes its life (running, paused, dead) and the network's cuts; a judge of ten promises that reads ledgers, callers' records and the platform; the command `scenario`; docs/SCENARIOS.md, held against the steps by a test.

--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod entry;
 mod help;
+mod scenario;
 mod version;
 
 use crate::command::Command;
@@ -12,6 +13,7 @@
     vec![
         Box::new(entry::EntryCommand),
         Box::new(demo::DemoCommand),
+        Box::new(scenario::ScenarioCommand),
         Box::new(version::VersionCommand),
         Box::new(help::HelpCommand),
     ]
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/judge.rs
@@ -0,0 +1,101 @@
+//! The independent judge. It reads what targets ran, what callers got and what the platform
+//! holds, and never asks the code under test what happened.
+
+mod at_most_once;
+mod configuration;
+mod context;
+mod leaving;
+mod loads;
+mod not_run;
+mod shutdown;
+mod weights;
+mod whole;
+
+use crate::world::World;
+
+/// A promise of the system.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Promise {
+    /// No answer is built from a freed or partly written cache block.
+    SoundContext,
+    /// One client account's context never reaches another.
+    AccountsApart,
+    /// A new request never uses blocks or weights of another version.
+    OneWeightVersion,
+    /// Every caller gets the whole answer to its own request.
+    WholeOwnAnswer,
+    /// A refusal that says "not run" is true.
+    TrueNotRun,
+    /// A request that may not be repeated runs at most once.
+    AtMostOnce,
+    /// A leaving target gets no new work after a few seconds.
+    LeavingGetsNothing,
+    /// A graceful shutdown cuts off no request.
+    ShutdownCutsNothing,
+    /// An accepted configuration is in force everywhere within seconds and never reverts.
+    ConfigurationInForce,
+    /// No more weights are loaded at once than allowed.
+    LoadsLimited,
+}
+
+impl Promise {
+    /// The promise's short name.
+    ///
+    /// ```
+    /// assert_eq!(skylarkpick_scenario::Promise::AtMostOnce.name(), "at-most-once");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Promise::SoundContext => "sound-context",
+            Promise::AccountsApart => "accounts-apart",
+            Promise::OneWeightVersion => "one-weight-version",
+            Promise::WholeOwnAnswer => "whole-own-answer",
+            Promise::TrueNotRun => "true-not-run",
+            Promise::AtMostOnce => "at-most-once",
+            Promise::LeavingGetsNothing => "leaving-gets-nothing",
+            Promise::ShutdownCutsNothing => "shutdown-cuts-nothing",
+            Promise::ConfigurationInForce => "configuration-in-force",
+            Promise::LoadsLimited => "loads-limited",
+        }
+    }
+}
+
+/// A promise that was broken, with what shows it.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PromiseBroken {
+    /// The promise.
+    pub promise: Promise,
+    /// What shows it.
+    pub detail: String,
+}
+
+impl std::fmt::Display for PromiseBroken {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(to, "BROKEN {}: {}", self.promise.name(), self.detail)
+    }
+}
+
+/// Notes broken promises.
+pub(crate) struct Verdicts(Vec<PromiseBroken>);
+
+impl Verdicts {
+    fn break_promise(&mut self, promise: Promise, detail: String) {
+        self.0.push(PromiseBroken { promise, detail });
+    }
+}
+
+/// Judges every promise.
+pub(crate) fn judge_all(world: &World) -> Vec<PromiseBroken> {
+    let mut verdicts = Verdicts(Vec::new());
+    context::judge(world, &mut verdicts);
+    weights::judge(world, &mut verdicts);
+    whole::judge(world, &mut verdicts);
+    not_run::judge(world, &mut verdicts);
+    at_most_once::judge(world, &mut verdicts);
+    leaving::judge(world, &mut verdicts);
+    shutdown::judge(world, &mut verdicts);
+    configuration::judge(world, &mut verdicts);
+    loads::judge(world, &mut verdicts);
+    verdicts.0.sort();
+    verdicts.0
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/judge/not_run.rs
@@ -0,0 +1,23 @@
+//! Whether a request that was refused as "not run" really never ran.
+
+use super::{Promise, Verdicts};
+use crate::{callers::Ended, world::World};
+use skylarkpick_entry::Ran;
+use std::collections::BTreeSet;
+
+pub(super) fn judge(world: &World, verdicts: &mut Verdicts) {
+    let ran = requests_that_ran(world);
+    for (id, record) in world.callers.records().iter() {
+        let Some(Ended::Failed(failure)) = &record.ended else { continue };
+        if failure.ran == Ran::NotRun && ran.contains(id) {
+            let detail = format!("request {id} was refused as not run, but a target ran it");
+            verdicts.break_promise(Promise::TrueNotRun, detail);
+        }
+    }
+}
+
+fn requests_that_ran(world: &World) -> BTreeSet<String> {
+    let runs = world.runners.values().flat_map(|target| target.ledger());
+    let calls = world.services.values().flat_map(|target| target.ledger());
+    runs.map(|run| run.request_id).chain(calls.map(|call| call.request_id)).collect()
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/judge/shutdown.rs
@@ -0,0 +1,28 @@
+//! Whether a graceful shutdown cut off a request.
+
+use super::{Promise, Verdicts};
+use crate::{
+    callers::{Ended, Record},
+    world::World,
+};
+use skylarkpick_entry::Ran;
+
+pub(super) fn judge(world: &World, verdicts: &mut Verdicts) {
+    let records = world.callers.records();
+    for (process, waiting) in &world.shut_down {
+        for id in waiting {
+            if records.get(id).is_some_and(was_cut_off) {
+                let detail = format!("the shutdown of {process} cut off request {id}");
+                verdicts.break_promise(Promise::ShutdownCutsNothing, detail);
+            }
+        }
+    }
+}
+
+fn was_cut_off(record: &Record) -> bool {
+    match &record.ended {
+        None | Some(Ended::ConnectionLost) => true,
+        Some(Ended::Failed(failure)) => failure.ran != Ran::NotRun,
+        Some(Ended::Whole | Ended::Reply { .. }) => false,
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/judge/weights.rs
@@ -0,0 +1,18 @@
+//! Whether answers came from weights that the configuration allowed when they were asked for.
+
+use super::{Promise, Verdicts};
+use crate::{callers::Sent, world::World};
+
+pub(super) fn judge(world: &World, verdicts: &mut Verdicts) {
+    for (id, record) in world.callers.records().iter() {
+        let Sent::Completion { allowed_weight_versions, .. } = &record.sent else { continue };
+        let Some(version) = record.weight_version else { continue };
+        if !allowed_weight_versions.contains(&version) {
+            let detail = format!(
+                "request {id} was answered by weight version {version}; allowed were \
+                 {allowed_weight_versions:?}"
+            );
+            verdicts.break_promise(Promise::OneWeightVersion, detail);
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/steps/call.rs
@@ -0,0 +1,61 @@
+//! `call`: a caller makes a call to the plain service.
+
+use super::{Step, WAY_IN, world_of};
+use crate::{
+    arguments::Arguments,
+    callers::{Record, Sent},
+    error::StepError,
+    names,
+    world::World,
+};
+use async_trait::async_trait;
+use skylarkpick_entry::CallRequest;
+
+/// A caller makes a call to the plain service.
+pub(super) struct CallStep;
+
+#[async_trait(?Send)]
+impl Step for CallStep {
+    fn name(&self) -> &'static str {
+        "call"
+    }
+
+    fn usage(&self) -> &'static str {
+        "call id=ID entry=PROCESS [key=KEY] [account=ACCOUNT] [body=WORD] [path=WORD] \
+         [method=METHOD] [deadline_ms=N]"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        mut arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let id: String = arguments.take("id", "a name")?;
+        let process: String = arguments.take("entry", "an entry process")?;
+        let key: Option<String> = arguments.take_optional("key", "a key")?;
+        let account = arguments.take_or("account", "an account", names::ACCOUNTS[0].to_string())?;
+        let name = key.clone().unwrap_or_else(|| id.clone());
+        let body: String = arguments.take_or("body", "a text", format!("booking-{name}"))?;
+        let path = arguments.take_or("path", "a word", "bookings".to_string())?;
+        let method = arguments.take_or("method", "a method", "POST".to_string())?;
+        let deadline = arguments.take_time("deadline_ms")?;
+        arguments.finish()?;
+        let entry = world.entry(&process)?;
+        let sent = Sent::Call { key: key.clone(), body: body.clone().into_bytes() };
+        world.callers.records().insert(id.clone(), Record::open(&account, &process, sent));
+        let request = CallRequest {
+            request_id: id,
+            account,
+            service: names::SERVICE.to_string(),
+            method,
+            path: format!("/{path}"),
+            body: body.into_bytes(),
+            idempotency_key: key,
+            deadline,
+        };
+        world.callers.call(entry.entry.clone(), entry.life.clone(), request);
+        tokio::time::sleep(WAY_IN).await;
+        Ok(String::new())
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/steps/clock.rs
@@ -0,0 +1,32 @@
+//! `clock`: steps the wall clock of an entry process.
+
+use super::{Step, world_of};
+use crate::{arguments::Arguments, error::StepError, world::World};
+use async_trait::async_trait;
+
+/// Steps the wall clock of an entry process.
+pub(super) struct ClockStep;
+
+#[async_trait(?Send)]
+impl Step for ClockStep {
+    fn name(&self) -> &'static str {
+        "clock"
+    }
+
+    fn usage(&self) -> &'static str {
+        "clock name=PROCESS step_ms=N"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        mut arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let name: String = arguments.take("name", "an entry process")?;
+        let step_ms = arguments.take("step_ms", "milliseconds")?;
+        arguments.finish()?;
+        world.entry(&name)?.clock.step(step_ms);
+        Ok(String::new())
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/steps/leave.rs
@@ -0,0 +1,52 @@
+//! `leave`: a runner begins to leave.
+
+use super::{Step, world_of};
+use crate::{
+    arguments::{Arguments, bad_argument},
+    error::StepError,
+    world::{LIST_LAG, World},
+};
+use async_trait::async_trait;
+use skylarkpick_interface::VmState;
+use tokio::time::Instant;
+
+/// A runner begins to leave, by its own word or by the platform's lagging list alone.
+pub(super) struct LeaveStep;
+
+#[async_trait(?Send)]
+impl Step for LeaveStep {
+    fn name(&self) -> &'static str {
+        "leave"
+    }
+
+    fn usage(&self) -> &'static str {
+        "leave runner=RUNNER said_by=target|list|both"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        mut arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let name: String = arguments.take("runner", "a runner")?;
+        let said_by: String = arguments.take("said_by", "target, list or both")?;
+        arguments.finish()?;
+        let target = world.runner(&name)?;
+        let by_target = matches!(said_by.as_str(), "target" | "both");
+        let by_list = matches!(said_by.as_str(), "list" | "both");
+        if !by_target && !by_list {
+            return Err(bad_argument("said_by", &said_by, "target, list or both"));
+        }
+        if by_target {
+            target.leave();
+            world.left_at.insert(name.clone(), Instant::now());
+        }
+        if by_list {
+            world.platform.set_vm(&name, VmState::Leaving);
+            let shown_at = Instant::now() + LIST_LAG;
+            world.left_at.entry(name).or_insert(shown_at);
+        }
+        Ok(String::new())
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/steps/network.rs
@@ -0,0 +1,69 @@
+//! `cut` and `heal`: the network between data centres and the platform.
+
+use super::{Step, world_of};
+use crate::{
+    arguments::{Arguments, bad_argument},
+    error::StepError,
+    world::World,
+};
+use async_trait::async_trait;
+
+/// Cuts two places off from each other.
+pub(super) struct CutStep;
+/// Heals a cut.
+pub(super) struct HealStep;
+
+#[async_trait(?Send)]
+impl Step for CutStep {
+    fn name(&self) -> &'static str {
+        "cut"
+    }
+
+    fn usage(&self) -> &'static str {
+        "cut between=(CENTRE,CENTRE-OR-platform)"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let (one, other) = read_pair(arguments)?;
+        world.network.cut(&one, &other);
+        world.force.note_disturbance();
+        Ok(String::new())
+    }
+}
+
+#[async_trait(?Send)]
+impl Step for HealStep {
+    fn name(&self) -> &'static str {
+        "heal"
+    }
+
+    fn usage(&self) -> &'static str {
+        "heal between=(CENTRE,CENTRE-OR-platform)"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let (one, other) = read_pair(arguments)?;
+        world.network.heal(&one, &other);
+        world.force.note_disturbance();
+        Ok(String::new())
+    }
+}
+
+fn read_pair(mut arguments: Arguments) -> Result<(String, String), StepError> {
+    let places = arguments.take_list("between");
+    arguments.finish()?;
+    match places.as_slice() {
+        [one, other] => Ok((one.clone(), other.clone())),
+        _ => Err(bad_argument("between", &places.join(","), "two places")),
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/steps/order.rs
@@ -0,0 +1,43 @@
+//! `order`: somebody orders a runner directly, as a holder of an old lease would.
+
+use super::{Step, world_of};
+use crate::{arguments::Arguments, error::StepError, names, world::World};
+use async_trait::async_trait;
+use skylarkpick_interface::{Order, OrderError, OrderKind, Runner};
+
+/// Somebody orders a runner directly, as a holder of an old lease would.
+pub(super) struct OrderStep;
+
+#[async_trait(?Send)]
+impl Step for OrderStep {
+    fn name(&self) -> &'static str {
+        "order"
+    }
+
+    fn usage(&self) -> &'static str {
+        "order runner=RUNNER fencing_number=N weight_version=N"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        mut arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let name: String = arguments.take("runner", "a runner")?;
+        let fencing_number = arguments.take("fencing_number", "a number")?;
+        let weight_version = arguments.take("weight_version", "a version")?;
+        arguments.finish()?;
+        let kind = OrderKind::Load {
+            model: names::MODEL.to_string(),
+            weight_version,
+            adapters: Vec::new(),
+        };
+        let order = Order { fencing_number, kind };
+        Ok(match world.runner(&name)?.order(order).await {
+            Ok(()) => "carried out\n".to_string(),
+            Err(OrderError::Fenced(_)) => "refused for its fencing number\n".to_string(),
+            Err(error) => format!("{error}\n"),
+        })
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/steps/platform.rs
@@ -0,0 +1,40 @@
+//! `platform`: faults of the platform.
+
+use super::{Step, world_of};
+use crate::{arguments::Arguments, error::StepError, world::World};
+use async_trait::async_trait;
+
+/// Changes the faults of the platform.
+pub(super) struct PlatformStep;
+
+#[async_trait(?Send)]
+impl Step for PlatformStep {
+    fn name(&self) -> &'static str {
+        "platform"
+    }
+
+    fn usage(&self) -> &'static str {
+        "platform [away] [back] [delay_ms=N] [lost_write_answers=N] [lost_writes=N]"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        mut arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let (away, back) = (arguments.take_flag("away"), arguments.take_flag("back"));
+        let delay = arguments.take_time("delay_ms")?;
+        let lost_write_answers = arguments.take_optional("lost_write_answers", "a count")?;
+        let lost_writes = arguments.take_optional("lost_writes", "a count")?;
+        arguments.finish()?;
+        world.platform.set_faults(|faults| {
+            faults.away = (faults.away || away) && !back;
+            faults.delay = delay.unwrap_or(faults.delay);
+            faults.lost_write_answers = lost_write_answers.unwrap_or(faults.lost_write_answers);
+            faults.lost_writes = lost_writes.unwrap_or(faults.lost_writes);
+        });
+        world.force.note_disturbance();
+        Ok(String::new())
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/steps/runner.rs
@@ -0,0 +1,38 @@
+//! `runner`: faults of a runner.
+
+use super::{Step, world_of};
+use crate::{arguments::Arguments, error::StepError, world::World};
+use async_trait::async_trait;
+
+/// Changes the faults of a runner.
+pub(super) struct RunnerStep;
+
+#[async_trait(?Send)]
+impl Step for RunnerStep {
+    fn name(&self) -> &'static str {
+        "runner"
+    }
+
+    fn usage(&self) -> &'static str {
+        "runner name=RUNNER [cuts_streams=BOOL] [strays_frames=BOOL] [lost_events=N]"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        mut arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let name: String = arguments.take("name", "a runner")?;
+        let cuts_streams = arguments.take_optional("cuts_streams", "true or false")?;
+        let strays_frames = arguments.take_optional("strays_frames", "true or false")?;
+        let lost_events = arguments.take_optional("lost_events", "a count")?;
+        arguments.finish()?;
+        world.runner(&name)?.set_faults(|faults| {
+            faults.cuts_streams = cuts_streams.unwrap_or(faults.cuts_streams);
+            faults.strays_frames = strays_frames.unwrap_or(faults.strays_frames);
+            faults.lost_events = lost_events.unwrap_or(faults.lost_events);
+        });
+        Ok(String::new())
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/src/steps/wait.rs
@@ -0,0 +1,56 @@
+//! `wait`: waits until requests have ended and prints how.
+
+use super::{Step, world_of};
+use crate::{arguments::Arguments, error::StepError, world::World};
+use async_trait::async_trait;
+use std::time::Duration;
+
+/// Longest wait where the step names none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Waits until requests have ended and prints how.
+pub(super) struct WaitStep;
+
+#[async_trait(?Send)]
+impl Step for WaitStep {
+    fn name(&self) -> &'static str {
+        "wait"
+    }
+
+    fn usage(&self) -> &'static str {
+        "wait [id=(ID,ID)] [timeout_ms=N] [cached]"
+    }
+
+    async fn run(
+        &self,
+        world: &mut Option<World>,
+        mut arguments: Arguments,
+    ) -> Result<String, StepError> {
+        let world = world_of(world)?;
+        let mut ids = arguments.take_list("id");
+        let timeout = arguments.take_time("timeout_ms")?.unwrap_or(DEFAULT_TIMEOUT);
+        let cached = arguments.take_flag("cached");
+        arguments.finish()?;
+        if ids.is_empty() {
+            ids = world.callers.records().keys().cloned().collect();
+        }
+        let all = async {
+            for id in &ids {
+                world.callers.wait_ended(id).await;
+            }
+        };
+        // What has not ended is printed as waiting.
+        let _ = tokio::time::timeout(timeout, all).await;
+        let mut text = String::new();
+        for id in ids {
+            let record = world.callers.record(&id);
+            let record = record.ok_or_else(|| StepError::UnknownName(id.clone()))?;
+            text.push_str(&format!("{id}: {}", record.describe()));
+            if cached {
+                text.push_str(&format!(", {} tokens cached", record.cached_tokens));
+            }
+            text.push('\n');
+        }
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-scenario/tests/scenarios.rs
@@ -0,0 +1,33 @@
+//! Runs every scenario of the repository, and holds the page on the language against the code.
+
+use skylarkpick_scenario::{all_steps, find_files, run_file};
+use std::path::{Path, PathBuf};
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+#[test]
+fn every_scenario_holds() {
+    let files = find_files(&repository().join("scenarios")).unwrap();
+    assert!(!files.is_empty(), "there are no scenarios");
+    let mut failed = String::new();
+    for file in files {
+        let outcome = run_file(&file).unwrap();
+        assert!(outcome.steps > 0, "{} has no step", file.display());
+        let judged = outcome.trace.contains("judge\nevery promise held\n");
+        if !outcome.held() || !judged {
+            failed.push_str(&format!("{}\n{outcome:#?}\n", file.display()));
+        }
+    }
+    assert!(failed.is_empty(), "{failed}");
+}
+
+#[test]
+fn the_page_shows_every_step() {
+    let page = std::fs::read_to_string(repository().join("docs/SCENARIOS.md")).unwrap();
+    for step in all_steps() {
+        let usage = step.usage().replace("|", "\\|");
+        assert!(page.contains(&usage), "docs/SCENARIOS.md lacks `{}`", step.usage());
+    }
+}
--- a/crates/skylarkpick-standin/src/runner.rs
+++ b/crates/skylarkpick-standin/src/runner.rs
@@ -96,6 +96,8 @@
     pub cached_tokens: u64,
     /// Prompt tokens of the run.
     pub prompt_tokens: u64,
+    /// Whether every cached block that it used was whole and of its weights.
+    pub sound: bool,
     /// Why it ended, once it has.
     pub finished: Option<FinishReason>,
     /// When it was taken up.
@@ -139,6 +141,7 @@
     cache: PrefixCache,
     runs: HashMap<RunId, Arc<Run>>,
     ledger: Vec<RunRecord>,
+    tries: Vec<Instant>,
     faults: RunnerFaults,
     load: LoadReport,
     loads: VecDeque<(Instant, LoadReport)>,
@@ -182,6 +185,7 @@
             cache: PrefixCache::open(settings.cache_blocks),
             runs: HashMap::new(),
             ledger: Vec::new(),
+            tries: Vec::new(),
             faults: RunnerFaults::default(),
             load,
             loads: VecDeque::new(),
@@ -226,6 +230,11 @@
         self.inner.lock().ledger.clone()
     }
 
+    /// When the runner was asked to start a run, refused ones included.
+    pub fn tries(&self) -> Vec<Instant> {
+        self.inner.lock().tries.clone()
+    }
+
     /// Makes the runner leave, as its VM would.
     pub fn leave(&self) {
         self.inner.lock().leaving = true;
@@ -308,6 +317,7 @@
         let record = &mut state.ledger[run.record_index];
         record.weight_version = weight_version;
         record.cached_tokens = cached_tokens;
+        record.sound = sound;
         drop(state);
         run.update(|progress| {
             progress.started = Some(FrameBody::Started { weight_version, cached_tokens });
@@ -460,6 +470,7 @@
         self.inner.reach().await?;
         let run = {
             let mut state = self.inner.lock();
+            state.tries.push(Instant::now());
             if state.leaving {
                 return Err(StartError::Leaving);
             }
@@ -478,6 +489,7 @@
                 weight_version,
                 cached_tokens: 0,
                 prompt_tokens: request.prompt_tokens,
+                sound: true,
                 finished: None,
                 started_at: Instant::now(),
             });
