Decide fairly who starts, waits or is refused, as pure state machines

Cause: a flooding client account delayed every other; nothing refused early, limited what is in flight, kept retries in bounds or left a failing runner out. Change: start-time fair queueing by estimated tokens, early true refusals with a time to come back, in-flight limits that follow measured waits, account limits shared by gossiped demand, a retry budget, ejection and return; docs/design/admission.md. Guards taken away one at a time turned red: the virtual start (4 tests), the floor for idle accounts (1), early refusal (1), the half of ejected targets (1), heard demand (1). Conclusion: the decisions stand; the entry process does not ask them yet.

--- /dev/null
+++ b/crates/skylarkpick-schedule/src/admission.rs
@@ -0,0 +1,8 @@
+//! Decides which requests start, wait or are refused.
+
+mod gate;
+
+pub use gate::{Admission, Admitted, Offer, Refusal, RefusalReason, Verdict};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/admission/gate.rs
@@ -0,0 +1,206 @@
+//! Decides which requests to a model start now, wait in the fair queue, or are refused at once.
+
+use crate::{
+    limit::{AccountLimits, AccountShares},
+    queue::{FairQueue, Queued, QueuedId},
+};
+use skylarkpick_interface::{AccountId, Priority};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Time over which the rate of starts is averaged.
+const RATE_WINDOW: Duration = Duration::from_secs(5);
+/// Shortest time after which a refused caller is told to come back.
+const RETRY_FLOOR: Duration = Duration::from_millis(100);
+/// Longest time after which a refused caller is told to come back.
+const RETRY_LIMIT: Duration = Duration::from_secs(30);
+
+/// A request that asks to start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer {
+    /// Client account that asks.
+    pub account: AccountId,
+    /// Weight of the account.
+    pub weight: f64,
+    /// Limits of the account over the fleet.
+    pub limits: AccountLimits,
+    /// Order within the account.
+    pub priority: Priority,
+    /// Estimated tokens of prompt and answer.
+    pub cost_tokens: u64,
+    /// Time since boot by which the request must start to meet its deadline.
+    pub start_by: Duration,
+}
+
+/// Why a request is refused before anything is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalReason {
+    /// The account is over its own limits.
+    OverLimit,
+    /// The request cannot start in time to meet its deadline.
+    DeadlineCannotBeMet,
+}
+
+/// A refusal with the time to come back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When the same request may succeed.
+    pub retry_after: Duration,
+}
+
+/// What comes of an offer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admitted {
+    /// It starts now.
+    Start(QueuedId),
+    /// It waits; a verdict follows.
+    Queued(QueuedId),
+    /// It is refused.
+    Refused(Refusal),
+}
+
+/// What comes of a request that waited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It starts now.
+    Start(QueuedId),
+    /// It is refused.
+    Refused(QueuedId, Refusal),
+}
+
+/// Decides which requests to a model start now, wait, or are refused at once.
+#[derive(Debug, Default)]
+pub struct Admission {
+    queue: FairQueue,
+    shares: AccountShares,
+    last_id: QueuedId,
+    running: BTreeMap<QueuedId, AccountId>,
+    room: usize,
+    started_tokens_per_second: f64,
+    started_at: Duration,
+}
+
+impl Admission {
+    /// Opens a gate that lets `room` requests run at once, in a fleet of `processes`.
+    pub fn open(room: usize, processes: usize) -> Admission {
+        Admission { room, shares: AccountShares::open(processes), ..Admission::default() }
+    }
+
+    /// Changes how many requests may run at once.
+    pub fn set_room(&mut self, room: usize) {
+        self.room = room;
+    }
+
+    /// Shares of this process in the accounts' limits.
+    pub fn shares(&mut self) -> &mut AccountShares {
+        &mut self.shares
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes a request in.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::{AccountLimits, Admission, Admitted, Offer};
+    /// use skylarkpick_interface::Priority;
+    /// use std::time::Duration;
+    /// let offer = Offer {
+    ///     account: "cubesat".to_string(),
+    ///     weight: 1.0,
+    ///     limits: AccountLimits { requests_limit: 10, tokens_per_second_limit: 1e6 },
+    ///     priority: Priority::Normal,
+    ///     cost_tokens: 100,
+    ///     start_by: Duration::from_secs(1),
+    /// };
+    /// let mut gate = Admission::open(1, 1);
+    /// assert!(matches!(gate.offer(&offer, Duration::ZERO), Admitted::Start(_)));
+    /// assert!(matches!(gate.offer(&offer, Duration::ZERO), Admitted::Queued(_)));
+    /// ```
+    pub fn offer(&mut self, offer: &Offer, now: Duration) -> Admitted {
+        let account = offer.account.as_str();
+        let over = self.shares.begin(account, offer.limits, offer.cost_tokens, now);
+        if let Err(wait) = over {
+            return Admitted::Refused(refusal(RefusalReason::OverLimit, wait));
+        }
+        self.last_id += 1;
+        let id = self.last_id;
+        if self.queue.is_empty() && self.running.len() < self.room {
+            self.start(id, account, offer.cost_tokens, now);
+            return Admitted::Start(id);
+        }
+        let wait = self.expected_wait(account, offer.weight);
+        if now + wait > offer.start_by {
+            self.shares.end(account);
+            let retry_after = wait.saturating_sub(offer.start_by.saturating_sub(now));
+            let reason = RefusalReason::DeadlineCannotBeMet;
+            return Admitted::Refused(refusal(reason, retry_after));
+        }
+        let queued = Queued {
+            id,
+            account: offer.account.clone(),
+            priority: offer.priority,
+            cost_tokens: offer.cost_tokens,
+            start_by: offer.start_by,
+        };
+        self.queue.push(queued, offer.weight);
+        Admitted::Queued(id)
+    }
+
+    /// Notes that a request has ended, or that its caller went away while it waited.
+    pub fn release(&mut self, id: QueuedId) {
+        let account = self.running.remove(&id);
+        let account = account.or_else(|| self.queue.remove(id).map(|queued| queued.account));
+        if let Some(account) = account {
+            self.shares.end(&account);
+        }
+    }
+
+    /// Verdicts that are due: refusals of those that waited too long, and starts into the room.
+    pub fn advance(&mut self, now: Duration) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        for late in self.queue.expire(now) {
+            self.shares.end(&late.account);
+            let wait = self.expected_wait(&late.account, 1.0);
+            let refusal = refusal(RefusalReason::DeadlineCannotBeMet, wait);
+            verdicts.push(Verdict::Refused(late.id, refusal));
+        }
+        while self.running.len() < self.room {
+            let Some(next) = self.queue.pop() else { break };
+            self.start(next.id, &next.account, next.cost_tokens, now);
+            verdicts.push(Verdict::Start(next.id));
+        }
+        verdicts
+    }
+
+    fn start(&mut self, id: QueuedId, account: &str, cost_tokens: u64, now: Duration) {
+        let passed = now.saturating_sub(self.started_at).as_secs_f64();
+        self.started_at = self.started_at.max(now);
+        let window = RATE_WINDOW.as_secs_f64();
+        let kept = self.started_tokens_per_second * (-passed / window).exp();
+        self.started_tokens_per_second = kept + cost_tokens as f64 / window;
+        self.running.insert(id, account.to_string());
+    }
+
+    /// Time until a new request of the account would get its turn, by the rate of late.
+    fn expected_wait(&self, account: &str, weight: f64) -> Duration {
+        let tokens = self.queue.tokens_before(account, weight);
+        if tokens <= 0.0 || self.started_tokens_per_second <= 0.0 {
+            return Duration::ZERO;
+        }
+        let seconds = tokens / self.started_tokens_per_second;
+        Duration::try_from_secs_f64(seconds).unwrap_or(RETRY_LIMIT)
+    }
+}
+
+fn refusal(reason: RefusalReason, retry_after: Duration) -> Refusal {
+    Refusal { reason, retry_after: retry_after.clamp(RETRY_FLOOR, RETRY_LIMIT) }
+}
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -1,8 +1,18 @@
 //! Routing, saving, queues, limits, retries and roll-out plans as pure decisions.
 
+mod admission;
+mod health;
+mod limit;
+mod queue;
+mod retry;
 mod route;
 mod saving;
 
+pub use admission::{Admission, Admitted, Offer, Refusal, RefusalReason, Verdict};
+pub use health::{Ejection, TargetHealth, TargetState};
+pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
+pub use queue::{FairQueue, Queued, QueuedId};
+pub use retry::RetryBudget;
 pub use route::{
     Backlog, BeliefCorrection, Candidate, ContextPlan, DEFAULT_RULES, Holder, ImportPlan, NoRoute,
     PrefixView, Route, RouteRequest, Router, RoutingRules, SavedCopy, StoreCandidate,
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/limit.rs
@@ -0,0 +1,12 @@
+//! Limits on what is started and on what is in flight.
+
+mod account_share;
+mod in_flight;
+mod token_bucket;
+
+pub use account_share::{AccountLimits, AccountShares, Demand};
+pub use in_flight::{InFlightLimit, InFlightRules};
+pub use token_bucket::TokenBucket;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/limit/token_bucket.rs
@@ -0,0 +1,57 @@
+//! A token bucket on injected time.
+
+use std::time::Duration;
+
+/// A token bucket: fills at a rate, holds a burst.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TokenBucket {
+    rate_per_second: f64,
+    burst: f64,
+    level: f64,
+    filled_at: Duration,
+}
+
+impl TokenBucket {
+    /// Opens a full bucket.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::TokenBucket;
+    /// use std::time::Duration;
+    /// let mut bucket = TokenBucket::open(10.0, 20.0, Duration::ZERO);
+    /// assert!(bucket.take(20.0, Duration::ZERO).is_ok());
+    /// assert_eq!(bucket.take(5.0, Duration::ZERO), Err(Duration::from_millis(500)));
+    /// ```
+    pub fn open(rate_per_second: f64, burst: f64, now: Duration) -> TokenBucket {
+        TokenBucket { rate_per_second, burst, level: burst, filled_at: now }
+    }
+
+    /// Changes the rate and the burst from now on.
+    pub fn set_rate(&mut self, rate_per_second: f64, burst: f64, now: Duration) {
+        self.fill(now);
+        self.rate_per_second = rate_per_second;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// Takes an amount, of which a larger one than the burst only needs a full bucket and leaves
+    /// a debt.
+    ///
+    /// # Errors
+    /// Gives the time to wait when there is too little.
+    pub fn take(&mut self, amount: f64, now: Duration) -> Result<(), Duration> {
+        self.fill(now);
+        let needed = amount.min(self.burst);
+        if self.level + f64::EPSILON >= needed {
+            self.level -= amount;
+            return Ok(());
+        }
+        let seconds = (needed - self.level) / self.rate_per_second.max(f64::MIN_POSITIVE);
+        Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.filled_at);
+        self.filled_at = self.filled_at.max(now);
+        self.level = (self.level + self.rate_per_second * passed.as_secs_f64()).min(self.burst);
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/retry.rs
@@ -0,0 +1,8 @@
+//! The retry budget.
+
+mod budget;
+
+pub use budget::RetryBudget;
+
+#[cfg(test)]
+mod tests;
