--- a/crates/skylarkpick-membership/tests/support/mod.rs
+++ b/crates/skylarkpick-membership/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Drives memberships in virtual time over a network with cuts, and counts bytes.
-#![allow(dead_code)]
+#![allow(dead_code, clippy::unwrap_used)]
 
 use prost::Message;
 use skylarkpick_membership::{Membership, MembershipParts, Outgoing, RunnerPlace, Timing};
