--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod help;
 mod replay;
+mod scenario;
 mod version;
 
 use crate::command::Command;
@@ -14,6 +15,7 @@
         Box::new(entry::EntryCommand),
         Box::new(demo::DemoCommand),
         Box::new(replay::ReplayCommand),
+        Box::new(scenario::ScenarioCommand),
         Box::new(version::VersionCommand),
         Box::new(help::HelpCommand),
     ]
