--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -3,6 +3,8 @@
 mod demo;
 mod entry;
 mod help;
+mod replay;
+mod scenario;
 mod version;
 
 use crate::command::Command;
@@ -12,6 +14,8 @@
     vec![
         Box::new(entry::EntryCommand),
         Box::new(demo::DemoCommand),
+        Box::new(replay::ReplayCommand),
+        Box::new(scenario::ScenarioCommand),
         Box::new(version::VersionCommand),
         Box::new(help::HelpCommand),
     ]
