Add the commands check, config, state, stand-in and overhead

An operator could run an entry process, but not check a file before using it, patch the configuration, read a dump, or try the system as separate processes. check lists every fault and exits 2; config and state talk to an entry's operator interface with a token from the environment; stand-in runs an outside system's stand-in as a process of its own; overhead sends a fixed rate by turns through one entry process and straight to its runner, in one run. Misspelt options get a hint, as misspelt commands had.

--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -1,8 +1,13 @@
 //! The commands, one a file.
 
+mod check;
+mod config;
 mod demo;
 mod entry;
 mod help;
+mod overhead;
+mod stand_in;
+mod state;
 mod version;
 
 use crate::command::Command;
@@ -12,6 +17,11 @@
     vec![
         Box::new(entry::EntryCommand),
         Box::new(demo::DemoCommand),
+        Box::new(check::CheckCommand),
+        Box::new(config::ConfigCommand),
+        Box::new(state::StateCommand),
+        Box::new(stand_in::StandInCommand),
+        Box::new(overhead::OverheadCommand),
         Box::new(version::VersionCommand),
         Box::new(help::HelpCommand),
     ]
--- a/crates/skylarkpick-command/src/commands/entry.rs
+++ b/crates/skylarkpick-command/src/commands/entry.rs
@@ -1,5 +1,6 @@
 //! `skylarkpick entry`.
 
+use super::check::{fault_lines, read_document};
 use crate::{
     command::{Command, Example, Exit, Signature, WrongUse},
     console::Console,
@@ -40,12 +41,20 @@
     }
 
     fn examples(&self) -> Vec<Example> {
-        vec![Example {
-            description: "A settings file that does not exist is wrong use",
-            arguments: &["no-such-file.jsonc"],
-            exit: Exit::WrongUse,
-            shows: "",
-        }]
+        vec![
+            Example {
+                description: "A settings file that does not exist is wrong use",
+                arguments: &["no-such-file.jsonc"],
+                exit: Exit::WrongUse,
+                shows: "",
+            },
+            Example {
+                description: "Settings that contradict each other are wrong use",
+                arguments: &["crates/skylarkpick-config/tests/wrong/contradiction.jsonc"],
+                exit: Exit::WrongUse,
+                shows: "",
+            },
+        ]
     }
 
     fn run(&self, matches: &Matches, console: &mut Console) -> anyhow::Result<Exit> {
@@ -56,12 +65,8 @@
 }
 
 fn read_settings(path: &str) -> anyhow::Result<Settings> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| WrongUse(format!("{path} cannot be read: {error}")))?;
-    let settings = parse_settings(&text).map_err(|faults| {
-        let lines: Vec<String> = faults.0.iter().map(|fault| format!("{path}:{fault}")).collect();
-        WrongUse(lines.join("\n"))
-    })?;
+    let text = read_document(path)?;
+    let settings = parse_settings(&text).map_err(|faults| WrongUse(fault_lines(path, &faults)))?;
     Ok(settings)
 }
 
--- a/crates/skylarkpick-command/src/commands/tests.rs
+++ b/crates/skylarkpick-command/src/commands/tests.rs
@@ -29,6 +29,8 @@
 
 #[test]
 fn examples_do_what_they_say() {
+    // Paths in examples start from the root of the repository.
+    std::env::set_current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../..")).unwrap();
     for command in all_commands() {
         for example in command.examples() {
             let (results, messages) = (Sink::default(), Sink::default());
@@ -62,3 +64,36 @@
         assert!(messages.text().contains(case.says), "{}", messages.text());
     }
 }
+
+#[test]
+fn misspelt_options_get_a_hint() {
+    struct Case {
+        arguments: &'static [&'static str],
+        says: &'static str,
+    }
+    let cases = [
+        Case { arguments: &["demo", "--jsn"], says: "did you mean '--json'?" },
+        Case { arguments: &["config", "get", "--entyr", "x"], says: "did you mean '--entry'?" },
+        Case { arguments: &["version", "--zzz"], says: "Unrecognized option: 'zzz'" },
+        Case { arguments: &["overhead", "--rate", "0"], says: "--rate cannot be 0" },
+    ];
+    for case in cases {
+        let messages = Sink::default();
+        let mut console = Console::to(Box::new(Sink::default()), Box::new(messages.clone()));
+        let arguments: Vec<String> = case.arguments.iter().map(|word| word.to_string()).collect();
+        assert_eq!(run_with(&arguments, &mut console), crate::Exit::WrongUse, "{arguments:?}");
+        assert!(messages.text().contains(case.says), "{}", messages.text());
+    }
+}
+
+#[test]
+fn every_command_explains_itself() {
+    for command in all_commands() {
+        let results = Sink::default();
+        let mut console = Console::to(Box::new(results.clone()), Box::new(Sink::default()));
+        let arguments = [command.name().to_string(), "--help".to_string()];
+        assert_eq!(run_with(&arguments, &mut console), crate::Exit::Success);
+        assert!(results.text().contains("Usage: skylarkpick"), "{}", results.text());
+        assert!(!command.examples().is_empty(), "{} has no example", command.name());
+    }
+}
--- a/crates/skylarkpick-command/src/dispatch.rs
+++ b/crates/skylarkpick-command/src/dispatch.rs
@@ -5,6 +5,7 @@
     commands::all_commands,
     console::Console,
 };
+use getopts::{Fail, Options};
 use std::process::ExitCode;
 
 /// Likeness from which a misspelt name gets a hint.
@@ -41,7 +42,10 @@
     options.optflag("h", "help", "show this help");
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
-        Err(error) => return wrong_use(&*command, &error.to_string(), console),
+        Err(error) => {
+            let message = format!("{error}{}", option_hint(&options, &error));
+            return wrong_use(&*command, &message, console);
+        }
     };
     if matches.opt_present("help") {
         console.result(&help_text(&*command));
@@ -77,17 +81,32 @@
 /// Message for a name that no command has.
 pub(crate) fn unknown_command(name: &str) -> String {
     let commands = all_commands();
-    let likeness = |known: &str| strsim::jaro_winkler(name, known);
-    let nearest = commands
-        .iter()
-        .map(|command| command.name())
-        .max_by(|left, right| likeness(left).total_cmp(&likeness(right)));
-    match nearest.filter(|known| likeness(known) >= HINT_LIKENESS) {
+    let names = commands.iter().map(|command| command.name());
+    match nearest(name, names) {
         Some(known) => format!("skylarkpick: no command {name:?}; did you mean {known:?}?"),
         None => format!("skylarkpick: no command {name:?}; see `skylarkpick help`"),
     }
 }
 
+/// Hint for a misspelt option, or nothing.
+fn option_hint(options: &Options, error: &Fail) -> String {
+    let Fail::UnrecognizedOption(name) = error else { return String::new() };
+    let usage = options.usage("");
+    let words = usage.split(|character: char| character.is_whitespace() || character == ',');
+    match nearest(name, words.filter_map(|word| word.strip_prefix("--"))) {
+        Some(known) => format!("; did you mean '--{known}'?"),
+        None => String::new(),
+    }
+}
+
+/// The known name that is most like `name`, if any is like it.
+fn nearest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let likeness = |known: &str| strsim::jaro_winkler(name, known);
+    known
+        .filter(|known| likeness(known) >= HINT_LIKENESS)
+        .max_by(|left, right| likeness(left).total_cmp(&likeness(right)))
+}
+
 /// Full help of one command.
 pub(crate) fn help_text(command: &dyn Command) -> String {
     let Signature { usage, mut options, .. } = command.signature();
--- a/crates/skylarkpick-command/src/lib.rs
+++ b/crates/skylarkpick-command/src/lib.rs
@@ -5,6 +5,8 @@
 mod console;
 mod demo;
 mod dispatch;
+mod operator_client;
+mod overhead;
 
 pub use command::{Command, Example, Exit, Signature, WrongUse};
 pub use commands::all_commands;
--- /dev/null
+++ b/crates/skylarkpick-command/src/overhead.rs
@@ -0,0 +1,8 @@
+//! Measures what an entry process adds to the time to first token.
+
+mod client;
+mod fleet;
+mod measure;
+mod report;
+
+pub(crate) use measure::{OverheadPlan, run};
--- /dev/null
+++ b/crates/skylarkpick-command/src/overhead/client.rs
@@ -0,0 +1,120 @@
+//! The two paths to a first token: through the entry process, and straight to the runner.
+
+use super::fleet::{ACCOUNT, MODEL, TOKEN};
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use futures::StreamExt;
+use http::Request;
+use http_body_util::{BodyStream, Full};
+use serde_json::json;
+use skylarkpick_http::{HttpClient, SplitLines};
+use skylarkpick_interface::{FrameBody, Priority, RunRequest, Runner};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Tokens of each answer.
+const ANSWER_TOKENS: u64 = 4;
+
+/// Which way a request takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Path {
+    /// Straight to the runner.
+    Direct,
+    /// Through the entry process.
+    Entry,
+}
+
+/// Sends requests on either path.
+#[derive(Clone)]
+pub(super) struct LoadClient {
+    client: HttpClient,
+    entry_uri: String,
+    runner: Arc<dyn Runner>,
+}
+
+impl LoadClient {
+    pub(super) fn open(entry_address: &str, runner: Arc<dyn Runner>) -> LoadClient {
+        let entry_uri = format!("http://{entry_address}/v1/completions");
+        LoadClient { client: HttpClient::open(), entry_uri, runner }
+    }
+
+    /// Sends a prompt and reads its whole answer; gives the time to the first token.
+    pub(super) async fn ask(
+        &self,
+        path: Path,
+        number: u64,
+        prompt: String,
+    ) -> anyhow::Result<Duration> {
+        match path {
+            Path::Direct => self.ask_runner(number, prompt).await,
+            Path::Entry => self.ask_entry(prompt).await,
+        }
+    }
+
+    async fn ask_entry(&self, prompt: String) -> anyhow::Result<Duration> {
+        let body = json!({
+            "model": MODEL, "prompt": prompt, "max_tokens": ANSWER_TOKENS, "stream": true,
+        });
+        let sent_at = Instant::now();
+        let request = Request::builder()
+            .method("POST")
+            .uri(&self.entry_uri)
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .body(Full::new(Bytes::from(body.to_string())))?;
+        let answer = self.client.send(request).await?;
+        if !answer.status().is_success() {
+            bail!("status {}", answer.status());
+        }
+        let mut lines = SplitLines::default();
+        let mut body = BodyStream::new(answer.into_body());
+        let mut first_token = None;
+        while let Some(frame) = body.next().await {
+            lines.push(&frame?.into_data().unwrap_or_default());
+            for line in lines.by_ref() {
+                if line.starts_with(b"data: ") {
+                    first_token.get_or_insert_with(|| sent_at.elapsed());
+                }
+                if line.as_ref() == b"data: [DONE]" {
+                    return first_token.context("no token came");
+                }
+            }
+        }
+        bail!("the stream ended early")
+    }
+
+    async fn ask_runner(&self, number: u64, prompt: String) -> anyhow::Result<Duration> {
+        let name = format!("direct-{number}");
+        let sent_at = Instant::now();
+        let mut frames = self
+            .runner
+            .start(RunRequest {
+                run_id: name.clone(),
+                request_id: name,
+                attempt_id: 1,
+                account: ACCOUNT.to_string(),
+                model: MODEL.to_string(),
+                adapter: None,
+                expected_weight_version: 1,
+                prompt_tokens: skylarkpick_cache::estimate_tokens(&prompt),
+                prompt,
+                prefix_keys: Vec::new(),
+                answer_tokens_limit: ANSWER_TOKENS,
+                delivered: Vec::new(),
+                priority: Priority::default(),
+            })
+            .await?;
+        let mut first_token = None;
+        while let Some(frame) = frames.next().await {
+            match frame?.body {
+                FrameBody::Token { .. } => {
+                    first_token.get_or_insert_with(|| sent_at.elapsed());
+                }
+                FrameBody::Finished { .. } => return first_token.context("no token came"),
+                _ => {}
+            }
+        }
+        bail!("the stream ended early")
+    }
+}
