--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod help;
 mod overhead;
+mod scenario;
 mod stand_in;
 mod state;
 mod version;
@@ -22,6 +23,7 @@
         Box::new(state::StateCommand),
         Box::new(stand_in::StandInCommand),
         Box::new(overhead::OverheadCommand),
+        Box::new(scenario::ScenarioCommand),
         Box::new(version::VersionCommand),
         Box::new(help::HelpCommand),
     ]
