--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod help;
 mod overhead;
+mod replay;
 mod scenario;
 mod stand_in;
 mod state;
@@ -23,6 +24,7 @@
         Box::new(state::StateCommand),
         Box::new(stand_in::StandInCommand),
         Box::new(overhead::OverheadCommand),
+        Box::new(replay::ReplayCommand),
         Box::new(scenario::ScenarioCommand),
         Box::new(version::VersionCommand),
         Box::new(help::HelpCommand),
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -7,6 +7,7 @@
 mod retry;
 mod route;
 mod saving;
+mod transfer;
 
 pub use admission::{Admission, Admitted, Offer, Refusal, RefusalReason, Verdict};
 pub use health::{Ejection, TargetHealth, TargetState};
@@ -18,3 +19,6 @@
     PrefixView, Route, RouteRequest, Router, RoutingRules, SavedCopy, StoreCandidate,
 };
 pub use saving::{SaveDecision, SavedEntry, SavingPolicy, SavingSettings, StoreRoom};
+pub use transfer::{
+    ImportOrdering, NextTransfer, Transfer, TransferId, TransferKind, TransferQueue,
+};
