--- a/crates/skylarkpick-schedule/src/admission/gate.rs
+++ b/crates/skylarkpick-schedule/src/admission/gate.rs
@@ -1,10 +1,10 @@
-//! Decides which requests to a model start now, wait in the fair queue, or are refused at once.
+//! Decides which requests start now, wait in the fair queue of their model, or are refused.
 
 use crate::{
     limit::{AccountLimits, AccountShares},
     queue::{FairQueue, Queued, QueuedId},
 };
-use skylarkpick_interface::{AccountId, Priority};
+use skylarkpick_interface::{AccountId, ModelName, Priority};
 use std::{collections::BTreeMap, time::Duration};
 
 /// Time over which the rate of starts is averaged.
@@ -19,6 +19,8 @@
 pub struct Offer {
     /// Client account that asks.
     pub account: AccountId,
+    /// Model that is asked for.
+    pub model: ModelName,
     /// Weight of the account.
     pub weight: f64,
     /// Limits of the account over the fleet.
@@ -69,27 +71,34 @@
     Refused(QueuedId, Refusal),
 }
 
-/// Decides which requests to a model start now, wait, or are refused at once.
+/// Decides which requests start now, wait, or are refused at once.
 #[derive(Debug, Default)]
 pub struct Admission {
-    queue: FairQueue,
+    gates: BTreeMap<ModelName, Gate>,
     shares: AccountShares,
     last_id: QueuedId,
-    running: BTreeMap<QueuedId, AccountId>,
+    running: BTreeMap<QueuedId, (AccountId, ModelName)>,
+}
+
+/// What waits and runs for one model.
+#[derive(Debug, Default)]
+struct Gate {
+    queue: FairQueue,
+    running: usize,
     room: usize,
     started_tokens_per_second: f64,
     started_at: Duration,
 }
 
 impl Admission {
-    /// Opens a gate that lets `room` requests run at once, in a fleet of `processes`.
-    pub fn open(room: usize, processes: usize) -> Admission {
-        Admission { room, shares: AccountShares::open(processes), ..Admission::default() }
+    /// Opens the admission of one process in a fleet of `processes`.
+    pub fn open(processes: usize) -> Admission {
+        Admission { shares: AccountShares::open(processes), ..Admission::default() }
     }
 
-    /// Changes how many requests may run at once.
-    pub fn set_room(&mut self, room: usize) {
-        self.room = room;
+    /// Changes how many requests to a model may run at once.
+    pub fn set_room(&mut self, model: &str, room: usize) {
+        self.gates.entry(model.to_string()).or_default().room = room;
     }
 
     /// Shares of this process in the accounts' limits.
@@ -97,14 +106,9 @@
         &mut self.shares
     }
 
-    /// Requests that run.
-    pub fn running(&self) -> usize {
-        self.running.len()
-    }
-
-    /// Requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.queue.len()
+    /// Requests to a model that run and that wait.
+    pub fn counts(&self, model: &str) -> (usize, usize) {
+        self.gates.get(model).map_or((0, 0), |gate| (gate.running, gate.queue.len()))
     }
 
     /// Takes a request in.
@@ -115,15 +119,17 @@
     /// use std::time::Duration;
     /// let offer = Offer {
     ///     account: "cubesat".to_string(),
+    ///     model: "model".to_string(),
     ///     weight: 1.0,
     ///     limits: AccountLimits { requests_limit: 10, tokens_per_second_limit: 1e6 },
     ///     priority: Priority::Normal,
     ///     cost_tokens: 100,
     ///     start_by: Duration::from_secs(1),
     /// };
-    /// let mut gate = Admission::open(1, 1);
-    /// assert!(matches!(gate.offer(&offer, Duration::ZERO), Admitted::Start(_)));
-    /// assert!(matches!(gate.offer(&offer, Duration::ZERO), Admitted::Queued(_)));
+    /// let mut admission = Admission::open(1);
+    /// admission.set_room("model", 1);
+    /// assert!(matches!(admission.offer(&offer, Duration::ZERO), Admitted::Start(_)));
+    /// assert!(matches!(admission.offer(&offer, Duration::ZERO), Admitted::Queued(_)));
     /// ```
     pub fn offer(&mut self, offer: &Offer, now: Duration) -> Admitted {
         let account = offer.account.as_str();
@@ -133,61 +139,67 @@
         }
         self.last_id += 1;
         let id = self.last_id;
-        if self.queue.is_empty() && self.running.len() < self.room {
-            self.start(id, account, offer.cost_tokens, now);
+        let gate = self.gates.entry(offer.model.clone()).or_default();
+        if gate.queue.is_empty() && gate.running < gate.room {
+            gate.start(offer.cost_tokens, now);
+            self.running.insert(id, (offer.account.clone(), offer.model.clone()));
             return Admitted::Start(id);
         }
-        let wait = self.expected_wait(account, offer.weight);
+        let wait = gate.expected_wait(account, offer.weight);
         if now + wait > offer.start_by {
             self.shares.end(account);
             let retry_after = wait.saturating_sub(offer.start_by.saturating_sub(now));
             let reason = RefusalReason::DeadlineCannotBeMet;
             return Admitted::Refused(refusal(reason, retry_after));
         }
-        let queued = Queued {
-            id,
-            account: offer.account.clone(),
-            priority: offer.priority,
-            cost_tokens: offer.cost_tokens,
-            start_by: offer.start_by,
-        };
-        self.queue.push(queued, offer.weight);
+        gate.queue.push(queued(id, offer), offer.weight);
         Admitted::Queued(id)
     }
 
     /// Notes that a request has ended, or that its caller went away while it waited.
     pub fn release(&mut self, id: QueuedId) {
-        let account = self.running.remove(&id);
-        let account = account.or_else(|| self.queue.remove(id).map(|queued| queued.account));
-        if let Some(account) = account {
+        if let Some((account, model)) = self.running.remove(&id) {
             self.shares.end(&account);
+            if let Some(gate) = self.gates.get_mut(&model) {
+                gate.running = gate.running.saturating_sub(1);
+            }
+            return;
+        }
+        let removed = self.gates.values_mut().find_map(|gate| gate.queue.remove(id));
+        if let Some(queued) = removed {
+            self.shares.end(&queued.account);
         }
     }
 
     /// Verdicts that are due: refusals of those that waited too long, and starts into the room.
     pub fn advance(&mut self, now: Duration) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
-        for late in self.queue.expire(now) {
-            self.shares.end(&late.account);
-            let wait = self.expected_wait(&late.account, 1.0);
-            let refusal = refusal(RefusalReason::DeadlineCannotBeMet, wait);
-            verdicts.push(Verdict::Refused(late.id, refusal));
-        }
-        while self.running.len() < self.room {
-            let Some(next) = self.queue.pop() else { break };
-            self.start(next.id, &next.account, next.cost_tokens, now);
-            verdicts.push(Verdict::Start(next.id));
+        for (model, gate) in &mut self.gates {
+            for late in gate.queue.expire(now) {
+                self.shares.end(&late.account);
+                let wait = gate.expected_wait(&late.account, 1.0);
+                let refusal = refusal(RefusalReason::DeadlineCannotBeMet, wait);
+                verdicts.push(Verdict::Refused(late.id, refusal));
+            }
+            while gate.running < gate.room {
+                let Some(next) = gate.queue.pop() else { break };
+                gate.start(next.cost_tokens, now);
+                self.running.insert(next.id, (next.account, model.clone()));
+                verdicts.push(Verdict::Start(next.id));
+            }
         }
         verdicts
     }
+}
 
-    fn start(&mut self, id: QueuedId, account: &str, cost_tokens: u64, now: Duration) {
+impl Gate {
+    fn start(&mut self, cost_tokens: u64, now: Duration) {
         let passed = now.saturating_sub(self.started_at).as_secs_f64();
         self.started_at = self.started_at.max(now);
         let window = RATE_WINDOW.as_secs_f64();
         let kept = self.started_tokens_per_second * (-passed / window).exp();
         self.started_tokens_per_second = kept + cost_tokens as f64 / window;
-        self.running.insert(id, account.to_string());
+        self.running += 1;
     }
 
     /// Time until a new request of the account would get its turn, by the rate of late.
@@ -201,6 +213,16 @@
     }
 }
 
+fn queued(id: QueuedId, offer: &Offer) -> Queued {
+    Queued {
+        id,
+        account: offer.account.clone(),
+        priority: offer.priority,
+        cost_tokens: offer.cost_tokens,
+        start_by: offer.start_by,
+    }
+}
+
 fn refusal(reason: RefusalReason, retry_after: Duration) -> Refusal {
     Refusal { reason, retry_after: retry_after.clamp(RETRY_FLOOR, RETRY_LIMIT) }
 }
--- a/crates/skylarkpick-schedule/src/admission/tests.rs
+++ b/crates/skylarkpick-schedule/src/admission/tests.rs
@@ -5,12 +5,14 @@
 use skylarkpick_interface::Priority;
 use std::{collections::BTreeMap, time::Duration};
 
+const MODEL: &str = "model";
 const LIMITS: AccountLimits =
     AccountLimits { requests_limit: 10_000, tokens_per_second_limit: 1e9 };
 
 fn offer(account: &str, start_by: Duration) -> Offer {
     Offer {
         account: account.to_string(),
+        model: MODEL.to_string(),
         weight: 1.0,
         limits: LIMITS,
         priority: Priority::Normal,
@@ -19,13 +21,19 @@
     }
 }
 
+fn gate_for_one() -> Admission {
+    let mut gate = Admission::open(1);
+    gate.set_room(MODEL, 1);
+    gate
+}
+
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
 #[test]
 fn a_request_that_cannot_meet_its_deadline_is_refused_at_once() {
-    let mut gate = Admission::open(1, 1);
+    let mut gate = gate_for_one();
     let mut ids = Vec::new();
     // One request starts every 100 ms, so the eleventh in the queue waits for about a second.
     for step in 0..50 {
@@ -51,20 +59,20 @@
 
 #[test]
 fn a_request_that_waited_too_long_is_refused_when_its_time_is_up() {
-    let mut gate = Admission::open(1, 1);
+    let mut gate = gate_for_one();
     assert!(matches!(gate.offer(&offer("a", millis(10)), millis(0)), Admitted::Start(_)));
     let Admitted::Queued(id) = gate.offer(&offer("a", millis(10)), millis(0)) else { panic!() };
     assert_eq!(gate.advance(millis(9)), []);
     let verdicts = gate.advance(millis(10));
     assert!(matches!(&verdicts[..], [Verdict::Refused(refused, _)] if *refused == id));
-    assert_eq!((gate.running(), gate.waiting()), (1, 0));
+    assert_eq!(gate.counts(MODEL), (1, 0));
 }
 
 #[test]
 fn an_account_over_its_limit_is_refused_and_others_are_not() {
     let limits = AccountLimits { requests_limit: 2, ..LIMITS };
     let over = Offer { limits, ..offer("a", millis(1_000)) };
-    let mut gate = Admission::open(1, 1);
+    let mut gate = gate_for_one();
     assert!(matches!(gate.offer(&over, millis(0)), Admitted::Start(_)));
     assert!(matches!(gate.offer(&over, millis(0)), Admitted::Queued(_)));
     let Admitted::Refused(refusal) = gate.offer(&over, millis(0)) else { panic!() };
@@ -75,20 +83,20 @@
 
 #[test]
 fn a_caller_that_goes_away_leaves_no_trace() {
-    let mut gate = Admission::open(1, 1);
+    let mut gate = gate_for_one();
     let Admitted::Start(first) = gate.offer(&offer("a", millis(100)), millis(0)) else { panic!() };
     let Admitted::Queued(gone) = gate.offer(&offer("a", millis(100)), millis(0)) else { panic!() };
     gate.release(gone);
     gate.release(first);
     gate.release(first);
     assert_eq!(gate.advance(millis(1)), []);
-    assert_eq!((gate.running(), gate.waiting()), (0, 0));
+    assert_eq!(gate.counts(MODEL), (0, 0));
 }
 
 /// One account floods a gate that serves one request in 10 ms; another sends one each 200 ms.
 /// Gives the longest wait of the second account in milliseconds.
 fn longest_wait_ms(flood: usize) -> u64 {
-    let mut gate = Admission::open(1, 1);
+    let mut gate = gate_for_one();
     let mut running = None;
     let mut sent_at = BTreeMap::new();
     let mut longest = 0;
