Claim keyed calls that must not run twice before they are sent

Cause: a booking repeated under its key through another entry process ran twice. Change: such calls go through the claim log; a repeat gets the stored answer with the header x-idempotent-replayed, waits for the running call, or is told unknown; another request under the key is refused with 409. The call runs in a task of its own, so a caller that goes away does not lose its outcome. The demo books each pass twice at once through two doors again. A new setting, limits.claim_retention_ms. Conclusion: at most once through any door, within the retention.

--- a/crates/skylarkpick-command/src/demo/callers.rs
+++ b/crates/skylarkpick-command/src/demo/callers.rs
@@ -116,17 +116,27 @@
         format!("{text}\nquestion {turn} of caller {index} of {}", self.account)
     }
 
-    /// Books a pass under a key of its own.
+    /// Books a pass under a key of its own, twice at once through different doors.
     async fn book(&self, key: &str, random: &mut StdRng) {
+        let addresses = self.addresses.borrow().clone();
+        let first = random.random_range(0..addresses.len());
+        let second = (first + 1) % addresses.len();
+        let (first, second) = tokio::join!(
+            self.book_through(&addresses[first], key),
+            self.book_through(&addresses[second], key),
+        );
+        let status = first.filter(|status| *status == 200).or(second).or(first);
+        lock(&self.log).bookings.insert(key.to_string(), status);
+    }
+
+    async fn book_through(&self, address: &str, key: &str) -> Option<u16> {
         let request = Request::builder()
             .method("POST")
-            .uri(format!("http://{}/v1/services/book-api/bookings", self.address(random)))
+            .uri(format!("http://{address}/v1/services/book-api/bookings"))
             .header("authorization", format!("Bearer {}", token(&self.account)))
             .header("idempotency-key", key)
             .body(Full::new(Bytes::from(format!("{{\"pass\": \"{key}\"}}"))));
-        let Ok(request) = request else { return };
-        let answer = self.client.send_whole(request, BOOKING_TIMEOUT).await;
-        let status = answer.ok().map(|answer| answer.status().as_u16());
-        lock(&self.log).bookings.insert(key.to_string(), status);
+        let answer = self.client.send_whole(request.ok()?, BOOKING_TIMEOUT).await;
+        answer.ok().map(|answer| answer.status().as_u16())
     }
 }
--- a/crates/skylarkpick-config/src/schema/settings.rs
+++ b/crates/skylarkpick-config/src/schema/settings.rs
@@ -30,6 +30,7 @@
     field("platform_timeout_ms", TIME, "time for the platform to answer"),
     field("configuration_poll_ms", TIME, "time between two slow reads of the configuration"),
     field("resume_window_ms", WAIT, "time that a broken stream is kept for its caller"),
+    field("claim_retention_ms", TIME, "time for which an idempotency key is remembered"),
     field("drain_notice_ms", WAIT, "time for the balancer to notice a shutdown"),
     field("drain_timeout_ms", TIME, "longest time that a shutdown waits for streams"),
 ];
--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -41,6 +41,8 @@
     pub configuration_poll_ms: u64,
     /// Time that a broken resumable stream is kept for its caller.
     pub resume_window_ms: u64,
+    /// Time for which the idempotency key of a call that must not run twice is remembered.
+    pub claim_retention_ms: u64,
     /// Time from a failing readiness check to closing the door, for the balancer to notice.
     pub drain_notice_ms: u64,
     /// Longest time that a shutdown waits for streams.
@@ -57,6 +59,7 @@
             platform_timeout_ms: 2_000,
             configuration_poll_ms: 2_000,
             resume_window_ms: 60_000,
+            claim_retention_ms: 3_600_000,
             drain_notice_ms: 3_000,
             drain_timeout_ms: 600_000,
         }
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -1,21 +1,23 @@
 //! An entry process without its doors.
 
 use crate::{
+    claimed_call::open_claims,
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install, follow_platform},
     failure::Failure,
     in_force::InForce,
     parts::EntryParts,
-    request::{CallRequest, CompletionRequest},
+    request::{CallReply, CallRequest, CompletionRequest},
     router_actor::{Observed, ReadCandidates, RouterActor, SetConfiguration},
     service_call,
     state_dump::{RunnerState, StateDump},
 };
 use kameo::{actor::Spawn, prelude::ActorRef};
+use skylarkpick_claims::ClaimLog;
 use skylarkpick_config::{
     ConfigurationKeeper, ConfigurationRecord, Patch, PatchOutcome, ReadError,
 };
-use skylarkpick_interface::{ServiceReply, TargetConnector};
+use skylarkpick_interface::TargetConnector;
 use std::{
     sync::{
         Arc,
@@ -41,6 +43,7 @@
     pub(crate) router: ActorRef<RouterActor>,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
+    pub(crate) claims: ClaimLog,
     configuration: ActorRef<ConfigurationActor>,
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
@@ -58,12 +61,14 @@
         tasks.spawn(follow_platform(parts.platform.clone(), configuration.clone(), poll));
         tasks.spawn(follow_targets(parts.connector.clone(), in_force.clone(), router.clone()));
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
+        let claims = open_claims(&parts);
         let shared = Shared {
             parts,
             in_force,
             router,
             requests_under_way: AtomicU64::new(0),
             next_service_instance: AtomicU64::new(0),
+            claims,
             configuration,
             keeper,
             draining: AtomicBool::new(false),
@@ -104,7 +109,7 @@
     ///
     /// # Errors
     /// With whether the call ran.
-    pub async fn call(&self, request: CallRequest) -> Result<ServiceReply, Failure> {
+    pub async fn call(&self, request: CallRequest) -> Result<CallReply, Failure> {
         service_call::call(&self.shared, request).await
     }
 
--- a/crates/skylarkpick-entry/src/front/answer.rs
+++ b/crates/skylarkpick-entry/src/front/answer.rs
@@ -10,6 +10,9 @@
 /// Header that carries the weight version of an answer.
 pub(super) const WEIGHT_VERSION_HEADER: &str = "x-weight-version";
 
+/// Header that marks the stored answer of an earlier call under the same idempotency key.
+pub(super) const REPLAYED_HEADER: &str = "x-idempotent-replayed";
+
 /// An answer of the front.
 pub(super) type Answer = Response<ResponseBody>;
 
--- a/crates/skylarkpick-entry/src/front/services.rs
+++ b/crates/skylarkpick-entry/src/front/services.rs
@@ -1,6 +1,6 @@
 //! `ANY /v1/services/NAME/PATH`: a call to a plain service.
 
-use super::answer::{Answer, CONFIGURATION_VERSION_HEADER, with_header};
+use super::answer::{Answer, CONFIGURATION_VERSION_HEADER, REPLAYED_HEADER, with_header};
 use crate::{entry::Entry, failure::Failure, request::CallRequest};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
 use skylarkpick_http::{REQUEST_ID_HEADER, empty_response, full_body};
@@ -36,6 +36,10 @@
     }
     *answer.body_mut() = full_body(reply.body);
     let answer = with_header(answer, REQUEST_ID_HEADER, request_id);
+    let answer = match reply.replayed {
+        true => with_header(answer, REPLAYED_HEADER, "true"),
+        false => answer,
+    };
     let version = entry.in_force().version.to_string();
     Ok(with_header(answer, CONFIGURATION_VERSION_HEADER, &version))
 }
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! outside systems. [`Front`] puts the callers' and operators' HTTP before an entry.
 
 mod attempts;
+mod claimed_call;
 mod completion;
 mod configuration_actor;
 mod entry;
@@ -22,5 +23,5 @@
 pub use front::Front;
 pub use in_force::InForce;
 pub use parts::EntryParts;
-pub use request::{AnswerEvent, CallRequest, CompletionRequest};
+pub use request::{AnswerEvent, CallReply, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
--- a/crates/skylarkpick-entry/src/request.rs
+++ b/crates/skylarkpick-entry/src/request.rs
@@ -49,6 +49,19 @@
     pub deadline: Option<Duration>,
 }
 
+/// Answer to a call of a plain service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type of the body.
+    pub content_type: String,
+    /// Body, passed on as it came.
+    pub body: Vec<u8>,
+    /// Whether this is the stored answer of an earlier call under the same idempotency key.
+    pub replayed: bool,
+}
+
 /// One event of an answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AnswerEvent {
--- a/crates/skylarkpick-entry/src/service_call.rs
+++ b/crates/skylarkpick-entry/src/service_call.rs
@@ -1,10 +1,11 @@
 //! Routes a call to an instance of a plain service.
 
 use crate::{
+    claimed_call,
     completion::UnderWay,
     entry::Shared,
     failure::{Failure, FailureCode},
-    request::CallRequest,
+    request::{CallReply, CallRequest},
 };
 use skylarkpick_config::{Configuration, ServiceRules};
 use skylarkpick_interface::{ServiceCall, ServiceError, ServiceReply};
@@ -12,6 +13,7 @@
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
+use tokio::time::Instant;
 
 /// Time for a call where the service's rules name none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -19,10 +21,7 @@
 const NO_INSTANCE_RETRY: Duration = Duration::from_secs(2);
 
 /// Makes a call, on other instances too as long as it cannot have run.
-pub(crate) async fn call(
-    shared: &Arc<Shared>,
-    request: CallRequest,
-) -> Result<ServiceReply, Failure> {
+pub(crate) async fn call(shared: &Arc<Shared>, request: CallRequest) -> Result<CallReply, Failure> {
     let in_force = shared.in_force.borrow().clone();
     let configuration = &in_force.configuration;
     let rules = configuration.services.get(&request.service).ok_or_else(|| {
@@ -30,17 +29,40 @@
     })?;
     let _under_way = UnderWay::begin(shared.clone());
     let repeatable = is_repeatable(rules, &request);
-    let addresses = instances(shared, configuration, &request.service);
     let longest = rules.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis);
     let time_allowed = request.deadline.map_or(longest, |deadline| deadline.min(longest));
-    let attempts = try_instances(shared, &request, &addresses, repeatable);
-    tokio::time::timeout(time_allowed, attempts).await.unwrap_or_else(|_| {
+    match request.idempotency_key.clone().filter(|_| !repeatable) {
+        Some(key) => claimed_call::call(shared, request, key, time_allowed).await,
+        None => {
+            let deadline = Instant::now() + time_allowed;
+            try_in_time(shared, &request, repeatable, deadline).await
+        }
+    }
+}
+
+/// Tries the instances of the service until the deadline.
+pub(crate) async fn try_in_time(
+    shared: &Shared,
+    request: &CallRequest,
+    repeatable: bool,
+    deadline: Instant,
+) -> Result<CallReply, Failure> {
+    let in_force = shared.in_force.borrow().clone();
+    let addresses = instances(shared, &in_force.configuration, &request.service);
+    let attempts = try_instances(shared, request, &addresses, repeatable);
+    let result = tokio::time::timeout_at(deadline, attempts).await.unwrap_or_else(|_| {
         Err(Failure::unknown(FailureCode::DeadlineExceeded, "the deadline passed"))
+    });
+    result.map(|ServiceReply { status, content_type, body }| CallReply {
+        status,
+        content_type,
+        body,
+        replayed: false,
     })
 }
 
 async fn try_instances(
-    shared: &Arc<Shared>,
+    shared: &Shared,
     request: &CallRequest,
     addresses: &[String],
     repeatable: bool,
