Write down the callers' interface and hold it against the code

Paths, methods and who may use them stood in three places; bad JSON, slow bodies and unknown paths shared one status.

Two faults found on the way: the query of a plain service's call was dropped, and a call that must not run twice could slip past its rule in another spelling (a trailing slash, a dotted or percent-encoded path). The query is passed on, rules see the path alone, odd spellings are refused.

Guards taken away once: without the check of odd paths wrong_requests_are_refused_before_anything_runs and arbitrary_paths_are_found_or_refused go red; with rules matched against the raw path a_lost_answer_of_a_call_that_must_not_run_twice_is_unknown goes red. Both are back.

Examples for both fleets at their sizes and for one machine, all checked by a test; the command `token` makes a token and its hash.

--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -10,6 +10,7 @@
 mod scenario;
 mod stand_in;
 mod state;
+mod token;
 mod version;
 
 use crate::command::Command;
@@ -22,6 +23,7 @@
         Box::new(check::CheckCommand),
         Box::new(config::ConfigCommand),
         Box::new(state::StateCommand),
+        Box::new(token::TokenCommand),
         Box::new(stand_in::StandInCommand),
         Box::new(overhead::OverheadCommand),
         Box::new(replay::ReplayCommand),
--- a/crates/skylarkpick-command/tests/operators.rs
+++ b/crates/skylarkpick-command/tests/operators.rs
@@ -155,3 +155,15 @@
     std::fs::remove_file(wrong).unwrap();
     runtime.block_on(front.shutdown());
 }
+
+#[test]
+fn tokens_are_made_and_hashed() {
+    let token = std::env::var(TOKEN_VARIABLE).unwrap();
+    let (exit, results, messages) = run(&["token", "--environment", TOKEN_VARIABLE]);
+    assert_eq!((exit, results.trim_end()), (Exit::Success, hash_token(&token).as_str()));
+    assert!(!messages.contains(&token));
+    let (_, hash, made) = run(&["token"]);
+    assert_eq!(hash.trim_end(), hash_token(made.trim_end()));
+    let (_, other, _) = run(&["token"]);
+    assert_ne!(hash, other);
+}
--- /dev/null
+++ b/crates/skylarkpick-command/tests/shipped_documents.rs
@@ -0,0 +1,94 @@
+//! The settings and configurations that ship with the project.
+
+use skylarkpick_command::{Console, Exit, run_with};
+use skylarkpick_config::{AccountRole, Configuration, parse_configuration};
+use std::path::PathBuf;
+
+fn root() -> PathBuf {
+    PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+}
+
+#[test]
+fn every_shipped_document_passes_the_check() {
+    let mut checked = 0;
+    for folder in ["config", "examples/bantay", "examples/local", "examples/viti"] {
+        for file in std::fs::read_dir(root().join(folder)).unwrap() {
+            let path = file.unwrap().path().display().to_string();
+            if !path.ends_with(".jsonc") {
+                continue;
+            }
+            let mut console = Console::to(Box::new(std::io::sink()), Box::new(std::io::stderr()));
+            let exit = run_with(&["check".to_string(), path.clone()], &mut console);
+            assert_eq!(exit, Exit::Success, "{path}");
+            checked += 1;
+        }
+    }
+    assert!(checked >= 12, "only {checked} files were found");
+}
+
+/// Sizes of a fleet.
+#[derive(Debug, Eq, PartialEq)]
+struct Sizes {
+    data_centres: usize,
+    runners: usize,
+    stores: Vec<String>,
+    instances: usize,
+    accounts: usize,
+    operators: usize,
+    loads_limit: u32,
+}
+
+fn sizes(configuration: &Configuration) -> Sizes {
+    let centres = || configuration.data_centres.values();
+    let accounts = configuration.accounts.values();
+    Sizes {
+        data_centres: configuration.data_centres.len(),
+        runners: centres().map(|centre| centre.runners.len()).sum(),
+        stores: centres().flat_map(|centre| centre.stores.keys().cloned()).collect(),
+        instances: centres().map(|centre| centre.services.len()).sum(),
+        accounts: configuration.accounts.len(),
+        operators: accounts.filter(|account| account.role == AccountRole::Operator).count(),
+        loads_limit: configuration.serving.values().map(|one| one.loads_limit).max().unwrap_or(0),
+    }
+}
+
+#[test]
+fn the_fleets_have_their_sizes() {
+    struct Case {
+        fleet: &'static str,
+        sizes: Sizes,
+    }
+    let cases = [
+        Case {
+            fleet: "bantay",
+            sizes: Sizes {
+                data_centres: 3,
+                runners: 9,
+                stores: vec!["tala-cache".to_string(), "tala-cache-b".to_string()],
+                instances: 3,
+                accounts: 10,
+                operators: 1,
+                loads_limit: 2,
+            },
+        },
+        Case {
+            fleet: "viti",
+            sizes: Sizes {
+                data_centres: 4,
+                runners: 18,
+                stores: vec!["brief-cache".to_string(), "rulebook-cache".to_string()],
+                instances: 4,
+                accounts: 10,
+                operators: 1,
+                loads_limit: 3,
+            },
+        },
+    ];
+    for case in cases {
+        let path = root().join(format!("examples/{}/configuration.jsonc", case.fleet));
+        let configuration = parse_configuration(&std::fs::read_to_string(path).unwrap()).unwrap();
+        let mut found = sizes(&configuration);
+        found.stores.sort();
+        assert_eq!(found, case.sizes, "{}", case.fleet);
+    }
+}
--- a/crates/skylarkpick-entry/src/failure.rs
+++ b/crates/skylarkpick-entry/src/failure.rs
@@ -27,6 +27,10 @@
     Forbidden,
     /// No such model, service, path or stream.
     NotFound,
+    /// The path exists, but not for this method.
+    MethodNotAllowed,
+    /// The request took too long to arrive.
+    RequestTimeout,
     /// The configuration has moved on, or the key was used for another request.
     Conflict,
     /// A part of the request is longer than allowed.
--- a/crates/skylarkpick-entry/src/front/answer.rs
+++ b/crates/skylarkpick-entry/src/front/answer.rs
@@ -42,12 +42,14 @@
     answer
 }
 
-fn status_of(code: FailureCode) -> StatusCode {
+pub(super) fn status_of(code: FailureCode) -> StatusCode {
     match code {
         FailureCode::BadRequest => StatusCode::BAD_REQUEST,
         FailureCode::Unauthorized => StatusCode::UNAUTHORIZED,
         FailureCode::Forbidden => StatusCode::FORBIDDEN,
         FailureCode::NotFound => StatusCode::NOT_FOUND,
+        FailureCode::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+        FailureCode::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
         FailureCode::Conflict => StatusCode::CONFLICT,
         FailureCode::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         FailureCode::LimitReached => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/skylarkpick-entry/src/front/completions.rs
+++ b/crates/skylarkpick-entry/src/front/completions.rs
@@ -5,6 +5,7 @@
         Answer, CONFIGURATION_VERSION_HEADER, WEIGHT_VERSION_HEADER, failure_answer, failure_data,
         with_header,
     },
+    json::read_json,
     wire::{Choice, CompletionAnswer, CompletionBody, Usage},
 };
 use crate::{
@@ -28,8 +29,7 @@
     request_id: &str,
     content: &[u8],
 ) -> Result<Answer, Failure> {
-    let body: CompletionBody = serde_json::from_slice(content)
-        .map_err(|error| Failure::not_run(FailureCode::BadRequest, error.to_string()))?;
+    let body: CompletionBody = read_json(content)?;
     let prompt = body.text().ok_or_else(|| {
         Failure::not_run(FailureCode::BadRequest, "give either `prompt` or `messages`")
     })?;
--- a/crates/skylarkpick-entry/src/front/door.rs
+++ b/crates/skylarkpick-entry/src/front/door.rs
@@ -1,12 +1,21 @@
 //! Listens, authenticates and hands requests to their paths.
 
-use super::{answer::Answer, completions, operators, services};
+use super::{
+    answer::Answer,
+    completions, operators,
+    routes::{self, Access, allowed_methods},
+    services,
+};
 use crate::{
     entry::Entry,
     failure::{Failure, FailureCode},
 };
 use async_trait::async_trait;
-use http::{Method, Request, StatusCode, header::AUTHORIZATION, request::Parts};
+use http::{
+    HeaderValue, Method, Request, StatusCode,
+    header::{ALLOW, AUTHORIZATION},
+    request::Parts,
+};
 use hyper::body::Incoming;
 use skylarkpick_config::AccountRole;
 use skylarkpick_http::{Handler, ReadBodyError, Server, ServerLimits, empty_response, read_body};
@@ -72,23 +81,26 @@
         request_id: &str,
     ) -> Result<Answer, Failure> {
         let (head, body) = request.into_parts();
+        let route = routes::find(&head.method, head.uri.path())?;
+        if route.access == Access::Anyone {
+            return Ok(self.health(route.path));
+        }
         let (account, role) = self.authenticate(&head)?;
+        if route.access == Access::Operator && role != AccountRole::Operator {
+            let message = format!("{} is for accounts with the operator's role", route.path);
+            return Err(Failure::not_run(FailureCode::Forbidden, message));
+        }
         let limits = &self.entry.shared.parts.settings.limits;
         let timeout = Duration::from_millis(limits.request_read_timeout_ms);
         let content =
             read_body(body, limits.body_size_bytes, timeout).await.map_err(read_failure)?;
         let path = head.uri.path();
-        if let Some(path) = path.strip_prefix("/v1/services/") {
-            let line = (&head.method, path, &head.headers);
-            return services::call(&self.entry, &account, request_id, line, &content).await;
+        if path.starts_with(services::PATH) {
+            return services::call(&self.entry, &account, request_id, &head, &content).await;
         }
         if head.method == Method::POST && path == "/v1/completions" {
             return completions::complete(&self.entry, &account, request_id, &content).await;
         }
-        if role != AccountRole::Operator {
-            let message = "this path is for operators, or does not exist";
-            return Err(Failure::not_run(FailureCode::Forbidden, message));
-        }
         operators::answer(&self.entry, &account, &head.method, path, &content).await
     }
 
@@ -107,33 +119,38 @@
         })
     }
 
-    fn health(&self, path: &str) -> Option<Answer> {
-        match path {
-            "/live" => Some(empty_response(StatusCode::OK)),
-            "/ready" if self.entry.is_ready() => Some(empty_response(StatusCode::OK)),
-            "/ready" => Some(empty_response(StatusCode::SERVICE_UNAVAILABLE)),
-            _ => None,
-        }
+    fn health(&self, path: &str) -> Answer {
+        let is_well = path == "/live" || self.entry.is_ready();
+        empty_response(if is_well { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
     }
 }
 
 fn read_failure(error: ReadBodyError) -> Failure {
     let code = match error {
         ReadBodyError::TooLarge(_) => FailureCode::TooLarge,
-        ReadBodyError::TooSlow(_) | ReadBodyError::Broken(_) => FailureCode::BadRequest,
+        ReadBodyError::TooSlow(_) => FailureCode::RequestTimeout,
+        ReadBodyError::Broken(_) => FailureCode::BadRequest,
     };
-    Failure::not_run(code, error.to_string())
+    let retry = code == FailureCode::RequestTimeout;
+    Failure { retry, ..Failure::not_run(code, error.to_string()) }
 }
 
 #[async_trait]
 impl Handler for Door {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
-        if let Some(answer) = self.health(request.uri().path()) {
-            return answer;
-        }
+        let path = request.uri().path().to_string();
         let request_id = format!("r{:032x}", rand::random::<u128>());
         self.answer(request, &request_id)
             .await
-            .unwrap_or_else(|failure| completions::refuse(&failure, &request_id))
+            .unwrap_or_else(|failure| refuse(&failure, &path, &request_id))
+    }
+}
+
+fn refuse(failure: &Failure, path: &str, request_id: &str) -> Answer {
+    let mut answer = completions::refuse(failure, request_id);
+    let allowed = allowed_methods(path).and_then(|methods| HeaderValue::try_from(methods).ok());
+    if let (FailureCode::MethodNotAllowed, Some(allowed)) = (failure.code, allowed) {
+        answer.headers_mut().insert(ALLOW, allowed);
     }
+    answer
 }
--- a/crates/skylarkpick-entry/src/front/operators.rs
+++ b/crates/skylarkpick-entry/src/front/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' paths: configuration and state.
 
-use super::answer::Answer;
+use super::{answer::Answer, json::read_json};
 use crate::{
     entry::Entry,
     failure::{Failure, FailureCode},
@@ -47,8 +47,7 @@
 }
 
 async fn patch(entry: &Entry, account: &str, content: &[u8]) -> Result<Answer, Failure> {
-    let patch: Patch = serde_json::from_slice(content)
-        .map_err(|error| Failure::not_run(FailureCode::BadRequest, error.to_string()))?;
+    let patch: Patch = read_json(content)?;
     match entry.patch(&patch, account).await {
         PatchOutcome::Accepted(version) => {
             let body = json!({"patch_id": patch.patch_id, "version": version});
--- /dev/null
+++ b/crates/skylarkpick-entry/src/front/routes.rs
@@ -0,0 +1,66 @@
+//! Every path of the interface, who may use it, and what is answered elsewhere.
+
+use crate::failure::{Failure, FailureCode};
+use http::Method;
+
+/// Who may use a path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Access {
+    /// Anyone, without a token.
+    Anyone,
+    /// Any client account.
+    Caller,
+    /// Accounts with the operator's role.
+    Operator,
+}
+
+/// One path with its methods. A path ending in `/*` covers all below.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Route {
+    pub(super) path: &'static str,
+    pub(super) methods: &'static [&'static str],
+    pub(super) access: Access,
+}
+
+const ANY_METHOD: &[&str] = &["DELETE", "GET", "PATCH", "POST", "PUT"];
+
+/// Every path of the interface.
+pub(super) const ROUTES: &[Route] = &[
+    Route { path: "/live", methods: &["GET"], access: Access::Anyone },
+    Route { path: "/ready", methods: &["GET"], access: Access::Anyone },
+    Route { path: "/v1/completions", methods: &["POST"], access: Access::Caller },
+    Route { path: "/v1/services/*", methods: ANY_METHOD, access: Access::Caller },
+    Route { path: "/v1/configuration", methods: &["GET", "PATCH"], access: Access::Operator },
+    Route { path: "/v1/configuration/history", methods: &["GET"], access: Access::Operator },
+    Route { path: "/state", methods: &["GET"], access: Access::Operator },
+];
+
+impl Route {
+    fn covers(&self, path: &str) -> bool {
+        match self.path.strip_suffix('*') {
+            Some(start) => path.strip_prefix(start).is_some_and(|rest| !rest.is_empty()),
+            None => path == self.path,
+        }
+    }
+}
+
+/// Finds the route of a request.
+pub(super) fn find(method: &Method, path: &str) -> Result<&'static Route, Failure> {
+    let route = ROUTES.iter().find(|route| route.covers(path)).ok_or_else(|| {
+        let paths: Vec<&str> = ROUTES.iter().map(|route| route.path).collect();
+        let message = format!("no path {path:?}; there are {}", paths.join(", "));
+        Failure::not_run(FailureCode::NotFound, message)
+    })?;
+    if route.methods.contains(&method.as_str()) {
+        return Ok(route);
+    }
+    let allowed = route.methods.join(", ");
+    let message = format!("{} takes {allowed}, not {method}", route.path);
+    Err(Failure::not_run(FailureCode::MethodNotAllowed, message))
+}
+
+/// Methods of a path, for the `Allow` header.
+pub(super) fn allowed_methods(path: &str) -> Option<String> {
+    let route = ROUTES.iter().find(|route| route.covers(path))?;
+    Some(route.methods.join(", "))
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/src/front/tests/fuzz.rs
@@ -0,0 +1,84 @@
+//! No body, path or header that a caller can send stops the process.
+
+use crate::front::{json::read_json, routes, services, wire::CompletionBody};
+use http::Method;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, RngSeed, TestRunner},
+};
+use skylarkpick_config::Patch;
+
+fn runner() -> TestRunner {
+    TestRunner::new(Config {
+        cases: 1_024,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(11),
+        ..Config::default()
+    })
+}
+
+fn read_all(content: &[u8]) {
+    let completion = read_json::<CompletionBody>(content);
+    let patch = read_json::<Patch>(content);
+    for failure in [completion.err(), patch.err()].into_iter().flatten() {
+        assert!(failure.message.starts_with("the body cannot be read: "));
+        assert!(failure.message.len() < 2 * content.len() + 1_000, "{}", failure.message);
+    }
+}
+
+#[test]
+fn arbitrary_bodies_are_read_or_refused() {
+    let bytes = prop::collection::vec(any::<u8>(), 0..512);
+    runner()
+        .run(&bytes, |bytes| {
+            read_all(&bytes);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn bodies_of_json_pieces_are_read_or_refused() {
+    let piece = prop::sample::select(vec![
+        "{",
+        "}",
+        "[",
+        "]",
+        ":",
+        ",",
+        "\"model\"",
+        "\"messages\"",
+        "\"prompt\"",
+        "\"role\"",
+        "1e999",
+        "-0",
+        "null",
+        "true",
+        "\"`\"",
+        "\"\\u0000\"",
+        "18446744073709551616",
+        "\"max_tokens\"",
+    ]);
+    let body = prop::collection::vec(piece, 0..40).prop_map(|pieces| pieces.concat());
+    runner()
+        .run(&body, |body| {
+            read_all(body.as_bytes());
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn arbitrary_paths_are_found_or_refused() {
+    runner()
+        .run(&"(/v1/services/)?[ -~é]{0,60}", |path| {
+            let _ = routes::find(&Method::POST, &path);
+            if let Ok((service, path)) = services::target(&path) {
+                prop_assert!(!service.contains('/'));
+                prop_assert!(path.starts_with('/') && !path.contains("//") && !path.contains('%'));
+            }
+            Ok(())
+        })
+        .unwrap();
+}
--- a/crates/skylarkpick-entry/src/service_call.rs
+++ b/crates/skylarkpick-entry/src/service_call.rs
@@ -80,11 +80,13 @@
 
 /// Whether a call may be sent again when it may have run.
 fn is_repeatable(rules: &ServiceRules, request: &CallRequest) -> bool {
+    let (called, _) = request.path.split_once('?').unwrap_or((&request.path, ""));
+    let called = if called == "/" { called } else { called.trim_end_matches('/') };
     !rules.not_repeatable.iter().any(|rule| {
         let Some((method, path)) = rule.split_once(' ') else { return false };
         let path_matches = match path.strip_suffix('*') {
-            Some(start) => request.path.starts_with(start),
-            None => request.path == path,
+            Some(start) => format!("{called}/").starts_with(start),
+            None => called == path,
         };
         method == request.method && path_matches
     })
