Spread configuration, leaving flags and loads among entry processes

Every process watched the configuration and read every runner: waiting watches and reads grew with the fleet, a data centre without the platform got no new configuration, and a refusal or a list entry told nobody else that a runner leaves.

An actor in skylarkpick-entry drives the membership over the peer network on tokio's time. One process a data centre watches the configuration and one reads the platform's list, by rendezvous hash; the others learn the version by gossip and fetch the record from a peer, then from the platform. One process reads each runner. Leaving from the list, a report, a refusal or a peer reaches every router; only a new start of the runner ends it, in the membership and in the router. A draining process leaves at once and still learns what leaves. New: GET /v1/configuration/status, and `peers` in the state dump.

A load that does not change is sent again every 3 s. Without that, the router's report timeout (8 s) took idle runners read by a peer for unreachable; a test of refusals showed it.

--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -161,6 +161,7 @@
         if error == StartError::Leaving {
             // A stopped actor means that the process ends.
             let _ = self.shared.router.tell(Observed::Leaving(runner.to_string())).await;
+            self.shared.peers.observe_leaving(runner).await;
         }
         let may_have_run = matches!(error, StartError::Broken(_));
         AttemptEnd::TryElsewhere { may_have_run, why: format!("runner {runner}: {error}") }
--- a/crates/skylarkpick-entry/src/configuration_actor.rs
+++ b/crates/skylarkpick-entry/src/configuration_actor.rs
@@ -2,9 +2,8 @@
 
 use crate::in_force::InForce;
 use kameo::prelude::*;
-use skylarkpick_config::{CONFIGURATION_KEY, ConfigurationRecord, validate};
-use skylarkpick_interface::{ObjectStore, ObjectVersion};
-use std::{sync::Arc, time::Duration};
+use skylarkpick_config::{ConfigurationRecord, validate};
+use std::sync::Arc;
 use tokio::sync::watch;
 
 /// Installs configurations, each higher than the one before.
@@ -45,34 +44,3 @@
         true
     }
 }
-
-/// Follows the configuration object in the platform and offers what it finds.
-pub(crate) async fn follow_platform(
-    platform: Arc<dyn ObjectStore>,
-    actor: ActorRef<ConfigurationActor>,
-    poll: Duration,
-) {
-    let mut seen: ObjectVersion = 0;
-    loop {
-        match platform.watch(CONFIGURATION_KEY, seen, poll).await {
-            Ok(Some(object)) => {
-                seen = object.version;
-                offer(&actor, &object.value).await;
-            }
-            Ok(None) => {}
-            Err(_) => tokio::time::sleep(poll).await,
-        }
-    }
-}
-
-async fn offer(actor: &ActorRef<ConfigurationActor>, value: &[u8]) {
-    match serde_json::from_slice(value) {
-        Ok(record) => {
-            // A stopped actor means that the process ends.
-            let _ = actor.ask(Install(record)).await;
-        }
-        Err(error) => {
-            spdlog::error!("the stored configuration cannot be read", kv: { error: });
-        }
-    }
-}
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -2,12 +2,13 @@
 
 use crate::{
     completion::{self, AnswerStream},
-    configuration_actor::{ConfigurationActor, Install, follow_platform},
+    configuration_actor::{ConfigurationActor, Install},
     failure::Failure,
     in_force::InForce,
     parts::EntryParts,
+    peers::{ConfigurationStatus, Peers},
     request::{CallRequest, CompletionRequest},
-    router_actor::{Observed, ReadCandidates, RouterActor, SetConfiguration},
+    router_actor::{ReadCandidates, RouterActor},
     service_call,
     state_dump::{RunnerState, StateDump},
 };
@@ -15,18 +16,12 @@
 use skylarkpick_config::{
     ConfigurationKeeper, ConfigurationRecord, Patch, PatchOutcome, ReadError,
 };
-use skylarkpick_interface::{ServiceReply, TargetConnector};
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
-    time::Duration,
+use skylarkpick_interface::ServiceReply;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
-use tokio::{sync::watch, task::JoinSet};
-
-/// Time between two reads of a runner's load.
-const LOAD_READ_INTERVAL: Duration = Duration::from_millis(250);
+use tokio::sync::watch;
 
 /// A running entry process without its doors. Dropping the last handle stops it.
 #[derive(Clone)]
@@ -44,7 +39,7 @@
     configuration: ActorRef<ConfigurationActor>,
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
-    _tasks: JoinSet<()>,
+    pub(crate) peers: Peers,
 }
 
 impl Entry {
@@ -53,10 +48,7 @@
         let (sender, in_force) = watch::channel(Arc::new(InForce::default()));
         let configuration = ConfigurationActor::spawn(ConfigurationActor::open(sender));
         let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre, parts.seed));
-        let mut tasks = JoinSet::new();
-        let poll = Duration::from_millis(parts.settings.limits.configuration_poll_ms);
-        tasks.spawn(follow_platform(parts.platform.clone(), configuration.clone(), poll));
-        tasks.spawn(follow_targets(parts.connector.clone(), in_force.clone(), router.clone()));
+        let peers = Peers::spawn(&parts, in_force.clone(), configuration.clone(), router.clone());
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
         let shared = Shared {
             parts,
@@ -67,7 +59,7 @@
             configuration,
             keeper,
             draining: AtomicBool::new(false),
-            _tasks: tasks,
+            peers,
         };
         Entry { shared: Arc::new(shared) }
     }
@@ -82,9 +74,21 @@
         !self.shared.draining.load(Ordering::SeqCst) && self.in_force().version > 0
     }
 
-    /// Fails the readiness check from now on; requests under way go on.
+    /// Fails the readiness check from now on and leaves the membership; requests under way go on.
     pub fn drain(&self) {
-        self.shared.draining.store(true, Ordering::SeqCst);
+        if !self.shared.draining.swap(true, Ordering::SeqCst) {
+            self.shared.peers.leave();
+        }
+    }
+
+    /// The other entry processes, as this one knows them.
+    pub fn peers(&self) -> &Peers {
+        &self.shared.peers
+    }
+
+    /// Which version is in force where, as far as this process knows.
+    pub async fn configuration_status(&self) -> ConfigurationStatus {
+        self.shared.peers.configuration_status().await
     }
 
     /// Requests that have no answer yet.
@@ -128,6 +132,14 @@
         self.shared.keeper.read().await
     }
 
+    /// What the router knows of the runners.
+    #[cfg(test)]
+    pub(crate) async fn candidates(
+        &self,
+    ) -> std::collections::BTreeMap<String, skylarkpick_schedule::Candidate> {
+        self.shared.router.ask(ReadCandidates).await.unwrap_or_default()
+    }
+
     /// Dumps the state of the process, without secrets.
     pub async fn state(&self) -> StateDump {
         let candidates = self.shared.router.ask(ReadCandidates).await.unwrap_or_default();
@@ -137,47 +149,8 @@
             configuration_version: self.in_force().version,
             is_ready: self.is_ready(),
             requests_under_way: self.requests_under_way(),
+            peers: self.shared.peers.state().await,
             runners: candidates.into_iter().map(RunnerState::from).collect(),
         }
     }
 }
-
-/// Reads the runners' loads and hands each new configuration to the router.
-async fn follow_targets(
-    connector: Arc<dyn TargetConnector>,
-    mut in_force: watch::Receiver<Arc<InForce>>,
-    router: ActorRef<RouterActor>,
-) {
-    loop {
-        let current = in_force.borrow_and_update().clone();
-        // A stopped actor means that the process ends.
-        let _ = router.ask(SetConfiguration(current.clone())).await;
-        let mut reads = JoinSet::new();
-        for targets in current.configuration.data_centres.values() {
-            for (name, target) in &targets.runners {
-                let runner = connector.runner(&target.address);
-                reads.spawn(follow_load(name.clone(), runner, router.clone()));
-            }
-        }
-        if in_force.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn follow_load(
-    name: String,
-    runner: Arc<dyn skylarkpick_interface::Runner>,
-    router: ActorRef<RouterActor>,
-) {
-    loop {
-        if let Ok(load) = runner.load().await {
-            // A stopped actor means that the process ends.
-            let _ = router.tell(Observed::Load(name.clone(), load)).await;
-        }
-        if let Ok(status) = runner.status().await {
-            let _ = router.tell(Observed::Status(name.clone(), status)).await;
-        }
-        tokio::time::sleep(LOAD_READ_INTERVAL).await;
-    }
-}
--- a/crates/skylarkpick-entry/src/front/operators.rs
+++ b/crates/skylarkpick-entry/src/front/operators.rs
@@ -35,6 +35,9 @@
         (&Method::GET, "/v1/configuration/history") => {
             Ok(json_response(StatusCode::OK, &read(entry).await?.history))
         }
+        (&Method::GET, "/v1/configuration/status") => {
+            Ok(json_response(StatusCode::OK, &entry.configuration_status().await))
+        }
         (&Method::GET, "/state") => Ok(json_response(StatusCode::OK, &entry.state().await)),
         _ => Err(Failure::not_run(FailureCode::NotFound, "no such path")),
     }
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod front;
 mod in_force;
 mod parts;
+mod peers;
 mod request;
 mod router_actor;
 mod service_call;
@@ -22,5 +23,8 @@
 pub use front::Front;
 pub use in_force::InForce;
 pub use parts::EntryParts;
+pub use peers::{
+    ConfigurationStatus, DirectoryPart, PeerProcess, Peers, PeersState, PeersView, ProcessStatus,
+};
 pub use request::{AnswerEvent, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
--- /dev/null
+++ b/crates/skylarkpick-entry/src/peers.rs
@@ -0,0 +1,19 @@
+//! The entry process among its peers: membership, configuration spread, leaving, runner loads.
+
+mod configuration;
+mod directory_border;
+mod handle;
+mod inbox;
+mod list;
+mod membership_actor;
+mod status;
+mod targets;
+mod view;
+
+#[cfg(test)]
+mod tests;
+
+pub use directory_border::DirectoryPart;
+pub use handle::Peers;
+pub use status::{ConfigurationStatus, PeersState, ProcessStatus};
+pub use view::{PeerProcess, PeersView};
--- /dev/null
+++ b/crates/skylarkpick-entry/src/peers/tests/fleet.rs
@@ -0,0 +1,374 @@
+//! A fleet of entry processes over memory networks.
+
+use crate::{CompletionRequest, Entry, EntryParts};
+use async_trait::async_trait;
+use futures::StreamExt;
+use serde_json::json;
+use skylarkpick_config::{CONFIGURATION_KEY, ConfigurationRecord, Patch, PatchOutcome, Settings};
+use skylarkpick_interface::{
+    CacheEventBatch, ExportOrder, ExportReceipt, FrameStream, ImportOrder, ImportReceipt,
+    ListedObject, ListedVm, LoadReport, NoPeers, Object, ObjectStore, ObjectVersion, Order,
+    OrderError, PeerNetwork, PlatformError, Priority, RunRequest, Runner, RunnerStatus, StartError,
+    TokioClock, TransferError, WriteError,
+};
+use skylarkpick_standin::{
+    FakeRunner, MemoryConnector, MemoryPeers, MemoryPlatform, PlatformRates, RunnerSettings,
+    WeightStore,
+};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime},
+};
+use tokio::time::{Instant, sleep};
+
+const RUNNERS_PER_CENTRE: usize = 2;
+const POLL: Duration = Duration::from_millis(20);
+
+pub(super) struct Fleet {
+    pub(super) platform: Arc<MemoryPlatform>,
+    pub(super) peers: Arc<MemoryPeers>,
+    pub(super) entries: BTreeMap<String, Entry>,
+    pub(super) runners: BTreeMap<String, FakeRunner>,
+    cuts: BTreeMap<usize, Arc<AtomicBool>>,
+    reads: BTreeMap<String, Arc<AtomicU64>>,
+    mute: Arc<AtomicBool>,
+    connector: Arc<MemoryConnector>,
+    clock: TokioClock,
+}
+
+pub(super) fn centre(index: usize) -> String {
+    format!("dc{index}")
+}
+
+pub(super) fn entry_name(centre: usize, index: usize) -> String {
+    format!("dc{centre}-entry-{index}")
+}
+
+pub(super) fn runner(centre: usize, index: usize) -> String {
+    format!("dc{centre}-runner-{index}")
+}
+
+fn runner_address(centre: usize, index: usize) -> String {
+    format!("10.0.{centre}.{index}:80")
+}
+
+impl Fleet {
+    pub(super) async fn spawn(counts: &[usize]) -> Fleet {
+        Fleet::spawn_with(counts, Duration::from_secs(2)).await
+    }
+
+    /// Starts as many entry processes in each data centre as `counts` says.
+    pub(super) async fn spawn_with(counts: &[usize], list_lag: Duration) -> Fleet {
+        let platform = MemoryPlatform::open(list_lag, PlatformRates::default());
+        let mut fleet = Fleet {
+            platform,
+            peers: MemoryPeers::open(Duration::from_millis(1)),
+            entries: BTreeMap::new(),
+            runners: BTreeMap::new(),
+            cuts: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            mute: Arc::default(),
+            connector: MemoryConnector::open(),
+            clock: TokioClock::start(SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000)),
+        };
+        for (index, _) in counts.iter().enumerate() {
+            fleet.cuts.insert(index, Arc::default());
+            fleet.add_runners(index);
+        }
+        fleet.write_first_configuration(counts.len()).await;
+        for (centre, count) in counts.iter().enumerate() {
+            for index in 0..*count {
+                let entry = fleet.start(centre, index);
+                fleet.entries.insert(entry_name(centre, index), entry);
+            }
+        }
+        fleet
+    }
+
+    fn add_runners(&mut self, centre: usize) {
+        let weight_store = WeightStore::open(Duration::from_secs(1), 2);
+        for index in 0..RUNNERS_PER_CENTRE {
+            let name = runner(centre, index);
+            let settings =
+                RunnerSettings { model: "tala-llm".to_string(), ..RunnerSettings::default() };
+            let fake = FakeRunner::open(settings, self.connector.clone(), weight_store.clone());
+            let reads = Arc::<AtomicU64>::default();
+            let counted = CountedRunner {
+                runner: fake.clone(),
+                reads: reads.clone(),
+                mute: self.mute.clone(),
+            };
+            self.connector.put_runner(&runner_address(centre, index), Arc::new(counted));
+            self.runners.insert(name.clone(), fake);
+            self.reads.insert(name, reads);
+        }
+    }
+
+    async fn write_first_configuration(&self, centres: usize) {
+        let mut data_centres = json!({});
+        for index in 0..centres {
+            let mut runners = json!({});
+            for number in 0..RUNNERS_PER_CENTRE {
+                let name = runner(index, number);
+                runners[&name] =
+                    json!({"address": runner_address(index, number), "model": "tala-llm"});
+            }
+            data_centres[centre(index)] = json!({"region": "mnl", "runners": runners});
+        }
+        let record = json!({"version": 1, "history": [], "configuration": {
+            "accounts": {"cubesat": {}},
+            "models": {"tala-llm": {"weight_version": 1, "serving": "ordinary"}},
+            "serving": {"ordinary": {}},
+            "data_centres": data_centres,
+        }});
+        let value = serde_json::to_vec(&record).unwrap();
+        self.platform.put(CONFIGURATION_KEY, None, value).await.unwrap();
+    }
+
+    pub(super) fn start(&self, centre_index: usize, index: usize) -> Entry {
+        let name = entry_name(centre_index, index);
+        let peers = self.peers.join(&name, &centre(centre_index));
+        self.open(&name, centre_index, peers)
+    }
+
+    pub(super) fn start_alone(&self) -> Entry {
+        self.open("alone", 0, NoPeers::open())
+    }
+
+    fn open(&self, name: &str, centre_index: usize, peers: Arc<dyn PeerNetwork>) -> Entry {
+        let settings = Settings {
+            entry_id: name.to_string(),
+            data_centre: centre(centre_index),
+            seed_peers: vec![entry_name(0, 0), entry_name(0, 1)],
+            ..Settings::default()
+        };
+        let cut = self.cuts[&centre_index].clone();
+        Entry::spawn(EntryParts {
+            settings,
+            platform: Arc::new(CutPlatform { platform: self.platform.clone(), cut }),
+            connector: self.connector.clone(),
+            peers,
+            clock: Arc::new(self.clock),
+            seed: name.bytes().map(u64::from).sum(),
+        })
+    }
+
+    pub(super) fn entry(&self, centre: usize, index: usize) -> &Entry {
+        &self.entries[&entry_name(centre, index)]
+    }
+
+    pub(super) fn kill(&mut self, name: &str) {
+        self.peers.set_reachable(name, false);
+        self.entries.remove(name);
+    }
+
+    pub(super) fn cut_platform(&self, centre: usize, cut: bool) {
+        self.cuts[&centre].store(cut, Ordering::SeqCst);
+    }
+
+    /// Loses every report of the runners from now on; they go on taking requests.
+    pub(super) fn lose_reports(&self) {
+        self.mute.store(true, Ordering::SeqCst);
+    }
+
+    pub(super) fn reads(&self, runner: &str) -> u64 {
+        self.reads[runner].load(Ordering::SeqCst)
+    }
+
+    pub(super) async fn watcher_of(&self, centre: usize) -> String {
+        let prefix = format!("dc{centre}-");
+        let (_, entry) = self.entries.iter().find(|(name, _)| name.starts_with(&prefix)).unwrap();
+        entry.state().await.peers.configuration_watcher.unwrap()
+    }
+
+    /// Names of the processes whose router leaves the runner out.
+    pub(super) async fn is_leaving_on(&self, runner: &str) -> Vec<String> {
+        let mut names = Vec::new();
+        for (name, entry) in &self.entries {
+            let state = entry.state().await;
+            if state.runners.iter().any(|known| known.name == runner && known.leaving) {
+                names.push(name.clone());
+            }
+        }
+        names
+    }
+
+    /// Sends as many prompts through one process as make it try every runner.
+    pub(super) async fn send_prompts(&self, centre: usize, index: usize) {
+        for number in 0..16 {
+            let request = CompletionRequest {
+                request_id: format!("request-{number}"),
+                account: "cubesat".to_string(),
+                model: "tala-llm".to_string(),
+                adapter: None,
+                prompt: format!("prompt {number} ").repeat(4_000),
+                answer_tokens_limit: 200,
+                priority: Priority::Normal,
+                deadline: None,
+            };
+            let stream = self.entry(centre, index).complete(request).unwrap();
+            tokio::spawn(stream.for_each(|_| async {}));
+            sleep(POLL).await;
+        }
+    }
+
+    /// Patches through one process and gives how long the version took to be in force everywhere.
+    pub(super) async fn patch_through(&self, centre: usize, version: u64) -> Option<Duration> {
+        let patch = Patch {
+            patch_id: format!("patch-{version}"),
+            base_version: version - 1,
+            change: json!({"serving": {"ordinary": {"deadline_ms": 10_000 + version}}}),
+        };
+        let outcome = self.entry(centre, 0).patch(&patch, "operator").await;
+        assert_eq!(outcome, PatchOutcome::Accepted(version));
+        self.wait_in_force(version, Duration::from_secs(19)).await
+    }
+
+    /// Writes a version past every process and gives how long it took to be in force everywhere.
+    pub(super) async fn patch_platform(&self, version: u64) -> Option<Duration> {
+        let object = self.platform.get(CONFIGURATION_KEY).await.unwrap().unwrap();
+        let mut record: ConfigurationRecord = serde_json::from_slice(&object.value).unwrap();
+        record.version = version;
+        let value = serde_json::to_vec(&record).unwrap();
+        self.platform.put(CONFIGURATION_KEY, Some(object.version), value).await.unwrap();
+        self.wait_in_force(version, Duration::from_secs(19)).await
+    }
+
+    pub(super) async fn wait_in_force(&self, version: u64, limit: Duration) -> Option<Duration> {
+        let started = Instant::now();
+        while started.elapsed() <= limit {
+            if self.entries.values().all(|entry| entry.in_force().version >= version) {
+                return Some(started.elapsed());
+            }
+            sleep(POLL).await;
+        }
+        None
+    }
+}
+
+/// The platform as one data centre reaches it.
+struct CutPlatform {
+    platform: Arc<MemoryPlatform>,
+    cut: Arc<AtomicBool>,
+}
+
+impl CutPlatform {
+    fn check(&self) -> Result<(), PlatformError> {
+        if self.cut.load(Ordering::SeqCst) {
+            return Err(PlatformError::Unavailable("cut off".to_string()));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl ObjectStore for CutPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        self.check()?;
+        self.platform.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expected: Option<ObjectVersion>,
+        value: Vec<u8>,
+    ) -> Result<ObjectVersion, WriteError> {
+        self.check().map_err(|error| WriteError::NotWritten(error.to_string()))?;
+        self.platform.put(key, expected, value).await
+    }
+
+    async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<(), WriteError> {
+        self.check().map_err(|error| WriteError::NotWritten(error.to_string()))?;
+        self.platform.delete(key, expected).await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        count_limit: usize,
+    ) -> Result<Vec<ListedObject>, PlatformError> {
+        self.check()?;
+        self.platform.list(prefix, after, count_limit).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        seen: ObjectVersion,
+        timeout: Duration,
+    ) -> Result<Option<Object>, PlatformError> {
+        self.check()?;
+        let found = self.platform.watch(key, seen, timeout).await;
+        self.check()?;
+        found
+    }
+
+    async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError> {
+        self.check()?;
+        self.platform.list_vms().await
+    }
+}
+
+/// Counts the reads of a runner's status.
+struct CountedRunner {
+    runner: FakeRunner,
+    reads: Arc<AtomicU64>,
+    mute: Arc<AtomicBool>,
+}
+
+impl CountedRunner {
+    fn check(&self) -> Result<(), StartError> {
+        if self.mute.load(Ordering::SeqCst) {
+            return Err(StartError::NotReached("reports are lost".to_string()));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Runner for CountedRunner {
+    async fn start(&self, request: RunRequest) -> Result<FrameStream, StartError> {
+        self.runner.start(request).await
+    }
+
+    async fn resume(&self, run: &str, account: &str, at: u64) -> Result<FrameStream, StartError> {
+        self.runner.resume(run, account, at).await
+    }
+
+    async fn cancel(&self, run_id: &str) -> Result<(), StartError> {
+        self.runner.cancel(run_id).await
+    }
+
+    async fn load(&self) -> Result<LoadReport, StartError> {
+        self.check()?;
+        self.runner.load().await
+    }
+
+    async fn cache_events(&self, after: u64, all: bool) -> Result<CacheEventBatch, StartError> {
+        self.runner.cache_events(after, all).await
+    }
+
+    async fn import(&self, order: ImportOrder) -> Result<ImportReceipt, TransferError> {
+        self.runner.import(order).await
+    }
+
+    async fn export(&self, order: ExportOrder) -> Result<ExportReceipt, TransferError> {
+        self.runner.export(order).await
+    }
+
+    async fn order(&self, order: Order) -> Result<(), OrderError> {
+        self.runner.order(order).await
+    }
+
+    async fn status(&self) -> Result<RunnerStatus, StartError> {
+        self.reads.fetch_add(1, Ordering::SeqCst);
+        self.check()?;
+        self.runner.status().await
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/src/peers/view.rs
@@ -0,0 +1,36 @@
+//! What the rest of the process sees of its peers.
+
+use skylarkpick_interface::{ConfigurationVersion, DataCentreId, EntryId};
+
+/// A live entry process.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PeerProcess {
+    /// Name of the process.
+    pub entry_id: EntryId,
+    /// Data centre that it runs in.
+    pub data_centre: DataCentreId,
+    /// Where peers connect.
+    pub address: String,
+}
+
+/// What the rest of the process sees of its peers.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PeersView {
+    /// Live processes of every data centre, this one included, in the order of their names.
+    pub members: Vec<PeerProcess>,
+    /// The newest version in force anywhere.
+    pub newest_version: ConfigurationVersion,
+    /// Processes to fetch the newest version from, the nearest first.
+    pub version_holders: Vec<String>,
+    /// Whether this process watches the configuration for its data centre.
+    pub watches_configuration: bool,
+    /// Whether this process reads the platform's list of VMs for its data centre.
+    pub reads_list: bool,
+}
+
+impl PeersView {
+    /// Live processes of one data centre.
+    pub fn members_of(&self, data_centre: &str) -> Vec<&PeerProcess> {
+        self.members.iter().filter(|member| member.data_centre == data_centre).collect()
+    }
+}
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,5 +1,6 @@
 //! The dump of a process's state, without secrets.
 
+use crate::peers::PeersState;
 use serde::Serialize;
 use skylarkpick_interface::{
     ConfigurationVersion, DataCentreId, EntryId, LoadReport, ModelName, RunnerId, WeightVersion,
@@ -19,6 +20,8 @@
     pub is_ready: bool,
     /// Requests that have no answer yet.
     pub requests_under_way: u64,
+    /// Other entry processes, and who does what among them.
+    pub peers: PeersState,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
 }
--- a/crates/skylarkpick-membership/src/knowledge.rs
+++ b/crates/skylarkpick-membership/src/knowledge.rs
@@ -197,7 +197,8 @@
 fn merge_states(one: &RunnerState, other: &RunnerState) -> RunnerState {
     let order = |state: &RunnerState| {
         let unreachable = u64::from(state.unreachable);
-        (state.incarnation, state.revision, state.weight_version, unreachable)
+        let place = (state.incarnation, state.revision);
+        (place, state.start_mark, state.weight_version, unreachable)
     };
     let newer = if order(other) > order(one) { other } else { one };
     let leaving = one.leaving_plus_one.max(other.leaving_plus_one);
--- a/crates/skylarkpick-membership/src/membership.rs
+++ b/crates/skylarkpick-membership/src/membership.rs
@@ -91,10 +91,14 @@
     pub(crate) rng: StdRng,
     pub(crate) changes: Vec<Change>,
     pub(crate) places: BTreeMap<u64, RunnerPlace>,
+    /// When an unchanged load of a runner read here is sent again.
+    pub(crate) loads_repeat_at: BTreeMap<u64, Duration>,
+    /// What the platform's list said of targets, `true` for leaving.
+    pub(crate) listed: BTreeMap<u64, bool>,
     pub(crate) versions_known_at: BTreeMap<ConfigurationVersion, Duration>,
     pub(crate) last_tick: Option<Duration>,
     /// Live members of the data centre as of the last tick.
-    live_count: usize,
+    pub(crate) live_count: usize,
     next_gossip: Duration,
     next_digest: Duration,
     next_centre_load: Duration,
@@ -122,6 +126,8 @@
             bridges: Bridges::default(),
             changes: Vec::new(),
             places: BTreeMap::new(),
+            loads_repeat_at: BTreeMap::new(),
+            listed: BTreeMap::new(),
             versions_known_at: BTreeMap::new(),
             last_tick: None,
             live_count: 1,
@@ -156,9 +162,11 @@
             self.gossip(&mut out);
         }
         if now >= self.next_digest {
-            let alone = self.live_count <= 1;
+            // Nobody sends rounds to a process that is alone or has left, so it asks more often.
+            let left = self.own.state == MemberState::Left as i32;
+            let asks = left || self.live_count <= 1;
             let timing = &self.parts.timing;
-            let interval = if alone { timing.probe_interval } else { timing.digest_interval };
+            let interval = if asks { timing.probe_interval } else { timing.digest_interval };
             self.next_digest = now + interval;
             self.compare(&mut out);
         }
@@ -205,6 +213,7 @@
         self.places = places.into_iter().map(|place| (digest_of(&place.name), place)).collect();
         let known = |key: &u64| self.places.contains_key(key);
         self.knowledge.runner_loads.retain(|key, _| known(key));
+        self.loads_repeat_at.retain(|key, _| known(key));
     }
 
     /// Leaves: peers stop counting on this process at once. Gives what is to be sent.
@@ -216,6 +225,7 @@
         if !self.parts.address.is_empty() {
             self.gossip(&mut out);
             self.next_gossip = now;
+            self.next_digest = now;
         }
         out
     }
--- a/crates/skylarkpick-membership/src/runners.rs
+++ b/crates/skylarkpick-membership/src/runners.rs
@@ -7,10 +7,14 @@
 
 /// Prompt tokens in one unit of a compact load.
 const TOKENS_PER_UNIT: u64 = 64;
+/// Milliseconds in one unit of a compact load's age.
+const AGE_UNIT_MS: u32 = 16;
 /// Shortest time between two reads of one runner.
 const LOAD_INTERVAL_FLOOR: Duration = Duration::from_millis(250);
 /// Bytes of one runner's load in a message.
 const LOAD_SIZE_BYTES: f64 = 24.0;
+/// Time after which an unchanged load is sent again, as a sign that its runner answers.
+const LOAD_REPEAT_INTERVAL: Duration = Duration::from_secs(3);
 /// Milliseconds of incarnation for each step of a first sequence number.
 const SEQUENCE_STEP_MS: u64 = 256;
 
@@ -32,7 +36,7 @@
         slots: load.slots,
         prefill_tokens_per_second: f64::from(load.prefill_units_per_second)
             * TOKENS_PER_UNIT as f64,
-        age: Duration::ZERO,
+        age: Duration::from_millis(u64::from(load.age_units) * u64::from(AGE_UNIT_MS)),
         leaving: false,
     }
 }
@@ -71,10 +75,14 @@
     /// Takes in what a runner says of itself.
     pub fn observe_status(&mut self, now: Duration, runner: &str, status: &RunnerStatus) {
         let known = self.state_of(runner);
-        let leaving_now = if status.leaving { status.incarnation + 1 } else { 0 };
+        // The runner's own mark need not grow, so its starts are counted here.
+        let restarted = known.incarnation == 0 || known.start_mark != status.incarnation;
+        let incarnation = known.incarnation + u64::from(restarted);
+        let leaving_now = if status.leaving { incarnation + 1 } else { 0 };
         let seen = RunnerState {
             runner: known.runner,
-            incarnation: status.incarnation,
+            incarnation,
+            start_mark: status.incarnation,
             revision: known.revision,
             weight_version: status.weight_version,
             loading_plus_one: status.loading.map_or(0, |version| version + 1),
@@ -100,6 +108,21 @@
         }
     }
 
+    /// Takes in what the platform's list says of a target. The list lags: while it goes on saying
+    /// that a target leaves, a new start of the target is not taken for the one that left.
+    pub fn observe_listed(&mut self, now: Duration, target: &str, leaving: bool) {
+        let key = digest_of(target);
+        if !leaving {
+            self.listed.insert(key, false);
+            return;
+        }
+        let before = self.listed.insert(key, true);
+        let unflagged = self.state_of(target).leaving_plus_one == 0;
+        if before == Some(false) || (before.is_none() && unflagged) {
+            self.observe_leaving(now, target);
+        }
+    }
+
     /// Takes in a load report.
     pub fn observe_load(&mut self, now: Duration, runner: &str, report: &LoadReport) {
         if report.leaving {
@@ -116,10 +139,13 @@
             active_runs: report.active_runs,
             slots: report.slots,
             prefill_units_per_second: units(report.prefill_tokens_per_second as u64),
+            age_units: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX) / AGE_UNIT_MS,
         };
-        let same =
-            known.is_some_and(|known| RunnerLoad { sequence: load.sequence, ..known } == load);
-        if !same {
+        let (sequence, age_units) = (load.sequence, load.age_units);
+        let same = known.is_some_and(|known| RunnerLoad { sequence, age_units, ..known } == load);
+        let repeat_at = self.loads_repeat_at.get(&key).copied().unwrap_or_default();
+        if !same || now >= repeat_at {
+            self.loads_repeat_at.insert(key, now + LOAD_REPEAT_INTERVAL);
             self.merge(now, Gossip { runner_loads: vec![load], ..Gossip::default() });
         }
     }
@@ -136,7 +162,8 @@
             leaving: is_leaving(state),
             incarnation: state.incarnation,
         });
-        let load = self.knowledge.runner_loads.get(&key).map(load_report).or_else(|| {
+        let load = self.knowledge.runner_loads.get(&key).map(|load| self.aged(load));
+        let load = load.or_else(|| {
             let place = place?;
             let sum = (place.data_centre.clone(), place.model.clone());
             mean_report(self.knowledge.centre_loads.get(&sum)?)
@@ -144,6 +171,14 @@
         RunnerLoadView { status, load }
     }
 
+    /// The report with the time added that gossip takes on average.
+    fn aged(&self, load: &RunnerLoad) -> LoadReport {
+        let report = load_report(load);
+        let rounds = (self.live_count as f64).log2() / 2.0;
+        let delay = self.parts.timing.gossip_interval.mul_f64(rounds.max(0.0));
+        LoadReport { age: report.age + delay, ..report }
+    }
+
     fn state_of(&self, runner: &str) -> RunnerState {
         let key = digest_of(runner);
         let known = self.knowledge.runner_states.get(&key).copied();
--- a/crates/skylarkpick-membership/tests/fleet.rs
+++ b/crates/skylarkpick-membership/tests/fleet.rs
@@ -291,3 +291,35 @@
         assert_eq!(state_at(node, &other.entry_id), Some(expected), "{what}");
     }
 }
+
+#[test]
+fn the_lagging_list_flags_the_start_that_it_speaks_of() {
+    struct Case {
+        what: &'static str,
+        /// Incarnation that the runner reports, then whether the list says that it leaves.
+        steps: &'static [(u64, bool)],
+        leaves: bool,
+    }
+    let cases = [
+        Case { what: "live", steps: &[(1, false)], leaves: false },
+        Case { what: "leaving", steps: &[(1, false), (1, true)], leaves: true },
+        Case { what: "leaving from the start", steps: &[(1, true)], leaves: true },
+        Case { what: "list steps back", steps: &[(1, true), (1, false)], leaves: true },
+        Case { what: "restarted", steps: &[(1, false), (1, true), (2, true)], leaves: false },
+        Case {
+            what: "restarted and leaving again",
+            steps: &[(1, true), (2, true), (2, false), (2, true)],
+            leaves: true,
+        },
+        Case { what: "a mark that falls", steps: &[(9, true), (2, true)], leaves: false },
+    ];
+    for Case { what, steps, leaves } in cases {
+        let mut fleet = Fleet::spawn(1, 1, 1, 13);
+        let node = fleet.node(0, 0);
+        for (incarnation, leaving) in steps {
+            node.observe_status(Duration::ZERO, &runner(0, 0), &status(*incarnation, false));
+            node.observe_listed(Duration::ZERO, &runner(0, 0), *leaving);
+        }
+        assert_eq!(node.is_runner_leaving(&runner(0, 0)), leaves, "{what}");
+    }
+}
--- a/crates/skylarkpick-schedule/src/route/candidate.rs
+++ b/crates/skylarkpick-schedule/src/route/candidate.rs
@@ -34,6 +34,8 @@
     pub loading: bool,
     /// Whether it leaves, by anybody's word.
     pub leaving: bool,
+    /// Start of the runner that all this is known of; 0 before the first status.
+    pub incarnation: u64,
     /// Whether it is left out because of failures.
     pub ejected: bool,
     /// Its last load report.
@@ -62,6 +64,7 @@
             weight_version: None,
             loading: false,
             leaving: false,
+            incarnation: 0,
             ejected: false,
             load: LoadReport {
                 slots: INITIAL_SLOTS,
--- a/crates/skylarkpick-schedule/src/route/observe.rs
+++ b/crates/skylarkpick-schedule/src/route/observe.rs
@@ -29,11 +29,17 @@
         runner.reported_at = Some(now);
     }
 
-    /// Takes in what a runner says that it serves.
+    /// Takes in what a runner says that it serves. A new start of the runner is no longer leaving;
+    /// words of an earlier start are dropped.
     pub fn observe_status(&mut self, runner: &str, status: &RunnerStatus) {
         let Some(place) = self.runner_place(runner) else { return };
         let runner = &mut self.runners[place];
-        runner.leaving |= status.leaving;
+        if status.incarnation < runner.incarnation {
+            return;
+        }
+        let restarted = runner.incarnation > 0 && status.incarnation > runner.incarnation;
+        runner.incarnation = status.incarnation;
+        runner.leaving = status.leaving || (runner.leaving && !restarted);
         runner.loading = status.loading.is_some();
         runner.weight_version = Some(status.weight_version);
     }
--- a/crates/skylarkpick-schedule/src/route/tests.rs
+++ b/crates/skylarkpick-schedule/src/route/tests.rs
@@ -289,3 +289,29 @@
         BeliefCorrection { runner: route.runner, believed_tokens: 1_024, held_tokens: 0 };
     assert_eq!(correction, Some(expected));
 }
+
+#[test]
+fn only_a_new_start_of_a_runner_ends_its_leaving() {
+    struct Case {
+        what: &'static str,
+        incarnations: &'static [u64],
+        leaving: bool,
+    }
+    let cases = [
+        Case { what: "no word since", incarnations: &[], leaving: true },
+        Case { what: "an older word", incarnations: &[1], leaving: true },
+        Case { what: "the same start", incarnations: &[2], leaving: true },
+        Case { what: "a new start", incarnations: &[3], leaving: false },
+        Case { what: "a new start, then an old word", incarnations: &[3, 2], leaving: false },
+    ];
+    for Case { what, incarnations, leaving } in cases {
+        let mut router = router(DEFAULT_RULES, Instant::now());
+        router.observe_status("runner-1", &RunnerStatus { incarnation: 2, ..status() });
+        router.observe_leaving("runner-1");
+        for incarnation in incarnations {
+            let status = RunnerStatus { incarnation: *incarnation, ..status() };
+            router.observe_status("runner-1", &status);
+        }
+        assert_eq!(router.candidates()["runner-1"].leaving, leaving, "{what}");
+    }
+}
