--- a/crates/skylarkpick-command/src/commands/entry.rs
+++ b/crates/skylarkpick-command/src/commands/entry.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use getopts::Matches;
 use skylarkpick_config::{Settings, parse_settings};
-use skylarkpick_entry::{Entry, EntryParts, Front};
+use skylarkpick_entry::{Entry, EntryParts, Front, ResumeKey};
 use skylarkpick_http::{HttpConnector, HttpPlatform};
 use skylarkpick_interface::{BootClock, NoPeers};
 use std::{sync::Arc, time::Duration};
@@ -69,6 +69,10 @@
     if settings.entry_id.is_empty() {
         settings.entry_id = format!("entry-{:016x}", rand::random::<u64>());
     }
+    let resume_key = match &settings.resume_key {
+        Some(source) => source.read().map_err(|error| WrongUse(error.to_string()))?,
+        None => rand::random::<[u8; 32]>().to_vec(),
+    };
     let platform_timeout = Duration::from_millis(settings.limits.platform_timeout_ms);
     let platform = HttpPlatform::open(&settings.platform_address, platform_timeout);
     let entry = Entry::spawn(EntryParts {
@@ -76,6 +80,7 @@
         connector: Arc::new(HttpConnector::open()),
         peers: NoPeers::open(),
         clock: Arc::new(BootClock),
+        resume_key: Some(ResumeKey::from_secret(&resume_key)),
         seed: rand::random(),
         settings,
     });
--- a/crates/skylarkpick-command/src/demo/fleet.rs
+++ b/crates/skylarkpick-command/src/demo/fleet.rs
@@ -3,7 +3,7 @@
 use anyhow::Context;
 use serde_json::json;
 use skylarkpick_config::{Limits, Settings, hash_token};
-use skylarkpick_entry::{Entry, EntryParts, Front};
+use skylarkpick_entry::{Entry, EntryParts, Front, ResumeKey};
 use skylarkpick_http::{HttpConnector, HttpPlatform, Server};
 use skylarkpick_interface::{BootClock, NoPeers, ObjectStore, Runner};
 use skylarkpick_standin::{
@@ -21,6 +21,9 @@
 /// Time for the platform to answer.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Secret that the entry processes of the demo seal resume tokens with.
+const RESUME_SECRET: &[u8] = b"the demo runs on loopback and ends by itself";
+
 /// Data centres of the demo.
 pub(super) const DATA_CENTRES: [&str; 2] = ["mnl-a", "mnl-b"];
 /// Runners in a data centre.
@@ -184,6 +187,7 @@
                 platform_address: platform_address.to_string(),
                 peer_address: String::new(),
                 seed_peers: Vec::new(),
+                resume_key: None,
                 limits: Limits { drain_notice_ms: 300, ..Limits::default() },
             };
             let entry = Entry::spawn(EntryParts {
@@ -192,6 +196,7 @@
                 connector: Arc::new(HttpConnector::open()),
                 peers: NoPeers::open(),
                 clock: Arc::new(BootClock),
+                resume_key: Some(ResumeKey::from_secret(RESUME_SECRET)),
                 seed: index as u64,
             });
             fronts.push(Front::bind(entry.clone()).await?);
--- a/crates/skylarkpick-config/src/lib.rs
+++ b/crates/skylarkpick-config/src/lib.rs
@@ -6,6 +6,7 @@
 mod document;
 mod fault;
 mod keeper;
+mod key_source;
 mod patch;
 mod record;
 mod settings;
@@ -18,6 +19,7 @@
 };
 pub use fault::{Fault, Faults};
 pub use keeper::{ConfigurationKeeper, PatchOutcome, ReadError};
+pub use key_source::{KeySource, KeySourceError};
 pub use patch::{Patch, PatchId, PatchRefusal, apply_patch};
 pub use record::{AcceptedPatch, CONFIGURATION_KEY, ConfigurationRecord};
 pub use settings::{Limits, Settings, parse_settings};
--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of one process, read from a file of JSON with comments.
 
-use crate::fault::{Fault, Faults};
+use crate::{
+    fault::{Fault, Faults},
+    key_source::KeySource,
+};
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{DataCentreId, EntryId};
 
@@ -23,6 +26,10 @@
     /// Entry processes to meet first, as IP:port.
     #[serde(default)]
     pub seed_peers: Vec<String>,
+    /// Key of resume tokens, the same in the whole fleet; without one, a stream can be taken up
+    /// again only at the process that it began at.
+    #[serde(default)]
+    pub resume_key: Option<KeySource>,
     /// Limits on input and waiting.
     #[serde(default)]
     pub limits: Limits,
--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -8,21 +8,21 @@
 use crate::{
     completion::UnderWay,
     entry::Shared,
-    failure::{Failure, FailureCode},
+    failure::{Failure, FailureCode, Ran},
     request::{AnswerEvent, CompletionRequest},
     router_actor::{Choose, Observed},
+    streams::{AnswerProgress, FrameSink, FrameStep, RunFollower, RunGuard, StreamEnd},
+    streams::{milliseconds, seal_token},
 };
-use futures::StreamExt;
+use async_trait::async_trait;
 use skylarkpick_interface::{
-    AttemptId, ConfigurationVersion, FinishReason, FrameBody, FrameStream, PrefixKey, RunFrame,
-    RunId, RunRequest, Runner, StartError, WeightVersion,
+    AttemptId, ConfigurationVersion, PrefixKey, RunRequest, StartError, WeightVersion,
 };
+use skylarkpick_protocol::resume::ResumeClaims;
 use skylarkpick_schedule::{Route, RouteRequest};
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::mpsc, time::Instant};
 
-/// Times that a broken stream is taken up again at its runner before the run is given up.
-const RESUMES_LIMIT: u32 = 2;
 /// When to come back after no runner could be found.
 const NO_RUNNER_RETRY: Duration = Duration::from_secs(2);
 
@@ -38,89 +38,64 @@
     pub(crate) deadline: Instant,
     pub(crate) events: mpsc::Sender<AnswerEvent>,
     pub(crate) delivered: Vec<String>,
-    #[allow(dead_code)]
-    pub(crate) under_way: UnderWay,
+    /// Whether the request ran, by all that is known now.
+    pub(crate) ran: Ran,
+    pub(crate) _under_way: Arc<UnderWay>,
 }
 
 /// How an attempt ended.
 enum AttemptEnd {
-    /// The answer is whole.
-    Whole,
-    /// The caller went away.
-    CallerGone,
+    /// The answer is whole, or nobody wants it any more.
+    Done,
     /// Another runner may go on.
-    TryElsewhere {
-        /// Whether the run can have started.
-        may_have_run: bool,
-        why: String,
-    },
+    TryElsewhere(String),
     /// The runner ended the run without a whole answer.
-    RunnerGaveUp(String),
-}
-
-/// How the frames of a stream ended.
-enum StreamEnd {
-    Whole,
-    CallerGone,
-    OtherWeights(WeightVersion),
-    RunnerGaveUp(String),
-    Broken(String),
+    GaveUp(String),
 }
 
 impl Attempts {
+    /// Makes attempts until the answer is whole, the deadline passes, or the caller has gone.
     pub(crate) async fn run(mut self) {
-        let deadline = self.deadline;
-        let Ok(failure) = tokio::time::timeout_at(deadline, self.try_all()).await else {
-            let failure = Failure::unknown(FailureCode::DeadlineExceeded, "the deadline passed");
-            self.fail(failure).await;
-            return;
+        let (events, deadline) = (self.events.clone(), self.deadline);
+        let tried = tokio::select! {
+            () = events.closed() => return,
+            tried = tokio::time::timeout_at(deadline, self.try_all()) => tried,
         };
+        let failure = tried.unwrap_or_else(|_| {
+            Some(self.failure(FailureCode::DeadlineExceeded, "the deadline passed".to_string()))
+        });
         if let Some(failure) = failure {
-            self.fail(failure).await;
+            // A caller that went away needs no answer.
+            let _ = events.send(AnswerEvent::Failed(failure)).await;
         }
     }
 
-    async fn fail(&self, failure: Failure) {
-        // A caller that went away needs no answer.
-        let _ = self.events.send(AnswerEvent::Failed(failure)).await;
+    /// A failure that says truly whether the request ran, and when to come back.
+    fn failure(&self, code: FailureCode, message: String) -> Failure {
+        Failure { ran: self.ran, ..Failure::not_run(code, message) }.retry_after(NO_RUNNER_RETRY)
     }
 
     /// Makes attempts until one gives the whole answer; gives the failure if none does.
     async fn try_all(&mut self) -> Option<Failure> {
-        let mut may_have_run = false;
         let mut last = "no attempt".to_string();
         for attempt_id in 1..=self.attempts_limit {
             let choice = self.shared.router.ask(Choose(self.route_request.clone())).await;
             let Ok(route) = choice else {
-                return Some(self.no_route(may_have_run, &last));
+                let message = format!("no runner can take the request now ({last})");
+                return Some(self.failure(FailureCode::NoTarget, message));
             };
             match self.attempt(attempt_id, &route).await {
-                AttemptEnd::Whole | AttemptEnd::CallerGone => return None,
-                AttemptEnd::TryElsewhere { may_have_run: may, why } => {
-                    may_have_run |= may;
+                AttemptEnd::Done => return None,
+                AttemptEnd::TryElsewhere(why) => {
                     last = why;
                     Arc::make_mut(&mut self.route_request).avoid.push(route.runner);
                 }
-                AttemptEnd::RunnerGaveUp(why) => {
-                    return Some(Failure { ran: crate::Ran::Ran, ..target_failed(&why) });
+                AttemptEnd::GaveUp(why) => {
+                    return Some(self.failure(FailureCode::TargetFailed, why));
                 }
             }
         }
-        Some(if may_have_run {
-            target_failed(&last)
-        } else {
-            Failure::not_run(FailureCode::TargetFailed, last).retry_after(NO_RUNNER_RETRY)
-        })
-    }
-
-    fn no_route(&self, may_have_run: bool, last: &str) -> Failure {
-        let message = format!("no runner can take the request now ({last})");
-        let failure = if may_have_run {
-            Failure::unknown(FailureCode::NoTarget, message)
-        } else {
-            Failure::not_run(FailureCode::NoTarget, message)
-        };
-        failure.retry_after(NO_RUNNER_RETRY)
+        Some(self.failure(FailureCode::TargetFailed, last))
     }
 
     async fn attempt(&mut self, attempt_id: AttemptId, route: &Route) -> AttemptEnd {
@@ -132,28 +107,44 @@
             run_id: run_id.clone(),
             route: route.clone(),
             route_request: self.route_request.clone(),
+            events: self.events.clone(),
+            kept: false,
             had_first_token: false,
             ended: false,
         };
-        let started = runner.start(self.run_request(&run_id, attempt_id, route)).await;
-        let frames = match started {
+        let ran_before = self.ran;
+        self.ran = self.ran.or_unknown();
+        let frames = match runner.start(self.run_request(&run_id, attempt_id, route)).await {
             Ok(frames) => frames,
             Err(error) => {
                 guard.ended = !matches!(error, StartError::Broken(_));
+                if guard.ended {
+                    self.ran = ran_before;
+                }
                 return self.not_started(&route.runner, error).await;
             }
         };
-        let end = self.follow(&run_id, attempt_id, frames, &mut guard).await;
-        guard.ended = matches!(end, StreamEnd::Whole | StreamEnd::RunnerGaveUp(_));
+        let progress = AnswerProgress {
+            run_id,
+            request_id: self.request.request_id.clone(),
+            attempt_id,
+            weight_version: route.weight_version,
+            next_offset: self.delivered.len() as u64,
+            started: false,
+            ended: false,
+        };
+        let mut follower = RunFollower { runner, account: self.request.account.clone(), progress };
+        let mut sink = AttemptSink { attempts: self, guard: &mut guard, attempt_id };
+        let end = follower.follow(frames, &mut sink).await;
+        guard.ended = matches!(end, StreamEnd::Whole | StreamEnd::GaveUp(_));
         match end {
-            StreamEnd::Whole => AttemptEnd::Whole,
-            StreamEnd::CallerGone => AttemptEnd::CallerGone,
-            StreamEnd::RunnerGaveUp(why) => AttemptEnd::RunnerGaveUp(why),
-            StreamEnd::OtherWeights(found) => {
-                let why = format!("runner {} serves weight version {found}", route.runner);
-                AttemptEnd::TryElsewhere { may_have_run: true, why }
-            }
-            StreamEnd::Broken(why) => AttemptEnd::TryElsewhere { may_have_run: true, why },
+            StreamEnd::Whole | StreamEnd::CallerGone => AttemptEnd::Done,
+            StreamEnd::GaveUp(why) => AttemptEnd::GaveUp(why),
+            StreamEnd::OtherWeights(found) => AttemptEnd::TryElsewhere(format!(
+                "runner {} serves weight version {found}",
+                route.runner
+            )),
+            StreamEnd::Broken(why) => AttemptEnd::TryElsewhere(why),
         }
     }
 
@@ -162,8 +153,7 @@
             // A stopped actor means that the process ends.
             let _ = self.shared.router.tell(Observed::Leaving(runner.to_string())).await;
         }
-        let may_have_run = matches!(error, StartError::Broken(_));
-        AttemptEnd::TryElsewhere { may_have_run, why: format!("runner {runner}: {error}") }
+        AttemptEnd::TryElsewhere(format!("runner {runner}: {error}"))
     }
 
     fn run_request(&self, run_id: &str, attempt_id: AttemptId, route: &Route) -> RunRequest {
@@ -188,101 +178,6 @@
         self.route_request.prefix_keys.get(&weight_version).cloned().unwrap_or_default()
     }
 
-    /// Passes on the frames of a run, taking a broken stream up again at its runner.
-    async fn follow(
-        &mut self,
-        run_id: &RunId,
-        attempt_id: AttemptId,
-        mut frames: FrameStream,
-        guard: &mut RunGuard,
-    ) -> StreamEnd {
-        for _ in 0..RESUMES_LIMIT {
-            let why = match self.pass_on(run_id, attempt_id, &mut frames, guard).await {
-                StreamEnd::Broken(why) => why,
-                end => return end,
-            };
-            let offset = self.delivered.len() as u64;
-            if !guard.had_first_token {
-                return StreamEnd::Broken(why);
-            }
-            match guard.runner.resume(run_id, &self.request.account, offset).await {
-                Ok(resumed) => frames = resumed,
-                Err(error) => return StreamEnd::Broken(format!("{why}; {error}")),
-            }
-        }
-        self.pass_on(run_id, attempt_id, &mut frames, guard).await
-    }
-
-    async fn pass_on(
-        &mut self,
-        run_id: &RunId,
-        attempt_id: AttemptId,
-        frames: &mut FrameStream,
-        guard: &mut RunGuard,
-    ) -> StreamEnd {
-        loop {
-            let frame = tokio::select! {
-                frame = frames.next() => frame,
-                () = self.events.closed() => return StreamEnd::CallerGone,
-            };
-            let body = match frame {
-                None => return StreamEnd::Broken("the stream ended early".to_string()),
-                Some(Err(error)) => return StreamEnd::Broken(error.to_string()),
-                Some(Ok(frame)) if !self.is_own(&frame, run_id, attempt_id) => continue,
-                Some(Ok(frame)) => frame.body,
-            };
-            if let Some(end) = self.pass_one(body, guard).await {
-                return end;
-            }
-        }
-    }
-
-    fn is_own(&self, frame: &RunFrame, run_id: &RunId, attempt_id: AttemptId) -> bool {
-        frame.run_id == *run_id
-            && frame.request_id == self.request.request_id
-            && frame.attempt_id == attempt_id
-    }
-
-    /// Passes one frame on; gives how the stream ended if it did.
-    async fn pass_one(&mut self, body: FrameBody, guard: &mut RunGuard) -> Option<StreamEnd> {
-        match body {
-            FrameBody::Started { weight_version, cached_tokens } => {
-                let expected = guard.route.weight_version;
-                self.announce(expected, weight_version, cached_tokens).await
-            }
-            FrameBody::Token { offset, text } => self.pass_token(offset, text, guard).await,
-            FrameBody::Finished { reason: FinishReason::Cancelled, .. } => {
-                Some(StreamEnd::RunnerGaveUp("the run was cancelled".to_string()))
-            }
-            FrameBody::Finished { reason, answer_tokens } => {
-                if answer_tokens != self.delivered.len() as u64 {
-                    return Some(StreamEnd::Broken("tokens are missing".to_string()));
-                }
-                let event = AnswerEvent::Finished { reason, answer_tokens };
-                self.send(event).await.or(Some(StreamEnd::Whole))
-            }
-            FrameBody::Failed { message } => Some(StreamEnd::RunnerGaveUp(message)),
-        }
-    }
-
-    async fn announce(
-        &mut self,
-        expected: WeightVersion,
-        weight_version: WeightVersion,
-        cached_tokens: u64,
-    ) -> Option<StreamEnd> {
-        if weight_version != expected {
-            return Some(StreamEnd::OtherWeights(weight_version));
-        }
-        if self.weight_version.is_some() {
-            return None;
-        }
-        self.fix_weights(weight_version);
-        let configuration_version = self.configuration_version;
-        self.send(AnswerEvent::Started { configuration_version, weight_version, cached_tokens })
-            .await
-    }
-
     /// Keeps the rest of the answer, on whatever runner, to the weights that it began with.
     fn fix_weights(&mut self, weight_version: WeightVersion) {
         self.weight_version = Some(weight_version);
@@ -291,77 +186,72 @@
             .retain(|version, _| *version == weight_version);
     }
 
-    async fn pass_token(
-        &mut self,
-        offset: u64,
-        text: String,
-        guard: &mut RunGuard,
-    ) -> Option<StreamEnd> {
-        let next = self.delivered.len() as u64;
-        if offset < next {
-            return None;
-        }
-        if offset > next || self.weight_version.is_none() {
-            return Some(StreamEnd::Broken("tokens are missing".to_string()));
-        }
-        guard.note_first_token().await;
-        self.delivered.push(text.clone());
-        self.send(AnswerEvent::Token { offset, text }).await
-    }
-
-    async fn send(&self, event: AnswerEvent) -> Option<StreamEnd> {
-        self.events.send(event).await.is_err().then_some(StreamEnd::CallerGone)
+    /// The token with which the caller takes the stream up again.
+    fn resume_token(&self, attempt_id: AttemptId, guard: &RunGuard, cached_tokens: u64) -> String {
+        let parts = &self.shared.parts;
+        let limits = &parts.settings.limits;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let expires_at = parts.clock.wall() + left + Duration::from_millis(limits.resume_window_ms);
+        let claims = ResumeClaims {
+            data_centre: parts.settings.data_centre.clone(),
+            runner: guard.route.runner.clone(),
+            run_id: guard.run_id.clone(),
+            attempt_id,
+            request_id: self.request.request_id.clone(),
+            account: self.request.account.clone(),
+            model: self.request.model.clone(),
+            weight_version: guard.route.weight_version,
+            configuration_version: self.configuration_version,
+            prompt_tokens: self.route_request.prompt_tokens,
+            cached_tokens,
+            expires_at_ms: milliseconds(expires_at),
+            entry_address: parts.peers.address(),
+            resumable: self.request.resumable,
+            answer_tokens_limit: self.request.answer_tokens_limit,
+        };
+        seal_token(&self.shared.resume_key, &claims)
     }
 }
 
-fn target_failed(why: &str) -> Failure {
-    Failure::unknown(FailureCode::TargetFailed, why).retry_after(NO_RUNNER_RETRY)
-}
-
-/// Tells the router when a run ends, and cancels it at the runner if it did not end by itself.
-struct RunGuard {
-    shared: Arc<Shared>,
-    runner: Arc<dyn Runner>,
-    run_id: RunId,
-    route: Route,
-    route_request: Arc<RouteRequest>,
-    had_first_token: bool,
-    ended: bool,
+/// Passes the frames of one attempt to the caller.
+struct AttemptSink<'a> {
+    attempts: &'a mut Attempts,
+    guard: &'a mut RunGuard,
+    attempt_id: AttemptId,
 }
 
-impl RunGuard {
-    async fn note_first_token(&mut self) {
-        if self.had_first_token {
-            return;
+impl AttemptSink<'_> {
+    async fn started(&mut self, cached_tokens: u64) -> AnswerEvent {
+        self.attempts.ran = Ran::Ran;
+        let resume_token = self.attempts.resume_token(self.attempt_id, self.guard, cached_tokens);
+        if self.attempts.request.resumable {
+            self.guard.keep().await;
+        }
+        let weight_version = self.guard.route.weight_version;
+        if self.attempts.weight_version.is_some() {
+            return AnswerEvent::Moved { resume_token };
         }
-        self.had_first_token = true;
-        let observed = Observed::FirstToken(
-            self.route.runner.clone(),
-            self.route.weight_version,
-            self.route_request.clone(),
-        );
-        // A stopped actor means that the process ends.
-        let _ = self.shared.router.tell(observed).await;
+        self.attempts.fix_weights(weight_version);
+        let configuration_version = self.attempts.configuration_version;
+        AnswerEvent::Started { configuration_version, weight_version, cached_tokens, resume_token }
     }
 }
 
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        let observed = Observed::End {
-            runner: self.route.runner.clone(),
-            request: self.route_request.clone(),
-            had_first_token: self.had_first_token,
-        };
-        let (router, runner, run_id) =
-            (self.shared.router.clone(), self.runner.clone(), self.run_id.clone());
-        let ended = self.ended;
-        tokio::spawn(async move {
-            // A stopped actor means that the process ends.
-            let _ = router.tell(observed).await;
-            if !ended {
-                // A runner that cannot be reached has no caller to send tokens to either.
-                let _ = runner.cancel(&run_id).await;
+#[async_trait]
+impl FrameSink for AttemptSink<'_> {
+    async fn pass(&mut self, step: FrameStep) -> bool {
+        let event = match step {
+            FrameStep::Started { cached_tokens } => self.started(cached_tokens).await,
+            FrameStep::Token { offset, text } => {
+                self.guard.note_first_token().await;
+                self.attempts.delivered.push(text.clone());
+                AnswerEvent::Token { offset, text }
             }
-        });
+            FrameStep::Finished { reason, answer_tokens } => {
+                AnswerEvent::Finished { reason, answer_tokens }
+            }
+            _ => return true,
+        };
+        self.attempts.events.send(event).await.is_ok()
     }
 }
--- a/crates/skylarkpick-entry/src/completion.rs
+++ b/crates/skylarkpick-entry/src/completion.rs
@@ -3,12 +3,13 @@
 use crate::{
     attempts::Attempts,
     entry::Shared,
-    failure::{Failure, FailureCode},
+    failure::{Failure, FailureCode, Ran},
     request::{AnswerEvent, CompletionRequest},
 };
 use futures::Stream;
 use skylarkpick_cache::{KeyScope, estimate_tokens, prefix_keys};
 use skylarkpick_config::{Model, Serving};
+use skylarkpick_protocol::resume::ResumeClaims;
 use skylarkpick_schedule::RouteRequest;
 use std::{
     pin::Pin,
@@ -20,18 +21,45 @@
 use tokio::{sync::mpsc, time::Instant};
 
 /// Events that wait for a slow caller before the run's frames wait too.
-const EVENTS_AHEAD: usize = 64;
+pub(crate) const EVENTS_AHEAD: usize = 64;
 
-/// Events of one answer. Dropping it cancels the run.
+/// Events of one answer. Dropping it cancels the run, unless the request is resumable.
 pub struct AnswerStream {
     events: mpsc::Receiver<AnswerEvent>,
+    /// Holds the process up until the last event was taken.
+    under_way: Option<Arc<UnderWay>>,
+    resumed: Option<ResumeClaims>,
+}
+
+impl AnswerStream {
+    pub(crate) fn open(events: mpsc::Receiver<AnswerEvent>, under_way: Arc<UnderWay>) -> Self {
+        AnswerStream { events, under_way: Some(under_way), resumed: None }
+    }
+
+    pub(crate) fn with_claims(self, claims: ResumeClaims) -> Self {
+        AnswerStream { resumed: Some(claims), ..self }
+    }
+
+    /// What the token said that the stream was taken up with.
+    pub(crate) fn resumed(&self) -> Option<&ResumeClaims> {
+        self.resumed.as_ref()
+    }
+
+    /// Events that were taken from runners and wait for the caller.
+    pub fn waiting_events(&self) -> usize {
+        self.events.len()
+    }
 }
 
 impl Stream for AnswerStream {
     type Item = AnswerEvent;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<AnswerEvent>> {
-        self.events.poll_recv(context)
+        let polled = self.events.poll_recv(context);
+        if matches!(polled, Poll::Ready(None)) {
+            self.under_way = None;
+        }
+        polled
     }
 }
 
@@ -71,8 +99,9 @@
     let deadline = Instant::now() + time_allowed(&serving, &request);
     let route_request = Arc::new(route_request(model, &request));
     let (sender, events) = mpsc::channel(EVENTS_AHEAD);
+    let under_way = Arc::new(UnderWay::begin(shared.clone()));
     let attempts = Attempts {
-        under_way: UnderWay::begin(shared.clone()),
+        _under_way: under_way.clone(),
         shared,
         request,
         route_request,
@@ -82,9 +111,10 @@
         deadline,
         events: sender,
         delivered: Vec::new(),
+        ran: Ran::NotRun,
     };
     tokio::spawn(attempts.run());
-    Ok(AnswerStream { events })
+    Ok(AnswerStream::open(events, under_way))
 }
 
 fn not_found(message: String) -> Failure {
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -10,6 +10,7 @@
     router_actor::{Observed, ReadCandidates, RouterActor, SetConfiguration},
     service_call,
     state_dump::{RunnerState, StateDump},
+    streams::{self, CountWaiting, ResumeKey, RetentionActor},
 };
 use kameo::{actor::Spawn, prelude::ActorRef};
 use skylarkpick_config::{
@@ -39,6 +40,8 @@
     pub(crate) parts: EntryParts,
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) router: ActorRef<RouterActor>,
+    pub(crate) resume_key: ResumeKey,
+    pub(crate) retention: ActorRef<RetentionActor>,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
     configuration: ActorRef<ConfigurationActor>,
@@ -58,7 +61,11 @@
         tasks.spawn(follow_platform(parts.platform.clone(), configuration.clone(), poll));
         tasks.spawn(follow_targets(parts.connector.clone(), in_force.clone(), router.clone()));
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
+        let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
+        let resume_key = parts.resume_key.clone();
         let shared = Shared {
+            resume_key: resume_key.unwrap_or_else(|| ResumeKey::from_seed(parts.seed)),
+            retention: RetentionActor::spawn(RetentionActor::open(window)),
             parts,
             in_force,
             router,
@@ -100,6 +107,16 @@
         completion::begin(self.shared.clone(), request)
     }
 
+    /// Takes a stream up again from answer position `offset`, with the token that came with it.
+    /// Dropping the new stream cancels the run, unless the request was resumable.
+    ///
+    /// # Errors
+    /// When the token was altered, has expired or belongs to another account, or when the runner
+    /// cannot be named any more.
+    pub fn resume(&self, account: &str, token: &str, offset: u64) -> Result<AnswerStream, Failure> {
+        streams::resume(&self.shared, account, token, offset)
+    }
+
     /// Makes a call to a plain service.
     ///
     /// # Errors
@@ -137,6 +154,7 @@
             configuration_version: self.in_force().version,
             is_ready: self.is_ready(),
             requests_under_way: self.requests_under_way(),
+            runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             runners: candidates.into_iter().map(RunnerState::from).collect(),
         }
     }
--- a/crates/skylarkpick-entry/src/failure.rs
+++ b/crates/skylarkpick-entry/src/failure.rs
@@ -15,6 +15,13 @@
     Unknown,
 }
 
+impl Ran {
+    /// What is known once the request has been sent again: at least that it may have run.
+    pub(crate) fn or_unknown(self) -> Ran {
+        if self == Ran::NotRun { Ran::Unknown } else { self }
+    }
+}
+
 /// What went wrong, in a word that programs can compare.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -27,6 +34,8 @@
     Forbidden,
     /// No such model, service, path or stream.
     NotFound,
+    /// The time to do this is over.
+    Expired,
     /// The configuration has moved on, or the key was used for another request.
     Conflict,
     /// A part of the request is longer than allowed.
--- a/crates/skylarkpick-entry/src/front/answer.rs
+++ b/crates/skylarkpick-entry/src/front/answer.rs
@@ -10,6 +10,9 @@
 /// Header that carries the weight version of an answer.
 pub(super) const WEIGHT_VERSION_HEADER: &str = "x-weight-version";
 
+/// Header that carries the token with which a stream is taken up again.
+pub(super) const RESUME_TOKEN_HEADER: &str = "x-resume-token";
+
 /// An answer of the front.
 pub(super) type Answer = Response<ResponseBody>;
 
@@ -48,6 +51,7 @@
         FailureCode::Unauthorized => StatusCode::UNAUTHORIZED,
         FailureCode::Forbidden => StatusCode::FORBIDDEN,
         FailureCode::NotFound => StatusCode::NOT_FOUND,
+        FailureCode::Expired => StatusCode::GONE,
         FailureCode::Conflict => StatusCode::CONFLICT,
         FailureCode::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         FailureCode::LimitReached => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/skylarkpick-entry/src/front/completions.rs
+++ b/crates/skylarkpick-entry/src/front/completions.rs
@@ -1,11 +1,12 @@
-//! `POST /v1/completions`: a prompt, answered whole or as server-sent events.
+//! `POST /v1/completions`: a prompt, answered whole or as server-sent events; and
+//! `POST` or `GET /v1/completions/resume`: a stream taken up again.
 
 use super::{
     answer::{
-        Answer, CONFIGURATION_VERSION_HEADER, WEIGHT_VERSION_HEADER, failure_answer, failure_data,
-        with_header,
+        Answer, CONFIGURATION_VERSION_HEADER, RESUME_TOKEN_HEADER, WEIGHT_VERSION_HEADER,
+        failure_answer, failure_data, with_header,
     },
-    wire::{Choice, CompletionAnswer, CompletionBody, Usage},
+    wire::{Choice, CompletionAnswer, CompletionBody, ResumeBody, Usage},
 };
 use crate::{
     completion::AnswerStream,
@@ -15,7 +16,7 @@
 };
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
-use http::{HeaderValue, StatusCode, header::CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, StatusCode, header::CONTENT_TYPE};
 use skylarkpick_cache::estimate_tokens;
 use skylarkpick_http::{REQUEST_ID_HEADER, empty_response, json_response, stream_body};
 use skylarkpick_interface::{ConfigurationVersion, FinishReason, WeightVersion};
@@ -46,18 +47,46 @@
         answer_tokens_limit: body.max_tokens,
         priority: body.priority,
         deadline: body.deadline_ms.map(Duration::from_millis),
+        resumable: body.resumable,
     })?;
-    let writer = Writer {
-        request_id: request_id.to_string(),
-        model: body.model,
-        prompt_tokens,
-        configuration_version: 0,
-        weight_version: 0,
-        cached_tokens: 0,
-    };
+    let writer = Writer::open(request_id.to_string(), body.model, prompt_tokens);
     if body.stream { writer.stream(events).await } else { writer.whole(events).await }
 }
 
+/// Takes a stream up again. The token comes in the header `x-resume-token` or the body, the
+/// position of the last token received in `Last-Event-ID` or the body.
+pub(super) async fn resume(
+    entry: &Entry,
+    account: &str,
+    request_id: &str,
+    headers: &HeaderMap,
+    content: &[u8],
+) -> Result<Answer, Failure> {
+    let body = match content {
+        [] => ResumeBody::default(),
+        content => serde_json::from_slice(content).map_err(|error| bad_request(&error))?,
+    };
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let token = text(RESUME_TOKEN_HEADER).map(str::to_string).or(body.resume_token);
+    let token = token.ok_or_else(|| bad_request(&"give the token in `x-resume-token`"))?;
+    let last = match text("last-event-id") {
+        Some(last) => Some(last.parse().map_err(|_| bad_request(&"`Last-Event-ID` is no number"))?),
+        None => body.last_event_id,
+    };
+    let next = last.map_or(0_u64, |last| last.saturating_add(1));
+    let stream = entry.resume(account, &token, next)?;
+    let (request_id, model) = stream
+        .resumed()
+        .map(|claims| (claims.request_id.clone(), claims.model.clone()))
+        .unwrap_or_else(|| (request_id.to_string(), String::new()));
+    let prompt_tokens = stream.resumed().map_or(0, |claims| claims.prompt_tokens);
+    Writer::open(request_id, model, prompt_tokens).stream(stream).await
+}
+
+fn bad_request(error: &dyn std::fmt::Display) -> Failure {
+    Failure::not_run(FailureCode::BadRequest, error.to_string())
+}
+
 /// Writes the events of one answer.
 struct Writer {
     request_id: String,
@@ -66,16 +95,35 @@
     configuration_version: ConfigurationVersion,
     weight_version: WeightVersion,
     cached_tokens: u64,
+    resume_token: String,
 }
 
 impl Writer {
+    fn open(request_id: String, model: String, prompt_tokens: u64) -> Writer {
+        Writer {
+            request_id,
+            model,
+            prompt_tokens,
+            configuration_version: 0,
+            weight_version: 0,
+            cached_tokens: 0,
+            resume_token: String::new(),
+        }
+    }
+
     /// Waits for the first event, so that an early failure gets its own status.
     async fn begin(&mut self, events: &mut AnswerStream) -> Result<(), Failure> {
         match events.next().await {
-            Some(AnswerEvent::Started { configuration_version, weight_version, cached_tokens }) => {
+            Some(AnswerEvent::Started {
+                configuration_version,
+                weight_version,
+                cached_tokens,
+                resume_token,
+            }) => {
                 self.configuration_version = configuration_version;
                 self.weight_version = weight_version;
                 self.cached_tokens = cached_tokens;
+                self.resume_token = resume_token;
                 Ok(())
             }
             Some(AnswerEvent::Failed(failure)) => Err(failure),
@@ -94,7 +142,7 @@
                     return Ok(self.with_headers(json_response(StatusCode::OK, &answer)));
                 }
                 AnswerEvent::Failed(failure) => return Err(failure),
-                AnswerEvent::Started { .. } => {}
+                AnswerEvent::Started { .. } | AnswerEvent::Moved { .. } => {}
             }
         }
         Err(ended_early())
@@ -102,7 +150,8 @@
 
     async fn stream(mut self, mut events: AnswerStream) -> Result<Answer, Failure> {
         self.begin(&mut events).await?;
-        let mut answer = self.with_headers(empty_response(StatusCode::OK));
+        let answer = self.with_headers(empty_response(StatusCode::OK));
+        let mut answer = with_header(answer, RESUME_TOKEN_HEADER, &self.resume_token);
         let content_type = HeaderValue::from_static("text/event-stream");
         answer.headers_mut().insert(CONTENT_TYPE, content_type);
         *answer.body_mut() = stream_body(self.pieces(events));
@@ -110,12 +159,16 @@
     }
 
     fn pieces(self, events: AnswerStream) -> impl Stream<Item = Bytes> + Send + Sync + 'static {
-        events.map(move |event| Bytes::from(self.piece(event)))
+        let first = Bytes::from(self.token_piece(self.resume_token.clone()));
+        let rest = events.map(move |event| Bytes::from(self.piece(event)));
+        futures::stream::iter([first]).chain(rest)
     }
 
     fn piece(&self, event: AnswerEvent) -> String {
         match event {
-            AnswerEvent::Started { .. } => String::new(),
+            AnswerEvent::Started { resume_token, .. } | AnswerEvent::Moved { resume_token } => {
+                self.token_piece(resume_token)
+            }
             AnswerEvent::Token { offset, text } => {
                 format!("id: {offset}\ndata: {}\n\n", self.data(text, None, None))
             }
@@ -130,6 +183,13 @@
         }
     }
 
+    /// An event without text that names the stream.
+    fn token_piece(&self, resume_token: String) -> String {
+        let answer = self.answer(String::new(), None, None);
+        let answer = CompletionAnswer { resume_token: Some(resume_token), ..answer };
+        format!("data: {}\n\n", serde_json::to_string(&answer).unwrap_or_default())
+    }
+
     fn data(&self, text: String, reason: Option<FinishReason>, usage: Option<Usage>) -> String {
         serde_json::to_string(&self.answer(text, reason, usage)).unwrap_or_default()
     }
@@ -148,6 +208,7 @@
             usage,
             configuration_version: self.configuration_version,
             weight_version: self.weight_version,
+            resume_token: None,
         }
     }
 
--- a/crates/skylarkpick-entry/src/front/door.rs
+++ b/crates/skylarkpick-entry/src/front/door.rs
@@ -85,6 +85,11 @@
         if head.method == Method::POST && path == "/v1/completions" {
             return completions::complete(&self.entry, &account, request_id, &content).await;
         }
+        let resumes = matches!(head.method, Method::GET | Method::POST);
+        if resumes && path == "/v1/completions/resume" {
+            let headers = &head.headers;
+            return completions::resume(&self.entry, &account, request_id, headers, &content).await;
+        }
         if role != AccountRole::Operator {
             let message = "this path is for operators, or does not exist";
             return Err(Failure::not_run(FailureCode::Forbidden, message));
--- a/crates/skylarkpick-entry/src/front/wire.rs
+++ b/crates/skylarkpick-entry/src/front/wire.rs
@@ -27,6 +27,17 @@
     pub(super) priority: Priority,
     #[serde(default)]
     pub(super) deadline_ms: Option<u64>,
+    #[serde(default)]
+    pub(super) resumable: bool,
+}
+
+/// Body of `POST /v1/completions/resume`; headers may say the same.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct ResumeBody {
+    pub(super) resume_token: Option<String>,
+    /// Position of the last token received.
+    pub(super) last_event_id: Option<u64>,
 }
 
 fn default_answer_tokens() -> u64 {
@@ -84,4 +95,6 @@
     pub(super) usage: Option<Usage>,
     pub(super) configuration_version: ConfigurationVersion,
     pub(super) weight_version: WeightVersion,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) resume_token: Option<String>,
 }
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod router_actor;
 mod service_call;
 mod state_dump;
+mod streams;
 
 pub use completion::AnswerStream;
 pub use entry::Entry;
@@ -24,3 +25,4 @@
 pub use parts::EntryParts;
 pub use request::{AnswerEvent, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
+pub use streams::ResumeKey;
--- a/crates/skylarkpick-entry/src/parts.rs
+++ b/crates/skylarkpick-entry/src/parts.rs
@@ -1,5 +1,6 @@
 //! What an entry process is made of.
 
+use crate::streams::ResumeKey;
 use skylarkpick_config::Settings;
 use skylarkpick_interface::{Clock, ObjectStore, PeerNetwork, TargetConnector};
 use std::sync::Arc;
@@ -17,6 +18,8 @@
     pub peers: Arc<dyn PeerNetwork>,
     /// The clock of the machine.
     pub clock: Arc<dyn Clock>,
+    /// Key of resume tokens, shared by the fleet; without one, only this process reads its own.
+    pub resume_key: Option<ResumeKey>,
     /// Seed of every random choice in the process; each start in production takes its own.
     pub seed: u64,
 }
--- a/crates/skylarkpick-entry/src/request.rs
+++ b/crates/skylarkpick-entry/src/request.rs
@@ -26,6 +26,8 @@
     pub priority: Priority,
     /// Time for the whole answer, if shorter than the serving configuration's.
     pub deadline: Option<Duration>,
+    /// Whether the run stays at its runner for a while when the caller closes.
+    pub resumable: bool,
 }
 
 /// A call to a plain service.
@@ -60,6 +62,13 @@
         weight_version: WeightVersion,
         /// Prompt tokens that the runner's cache spared.
         cached_tokens: u64,
+        /// Names the stream to whoever takes it up again.
+        resume_token: String,
+    },
+    /// Another runner goes on with the answer; the token before names the stream no more.
+    Moved {
+        /// Names the stream from now on.
+        resume_token: String,
     },
     /// A token of the answer; each comes once, in order.
     Token {
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -19,6 +19,8 @@
     pub is_ready: bool,
     /// Requests that have no answer yet.
     pub requests_under_way: u64,
+    /// Runs that wait for a caller to come back.
+    pub runs_retained: usize,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
 }
--- /dev/null
+++ b/crates/skylarkpick-entry/src/streams.rs
@@ -0,0 +1,20 @@
+//! Streams of answers: which frames belong to an answer, and how a caller takes a broken stream
+//! up again.
+
+mod follower;
+mod progress;
+mod resume;
+mod resume_token;
+mod retention;
+mod retention_actor;
+mod run_guard;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use follower::{FrameSink, RunFollower, StreamEnd};
+pub(crate) use progress::{AnswerProgress, FrameStep};
+pub(crate) use resume::resume;
+pub use resume_token::ResumeKey;
+pub(crate) use resume_token::{milliseconds, seal_token};
+pub(crate) use retention_actor::{CountWaiting, RetentionActor};
+pub(crate) use run_guard::RunGuard;
--- /dev/null
+++ b/crates/skylarkpick-entry/src/streams/run_guard.rs
@@ -0,0 +1,110 @@
+//! Ends what a run holds when its attempt ends.
+
+use super::retention_actor::{Attach, Detach, Release};
+use crate::{entry::Shared, request::AnswerEvent, router_actor::Observed};
+use skylarkpick_interface::{RunId, Runner};
+use skylarkpick_schedule::{Route, RouteRequest};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::mpsc;
+
+/// Times that a cancellation is sent to a runner that does not answer.
+const CANCEL_ATTEMPTS_LIMIT: u32 = 3;
+/// Time between two of them.
+const CANCEL_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Tells the router when a run ends, and cancels it at the runner if it did not end by itself.
+///
+/// A run whose caller closed is kept for a while instead if the caller asked for that.
+pub(crate) struct RunGuard {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) runner: Arc<dyn Runner>,
+    pub(crate) run_id: RunId,
+    pub(crate) route: Route,
+    pub(crate) route_request: Arc<RouteRequest>,
+    pub(crate) events: mpsc::Sender<AnswerEvent>,
+    /// Whether the caller holds a token that names the run, and wants it kept.
+    pub(crate) kept: bool,
+    pub(crate) had_first_token: bool,
+    pub(crate) ended: bool,
+}
+
+impl RunGuard {
+    /// Keeps the run for its caller from now on.
+    pub(crate) async fn keep(&mut self) {
+        self.kept = true;
+        // A stopped actor means that the process ends.
+        let _ = self.shared.retention.tell(Attach(self.run_id.clone())).await;
+    }
+
+    pub(crate) async fn note_first_token(&mut self) {
+        if self.had_first_token {
+            return;
+        }
+        self.had_first_token = true;
+        let observed = Observed::FirstToken(
+            self.route.runner.clone(),
+            self.route.weight_version,
+            self.route_request.clone(),
+        );
+        // A stopped actor means that the process ends.
+        let _ = self.shared.router.tell(observed).await;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let observed = Observed::End {
+            runner: self.route.runner.clone(),
+            request: self.route_request.clone(),
+            had_first_token: self.had_first_token,
+        };
+        let (shared, runner, run_id) =
+            (self.shared.clone(), self.runner.clone(), self.run_id.clone());
+        let (ended, kept) = (self.ended, self.kept);
+        let caller_gone = self.events.is_closed();
+        tokio::spawn(async move {
+            // A stopped actor means that the process ends.
+            let _ = shared.router.tell(observed).await;
+            let end = RunEnd { shared, runner, run_id, ended, kept, caller_gone };
+            end.settle().await;
+        });
+    }
+}
+
+/// What is known of a run that this process no longer reads.
+pub(crate) struct RunEnd {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) runner: Arc<dyn Runner>,
+    pub(crate) run_id: RunId,
+    pub(crate) ended: bool,
+    pub(crate) kept: bool,
+    pub(crate) caller_gone: bool,
+}
+
+impl RunEnd {
+    /// Cancels the run, or keeps it for a caller that may come back.
+    pub(crate) async fn settle(self) {
+        let RunEnd { shared, runner, run_id, ended, kept, caller_gone } = self;
+        if kept && caller_gone && !ended {
+            // A stopped actor means that the process ends.
+            let _ = shared.retention.tell(Detach { run_id, runner }).await;
+            return;
+        }
+        if kept {
+            let _ = shared.retention.tell(Release(run_id.clone())).await;
+        }
+        if !ended {
+            cancel_run(runner.as_ref(), &run_id).await;
+        }
+    }
+}
+
+/// Cancels a run, again if the runner does not answer.
+pub(crate) async fn cancel_run(runner: &dyn Runner, run_id: &str) {
+    for _ in 0..CANCEL_ATTEMPTS_LIMIT {
+        if runner.cancel(run_id).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(CANCEL_RETRY_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/src/streams/tests.rs
@@ -0,0 +1,334 @@
+//! Tables of cases for the pure parts of streams.
+
+use super::{
+    progress::{AnswerProgress, FrameStep},
+    resume_token::{ResumeKey, ResumeTokenError, milliseconds, open_token, seal_token},
+    retention::{Detached, Retention},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use skylarkpick_interface::{FinishReason, FrameBody, RunFrame};
+use skylarkpick_protocol::resume::ResumeClaims;
+use std::time::{Duration, SystemTime};
+
+fn progress(next_offset: u64, started: bool) -> AnswerProgress {
+    AnswerProgress {
+        run_id: "r.2".to_string(),
+        request_id: "r".to_string(),
+        attempt_id: 2,
+        weight_version: 7,
+        next_offset,
+        started,
+        ended: false,
+    }
+}
+
+fn frame(body: FrameBody) -> RunFrame {
+    RunFrame { run_id: "r.2".to_string(), request_id: "r".to_string(), attempt_id: 2, body }
+}
+
+fn token(offset: u64) -> RunFrame {
+    frame(FrameBody::Token { offset, text: format!("t{offset}") })
+}
+
+fn start(weight_version: u64) -> RunFrame {
+    frame(FrameBody::Started { weight_version, cached_tokens: 3 })
+}
+
+fn finish(reason: FinishReason, answer_tokens: u64) -> RunFrame {
+    frame(FrameBody::Finished { reason, answer_tokens })
+}
+
+/// Letter for each step, so that a row of frames reads as a word.
+fn letter(step: &FrameStep) -> char {
+    match step {
+        FrameStep::Dropped => '.',
+        FrameStep::Started { .. } => 'S',
+        FrameStep::Token { .. } => 'T',
+        FrameStep::Finished { .. } => 'F',
+        FrameStep::OtherWeights(_) => 'W',
+        FrameStep::Missing => 'M',
+        FrameStep::GaveUp(_) => 'G',
+    }
+}
+
+#[test]
+fn frames_are_passed_on_once_in_order_and_only_from_their_own_run() {
+    struct Case {
+        name: &'static str,
+        next_offset: u64,
+        frames: Vec<RunFrame>,
+        steps: &'static str,
+    }
+    let stop = FinishReason::Stop;
+    let of_run = |run_id: &str| RunFrame { run_id: run_id.to_string(), ..token(0) };
+    let of_request = |request_id: &str| RunFrame { request_id: request_id.to_string(), ..token(0) };
+    let of_attempt = |attempt_id| RunFrame { attempt_id, ..token(0) };
+    let cases = [
+        Case {
+            name: "an ordinary run",
+            next_offset: 0,
+            frames: vec![start(7), token(0), token(1), finish(stop, 2)],
+            steps: "STTF",
+        },
+        Case {
+            name: "frames of earlier and later attempts, other runs and requests",
+            next_offset: 0,
+            frames: vec![
+                start(7),
+                of_run("r.1"),
+                of_attempt(1),
+                of_attempt(3),
+                of_request("q"),
+                token(0),
+                finish(stop, 1),
+            ],
+            steps: "S....TF",
+        },
+        Case {
+            name: "the start of another run",
+            next_offset: 0,
+            frames: vec![RunFrame { run_id: "q.2".to_string(), ..start(7) }, token(0)],
+            steps: ".M",
+        },
+        Case {
+            name: "the end of another attempt",
+            next_offset: 0,
+            frames: vec![start(7), RunFrame { attempt_id: 1, ..finish(stop, 0) }, token(0)],
+            steps: "S.T",
+        },
+        Case {
+            name: "repeated offsets",
+            next_offset: 0,
+            frames: vec![start(7), token(0), token(0), token(1), token(0), finish(stop, 2)],
+            steps: "ST.T.F",
+        },
+        Case {
+            name: "a gap, then the missing token",
+            next_offset: 0,
+            frames: vec![start(7), token(0), token(2), token(1), token(2), finish(stop, 3)],
+            steps: "STMTTF",
+        },
+        Case {
+            name: "an attempt that goes on after tokens delivered before",
+            next_offset: 4,
+            frames: vec![start(7), token(3), token(4), finish(stop, 5)],
+            steps: "S.TF",
+        },
+        Case {
+            name: "an end that promises more tokens than came",
+            next_offset: 0,
+            frames: vec![start(7), token(0), finish(stop, 3), token(1)],
+            steps: "STMT",
+        },
+        Case {
+            name: "an end that promises fewer tokens than came",
+            next_offset: 0,
+            frames: vec![start(7), token(0), token(1), finish(stop, 1)],
+            steps: "STTM",
+        },
+        Case {
+            name: "frames after the end",
+            next_offset: 0,
+            frames: vec![start(7), finish(stop, 0), token(0), start(8), finish(stop, 0)],
+            steps: "SF...",
+        },
+        Case {
+            name: "other weights at the start, and then the right ones",
+            next_offset: 0,
+            frames: vec![start(8), start(7), token(0)],
+            steps: "W..",
+        },
+        Case {
+            name: "other weights in the middle",
+            next_offset: 0,
+            frames: vec![start(7), token(0), start(8), token(1), finish(stop, 2)],
+            steps: "STW..",
+        },
+        Case {
+            name: "a repeated start",
+            next_offset: 0,
+            frames: vec![start(7), start(7), token(0)],
+            steps: "S.T",
+        },
+        Case {
+            name: "tokens or an end before the start",
+            next_offset: 0,
+            frames: vec![token(0), finish(stop, 0), start(7), token(0)],
+            steps: "MMST",
+        },
+        Case {
+            name: "a cancelled run is no whole answer",
+            next_offset: 0,
+            frames: vec![start(7), finish(FinishReason::Cancelled, 0), token(0)],
+            steps: "SG.",
+        },
+        Case {
+            name: "a runner that gives up",
+            next_offset: 0,
+            frames: vec![start(7), frame(FrameBody::Failed { message: "x".to_string() }), token(0)],
+            steps: "SG.",
+        },
+    ];
+    for case in cases {
+        let mut progress = progress(case.next_offset, false);
+        let steps: String =
+            case.frames.into_iter().map(|frame| letter(&progress.step(frame))).collect();
+        assert_eq!(steps, case.steps, "{}", case.name);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever arrives, the caller's tokens are 0, 1, 2, ... of its own run, and an end comes
+    /// only after all of them.
+    #[test]
+    fn any_row_of_frames_gives_each_token_once(
+        frames in prop::collection::vec((0_u8..6, 0_u64..6, 1_u32..4), 0..60)
+    ) {
+        let mut progress = progress(0, false);
+        let mut next = 0;
+        let mut over = false;
+        for (kind, number, attempt_id) in frames {
+            let own = match kind {
+                0 => start(number + 5),
+                1 => finish(FinishReason::Stop, number),
+                2 => start(7),
+                _ => token(number),
+            };
+            let is_own = attempt_id == 2;
+            match progress.step(RunFrame { attempt_id, ..own }) {
+                FrameStep::Token { offset, text } => {
+                    prop_assert!(is_own && !over);
+                    prop_assert_eq!(offset, next);
+                    prop_assert_eq!(text, format!("t{offset}"));
+                    next += 1;
+                }
+                FrameStep::Finished { answer_tokens, .. } => {
+                    prop_assert!(is_own && !over);
+                    prop_assert_eq!(answer_tokens, next);
+                    over = true;
+                }
+                FrameStep::OtherWeights(_) => over = true,
+                _ => {}
+            }
+        }
+    }
+
+    #[test]
+    fn any_text_is_refused_as_a_token(text in ".{0,200}", bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let key = ResumeKey::from_seed(1);
+        let now = SystemTime::UNIX_EPOCH;
+        let refused = Err(ResumeTokenError::NotSealed);
+        prop_assert_eq!(open_token(&key, &text, "a", now), refused.clone());
+        let encoded = data_encoding::BASE64URL_NOPAD.encode(&bytes);
+        prop_assert_eq!(open_token(&key, &encoded, "a", now), refused);
+    }
+
+    #[test]
+    fn any_altered_bit_is_refused(index in any::<prop::sample::Index>(), bit in 0_u8..8) {
+        let key = ResumeKey::from_seed(1);
+        let text = seal_token(&key, &claims());
+        let mut bytes = data_encoding::BASE64URL_NOPAD.decode(text.as_bytes()).unwrap();
+        let index = index.index(bytes.len());
+        bytes[index] ^= 1 << bit;
+        let altered = data_encoding::BASE64URL_NOPAD.encode(&bytes);
+        let opened = open_token(&key, &altered, "cubesat", SystemTime::UNIX_EPOCH);
+        prop_assert_eq!(opened, Err(ResumeTokenError::NotSealed));
+    }
+}
+
+fn claims() -> ResumeClaims {
+    ResumeClaims {
+        data_centre: "mnl-a".to_string(),
+        runner: "runner-1".to_string(),
+        run_id: "r.1".to_string(),
+        attempt_id: 1,
+        request_id: "r".to_string(),
+        account: "cubesat".to_string(),
+        model: "model".to_string(),
+        weight_version: 3,
+        expires_at_ms: 10_000,
+        resumable: true,
+        ..ResumeClaims::default()
+    }
+}
+
+#[test]
+fn a_token_opens_for_its_account_until_it_expires() {
+    struct Case {
+        name: &'static str,
+        key: ResumeKey,
+        account: &'static str,
+        at: Duration,
+        opened: Result<ResumeClaims, ResumeTokenError>,
+    }
+    let key = || ResumeKey::from_secret(b"secret");
+    let soon = Duration::from_millis(9_999);
+    let cases = [
+        Case { name: "in time", key: key(), account: "cubesat", at: soon, opened: Ok(claims()) },
+        Case {
+            name: "at the end of its time",
+            key: key(),
+            account: "cubesat",
+            at: Duration::from_secs(10),
+            opened: Err(ResumeTokenError::Expired),
+        },
+        Case {
+            name: "another account",
+            key: key(),
+            account: "relay",
+            at: soon,
+            opened: Err(ResumeTokenError::OtherAccount),
+        },
+        Case {
+            name: "another account, late: told nothing of the time",
+            key: key(),
+            account: "relay",
+            at: Duration::from_secs(10),
+            opened: Err(ResumeTokenError::OtherAccount),
+        },
+        Case {
+            name: "another key",
+            key: ResumeKey::from_secret(b"secrets"),
+            account: "cubesat",
+            at: soon,
+            opened: Err(ResumeTokenError::NotSealed),
+        },
+    ];
+    for case in cases {
+        let text = seal_token(&key(), &claims());
+        let opened = open_token(&case.key, &text, case.account, SystemTime::UNIX_EPOCH + case.at);
+        assert_eq!(opened, case.opened, "{}", case.name);
+    }
+    assert_eq!(milliseconds(SystemTime::UNIX_EPOCH - soon), 0);
+}
+
+#[test]
+fn a_run_is_kept_until_its_own_wait_is_over() {
+    let mut retention = Retention::default();
+    retention.attach("r.1");
+    let Detached::Wait(first) = retention.detach("r.1") else { panic!("no wait") };
+    assert_eq!(retention.waiting(), 1);
+    retention.attach("r.1");
+    assert!(!retention.expire("r.1", first), "somebody reads it");
+    retention.attach("r.1");
+    assert_eq!(retention.detach("r.1"), Detached::StillRead);
+    let Detached::Wait(second) = retention.detach("r.1") else { panic!("no wait") };
+    assert!(!retention.expire("r.1", first), "another wait goes on");
+    assert!(retention.expire("r.1", second));
+    assert!(!retention.expire("r.1", second), "only once");
+    let Detached::Wait(third) = retention.detach("r.2") else { panic!("no wait") };
+    retention.release("r.2");
+    assert!(!retention.expire("r.2", third), "another process reads it");
+    for index in 0..10_000 {
+        assert!(matches!(retention.detach(&format!("q{index}")), Detached::Wait(_)));
+    }
+    assert_eq!(retention.detach("one too many"), Detached::Cancel);
+    assert_eq!(retention.waiting(), 10_000);
+}
--- /dev/null
+++ b/crates/skylarkpick-entry/tests/streams.rs
@@ -0,0 +1,546 @@
+//! Streams under faults: what the caller gets, judged against what its run must give.
+
+mod fleet;
+
+use async_trait::async_trait;
+use fleet::{ACCOUNT, Fleet, OTHER_ACCOUNT, request, runner_settings};
+use futures::StreamExt;
+use skylarkpick_entry::{AnswerEvent, AnswerStream, CompletionRequest, FailureCode, Ran};
+use skylarkpick_interface::{
+    CacheEventBatch, ExportOrder, ExportReceipt, FinishReason, FrameBody, FrameStream, ImportOrder,
+    ImportReceipt, LoadReport, Order, OrderError, RunFrame, RunRequest, Runner, RunnerStatus,
+    StartError, TransferError,
+};
+use skylarkpick_standin::{FakeRunner, RunnerFaults, expected_token};
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+const KEY: &[u8] = b"a secret of this test, long enough";
+
+/// What a caller got, until the stream ended or `tokens_limit` tokens came.
+#[derive(Debug, Default)]
+struct Got {
+    tokens: Vec<String>,
+    resume_token: String,
+    finished: Option<u64>,
+    failure: Option<skylarkpick_entry::Failure>,
+}
+
+async fn take(stream: &mut AnswerStream, tokens_limit: usize) -> Got {
+    let mut got = Got::default();
+    while got.tokens.len() < tokens_limit {
+        match stream.next().await {
+            Some(
+                AnswerEvent::Started { resume_token, .. } | AnswerEvent::Moved { resume_token },
+            ) => {
+                got.resume_token = resume_token;
+            }
+            Some(AnswerEvent::Token { text, .. }) => got.tokens.push(text),
+            Some(AnswerEvent::Finished { answer_tokens, .. }) => got.finished = Some(answer_tokens),
+            Some(AnswerEvent::Failed(failure)) => got.failure = Some(failure),
+            None => break,
+        }
+    }
+    got
+}
+
+fn expected(prompt: &str, from: u64, to: u64) -> Vec<String> {
+    (from..to).map(|offset| expected_token(prompt, 1, offset)).collect()
+}
+
+fn resumable(id: &str, prompt: &str, answer_tokens: u64) -> CompletionRequest {
+    CompletionRequest { resumable: true, ..request(id, prompt, answer_tokens) }
+}
+
+#[tokio::test(start_paused = true)]
+async fn faults_of_a_runner_leave_the_answer_whole() {
+    struct Case {
+        name: &'static str,
+        at: Duration,
+        fault: fn(&mut RunnerFaults),
+        mend_after: Duration,
+    }
+    let cases = [
+        Case {
+            name: "dies before the first token",
+            at: Duration::from_millis(2),
+            fault: |faults| faults.dead = true,
+            mend_after: Duration::from_secs(60),
+        },
+        Case {
+            name: "dies after some tokens",
+            at: Duration::from_millis(55),
+            fault: |faults| faults.dead = true,
+            mend_after: Duration::from_secs(60),
+        },
+        Case {
+            name: "cuts the stream and mends",
+            at: Duration::from_millis(55),
+            fault: |faults| faults.cuts_streams = true,
+            mend_after: Duration::ZERO,
+        },
+        Case {
+            name: "mixes in frames of another request",
+            at: Duration::ZERO,
+            fault: |faults| faults.strays_frames = true,
+            mend_after: Duration::from_secs(60),
+        },
+        Case {
+            name: "freezes for a while",
+            at: Duration::from_millis(55),
+            fault: |faults| faults.frozen = true,
+            mend_after: Duration::from_secs(2),
+        },
+    ];
+    for case in cases {
+        let fleet = Fleet::open(runner_settings(), 2, &[]).await;
+        let entry = fleet.entry(1, None).await;
+        let prompt = "a prompt of four hundred tokens ".repeat(50);
+        if case.at.is_zero() {
+            fleet.runners.iter().for_each(|runner| runner.set_faults(case.fault));
+        }
+        let mut stream = entry.complete(request("r1", &prompt, 20)).unwrap();
+        let runners = fleet.runners.clone();
+        let breaks = async move {
+            tokio::time::sleep(case.at).await;
+            let with_runs = runners.iter().find(|runner| !runner.ledger().is_empty());
+            let runner = with_runs.unwrap_or(&runners[0]);
+            runner.set_faults(case.fault);
+            tokio::time::sleep(case.mend_after).await;
+            runner.set_faults(|faults| *faults = RunnerFaults::default());
+        };
+        let breaks = tokio::spawn(breaks);
+        let got = take(&mut stream, usize::MAX).await;
+        assert_eq!(got.failure, None, "{}", case.name);
+        assert_eq!(got.tokens, expected(&prompt, 0, 20), "{}", case.name);
+        assert_eq!(got.finished, Some(20), "{}", case.name);
+        breaks.abort();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_closes_cancels_its_run() {
+    struct Case {
+        name: &'static str,
+        resumable: bool,
+        wait: Duration,
+        finished: Option<FinishReason>,
+        retained: usize,
+    }
+    let cases = [
+        Case {
+            name: "at once",
+            resumable: false,
+            wait: Duration::from_millis(50),
+            finished: Some(FinishReason::Cancelled),
+            retained: 0,
+        },
+        Case {
+            name: "not while it may resume",
+            resumable: true,
+            wait: Duration::from_millis(4_900),
+            finished: None,
+            retained: 1,
+        },
+        Case {
+            name: "once it can no longer resume",
+            resumable: true,
+            wait: Duration::from_millis(5_200),
+            finished: Some(FinishReason::Cancelled),
+            retained: 0,
+        },
+    ];
+    for case in cases {
+        let fleet = Fleet::open(runner_settings(), 1, &[]).await;
+        let entry = fleet.entry(1, None).await;
+        let asked = CompletionRequest { resumable: case.resumable, ..request("r1", "p", 1_000) };
+        let mut stream = entry.complete(asked).unwrap();
+        assert_eq!(take(&mut stream, 3).await.tokens.len(), 3);
+        drop(stream);
+        tokio::time::sleep(case.wait).await;
+        assert_eq!(fleet.runners[0].ledger()[0].finished, case.finished, "{}", case.name);
+        assert_eq!(entry.state().await.runs_retained, case.retained, "{}", case.name);
+        assert_eq!(entry.requests_under_way(), 0, "{}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_closes_while_the_runner_is_frozen_cancels_its_run() {
+    let fleet = Fleet::open(runner_settings(), 1, &[]).await;
+    let entry = fleet.entry(1, None).await;
+    let mut stream = entry.complete(request("r1", "prompt", 1_000)).unwrap();
+    take(&mut stream, 3).await;
+    fleet.runners[0].set_faults(|faults| faults.frozen = true);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(stream);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(entry.requests_under_way(), 0);
+    fleet.runners[0].set_faults(|faults| faults.frozen = false);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(fleet.runners[0].ledger()[0].finished, Some(FinishReason::Cancelled));
+}
+
+#[tokio::test(start_paused = true)]
+async fn any_process_with_the_key_resumes_each_token_once() {
+    struct Case {
+        name: &'static str,
+        other_process: bool,
+        received: usize,
+        wait: Duration,
+    }
+    let cases = [
+        Case { name: "same process", other_process: false, received: 5, wait: Duration::ZERO },
+        Case { name: "other process", other_process: true, received: 5, wait: Duration::ZERO },
+        Case {
+            name: "after the run went far ahead",
+            other_process: true,
+            received: 1,
+            wait: Duration::from_secs(1),
+        },
+        Case {
+            name: "after the run ended",
+            other_process: false,
+            received: 5,
+            wait: Duration::from_secs(4),
+        },
+    ];
+    for case in cases {
+        let fleet = Fleet::open(runner_settings(), 2, &[]).await;
+        let first = fleet.entry(1, Some(KEY)).await;
+        let second = fleet.entry(2, Some(KEY)).await;
+        let mut stream = first.complete(resumable("r1", "prompt", 200)).unwrap();
+        let got = take(&mut stream, case.received).await;
+        drop(stream);
+        tokio::time::sleep(case.wait).await;
+        let at = if case.other_process { &second } else { &first };
+        let offset = case.received as u64;
+        let mut stream = at.resume(ACCOUNT, &got.resume_token, offset).unwrap();
+        let rest = take(&mut stream, usize::MAX).await;
+        assert_eq!(rest.tokens, expected("prompt", offset, 200), "{}", case.name);
+        assert_eq!(rest.finished, Some(200), "{}: {:?}", case.name, rest.failure);
+        let runs: usize = fleet.runners.iter().map(|runner| runner.ledger().len()).sum();
+        assert_eq!(runs, 1, "{}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resumed_stream_outlives_the_window_of_its_first_caller() {
+    let fleet = Fleet::open(runner_settings(), 1, &[]).await;
+    let entry = fleet.entry(1, Some(KEY)).await;
+    let mut stream = entry.complete(resumable("r1", "prompt", 1_000)).unwrap();
+    let got = take(&mut stream, 2).await;
+    drop(stream);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut stream = entry.resume(ACCOUNT, &got.resume_token, 2).unwrap();
+    let rest = take(&mut stream, usize::MAX).await;
+    assert_eq!(rest.finished, Some(1_000), "{:?}", rest.failure);
+    assert_eq!(rest.tokens, expected("prompt", 2, 1_000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_token_in_the_wrong_hands_is_refused() {
+    struct Case {
+        name: &'static str,
+        account: &'static str,
+        alter: fn(&str) -> String,
+        key: Option<&'static [u8]>,
+        wait: Duration,
+        offset: u64,
+        code: FailureCode,
+    }
+    let whole = Case {
+        name: "",
+        account: ACCOUNT,
+        alter: str::to_string,
+        key: Some(KEY),
+        wait: Duration::ZERO,
+        offset: 2,
+        code: FailureCode::Forbidden,
+    };
+    let cases = [
+        Case { name: "another account", account: OTHER_ACCOUNT, ..whole },
+        Case { name: "altered", alter: |token| token.replacen(&token[10..11], "-", 1), ..whole },
+        Case { name: "cut", alter: |token| token[..token.len() - 4].to_string(), ..whole },
+        Case { name: "empty", alter: |_| String::new(), ..whole },
+        Case {
+            name: "process of another key",
+            key: Some(b"another secret, also long enough"),
+            ..whole
+        },
+        Case { name: "process without a key", key: None, ..whole },
+        Case {
+            name: "expired",
+            wait: Duration::from_secs(26),
+            code: FailureCode::Expired,
+            ..whole
+        },
+        Case {
+            name: "position past every answer",
+            offset: u64::MAX,
+            code: FailureCode::BadRequest,
+            ..whole
+        },
+    ];
+    for case in cases {
+        let fleet = Fleet::open(runner_settings(), 1, &[]).await;
+        let first = fleet.entry(1, Some(KEY)).await;
+        let second = fleet.entry(2, case.key).await;
+        let mut stream = first.complete(resumable("r1", "prompt", 100)).unwrap();
+        let got = take(&mut stream, 2).await;
+        tokio::time::sleep(case.wait).await;
+        let token = (case.alter)(&got.resume_token);
+        let failure = second.resume(case.account, &token, case.offset).err();
+        let failure = failure.unwrap_or_else(|| panic!("{} was taken", case.name));
+        assert_eq!(failure.code, case.code, "{}", case.name);
+        assert_ne!(failure.ran, Ran::NotRun, "{}: the request did run", case.name);
+        assert!(!failure.to_string().contains(ACCOUNT), "{}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_moved_gets_a_token_of_its_new_run() {
+    let fleet = Fleet::open(runner_settings(), 2, &[]).await;
+    let entry = fleet.entry(1, Some(KEY)).await;
+    let mut stream = entry.complete(resumable("r1", "prompt", 100)).unwrap();
+    let before = take(&mut stream, 3).await;
+    let at = fleet.runners.iter().position(|runner| !runner.ledger().is_empty()).unwrap();
+    fleet.runners[at].set_faults(|faults| faults.dead = true);
+    let after = take(&mut stream, 10).await;
+    assert!(!after.resume_token.is_empty() && after.resume_token != before.resume_token);
+    drop(stream);
+    let mut old = entry.resume(ACCOUNT, &before.resume_token, 13).unwrap();
+    let refused = take(&mut old, usize::MAX).await.failure.unwrap();
+    assert_eq!(refused.ran, Ran::Ran);
+    let mut stream = entry.resume(ACCOUNT, &after.resume_token, 13).unwrap();
+    let rest = take(&mut stream, usize::MAX).await;
+    assert_eq!(rest.tokens, expected("prompt", 13, 100), "{:?}", rest.failure);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_drain_waits_for_streams_and_resumed_streams() {
+    let fleet = Fleet::open(runner_settings(), 1, &[]).await;
+    let entry = fleet.entry(1, Some(KEY)).await;
+    let mut kept = entry.complete(resumable("r1", "prompt", 100)).unwrap();
+    let got = take(&mut kept, 2).await;
+    drop(kept);
+    let mut resumed = entry.resume(ACCOUNT, &got.resume_token, 2).unwrap();
+    let mut stream = entry.complete(request("r2", "prompt", 100)).unwrap();
+    entry.drain();
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    assert!(!entry.is_ready());
+    assert_eq!(entry.requests_under_way(), 2);
+    assert_eq!(take(&mut stream, usize::MAX).await.finished, Some(100));
+    assert_eq!(entry.requests_under_way(), 1);
+    assert_eq!(take(&mut resumed, usize::MAX).await.finished, Some(100));
+    assert_eq!(entry.requests_under_way(), 0);
+}
+
+/// Hands every call on, and counts the frames that were taken from runs.
+struct CountingRunner {
+    inner: FakeRunner,
+    frames: Arc<AtomicU64>,
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_caller_holds_its_run_back_without_growth() {
+    let fleet = Fleet::open(runner_settings(), 1, &[]).await;
+    let frames = Arc::new(AtomicU64::new(0));
+    let counting = CountingRunner { inner: fleet.runners[0].clone(), frames: frames.clone() };
+    fleet.wrap_runner(0, Arc::new(counting));
+    let entry = fleet.entry(1, None).await;
+    let mut stream = entry.complete(request("r1", "prompt", 1_000)).unwrap();
+    let mut consumed = 0;
+    for _ in 0..10 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(stream.waiting_events() <= 64);
+        let ahead = frames.load(Ordering::SeqCst) - consumed;
+        assert!(ahead <= 66, "{ahead} frames were taken before the caller read them");
+        let got = take(&mut stream, 1).await;
+        consumed += got.tokens.len() as u64;
+    }
+    let rest = take(&mut stream, usize::MAX).await;
+    assert_eq!(rest.tokens.len() as u64 + consumed, 1_000);
+    assert_eq!(rest.finished, Some(1_000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_failure_says_truly_whether_the_request_ran_and_when_to_come_back() {
+    struct Case {
+        name: &'static str,
+        fault: fn(&FakeRunner),
+        deadline: Duration,
+        code: FailureCode,
+        ran: Ran,
+        at_once: bool,
+    }
+    let cases = [
+        Case {
+            name: "every runner is unreachable",
+            fault: |runner| runner.set_faults(|faults| faults.dead = true),
+            deadline: Duration::from_secs(10),
+            code: FailureCode::NoTarget,
+            ran: Ran::NotRun,
+            at_once: true,
+        },
+        Case {
+            name: "every runner leaves",
+            fault: FakeRunner::leave,
+            deadline: Duration::from_secs(10),
+            code: FailureCode::NoTarget,
+            ran: Ran::NotRun,
+            at_once: true,
+        },
+        Case {
+            name: "a runner never answers the start",
+            fault: |runner| runner.set_faults(|faults| faults.frozen = true),
+            deadline: Duration::from_secs(3),
+            code: FailureCode::DeadlineExceeded,
+            ran: Ran::Unknown,
+            at_once: false,
+        },
+        Case {
+            name: "the answer takes too long",
+            fault: |_| {},
+            deadline: Duration::from_millis(200),
+            code: FailureCode::DeadlineExceeded,
+            ran: Ran::Ran,
+            at_once: false,
+        },
+    ];
+    for case in cases {
+        let fleet = Fleet::open(runner_settings(), 2, &[]).await;
+        let entry = fleet.entry(1, None).await;
+        fleet.runners.iter().for_each(case.fault);
+        let began = tokio::time::Instant::now();
+        let asked =
+            CompletionRequest { deadline: Some(case.deadline), ..request("r1", "prompt", 1_000) };
+        let mut stream = entry.complete(asked).unwrap();
+        let failure = take(&mut stream, usize::MAX).await.failure.unwrap();
+        assert_eq!((failure.code, failure.ran), (case.code, case.ran), "{}", case.name);
+        assert!(failure.retry && failure.retry_after_ms > Some(0), "{}", case.name);
+        assert_eq!(began.elapsed() < Duration::from_millis(100), case.at_once, "{}", case.name);
+        let ledgers: usize = fleet.runners.iter().map(|runner| runner.ledger().len()).sum();
+        assert!(case.ran != Ran::NotRun || ledgers == 0, "{}: it did run", case.name);
+    }
+}
+
+/// Gives the frames of a script in place of a run's own, once.
+struct ScriptedRunner {
+    inner: FakeRunner,
+    script: Mutex<Option<Vec<FrameBody>>>,
+}
+
+/// A second start with other weights, frames after the end, tokens again: nothing of it arrives.
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_changes_its_weights_in_the_middle_is_left() {
+    let fleet = Fleet::open(runner_settings(), 2, &[]).await;
+    let script = vec![
+        FrameBody::Started { weight_version: 1, cached_tokens: 0 },
+        FrameBody::Token { offset: 0, text: expected_token("prompt", 1, 0) },
+        FrameBody::Started { weight_version: 2, cached_tokens: 0 },
+        FrameBody::Token { offset: 1, text: expected_token("prompt", 2, 1) },
+        FrameBody::Finished { reason: FinishReason::Stop, answer_tokens: 2 },
+    ];
+    for (index, runner) in fleet.runners.iter().enumerate() {
+        let script = Mutex::new((index == 0).then(|| script.clone()));
+        fleet.wrap_runner(index, Arc::new(ScriptedRunner { inner: runner.clone(), script }));
+    }
+    let entry = fleet.entry(1, None).await;
+    let mut stream = entry.complete(request("r1", "prompt", 10)).unwrap();
+    let got = take(&mut stream, usize::MAX).await;
+    assert_eq!(got.tokens, expected("prompt", 0, 10), "{:?}", got.failure);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let ledger = fleet.runners[1].ledger();
+    assert_eq!((ledger.len(), ledger[0].attempt_id), (1, 2));
+}
+
+macro_rules! hand_on {
+    ($runner:ty, $start:expr) => {
+        #[async_trait]
+        impl Runner for $runner {
+            async fn start(&self, request: RunRequest) -> Result<FrameStream, StartError> {
+                $start(self, request).await
+            }
+
+            async fn resume(
+                &self,
+                run_id: &str,
+                account: &str,
+                offset: u64,
+            ) -> Result<FrameStream, StartError> {
+                self.inner.resume(run_id, account, offset).await
+            }
+
+            async fn cancel(&self, run_id: &str) -> Result<(), StartError> {
+                self.inner.cancel(run_id).await
+            }
+
+            async fn load(&self) -> Result<LoadReport, StartError> {
+                self.inner.load().await
+            }
+
+            async fn cache_events(
+                &self,
+                after: u64,
+                snapshot: bool,
+            ) -> Result<CacheEventBatch, StartError> {
+                self.inner.cache_events(after, snapshot).await
+            }
+
+            async fn import(&self, order: ImportOrder) -> Result<ImportReceipt, TransferError> {
+                self.inner.import(order).await
+            }
+
+            async fn export(&self, order: ExportOrder) -> Result<ExportReceipt, TransferError> {
+                self.inner.export(order).await
+            }
+
+            async fn order(&self, order: Order) -> Result<(), OrderError> {
+                self.inner.order(order).await
+            }
+
+            async fn status(&self) -> Result<RunnerStatus, StartError> {
+                self.inner.status().await
+            }
+        }
+    };
+}
+
+async fn start_counting(
+    runner: &CountingRunner,
+    request: RunRequest,
+) -> Result<FrameStream, StartError> {
+    let frames = runner.frames.clone();
+    let stream = runner.inner.start(request).await?;
+    Ok(stream
+        .inspect(move |_| {
+            frames.fetch_add(1, Ordering::SeqCst);
+        })
+        .boxed())
+}
+
+async fn start_scripted(
+    runner: &ScriptedRunner,
+    request: RunRequest,
+) -> Result<FrameStream, StartError> {
+    let Some(script) = runner.script.lock().unwrap().take() else {
+        return runner.inner.start(request).await;
+    };
+    let frames = script.into_iter().map(move |body| {
+        Ok(RunFrame {
+            run_id: request.run_id.clone(),
+            request_id: request.request_id.clone(),
+            attempt_id: request.attempt_id,
+            body,
+        })
+    });
+    Ok(futures::stream::iter(frames.collect::<Vec<_>>()).boxed())
+}
+
+hand_on!(CountingRunner, start_counting);
+hand_on!(ScriptedRunner, start_scripted);
--- a/crates/skylarkpick-protocol/src/lib.rs
+++ b/crates/skylarkpick-protocol/src/lib.rs
@@ -5,3 +5,9 @@
 pub mod stored {
     include!("generated/skylarkpick.stored.rs");
 }
+
+/// What resume tokens say.
+#[allow(missing_docs)]
+pub mod resume {
+    include!("generated/skylarkpick.resume.rs");
+}
