--- a/crates/skylarkpick-command/src/commands/entry.rs
+++ b/crates/skylarkpick-command/src/commands/entry.rs
@@ -1,12 +1,13 @@
 //! `skylarkpick entry`.
 
+use super::check::{fault_lines, read_document};
 use crate::{
     command::{Command, Example, Exit, Signature, WrongUse},
     console::Console,
 };
 use anyhow::Context;
 use getopts::Matches;
-use skylarkpick_config::{Settings, parse_settings};
+use skylarkpick_config::{Secret, Settings, parse_settings};
 use skylarkpick_entry::{Entry, EntryParts, Front, ResumeKey};
 use skylarkpick_http::{HttpConnector, HttpPlatform};
 use skylarkpick_interface::{BootClock, NoPeers};
@@ -40,12 +41,20 @@
     }
 
     fn examples(&self) -> Vec<Example> {
-        vec![Example {
-            description: "A settings file that does not exist is wrong use",
-            arguments: &["no-such-file.jsonc"],
-            exit: Exit::WrongUse,
-            shows: "",
-        }]
+        vec![
+            Example {
+                description: "A settings file that does not exist is wrong use",
+                arguments: &["no-such-file.jsonc"],
+                exit: Exit::WrongUse,
+                shows: "",
+            },
+            Example {
+                description: "Settings that contradict each other are wrong use",
+                arguments: &["crates/skylarkpick-config/tests/wrong/contradiction.jsonc"],
+                exit: Exit::WrongUse,
+                shows: "",
+            },
+        ]
     }
 
     fn run(&self, matches: &Matches, console: &mut Console) -> anyhow::Result<Exit> {
@@ -56,12 +65,8 @@
 }
 
 fn read_settings(path: &str) -> anyhow::Result<Settings> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| WrongUse(format!("{path} cannot be read: {error}")))?;
-    let settings = parse_settings(&text).map_err(|faults| {
-        let lines: Vec<String> = faults.0.iter().map(|fault| format!("{path}:{fault}")).collect();
-        WrongUse(lines.join("\n"))
-    })?;
+    let text = read_document(path)?;
+    let settings = parse_settings(&text).map_err(|faults| WrongUse(fault_lines(path, &faults)))?;
     Ok(settings)
 }
 
@@ -71,7 +76,7 @@
     }
     let resume_key = match &settings.resume_key {
         Some(source) => source.read().map_err(|error| WrongUse(error.to_string()))?,
-        None => rand::random::<[u8; 32]>().to_vec(),
+        None => Secret::open(rand::random::<[u8; 32]>()),
     };
     let platform_timeout = Duration::from_millis(settings.limits.platform_timeout_ms);
     let platform = HttpPlatform::open(&settings.platform_address, platform_timeout);
@@ -80,7 +85,7 @@
         connector: Arc::new(HttpConnector::open()),
         peers: NoPeers::open(),
         clock: Arc::new(BootClock),
-        resume_key: Some(ResumeKey::from_secret(&resume_key)),
+        resume_key: Some(ResumeKey::from_secret(resume_key.expose())),
         seed: rand::random(),
         settings,
     });
--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -223,6 +223,7 @@
 impl AttemptSink<'_> {
     async fn started(&mut self, cached_tokens: u64) -> AnswerEvent {
         self.attempts.ran = Ran::Ran;
+        self.guard.note_started(cached_tokens).await;
         let resume_token = self.attempts.resume_token(self.attempt_id, self.guard, cached_tokens);
         if self.attempts.request.resumable {
             self.guard.keep().await;
--- a/crates/skylarkpick-entry/src/streams/run_guard.rs
+++ b/crates/skylarkpick-entry/src/streams/run_guard.rs
@@ -36,16 +36,18 @@
         let _ = self.shared.retention.tell(Attach(self.run_id.clone())).await;
     }
 
+    pub(crate) async fn note_started(&self, cached_tokens: u64) {
+        let (route, request) = (self.route.clone(), self.route_request.clone());
+        // A stopped actor means that the process ends.
+        let _ = self.shared.router.tell(Observed::Started { route, request, cached_tokens }).await;
+    }
+
     pub(crate) async fn note_first_token(&mut self) {
         if self.had_first_token {
             return;
         }
         self.had_first_token = true;
-        let observed = Observed::FirstToken(
-            self.route.runner.clone(),
-            self.route.weight_version,
-            self.route_request.clone(),
-        );
+        let observed = Observed::FirstToken(self.route.clone(), self.route_request.clone());
         // A stopped actor means that the process ends.
         let _ = self.shared.router.tell(observed).await;
     }
@@ -54,7 +56,7 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let observed = Observed::End {
-            runner: self.route.runner.clone(),
+            route: self.route.clone(),
             request: self.route_request.clone(),
             had_first_token: self.had_first_token,
         };
--- a/crates/skylarkpick-entry/tests/fleet/mod.rs
+++ b/crates/skylarkpick-entry/tests/fleet/mod.rs
@@ -1,5 +1,5 @@
 //! A small fleet in memory, on tokio's time.
-#![allow(dead_code)]
+#![allow(clippy::expect_used, clippy::unwrap_used, dead_code)]
 
 use serde_json::json;
 use skylarkpick_config::{Limits, Settings};
--- a/crates/skylarkpick-entry/tests/streams.rs
+++ b/crates/skylarkpick-entry/tests/streams.rs
@@ -1,5 +1,7 @@
 //! Streams under faults: what the caller gets, judged against what its run must give.
 
+#![allow(clippy::unwrap_used)]
+
 mod fleet;
 
 use async_trait::async_trait;
