--- a/crates/skylarkpick-entry/tests/fleet/mod.rs
+++ b/crates/skylarkpick-entry/tests/fleet/mod.rs
@@ -104,7 +104,7 @@
                 data_centre: data_centre.to_string(),
                 peer_address: peers.address(),
                 limits: Limits { resume_window_ms: 5_000, ..Limits::default() },
-                ..settings()
+                ..Settings::default()
             },
             platform: self.platform.clone(),
             connector: self.connector.clone(),
@@ -133,11 +133,6 @@
     format!("127.0.2.{index}:1")
 }
 
-fn settings() -> Settings {
-    let text = r#"{"data_centre": "mnl-a", "http_address": "-", "platform_address": "-"}"#;
-    skylarkpick_config::parse_settings(text).unwrap()
-}
-
 pub fn runner_settings() -> RunnerSettings {
     RunnerSettings {
         token_interval: Duration::from_millis(10),
