--- a/crates/skylarkpick-entry/src/failure.rs
+++ b/crates/skylarkpick-entry/src/failure.rs
@@ -36,6 +36,10 @@
     NotFound,
     /// The time to do this is over.
     Expired,
+    /// The path exists, but not for this method.
+    MethodNotAllowed,
+    /// The request took too long to arrive.
+    RequestTimeout,
     /// The configuration has moved on, or the key was used for another request.
     Conflict,
     /// A part of the request is longer than allowed.
--- a/crates/skylarkpick-entry/src/front/completions.rs
+++ b/crates/skylarkpick-entry/src/front/completions.rs
@@ -6,6 +6,7 @@
         Answer, CONFIGURATION_VERSION_HEADER, RESUME_TOKEN_HEADER, WEIGHT_VERSION_HEADER,
         failure_answer, failure_data, with_header,
     },
+    json::read_json,
     wire::{Choice, CompletionAnswer, CompletionBody, ResumeBody, Usage},
 };
 use crate::{
@@ -29,8 +30,7 @@
     request_id: &str,
     content: &[u8],
 ) -> Result<Answer, Failure> {
-    let body: CompletionBody = serde_json::from_slice(content)
-        .map_err(|error| Failure::not_run(FailureCode::BadRequest, error.to_string()))?;
+    let body: CompletionBody = read_json(content)?;
     let prompt = body.text().ok_or_else(|| {
         Failure::not_run(FailureCode::BadRequest, "give either `prompt` or `messages`")
     })?;
@@ -64,7 +64,7 @@
 ) -> Result<Answer, Failure> {
     let body = match content {
         [] => ResumeBody::default(),
-        content => serde_json::from_slice(content).map_err(|error| bad_request(&error))?,
+        content => read_json(content)?,
     };
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let token = text(RESUME_TOKEN_HEADER).map(str::to_string).or(body.resume_token);
--- a/crates/skylarkpick-entry/tests/streams.rs
+++ b/crates/skylarkpick-entry/tests/streams.rs
@@ -434,7 +434,7 @@
 /// Gives the frames of a script in place of a run's own, once.
 struct ScriptedRunner {
     inner: FakeRunner,
-    script: Mutex<Option<Vec<FrameBody>>>,
+    script: Arc<Mutex<Option<Vec<FrameBody>>>>,
 }
 
 /// A second start with other weights, frames after the end, tokens again: nothing of it arrives.
@@ -448,17 +448,19 @@
         FrameBody::Token { offset: 1, text: expected_token("prompt", 2, 1) },
         FrameBody::Finished { reason: FinishReason::Stop, answer_tokens: 2 },
     ];
+    // Whichever runner is asked first plays the script.
+    let script = Arc::new(Mutex::new(Some(script)));
     for (index, runner) in fleet.runners.iter().enumerate() {
-        let script = Mutex::new((index == 0).then(|| script.clone()));
-        fleet.wrap_runner(index, Arc::new(ScriptedRunner { inner: runner.clone(), script }));
+        let scripted = ScriptedRunner { inner: runner.clone(), script: script.clone() };
+        fleet.wrap_runner(index, Arc::new(scripted));
     }
     let entry = fleet.entry(1, None).await;
     let mut stream = entry.complete(request("r1", "prompt", 10)).unwrap();
     let got = take(&mut stream, usize::MAX).await;
     assert_eq!(got.tokens, expected("prompt", 0, 10), "{:?}", got.failure);
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    let ledger = fleet.runners[1].ledger();
-    assert_eq!((ledger.len(), ledger[0].attempt_id), (1, 2));
+    let ledgers = fleet.runners.iter().flat_map(FakeRunner::ledger);
+    let attempts: Vec<u32> = ledgers.map(|record| record.attempt_id).collect();
+    assert_eq!(attempts, [2]);
 }
 
 macro_rules! hand_on {
