--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -91,6 +91,7 @@
                     Arc::make_mut(&mut self.route_request).avoid.push(route.runner);
                 }
                 AttemptEnd::GaveUp(why) => {
+                    self.ran = Ran::Ran;
                     return Some(self.failure(FailureCode::TargetFailed, why));
                 }
             }
@@ -222,7 +223,6 @@
 
 impl AttemptSink<'_> {
     async fn started(&mut self, cached_tokens: u64) -> AnswerEvent {
-        self.attempts.ran = Ran::Ran;
         self.guard.note_started(cached_tokens).await;
         let resume_token = self.attempts.resume_token(self.attempt_id, self.guard, cached_tokens);
         if self.attempts.request.resumable {
--- a/crates/skylarkpick-entry/src/streams/resume.rs
+++ b/crates/skylarkpick-entry/src/streams/resume.rs
@@ -1,4 +1,6 @@
 //! Takes a stream up again with its token, at whatever entry process the caller comes to.
+//!
+//! A token is given out only once a run has started, so that no failure here says "not run".
 
 use super::{
     follower::{FrameSink, RunFollower, StreamEnd},
@@ -33,7 +35,7 @@
     let claims = open_token(&shared.resume_key, token, account, now).map_err(refusal)?;
     if offset > claims.answer_tokens_limit {
         let message = format!("the answer has no position {offset}");
-        return Err(ran(FailureCode::BadRequest, message));
+        return Err(Failure::unknown(FailureCode::BadRequest, message));
     }
     let address = runner_address(shared, &claims)?;
     let left = Duration::from_millis(claims.expires_at_ms.saturating_sub(milliseconds(now)));
@@ -68,7 +70,7 @@
     let target = centres.find_map(|centre| centre.runners.get(&claims.runner));
     target.map(|target| target.address.clone()).ok_or_else(|| {
         let message = format!("runner {} is not configured any more", claims.runner);
-        Failure { ran: Ran::Ran, ..Failure::not_run(FailureCode::NotFound, message) }
+        Failure::unknown(FailureCode::NotFound, message)
     })
 }
 
@@ -99,7 +101,10 @@
             followed = tokio::time::timeout_at(deadline, self.follow(&mut guard)) => followed,
         };
         let failure = followed.unwrap_or_else(|_| {
-            Some(ran(FailureCode::DeadlineExceeded, "the time to resume is over".to_string()))
+            Some(Failure::unknown(
+                FailureCode::DeadlineExceeded,
+                "the time to resume is over".to_string(),
+            ))
         });
         if let Some(failure) = failure {
             // A caller that went away needs no answer.
@@ -147,29 +152,31 @@
         guard.ended = matches!(end, StreamEnd::Whole | StreamEnd::GaveUp(_));
         match end {
             StreamEnd::Whole | StreamEnd::CallerGone => None,
-            StreamEnd::GaveUp(why) | StreamEnd::Broken(why) => {
-                Some(ran(FailureCode::TargetFailed, why).retry_after(RUNNER_RETRY))
+            StreamEnd::GaveUp(why) => {
+                let failure =
+                    Failure { ran: Ran::Ran, ..Failure::unknown(FailureCode::TargetFailed, why) };
+                Some(failure.retry_after(RUNNER_RETRY))
+            }
+            StreamEnd::Broken(why) => {
+                Some(Failure::unknown(FailureCode::TargetFailed, why).retry_after(RUNNER_RETRY))
             }
             StreamEnd::OtherWeights(version) => {
                 let message = format!("the runner goes on with weight version {version}");
-                Some(ran(FailureCode::TargetFailed, message))
+                Some(Failure::unknown(FailureCode::TargetFailed, message))
             }
         }
     }
 }
 
-/// A token is given out only once a run has started, so a failure after it is never "not run".
-fn ran(code: FailureCode, message: String) -> Failure {
-    Failure { ran: Ran::Ran, ..Failure::not_run(code, message) }
-}
-
 fn not_taken_up(error: &StartError) -> Failure {
     match error {
         StartError::NoSuchRun => {
             let message = "the runner no longer has the run, or not from this position".to_string();
-            ran(FailureCode::NotFound, message)
+            Failure::unknown(FailureCode::NotFound, message)
+        }
+        error => {
+            Failure::unknown(FailureCode::TargetFailed, error.to_string()).retry_after(RUNNER_RETRY)
         }
-        error => ran(FailureCode::TargetFailed, error.to_string()).retry_after(RUNNER_RETRY),
     }
 }
 
