--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -153,6 +153,7 @@
         if error == StartError::Leaving {
             // A stopped actor means that the process ends.
             let _ = self.shared.router.tell(Observed::Leaving(runner.to_string())).await;
+            self.shared.peers.observe_leaving(runner).await;
         }
         AttemptEnd::TryElsewhere(format!("runner {runner}: {error}"))
     }
