--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -18,9 +18,12 @@
     ConfigurationKeeper, ConfigurationRecord, Patch, PatchOutcome, ReadError,
 };
 use skylarkpick_interface::ServiceReply;
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 use tokio::sync::watch;
 
--- a/crates/skylarkpick-entry/src/peers/tests/fleet.rs
+++ b/crates/skylarkpick-entry/src/peers/tests/fleet.rs
@@ -153,6 +153,7 @@
             connector: self.connector.clone(),
             peers,
             clock: Arc::new(self.clock),
+            resume_key: None,
             seed: name.bytes().map(u64::from).sum(),
         })
     }
@@ -209,6 +210,7 @@
                 answer_tokens_limit: 200,
                 priority: Priority::Normal,
                 deadline: None,
+                resumable: false,
             };
             let stream = self.entry(centre, index).complete(request).unwrap();
             tokio::spawn(stream.for_each(|_| async {}));
