Count what waits for a store's disk in the routing cost

Cause: imports from disk queue behind each other, which the cost did not see, so that requests waited for tens of seconds.

Change: each store has a second backlog, of its disk; the disk's rate is learned from the whole length of imports, so that other processes' reads show.

--- a/crates/skylarkpick-replay/src/engine/links.rs
+++ b/crates/skylarkpick-replay/src/engine/links.rs
@@ -77,7 +77,8 @@
 
     fn add_transfer(&mut self, store: usize, purpose: Purpose, size_bytes: u64) -> TransferId {
         self.next_transfer += 1;
-        let state = TransferState { purpose, size_bytes, begun_at: None };
+        let asked_at = self.now;
+        let state = TransferState { purpose, size_bytes, asked_at, begun_at: None };
         self.stores[store].transfers.insert(self.next_transfer, state);
         self.next_transfer
     }
@@ -132,7 +133,7 @@
         if let Some(state) = store.transfers.remove(&id) {
             let begun_at = state.begun_at.unwrap_or(now);
             store.carried.push((begun_at, now, state.size_bytes));
-            let took = now.saturating_sub(begun_at);
+            let took = now.saturating_sub(state.asked_at);
             match state.purpose {
                 Purpose::Import { runner, context, tokens, waiters, .. } => {
                     self.imported(runner, context, tokens, &waiters, took);
--- a/crates/skylarkpick-replay/src/engine/store.rs
+++ b/crates/skylarkpick-replay/src/engine/store.rs
@@ -32,6 +32,7 @@
 pub(super) struct TransferState {
     pub(super) purpose: Purpose,
     pub(super) size_bytes: u64,
+    pub(super) asked_at: Duration,
     pub(super) begun_at: Option<Duration>,
 }
 
--- a/crates/skylarkpick-schedule/src/route/candidate.rs
+++ b/crates/skylarkpick-schedule/src/route/candidate.rs
@@ -111,9 +111,11 @@
     pub unusable: bool,
     /// Bytes that wait for its link.
     pub backlog: Backlog,
+    /// Bytes that were asked of its disk from here and wait.
+    pub disk_backlog: Backlog,
     /// Bytes a second that imports from its link reach.
     pub link_rate: f64,
-    /// Bytes a second that imports from its disk reach.
+    /// Bytes a second that its disk reads, waiting behind other readers included.
     pub disk_rate: f64,
 }
 
@@ -126,6 +128,7 @@
             link_bytes_per_second,
             unusable: false,
             backlog: Backlog::default(),
+            disk_backlog: Backlog::default(),
             link_rate: link_bytes_per_second,
             disk_rate: INITIAL_DISK_SHARE * link_bytes_per_second,
         }
@@ -133,19 +136,33 @@
 
     /// Seconds that a transfer begun now takes, behind what the link already carries.
     pub fn transfer_seconds(&self, size_bytes: u64, tier: StoreTier, now: Instant) -> f64 {
-        let rate = match tier {
-            StoreTier::Memory => self.link_rate,
-            StoreTier::Disk => self.disk_rate.min(self.link_rate),
-        };
-        self.backlog.estimate(self.link_rate, now) / self.link_rate + size_bytes as f64 / rate
+        let waiting_bytes = self.backlog.estimate(self.link_rate, now);
+        let link_seconds = (waiting_bytes + size_bytes as f64) / self.link_rate;
+        match tier {
+            StoreTier::Memory => link_seconds,
+            StoreTier::Disk => {
+                let waiting_bytes = self.disk_backlog.estimate(self.disk_rate, now);
+                link_seconds + (waiting_bytes + size_bytes as f64) / self.disk_rate
+            }
+        }
     }
 
-    /// Learns the rate of a tier from a finished import that did not wait.
-    pub(super) fn note_rate(&mut self, tier: StoreTier, bytes_per_second: f64) {
-        let rate = match tier {
-            StoreTier::Memory => &mut self.link_rate,
-            StoreTier::Disk => &mut self.disk_rate,
-        };
-        *rate += AVERAGE_SHARE * (bytes_per_second.max(1.0) - *rate);
+    /// Counts a transfer that is asked for now.
+    pub(super) fn note_asked(&mut self, size_bytes: u64, tier: StoreTier, now: Instant) {
+        self.backlog.add(size_bytes as f64, self.link_rate, now);
+        if tier == StoreTier::Disk {
+            self.disk_backlog.add(size_bytes as f64, self.disk_rate, now);
+        }
+    }
+
+    /// Learns the rate of the disk from the whole length of an import, so that readers from
+    /// elsewhere show as a slower disk.
+    pub(super) fn note_import(&mut self, tier: StoreTier, size_bytes: u64, took_seconds: f64) {
+        if tier == StoreTier::Disk {
+            let disk_seconds = (took_seconds - size_bytes as f64 / self.link_rate).max(1e-3);
+            let rate = size_bytes as f64 / disk_seconds;
+            let limit = INITIAL_DISK_SHARE * self.link_bytes_per_second;
+            self.disk_rate += AVERAGE_SHARE * (rate.clamp(1.0, limit) - self.disk_rate);
+        }
     }
 }
--- a/crates/skylarkpick-schedule/src/route/observe.rs
+++ b/crates/skylarkpick-schedule/src/route/observe.rs
@@ -87,15 +87,15 @@
         }
     }
 
-    /// Notes that an import has ended; `took` is its length if it succeeded.
+    /// Notes that an import has ended; `took` is its length, waiting
+    /// included, if it succeeded.
     pub fn observe_import_end(&mut self, runner: &str, plan: &ImportPlan, took: Option<Duration>) {
         if let Some(place) = self.runner_place(runner) {
             self.imports.end(place, plan.prefix_key);
         }
         let Some(place) = self.store_place(&plan.store) else { return };
         if let Some(took) = took {
-            let seconds = took.as_secs_f64().max(1e-6);
-            self.stores[place].note_rate(plan.tier, plan.size_bytes as f64 / seconds);
+            self.stores[place].note_import(plan.tier, plan.size_bytes, took.as_secs_f64());
         }
     }
 
--- a/crates/skylarkpick-schedule/src/route/router.rs
+++ b/crates/skylarkpick-schedule/src/route/router.rs
@@ -244,8 +244,7 @@
             if !plan.joined
                 && let Some(place) = self.store_place(&plan.store)
             {
-                let store = &mut self.stores[place];
-                store.backlog.add(plan.size_bytes as f64, store.link_rate, now);
+                self.stores[place].note_asked(plan.size_bytes, plan.tier, now);
             }
             let ends_at = now + Duration::from_secs_f64(choice.way.transfer_seconds);
             self.imports.join(choice.runner, plan.prefix_key, plan.tokens, ends_at);
