Keep store memory for prefixes that runners are about to evict

Cause: memory was filled by whatever came first, much of which the runners held as well.

Change: the first copy goes to disk. The saving policy follows the order of use of each runner's cache and learns its size from evictions; a prefix that has come near the end goes to memory, where copies of prefixes that some runner has used lately give way first. In replay an export fails if the runner evicted the prefix before its turn. SaveDecision names the runner.

--- a/crates/skylarkpick-replay/src/engine/beliefs.rs
+++ b/crates/skylarkpick-replay/src/engine/beliefs.rs
@@ -2,7 +2,7 @@
 
 use super::agenda::ContextId;
 use skylarkpick_cache::BLOCK_TOKENS;
-use skylarkpick_interface::PrefixKey;
+use skylarkpick_interface::{PrefixKey, StoreTier};
 use skylarkpick_schedule::{Holder, PrefixView, SavedCopy};
 use std::collections::BTreeMap;
 
@@ -32,7 +32,7 @@
     prefix | PrefixKey::from(context.weight_version) << 32 | PrefixKey::from(place)
 }
 
-fn context_of(key: PrefixKey) -> ContextId {
+pub(super) fn context_of(key: PrefixKey) -> ContextId {
     let weight_version = (key >> 32) as u32;
     ContextId { prefix: (key >> 64) as usize, weight_version: u64::from(weight_version) }
 }
@@ -60,9 +60,9 @@
         });
     }
 
-    pub(super) fn remove_saved(&mut self, context: ContextId, store: &str) {
+    pub(super) fn remove_saved(&mut self, context: ContextId, store: &str, tier: StoreTier) {
         if let Some(copies) = self.saved.get_mut(&context) {
-            copies.retain(|copy| copy.store != store);
+            copies.retain(|copy| copy.store != store || copy.tier != tier);
         }
     }
 
--- a/crates/skylarkpick-replay/src/engine/links.rs
+++ b/crates/skylarkpick-replay/src/engine/links.rs
@@ -2,7 +2,7 @@
 
 use super::{
     agenda::{ContextId, Event, RunId},
-    beliefs::last_key,
+    beliefs::{context_of, last_key},
     store::{Purpose, Saved, TransferState},
     world::World,
 };
@@ -107,9 +107,13 @@
     /// Begins the next transfer of a link, or asks to be woken for it.
     pub(super) fn pump(&mut self, place: usize) {
         let now = self.instant();
-        let store = &mut self.stores[place];
-        match store.queue.next(now) {
+        match self.stores[place].queue.next(now) {
+            NextTransfer::Begin(transfer) if self.export_is_void(place, transfer.id) => {
+                self.drop_export(place, transfer.id);
+                self.pump(place);
+            }
             NextTransfer::Begin(transfer) => {
+                let store = &mut self.stores[place];
                 let seconds = transfer.size_bytes as f64 / store.link_rate();
                 let ends_at = self.now + Duration::from_secs_f64(seconds);
                 if let Some(state) = store.transfers.get_mut(&transfer.id) {
@@ -126,6 +130,28 @@
         }
     }
 
+    /// Whether the runner no longer holds what an export is to save.
+    fn export_is_void(&self, place: usize, id: TransferId) -> bool {
+        let state = self.stores[place].transfers.get(&id);
+        state.is_some_and(|state| match &state.purpose {
+            Purpose::Export { runner, context, saved, .. } => {
+                self.runners[*runner].cache.held(*context) < saved.tokens
+            }
+            Purpose::Import { .. } => false,
+        })
+    }
+
+    fn drop_export(&mut self, place: usize, id: TransferId) {
+        let store = &mut self.stores[place];
+        store.queue.finish();
+        if let Some(state) = store.transfers.remove(&id)
+            && let Purpose::Export { tier, saved, .. } = state.purpose
+        {
+            let name = store.sizes.name.clone();
+            self.saving.note_lost(saved.entry.prefix_key, &name, tier);
+        }
+    }
+
     pub(super) fn transferred(&mut self, place: usize, id: TransferId) {
         let now = self.now;
         let store = &mut self.stores[place];
@@ -138,7 +164,7 @@
                 Purpose::Import { runner, context, tokens, waiters, .. } => {
                     self.imported(runner, context, tokens, &waiters, took);
                 }
-                Purpose::Export { context, tier, saved } => {
+                Purpose::Export { context, tier, saved, .. } => {
                     self.exported(place, context, tier, saved);
                 }
             }
@@ -190,28 +216,24 @@
         }
     }
 
-    pub(super) fn export(
-        &mut self,
-        runner: usize,
-        context: ContextId,
-        account: &str,
-        decision: SaveDecision,
-    ) {
+    pub(super) fn export(&mut self, decision: SaveDecision) {
+        let context = context_of(decision.prefix_key);
+        let Some(runner) = self.runner_places.get(&decision.runner).copied() else { return };
         let Some(store) = self.store_places.get(&decision.store).copied() else { return };
         let centre = self.stores[store].data_centre;
         if self.stores[store].down || !self.reaches(self.runners[runner].data_centre, centre) {
-            self.saving.note_lost(decision.prefix_key, &decision.store);
+            self.saving.note_lost(decision.prefix_key, &decision.store, decision.tier);
             return;
         }
         let entry = SavedEntry {
             prefix_key: decision.prefix_key,
-            account: account.to_string(),
+            account: decision.account.clone(),
             tokens: decision.tokens,
             size_bytes: decision.size_bytes,
             last_used_at: self.instant(),
         };
         let saved = Saved { tokens: decision.tokens, entry };
-        let purpose = Purpose::Export { context, tier: decision.tier, saved };
+        let purpose = Purpose::Export { runner, context, tier: decision.tier, saved };
         let transfer = self.add_transfer(store, purpose, decision.size_bytes);
         self.ask_for_link(store, transfer);
     }
@@ -229,8 +251,8 @@
         };
         let gone = self.stores[place].put(context, tier, saved, &self.saving, now);
         for (context, key) in gone {
-            self.beliefs.remove_saved(context, &name);
-            self.saving.note_lost(key, &name);
+            self.beliefs.remove_saved(context, &name, tier);
+            self.saving.note_lost(key, &name, tier);
         }
         self.beliefs.add_saved(context, copy);
     }
--- a/crates/skylarkpick-replay/src/engine/requests.rs
+++ b/crates/skylarkpick-replay/src/engine/requests.rs
@@ -191,12 +191,14 @@
         let placement = &mut self.entries[entry].placement;
         placement.first_token(&route, &state.route_request, now);
         self.beliefs.set_held(place, prompt.context, prompt.prefix_tokens);
+        self.prefix_tokens.insert(prompt.context.prefix, prompt.prefix_tokens);
         if self.policy.saves() {
             let key = last_key(prompt.context, prompt.prefix_tokens);
             let account = &self.trace.requests[run.request].account;
-            let decisions = self.saving.on_use(key, account, prompt.prefix_tokens, now);
+            let decisions =
+                self.saving.on_use(&route.runner, key, account, prompt.prefix_tokens, now);
             for decision in decisions {
-                self.export(place, prompt.context, account, decision);
+                self.export(decision);
             }
         }
     }
--- a/crates/skylarkpick-replay/src/engine/setup.rs
+++ b/crates/skylarkpick-replay/src/engine/setup.rs
@@ -106,6 +106,7 @@
             to_load: VecDeque::new(),
             loads: 0,
             loads_at_once: 0,
+            prefix_tokens: BTreeMap::new(),
             next_transfer: 0,
         };
         world.begin();
--- a/crates/skylarkpick-replay/src/engine/store.rs
+++ b/crates/skylarkpick-replay/src/engine/store.rs
@@ -24,7 +24,7 @@
     /// Runs that wait for an import to a runner.
     Import { entry: usize, runner: usize, context: ContextId, tokens: u64, waiters: Vec<RunId> },
     /// A copy to save.
-    Export { context: ContextId, tier: StoreTier, saved: Saved },
+    Export { runner: usize, context: ContextId, tier: StoreTier, saved: Saved },
 }
 
 /// A transfer that waits or is under way.
--- a/crates/skylarkpick-replay/src/engine/world.rs
+++ b/crates/skylarkpick-replay/src/engine/world.rs
@@ -3,7 +3,7 @@
 use super::{
     admission::Admission,
     agenda::{Agenda, ContextId, Event, RunId},
-    beliefs::Beliefs,
+    beliefs::{Beliefs, last_key},
     runner::FakeRunner,
     store::FakeStore,
 };
@@ -87,6 +87,8 @@
     pub(super) to_load: VecDeque<usize>,
     pub(super) loads: usize,
     pub(super) loads_at_once: usize,
+    /// Tokens of each prefix at its last use.
+    pub(super) prefix_tokens: BTreeMap<usize, u64>,
     pub(super) next_transfer: TransferId,
 }
 
@@ -176,10 +178,20 @@
         Duration::from_secs_f64(milliseconds / 1_000.0)
     }
 
+    /// Tells the saving policy what was evicted; the lag of cache events is left out.
+    fn note_evicted(&mut self, runner: usize, context: ContextId, tokens: u64) {
+        let whole = self.prefix_tokens.get(&context.prefix).copied().unwrap_or_default();
+        if tokens < whole {
+            let key = last_key(context, whole);
+            self.saving.on_evicted(&self.runners[runner].name, key);
+        }
+    }
+
     /// Publishes changes of a runner's cache, which the directory learns late.
     pub(super) fn publish(&mut self, runner: usize, changes: Vec<(ContextId, u64)>) {
         let at = self.now + Duration::from_millis(self.trace.fleet.cache_event_age_ms);
         for (context, tokens) in changes {
+            self.note_evicted(runner, context, tokens);
             self.agenda.add(at, Event::Believe { runner, context, tokens });
         }
     }
--- a/crates/skylarkpick-schedule/src/saving.rs
+++ b/crates/skylarkpick-schedule/src/saving.rs
@@ -3,6 +3,7 @@
 mod policy;
 mod returns;
 mod types;
+mod warmth;
 
 pub use policy::SavingPolicy;
 pub use types::{SaveDecision, SavedEntry, SavingSettings, StoreRoom};
--- a/crates/skylarkpick-schedule/src/saving/policy.rs
+++ b/crates/skylarkpick-schedule/src/saving/policy.rs
@@ -3,6 +3,7 @@
 use super::{
     returns::{ReturnTable, UseHistory},
     types::{SaveDecision, SavedEntry, SavingSettings, StoreRoom},
+    warmth::{CoolingPrefix, Warmth},
 };
 use crate::route::Backlog;
 use skylarkpick_interface::{AccountId, PrefixKey, StoreId, StoreTier};
@@ -18,6 +19,9 @@
 /// Seconds of exports that may wait for a link before no more are begun.
 const EXPORT_QUEUE_SECONDS: f64 = 4.0;
 
+/// Worth of a copy that some runner's cache holds too, in proportion to one that is alone.
+const WARM_WORTH_SHARE: f64 = 0.01;
+
 /// Decides what is saved where, and what gives way.
 ///
 /// The value of a copy is the chance that the prefix returns times the seconds that computing
@@ -29,7 +33,8 @@
     returns: ReturnTable,
     rooms: BTreeMap<StoreId, StoreRoom>,
     exports: BTreeMap<StoreId, Backlog>,
-    saved: HashMap<PrefixKey, Vec<StoreId>>,
+    saved: HashMap<PrefixKey, Vec<(StoreId, StoreTier)>>,
+    warmth: Warmth,
     uses_since_sweep: u64,
 }
 
@@ -40,7 +45,7 @@
     /// use skylarkpick_schedule::{SavingPolicy, SavingSettings};
     /// use std::time::Instant;
     /// let mut policy = SavingPolicy::open(SavingSettings::default());
-    /// assert!(policy.on_use(1, "account", 4_096, Instant::now()).is_empty());
+    /// assert!(policy.on_use("runner", 1, "account", 4_096, Instant::now()).is_empty());
     /// ```
     pub fn open(settings: SavingSettings) -> SavingPolicy {
         SavingPolicy {
@@ -50,6 +55,7 @@
             rooms: BTreeMap::new(),
             exports: BTreeMap::new(),
             saved: HashMap::new(),
+            warmth: Warmth::default(),
             uses_since_sweep: 0,
         }
     }
@@ -60,18 +66,19 @@
     }
 
     /// Notes that a store holds a copy, so that it is not saved there again.
-    pub fn note_saved(&mut self, prefix_key: PrefixKey, store: &str) {
-        let stores = self.saved.entry(prefix_key).or_default();
-        if !stores.iter().any(|known| known == store) {
-            stores.push(store.to_string());
+    pub fn note_saved(&mut self, prefix_key: PrefixKey, store: &str, tier: StoreTier) {
+        let copies = self.saved.entry(prefix_key).or_default();
+        let copy = (store.to_string(), tier);
+        if !copies.contains(&copy) {
+            copies.push(copy);
         }
     }
 
     /// Notes that a store holds a copy no longer, or that saving it failed.
-    pub fn note_lost(&mut self, prefix_key: PrefixKey, store: &str) {
-        if let Some(stores) = self.saved.get_mut(&prefix_key) {
-            stores.retain(|known| known != store);
-            if stores.is_empty() {
+    pub fn note_lost(&mut self, prefix_key: PrefixKey, store: &str, tier: StoreTier) {
+        if let Some(copies) = self.saved.get_mut(&prefix_key) {
+            copies.retain(|(known, known_tier)| known != store || *known_tier != tier);
+            if copies.is_empty() {
                 self.saved.remove(&prefix_key);
             }
         }
@@ -80,7 +87,7 @@
     /// Notes that a store has lost all that it held.
     pub fn note_store_emptied(&mut self, store: &str) {
         self.saved.retain(|_, stores| {
-            stores.retain(|known| known != store);
+            stores.retain(|(known, _)| known != store);
             !stores.is_empty()
         });
     }
@@ -89,35 +96,80 @@
     /// copies to save, each counted as begun.
     pub fn on_use(
         &mut self,
+        runner: &str,
         prefix_key: PrefixKey,
-        _account: &str,
+        account: &str,
         tokens: u64,
         now: Instant,
     ) -> Vec<SaveDecision> {
         let uses = self.note_use(prefix_key, now);
         self.sweep(now);
-        if tokens < self.settings.tokens_floor || uses < self.settings.uses_floor {
-            return Vec::new();
+        let share = self.settings.cooling_share;
+        let cooling = self.warmth.note_use(runner, prefix_key, account, tokens, share);
+        let mut decisions = Vec::new();
+        if uses >= self.settings.uses_floor {
+            let first = CoolingPrefix { prefix_key, account: account.to_string(), tokens };
+            let tier = self.settings.saves_cooling.then_some(StoreTier::Disk);
+            decisions.extend(self.save(runner, first, tier, now));
         }
+        if self.settings.saves_cooling {
+            for prefix in cooling {
+                decisions.extend(self.save(runner, prefix, Some(StoreTier::Memory), now));
+            }
+        }
+        decisions
+    }
+
+    /// Notes that a runner has evicted a prefix, by its cache events.
+    pub fn on_evicted(&mut self, runner: &str, prefix_key: PrefixKey) {
+        self.warmth.note_evicted(runner, prefix_key);
+    }
+
+    /// Decides about one prefix: in one tier, or in any if there is no copy at all.
+    fn save(
+        &mut self,
+        runner: &str,
+        prefix: CoolingPrefix,
+        wanted_tier: Option<StoreTier>,
+        now: Instant,
+    ) -> Vec<SaveDecision> {
+        let CoolingPrefix { prefix_key, account, tokens } = prefix;
         let value_seconds = self.value_seconds(prefix_key, tokens, now);
         let size_bytes = tokens * self.settings.context_bytes_per_token;
         let per_gigabyte = value_seconds / (size_bytes as f64 / GIGABYTE).max(1e-9);
-        if per_gigabyte < self.settings.seconds_per_gigabyte_floor {
+        let is_worth_it = per_gigabyte >= self.settings.seconds_per_gigabyte_floor;
+        if tokens < self.settings.tokens_floor || !is_worth_it {
             return Vec::new();
         }
         let copies = if value_seconds >= self.settings.two_copies_seconds { 2 } else { 1 };
         let mut decisions = Vec::new();
-        while self.saved.get(&prefix_key).map_or(0, Vec::len) < copies {
-            let Some((store, tier)) = self.pick_store(prefix_key, size_bytes, now) else { break };
-            self.begin_export(&store, size_bytes, now);
-            self.note_saved(prefix_key, &store);
-            let decision =
-                SaveDecision { store, tier, prefix_key, tokens, size_bytes, value_seconds };
-            decisions.push(decision);
+        while self.copies(prefix_key, wanted_tier) < copies {
+            let picked = self.pick_store(prefix_key, size_bytes, wanted_tier, now);
+            let Some((store, tier)) = picked else { break };
+            self.begin_export(&store, tier, size_bytes, now);
+            self.note_saved(prefix_key, &store, tier);
+            decisions.push(SaveDecision {
+                runner: runner.to_string(),
+                account: account.clone(),
+                store,
+                tier,
+                prefix_key,
+                tokens,
+                size_bytes,
+                value_seconds,
+            });
         }
         decisions
     }
 
+    /// Copies of a prefix; a copy in memory also stands for one on disk.
+    fn copies(&self, prefix_key: PrefixKey, tier: Option<StoreTier>) -> usize {
+        let counts = |(_, known): &&(StoreId, StoreTier)| {
+            tier != Some(StoreTier::Memory) || *known == StoreTier::Memory
+        };
+        self.saved.get(&prefix_key).map_or(0, |copies| copies.iter().filter(counts).count())
+    }
+
     /// Seconds of recomputing that a copy of a prefix is expected to spare.
     pub fn value_seconds(&self, prefix_key: PrefixKey, tokens: u64, now: Instant) -> f64 {
         let history = self.prefixes.get(&prefix_key);
@@ -181,7 +233,8 @@
     fn worth(&self, entry: &SavedEntry, now: Instant) -> f64 {
         let away = now.saturating_duration_since(entry.last_used_at).as_secs_f64();
         let value = self.value_seconds(entry.prefix_key, entry.tokens, now);
-        value / entry.size_bytes.max(1) as f64 / (1.0 + away)
+        let warmth = if self.warmth.is_warm(entry.prefix_key) { WARM_WORTH_SHARE } else { 1.0 };
+        warmth * value / entry.size_bytes.max(1) as f64 / (1.0 + away)
     }
 
     fn note_use(&mut self, prefix_key: PrefixKey, now: Instant) -> u32 {
@@ -212,19 +265,19 @@
         });
     }
 
-    /// The store with the shortest export queue that has room, memory before disk.
+    /// The store with the shortest export queue that takes the copy, and the tier there.
     fn pick_store(
         &self,
         prefix_key: PrefixKey,
         size_bytes: u64,
+        wanted_tier: Option<StoreTier>,
         now: Instant,
     ) -> Option<(StoreId, StoreTier)> {
-        let holders = self.saved.get(&prefix_key);
-        let free = |room: &&StoreRoom| {
+        let takes = |room: &&StoreRoom| {
+            let tier = pick_tier(room, size_bytes, wanted_tier);
             room.usable
-                && holders.is_none_or(|stores| !stores.contains(&room.store))
+                && tier.is_some_and(|tier| !self.holds(prefix_key, &room.store, tier))
                 && self.export_seconds(room, now) < EXPORT_QUEUE_SECONDS
-                && size_bytes <= room.memory_size_bytes.max(room.disk_size_bytes)
         };
         let by_queue = |left: &&StoreRoom, right: &&StoreRoom| {
             let (left_seconds, right_seconds) =
@@ -234,11 +287,16 @@
                 .then(right.memory_free_bytes.cmp(&left.memory_free_bytes))
                 .then(left.store.cmp(&right.store))
         };
-        let room = self.rooms.values().filter(free).min_by(by_queue)?;
-        let in_memory = size_bytes <= room.memory_free_bytes
-            || (size_bytes > room.disk_free_bytes && size_bytes <= room.memory_size_bytes);
-        let tier = if in_memory { StoreTier::Memory } else { StoreTier::Disk };
-        Some((room.store.clone(), tier))
+        let room = self.rooms.values().filter(takes).min_by(by_queue)?;
+        Some((room.store.clone(), pick_tier(room, size_bytes, wanted_tier)?))
+    }
+
+    /// Whether a store has the copy in this tier, or at all if disk is asked for.
+    fn holds(&self, prefix_key: PrefixKey, store: &str, tier: StoreTier) -> bool {
+        let same = |(known, known_tier): &(StoreId, StoreTier)| {
+            known == store && (tier == StoreTier::Disk || *known_tier == tier)
+        };
+        self.saved.get(&prefix_key).is_some_and(|copies| copies.iter().any(same))
     }
 
     fn export_rate(&self, room: &StoreRoom) -> f64 {
@@ -250,14 +308,30 @@
         self.exports.get(&room.store).map_or(0.0, |queue| queue.estimate(rate, now) / rate)
     }
 
-    fn begin_export(&mut self, store: &str, size_bytes: u64, now: Instant) {
+    fn begin_export(&mut self, store: &str, tier: StoreTier, size_bytes: u64, now: Instant) {
         let Some(room) = self.rooms.get_mut(store) else { return };
-        if size_bytes <= room.memory_free_bytes {
-            room.memory_free_bytes -= size_bytes;
-        } else {
-            room.disk_free_bytes = room.disk_free_bytes.saturating_sub(size_bytes);
-        }
+        let free_bytes = match tier {
+            StoreTier::Memory => &mut room.memory_free_bytes,
+            StoreTier::Disk => &mut room.disk_free_bytes,
+        };
+        *free_bytes = free_bytes.saturating_sub(size_bytes);
         let rate = (room.link_bytes_per_second * self.settings.export_link_share).max(1.0);
         self.exports.entry(store.to_string()).or_default().add(size_bytes as f64, rate, now);
     }
 }
+
+/// Tier of a store for a copy: the wanted one, or memory while there is room and then disk.
+fn pick_tier(
+    room: &StoreRoom,
+    size_bytes: u64,
+    wanted_tier: Option<StoreTier>,
+) -> Option<StoreTier> {
+    let fits = |tier: &StoreTier| match tier {
+        StoreTier::Memory => size_bytes <= room.memory_size_bytes,
+        StoreTier::Disk => size_bytes <= room.disk_size_bytes,
+    };
+    let has_memory_free = size_bytes <= room.memory_free_bytes;
+    let usual = if has_memory_free { StoreTier::Memory } else { StoreTier::Disk };
+    let wanted = wanted_tier.unwrap_or(usual);
+    [wanted, StoreTier::Disk, StoreTier::Memory].into_iter().find(fits)
+}
--- a/crates/skylarkpick-schedule/src/saving/tests.rs
+++ b/crates/skylarkpick-schedule/src/saving/tests.rs
@@ -26,7 +26,7 @@
         memory_free_bytes: u64,
         saved: Vec<StoreTier>,
     }
-    let settings = SavingSettings::default();
+    let settings = SavingSettings { saves_cooling: false, ..SavingSettings::default() };
     let cases = [
         Case {
             name: "a long prefix goes to memory",
@@ -44,6 +44,14 @@
             memory_free_bytes: 0,
             saved: vec![StoreTier::Disk],
         },
+        Case {
+            name: "when memory is kept for cooling prefixes, the first copy goes to disk",
+            settings: SavingSettings { saves_cooling: true, ..settings },
+            tokens: 32_768,
+            uses: 1,
+            memory_free_bytes: 64 << 30,
+            saved: vec![StoreTier::Disk],
+        },
         Case {
             name: "a short prefix is not worth it",
             settings,
@@ -76,7 +84,7 @@
         policy.set_store(room("tala-cache-b", case.memory_free_bytes));
         let mut saved = Vec::new();
         for _ in 0..case.uses {
-            saved.extend(policy.on_use(1, "davao", case.tokens, now));
+            saved.extend(policy.on_use("runner-1", 1, "davao", case.tokens, now));
         }
         let tiers: Vec<StoreTier> = saved.iter().map(|decision| decision.tier).collect();
         assert_eq!(tiers, case.saved, "{}", case.name);
@@ -88,11 +96,12 @@
     let now = Instant::now();
     let mut policy = SavingPolicy::open(SavingSettings::default());
     policy.set_store(room("tala-cache", 64 << 30));
-    let begun = (0..64).filter(|key| !policy.on_use(*key, "davao", 32_768, now).is_empty());
+    let begun =
+        (0..64).filter(|key| !policy.on_use("runner-1", *key, "davao", 32_768, now).is_empty());
     let at_once = begun.count();
     assert!(at_once < 64, "{at_once} exports at once");
     let later = now + Duration::from_secs(60);
-    assert!(!policy.on_use(100, "davao", 32_768, later).is_empty());
+    assert!(!policy.on_use("runner-1", 100, "davao", 32_768, later).is_empty());
 }
 
 #[test]
@@ -111,3 +120,24 @@
     assert_eq!(policy.evict(&entries, 400, 100, now), vec![3]);
     assert_eq!(policy.evict(&entries, 400, 200, now), vec![3, 1]);
 }
+
+#[test]
+fn a_prefix_about_to_be_evicted_goes_to_memory() {
+    let mut now = Instant::now();
+    let mut policy = SavingPolicy::open(SavingSettings::default());
+    policy.set_store(room("tala-cache", 64 << 30));
+    let mut to_memory = Vec::new();
+    for key in 0..12 {
+        now += Duration::from_secs(30);
+        for decision in policy.on_use("runner-1", key, "davao", 8_192, now) {
+            if decision.tier == StoreTier::Memory {
+                to_memory.push((key, decision.prefix_key));
+            }
+        }
+        if key >= 4 {
+            policy.on_evicted("runner-1", key - 4);
+        }
+    }
+    assert!(to_memory.contains(&(8, 6)), "{to_memory:?}");
+    assert!(to_memory.iter().all(|(used, saved)| used > saved), "{to_memory:?}");
+}
--- a/crates/skylarkpick-schedule/src/saving/types.rs
+++ b/crates/skylarkpick-schedule/src/saving/types.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of the saving policy.
 
-use skylarkpick_interface::{AccountId, PrefixKey, StoreId, StoreTier};
+use skylarkpick_interface::{AccountId, PrefixKey, RunnerId, StoreId, StoreTier};
 use std::time::{Duration, Instant};
 
 /// Rules of the saving policy.
@@ -22,6 +22,12 @@
     pub two_copies_seconds: f64,
     /// Share of a store's room that one account may fill while others want room.
     pub account_share_limit: f64,
+    /// Whether memory is kept for prefixes that the runners are about to evict, and the first
+    /// copy goes to disk.
+    pub saves_cooling: bool,
+    /// Share of a runner's cache, most recently used first, beyond which a prefix is about to
+    /// be evicted.
+    pub cooling_share: f64,
     /// Time after which a prefix that did not return is forgotten.
     pub forgotten_after: Duration,
 }
@@ -37,6 +43,8 @@
             seconds_per_gigabyte_floor: 0.02,
             two_copies_seconds: 4.0,
             account_share_limit: 0.5,
+            saves_cooling: true,
+            cooling_share: 0.9,
             forgotten_after: Duration::from_secs(4 * 24 * 3_600),
         }
     }
@@ -64,6 +72,10 @@
 /// One copy to save.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SaveDecision {
+    /// Runner that holds the prefix.
+    pub runner: RunnerId,
+    /// Client account that owns it.
+    pub account: AccountId,
     /// Store that receives the copy.
     pub store: StoreId,
     /// Where in the store.
