--- a/crates/skylarkpick-schedule/src/saving/tests.rs
+++ b/crates/skylarkpick-schedule/src/saving/tests.rs
@@ -124,7 +124,8 @@
 #[test]
 fn a_prefix_about_to_be_evicted_goes_to_memory() {
     let mut now = Instant::now();
-    let mut policy = SavingPolicy::open(SavingSettings::default());
+    let settings = SavingSettings { cooling_share: 0.6, ..SavingSettings::default() };
+    let mut policy = SavingPolicy::open(settings);
     policy.set_store(room("tala-cache", 64 << 30));
     let mut to_memory = Vec::new();
     for key in 0..12 {
