Let saved copies give way by the expected wait for their return

Cause: a prefix that was away longest went first, which is wrong where prefixes return after like gaps.

Change: the policy learns the gaps after which prefixes return, by classes of doubling length, and ranks copies by chance x seconds to recompute / bytes / seconds that they are expected to stay away yet.

--- a/crates/skylarkpick-schedule/src/saving/policy.rs
+++ b/crates/skylarkpick-schedule/src/saving/policy.rs
@@ -198,7 +198,10 @@
         let mut by_worth: Vec<(f64, &SavedEntry)> =
             entries.iter().map(|entry| (rank(entry), entry)).collect();
         by_worth.sort_by(|left, right| {
-            left.0.total_cmp(&right.0).then(left.1.prefix_key.cmp(&right.1.prefix_key))
+            left.0
+                .total_cmp(&right.0)
+                .then(left.1.last_used_at.cmp(&right.1.last_used_at))
+                .then(left.1.prefix_key.cmp(&right.1.prefix_key))
         });
         let mut freed_bytes = 0;
         let mut evicted = Vec::new();
@@ -229,12 +232,13 @@
         self.prefixes.is_empty()
     }
 
-    /// Expected seconds spared for each byte kept; of equals, the one away longest goes first.
+    /// Expected seconds spared in a second for each byte kept.
     fn worth(&self, entry: &SavedEntry, now: Instant) -> f64 {
-        let away = now.saturating_duration_since(entry.last_used_at).as_secs_f64();
+        let away = now.saturating_duration_since(entry.last_used_at);
+        let wait_seconds = self.returns.expected_wait_seconds(away);
         let value = self.value_seconds(entry.prefix_key, entry.tokens, now);
         let warmth = if self.warmth.is_warm(entry.prefix_key) { WARM_WORTH_SHARE } else { 1.0 };
-        warmth * value / entry.size_bytes.max(1) as f64 / (1.0 + away)
+        warmth * value / entry.size_bytes.max(1) as f64 / wait_seconds
     }
 
     fn note_use(&mut self, prefix_key: PrefixKey, now: Instant) -> u32 {
--- a/crates/skylarkpick-schedule/src/saving/returns.rs
+++ b/crates/skylarkpick-schedule/src/saving/returns.rs
@@ -10,6 +10,8 @@
 const FIRST_CLASS_SECONDS: f64 = 1.0;
 /// Classes of gaps: up to about 12 days.
 const CLASSES: usize = 21;
+/// Shortest expected wait as a share of the mean gap of a class.
+const SHORTEST_WAIT_SHARE: f64 = 0.1;
 /// Return chance of a prefix while nothing is known of any.
 const PRIOR_CHANCE: f64 = 0.5;
 /// Observations that the prior counts for.
@@ -47,6 +49,8 @@
 pub(super) struct ReturnTable {
     /// Returns by the class of their gap.
     returned: [f64; CLASSES],
+    /// Sum of the gaps in seconds by class.
+    gap_seconds: [f64; CLASSES],
     /// Prefixes given up by the class of the time that they stayed away.
     given_up: [f64; CLASSES],
     first_uses: f64,
@@ -57,6 +61,7 @@
     pub(super) fn open() -> ReturnTable {
         ReturnTable {
             returned: [0.0; CLASSES],
+            gap_seconds: [0.0; CLASSES],
             given_up: [0.0; CLASSES],
             first_uses: 0.0,
             second_uses: 0.0,
@@ -69,6 +74,7 @@
 
     pub(super) fn note_return(&mut self, gap: Duration, uses_now: u32) {
         self.returned[class_of(gap)] += 1.0;
+        self.gap_seconds[class_of(gap)] += gap.as_secs_f64();
         if uses_now == 2 {
             self.second_uses += 1.0;
         }
@@ -78,6 +84,24 @@
         self.given_up[class_of(after)] += 1.0;
     }
 
+    /// Seconds that a prefix away for `away` is expected to stay away yet, if it returns.
+    ///
+    /// The mean, over the gaps seen that were longer than `away`, of what was left of them.
+    pub(super) fn expected_wait_seconds(&self, away: Duration) -> f64 {
+        let away_seconds = away.as_secs_f64();
+        let (mut waits, mut count) = (away_seconds + FIRST_CLASS_SECONDS, 1.0);
+        for class in class_of(away)..CLASSES {
+            let returned = self.returned[class];
+            if returned > 0.0 {
+                let mean_seconds = self.gap_seconds[class] / returned;
+                let wait_seconds = mean_seconds - away_seconds;
+                waits += returned * wait_seconds.max(SHORTEST_WAIT_SHARE * mean_seconds);
+                count += returned;
+            }
+        }
+        waits / count
+    }
+
     /// Chance that a prefix used `uses` times and away for `away` returns.
     ///
     /// Of the uses so far, the share that was followed by a gap longer than `away`, over that
