--- a/crates/skylarkpick-entry/src/front/operators.rs
+++ b/crates/skylarkpick-entry/src/front/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' paths: configuration and state.
 
-use super::answer::Answer;
+use super::{answer::Answer, json::read_json};
 use crate::{
     entry::Entry,
     failure::{Failure, FailureCode},
@@ -35,6 +35,9 @@
         (&Method::GET, "/v1/configuration/history") => {
             Ok(json_response(StatusCode::OK, &read(entry).await?.history))
         }
+        (&Method::GET, "/v1/configuration/status") => {
+            Ok(json_response(StatusCode::OK, &entry.configuration_status().await))
+        }
         (&Method::GET, "/state") => Ok(json_response(StatusCode::OK, &entry.state().await)),
         _ => Err(Failure::not_run(FailureCode::NotFound, "no such path")),
     }
@@ -47,8 +50,7 @@
 }
 
 async fn patch(entry: &Entry, account: &str, content: &[u8]) -> Result<Answer, Failure> {
-    let patch: Patch = serde_json::from_slice(content)
-        .map_err(|error| Failure::not_run(FailureCode::BadRequest, error.to_string()))?;
+    let patch: Patch = read_json(content)?;
     match entry.patch(&patch, account).await {
         PatchOutcome::Accepted(version) => {
             let body = json!({"patch_id": patch.patch_id, "version": version});
