Learn the size of a runner's cache with the evicted prefix in it

Change: the size learned from an eviction counts the evicted prefix itself, and the newest prefix never counts as about to be evicted. The saving test reports evictions before the use that causes them, as runners do; its bound is the same.

--- a/crates/skylarkpick-schedule/src/saving/tests.rs
+++ b/crates/skylarkpick-schedule/src/saving/tests.rs
@@ -130,14 +130,15 @@
     let mut to_memory = Vec::new();
     for key in 0..12 {
         now += Duration::from_secs(30);
+        // A runner evicts when it computes, which is before the use is noted.
+        if key >= 4 {
+            policy.on_evicted("runner-1", key - 4);
+        }
         for decision in policy.on_use("runner-1", key, "davao", 8_192, now) {
             if decision.tier == StoreTier::Memory {
                 to_memory.push((key, decision.prefix_key));
             }
         }
-        if key >= 4 {
-            policy.on_evicted("runner-1", key - 4);
-        }
     }
     assert!(to_memory.contains(&(8, 6)), "{to_memory:?}");
     assert!(to_memory.iter().all(|(used, saved)| used > saved), "{to_memory:?}");
--- a/crates/skylarkpick-schedule/src/saving/warmth.rs
+++ b/crates/skylarkpick-schedule/src/saving/warmth.rs
@@ -102,10 +102,10 @@
 }
 
 impl RunnerCache {
-    /// Tokens used since the last use of a prefix.
+    /// Tokens of a prefix and of those used since.
     fn depth(&self, prefix_key: PrefixKey) -> Option<f64> {
         let last_use = self.held.get(&prefix_key)?.last_use;
-        let newer = self.by_use.range(last_use + 1..).map(|(_, key)| self.held[key].tokens);
+        let newer = self.by_use.range(last_use..).map(|(_, key)| self.held[key].tokens);
         Some(newer.sum::<u64>() as f64)
     }
 
@@ -113,10 +113,11 @@
         let Some(size_tokens) = self.size_tokens else { return Vec::new() };
         let mut depth = 0.0;
         let mut cooling = Vec::new();
-        for key in self.by_use.values().rev() {
+        for (place, key) in self.by_use.values().rev().enumerate() {
             let Some(held) = self.held.get_mut(key) else { continue };
             depth += held.tokens as f64;
-            if depth > cooling_share * size_tokens && !held.cooled {
+            let is_newest = place == 0;
+            if depth > cooling_share * size_tokens && !is_newest && !held.cooled {
                 held.cooled = true;
                 cooling.push(CoolingPrefix {
                     prefix_key: *key,
