--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -1,22 +1,23 @@
 //! An entry process without its doors.
 
 use crate::{
+    claimed_call::open_claims,
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install},
     failure::Failure,
     in_force::InForce,
     parts::EntryParts,
     peers::{ConfigurationStatus, Peers},
-    request::{CallRequest, CompletionRequest},
+    request::{CallReply, CallRequest, CompletionRequest},
     router_actor::{ReadCandidates, RouterActor},
     service_call,
     state_dump::{RunnerState, StateDump},
 };
 use kameo::{actor::Spawn, prelude::ActorRef};
+use skylarkpick_claims::ClaimLog;
 use skylarkpick_config::{
     ConfigurationKeeper, ConfigurationRecord, Patch, PatchOutcome, ReadError,
 };
-use skylarkpick_interface::ServiceReply;
 use std::sync::{
     Arc,
     atomic::{AtomicBool, AtomicU64, Ordering},
@@ -36,6 +37,7 @@
     pub(crate) router: ActorRef<RouterActor>,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
+    pub(crate) claims: ClaimLog,
     configuration: ActorRef<ConfigurationActor>,
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
@@ -50,12 +52,14 @@
         let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre, parts.seed));
         let peers = Peers::spawn(&parts, in_force.clone(), configuration.clone(), router.clone());
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
+        let claims = open_claims(&parts);
         let shared = Shared {
             parts,
             in_force,
             router,
             requests_under_way: AtomicU64::new(0),
             next_service_instance: AtomicU64::new(0),
+            claims,
             configuration,
             keeper,
             draining: AtomicBool::new(false),
@@ -108,7 +112,7 @@
     ///
     /// # Errors
     /// With whether the call ran.
-    pub async fn call(&self, request: CallRequest) -> Result<ServiceReply, Failure> {
+    pub async fn call(&self, request: CallRequest) -> Result<CallReply, Failure> {
         service_call::call(&self.shared, request).await
     }
 
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! outside systems. [`Front`] puts the callers' and operators' HTTP before an entry.
 
 mod attempts;
+mod claimed_call;
 mod completion;
 mod configuration_actor;
 mod entry;
@@ -26,5 +27,5 @@
 pub use peers::{
     ConfigurationStatus, DirectoryPart, PeerProcess, Peers, PeersState, PeersView, ProcessStatus,
 };
-pub use request::{AnswerEvent, CallRequest, CompletionRequest};
+pub use request::{AnswerEvent, CallReply, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
