--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -24,6 +24,9 @@
     pub authority_certificate: Option<SecretSource>,
     /// Key of that authority in PEM, from which the process issues its own certificate.
     pub authority_key: Option<SecretSource>,
+    /// Key of resume tokens, the same in the whole fleet; without one, a stream can be taken up
+    /// again only at the process that it began at.
+    pub resume_key: Option<SecretSource>,
     /// Limits on input and waiting.
     pub limits: Limits,
 }
--- a/crates/skylarkpick-entry/src/front/routes.rs
+++ b/crates/skylarkpick-entry/src/front/routes.rs
@@ -29,6 +29,7 @@
     Route { path: "/live", methods: &["GET"], access: Access::Anyone },
     Route { path: "/ready", methods: &["GET"], access: Access::Anyone },
     Route { path: "/v1/completions", methods: &["POST"], access: Access::Caller },
+    Route { path: "/v1/completions/resume", methods: &["GET", "POST"], access: Access::Caller },
     Route { path: "/v1/services/*", methods: ANY_METHOD, access: Access::Caller },
     Route { path: "/v1/configuration", methods: &["GET", "PATCH"], access: Access::Operator },
     Route { path: "/v1/configuration/history", methods: &["GET"], access: Access::Operator },
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -20,6 +20,8 @@
     pub is_ready: bool,
     /// Requests that have no answer yet.
     pub requests_under_way: u64,
+    /// Runs that wait for a caller to come back.
+    pub runs_retained: usize,
     /// Other entry processes, and who does what among them.
     pub peers: PeersState,
     /// What is known of the runners.
--- a/crates/skylarkpick-entry/tests/claimed_calls.rs
+++ b/crates/skylarkpick-entry/tests/claimed_calls.rs
@@ -44,6 +44,7 @@
             connector: connector.clone(),
             peers: NoPeers::open(),
             clock: clock.clone(),
+            resume_key: None,
             seed: index as u64,
         })
     });
--- a/crates/skylarkpick-scenario/src/callers.rs
+++ b/crates/skylarkpick-scenario/src/callers.rs
@@ -167,6 +167,7 @@
                         record.cached_tokens = cached_tokens;
                     });
                 }
+                AnswerEvent::Moved { .. } => {}
                 AnswerEvent::Token { text, .. } => self.update(id, |record| {
                     record.first_token_at.get_or_insert_with(Instant::now);
                     record.tokens.push(text);
