Ask the admission before anything is sent

Cause: the decisions on queues, limits, retries and ejection stood unused: one account's flood delayed every other, and a failing runner went on getting runs. Change: one actor owns them; a request enters before its first attempt and is refused at once, as not run and with a time to come back, when its account is over its limits or its deadline cannot be met. Attempts prefer runners below their in-flight limit, take a retry from the budget unless the answer has begun, and tell how runs ended; the router leaves ejected runners out. The state dump shows queues, limits and ejections. Scenario steps send many at once and sum up. Conclusion: shares of an account's limit still come from one process's demand alone.

--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -6,18 +6,18 @@
 //! the tokens already delivered.
 
 use crate::{
+    admission::News,
     completion::UnderWay,
     entry::Shared,
     failure::{Failure, FailureCode, Ran},
+    in_force::InForce,
     request::{AnswerEvent, CompletionRequest},
     router_actor::{Choose, Observed},
     streams::{AnswerProgress, FrameSink, FrameStep, RunFollower, RunGuard, StreamEnd},
     streams::{milliseconds, seal_token},
 };
 use async_trait::async_trait;
-use skylarkpick_interface::{
-    AttemptId, ConfigurationVersion, PrefixKey, RunRequest, StartError, WeightVersion,
-};
+use skylarkpick_interface::{AttemptId, PrefixKey, RunRequest, StartError, WeightVersion};
 use skylarkpick_protocol::resume::ResumeClaims;
 use skylarkpick_schedule::{Route, RouteRequest};
 use std::{sync::Arc, time::Duration};
@@ -31,10 +31,12 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) request: CompletionRequest,
     pub(crate) route_request: Arc<RouteRequest>,
-    pub(crate) configuration_version: ConfigurationVersion,
+    /// Configuration that the request was taken under.
+    pub(crate) in_force: Arc<InForce>,
     /// Weights of the answer, fixed by its first frame.
     pub(crate) weight_version: Option<WeightVersion>,
     pub(crate) attempts_limit: u32,
+    pub(crate) retry_percent_limit: u32,
     pub(crate) deadline: Instant,
     pub(crate) events: mpsc::Sender<AnswerEvent>,
     pub(crate) delivered: Vec<String>,
@@ -77,10 +79,21 @@
 
     /// Makes attempts until one gives the whole answer; gives the failure if none does.
     async fn try_all(&mut self) -> Option<Failure> {
+        let desk = self.shared.admission.clone();
+        let prompt_tokens = self.route_request.prompt_tokens;
+        let entered = desk.enter(&self.in_force, &self.request, prompt_tokens, self.deadline);
+        let _permit = match entered.await {
+            Ok(permit) => permit,
+            Err(refusal) => return Some(refusal),
+        };
+        desk.note_first_attempt(self.retry_percent_limit).await;
         let mut last = "no attempt".to_string();
         for attempt_id in 1..=self.attempts_limit {
-            let choice = self.shared.router.ask(Choose(self.route_request.clone())).await;
-            let Ok(route) = choice else {
+            if self.needs_retry_budget() && !desk.may_retry().await {
+                let message = format!("the retry budget is used up ({last})");
+                return Some(self.failure(FailureCode::TargetFailed, message));
+            }
+            let Some(route) = self.choose().await else {
                 let message = format!("no runner can take the request now ({last})");
                 return Some(self.failure(FailureCode::NoTarget, message));
             };
@@ -98,6 +111,25 @@
         Some(self.failure(FailureCode::TargetFailed, last))
     }
 
+    /// Whether another attempt repeats work that may have been done. An answer that has begun
+    /// goes on in any case: giving it up would waste what was done.
+    fn needs_retry_budget(&self) -> bool {
+        self.ran != Ran::NotRun && self.delivered.is_empty()
+    }
+
+    /// Chooses a runner, one below its in-flight limit if there is any.
+    async fn choose(&self) -> Option<Route> {
+        let full = self.shared.admission.full_runners(&self.request.model).await;
+        if !full.is_empty() {
+            let mut request = self.route_request.as_ref().clone();
+            request.avoid.extend(full);
+            if let Ok(route) = self.shared.router.ask(Choose(Arc::new(request))).await {
+                return Some(route);
+            }
+        }
+        self.shared.router.ask(Choose(self.route_request.clone())).await.ok()
+    }
+
     async fn attempt(&mut self, attempt_id: AttemptId, route: &Route) -> AttemptEnd {
         let runner = self.shared.parts.connector.runner(&route.address);
         let run_id = format!("{}.{attempt_id}", self.request.request_id);
@@ -110,14 +142,18 @@
             events: self.events.clone(),
             kept: false,
             had_first_token: false,
+            sent_at: Instant::now(),
+            failed: false,
             ended: false,
         };
+        self.shared.admission.tell(News::Began(route.runner.clone())).await;
         let ran_before = self.ran;
         self.ran = self.ran.or_unknown();
         let frames = match runner.start(self.run_request(&run_id, attempt_id, route)).await {
             Ok(frames) => frames,
             Err(error) => {
                 guard.ended = !matches!(error, StartError::Broken(_));
+                guard.failed = matches!(error, StartError::Broken(_) | StartError::NotReached(_));
                 if guard.ended {
                     self.ran = ran_before;
                 }
@@ -137,6 +173,7 @@
         let mut sink = AttemptSink { attempts: self, guard: &mut guard, attempt_id };
         let end = follower.follow(frames, &mut sink).await;
         guard.ended = matches!(end, StreamEnd::Whole | StreamEnd::GaveUp(_));
+        guard.failed = matches!(end, StreamEnd::Broken(_) | StreamEnd::GaveUp(_));
         match end {
             StreamEnd::Whole | StreamEnd::CallerGone => AttemptEnd::Done,
             StreamEnd::GaveUp(why) => AttemptEnd::GaveUp(why),
@@ -201,7 +238,7 @@
             account: self.request.account.clone(),
             model: self.request.model.clone(),
             weight_version: guard.route.weight_version,
-            configuration_version: self.configuration_version,
+            configuration_version: self.in_force.version,
             prompt_tokens: self.route_request.prompt_tokens,
             cached_tokens,
             expires_at_ms: milliseconds(expires_at),
@@ -233,7 +270,7 @@
             return AnswerEvent::Moved { resume_token };
         }
         self.attempts.fix_weights(weight_version);
-        let configuration_version = self.attempts.configuration_version;
+        let configuration_version = self.attempts.in_force.version;
         AnswerEvent::Started { configuration_version, weight_version, cached_tokens, resume_token }
     }
 }
--- a/crates/skylarkpick-entry/src/completion.rs
+++ b/crates/skylarkpick-entry/src/completion.rs
@@ -105,13 +105,14 @@
         shared,
         request,
         route_request,
-        configuration_version: in_force.version,
         weight_version: None,
         attempts_limit: serving.attempts_limit,
+        retry_percent_limit: serving.retry_percent_limit,
         deadline,
         events: sender,
         delivered: Vec::new(),
         ran: Ran::NotRun,
+        in_force,
     };
     tokio::spawn(attempts.run());
     Ok(AnswerStream::open(events, under_way))
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry process without its doors.
 
 use crate::{
+    admission::{Desk, follow_targets as follow_admission},
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install, follow_platform},
     failure::Failure,
@@ -42,6 +43,7 @@
     pub(crate) router: ActorRef<RouterActor>,
     pub(crate) resume_key: ResumeKey,
     pub(crate) retention: ActorRef<RetentionActor>,
+    pub(crate) admission: Desk,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
     configuration: ActorRef<ConfigurationActor>,
@@ -56,7 +58,9 @@
         let (sender, in_force) = watch::channel(Arc::new(InForce::default()));
         let configuration = ConfigurationActor::spawn(ConfigurationActor::open(sender));
         let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre, parts.seed));
+        let admission = Desk::spawn(parts.clock.clone(), router.clone());
         let mut tasks = JoinSet::new();
+        tasks.spawn(follow_admission(router.clone(), admission.actor()));
         let poll = Duration::from_millis(parts.settings.limits.configuration_poll_ms);
         tasks.spawn(follow_platform(parts.platform.clone(), configuration.clone(), poll));
         tasks.spawn(follow_targets(parts.connector.clone(), in_force.clone(), router.clone()));
@@ -69,6 +73,7 @@
             parts,
             in_force,
             router,
+            admission,
             requests_under_way: AtomicU64::new(0),
             next_service_instance: AtomicU64::new(0),
             configuration,
@@ -156,6 +161,7 @@
             requests_under_way: self.requests_under_way(),
             runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             runners: candidates.into_iter().map(RunnerState::from).collect(),
+            admission: self.shared.admission.state().await,
         }
     }
 }
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Entry::spawn`] starts them on trait objects alone, so that tests and embedders choose the
 //! outside systems. [`Front`] puts the callers' and operators' HTTP before an entry.
 
+mod admission;
 mod attempts;
 mod completion;
 mod configuration_actor;
@@ -17,6 +18,7 @@
 mod state_dump;
 mod streams;
 
+pub use admission::{AdmissionState, ModelAdmission};
 pub use completion::AnswerStream;
 pub use entry::Entry;
 pub use failure::{Failure, FailureCode, Ran};
--- a/crates/skylarkpick-entry/src/router_actor.rs
+++ b/crates/skylarkpick-entry/src/router_actor.rs
@@ -67,6 +67,9 @@
 /// Reads what is known of the runners.
 pub(crate) struct ReadCandidates;
 
+/// Leaves out these runners, and no others, for their failures.
+pub(crate) struct SetEjected(pub(crate) Vec<RunnerId>);
+
 /// What was seen of a runner.
 pub(crate) enum Observed {
     /// A load report.
@@ -105,6 +108,17 @@
     }
 }
 
+impl Message<SetEjected> for RouterActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetEjected, _: &mut Context<Self, Self::Reply>) {
+        let runners: Vec<RunnerId> = self.router.candidates().into_keys().collect();
+        for runner in runners {
+            self.router.set_ejected(&runner, message.0.contains(&runner));
+        }
+    }
+}
+
 impl Message<ReadCandidates> for RouterActor {
     type Reply = BTreeMap<RunnerId, Candidate>;
 
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,5 +1,6 @@
 //! The dump of a process's state, without secrets.
 
+use crate::admission::AdmissionState;
 use serde::Serialize;
 use skylarkpick_interface::{
     ConfigurationVersion, DataCentreId, EntryId, LoadReport, ModelName, RunnerId, WeightVersion,
@@ -23,6 +24,8 @@
     pub runs_retained: usize,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
+    /// Queues, limits and ejected runners.
+    pub admission: AdmissionState,
 }
 
 /// What is known of a runner.
--- a/crates/skylarkpick-entry/src/streams/run_guard.rs
+++ b/crates/skylarkpick-entry/src/streams/run_guard.rs
@@ -1,11 +1,11 @@
 //! Ends what a run holds when its attempt ends.
 
 use super::retention_actor::{Attach, Detach, Release};
-use crate::{entry::Shared, request::AnswerEvent, router_actor::Observed};
+use crate::{admission::News, entry::Shared, request::AnswerEvent, router_actor::Observed};
 use skylarkpick_interface::{RunId, Runner};
 use skylarkpick_schedule::{Route, RouteRequest};
 use std::{sync::Arc, time::Duration};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::Instant};
 
 /// Times that a cancellation is sent to a runner that does not answer.
 const CANCEL_ATTEMPTS_LIMIT: u32 = 3;
@@ -25,6 +25,9 @@
     /// Whether the caller holds a token that names the run, and wants it kept.
     pub(crate) kept: bool,
     pub(crate) had_first_token: bool,
+    pub(crate) sent_at: Instant,
+    /// Whether the runner did not do what was asked.
+    pub(crate) failed: bool,
     pub(crate) ended: bool,
 }
 
@@ -50,6 +53,17 @@
         let observed = Observed::FirstToken(self.route.clone(), self.route_request.clone());
         // A stopped actor means that the process ends.
         let _ = self.shared.router.tell(observed).await;
+        let news = News::FirstToken {
+            runner: self.route.runner.clone(),
+            waited: self.sent_at.elapsed(),
+            computed_tokens: self.route.compute_tokens,
+        };
+        self.shared.admission.tell(news).await;
+    }
+
+    /// Whether the runner failed this run, or gave no first token until its deadline.
+    fn has_failed(&self, caller_gone: bool) -> bool {
+        self.failed || !(self.ended || caller_gone || self.had_first_token)
     }
 }
 
@@ -64,9 +78,12 @@
             (self.shared.clone(), self.runner.clone(), self.run_id.clone());
         let (ended, kept) = (self.ended, self.kept);
         let caller_gone = self.events.is_closed();
+        let news =
+            News::Ended { runner: self.route.runner.clone(), failed: self.has_failed(caller_gone) };
         tokio::spawn(async move {
             // A stopped actor means that the process ends.
             let _ = shared.router.tell(observed).await;
+            shared.admission.tell(news).await;
             let end = RunEnd { shared, runner, run_id, ended, kept, caller_gone };
             end.settle().await;
         });
--- a/crates/skylarkpick-scenario/src/steps/send.rs
+++ b/crates/skylarkpick-scenario/src/steps/send.rs
@@ -11,6 +11,7 @@
 use async_trait::async_trait;
 use skylarkpick_entry::CompletionRequest;
 use skylarkpick_interface::Priority;
+use std::time::Duration;
 
 /// Bytes of a block of prompt.
 const BLOCK_SIZE_BYTES: usize = 1_024;
@@ -26,7 +27,7 @@
 
     fn usage(&self) -> &'static str {
         "send id=ID entry=PROCESS [account=ACCOUNT] [prompt=WORD] [blocks=N] [question=WORD] \
-         [answer=TOKENS] [priority=low|normal|high] [deadline_ms=N]"
+         [answer=TOKENS] [priority=low|normal|high] [deadline_ms=N] [resumable] [count=N]"
     }
 
     async fn run(
@@ -37,39 +38,71 @@
         let world = world_of(world)?;
         let id: String = arguments.take("id", "a name")?;
         let process: String = arguments.take("entry", "an entry process")?;
-        let account = arguments.take_or("account", "an account", names::ACCOUNTS[0].to_string())?;
-        let prompt = arguments.take_or("prompt", "a word", "catalogue".to_string())?;
-        let blocks = arguments.take_or("blocks", "a count", 4)?;
-        let question: String = arguments.take_or("question", "a text", id.clone())?;
-        let answer_tokens = arguments.take_or("answer", "a count", 8)?;
-        let priority = arguments.take_or("priority", "a priority", "normal".to_string())?;
-        let deadline = arguments.take_time("deadline_ms")?;
+        let count = arguments.take_or("count", "a count", 1)?;
+        let sending = Sending::read(&mut arguments)?;
         arguments.finish()?;
-        let prompt = write_prompt(&prompt, blocks, &question);
-        let entry = world.entry(&process)?;
+        for index in 1..=count {
+            let id = if count == 1 { id.clone() } else { format!("{id}-{index}") };
+            sending.send(world, &process, id)?;
+        }
+        tokio::time::sleep(WAY_IN).await;
+        Ok(String::new())
+    }
+}
+
+/// What a caller sends.
+struct Sending {
+    account: String,
+    prompt: String,
+    blocks: usize,
+    question: Option<String>,
+    answer_tokens: u64,
+    priority: Priority,
+    deadline: Option<Duration>,
+    resumable: bool,
+}
+
+impl Sending {
+    fn read(arguments: &mut Arguments) -> Result<Sending, StepError> {
+        let priority = arguments.take_or("priority", "a priority", "normal".to_string())?;
+        Ok(Sending {
+            account: arguments.take_or("account", "an account", names::ACCOUNTS[0].to_string())?,
+            prompt: arguments.take_or("prompt", "a word", "catalogue".to_string())?,
+            blocks: arguments.take_or("blocks", "a count", 4)?,
+            question: arguments.take_optional("question", "a word")?,
+            answer_tokens: arguments.take_or("answer", "a count", 8)?,
+            priority: read_priority(&priority)?,
+            deadline: arguments.take_time("deadline_ms")?,
+            resumable: arguments.take_flag("resumable"),
+        })
+    }
+
+    fn send(&self, world: &World, process: &str, id: String) -> Result<(), StepError> {
+        let question = self.question.as_ref().unwrap_or(&id);
+        let prompt = write_prompt(&self.prompt, self.blocks, question);
+        let entry = world.entry(process)?;
         let in_force = entry.entry.in_force();
         let model = in_force.configuration.models.get(names::MODEL);
         let sent = Sent::Completion {
             prompt: prompt.clone(),
-            answer_tokens,
+            answer_tokens: self.answer_tokens,
             allowed_weight_versions: model
                 .map_or_else(Vec::new, |model| model.usable_weight_versions()),
         };
         let request = CompletionRequest {
             request_id: id.clone(),
-            account: account.clone(),
+            account: self.account.clone(),
             model: names::MODEL.to_string(),
             adapter: None,
             prompt,
-            answer_tokens_limit: answer_tokens,
-            priority: read_priority(&priority)?,
-            deadline,
-            resumable: false,
+            answer_tokens_limit: self.answer_tokens,
+            priority: self.priority,
+            deadline: self.deadline,
+            resumable: self.resumable,
         };
-        world.callers.records().insert(id, Record::open(&account, &process, sent));
+        world.callers.records().insert(id, Record::open(&self.account, process, sent));
         world.callers.send(entry.entry.clone(), entry.life.clone(), request);
-        tokio::time::sleep(WAY_IN).await;
-        Ok(String::new())
+        Ok(())
     }
 }
 
--- a/crates/skylarkpick-scenario/src/steps/wait.rs
+++ b/crates/skylarkpick-scenario/src/steps/wait.rs
@@ -3,7 +3,7 @@
 use super::{Step, world_of};
 use crate::{arguments::Arguments, error::StepError, world::World};
 use async_trait::async_trait;
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 /// Longest wait where the step names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -18,7 +18,7 @@
     }
 
     fn usage(&self) -> &'static str {
-        "wait [id=(ID,ID)] [timeout_ms=N] [cached]"
+        "wait [id=(ID,ID)] [timeout_ms=N] [cached] [summary]"
     }
 
     async fn run(
@@ -30,6 +30,7 @@
         let mut ids = arguments.take_list("id");
         let timeout = arguments.take_time("timeout_ms")?.unwrap_or(DEFAULT_TIMEOUT);
         let cached = arguments.take_flag("cached");
+        let summary = arguments.take_flag("summary");
         arguments.finish()?;
         if ids.is_empty() {
             ids = world.callers.records().keys().cloned().collect();
@@ -41,6 +42,9 @@
         };
         // What has not ended is printed as waiting.
         let _ = tokio::time::timeout(timeout, all).await;
+        if summary {
+            return Ok(summarise(world));
+        }
         let mut text = String::new();
         for id in ids {
             let record = world.callers.record(&id);
@@ -54,3 +58,13 @@
         Ok(text)
     }
 }
+
+/// How many requests of each account stand how, without what differs from one to the next.
+fn summarise(world: &World) -> String {
+    let mut counts = BTreeMap::new();
+    for record in world.callers.records().values() {
+        let line = format!("{}: {}", record.account, record.describe());
+        *counts.entry(line).or_insert(0) += 1;
+    }
+    counts.into_iter().map(|(line, count)| format!("{count} of {line}\n")).collect()
+}
