--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,6 +1,6 @@
 //! The dump of a process's state, without secrets.
 
-use crate::admission::AdmissionState;
+use crate::{admission::AdmissionState, peers::PeersState};
 use serde::Serialize;
 use skylarkpick_interface::{
     ConfigurationVersion, DataCentreId, EntryId, LoadReport, ModelName, RunnerId, WeightVersion,
@@ -22,6 +22,8 @@
     pub requests_under_way: u64,
     /// Runs that wait for a caller to come back.
     pub runs_retained: usize,
+    /// Other entry processes, and who does what among them.
+    pub peers: PeersState,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
     /// Queues, limits and ejected runners.
