Let every message between data centres tell the version in force

Cause: a scenario cuts two data centres off from each other, patches, and heals: 5 s after the healing the cut-off one still had the old version. Bridges go on talking every 500 ms during a cut, but news is sent twice only, and both copies fell into the cut; the comparison of digests that repairs it comes every 10 s. Ruled out: the fetch from a peer (it begins in the moment the version is known) and the platform (cut off in the scenario). Change: a bridge adds its own version in force to each message to another data centre. Conclusion: what must be known within seconds travels with the sign of life, as state.

--- a/crates/skylarkpick-membership/src/bridges.rs
+++ b/crates/skylarkpick-membership/src/bridges.rs
@@ -8,7 +8,9 @@
 };
 use rand::seq::IndexedRandom;
 use skylarkpick_interface::DataCentreId;
-use skylarkpick_protocol::peer::{CentreLoad, Gossip, Member, MemberState, peer_message::Body};
+use skylarkpick_protocol::peer::{
+    CentreLoad, Gossip, InForce, Member, MemberState, peer_message::Body,
+};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -88,7 +90,8 @@
         }
         for centre in self.other_centres() {
             let Some(member) = self.partner(now, &centre) else { continue };
-            let news = self.take_news_for_centre(&centre);
+            let mut news = self.take_news_for_centre(&centre);
+            self.add_own_version(&mut news);
             let probe = self.make_probe(0, news);
             out.push(outgoing(member.address.clone(), Body::Probe(probe)));
             if compares {
@@ -97,6 +100,17 @@
         }
     }
 
+    /// Adds the version in force here. News is sent a few times only, and all of them may fall
+    /// into a cut; this makes the first message after it tell of what was missed.
+    fn add_own_version(&self, news: &mut Gossip) {
+        let entry = self.own_key;
+        if let Some(version) = self.knowledge.in_force.get(&entry)
+            && news.in_force.iter().all(|told| told.entry != entry)
+        {
+            news.in_force.push(InForce { entry, version: *version });
+        }
+    }
+
     /// The bridge of another data centre whose turn it is; anybody there while it is silent, for
     /// its bridges may all be gone without a word.
     fn partner(&mut self, now: Duration, centre: &str) -> Option<Member> {
