--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -47,6 +47,7 @@
     configuration: ActorRef<ConfigurationActor>,
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
+    _tasks: JoinSet<()>,
     pub(crate) peers: Peers,
 }
 
