--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -2,23 +2,24 @@
 
 use crate::{
     admission::{Desk, follow_targets as follow_admission},
+    claimed_call::open_claims,
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install},
     failure::Failure,
     in_force::InForce,
     parts::EntryParts,
     peers::{ConfigurationStatus, Peers},
-    request::{CallRequest, CompletionRequest},
+    request::{CallReply, CallRequest, CompletionRequest},
     router_actor::{ReadCandidates, RouterActor},
     service_call,
     state_dump::{RunnerState, StateDump},
     streams::{self, CountWaiting, ResumeKey, RetentionActor},
 };
 use kameo::{actor::Spawn, prelude::ActorRef};
+use skylarkpick_claims::ClaimLog;
 use skylarkpick_config::{
     ConfigurationKeeper, ConfigurationRecord, Patch, PatchOutcome, ReadError,
 };
-use skylarkpick_interface::ServiceReply;
 use std::{
     sync::{
         Arc,
@@ -44,6 +45,7 @@
     pub(crate) admission: Desk,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
+    pub(crate) claims: ClaimLog,
     configuration: ActorRef<ConfigurationActor>,
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
@@ -64,6 +66,7 @@
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
         let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
         let resume_key = parts.resume_key.clone();
+        let claims = open_claims(&parts);
         let shared = Shared {
             resume_key: resume_key.unwrap_or_else(|| ResumeKey::from_seed(parts.seed)),
             retention: RetentionActor::spawn(RetentionActor::open(window)),
@@ -73,6 +76,7 @@
             admission,
             requests_under_way: AtomicU64::new(0),
             next_service_instance: AtomicU64::new(0),
+            claims,
             configuration,
             keeper,
             draining: AtomicBool::new(false),
@@ -136,7 +140,7 @@
     ///
     /// # Errors
     /// With whether the call ran.
-    pub async fn call(&self, request: CallRequest) -> Result<ServiceReply, Failure> {
+    pub async fn call(&self, request: CallRequest) -> Result<CallReply, Failure> {
         service_call::call(&self.shared, request).await
     }
 
--- a/crates/skylarkpick-entry/src/front/answer.rs
+++ b/crates/skylarkpick-entry/src/front/answer.rs
@@ -12,6 +12,8 @@
 
 /// Header that carries the token with which a stream is taken up again.
 pub(super) const RESUME_TOKEN_HEADER: &str = "x-resume-token";
+/// Header that marks the stored answer of an earlier call under the same idempotency key.
+pub(super) const REPLAYED_HEADER: &str = "x-idempotent-replayed";
 
 /// An answer of the front.
 pub(super) type Answer = Response<ResponseBody>;
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod attempts;
+mod claimed_call;
 mod completion;
 mod configuration_actor;
 mod entry;
@@ -29,6 +30,6 @@
 pub use peers::{
     ConfigurationStatus, DirectoryPart, PeerProcess, Peers, PeersState, PeersView, ProcessStatus,
 };
-pub use request::{AnswerEvent, CallRequest, CompletionRequest};
+pub use request::{AnswerEvent, CallReply, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
 pub use streams::ResumeKey;
