--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,6 +1,6 @@
 //! The dump of a process's state, without secrets.
 
-use crate::peers::PeersState;
+use crate::{admission::AdmissionState, peers::PeersState};
 use serde::Serialize;
 use skylarkpick_interface::{
     ConfigurationVersion, DataCentreId, EntryId, LoadReport, ModelName, RunnerId, WeightVersion,
@@ -26,6 +26,8 @@
     pub peers: PeersState,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
+    /// Queues, limits and ejected runners.
+    pub admission: AdmissionState,
 }
 
 /// What is known of a runner.
