Deflate configuration records between entry processes

Change: peers send the record as deflated JSON; unpacking is bounded, and what is no record is refused (cases: damaged, cut short, other JSON, a bomb). Conclusion: cheaper than patches from version to version, and needs no history at peers.

--- a/crates/skylarkpick-config/src/lib.rs
+++ b/crates/skylarkpick-config/src/lib.rs
@@ -10,6 +10,7 @@
 mod patch;
 mod read;
 mod record;
+mod record_codec;
 mod schema;
 mod secret;
 mod settings;
@@ -29,6 +30,7 @@
     parse_settings,
 };
 pub use record::{AcceptedPatch, CONFIGURATION_KEY, ConfigurationRecord};
+pub use record_codec::{UnpackError, pack_record, unpack_record};
 pub use schema::{CONFIGURATION_FIELDS, Field, Kind, SETTINGS_FIELDS};
 pub use secret::{Secret, SecretError, SecretSource};
 pub use settings::{Limits, Settings};
--- a/crates/skylarkpick-entry/src/peers/configuration.rs
+++ b/crates/skylarkpick-entry/src/peers/configuration.rs
@@ -7,7 +7,7 @@
 };
 use kameo::prelude::ActorRef;
 use prost::Message;
-use skylarkpick_config::{CONFIGURATION_KEY, ConfigurationRecord};
+use skylarkpick_config::{CONFIGURATION_KEY, ConfigurationRecord, unpack_record};
 use skylarkpick_interface::{ConfigurationVersion, ObjectStore, ObjectVersion, PeerNetwork};
 use skylarkpick_protocol::peer::{ConfigurationRequest, PeerMessage, peer_message::Body};
 use std::{sync::Arc, time::Duration};
@@ -95,7 +95,10 @@
         let Ok(answer) = answer else { return false };
         match PeerMessage::decode(answer.as_slice()).map(|message| message.body) {
             Ok(Some(Body::ConfigurationReply(reply))) if !reply.record.is_empty() => {
-                self.offer(&reply.record).await;
+                match unpack_record(&reply.record) {
+                    Ok(record) => self.install(record).await,
+                    Err(error) => spdlog::error!("{}", error),
+                }
                 self.version() >= reply.version
             }
             _ => false,
@@ -112,12 +115,14 @@
         self.in_force.borrow().version
     }
 
+    async fn install(&self, record: ConfigurationRecord) {
+        // A stopped actor means that the process ends.
+        let _ = self.configuration.ask(Install(record)).await;
+    }
+
     async fn offer(&self, value: &[u8]) {
         match serde_json::from_slice::<ConfigurationRecord>(value) {
-            Ok(record) => {
-                // A stopped actor means that the process ends.
-                let _ = self.configuration.ask(Install(record)).await;
-            }
+            Ok(record) => self.install(record).await,
             Err(error) => {
                 spdlog::error!("a configuration cannot be read", kv: { error: });
             }
--- a/crates/skylarkpick-entry/src/peers/inbox.rs
+++ b/crates/skylarkpick-entry/src/peers/inbox.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use kameo::prelude::ActorRef;
 use prost::Message;
-use skylarkpick_config::ConfigurationRecord;
+use skylarkpick_config::{ConfigurationRecord, pack_record};
 use skylarkpick_interface::PeerHandler;
 use skylarkpick_protocol::peer::{
     ConfigurationReply, ConfigurationRequest, PeerMessage, peer_message::Body,
@@ -35,7 +35,7 @@
             history: Vec::new(),
             configuration: in_force.configuration.clone(),
         };
-        serde_json::to_vec(&record).map_or_else(
+        pack_record(&record).map_or_else(
             |_| ConfigurationReply::default(),
             |record| ConfigurationReply { version: in_force.version, record },
         )
