Log JSON lines, send metrics, and prove the process from outside

skylarkpick-telemetry opens spdlog's default logger on standard error, a JSON object a line, and cadence over UDP where the settings name an address (log_level, metrics_address). Each request and each attempt has a line with request id, account and attempt. Bodies, tokens, the paths that callers sent and what runners say (it may quote a prompt) are left out. docs/METRICS.md is held against the table in code.

Tests of the real binary before stand-ins as processes of their own: logs and the state dump are searched for prompt, tokens and hashes, and every line is JSON; memory at rest is held under 64 MB; SIGTERM in the middle of a stream cuts off nothing and exits 0; a closed connection shows as cancelled in the runner's ledger.

--- a/crates/skylarkpick-command/src/commands/entry.rs
+++ b/crates/skylarkpick-command/src/commands/entry.rs
@@ -7,10 +7,11 @@
 };
 use anyhow::Context;
 use getopts::Matches;
-use skylarkpick_config::{Settings, parse_settings};
+use skylarkpick_config::{LogLevel, Settings, parse_settings};
 use skylarkpick_entry::{Entry, EntryParts, Front};
 use skylarkpick_http::{HttpConnector, HttpPlatform};
 use skylarkpick_interface::{BootClock, NoPeers};
+use skylarkpick_telemetry::{Level, LevelFilter, Metrics, install_metrics, open_logs};
 use std::{sync::Arc, time::Duration};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -57,10 +58,10 @@
         ]
     }
 
-    fn run(&self, matches: &Matches, console: &mut Console) -> anyhow::Result<Exit> {
+    fn run(&self, matches: &Matches, _: &mut Console) -> anyhow::Result<Exit> {
         let settings = read_settings(&matches.free[0])?;
         let runtime = tokio::runtime::Runtime::new().context("no runtime could be started")?;
-        runtime.block_on(serve(settings, console))
+        runtime.block_on(serve(settings))
     }
 }
 
@@ -70,10 +71,30 @@
     Ok(settings)
 }
 
-async fn serve(mut settings: Settings, console: &mut Console) -> anyhow::Result<Exit> {
+fn open_telemetry(settings: &Settings) -> anyhow::Result<()> {
+    open_logs(match settings.log_level {
+        LogLevel::Off => LevelFilter::Off,
+        LogLevel::Error => LevelFilter::MoreSevereEqual(Level::Error),
+        LogLevel::Warn => LevelFilter::MoreSevereEqual(Level::Warn),
+        LogLevel::Info => LevelFilter::MoreSevereEqual(Level::Info),
+        LogLevel::Debug => LevelFilter::MoreSevereEqual(Level::Debug),
+    })?;
+    if !settings.metrics_address.is_empty() {
+        let address = settings.metrics_address.parse().context("the metrics address is wrong")?;
+        let tags =
+            [("entry", settings.entry_id.as_str()), ("data_centre", settings.data_centre.as_str())];
+        install_metrics(Metrics::open_udp(address, &tags)?);
+    }
+    Ok(())
+}
+
+async fn serve(mut settings: Settings) -> anyhow::Result<Exit> {
     if settings.entry_id.is_empty() {
         settings.entry_id = format!("entry-{:016x}", rand::random::<u64>());
     }
+    open_telemetry(&settings)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let platform_timeout = Duration::from_millis(settings.limits.platform_timeout_ms);
     let platform = HttpPlatform::open(&settings.platform_address, platform_timeout);
     let entry = Entry::spawn(EntryParts {
@@ -85,14 +106,13 @@
         settings,
     });
     let front = Front::bind(entry).await.context("the HTTP address cannot be taken")?;
-    console.message(&format!("listening on {}", front.address()));
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    spdlog::info!("listening", kv: { address = front.address().to_string().as_str() });
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    console.message("draining");
+    spdlog::info!("draining");
     let whole = front.shutdown().await;
+    spdlog::info!("ended", kv: { whole });
     Ok(if whole { Exit::Success } else { Exit::Failed })
 }
--- a/crates/skylarkpick-command/src/demo/fleet.rs
+++ b/crates/skylarkpick-command/src/demo/fleet.rs
@@ -182,9 +182,8 @@
                 data_centre: centre.to_string(),
                 http_address: FREE_PORT.to_string(),
                 platform_address: platform_address.to_string(),
-                peer_address: String::new(),
-                seed_peers: Vec::new(),
                 limits: Limits { drain_notice_ms: 300, ..Limits::default() },
+                ..Settings::default()
             };
             let entry = Entry::spawn(EntryParts {
                 settings,
--- a/crates/skylarkpick-command/src/dispatch.rs
+++ b/crates/skylarkpick-command/src/dispatch.rs
@@ -6,6 +6,7 @@
     console::Console,
 };
 use getopts::{Fail, Options};
+use skylarkpick_telemetry::{LevelFilter, open_logs};
 use std::process::ExitCode;
 
 /// Likeness from which a misspelt name gets a hint.
@@ -13,6 +14,10 @@
 
 /// Runs the command that the arguments of the process name.
 pub fn run_main(arguments: &[String]) -> ExitCode {
+    // Commands speak for themselves; `entry` opens the logs that its settings ask for.
+    if let Err(error) = open_logs(LevelFilter::Off) {
+        eprintln!("skylarkpick: {error}");
+    }
     ExitCode::from(run_with(arguments, &mut Console::open()) as u8)
 }
 
--- a/crates/skylarkpick-config/src/lib.rs
+++ b/crates/skylarkpick-config/src/lib.rs
@@ -31,6 +31,6 @@
 pub use record::{AcceptedPatch, CONFIGURATION_KEY, ConfigurationRecord};
 pub use schema::{CONFIGURATION_FIELDS, Field, Kind, SETTINGS_FIELDS};
 pub use secret::{Secret, SecretError, SecretSource};
-pub use settings::{Limits, Settings};
+pub use settings::{Limits, LogLevel, Settings};
 pub use tokens::{TokenHash, hash_token};
 pub use validate::validate;
--- a/crates/skylarkpick-config/src/schema/settings.rs
+++ b/crates/skylarkpick-config/src/schema/settings.rs
@@ -11,6 +11,8 @@
 const WAIT: Kind = Kind::Whole { floor: 0, limit: LONGEST_TIME_MS };
 const SIZE: Kind = Kind::Whole { floor: 1_024, limit: LARGEST_SIZE_BYTES };
 
+const LOG_LEVEL: Kind = Kind::Choice(&["off", "error", "warn", "info", "debug"]);
+
 /// Fields of a settings file.
 pub const SETTINGS_FIELDS: &[Field] = &[
     field("entry_id", Kind::Text, "name of the process; made at random when empty"),
@@ -19,6 +21,8 @@
     required("platform_address", Kind::Address, "where the platform's object API answers"),
     field("peer_address", Kind::AddressOrNone, "where other entry processes connect"),
     field("seed_peers", Kind::List(&Kind::Address), "entry processes to meet first"),
+    field("metrics_address", Kind::AddressOrNone, "where StatsD metrics go over UDP"),
+    field("log_level", LOG_LEVEL, "least severe lines that are logged"),
     field("limits", Kind::Object(LIMITS_FIELDS), "limits on input and waiting"),
 ];
 
--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -19,10 +19,31 @@
     pub peer_address: String,
     /// Entry processes to meet first, as IP:port.
     pub seed_peers: Vec<String>,
+    /// Where StatsD metrics go over UDP, as IP:port; empty for none.
+    pub metrics_address: String,
+    /// Least severe lines that are logged.
+    pub log_level: LogLevel,
     /// Limits on input and waiting.
     pub limits: Limits,
 }
 
+/// Least severe lines that are logged.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// No lines.
+    Off,
+    /// What needs a person.
+    Error,
+    /// What may need a person soon.
+    Warn,
+    /// A line or two for each request.
+    #[default]
+    Info,
+    /// What helps to find a fault.
+    Debug,
+}
+
 /// Limits on input and waiting.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -6,6 +6,7 @@
 //! the tokens already delivered.
 
 use crate::{
+    attempt_log::note_attempt,
     completion::UnderWay,
     entry::Shared,
     failure::{Failure, FailureCode},
@@ -58,6 +59,18 @@
     RunnerGaveUp(String),
 }
 
+impl AttemptEnd {
+    /// Word for logs and metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            AttemptEnd::Whole => "whole",
+            AttemptEnd::CallerGone => "caller_gone",
+            AttemptEnd::TryElsewhere { .. } => "try_elsewhere",
+            AttemptEnd::RunnerGaveUp(_) => "runner_gave_up",
+        }
+    }
+}
+
 /// How the frames of a stream ended.
 enum StreamEnd {
     Whole,
@@ -94,7 +107,9 @@
             let Ok(route) = choice else {
                 return Some(self.no_route(may_have_run, &last));
             };
-            match self.attempt(attempt_id, &route).await {
+            let end = self.attempt(attempt_id, &route).await;
+            note_attempt(&self.request, attempt_id, &route.runner, end.name());
+            match end {
                 AttemptEnd::Whole | AttemptEnd::CallerGone => return None,
                 AttemptEnd::TryElsewhere { may_have_run: may, why } => {
                     may_have_run |= may;
--- a/crates/skylarkpick-entry/src/front.rs
+++ b/crates/skylarkpick-entry/src/front.rs
@@ -3,8 +3,10 @@
 mod answer;
 mod completions;
 mod door;
+mod gauges;
 mod json;
 mod operators;
+mod request_log;
 mod routes;
 mod services;
 mod wire;
--- a/crates/skylarkpick-entry/src/front/door.rs
+++ b/crates/skylarkpick-entry/src/front/door.rs
@@ -2,7 +2,10 @@
 
 use super::{
     answer::Answer,
-    completions, operators,
+    completions,
+    gauges::send_gauges,
+    operators,
+    request_log::RequestLog,
     routes::{self, Access, allowed_methods},
     services,
 };
@@ -20,6 +23,7 @@
 use skylarkpick_config::AccountRole;
 use skylarkpick_http::{Handler, ReadBodyError, Server, ServerLimits, empty_response, read_body};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::task::JoinSet;
 
 /// Time between two looks at the requests under way during a shutdown.
 const DRAIN_LOOK_INTERVAL: Duration = Duration::from_millis(20);
@@ -28,6 +32,7 @@
 pub struct Front {
     entry: Entry,
     server: Server,
+    _tasks: JoinSet<()>,
 }
 
 impl Front {
@@ -43,7 +48,9 @@
         };
         let handler = Arc::new(Door { entry: entry.clone() });
         let server = Server::bind(&settings.http_address, handler, limits).await?;
-        Ok(Front { entry, server })
+        let mut tasks = JoinSet::new();
+        tasks.spawn(send_gauges(entry.clone()));
+        Ok(Front { entry, server, _tasks: tasks })
     }
 
     /// Address that callers connect to.
@@ -78,14 +85,17 @@
     async fn answer(
         &self,
         request: Request<Incoming>,
-        request_id: &str,
+        log: &mut RequestLog,
     ) -> Result<Answer, Failure> {
         let (head, body) = request.into_parts();
         let route = routes::find(&head.method, head.uri.path())?;
+        log.path = route.path;
         if route.access == Access::Anyone {
             return Ok(self.health(route.path));
         }
         let (account, role) = self.authenticate(&head)?;
+        log.account.clone_from(&account);
+        let request_id = &log.request_id;
         if route.access == Access::Operator && role != AccountRole::Operator {
             let message = format!("{} is for accounts with the operator's role", route.path);
             return Err(Failure::not_run(FailureCode::Forbidden, message));
@@ -140,9 +150,11 @@
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_string();
         let request_id = format!("r{:032x}", rand::random::<u128>());
-        self.answer(request, &request_id)
-            .await
-            .unwrap_or_else(|failure| refuse(&failure, &path, &request_id))
+        let mut log = RequestLog::begin(request_id);
+        let answered = self.answer(request, &mut log).await;
+        let answer = answered.unwrap_or_else(|failure| refuse(&failure, &path, &log.request_id));
+        log.end(&answer);
+        answer
     }
 }
 
--- a/crates/skylarkpick-entry/src/front/operators.rs
+++ b/crates/skylarkpick-entry/src/front/operators.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use skylarkpick_config::{ConfigurationRecord, Patch, PatchOutcome, PatchRefusal};
 use skylarkpick_http::json_response;
+use skylarkpick_telemetry::{PATCHES_ENDED, metrics};
 use std::time::Duration;
 
 /// When to come back while the platform is away.
@@ -40,6 +41,23 @@
     }
 }
 
+/// Notes a patch in the log and the metrics, without what it changes.
+fn note_patch(patch: &Patch, account: &str, outcome: &PatchOutcome) {
+    let name = match outcome {
+        PatchOutcome::Accepted(_) => "accepted",
+        PatchOutcome::Refused(_) => "refused",
+        PatchOutcome::NotSent(_) => "not_sent",
+        PatchOutcome::Unknown(_) => "unknown",
+    };
+    metrics().count(&PATCHES_ENDED, &[("outcome", name)]);
+    spdlog::info!("patch ended", kv: {
+        account,
+        patch_id = patch.patch_id.as_str(),
+        base_version = patch.base_version,
+        outcome = name,
+    });
+}
+
 async fn read(entry: &Entry) -> Result<ConfigurationRecord, Failure> {
     entry.read_configuration().await.map_err(|error| {
         Failure::not_run(FailureCode::PlatformAway, error.to_string()).retry_after(PLATFORM_RETRY)
@@ -48,7 +66,9 @@
 
 async fn patch(entry: &Entry, account: &str, content: &[u8]) -> Result<Answer, Failure> {
     let patch: Patch = read_json(content)?;
-    match entry.patch(&patch, account).await {
+    let outcome = entry.patch(&patch, account).await;
+    note_patch(&patch, account, &outcome);
+    match outcome {
         PatchOutcome::Accepted(version) => {
             let body = json!({"patch_id": patch.patch_id, "version": version});
             Ok(json_response(StatusCode::OK, &body))
--- a/crates/skylarkpick-entry/src/front/tests.rs
+++ b/crates/skylarkpick-entry/src/front/tests.rs
@@ -4,3 +4,4 @@
 mod harness;
 mod openapi;
 mod requests;
+mod telemetry;
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Entry::spawn`] starts them on trait objects alone, so that tests and embedders choose the
 //! outside systems. [`Front`] puts the callers' and operators' HTTP before an entry.
 
+mod attempt_log;
 mod attempts;
 mod completion;
 mod configuration_actor;
--- a/crates/skylarkpick-scenario/src/world/fleet.rs
+++ b/crates/skylarkpick-scenario/src/world/fleet.rs
@@ -161,13 +161,9 @@
 
 fn base_settings() -> Settings {
     Settings {
-        entry_id: String::new(),
-        data_centre: String::new(),
         http_address: "127.0.0.1:0".to_string(),
         platform_address: "127.0.0.1:1".to_string(),
-        peer_address: String::new(),
-        seed_peers: Vec::new(),
-        limits: Limits::default(),
+        ..Settings::default()
     }
 }
 
--- /dev/null
+++ b/crates/skylarkpick-telemetry/src/lib.rs
@@ -0,0 +1,16 @@
+//! JSON-line logs and metrics of a process.
+//!
+//! Both are process-wide: a process opens them once at its start, and code anywhere logs through
+//! spdlog's default logger and counts through [`metrics`]. Until then, metrics go nowhere.
+
+mod logs;
+mod metrics;
+mod table;
+
+pub use logs::{LogsError, open_logs};
+pub use metrics::{Metrics, MetricsError, install_metrics, metrics};
+pub use spdlog::{Level, LevelFilter};
+pub use table::{
+    ATTEMPTS_ENDED, CONFIGURATION_VERSION, METRICS, Metric, MetricKind, PATCHES_ENDED, READY,
+    REQUESTS_ANSWER_START, REQUESTS_ANSWERED, REQUESTS_UNDER_WAY, RUNNERS_LEAVING, RUNNERS_SERVING,
+};
