--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod attempt_log;
 mod attempts;
+mod claimed_call;
 mod completion;
 mod configuration_actor;
 mod entry;
@@ -12,6 +13,7 @@
 mod front;
 mod in_force;
 mod parts;
+mod peers;
 mod request;
 mod router_actor;
 mod service_call;
@@ -23,5 +25,8 @@
 pub use front::Front;
 pub use in_force::InForce;
 pub use parts::EntryParts;
-pub use request::{AnswerEvent, CallRequest, CompletionRequest};
+pub use peers::{
+    ConfigurationStatus, DirectoryPart, PeerProcess, Peers, PeersState, PeersView, ProcessStatus,
+};
+pub use request::{AnswerEvent, CallReply, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
