Serve the configuration's status through the route table and `config status`

The route table refused /v1/configuration/status, which the operators' interface answers since the membership landed: it has a row, a description and a table on the command line now.

The test that closes a connection read the runner's ledger while the cancel could still be on its way, and failed once; it waits until the runner's load report, which lags, has shown the run and then its end.

--- a/crates/skylarkpick-command/src/commands/config.rs
+++ b/crates/skylarkpick-command/src/commands/config.rs
@@ -124,7 +124,8 @@
         Ok(match self {
             Action::History => history_table(answer),
             Action::Patch(_) => format!("accepted as version {}", answer["version"]),
-            Action::Get | Action::Status => serde_json::to_string_pretty(answer)?,
+            Action::Status => status_table(answer),
+            Action::Get => serde_json::to_string_pretty(answer)?,
         })
     }
 }
@@ -146,6 +147,24 @@
     Ok(json!({"patch_id": patch_id, "base_version": base_version, "change": change}))
 }
 
+fn status_table(answer: &Value) -> String {
+    let mut lines = vec![format!(
+        "version {} in force on {} of {}",
+        answer["version"], answer["in_force_on"], answer["members"]
+    )];
+    for process in answer["processes"].as_array().into_iter().flatten() {
+        let Some(lagging_ms) = process["lagging_for_ms"].as_u64() else { continue };
+        let name = process["entry_id"].as_str().unwrap_or_default();
+        let data_centre = process["data_centre"].as_str().unwrap_or_default();
+        let version = &process["version"];
+        lines.push(format!("{name} in {data_centre}: version {version} for {lagging_ms} ms"));
+    }
+    for data_centre in answer["silent_data_centres"].as_array().into_iter().flatten() {
+        lines.push(format!("nothing is heard of {}", data_centre.as_str().unwrap_or_default()));
+    }
+    lines.join("\n")
+}
+
 fn history_table(answer: &Value) -> String {
     let mut lines = vec![format!("{:>8}  {:<24}  {}", "version", "author", "patch id")];
     for accepted in answer.as_array().into_iter().flatten() {
--- a/crates/skylarkpick-command/tests/operators.rs
+++ b/crates/skylarkpick-command/tests/operators.rs
@@ -128,6 +128,12 @@
             result: "       2  operator                  p1",
             message: "",
         },
+        Case {
+            arguments: vec!["status"],
+            exit: Exit::Success,
+            result: "version 2 in force on 1 of 1",
+            message: "",
+        },
         Case {
             arguments: vec!["get", "surplus"],
             exit: Exit::WrongUse,
--- a/crates/skylarkpick-entry/src/front/routes.rs
+++ b/crates/skylarkpick-entry/src/front/routes.rs
@@ -32,6 +32,7 @@
     Route { path: "/v1/services/*", methods: ANY_METHOD, access: Access::Caller },
     Route { path: "/v1/configuration", methods: &["GET", "PATCH"], access: Access::Operator },
     Route { path: "/v1/configuration/history", methods: &["GET"], access: Access::Operator },
+    Route { path: "/v1/configuration/status", methods: &["GET"], access: Access::Operator },
     Route { path: "/state", methods: &["GET"], access: Access::Operator },
 ];
 
--- a/crates/skylarkpick-entry/src/front/tests/openapi.rs
+++ b/crates/skylarkpick-entry/src/front/tests/openapi.rs
@@ -187,6 +187,10 @@
             request: ("GET", "/v1/configuration/history", "ground-token", ""),
             schema: "History",
         },
+        Case {
+            request: ("GET", "/v1/configuration/status", "ground-token", ""),
+            schema: "ConfigurationStatus",
+        },
         Case { request: ("GET", "/state", "ground-token", ""), schema: "State" },
     ];
     for case in cases {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -199,6 +199,16 @@
         self.ask("GET", "/state", OPERATOR_TOKEN, "").rest()
     }
 
+    fn wait_for_load(&self, text: &str) {
+        for _ in 0..1_000 {
+            if Answer::ask(&self.runner.address, "GET", "/v1/load", "", "").rest().contains(text) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        panic!("the runner never reports {text}");
+    }
+
     fn wait_ready(&self) {
         let is_ready = || {
             let is_ready = self.ask("GET", "/ready", "", "").rest().starts_with("HTTP/1.1 200");
@@ -267,14 +277,11 @@
 fn closing_the_connection_cancels_the_run_at_the_runner() {
     let fleet = Fleet::spawn("cancel");
     let mut answer = fleet.stream(100_000);
+    // Load reports lag, so the run has to be seen in one before its end can be.
+    fleet.wait_for_load("\"active_runs\":1");
     answer.read_until("id: 2");
     drop(answer);
-    for _ in 0..1_000 {
-        if fleet.state().contains("\"requests_under_way\":0") {
-            break;
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
+    fleet.wait_for_load("\"active_runs\":0");
     fleet.runner.terminate();
     let (_, ledger, _) = fleet.runner.end();
     let run: Value = serde_json::from_str(ledger.trim_end()).unwrap();
