--- a/crates/skylarkpick-command/src/commands/entry.rs
+++ b/crates/skylarkpick-command/src/commands/entry.rs
@@ -7,8 +7,8 @@
 };
 use anyhow::Context;
 use getopts::Matches;
-use skylarkpick_config::{LogLevel, Settings, parse_settings};
-use skylarkpick_entry::{Entry, EntryParts, Front};
+use skylarkpick_config::{LogLevel, Secret, Settings, parse_settings};
+use skylarkpick_entry::{Entry, EntryParts, Front, ResumeKey};
 use skylarkpick_http::{HttpConnector, HttpPlatform};
 use skylarkpick_interface::{BootClock, NoPeers};
 use skylarkpick_telemetry::{Level, LevelFilter, Metrics, install_metrics, open_logs};
@@ -95,6 +95,10 @@
     open_telemetry(&settings)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let resume_key = match &settings.resume_key {
+        Some(source) => source.read().map_err(|error| WrongUse(error.to_string()))?,
+        None => Secret::open(rand::random::<[u8; 32]>()),
+    };
     let platform_timeout = Duration::from_millis(settings.limits.platform_timeout_ms);
     let platform = HttpPlatform::open(&settings.platform_address, platform_timeout);
     let entry = Entry::spawn(EntryParts {
@@ -102,6 +106,7 @@
         connector: Arc::new(HttpConnector::open()),
         peers: NoPeers::open(),
         clock: Arc::new(BootClock),
+        resume_key: Some(ResumeKey::from_secret(resume_key.expose())),
         seed: rand::random(),
         settings,
     });
--- a/crates/skylarkpick-command/tests/operators.rs
+++ b/crates/skylarkpick-command/tests/operators.rs
@@ -58,6 +58,7 @@
         connector: MemoryConnector::open(),
         peers: NoPeers::open(),
         clock: Arc::new(BootClock),
+        resume_key: None,
         seed: 1,
     });
     while !entry.is_ready() {
--- a/crates/skylarkpick-config/src/schema/settings.rs
+++ b/crates/skylarkpick-config/src/schema/settings.rs
@@ -23,6 +23,7 @@
     field("seed_peers", Kind::List(&Kind::Address), "entry processes to meet first"),
     field("metrics_address", Kind::AddressOrNone, "where StatsD metrics go over UDP"),
     field("log_level", LOG_LEVEL, "least severe lines that are logged"),
+    field("resume_key", Kind::Secret, "key of resume tokens, the same in the whole fleet"),
     field("limits", Kind::Object(LIMITS_FIELDS), "limits on input and waiting"),
 ];
 
--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one process, read from a file of JSON with comments.
 
+use crate::secret::SecretSource;
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{DataCentreId, EntryId};
 
@@ -23,6 +24,9 @@
     pub metrics_address: String,
     /// Least severe lines that are logged.
     pub log_level: LogLevel,
+    /// Key of resume tokens, the same in the whole fleet; without one, a stream can be taken up
+    /// again only at the process that it began at.
+    pub resume_key: Option<SecretSource>,
     /// Limits on input and waiting.
     pub limits: Limits,
 }
--- a/crates/skylarkpick-entry/examples/spread.rs
+++ b/crates/skylarkpick-entry/examples/spread.rs
@@ -109,6 +109,7 @@
                 platform: Arc::new(CutPlatform { platform: platform.clone(), cut }),
                 connector: MemoryConnector::open(),
                 clock: clock.clone(),
+                resume_key: None,
                 seed: (centre * 1_000 + index) as u64,
             }));
         }
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -12,15 +12,19 @@
     router_actor::{ReadCandidates, RouterActor},
     service_call,
     state_dump::{RunnerState, StateDump},
+    streams::{self, CountWaiting, ResumeKey, RetentionActor},
 };
 use kameo::{actor::Spawn, prelude::ActorRef};
 use skylarkpick_claims::ClaimLog;
 use skylarkpick_config::{
     ConfigurationKeeper, ConfigurationRecord, Patch, PatchOutcome, ReadError,
 };
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 use tokio::sync::watch;
 
@@ -35,6 +39,8 @@
     pub(crate) parts: EntryParts,
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) router: ActorRef<RouterActor>,
+    pub(crate) resume_key: ResumeKey,
+    pub(crate) retention: ActorRef<RetentionActor>,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
     pub(crate) claims: ClaimLog,
@@ -52,8 +58,12 @@
         let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre, parts.seed));
         let peers = Peers::spawn(&parts, in_force.clone(), configuration.clone(), router.clone());
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
+        let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
+        let resume_key = parts.resume_key.clone();
         let claims = open_claims(&parts);
         let shared = Shared {
+            resume_key: resume_key.unwrap_or_else(|| ResumeKey::from_seed(parts.seed)),
+            retention: RetentionActor::spawn(RetentionActor::open(window)),
             parts,
             in_force,
             router,
@@ -108,6 +118,16 @@
         completion::begin(self.shared.clone(), request)
     }
 
+    /// Takes a stream up again from answer position `offset`, with the token that came with it.
+    /// Dropping the new stream cancels the run, unless the request was resumable.
+    ///
+    /// # Errors
+    /// When the token was altered, has expired or belongs to another account, or when the runner
+    /// cannot be named any more.
+    pub fn resume(&self, account: &str, token: &str, offset: u64) -> Result<AnswerStream, Failure> {
+        streams::resume(&self.shared, account, token, offset)
+    }
+
     /// Makes a call to a plain service.
     ///
     /// # Errors
@@ -153,6 +173,7 @@
             configuration_version: self.in_force().version,
             is_ready: self.is_ready(),
             requests_under_way: self.requests_under_way(),
+            runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             peers: self.shared.peers.state().await,
             runners: candidates.into_iter().map(RunnerState::from).collect(),
         }
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod router_actor;
 mod service_call;
 mod state_dump;
+mod streams;
 
 pub use completion::AnswerStream;
 pub use entry::Entry;
@@ -30,3 +31,4 @@
 };
 pub use request::{AnswerEvent, CallReply, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
+pub use streams::ResumeKey;
--- a/crates/skylarkpick-scenario/src/steps/send.rs
+++ b/crates/skylarkpick-scenario/src/steps/send.rs
@@ -64,6 +64,7 @@
             answer_tokens_limit: answer_tokens,
             priority: read_priority(&priority)?,
             deadline,
+            resumable: false,
         };
         world.callers.records().insert(id, Record::open(&account, &process, sent));
         world.callers.send(entry.entry.clone(), entry.life.clone(), request);
