--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -24,6 +24,10 @@
     pub metrics_address: String,
     /// Least severe lines that are logged.
     pub log_level: LogLevel,
+    /// Certificate of the authority that entry processes trust each other by, in PEM.
+    pub authority_certificate: Option<SecretSource>,
+    /// Key of that authority in PEM, from which the process issues its own certificate.
+    pub authority_key: Option<SecretSource>,
     /// Key of resume tokens, the same in the whole fleet; without one, a stream can be taken up
     /// again only at the process that it began at.
     pub resume_key: Option<SecretSource>,
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry process without its doors.
 
 use crate::{
+    admission::{Desk, follow_targets as follow_admission},
     claimed_call::open_claims,
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install},
@@ -26,7 +27,7 @@
     },
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinSet};
 
 /// A running entry process without its doors. Dropping the last handle stops it.
 #[derive(Clone)]
@@ -41,12 +42,14 @@
     pub(crate) router: ActorRef<RouterActor>,
     pub(crate) resume_key: ResumeKey,
     pub(crate) retention: ActorRef<RetentionActor>,
+    pub(crate) admission: Desk,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
     pub(crate) claims: ClaimLog,
     configuration: ActorRef<ConfigurationActor>,
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
+    _tasks: JoinSet<()>,
     pub(crate) peers: Peers,
 }
 
@@ -56,6 +59,9 @@
         let (sender, in_force) = watch::channel(Arc::new(InForce::default()));
         let configuration = ConfigurationActor::spawn(ConfigurationActor::open(sender));
         let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre, parts.seed));
+        let admission = Desk::spawn(parts.clock.clone(), router.clone());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow_admission(router.clone(), admission.actor()));
         let peers = Peers::spawn(&parts, in_force.clone(), configuration.clone(), router.clone());
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
         let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
@@ -67,12 +73,14 @@
             parts,
             in_force,
             router,
+            admission,
             requests_under_way: AtomicU64::new(0),
             next_service_instance: AtomicU64::new(0),
             claims,
             configuration,
             keeper,
             draining: AtomicBool::new(false),
+            _tasks: tasks,
             peers,
         };
         Entry { shared: Arc::new(shared) }
@@ -176,6 +184,7 @@
             runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             peers: self.shared.peers.state().await,
             runners: candidates.into_iter().map(RunnerState::from).collect(),
+            admission: self.shared.admission.state().await,
         }
     }
 }
