--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one process, read from a file of JSON with comments.
 
+use crate::secret::SecretSource;
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{DataCentreId, EntryId};
 
@@ -19,6 +20,9 @@
     pub peer_address: String,
     /// Entry processes to meet first, as IP:port.
     pub seed_peers: Vec<String>,
+    /// Key of resume tokens, the same in the whole fleet; without one, a stream can be taken up
+    /// again only at the process that it began at.
+    pub resume_key: Option<SecretSource>,
     /// Limits on input and waiting.
     pub limits: Limits,
 }
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,6 +1,6 @@
 //! The dump of a process's state, without secrets.
 
-use crate::peers::PeersState;
+use crate::{admission::AdmissionState, peers::PeersState};
 use serde::Serialize;
 use skylarkpick_interface::{
     ConfigurationVersion, DataCentreId, EntryId, LoadReport, ModelName, RunnerId, WeightVersion,
@@ -20,10 +20,14 @@
     pub is_ready: bool,
     /// Requests that have no answer yet.
     pub requests_under_way: u64,
+    /// Runs that wait for a caller to come back.
+    pub runs_retained: usize,
     /// Other entry processes, and who does what among them.
     pub peers: PeersState,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
+    /// Queues, limits and ejected runners.
+    pub admission: AdmissionState,
 }
 
 /// What is known of a runner.
