Roll weights out by a planner a data centre under a lease

Cause: only the demo itself swapped weights; a patch changed what was wanted and nothing more. Change: a pure roll-out plan, a planner in each entry process that acts while it holds its data centre's lease, and one platform object that counts the loads of all data centres. The state dump shows the lease, the orders under way and why each runner waits. The demo patches and waits. The runner stand-in goes on loading when whoever ordered it has gone, as an engine does.

--- a/crates/skylarkpick-cache/src/directory.rs
+++ b/crates/skylarkpick-cache/src/directory.rs
@@ -1,7 +1,7 @@
 //! Which runners are believed to hold which blocks.
 
 use skylarkpick_interface::{PrefixKey, RunnerId};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Which runners are believed to hold which blocks. A hint: a wrong belief costs time only.
 #[derive(Debug, Default)]
@@ -41,6 +41,15 @@
             .count()
     }
 
+    /// Blocks that each runner is believed to hold.
+    pub fn blocks_by_runner(&self) -> BTreeMap<RunnerId, u64> {
+        let mut blocks = BTreeMap::new();
+        for runner in self.holders.values().flatten() {
+            *blocks.entry(runner.clone()).or_default() += 1;
+        }
+        blocks
+    }
+
     /// Blocks known.
     pub fn len(&self) -> usize {
         self.holders.len()
--- a/crates/skylarkpick-command/src/demo/script.rs
+++ b/crates/skylarkpick-command/src/demo/script.rs
@@ -10,7 +10,6 @@
 use anyhow::{Context, bail};
 use serde_json::{Value, json};
 use skylarkpick_http::HttpClient;
-use skylarkpick_interface::{Order, OrderKind, Runner};
 use skylarkpick_standin::FakeRunner;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,6 +21,10 @@
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for a patch to be in force everywhere.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
+/// Time for a roll-out over all runners.
+const ROLLOUT_LIMIT: Duration = Duration::from_secs(12);
+/// Weights that may be loaded at once, by the serving configuration.
+const LOADS_LIMIT: u32 = 2;
 /// Time after which a leaving runner gets no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 
@@ -43,12 +46,12 @@
     check_in_force(&fleet, 2, &mut broken).await;
 
     tokio::time::sleep(step).await;
-    console.message("the weights are swapped, runner by runner");
+    console.message("a patch wants new weights; the planners swap them, runner by runner");
     let change =
         json!({"models": {MODEL: {"weight_version": 2, "also_served_weight_versions": [1]}}});
     patch(&addresses[1], "demo-swap", 2, &change).await?;
     check_in_force(&fleet, 3, &mut broken).await;
-    swap(&fleet, 2).await?;
+    wait_rolled_out(&fleet, 2).await?;
 
     console.message("a runner leaves");
     let (left_name, left_at) = leave(&fleet)?;
@@ -95,30 +98,17 @@
     }
 }
 
-/// Brings the runners to new weights, two at a time.
-async fn swap(fleet: &Fleet, weight_version: u64) -> anyhow::Result<()> {
-    let runners: Vec<_> = fleet.runners.values().cloned().collect();
-    for pair in runners.chunks(2) {
-        let orders = pair.iter().map(|runner| {
-            runner.order(Order {
-                fencing_number: 1,
-                kind: OrderKind::Load {
-                    model: MODEL.to_string(),
-                    weight_version,
-                    adapters: Vec::new(),
-                },
-            })
-        });
-        for outcome in futures::future::join_all(orders).await {
-            outcome?;
-        }
-    }
-    for runner in &runners {
-        if !serves(runner, weight_version).await {
-            bail!("a runner did not load the new weights");
+/// Waits until the planners have brought every runner to new weights.
+async fn wait_rolled_out(fleet: &Fleet, weight_version: u64) -> anyhow::Result<()> {
+    let rolled_out = async {
+        for runner in fleet.runners.values() {
+            while !serves(runner, weight_version).await {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
         }
-    }
-    Ok(())
+    };
+    let in_time = tokio::time::timeout(ROLLOUT_LIMIT, rolled_out).await;
+    in_time.context("the runners did not get the new weights in time")
 }
 
 fn leave(fleet: &Fleet) -> anyhow::Result<(String, Instant)> {
@@ -171,6 +161,9 @@
     if report.lost > 0 {
         broken.push(format!("{} confirmed bookings never ran", report.lost));
     }
+    if report.loads_at_once > LOADS_LIMIT {
+        broken.push(format!("{} weights were loaded at once", report.loads_at_once));
+    }
     if report.in_force_on < report.entries {
         broken.push("the newest configuration is not in force everywhere".to_string());
     }
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -8,6 +8,7 @@
     in_force::InForce,
     parts::EntryParts,
     peers::{ConfigurationStatus, Peers},
+    planner::Planner,
     request::{CallReply, CallRequest, CompletionRequest},
     router_actor::{ReadCandidates, RouterActor},
     service_call,
@@ -42,6 +43,7 @@
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
     pub(crate) peers: Peers,
+    planner: Planner,
 }
 
 impl Entry {
@@ -53,6 +55,7 @@
         let peers = Peers::spawn(&parts, in_force.clone(), configuration.clone(), router.clone());
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
         let claims = open_claims(&parts);
+        let planner = Planner::spawn(&parts, in_force.clone(), router.clone());
         let shared = Shared {
             parts,
             in_force,
@@ -64,6 +67,7 @@
             keeper,
             draining: AtomicBool::new(false),
             peers,
+            planner,
         };
         Entry { shared: Arc::new(shared) }
     }
@@ -82,6 +86,7 @@
     pub fn drain(&self) {
         if !self.shared.draining.swap(true, Ordering::SeqCst) {
             self.shared.peers.leave();
+            self.shared.planner.stop();
         }
     }
 
@@ -154,6 +159,7 @@
             is_ready: self.is_ready(),
             requests_under_way: self.requests_under_way(),
             peers: self.shared.peers.state().await,
+            planner: self.shared.planner.state(),
             runners: candidates.into_iter().map(RunnerState::from).collect(),
         }
     }
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod in_force;
 mod parts;
 mod peers;
+mod planner;
 mod request;
 mod router_actor;
 mod service_call;
@@ -27,5 +28,6 @@
 pub use peers::{
     ConfigurationStatus, DirectoryPart, PeerProcess, Peers, PeersState, PeersView, ProcessStatus,
 };
+pub use planner::{LeaseState, PlannerState};
 pub use request::{AnswerEvent, CallReply, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
--- a/crates/skylarkpick-entry/src/router_actor.rs
+++ b/crates/skylarkpick-entry/src/router_actor.rs
@@ -67,6 +67,21 @@
 /// Reads what is known of the runners.
 pub(crate) struct ReadCandidates;
 
+/// Counts the blocks that each runner is believed to hold.
+pub(crate) struct CountBlocks;
+
+impl Message<CountBlocks> for RouterActor {
+    type Reply = BTreeMap<RunnerId, u64>;
+
+    async fn handle(
+        &mut self,
+        _: CountBlocks,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> BTreeMap<RunnerId, u64> {
+        self.directory.blocks_by_runner()
+    }
+}
+
 /// What was seen of a runner.
 pub(crate) enum Observed {
     /// A load report.
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,6 +1,6 @@
 //! The dump of a process's state, without secrets.
 
-use crate::peers::PeersState;
+use crate::{peers::PeersState, planner::PlannerState};
 use serde::Serialize;
 use skylarkpick_interface::{
     ConfigurationVersion, DataCentreId, EntryId, LoadReport, ModelName, RunnerId, WeightVersion,
@@ -22,6 +22,8 @@
     pub requests_under_way: u64,
     /// Other entry processes, and who does what among them.
     pub peers: PeersState,
+    /// The roll-out planner of the data centre, and the lease that it works under.
+    pub planner: PlannerState,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
 }
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -5,6 +5,7 @@
 mod limit;
 mod queue;
 mod retry;
+mod rollout;
 mod route;
 mod saving;
 mod transfer;
@@ -14,6 +15,7 @@
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use queue::{FairQueue, Queued, QueuedId};
 pub use retry::RetryBudget;
+pub use rollout::{RolloutPlan, RolloutRunner, RolloutWait, RolloutWish, plan_rollout};
 pub use route::{
     Backlog, BeliefCorrection, Candidate, ContextPlan, DEFAULT_RULES, Holder, ImportPlan, NoRoute,
     PrefixView, Route, RouteRequest, Router, RoutingRules, SavedCopy, StoreCandidate,
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/rollout/tests.rs
@@ -0,0 +1,225 @@
+//! Cases of single decisions, and whole roll-outs step by step.
+
+use super::{RolloutRunner, RolloutWait, RolloutWish, plan_rollout};
+use std::collections::BTreeMap;
+
+const MODEL: &str = "tala-llm";
+
+fn runner(name: &str, weight_version: u64) -> RolloutRunner {
+    RolloutRunner {
+        name: name.to_string(),
+        model: MODEL.to_string(),
+        weight_version: Some(weight_version),
+        slots: 8,
+        ..RolloutRunner::default()
+    }
+}
+
+fn wish(weight_version: u64, usable: &[u64]) -> RolloutWish {
+    RolloutWish {
+        model: MODEL.to_string(),
+        weight_version,
+        usable_weight_versions: usable.to_vec(),
+        loads_limit: 2,
+        serving_share_floor: 0.5,
+    }
+}
+
+fn fleet(count: usize) -> Vec<RolloutRunner> {
+    (0..count).map(|index| runner(&format!("r{index}"), 1)).collect()
+}
+
+struct Case {
+    name: &'static str,
+    change: fn(&mut Vec<RolloutRunner>, &mut RolloutWish),
+    loads_under_way: u32,
+    order: &'static [&'static str],
+    waiting: &'static [(&'static str, RolloutWait)],
+}
+
+/// Each case starts with four runners on version 1, version 2 wanted and 1 still usable.
+const CASES: &[Case] = &[
+    Case {
+        name: "two at once, the others wait for the limit",
+        change: |_, _| {},
+        loads_under_way: 0,
+        order: &["r0", "r1"],
+        waiting: &[("r2", RolloutWait::LoadsLimit), ("r3", RolloutWait::LoadsLimit)],
+    },
+    Case {
+        name: "loads of another data centre count",
+        change: |runners, _| runners.truncate(2),
+        loads_under_way: 2,
+        order: &[],
+        waiting: &[("r0", RolloutWait::LoadsLimit), ("r1", RolloutWait::LoadsLimit)],
+    },
+    Case {
+        name: "the share that must serve",
+        change: |_, wish| wish.serving_share_floor = 0.75,
+        loads_under_way: 0,
+        order: &["r0"],
+        waiting: &[
+            ("r1", RolloutWait::ServingShare),
+            ("r2", RolloutWait::ServingShare),
+            ("r3", RolloutWait::ServingShare),
+        ],
+    },
+    Case {
+        name: "a share that would let nobody go lets one go",
+        change: |runners, wish| {
+            runners.truncate(1);
+            wish.serving_share_floor = 1.0;
+        },
+        loads_under_way: 0,
+        order: &["r0"],
+        waiting: &[],
+    },
+    Case {
+        name: "the load of the moment leaves room for one",
+        change: |runners, _| runners.iter_mut().for_each(|runner| runner.runs = 5),
+        loads_under_way: 0,
+        order: &["r0"],
+        waiting: &[("r1", RolloutWait::Load), ("r2", RolloutWait::Load), ("r3", RolloutWait::Load)],
+    },
+    Case {
+        name: "hot runners last",
+        change: |runners, _| {
+            runners[0].hot_blocks = 90;
+            runners[1].hot_blocks = 10;
+            runners[2].runs = 1;
+        },
+        loads_under_way: 0,
+        order: &["r3", "r2"],
+        waiting: &[("r0", RolloutWait::LoadsLimit), ("r1", RolloutWait::LoadsLimit)],
+    },
+    Case {
+        name: "a runner that loads is not ordered again",
+        change: |runners, _| runners[0].is_loading = true,
+        loads_under_way: 1,
+        order: &["r1"],
+        waiting: &[
+            ("r0", RolloutWait::Loading),
+            ("r2", RolloutWait::LoadsLimit),
+            ("r3", RolloutWait::LoadsLimit),
+        ],
+    },
+    Case {
+        name: "leaving runners do not count, unreachable ones do",
+        change: |runners, _| {
+            runners[0].is_leaving = true;
+            runners[1].weight_version = None;
+        },
+        loads_under_way: 0,
+        order: &[],
+        waiting: &[
+            ("r1", RolloutWait::Unreachable),
+            ("r2", RolloutWait::ServingShare),
+            ("r3", RolloutWait::ServingShare),
+        ],
+    },
+    Case {
+        name: "runners on unusable weights go first, whatever the load",
+        change: |runners, wish| {
+            wish.usable_weight_versions = vec![2];
+            runners[0].weight_version = Some(2);
+            runners[3].runs = 100;
+        },
+        loads_under_way: 0,
+        order: &["r1", "r2"],
+        waiting: &[("r3", RolloutWait::LoadsLimit)],
+    },
+    Case {
+        name: "a runner of another model is brought over",
+        change: |runners, _| {
+            runners.truncate(2);
+            runners[1].model = "book".to_string();
+            runners[1].weight_version = Some(2);
+        },
+        loads_under_way: 1,
+        order: &["r1"],
+        waiting: &[("r0", RolloutWait::LoadsLimit)],
+    },
+];
+
+#[test]
+fn single_decisions() {
+    for case in CASES {
+        let (mut runners, mut wish) = (fleet(4), wish(2, &[2, 1]));
+        (case.change)(&mut runners, &mut wish);
+        let plan = plan_rollout(&runners, &wish, case.loads_under_way);
+        assert_eq!(plan.order, case.order, "{}", case.name);
+        let waiting: BTreeMap<_, _> =
+            case.waiting.iter().map(|(name, wait)| (name.to_string(), *wait)).collect();
+        assert_eq!(plan.waiting, waiting, "{}", case.name);
+    }
+}
+
+/// Wanted and usable versions from a step on.
+struct Patch {
+    from_step: usize,
+    weight_version: u64,
+    usable: &'static [u64],
+}
+
+struct Rollout {
+    name: &'static str,
+    patches: &'static [Patch],
+    steps_limit: usize,
+}
+
+const ROLLOUTS: &[Rollout] = &[
+    Rollout {
+        name: "plain",
+        patches: &[Patch { from_step: 0, weight_version: 2, usable: &[2, 1] }],
+        steps_limit: 16,
+    },
+    Rollout {
+        name: "a bad version is taken back in the middle",
+        patches: &[
+            Patch { from_step: 0, weight_version: 2, usable: &[2, 1] },
+            Patch { from_step: 5, weight_version: 1, usable: &[1] },
+        ],
+        steps_limit: 16,
+    },
+    Rollout {
+        name: "operators patch again and again",
+        patches: &[
+            Patch { from_step: 0, weight_version: 2, usable: &[2, 1] },
+            Patch { from_step: 3, weight_version: 3, usable: &[3, 2, 1] },
+            Patch { from_step: 6, weight_version: 2, usable: &[3, 2, 1] },
+            Patch { from_step: 7, weight_version: 4, usable: &[4, 3, 2, 1] },
+        ],
+        steps_limit: 30,
+    },
+];
+
+/// A load takes two steps; seven runners carry two runs each.
+#[test]
+fn whole_rollouts_end_and_never_break_their_bounds() {
+    for rollout in ROLLOUTS {
+        let mut runners = fleet(7);
+        runners.iter_mut().for_each(|runner| runner.runs = 2);
+        let mut loads: BTreeMap<usize, (usize, u64)> = BTreeMap::new();
+        for step in 0..rollout.steps_limit {
+            let patch = rollout.patches.iter().rfind(|patch| patch.from_step <= step).unwrap();
+            let wish = wish(patch.weight_version, patch.usable);
+            for (index, (_, version)) in loads.extract_if(.., |_, load| load.0 <= step) {
+                runners[index].weight_version = Some(version);
+                runners[index].is_loading = false;
+            }
+            let plan = plan_rollout(&runners, &wish, loads.len() as u32);
+            for name in plan.order {
+                let index = runners.iter().position(|runner| runner.name == name).unwrap();
+                assert!(!runners[index].is_loading, "{}: ordered while it loads", rollout.name);
+                runners[index].is_loading = true;
+                loads.insert(index, (step + 2, wish.weight_version));
+            }
+            assert!(loads.len() <= 2, "{}: {} loads at step {step}", rollout.name, loads.len());
+            let serving = runners.iter().filter(|runner| !runner.is_loading).count();
+            assert!(serving >= 4, "{}: {serving} runners serve at step {step}", rollout.name);
+        }
+        let wanted = rollout.patches.last().unwrap().weight_version;
+        let all = runners.iter().all(|it| it.weight_version == Some(wanted) && !it.is_loading);
+        assert!(all, "{}: not ended after {} steps", rollout.name, rollout.steps_limit);
+    }
+}
--- a/crates/skylarkpick-standin/src/runner.rs
+++ b/crates/skylarkpick-standin/src/runner.rs
@@ -615,7 +615,10 @@
         match order.kind {
             OrderKind::Leave => self.leave(),
             OrderKind::Load { model, weight_version, .. } => {
-                self.load_weights(model, weight_version).await;
+                let runner = self.clone();
+                // A load goes on when whoever ordered it has gone.
+                let load = async move { runner.load_weights(model, weight_version).await };
+                tokio::spawn(load).await.map_err(|error| OrderError::Unknown(error.to_string()))?;
             }
         }
         Ok(())
