--- a/crates/skylarkpick-command/src/overhead/fleet.rs
+++ b/crates/skylarkpick-command/src/overhead/fleet.rs
@@ -92,6 +92,7 @@
         connector: Arc::new(HttpConnector::open()),
         peers: NoPeers::open(),
         clock: Arc::new(BootClock),
+        resume_key: None,
         seed: 1,
     })
 }
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry process without its doors.
 
 use crate::{
+    admission::{Desk, follow_targets as follow_admission},
     claimed_call::open_claims,
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install},
@@ -13,17 +14,21 @@
     router_actor::{ReadCandidates, RouterActor},
     service_call,
     state_dump::{RunnerState, StateDump},
+    streams::{self, CountWaiting, ResumeKey, RetentionActor},
 };
 use kameo::{actor::Spawn, prelude::ActorRef};
 use skylarkpick_claims::ClaimLog;
 use skylarkpick_config::{
     ConfigurationKeeper, ConfigurationRecord, Patch, PatchOutcome, ReadError,
 };
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinSet};
 
 /// A running entry process without its doors. Dropping the last handle stops it.
 #[derive(Clone)]
@@ -36,12 +41,16 @@
     pub(crate) parts: EntryParts,
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) router: ActorRef<RouterActor>,
+    pub(crate) resume_key: ResumeKey,
+    pub(crate) retention: ActorRef<RetentionActor>,
+    pub(crate) admission: Desk,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
     pub(crate) claims: ClaimLog,
     configuration: ActorRef<ConfigurationActor>,
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
+    _tasks: JoinSet<()>,
     pub(crate) peers: Peers,
     planner: Planner,
 }
@@ -52,20 +61,29 @@
         let (sender, in_force) = watch::channel(Arc::new(InForce::default()));
         let configuration = ConfigurationActor::spawn(ConfigurationActor::open(sender));
         let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre, parts.seed));
+        let admission = Desk::spawn(parts.clock.clone(), router.clone());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow_admission(router.clone(), admission.actor()));
         let peers = Peers::spawn(&parts, in_force.clone(), configuration.clone(), router.clone());
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
+        let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
+        let resume_key = parts.resume_key.clone();
         let claims = open_claims(&parts);
         let planner = Planner::spawn(&parts, in_force.clone(), router.clone());
         let shared = Shared {
+            resume_key: resume_key.unwrap_or_else(|| ResumeKey::from_seed(parts.seed)),
+            retention: RetentionActor::spawn(RetentionActor::open(window)),
             parts,
             in_force,
             router,
+            admission,
             requests_under_way: AtomicU64::new(0),
             next_service_instance: AtomicU64::new(0),
             claims,
             configuration,
             keeper,
             draining: AtomicBool::new(false),
+            _tasks: tasks,
             peers,
             planner,
         };
@@ -113,6 +131,16 @@
         completion::begin(self.shared.clone(), request)
     }
 
+    /// Takes a stream up again from answer position `offset`, with the token that came with it.
+    /// Dropping the new stream cancels the run, unless the request was resumable.
+    ///
+    /// # Errors
+    /// When the token was altered, has expired or belongs to another account, or when the runner
+    /// cannot be named any more.
+    pub fn resume(&self, account: &str, token: &str, offset: u64) -> Result<AnswerStream, Failure> {
+        streams::resume(&self.shared, account, token, offset)
+    }
+
     /// Makes a call to a plain service.
     ///
     /// # Errors
@@ -158,9 +186,11 @@
             configuration_version: self.in_force().version,
             is_ready: self.is_ready(),
             requests_under_way: self.requests_under_way(),
+            runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             peers: self.shared.peers.state().await,
             planner: self.shared.planner.state(),
             runners: candidates.into_iter().map(RunnerState::from).collect(),
+            admission: self.shared.admission.state().await,
         }
     }
 }
--- a/crates/skylarkpick-entry/src/front/answer.rs
+++ b/crates/skylarkpick-entry/src/front/answer.rs
@@ -10,6 +10,8 @@
 /// Header that carries the weight version of an answer.
 pub(super) const WEIGHT_VERSION_HEADER: &str = "x-weight-version";
 
+/// Header that carries the token with which a stream is taken up again.
+pub(super) const RESUME_TOKEN_HEADER: &str = "x-resume-token";
 /// Header that marks the stored answer of an earlier call under the same idempotency key.
 pub(super) const REPLAYED_HEADER: &str = "x-idempotent-replayed";
 
@@ -51,6 +53,7 @@
         FailureCode::Unauthorized => StatusCode::UNAUTHORIZED,
         FailureCode::Forbidden => StatusCode::FORBIDDEN,
         FailureCode::NotFound => StatusCode::NOT_FOUND,
+        FailureCode::Expired => StatusCode::GONE,
         FailureCode::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
         FailureCode::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
         FailureCode::Conflict => StatusCode::CONFLICT,
--- a/crates/skylarkpick-entry/src/front/door.rs
+++ b/crates/skylarkpick-entry/src/front/door.rs
@@ -101,6 +101,10 @@
         if head.method == Method::POST && path == "/v1/completions" {
             return completions::complete(&self.entry, &account, request_id, &content).await;
         }
+        if path == "/v1/completions/resume" {
+            let headers = &head.headers;
+            return completions::resume(&self.entry, &account, request_id, headers, &content).await;
+        }
         operators::answer(&self.entry, &account, &head.method, path, &content).await
     }
 
--- a/crates/skylarkpick-entry/src/front/tests/harness.rs
+++ b/crates/skylarkpick-entry/src/front/tests/harness.rs
@@ -74,6 +74,7 @@
             connector,
             peers: NoPeers::open(),
             clock: Arc::new(BootClock),
+            resume_key: None,
             seed: 1,
         });
         wait_ready(&entry).await;
--- a/crates/skylarkpick-entry/src/planner/tests.rs
+++ b/crates/skylarkpick-entry/src/planner/tests.rs
@@ -76,6 +76,7 @@
             peers: NoPeers::open(),
             clock: clock.clone(),
             seed: index as u64,
+            resume_key: None,
         })
     });
     let entries = entries.collect();
--- a/crates/skylarkpick-replay/src/engine/store.rs
+++ b/crates/skylarkpick-replay/src/engine/store.rs
@@ -24,7 +24,7 @@
     /// Runs that wait for an import to a runner.
     Import { entry: usize, runner: usize, context: ContextId, tokens: u64, waiters: Vec<RunId> },
     /// A copy to save.
-    Export { context: ContextId, tier: StoreTier, saved: Saved },
+    Export { runner: usize, context: ContextId, tier: StoreTier, saved: Saved },
 }
 
 /// A transfer that waits or is under way.
@@ -32,6 +32,7 @@
 pub(super) struct TransferState {
     pub(super) purpose: Purpose,
     pub(super) size_bytes: u64,
+    pub(super) asked_at: Duration,
     pub(super) begun_at: Option<Duration>,
 }
 
--- a/crates/skylarkpick-scenario/src/world/fleet.rs
+++ b/crates/skylarkpick-scenario/src/world/fleet.rs
@@ -10,7 +10,7 @@
 };
 use serde_json::json;
 use skylarkpick_config::{CONFIGURATION_KEY, Limits, Settings};
-use skylarkpick_entry::{Entry, EntryParts};
+use skylarkpick_entry::{Entry, EntryParts, ResumeKey};
 use skylarkpick_interface::{ObjectStore, TargetConnector};
 use skylarkpick_standin::{
     FakeRunner, FakeService, FakeStore, MemoryConnector, MemoryPeers, MemoryPlatform,
@@ -22,6 +22,8 @@
 const PEER_LATENCY: Duration = Duration::from_millis(1);
 /// Lag of the platform's list of VMs.
 pub(crate) const LIST_LAG: Duration = Duration::from_secs(30);
+/// Secret that the entry processes of a scenario seal resume tokens with.
+const RESUME_SECRET: &[u8] = b"a scenario runs in one process and ends by itself";
 /// Time for a runner to load weights.
 const LOAD_TIME: Duration = Duration::from_secs(1);
 
@@ -132,6 +134,7 @@
             }),
             peers,
             clock: clock.clone(),
+            resume_key: Some(ResumeKey::from_secret(RESUME_SECRET)),
             seed: (centre_index * 1_000 + index) as u64 + 1_000_000 * starts,
         });
         let process = EntryProcess { entry, life, clock, address, data_centre: centre, starts };
@@ -167,6 +170,7 @@
         platform_address: "127.0.0.1:1".to_string(),
         peer_address: String::new(),
         seed_peers: Vec::new(),
+        resume_key: None,
         limits: Limits::default(),
     }
 }
