--- a/crates/skylarkpick-scenario/src/world/fleet.rs
+++ b/crates/skylarkpick-scenario/src/world/fleet.rs
@@ -172,6 +172,7 @@
         seed_peers: Vec::new(),
         resume_key: None,
         limits: Limits::default(),
+        ..Settings::default()
     }
 }
 
