--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod in_force;
 mod parts;
 mod peers;
+mod planner;
 mod request;
 mod router_actor;
 mod service_call;
@@ -30,6 +31,7 @@
 pub use peers::{
     ConfigurationStatus, DirectoryPart, PeerProcess, Peers, PeersState, PeersView, ProcessStatus,
 };
+pub use planner::{LeaseState, PlannerState};
 pub use request::{AnswerEvent, CallReply, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
 pub use streams::ResumeKey;
