--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -9,6 +9,7 @@
     in_force::InForce,
     parts::EntryParts,
     peers::{ConfigurationStatus, Peers},
+    planner::Planner,
     request::{CallReply, CallRequest, CompletionRequest},
     router_actor::{ReadCandidates, RouterActor},
     service_call,
@@ -51,6 +52,7 @@
     draining: AtomicBool,
     _tasks: JoinSet<()>,
     pub(crate) peers: Peers,
+    planner: Planner,
 }
 
 impl Entry {
@@ -67,6 +69,7 @@
         let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
         let resume_key = parts.resume_key.clone();
         let claims = open_claims(&parts);
+        let planner = Planner::spawn(&parts, in_force.clone(), router.clone());
         let shared = Shared {
             resume_key: resume_key.unwrap_or_else(|| ResumeKey::from_seed(parts.seed)),
             retention: RetentionActor::spawn(RetentionActor::open(window)),
@@ -82,6 +85,7 @@
             draining: AtomicBool::new(false),
             _tasks: tasks,
             peers,
+            planner,
         };
         Entry { shared: Arc::new(shared) }
     }
@@ -100,6 +104,7 @@
     pub fn drain(&self) {
         if !self.shared.draining.swap(true, Ordering::SeqCst) {
             self.shared.peers.leave();
+            self.shared.planner.stop();
         }
     }
 
@@ -183,6 +188,7 @@
             requests_under_way: self.requests_under_way(),
             runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             peers: self.shared.peers.state().await,
+            planner: self.shared.planner.state(),
             runners: candidates.into_iter().map(RunnerState::from).collect(),
             admission: self.shared.admission.state().await,
         }
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,6 +1,6 @@
 //! The dump of a process's state, without secrets.
 
-use crate::{admission::AdmissionState, peers::PeersState};
+use crate::{admission::AdmissionState, peers::PeersState, planner::PlannerState};
 use serde::Serialize;
 use skylarkpick_interface::{
     ConfigurationVersion, DataCentreId, EntryId, LoadReport, ModelName, RunnerId, WeightVersion,
@@ -24,6 +24,8 @@
     pub runs_retained: usize,
     /// Other entry processes, and who does what among them.
     pub peers: PeersState,
+    /// The roll-out planner of the data centre, and the lease that it works under.
+    pub planner: PlannerState,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
     /// Queues, limits and ejected runners.
