--- a/crates/skylarkpick-scenario/src/callers.rs
+++ b/crates/skylarkpick-scenario/src/callers.rs
@@ -2,7 +2,9 @@
 
 use crate::process::Life;
 use futures::StreamExt;
-use skylarkpick_entry::{AnswerEvent, CallRequest, CompletionRequest, Entry, Failure, Ran};
+use skylarkpick_entry::{
+    AnswerEvent, AnswerStream, CallRequest, CompletionRequest, Entry, Failure, Ran,
+};
 use skylarkpick_interface::{AccountId, WeightVersion};
 use std::{
     collections::BTreeMap,
@@ -35,6 +37,8 @@
     Failed(Failure),
     /// With the death of the entry process.
     ConnectionLost,
+    /// By the caller itself, which closed its connection.
+    Closed,
 }
 
 /// One request as its caller saw it.
@@ -45,6 +49,8 @@
     pub(crate) sent: Sent,
     pub(crate) sent_at: Instant,
     pub(crate) tokens: Vec<String>,
+    /// Token with which the stream can be taken up again.
+    pub(crate) resume_token: Option<String>,
     pub(crate) weight_version: Option<WeightVersion>,
     pub(crate) cached_tokens: u64,
     pub(crate) first_token_at: Option<Instant>,
@@ -59,6 +65,7 @@
             sent,
             sent_at: Instant::now(),
             tokens: Vec::new(),
+            resume_token: None,
             weight_version: None,
             cached_tokens: 0,
             first_token_at: None,
@@ -79,6 +86,7 @@
                 format!("reply {status} {}", String::from_utf8_lossy(body))
             }
             Some(Ended::Failed(failure)) => describe_failure(failure),
+            Some(Ended::Closed) => format!("closed, {} tokens so far", self.tokens.len()),
             Some(Ended::ConnectionLost) => {
                 format!("connection lost, {} tokens so far", self.tokens.len())
             }
@@ -97,6 +105,14 @@
     format!("failed {}, {ran}{retry}", code.trim_matches('"'))
 }
 
+/// What a caller shows to take a stream up again.
+pub(crate) struct Taking {
+    pub(crate) account: AccountId,
+    pub(crate) token: String,
+    /// Tokens of the answer that the caller has.
+    pub(crate) offset: u64,
+}
+
 /// Every request of a scenario by its id.
 #[derive(Clone)]
 pub(crate) struct Callers {
@@ -141,19 +157,47 @@
 
     /// Sends a prompt through an entry process and follows its answer in the background.
     pub(crate) fn send(&self, entry: Entry, life: Life, request: CompletionRequest) {
-        let (callers, id) = (self.clone(), request.request_id.clone());
+        let id = request.request_id.clone();
+        self.follow_in_background(id, life, move || entry.complete(request));
+    }
+
+    /// Takes a stream up again through an entry process, under a new id.
+    pub(crate) fn take_up(&self, entry: Entry, life: Life, id: &str, taking: Taking) {
+        self.follow_in_background(id.to_string(), life, move || {
+            entry.resume(&taking.account, &taking.token, taking.offset)
+        });
+    }
+
+    /// Closes a caller's connection.
+    pub(crate) fn close(&self, id: &str) {
+        self.end(id, Ended::Closed);
+    }
+
+    fn follow_in_background(
+        &self,
+        id: String,
+        life: Life,
+        begin: impl FnOnce() -> Result<AnswerStream, Failure> + Send + 'static,
+    ) {
+        let callers = self.clone();
         tokio::spawn(async move {
             tokio::select! {
                 biased;
                 () = life.wait_dead() => callers.end(&id, Ended::ConnectionLost),
-                () = callers.follow(&entry, &life, &id, request) => {}
+                () = callers.wait_ended(&id) => {}
+                () = callers.follow(&life, &id, begin) => {}
             }
         });
     }
 
-    async fn follow(&self, entry: &Entry, life: &Life, id: &str, request: CompletionRequest) {
+    async fn follow(
+        &self,
+        life: &Life,
+        id: &str,
+        begin: impl FnOnce() -> Result<AnswerStream, Failure>,
+    ) {
         life.pass().await;
-        let mut events = match entry.complete(request) {
+        let mut events = match begin() {
             Ok(events) => events,
             Err(failure) => return self.end(id, Ended::Failed(failure)),
         };
@@ -161,8 +205,9 @@
             // A paused process sends nothing to its callers either.
             life.pass().await;
             match event {
-                AnswerEvent::Started { weight_version, cached_tokens, .. } => {
+                AnswerEvent::Started { weight_version, cached_tokens, resume_token, .. } => {
                     self.update(id, |record| {
+                        record.resume_token = Some(resume_token);
                         record.weight_version = Some(weight_version);
                         record.cached_tokens = cached_tokens;
                     });
--- a/crates/skylarkpick-scenario/src/judge/shutdown.rs
+++ b/crates/skylarkpick-scenario/src/judge/shutdown.rs
@@ -23,6 +23,6 @@
     match &record.ended {
         None | Some(Ended::ConnectionLost) => true,
         Some(Ended::Failed(failure)) => failure.ran != Ran::NotRun,
-        Some(Ended::Whole | Ended::Reply { .. }) => false,
+        Some(Ended::Whole | Ended::Reply { .. } | Ended::Closed) => false,
     }
 }
--- a/crates/skylarkpick-scenario/src/steps.rs
+++ b/crates/skylarkpick-scenario/src/steps.rs
@@ -18,6 +18,7 @@
 mod shutdown;
 mod status;
 mod store;
+mod stream;
 mod wait;
 
 use crate::{arguments::Arguments, error::StepError, world::World};
@@ -53,6 +54,8 @@
         Box::new(fleet::FleetStep),
         Box::new(send::SendStep),
         Box::new(call::CallStep),
+        Box::new(stream::CloseStep),
+        Box::new(stream::TakeUpStep),
         Box::new(wait::WaitStep),
         Box::new(advance::AdvanceStep),
         Box::new(life::KillStep),
--- a/crates/skylarkpick-scenario/src/steps/fleet.rs
+++ b/crates/skylarkpick-scenario/src/steps/fleet.rs
@@ -54,6 +54,7 @@
         centres.push("a".to_string());
     }
     let token_interval = arguments.take_time("token_interval_ms")?;
+    let ignores_fencing = arguments.take_flag("ignores_fencing");
     let store_size_bytes = arguments.take_or("store_size_bytes", "bytes", 64 << 30)?;
     Ok(FleetPlan {
         centres,
@@ -61,9 +62,10 @@
         runners: arguments.take_or("runners", "a count", 2)?,
         stores: arguments.take_or("stores", "a count", 0)?,
         services: arguments.take_or("services", "a count", 1)?,
-        ignores_fencing: arguments.take_flag("ignores_fencing"),
+        ignores_fencing,
         loads_limit: arguments.take_or("loads_limit", "a count", 2)?,
         runner: RunnerSettings {
+            checks_fencing: !ignores_fencing,
             model: names::MODEL.to_string(),
             slots: arguments.take_or("slots", "a count", 8)?,
             cache_blocks: arguments.take_or("cache_blocks", "a count", 256)?,
