Read stored objects of any content, and bound a lease record's order timeout

Cause: a property test over lease records of any content found that a record with an endless order timeout kept the lease for ever. Change: the recorded order timeout is bounded as the term is. Conclusion: an unreadable or wild lease record is waited out for ten minutes at most.

--- a/crates/skylarkpick-lease/src/record.rs
+++ b/crates/skylarkpick-lease/src/record.rs
@@ -58,7 +58,9 @@
             return Duration::ZERO;
         }
         let term = Duration::from_millis(self.term_ms).min(TERM_LIMIT);
-        let order_timeout = Duration::from_millis(self.order_timeout_ms).max(own.order_timeout);
+        // An order never takes longer than the term, or its holder could not give it.
+        let recorded = Duration::from_millis(self.order_timeout_ms).min(TERM_LIMIT);
+        let order_timeout = recorded.max(own.order_timeout);
         term + order_timeout
     }
 }
--- a/crates/skylarkpick-lease/tests/machine.rs
+++ b/crates/skylarkpick-lease/tests/machine.rs
@@ -218,3 +218,39 @@
     orders += run(&calm).unwrap();
     assert!(orders > 150, "{orders} orders in 200 ticks");
 }
+
+#[test]
+fn any_bytes_are_read_as_a_lease_that_ends() {
+    let config = Config {
+        cases: 5_000,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..Config::default()
+    };
+    let record = (any::<u64>(), any::<u64>(), any::<bool>()).prop_map(|(term, order, released)| {
+        format!(
+            "{{\"holder\":\"h\",\"nonce\":\"n\",\"term_ms\":{term},\"order_timeout_ms\":{order},\
+             \"released\":{released}}}"
+        )
+        .into_bytes()
+    });
+    let content = prop_oneof![record, prop::collection::vec(any::<u8>(), 0..200)];
+    TestRunner::new(config)
+        .run(&content, |content| {
+            let mut machine = candidate(0).machine;
+            let now = Duration::from_secs(100);
+            machine.observe_read(now, Some((1, LeaseRecord::read(&content))));
+            // The longest wait: five minutes of a term, and as much for an order.
+            let mut candidate = Candidate { machine, answer: None };
+            let (mut object, mut late) = (Object::default(), Vec::new());
+            object.write(None, &LeaseRecord::read(&content));
+            for second in 0..605 {
+                let at = now + Duration::from_secs(second);
+                advance(&mut candidate, at, Fate::Ordinary, 0, &mut object, &mut late);
+            }
+            prop_assert!(candidate.machine.permit(now + Duration::from_secs(604)).is_some());
+            Ok(())
+        })
+        .unwrap();
+}
