--- a/crates/skylarkpick-command/src/commands/entry.rs
+++ b/crates/skylarkpick-command/src/commands/entry.rs
@@ -7,10 +7,11 @@
 };
 use anyhow::Context;
 use getopts::Matches;
-use skylarkpick_config::{Secret, SecretSource, Settings, parse_settings};
+use skylarkpick_config::{LogLevel, Secret, SecretSource, Settings, parse_settings};
 use skylarkpick_entry::{Entry, EntryParts, Front, ResumeKey};
 use skylarkpick_http::{HttpConnector, HttpPlatform};
 use skylarkpick_interface::{BootClock, NoPeers, PeerNetwork};
+use skylarkpick_telemetry::{Level, LevelFilter, Metrics, install_metrics, open_logs};
 use skylarkpick_transport::{
     Authority, CertificateRules, PeerIdentity, QuicPeers, TransportLimits,
 };
@@ -60,10 +61,10 @@
         ]
     }
 
-    fn run(&self, matches: &Matches, console: &mut Console) -> anyhow::Result<Exit> {
+    fn run(&self, matches: &Matches, _: &mut Console) -> anyhow::Result<Exit> {
         let settings = read_settings(&matches.free[0])?;
         let runtime = tokio::runtime::Runtime::new().context("no runtime could be started")?;
-        runtime.block_on(serve(settings, console))
+        runtime.block_on(serve(settings))
     }
 }
 
@@ -73,6 +74,23 @@
     Ok(settings)
 }
 
+fn open_telemetry(settings: &Settings) -> anyhow::Result<()> {
+    open_logs(match settings.log_level {
+        LogLevel::Off => LevelFilter::Off,
+        LogLevel::Error => LevelFilter::MoreSevereEqual(Level::Error),
+        LogLevel::Warn => LevelFilter::MoreSevereEqual(Level::Warn),
+        LogLevel::Info => LevelFilter::MoreSevereEqual(Level::Info),
+        LogLevel::Debug => LevelFilter::MoreSevereEqual(Level::Debug),
+    })?;
+    if !settings.metrics_address.is_empty() {
+        let address = settings.metrics_address.parse().context("the metrics address is wrong")?;
+        let tags =
+            [("entry", settings.entry_id.as_str()), ("data_centre", settings.data_centre.as_str())];
+        install_metrics(Metrics::open_udp(address, &tags)?);
+    }
+    Ok(())
+}
+
 /// Opens the network to the other entry processes; none without a `peer_address`.
 fn open_peers(settings: &Settings) -> anyhow::Result<Arc<dyn PeerNetwork>> {
     if settings.peer_address.is_empty() {
@@ -99,10 +117,13 @@
     Ok(source.read().map_err(|error| WrongUse(format!("{field}: {error}")))?)
 }
 
-async fn serve(mut settings: Settings, console: &mut Console) -> anyhow::Result<Exit> {
+async fn serve(mut settings: Settings) -> anyhow::Result<Exit> {
     if settings.entry_id.is_empty() {
         settings.entry_id = format!("entry-{:016x}", rand::random::<u64>());
     }
+    open_telemetry(&settings)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let resume_key = match &settings.resume_key {
         Some(source) => source.read().map_err(|error| WrongUse(error.to_string()))?,
         None => Secret::open(rand::random::<[u8; 32]>()),
@@ -120,14 +141,13 @@
         settings,
     });
     let front = Front::bind(entry).await.context("the HTTP address cannot be taken")?;
-    console.message(&format!("listening on {}", front.address()));
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    spdlog::info!("listening", kv: { address = front.address().to_string().as_str() });
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    console.message("draining");
+    spdlog::info!("draining");
     let whole = front.shutdown().await;
+    spdlog::info!("ended", kv: { whole });
     Ok(if whole { Exit::Success } else { Exit::Failed })
 }
