Give a claimed call up before its key can be forgotten

Cause: with a deadline longer than the retention a key was forgotten while its call ran. Change: a claimed call ends, as unknown, after half a retention.

--- a/crates/skylarkpick-claims/src/log.rs
+++ b/crates/skylarkpick-claims/src/log.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Longest time from a claim to the end of its request, so that the log never forgets a key
+    /// whose request still runs.
+    pub fn longest_request(&self) -> Duration {
+        self.settings.retention / 2
+    }
+
     /// Waits at most `time_allowed` for the outcome of the claim that runs under a key.
     pub async fn wait(&self, account: &str, key: &str, time_allowed: Duration) -> WaitOutcome {
         let deadline = Instant::now() + time_allowed;
--- a/crates/skylarkpick-entry/tests/claimed_calls.rs
+++ b/crates/skylarkpick-entry/tests/claimed_calls.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use serde_json::json;
-use skylarkpick_config::Settings;
+use skylarkpick_config::{Limits, Settings};
 use skylarkpick_entry::{CallReply, CallRequest, Entry, EntryParts, Failure, FailureCode, Ran};
 use skylarkpick_interface::{NoPeers, ObjectStore, TokioClock};
 use skylarkpick_standin::{FakeService, MemoryConnector, MemoryPlatform, PlatformRates};
@@ -20,6 +20,10 @@
 }
 
 async fn site() -> Site {
+    site_with(Limits::default()).await
+}
+
+async fn site_with(limits: Limits) -> Site {
     let platform = MemoryPlatform::open(Duration::ZERO, PlatformRates::default());
     let (connector, service) = (MemoryConnector::open(), FakeService::open());
     let mut centres = json!({});
@@ -39,7 +43,7 @@
     let clock = Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH));
     let entries = ["mnl-a", "mnl-b"].into_iter().enumerate().map(|(index, centre)| {
         Entry::spawn(EntryParts {
-            settings: settings(centre),
+            settings: Settings { limits: limits.clone(), ..settings(centre) },
             platform: platform.clone(),
             connector: connector.clone(),
             peers: NoPeers::open(),
@@ -217,6 +221,17 @@
     assert_eq!(site.ran(), 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_call_ends_before_its_key_is_forgotten() {
+    let limits = Limits { claim_retention_ms: 8_000, ..Limits::default() };
+    let site = site_with(limits).await;
+    site.service.set_faults(|faults| faults.delay = Duration::from_secs(9));
+    let started = tokio::time::Instant::now();
+    assert_eq!(word(&site.book(0, "key", 7).await), "unknown");
+    assert_eq!(started.elapsed().as_secs(), 4);
+    assert_eq!(word(&site.book(1, "key", 7).await), "unknown");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_call_goes_on_when_its_caller_goes_and_a_repeat_gets_the_answer() {
     let site = site().await;
