Send no call to an instance of a plain service that leaves

The platform's list names every target, but only runners were left out: a call went on to an instance of a plain service on a leaving VM.

Leaving flags are kept for every target by name, and calls pass over instances that leave. A target that nobody reads has no start of its own to tell apart, so the list's "live" after "leaving" counts as a new one.

--- a/crates/skylarkpick-entry/src/peers/membership_actor.rs
+++ b/crates/skylarkpick-entry/src/peers/membership_actor.rs
@@ -100,7 +100,7 @@
             }
         }
         let concerns_view =
-            |change: &Change| matches!(change, Change::Member(_) | Change::InForce(_));
+            |change: &Change| !matches!(change, Change::RunnerLoad(_) | Change::CentreLoad(..));
         if changes.iter().any(concerns_view) {
             self.publish();
         }
@@ -150,6 +150,7 @@
             members,
             newest_version,
             version_holders: membership.holders_of_version(newest_version),
+            leaving_targets: membership.leaving_targets(),
             watches_configuration: membership.holds_role(CONFIGURATION_ROLE),
             reads_list: membership.holds_role(LIST_ROLE),
         };
--- a/crates/skylarkpick-entry/src/peers/tests.rs
+++ b/crates/skylarkpick-entry/src/peers/tests.rs
@@ -2,7 +2,7 @@
 
 mod fleet;
 
-use fleet::{Fleet, centre, entry_name, runner};
+use fleet::{Fleet, centre, entry_name, runner, service};
 use skylarkpick_interface::VmState;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -209,3 +209,18 @@
     sleep(seconds(120)).await;
     assert!(fleet.entries.values().all(|entry| entry.in_force().version == 5));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_instance_of_a_service_gets_no_call_until_it_is_replaced() {
+    let fleet = Fleet::spawn_with(&[2, 2], Duration::ZERO).await;
+    sleep(seconds(20)).await;
+    assert_eq!(fleet.call_service(0, 1).await, [1, 0]);
+    fleet.platform.set_vm(&service(0), VmState::Leaving);
+    sleep(LEAVING_LIMIT).await;
+    assert_eq!(fleet.call_service(0, 0).await, [1, 1]);
+    assert_eq!(fleet.call_service(0, 1).await, [1, 2]);
+    fleet.platform.set_vm(&service(0), VmState::Live);
+    sleep(LEAVING_LIMIT).await;
+    assert_eq!(fleet.call_service(0, 0).await, [2, 2]);
+    assert_eq!(fleet.call_service(0, 1).await, [3, 2]);
+}
--- a/crates/skylarkpick-entry/src/peers/tests/fleet.rs
+++ b/crates/skylarkpick-entry/src/peers/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet of entry processes over memory networks.
 
-use crate::{CompletionRequest, Entry, EntryParts};
+use crate::{CallRequest, CompletionRequest, Entry, EntryParts};
 use async_trait::async_trait;
 use futures::StreamExt;
 use serde_json::json;
@@ -12,8 +12,8 @@
     TokioClock, TransferError, WriteError,
 };
 use skylarkpick_standin::{
-    FakeRunner, MemoryConnector, MemoryPeers, MemoryPlatform, PlatformRates, RunnerSettings,
-    WeightStore,
+    FakeRunner, FakeService, MemoryConnector, MemoryPeers, MemoryPlatform, PlatformRates,
+    RunnerSettings, WeightStore,
 };
 use std::{
     collections::BTreeMap,
@@ -33,6 +33,8 @@
     pub(super) peers: Arc<MemoryPeers>,
     pub(super) entries: BTreeMap<String, Entry>,
     pub(super) runners: BTreeMap<String, FakeRunner>,
+    /// The plain service's instance in each data centre.
+    pub(super) services: Vec<Arc<FakeService>>,
     cuts: BTreeMap<usize, Arc<AtomicBool>>,
     reads: BTreeMap<String, Arc<AtomicU64>>,
     mute: Arc<AtomicBool>,
@@ -52,6 +54,14 @@
     format!("dc{centre}-runner-{index}")
 }
 
+pub(super) fn service(centre: usize) -> String {
+    format!("dc{centre}-book")
+}
+
+fn service_address(centre: usize) -> String {
+    format!("10.1.{centre}.0:80")
+}
+
 fn runner_address(centre: usize, index: usize) -> String {
     format!("10.0.{centre}.{index}:80")
 }
@@ -69,6 +79,7 @@
             peers: MemoryPeers::open(Duration::from_millis(1)),
             entries: BTreeMap::new(),
             runners: BTreeMap::new(),
+            services: Vec::new(),
             cuts: BTreeMap::new(),
             reads: BTreeMap::new(),
             mute: Arc::default(),
@@ -90,6 +101,9 @@
     }
 
     fn add_runners(&mut self, centre: usize) {
+        let service = FakeService::open();
+        self.connector.put_service(&service_address(centre), service.clone());
+        self.services.push(service);
         let weight_store = WeightStore::open(Duration::from_secs(1), 2);
         for index in 0..RUNNERS_PER_CENTRE {
             let name = runner(centre, index);
@@ -117,12 +131,17 @@
                 runners[&name] =
                     json!({"address": runner_address(index, number), "model": "tala-llm"});
             }
-            data_centres[centre(index)] = json!({"region": "mnl", "runners": runners});
+            let services = json!({service(index): {
+                "address": service_address(index), "service": "book-api",
+            }});
+            data_centres[centre(index)] =
+                json!({"region": "mnl", "runners": runners, "services": services});
         }
         let record = json!({"version": 1, "history": [], "configuration": {
             "accounts": {"cubesat": {}},
             "models": {"tala-llm": {"weight_version": 1, "serving": "ordinary"}},
             "serving": {"ordinary": {}},
+            "services": {"book-api": {}},
             "data_centres": data_centres,
         }});
         let value = serde_json::to_vec(&record).unwrap();
@@ -198,6 +217,22 @@
         names
     }
 
+    /// Calls the plain service and gives how often each data centre's instance ran so far.
+    pub(super) async fn call_service(&self, centre: usize, index: usize) -> Vec<usize> {
+        let request = CallRequest {
+            request_id: "call".to_string(),
+            account: "cubesat".to_string(),
+            service: "book-api".to_string(),
+            method: "GET".to_string(),
+            path: "/passes".to_string(),
+            body: Vec::new(),
+            idempotency_key: None,
+            deadline: None,
+        };
+        self.entry(centre, index).call(request).await.unwrap();
+        self.services.iter().map(|service| service.ledger().len()).collect()
+    }
+
     /// Sends as many prompts through one process as make it try every runner.
     pub(super) async fn send_prompts(&self, centre: usize, index: usize) {
         for number in 0..16 {
--- a/crates/skylarkpick-entry/src/peers/view.rs
+++ b/crates/skylarkpick-entry/src/peers/view.rs
@@ -1,6 +1,8 @@
 //! What the rest of the process sees of its peers.
 
 use skylarkpick_interface::{ConfigurationVersion, DataCentreId, EntryId};
+use skylarkpick_membership::digest_of;
+use std::collections::BTreeSet;
 
 /// A live entry process.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -22,6 +24,8 @@
     pub newest_version: ConfigurationVersion,
     /// Processes to fetch the newest version from, the nearest first.
     pub version_holders: Vec<String>,
+    /// Digests of the targets that leave, by anybody's word.
+    pub(crate) leaving_targets: BTreeSet<u64>,
     /// Whether this process watches the configuration for its data centre.
     pub watches_configuration: bool,
     /// Whether this process reads the platform's list of VMs for its data centre.
@@ -29,6 +33,11 @@
 }
 
 impl PeersView {
+    /// Whether a target (a runner, a store, an instance of a plain service) leaves.
+    pub fn is_leaving(&self, target: &str) -> bool {
+        self.leaving_targets.contains(&digest_of(target))
+    }
+
     /// Live processes of one data centre.
     pub fn members_of(&self, data_centre: &str) -> Vec<&PeerProcess> {
         self.members.iter().filter(|member| member.data_centre == data_centre).collect()
--- a/crates/skylarkpick-entry/src/service_call.rs
+++ b/crates/skylarkpick-entry/src/service_call.rs
@@ -114,15 +114,19 @@
     })
 }
 
-/// Addresses of a service's instances, the own data centre's first, each call from the next one.
+/// Addresses of a service's instances that do not leave, the own data centre's first, each call
+/// from the next one.
 fn instances(shared: &Shared, configuration: &Configuration, service: &str) -> Vec<String> {
     let own_centre = &shared.parts.settings.data_centre;
+    let peers = shared.peers.view().borrow().clone();
     let in_centre = |centre: &String| {
         let targets = configuration.data_centres.get(centre);
-        let instances = targets.into_iter().flat_map(|targets| targets.services.values());
-        instances.filter(|instance| instance.service == service).map(|found| found.address.clone())
+        let instances = targets.into_iter().flat_map(|targets| &targets.services);
+        let usable = instances
+            .filter(|(name, instance)| instance.service == service && !peers.is_leaving(name));
+        usable.map(|(_, found)| found.address.clone()).collect::<Vec<String>>()
     };
-    let mut own: Vec<String> = in_centre(own_centre).collect();
+    let mut own = in_centre(own_centre);
     if !own.is_empty() {
         let turn = shared.next_service_instance.fetch_add(1, Ordering::Relaxed) as usize;
         let first = turn % own.len();
--- a/crates/skylarkpick-membership/src/membership.rs
+++ b/crates/skylarkpick-membership/src/membership.rs
@@ -14,7 +14,10 @@
 use skylarkpick_protocol::peer::{
     Digest, Gossip, InForce, Member, MemberState, PeerMessage, Probe, ProbeAck, peer_message::Body,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// Versions whose time of discovery is remembered.
 const VERSIONS_LIMIT: usize = 64;
@@ -415,7 +418,13 @@
         self.merge(now, gossip.unwrap_or_default());
     }
 
-    /// Whether a runner leaves, by anybody's word.
+    /// Digests of the targets that leave, by anybody's word.
+    pub fn leaving_targets(&self) -> BTreeSet<u64> {
+        let states = self.knowledge.runner_states.iter();
+        states.filter(|(_, state)| is_leaving(state)).map(|(key, _)| *key).collect()
+    }
+
+    /// Whether a runner or another target leaves, by anybody's word.
     pub fn is_runner_leaving(&self, name: &str) -> bool {
         self.knowledge.runner_states.get(&digest_of(name)).is_some_and(is_leaving)
     }
--- a/crates/skylarkpick-membership/src/runners.rs
+++ b/crates/skylarkpick-membership/src/runners.rs
@@ -98,11 +98,14 @@
         self.offer_state(now, &known, RunnerState { unreachable: true, ..known });
     }
 
-    /// Takes in that the present incarnation of a runner leaves, from whichever source.
-    pub fn observe_leaving(&mut self, now: Duration, runner: &str) {
-        let known = self.state_of(runner);
-        let leaving_plus_one = known.leaving_plus_one.max(known.incarnation + 1);
-        let seen = RunnerState { leaving_plus_one, ..known };
+    /// Takes in that the present start of a target leaves, from whichever source.
+    pub fn observe_leaving(&mut self, now: Duration, target: &str) {
+        let known = self.state_of(target);
+        // Nobody reads a target that is no runner, so its first start is the one spoken of.
+        let read = self.places.contains_key(&known.runner);
+        let incarnation = if read { known.incarnation } else { known.incarnation.max(1) };
+        let leaving_plus_one = known.leaving_plus_one.max(incarnation + 1);
+        let seen = RunnerState { incarnation, leaving_plus_one, ..known };
         if seen != known {
             self.merge(now, Gossip { runner_states: vec![seen], ..Gossip::default() });
         }
@@ -113,7 +116,8 @@
     pub fn observe_listed(&mut self, now: Duration, target: &str, leaving: bool) {
         let key = digest_of(target);
         if !leaving {
-            self.listed.insert(key, false);
+            let before = self.listed.insert(key, false);
+            self.note_listed_live(now, target, before);
             return;
         }
         let before = self.listed.insert(key, true);
@@ -123,6 +127,16 @@
         }
     }
 
+    /// For a target that is no runner, the list alone tells of a new start.
+    fn note_listed_live(&mut self, now: Duration, target: &str, before: Option<bool>) {
+        let known = self.state_of(target);
+        let read = self.places.contains_key(&known.runner);
+        if !read && before != Some(false) && is_leaving(&known) {
+            let started = RunnerState { incarnation: known.incarnation + 1, ..known };
+            self.offer_state(now, &known, started);
+        }
+    }
+
     /// Takes in a load report.
     pub fn observe_load(&mut self, now: Duration, runner: &str, report: &LoadReport) {
         if report.leaving {
--- a/crates/skylarkpick-membership/tests/fleet.rs
+++ b/crates/skylarkpick-membership/tests/fleet.rs
@@ -323,3 +323,26 @@
         assert_eq!(node.is_runner_leaving(&runner(0, 0)), leaves, "{what}");
     }
 }
+
+#[test]
+fn for_other_targets_the_list_alone_tells_of_starts() {
+    struct Case {
+        what: &'static str,
+        listed_leaving: &'static [bool],
+        leaves: bool,
+    }
+    let cases = [
+        Case { what: "live", listed_leaving: &[false], leaves: false },
+        Case { what: "leaving", listed_leaving: &[false, true, true], leaves: true },
+        Case { what: "replaced", listed_leaving: &[true, false], leaves: false },
+        Case { what: "leaving again", listed_leaving: &[true, false, true], leaves: true },
+    ];
+    for Case { what, listed_leaving, leaves } in cases {
+        let mut fleet = Fleet::spawn(1, 1, 1, 14);
+        let node = fleet.node(0, 0);
+        for leaving in listed_leaving {
+            node.observe_listed(Duration::ZERO, "dc0-book", *leaving);
+        }
+        assert_eq!(node.is_runner_leaving("dc0-book"), leaves, "{what}");
+    }
+}
