Import saved prefixes before runs, save them after, and follow caches by their events

Cause: the directory held only what this process itself had sent; nothing was exported or imported, and the stores stood unused.

--- /dev/null
+++ b/crates/skylarkpick-cache/src/directory/copies.rs
@@ -0,0 +1,179 @@
+//! Which stores are believed to hold which saved prefixes.
+
+use super::names::{NameId, Names};
+use crate::saved::{Observation, SavedLife};
+use skylarkpick_interface::{
+    AccountId, Generation, Manifest, PrefixKey, StoreId, StoreTier, WeightVersion,
+};
+use std::collections::{BTreeMap, HashMap};
+
+/// A saved prefix in one store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoreCopy {
+    /// The store.
+    pub store: StoreId,
+    /// Where in the store it lies.
+    pub tier: StoreTier,
+    /// Last block of the prefix.
+    pub prefix_key: PrefixKey,
+    /// Number of the save.
+    pub generation: Generation,
+    /// Client account that owns the text.
+    pub account: AccountId,
+    /// Weights that the blocks were computed with.
+    pub weight_version: WeightVersion,
+    /// Tokens saved.
+    pub tokens: u64,
+    /// Bytes that an import moves.
+    pub size_bytes: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    life: SavedLife,
+    account: NameId,
+    tier: StoreTier,
+    weight_version: WeightVersion,
+    tokens: u64,
+    size_bytes: u64,
+}
+
+/// Which stores are believed to hold which saved prefixes. A hint: the manifest is checked again
+/// under a pin before anything is imported.
+#[derive(Debug, Default)]
+pub struct StoreBeliefs {
+    stores: Names,
+    accounts: Names,
+    incarnations: HashMap<NameId, u64>,
+    copies: HashMap<PrefixKey, BTreeMap<NameId, Entry>>,
+}
+
+impl StoreBeliefs {
+    /// Notes the incarnation of a store. A new one is listed anew; until then nothing of it is
+    /// offered. Gives whether it is new.
+    pub fn note_incarnation(&mut self, store: &str, incarnation: u64) -> bool {
+        let Some(id) = self.stores.intern(store) else { return false };
+        if self.incarnations.insert(id, incarnation) == Some(incarnation) {
+            return false;
+        }
+        self.forget(id);
+        true
+    }
+
+    /// Takes a manifest of a store's incarnation in; news of an older start are dropped.
+    pub fn take_manifest(
+        &mut self,
+        store: &str,
+        incarnation: u64,
+        manifest: &Manifest,
+    ) -> Observation {
+        let Some(id) = self.stores.intern(store) else { return Observation::Late };
+        if self.incarnations.get(&id) != Some(&incarnation) {
+            return Observation::Late;
+        }
+        let Some(account) = self.accounts.intern(&manifest.prefix.account) else {
+            return Observation::Late;
+        };
+        let prefix = &manifest.prefix;
+        let life = SavedLife { generation: manifest.generation, state: manifest.state };
+        let fresh = Entry {
+            life,
+            account,
+            tier: prefix.tier,
+            weight_version: prefix.weight_version,
+            tokens: prefix.tokens,
+            size_bytes: prefix.size_bytes,
+        };
+        let entries = self.copies.entry(prefix.prefix_key).or_default();
+        let Some(known) = entries.get_mut(&id) else {
+            entries.insert(id, fresh);
+            return Observation::Taken;
+        };
+        let mut before = known.life;
+        if before.observe(manifest.generation, manifest.state) == Observation::Late {
+            return Observation::Late;
+        }
+        *known = fresh;
+        Observation::Taken
+    }
+
+    /// Notes that a save can not be imported any more, as its store said.
+    pub fn forget_copy(&mut self, store: &str, prefix_key: PrefixKey, generation: Generation) {
+        let Some(id) = self.stores.find(store) else { return };
+        let Some(entries) = self.copies.get_mut(&prefix_key) else { return };
+        if entries.get(&id).is_some_and(|entry| entry.life.generation <= generation) {
+            entries.remove(&id);
+        }
+        if entries.is_empty() {
+            self.copies.remove(&prefix_key);
+        }
+    }
+
+    /// Sealed copies of the longest known start of a row, the latest block first.
+    pub fn copies(&self, keys: &[PrefixKey]) -> Vec<StoreCopy> {
+        let longest = keys.iter().rev().find_map(|key| {
+            let found: Vec<StoreCopy> = self.copies_of(*key).collect();
+            (!found.is_empty()).then_some(found)
+        });
+        longest.unwrap_or_default()
+    }
+
+    fn copies_of(&self, key: PrefixKey) -> impl Iterator<Item = StoreCopy> {
+        let entries = self.copies.get(&key).into_iter().flatten();
+        let sealed = entries.filter(|(_, entry)| entry.life.is_importable());
+        sealed.map(move |(store, entry)| self.copy(*store, key, entry))
+    }
+
+    /// Every sealed copy in a store, in the order of keys.
+    pub fn copies_in(&self, store: &str) -> Vec<StoreCopy> {
+        let Some(id) = self.stores.find(store) else { return Vec::new() };
+        let mut copies: Vec<StoreCopy> = self
+            .copies
+            .iter()
+            .filter_map(|(key, entries)| Some((key, entries.get(&id)?)))
+            .filter(|(_, entry)| entry.life.is_importable())
+            .map(|(key, entry)| self.copy(id, *key, entry))
+            .collect();
+        copies.sort_by_key(|copy| copy.prefix_key);
+        copies
+    }
+
+    /// Bytes that an account holds in all stores.
+    pub fn account_bytes(&self, account: &str) -> u64 {
+        let Some(account) = self.accounts.find(account) else { return 0 };
+        let entries = self.copies.values().flat_map(BTreeMap::values);
+        let own = entries.filter(|entry| entry.account == account && entry.life.is_importable());
+        own.map(|entry| entry.size_bytes).sum()
+    }
+
+    /// Sealed copies known.
+    pub fn len(&self) -> usize {
+        let entries = self.copies.values().flat_map(BTreeMap::values);
+        entries.filter(|entry| entry.life.is_importable()).count()
+    }
+
+    /// Whether no sealed copy is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn copy(&self, store: NameId, prefix_key: PrefixKey, entry: &Entry) -> StoreCopy {
+        StoreCopy {
+            store: self.stores.name(store).to_string(),
+            tier: entry.tier,
+            prefix_key,
+            generation: entry.life.generation,
+            account: self.accounts.name(entry.account).to_string(),
+            weight_version: entry.weight_version,
+            tokens: entry.tokens,
+            size_bytes: entry.size_bytes,
+        }
+    }
+
+    fn forget(&mut self, id: NameId) {
+        self.copies.retain(|_, entries| {
+            entries.remove(&id);
+            !entries.is_empty()
+        });
+    }
+}
--- a/crates/skylarkpick-cache/src/lib.rs
+++ b/crates/skylarkpick-cache/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod directory;
 mod keys;
+mod saved;
 
-pub use directory::Directory;
+pub use directory::{NextEvents, RunnerBeliefs, RunnerHolder, StoreBeliefs, StoreCopy};
 pub use keys::{BLOCK_SIZE_BYTES, BLOCK_TOKENS, KeyScope, estimate_tokens, prefix_keys};
+pub use saved::{ImportRefusal, Observation, SavedLife, check_import};
--- /dev/null
+++ b/crates/skylarkpick-cache/src/saved.rs
@@ -0,0 +1,7 @@
+//! The life of a saved prefix, as an entry process knows it.
+
+mod life;
+#[cfg(test)]
+mod tests;
+
+pub use life::{ImportRefusal, Observation, SavedLife, check_import};
--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     completion::UnderWay,
+    context::Used,
     entry::Shared,
     failure::{Failure, FailureCode, Ran},
     request::{AnswerEvent, CompletionRequest},
@@ -111,8 +112,13 @@
             events: self.events.clone(),
             kept: false,
             had_first_token: false,
-            ended: false,
+            // Nothing is to be cancelled before the start is sent.
+            ended: true,
         };
+        let keys = self.route_request.keys(route.weight_version);
+        let account = &self.request.account;
+        self.shared.context.prepare(route, runner.clone(), account, keys).await;
+        guard.ended = false;
         let ran_before = self.ran;
         self.ran = self.ran.or_unknown();
         let frames = match runner.start(self.run_request(&run_id, attempt_id, route)).await {
@@ -139,7 +145,11 @@
         let end = follower.follow(frames, &mut sink).await;
         guard.ended = matches!(end, StreamEnd::Whole | StreamEnd::GaveUp(_));
         match end {
-            StreamEnd::Whole | StreamEnd::CallerGone => AttemptEnd::Done,
+            StreamEnd::Whole => {
+                self.note_use(route).await;
+                AttemptEnd::Done
+            }
+            StreamEnd::CallerGone => AttemptEnd::Done,
             StreamEnd::GaveUp(why) => AttemptEnd::GaveUp(why),
             StreamEnd::OtherWeights(found) => AttemptEnd::TryElsewhere(format!(
                 "runner {} serves weight version {found}",
@@ -149,6 +159,19 @@
         }
     }
 
+    /// Lets the prompt's blocks be saved, which the runner holds now.
+    async fn note_use(&self, route: &Route) {
+        let used = Used {
+            account: self.request.account.clone(),
+            model: self.request.model.clone(),
+            runner: route.runner.clone(),
+            address: route.address.clone(),
+            weight_version: route.weight_version,
+            keys: self.route_request.keys(route.weight_version).to_vec(),
+        };
+        self.shared.context.note_use(used).await;
+    }
+
     async fn not_started(&self, runner: &str, error: StartError) -> AttemptEnd {
         if error == StartError::Leaving {
             // A stopped actor means that the process ends.
--- /dev/null
+++ b/crates/skylarkpick-entry/src/context/beliefs.rs
@@ -0,0 +1,94 @@
+//! What this process believes of runners' caches and stores, as the router reads it.
+
+use skylarkpick_cache::{BLOCK_TOKENS, NextEvents, RunnerBeliefs, StoreBeliefs, StoreCopy};
+use skylarkpick_interface::{
+    CacheEventBatch, Generation, Manifest, PrefixKey, RunnerId, StoreId, StoreStatus,
+};
+use skylarkpick_schedule::{Holder, ImportPlan, PrefixView, SavedCopy};
+use std::time::Duration;
+
+/// What this process believes of runners' caches and stores.
+#[derive(Debug, Default)]
+pub(crate) struct Beliefs {
+    pub(crate) runners: RunnerBeliefs,
+    pub(crate) stores: StoreBeliefs,
+}
+
+/// News of runners' caches and stores.
+pub(crate) enum Learned {
+    /// The start of a runner that the next events belong to.
+    RunnerIncarnation(RunnerId, u64),
+    /// Cache events of a runner's incarnation.
+    Events(RunnerId, u64, CacheEventBatch),
+    /// What a store reports of itself.
+    StoreStatus(StoreId, StoreStatus),
+    /// A store cannot be reached.
+    StoreAway(StoreId),
+    /// A manifest of a store's incarnation.
+    Manifest(StoreId, u64, Manifest),
+    /// A save that cannot be imported any more.
+    CopyGone(StoreId, PrefixKey, Generation),
+    /// An import has ended; with its time if it was confirmed, and the blocks that it brought.
+    ImportEnd { runner: RunnerId, plan: ImportPlan, took: Option<Duration>, keys: Vec<PrefixKey> },
+}
+
+impl PrefixView for Beliefs {
+    fn holders(&self, keys: &[PrefixKey]) -> Vec<Holder> {
+        let holders = self.runners.holders(keys).into_iter();
+        holders
+            .map(|holder| Holder {
+                runner: holder.runner,
+                tokens: holder.blocks as u64 * BLOCK_TOKENS,
+            })
+            .collect()
+    }
+
+    fn saved_copies(&self, keys: &[PrefixKey]) -> Vec<SavedCopy> {
+        self.stores.copies(keys).into_iter().map(saved_copy).collect()
+    }
+}
+
+fn saved_copy(copy: StoreCopy) -> SavedCopy {
+    SavedCopy {
+        store: copy.store,
+        tier: copy.tier,
+        tokens: copy.tokens,
+        prefix_key: copy.prefix_key,
+        generation: copy.generation,
+        size_bytes: copy.size_bytes,
+    }
+}
+
+impl Beliefs {
+    /// Takes news of caches and stores in. What the router itself has to know is its affair.
+    pub(crate) fn learn(&mut self, learned: &Learned) {
+        match learned {
+            Learned::RunnerIncarnation(runner, incarnation) => {
+                self.runners.note_incarnation(runner, *incarnation);
+            }
+            Learned::Events(runner, incarnation, batch) => {
+                self.runners.take_events(runner, *incarnation, batch);
+            }
+            Learned::StoreStatus(store, status) => {
+                self.stores.note_incarnation(store, status.incarnation);
+            }
+            Learned::StoreAway(_) => {}
+            Learned::Manifest(store, incarnation, manifest) => {
+                self.stores.take_manifest(store, *incarnation, manifest);
+            }
+            Learned::CopyGone(store, prefix_key, generation) => {
+                self.stores.forget_copy(store, *prefix_key, *generation);
+            }
+            Learned::ImportEnd { runner, took, keys, .. } => {
+                if took.is_some() {
+                    self.runners.note_row(runner, keys);
+                }
+            }
+        }
+    }
+
+    /// What to ask a runner for next.
+    pub(crate) fn next_events(&self, runner: &str) -> NextEvents {
+        self.runners.next_events(runner)
+    }
+}
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -4,6 +4,7 @@
     claimed_call::open_claims,
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install},
+    context::ContextKeeper,
     failure::Failure,
     in_force::InForce,
     parts::EntryParts,
@@ -39,6 +40,7 @@
     pub(crate) parts: EntryParts,
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) router: ActorRef<RouterActor>,
+    pub(crate) context: ContextKeeper,
     pub(crate) resume_key: ResumeKey,
     pub(crate) retention: ActorRef<RetentionActor>,
     pub(crate) requests_under_way: AtomicU64,
@@ -61,7 +63,9 @@
         let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
         let resume_key = parts.resume_key.clone();
         let claims = open_claims(&parts);
+        let context = ContextKeeper::spawn(&parts, in_force.clone(), router.clone());
         let shared = Shared {
+            context,
             resume_key: resume_key.unwrap_or_else(|| ResumeKey::from_seed(parts.seed)),
             retention: RetentionActor::spawn(RetentionActor::open(window)),
             parts,
@@ -173,6 +177,7 @@
             configuration_version: self.in_force().version,
             is_ready: self.is_ready(),
             requests_under_way: self.requests_under_way(),
+            context: self.shared.context.state().await,
             runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             peers: self.shared.peers.state().await,
             runners: candidates.into_iter().map(RunnerState::from).collect(),
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod claimed_call;
 mod completion;
 mod configuration_actor;
+mod context;
 mod entry;
 mod failure;
 mod front;
@@ -20,6 +21,7 @@
 mod streams;
 
 pub use completion::AnswerStream;
+pub use context::ContextState;
 pub use entry::Entry;
 pub use failure::{Failure, FailureCode, Ran};
 pub use front::Front;
--- a/crates/skylarkpick-entry/src/router_actor.rs
+++ b/crates/skylarkpick-entry/src/router_actor.rs
@@ -1,60 +1,34 @@
 //! Owns the router and answers where requests go.
 
-use crate::in_force::InForce;
+use crate::{context::Beliefs, in_force::InForce};
 use kameo::prelude::*;
-use skylarkpick_cache::{BLOCK_TOKENS, Directory};
-use skylarkpick_interface::{LoadReport, PrefixKey, RunnerId, RunnerStatus};
-use skylarkpick_schedule::{
-    Candidate, Holder, NoRoute, PrefixView, Route, RouteRequest, Router, SavedCopy,
-};
+use skylarkpick_cache::BLOCK_TOKENS;
+use skylarkpick_interface::{LoadReport, RunnerId, RunnerStatus};
+use skylarkpick_schedule::{Candidate, NoRoute, Route, RouteRequest, Router};
 use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
 /// Owns the router.
 #[derive(Actor)]
 pub(crate) struct RouterActor {
-    router: Router,
-    directory: Directory,
+    pub(crate) router: Router,
+    pub(crate) beliefs: Beliefs,
 }
 
 impl RouterActor {
     pub(crate) fn open(data_centre: &str, seed: u64) -> RouterActor {
-        RouterActor { router: Router::open(data_centre, seed), directory: Directory::default() }
+        RouterActor { router: Router::open(data_centre, seed), beliefs: Beliefs::default() }
     }
 
     fn note_started(&mut self, route: &Route, request: &RouteRequest, cached_tokens: u64) {
         let held_blocks = (cached_tokens / BLOCK_TOKENS) as usize;
-        let correction =
-            self.router.observe_started(route, request.prompt_tokens, cached_tokens, now());
-        if correction.is_some_and(|found| found.held_tokens < found.believed_tokens) {
-            for key in request.keys(route.weight_version).iter().skip(held_blocks) {
-                self.directory.remove(&route.runner, *key);
-            }
-        }
-    }
-}
-
-/// Beliefs about the runners' caches, as the router reads them.
-struct Beliefs<'a> {
-    directory: &'a Directory,
-    runners: Vec<RunnerId>,
-}
-
-impl PrefixView for Beliefs<'_> {
-    fn holders(&self, keys: &[PrefixKey]) -> Vec<Holder> {
-        let held = |runner: &RunnerId| Holder {
-            runner: runner.clone(),
-            tokens: self.directory.held(runner, keys) as u64 * BLOCK_TOKENS,
-        };
-        self.runners.iter().map(held).filter(|holder| holder.tokens > 0).collect()
-    }
-
-    fn saved_copies(&self, _: &[PrefixKey]) -> Vec<SavedCopy> {
-        Vec::new()
+        self.router.observe_started(route, request.prompt_tokens, cached_tokens, now());
+        let keys = request.keys(route.weight_version);
+        self.beliefs.runners.correct(&route.runner, keys, held_blocks);
     }
 }
 
 /// The time on tokio's clock, which tests can pause.
-fn now() -> Instant {
+pub(crate) fn now() -> Instant {
     tokio::time::Instant::now().into_std()
 }
 
@@ -99,9 +73,7 @@
         message: Choose,
         _: &mut Context<Self, Self::Reply>,
     ) -> Result<Route, NoRoute> {
-        let runners = self.router.candidates().into_keys().collect();
-        let beliefs = Beliefs { directory: &self.directory, runners };
-        self.router.choose(&message.0, &beliefs, now())
+        self.router.choose(&message.0, &self.beliefs, now())
     }
 }
 
@@ -129,7 +101,7 @@
                 self.note_started(&route, &request, cached_tokens);
             }
             Observed::FirstToken(route, request) => {
-                self.directory.add(&route.runner, request.keys(route.weight_version));
+                self.beliefs.runners.note_row(&route.runner, request.keys(route.weight_version));
                 self.router.observe_first_token(&route, &request, now());
             }
             Observed::End { route, request, had_first_token } => {
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,5 +1,6 @@
 //! The dump of a process's state, without secrets.
 
+use crate::context::ContextState;
 use crate::peers::PeersState;
 use serde::Serialize;
 use skylarkpick_interface::{
@@ -20,6 +21,8 @@
     pub is_ready: bool,
     /// Requests that have no answer yet.
     pub requests_under_way: u64,
+    /// What is believed of caches and stores, and what is moved.
+    pub context: ContextState,
     /// Runs that wait for a caller to come back.
     pub runs_retained: usize,
     /// Other entry processes, and who does what among them.
--- a/crates/skylarkpick-entry/tests/fleet/mod.rs
+++ b/crates/skylarkpick-entry/tests/fleet/mod.rs
@@ -31,6 +31,16 @@
 
 impl Fleet {
     pub async fn open(runner: RunnerSettings, runners: usize, stores: &[StoreSettings]) -> Fleet {
+        Fleet::open_with(runner, runners, stores, |_| {}).await
+    }
+
+    /// Opens a fleet whose configuration `change` has changed.
+    pub async fn open_with(
+        runner: RunnerSettings,
+        runners: usize,
+        stores: &[StoreSettings],
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Fleet {
         let connector = MemoryConnector::open();
         let platform = MemoryPlatform::open(Duration::from_secs(5), PlatformRates::default());
         let weight_store = WeightStore::open(Duration::from_millis(600), 2);
@@ -69,6 +79,7 @@
                 json!({"address": address, "link_bytes_per_second": link_bytes_per_second});
             fleet.stores.push(store);
         }
+        change(&mut document);
         let record = json!({"version": 1, "history": [], "configuration": document});
         let value = serde_json::to_vec(&record).unwrap();
         fleet.platform.put("config/current", None, value).await.unwrap();
