--- a/crates/skylarkpick-entry/tests/context.rs
+++ b/crates/skylarkpick-entry/tests/context.rs
@@ -76,7 +76,7 @@
 /// What the runners did for a request, in the end.
 fn record(fleet: &Fleet, id: &str) -> RunRecord {
     let ledgers = fleet.runners.iter().flat_map(|runner| runner.ledger());
-    ledgers.filter(|record| record.request_id == id).last().unwrap()
+    ledgers.rfind(|record| record.request_id == id).unwrap()
 }
 
 async fn sealed(fleet: &Fleet) -> Vec<Manifest> {
