--- a/crates/skylarkpick-entry/tests/context.rs
+++ b/crates/skylarkpick-entry/tests/context.rs
@@ -75,7 +75,7 @@
 
 /// What the runners did for a request, in the end.
 fn record(fleet: &Fleet, id: &str) -> RunRecord {
-    let ledgers = fleet.runners.iter().flat_map(|runner| runner.ledger());
+    let mut ledgers = fleet.runners.iter().flat_map(|runner| runner.ledger());
     ledgers.rfind(|record| record.request_id == id).unwrap()
 }
 
