--- a/crates/skylarkpick-cache/src/directory/runners.rs
+++ b/crates/skylarkpick-cache/src/directory/runners.rs
@@ -2,7 +2,7 @@
 
 use super::names::{NONE, NameId, Names};
 use skylarkpick_interface::{CacheChange, CacheEventBatch, PrefixKey, RunnerId};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Runners remembered for one block; a further one takes the place of the oldest.
 const HOLDERS_LIMIT: usize = 4;
@@ -29,6 +29,52 @@
     pub snapshot: bool,
 }
 
+/// What changed in a runner's cache, as one process tells another.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RunnerChange {
+    /// Start of the runner that the events belong to.
+    pub incarnation: u64,
+    /// Last event before those covered.
+    pub after: u64,
+    /// Last event covered.
+    pub last_sequence: u64,
+    /// Whether `added` is all that the runner holds of the blocks that are remembered.
+    pub snapshot: bool,
+    /// Blocks held now.
+    pub added: Vec<PrefixKey>,
+    /// Blocks no longer held.
+    pub evicted: Vec<PrefixKey>,
+}
+
+impl RunnerChange {
+    /// The change that a batch of events makes, without blocks that nobody remembers.
+    pub fn from_batch(incarnation: u64, after: u64, batch: &CacheEventBatch) -> RunnerChange {
+        let mut change = RunnerChange { incarnation, after, ..RunnerChange::default() };
+        if let Some(keys) = &batch.snapshot {
+            change.snapshot = true;
+            change.last_sequence = batch.snapshot_sequence;
+            change.added = keys.iter().copied().filter(|key| is_kept(*key)).collect();
+            return change;
+        }
+        change.last_sequence = after;
+        for event in batch.events.iter().filter(|event| event.sequence > after) {
+            // A hole in the row shows as a start after what the receiver knows.
+            if event.sequence > change.last_sequence + 1 {
+                change.after = event.sequence - 1;
+            }
+            change.last_sequence = event.sequence;
+            let key = event.prefix_key;
+            change.added.retain(|known| *known != key);
+            match event.change {
+                CacheChange::Added if is_kept(key) => change.added.push(key),
+                CacheChange::Added => {}
+                CacheChange::Evicted => change.evicted.push(key),
+            }
+        }
+        change
+    }
+}
+
 /// Which runners are believed to hold which blocks. A hint: a wrong belief costs time only.
 ///
 /// Of a long row only some blocks are remembered: those whose key is a multiple of a small
@@ -92,6 +138,33 @@
         }
     }
 
+    /// The start of a runner that is followed; 0 before any is known.
+    pub fn incarnation(&self, runner: &str) -> u64 {
+        let feed = self.names.find(runner).and_then(|id| self.feeds.get(&id));
+        feed.map_or(0, |feed| feed.incarnation)
+    }
+
+    /// Takes a change in that another process tells of.
+    pub fn take_change(&mut self, runner: &str, change: &RunnerChange) {
+        let Some(id) = self.names.intern(runner) else { return };
+        let mut feed = self.feeds.get(&id).copied().unwrap_or_default();
+        let is_known = change.last_sequence < feed.last_sequence
+            || (change.last_sequence == feed.last_sequence && !change.snapshot);
+        if feed.incarnation != change.incarnation || is_known {
+            return;
+        }
+        if change.snapshot {
+            self.forget(id);
+            feed.doubtful = false;
+        } else {
+            feed.doubtful |= change.after > feed.last_sequence;
+        }
+        feed.last_sequence = change.last_sequence;
+        change.evicted.iter().for_each(|key| self.remove(id, *key));
+        change.added.iter().for_each(|key| self.insert(id, *key));
+        self.feeds.insert(id, feed);
+    }
+
     /// What to ask a runner for.
     pub fn next_events(&self, runner: &str) -> NextEvents {
         let feed = self.names.find(runner).and_then(|id| self.feeds.get(&id));
@@ -164,6 +237,15 @@
         found
     }
 
+    /// Blocks remembered for each runner.
+    pub fn blocks_by_runner(&self) -> BTreeMap<RunnerId, u64> {
+        let mut blocks = BTreeMap::new();
+        for id in self.holders.values().flatten().filter(|id| **id != NONE) {
+            *blocks.entry(self.names.name(*id).to_string()).or_default() += 1;
+        }
+        blocks
+    }
+
     /// Blocks remembered.
     pub fn len(&self) -> usize {
         self.holders.len()
--- a/crates/skylarkpick-cache/src/directory/tests.rs
+++ b/crates/skylarkpick-cache/src/directory/tests.rs
@@ -1,6 +1,6 @@
 //! The directory against plain models of what it may believe.
 
-use super::{NextEvents, RunnerBeliefs, StoreBeliefs};
+use super::{NextEvents, RunnerBeliefs, RunnerChange, StoreBeliefs};
 use crate::saved::Observation;
 use proptest::{prelude::*, test_runner::RngSeed};
 use skylarkpick_interface::{
@@ -287,3 +287,47 @@
     println!("{} bytes an entry", beliefs.size_bytes() / ENTRIES);
     assert!(beliefs.size_bytes() <= BUDGET_BYTES, "{} bytes", beliefs.size_bytes());
 }
+
+#[test]
+fn a_peer_that_missed_a_change_doubts_until_a_snapshot() {
+    let evicted = CacheEvent { change: Evicted, ..event(3, 4) };
+    let rows = [
+        batch(vec![event(1, 4), event(2, 5)]),
+        batch(vec![evicted.clone(), event(4, 8)]),
+        batch(vec![event(6, 12)]),
+    ];
+    let changes = [
+        RunnerChange::from_batch(1, 0, &rows[0]),
+        RunnerChange::from_batch(1, 2, &rows[1]),
+        RunnerChange::from_batch(1, 4, &rows[2]),
+    ];
+    let sequences = changes.clone().map(|change| (change.after, change.last_sequence));
+    assert_eq!(sequences, [(0, 2), (2, 4), (5, 6)]);
+    struct Case {
+        name: &'static str,
+        told: Vec<usize>,
+        doubtful: usize,
+        held: Vec<PrefixKey>,
+    }
+    let cases = [
+        Case { name: "all", told: vec![0, 1], doubtful: 0, held: vec![8] },
+        Case { name: "repeated and late", told: vec![0, 1, 0, 1], doubtful: 0, held: vec![8] },
+        Case { name: "one missed", told: vec![0, 2], doubtful: 1, held: vec![4, 12] },
+        Case { name: "a hole at the runner", told: vec![0, 1, 2], doubtful: 1, held: vec![8, 12] },
+    ];
+    for case in cases {
+        let mut beliefs = RunnerBeliefs::default();
+        beliefs.note_incarnation("a", 1);
+        case.told.iter().for_each(|index| beliefs.take_change("a", &changes[*index]));
+        assert_eq!(beliefs.doubtful_runners(), case.doubtful, "{}", case.name);
+        let held: Vec<_> = (0..KEYS).filter(|key| believed(&beliefs, "a", *key)).collect();
+        assert_eq!(held, case.held, "{}", case.name);
+        let whole =
+            CacheEventBatch { snapshot: Some(vec![5, 16]), snapshot_sequence: 7, ..batch(vec![]) };
+        beliefs.take_change("a", &RunnerChange::from_batch(1, 6, &whole));
+        assert!(believed(&beliefs, "a", 16) && !believed(&beliefs, "a", 8), "{}", case.name);
+        assert_eq!(beliefs.doubtful_runners(), 0, "{}", case.name);
+        beliefs.take_change("a", &RunnerChange { incarnation: 2, ..changes[1].clone() });
+        assert!(!believed(&beliefs, "a", 8), "{}: another start of the runner", case.name);
+    }
+}
--- a/crates/skylarkpick-config/src/settings.rs
+++ b/crates/skylarkpick-config/src/settings.rs
@@ -20,6 +20,10 @@
     pub peer_address: String,
     /// Entry processes to meet first, as IP:port.
     pub seed_peers: Vec<String>,
+    /// Certificate of the authority that entry processes trust each other by, in PEM.
+    pub authority_certificate: Option<SecretSource>,
+    /// Key of that authority in PEM, from which the process issues its own certificate.
+    pub authority_key: Option<SecretSource>,
     /// Key of resume tokens, the same in the whole fleet; without one, a stream can be taken up
     /// again only at the process that it began at.
     pub resume_key: Option<SecretSource>,
--- a/crates/skylarkpick-entry/src/context.rs
+++ b/crates/skylarkpick-entry/src/context.rs
@@ -9,6 +9,7 @@
 mod keeper;
 mod saving;
 mod seen;
+mod spread;
 mod state;
 
 pub(crate) use beliefs::Beliefs;
--- a/crates/skylarkpick-entry/src/context/actor.rs
+++ b/crates/skylarkpick-entry/src/context/actor.rs
@@ -3,7 +3,7 @@
 use super::beliefs::Learned;
 use crate::router_actor::{RouterActor, now};
 use kameo::prelude::*;
-use skylarkpick_cache::{NextEvents, StoreCopy};
+use skylarkpick_cache::{NextEvents, RunnerHolder, StoreCopy};
 use skylarkpick_interface::{AccountId, PrefixKey, RunnerId, StoreId};
 
 /// Asks what to read of a runner's cache events next.
@@ -15,6 +15,9 @@
 /// Asks for the copies of exactly the row that ends in a block, and the bytes of an account.
 pub(super) struct CopiesOf(pub(super) PrefixKey, pub(super) AccountId);
 
+/// Asks who holds a row, on behalf of a peer.
+pub(super) struct LookUp(pub(super) Vec<PrefixKey>);
+
 /// Counts what is believed.
 pub(super) struct CountBeliefs;
 
@@ -46,13 +49,13 @@
 }
 
 impl Message<AskNextEvents> for RouterActor {
-    type Reply = Option<NextEvents>;
+    type Reply = Option<(u64, NextEvents)>;
 
     async fn handle(
         &mut self,
         AskNextEvents(runner): AskNextEvents,
         _: &mut Context<Self, Self::Reply>,
-    ) -> Option<NextEvents> {
+    ) -> Option<(u64, NextEvents)> {
         Some(self.beliefs.next_events(&runner))
     }
 }
@@ -82,6 +85,18 @@
     }
 }
 
+impl Message<LookUp> for RouterActor {
+    type Reply = (Vec<RunnerHolder>, Vec<StoreCopy>);
+
+    async fn handle(
+        &mut self,
+        LookUp(keys): LookUp,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> (Vec<RunnerHolder>, Vec<StoreCopy>) {
+        (self.beliefs.runners.holders(&keys), self.beliefs.stores.copies(&keys))
+    }
+}
+
 impl Message<CountBeliefs> for RouterActor {
     type Reply = BeliefCounts;
 
--- a/crates/skylarkpick-entry/src/context/beliefs.rs
+++ b/crates/skylarkpick-entry/src/context/beliefs.rs
@@ -1,6 +1,8 @@
 //! What this process believes of runners' caches and stores, as the router reads it.
 
-use skylarkpick_cache::{BLOCK_TOKENS, NextEvents, RunnerBeliefs, StoreBeliefs, StoreCopy};
+use skylarkpick_cache::{
+    BLOCK_TOKENS, NextEvents, RunnerBeliefs, RunnerChange, StoreBeliefs, StoreCopy,
+};
 use skylarkpick_interface::{
     CacheEventBatch, Generation, Manifest, PrefixKey, RunnerId, StoreId, StoreStatus,
 };
@@ -16,10 +18,10 @@
 
 /// News of runners' caches and stores.
 pub(crate) enum Learned {
-    /// The start of a runner that the next events belong to.
-    RunnerIncarnation(RunnerId, u64),
     /// Cache events of a runner's incarnation.
     Events(RunnerId, u64, CacheEventBatch),
+    /// What a peer read of a runner's cache.
+    Change(RunnerId, RunnerChange),
     /// What a store reports of itself.
     StoreStatus(StoreId, StoreStatus),
     /// A store cannot be reached.
@@ -63,12 +65,10 @@
     /// Takes news of caches and stores in. What the router itself has to know is its affair.
     pub(crate) fn learn(&mut self, learned: &Learned) {
         match learned {
-            Learned::RunnerIncarnation(runner, incarnation) => {
-                self.runners.note_incarnation(runner, *incarnation);
-            }
             Learned::Events(runner, incarnation, batch) => {
                 self.runners.take_events(runner, *incarnation, batch);
             }
+            Learned::Change(runner, change) => self.runners.take_change(runner, change),
             Learned::StoreStatus(store, status) => {
                 self.stores.note_incarnation(store, status.incarnation);
             }
@@ -87,8 +87,8 @@
         }
     }
 
-    /// What to ask a runner for next.
-    pub(crate) fn next_events(&self, runner: &str) -> NextEvents {
-        self.runners.next_events(runner)
+    /// The start of a runner that is followed, and what to ask it for next.
+    pub(crate) fn next_events(&self, runner: &str) -> (u64, NextEvents) {
+        (self.runners.incarnation(runner), self.runners.next_events(runner))
     }
 }
--- a/crates/skylarkpick-entry/src/context/follow.rs
+++ b/crates/skylarkpick-entry/src/context/follow.rs
@@ -4,9 +4,11 @@
     actor::{AskNextEvents, CopiesIn},
     beliefs::Learned,
     saving::{SavingActor, StoreSeen},
+    spread::Spread,
 };
-use crate::{in_force::InForce, router_actor::RouterActor};
+use crate::{in_force::InForce, peers::Reporter, router_actor::RouterActor};
 use kameo::prelude::ActorRef;
+use skylarkpick_cache::RunnerChange;
 use skylarkpick_interface::{
     Generation, Manifest, ManifestState, PrefixKey, Runner, RunnerId, Store, StoreId, StoreStatus,
     TargetConnector,
@@ -20,6 +22,8 @@
 
 /// Time between two reads of a runner's cache events.
 const EVENT_READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two snapshots of a runner's cache, for peers that missed a message.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(30);
 /// Time between two reads of a store's room and link.
 const STORE_READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two listings of a store.
@@ -38,9 +42,23 @@
     pub(super) in_force: watch::Receiver<Arc<InForce>>,
     pub(super) router: ActorRef<RouterActor>,
     pub(super) saving: ActorRef<SavingActor>,
+    pub(super) reporter: Reporter,
+    pub(super) spread: Spread,
     pub(super) data_centre: String,
 }
 
+/// What the peers were told of a runner.
+#[derive(Debug, Default)]
+struct Told {
+    snapshot_at: Option<Instant>,
+}
+
+impl Told {
+    fn is_snapshot_due(&self) -> bool {
+        self.snapshot_at.is_none_or(|at| at.elapsed() >= SNAPSHOT_INTERVAL)
+    }
+}
+
 impl Follower {
     /// Follows the targets of each configuration in force.
     pub(super) async fn run(mut self) {
@@ -89,19 +107,41 @@
     }
 
     async fn follow_runner(&self, name: RunnerId, runner: Arc<dyn Runner>) {
+        let mut told = Told::default();
         loop {
+            let read = self.read_runner(&name, &*runner, &mut told);
             // A runner that does not answer is asked again; its beliefs stay hints meanwhile.
-            let _ = tokio::time::timeout(READ_TIMEOUT, self.read_runner(&name, &*runner)).await;
+            let _ = tokio::time::timeout(READ_TIMEOUT, read).await;
             tokio::time::sleep(EVENT_READ_INTERVAL).await;
         }
     }
 
-    async fn read_runner(&self, name: &RunnerId, runner: &dyn Runner) -> Option<()> {
-        let incarnation = runner.status().await.ok()?.incarnation;
-        self.router.tell(Learned::RunnerIncarnation(name.clone(), incarnation)).await.ok()?;
-        let next = self.router.ask(AskNextEvents(name.clone())).await.ok()??;
-        let batch = runner.cache_events(next.after, next.snapshot).await.ok()?;
-        self.router.tell(Learned::Events(name.clone(), incarnation, batch)).await.ok()
+    /// Reads a runner as its reporter and tells the other processes of the data centre.
+    async fn read_runner(
+        &self,
+        name: &RunnerId,
+        runner: &dyn Runner,
+        told: &mut Told,
+    ) -> Option<()> {
+        if !self.reporter.reads(name).await {
+            *told = Told::default();
+            return None;
+        }
+        let (incarnation, next) = self.router.ask(AskNextEvents(name.clone())).await.ok()??;
+        if incarnation == 0 {
+            return None;
+        }
+        let snapshot = next.snapshot || told.is_snapshot_due();
+        let batch = runner.cache_events(next.after, snapshot).await.ok()?;
+        let change = RunnerChange::from_batch(incarnation, next.after, &batch);
+        self.router.tell(Learned::Events(name.clone(), incarnation, batch)).await.ok()?;
+        if change.snapshot {
+            told.snapshot_at = Some(Instant::now());
+        }
+        if change.snapshot || change.last_sequence > next.after {
+            self.spread.tell(name, &change).await;
+        }
+        Some(())
     }
 
     async fn follow_store(&self, name: StoreId, store: Arc<dyn Store>) {
--- a/crates/skylarkpick-entry/src/context/keeper.rs
+++ b/crates/skylarkpick-entry/src/context/keeper.rs
@@ -5,9 +5,10 @@
     follow::Follower,
     import::{CountImports, ImportActor, ImportJob, Join, JoinUnderWay},
     saving::{CountExports, SavingActor, Used},
+    spread::{BeliefsPart, Spread},
     state::ContextState,
 };
-use crate::{in_force::InForce, parts::EntryParts, router_actor::RouterActor};
+use crate::{in_force::InForce, parts::EntryParts, peers::Peers, router_actor::RouterActor};
 use kameo::{actor::Spawn, prelude::ActorRef};
 use skylarkpick_interface::{AccountId, PrefixKey, Runner, TargetConnector};
 use skylarkpick_schedule::{ContextPlan, Route};
@@ -35,6 +36,7 @@
         parts: &EntryParts,
         in_force: watch::Receiver<Arc<InForce>>,
         router: ActorRef<RouterActor>,
+        peers: &Peers,
     ) -> ContextKeeper {
         let data_centre = &parts.settings.data_centre;
         let connector = parts.connector.clone();
@@ -43,7 +45,18 @@
         let saving =
             SavingActor::open(router.clone(), connector.clone(), in_force.clone(), data_centre);
         let saving = SavingActor::spawn(saving);
+        peers.serve_directory(Arc::new(BeliefsPart { router: router.clone() }));
+        let spread = Spread {
+            network: peers.network(),
+            view: peers.view(),
+            data_centre: data_centre.clone(),
+            entry_id: parts.settings.entry_id.clone(),
+            sequence: Arc::default(),
+            frame_size_bytes: parts.settings.limits.frame_size_bytes,
+        };
         let follower = Follower {
+            reporter: peers.reporter(),
+            spread,
             connector: connector.clone(),
             in_force,
             router: router.clone(),
--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry process without its doors.
 
 use crate::{
+    admission::{Desk, follow_targets as follow_admission},
     claimed_call::open_claims,
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install},
@@ -9,6 +10,7 @@
     in_force::InForce,
     parts::EntryParts,
     peers::{ConfigurationStatus, Peers},
+    planner::Planner,
     request::{CallReply, CallRequest, CompletionRequest},
     router_actor::{ReadCandidates, RouterActor},
     service_call,
@@ -27,7 +29,7 @@
     },
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinSet};
 
 /// A running entry process without its doors. Dropping the last handle stops it.
 #[derive(Clone)]
@@ -43,13 +45,16 @@
     pub(crate) context: ContextKeeper,
     pub(crate) resume_key: ResumeKey,
     pub(crate) retention: ActorRef<RetentionActor>,
+    pub(crate) admission: Desk,
     pub(crate) requests_under_way: AtomicU64,
     pub(crate) next_service_instance: AtomicU64,
     pub(crate) claims: ClaimLog,
     configuration: ActorRef<ConfigurationActor>,
     keeper: ConfigurationKeeper,
     draining: AtomicBool,
+    _tasks: JoinSet<()>,
     pub(crate) peers: Peers,
+    planner: Planner,
 }
 
 impl Entry {
@@ -58,12 +63,16 @@
         let (sender, in_force) = watch::channel(Arc::new(InForce::default()));
         let configuration = ConfigurationActor::spawn(ConfigurationActor::open(sender));
         let router = RouterActor::spawn(RouterActor::open(&parts.settings.data_centre, parts.seed));
+        let admission = Desk::spawn(parts.clock.clone(), router.clone());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow_admission(router.clone(), admission.actor()));
         let peers = Peers::spawn(&parts, in_force.clone(), configuration.clone(), router.clone());
         let keeper = ConfigurationKeeper::open(parts.platform.clone(), parts.clock.clone());
         let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
         let resume_key = parts.resume_key.clone();
         let claims = open_claims(&parts);
-        let context = ContextKeeper::spawn(&parts, in_force.clone(), router.clone());
+        let context = ContextKeeper::spawn(&parts, in_force.clone(), router.clone(), &peers);
+        let planner = Planner::spawn(&parts, in_force.clone(), router.clone());
         let shared = Shared {
             context,
             resume_key: resume_key.unwrap_or_else(|| ResumeKey::from_seed(parts.seed)),
@@ -71,13 +80,16 @@
             parts,
             in_force,
             router,
+            admission,
             requests_under_way: AtomicU64::new(0),
             next_service_instance: AtomicU64::new(0),
             claims,
             configuration,
             keeper,
             draining: AtomicBool::new(false),
+            _tasks: tasks,
             peers,
+            planner,
         };
         Entry { shared: Arc::new(shared) }
     }
@@ -96,6 +108,7 @@
     pub fn drain(&self) {
         if !self.shared.draining.swap(true, Ordering::SeqCst) {
             self.shared.peers.leave();
+            self.shared.planner.stop();
         }
     }
 
@@ -180,7 +193,9 @@
             context: self.shared.context.state().await,
             runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             peers: self.shared.peers.state().await,
+            planner: self.shared.planner.state(),
             runners: candidates.into_iter().map(RunnerState::from).collect(),
+            admission: self.shared.admission.state().await,
         }
     }
 }
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Entry::spawn`] starts them on trait objects alone, so that tests and embedders choose the
 //! outside systems. [`Front`] puts the callers' and operators' HTTP before an entry.
 
+mod admission;
 mod attempts;
 mod claimed_call;
 mod completion;
@@ -14,12 +15,14 @@
 mod in_force;
 mod parts;
 mod peers;
+mod planner;
 mod request;
 mod router_actor;
 mod service_call;
 mod state_dump;
 mod streams;
 
+pub use admission::{AdmissionState, ModelAdmission};
 pub use completion::AnswerStream;
 pub use context::ContextState;
 pub use entry::Entry;
@@ -30,6 +33,7 @@
 pub use peers::{
     ConfigurationStatus, DirectoryPart, PeerProcess, Peers, PeersState, PeersView, ProcessStatus,
 };
+pub use planner::{LeaseState, PlannerState};
 pub use request::{AnswerEvent, CallReply, CallRequest, CompletionRequest};
 pub use state_dump::{RunnerState, StateDump};
 pub use streams::ResumeKey;
--- a/crates/skylarkpick-entry/src/peers/handle.rs
+++ b/crates/skylarkpick-entry/src/peers/handle.rs
@@ -5,7 +5,9 @@
     directory_border::DirectoryPart,
     inbox::Inbox,
     list::follow_list,
-    membership_actor::{IsLeaving, Leave, MembershipActor, ReadState, ReadStatus, Seen, Tick},
+    membership_actor::{
+        IsLeaving, Leave, MembershipActor, ReadState, ReadStatus, ReadsRunner, Seen, Tick,
+    },
     status::{ConfigurationStatus, PeersState},
     targets::follow_targets,
     view::PeersView,
@@ -28,6 +30,18 @@
     time::{MissedTickBehavior, interval},
 };
 
+/// Tells which runners this process reads for its data centre.
+#[derive(Clone)]
+pub(crate) struct Reporter(ActorRef<MembershipActor>);
+
+impl Reporter {
+    /// Whether this process reads the runner now.
+    pub(crate) async fn reads(&self, runner: &str) -> bool {
+        let asked = self.0.ask(ReadsRunner(runner.to_string())).await;
+        asked.is_ok_and(|(reads, _)| reads)
+    }
+}
+
 /// The running membership of this process. Dropping it stops everything about it.
 pub struct Peers {
     membership: ActorRef<MembershipActor>,
@@ -97,6 +111,11 @@
         let _ = self.inbox.directory.set(part);
     }
 
+    /// Tells which runners this process reads for its data centre.
+    pub(crate) fn reporter(&self) -> Reporter {
+        Reporter(self.membership.clone())
+    }
+
     /// Says that the present start of a target leaves.
     pub async fn observe_leaving(&self, target: &str) {
         // A stopped actor means that the process ends.
--- a/crates/skylarkpick-entry/src/router_actor.rs
+++ b/crates/skylarkpick-entry/src/router_actor.rs
@@ -41,6 +41,24 @@
 /// Reads what is known of the runners.
 pub(crate) struct ReadCandidates;
 
+/// Counts the blocks that each runner is believed to hold.
+pub(crate) struct CountBlocks;
+
+impl Message<CountBlocks> for RouterActor {
+    type Reply = BTreeMap<RunnerId, u64>;
+
+    async fn handle(
+        &mut self,
+        _: CountBlocks,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> BTreeMap<RunnerId, u64> {
+        self.beliefs.runners.blocks_by_runner()
+    }
+}
+
+/// Leaves out these runners, and no others, for their failures.
+pub(crate) struct SetEjected(pub(crate) Vec<RunnerId>);
+
 /// What was seen of a runner.
 pub(crate) enum Observed {
     /// A load report.
@@ -77,6 +95,17 @@
     }
 }
 
+impl Message<SetEjected> for RouterActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetEjected, _: &mut Context<Self, Self::Reply>) {
+        let runners: Vec<RunnerId> = self.router.candidates().into_keys().collect();
+        for runner in runners {
+            self.router.set_ejected(&runner, message.0.contains(&runner));
+        }
+    }
+}
+
 impl Message<ReadCandidates> for RouterActor {
     type Reply = BTreeMap<RunnerId, Candidate>;
 
@@ -96,7 +125,10 @@
         match message {
             Observed::Load(runner, load) => self.router.observe_load(&runner, load, now()),
             Observed::Leaving(runner) => self.router.observe_leaving(&runner),
-            Observed::Status(runner, status) => self.router.observe_status(&runner, &status),
+            Observed::Status(runner, status) => {
+                self.beliefs.runners.note_incarnation(&runner, status.incarnation);
+                self.router.observe_status(&runner, &status);
+            }
             Observed::Started { route, request, cached_tokens } => {
                 self.note_started(&route, &request, cached_tokens);
             }
--- a/crates/skylarkpick-entry/src/state_dump.rs
+++ b/crates/skylarkpick-entry/src/state_dump.rs
@@ -1,7 +1,7 @@
 //! The dump of a process's state, without secrets.
 
 use crate::context::ContextState;
-use crate::peers::PeersState;
+use crate::{admission::AdmissionState, peers::PeersState, planner::PlannerState};
 use serde::Serialize;
 use skylarkpick_interface::{
     ConfigurationVersion, DataCentreId, EntryId, LoadReport, ModelName, RunnerId, WeightVersion,
@@ -27,8 +27,12 @@
     pub runs_retained: usize,
     /// Other entry processes, and who does what among them.
     pub peers: PeersState,
+    /// The roll-out planner of the data centre, and the lease that it works under.
+    pub planner: PlannerState,
     /// What is known of the runners.
     pub runners: Vec<RunnerState>,
+    /// Queues, limits and ejected runners.
+    pub admission: AdmissionState,
 }
 
 /// What is known of a runner.
--- a/crates/skylarkpick-entry/tests/context.rs
+++ b/crates/skylarkpick-entry/tests/context.rs
@@ -4,12 +4,13 @@
 
 mod fleet;
 
-use fleet::{ACCOUNT, Fleet, MODEL, OTHER_ACCOUNT, request, runner_settings};
+use fleet::{ACCOUNT, Fleet, MODEL, OTHER_ACCOUNT, SEED_PEERS, request, runner_settings};
 use futures::StreamExt;
 use serde_json::json;
+use skylarkpick_config::{Patch, PatchOutcome};
 use skylarkpick_entry::{AnswerEvent, CompletionRequest, Entry, Failure};
 use skylarkpick_interface::{Manifest, ManifestState, Order, OrderKind, Runner, Store};
-use skylarkpick_standin::{RunRecord, RunnerSettings, StoreSettings, expected_token};
+use skylarkpick_standin::{MemoryPeers, RunRecord, RunnerSettings, StoreSettings, expected_token};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -95,11 +96,24 @@
     sleep(Duration::from_secs(3)).await;
 }
 
-async fn swap(fleet: &Fleet, weight_version: u64) {
+/// Makes weights 2 the wanted ones and has every runner load them at once.
+async fn swap(fleet: &Fleet, entry: &Entry) {
+    let patch = Patch {
+        patch_id: "swap".to_string(),
+        base_version: 1,
+        change: json!({"models": {MODEL: {
+            "weight_version": 2, "also_served_weight_versions": [1],
+        }}}),
+    };
+    assert_eq!(entry.patch(&patch, "operator").await, PatchOutcome::Accepted(2));
     for runner in &fleet.runners {
-        let model = MODEL.to_string();
+        let (model, weight_version) = (MODEL.to_string(), 2);
         let kind = OrderKind::Load { model, weight_version, adapters: Vec::new() };
-        runner.order(Order { fencing_number: 1, kind }).await.unwrap();
+        // The planner of the process may have been faster, under a higher number.
+        let _ = runner.order(Order { fencing_number: 1, kind }).await;
+        while runner.status().await.unwrap().weight_version != 2 {
+            sleep(Duration::from_millis(10)).await;
+        }
     }
 }
 
@@ -244,7 +258,7 @@
         save_and_evict(&fleet, &entry).await;
         let swaps = async {
             sleep(case.swapped_after.unwrap_or_default()).await;
-            swap(&fleet, 2).await;
+            swap(&fleet, &entry).await;
         };
         if case.swapped_after.is_none() {
             swaps.await;
@@ -300,7 +314,7 @@
         sleep(Duration::from_millis(300)).await;
         (case.during)(&fleet);
         if case.swaps {
-            swap(&fleet, 2).await;
+            swap(&fleet, &entry).await;
         }
         sleep(Duration::from_secs(2)).await;
         fleet.stores[0].set_faults(|faults| faults.dead = false);
@@ -379,3 +393,31 @@
     assert!(state.blocks_known <= BLOCKS, "{} blocks", state.blocks_known);
     assert_eq!(ask(&entry, "third", "orbit").await, Ok(1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn what_one_process_reads_of_a_runner_all_know_also_after_a_cut() {
+    let fleet = Fleet::open(small_runner(), 1, &[]).await;
+    let peers = MemoryPeers::open(Duration::from_millis(1));
+    let networks = SEED_PEERS.map(|address| peers.join(address, "mnl-a"));
+    let [one, other] = networks;
+    let first = fleet.entry_with(1, None, one, "mnl-a").await;
+    let second = fleet.entry_with(2, None, other, "mnl-a").await;
+    sleep(Duration::from_secs(10)).await;
+    let known = async |entry: &Entry| entry.state().await.context.blocks_known;
+    ask(&first, "first", "orbit").await.unwrap();
+    sleep(Duration::from_secs(3)).await;
+    assert!(known(&second).await > 0, "it sent nothing itself");
+    // Cut off from each other, each reads the runner itself; healed, one of them tells both.
+    SEED_PEERS.map(|address| peers.set_reachable(address, false));
+    ask(&first, "second", "weather").await.unwrap();
+    sleep(Duration::from_secs(10)).await;
+    SEED_PEERS.map(|address| peers.set_reachable(address, true));
+    sleep(Duration::from_secs(60)).await;
+    ask(&first, "third", "tide").await.unwrap();
+    sleep(Duration::from_secs(40)).await;
+    for entry in [&first, &second] {
+        let state = entry.state().await.context;
+        assert_eq!(state.doubtful_runners, 0);
+        assert!((1..=BLOCKS).contains(&state.blocks_known), "{}", state.blocks_known);
+    }
+}
--- a/crates/skylarkpick-entry/tests/fleet/mod.rs
+++ b/crates/skylarkpick-entry/tests/fleet/mod.rs
@@ -16,6 +16,8 @@
     time::{Duration, SystemTime},
 };
 
+/// Addresses of the processes that a test may join to a network.
+pub const SEED_PEERS: [&str; 2] = ["peer-1", "peer-2"];
 pub const MODEL: &str = "model";
 pub const ACCOUNT: &str = "cubesat";
 pub const OTHER_ACCOUNT: &str = "relay";
@@ -114,6 +116,7 @@
                 entry_id: format!("entry-{seed}"),
                 data_centre: data_centre.to_string(),
                 peer_address: peers.address(),
+                seed_peers: SEED_PEERS.iter().map(|seed| seed.to_string()).collect(),
                 limits: Limits { resume_window_ms: 5_000, ..Limits::default() },
                 ..Settings::default()
             },
