--- a/crates/skylarkpick-entry/tests/context.rs
+++ b/crates/skylarkpick-entry/tests/context.rs
@@ -408,10 +408,10 @@
     sleep(Duration::from_secs(3)).await;
     assert!(known(&second).await > 0, "it sent nothing itself");
     // Cut off from each other, each reads the runner itself; healed, one of them tells both.
-    SEED_PEERS.map(|address| peers.set_reachable(address, false));
+    SEED_PEERS.iter().for_each(|address| peers.set_reachable(address, false));
     ask(&first, "second", "weather").await.unwrap();
     sleep(Duration::from_secs(10)).await;
-    SEED_PEERS.map(|address| peers.set_reachable(address, true));
+    SEED_PEERS.iter().for_each(|address| peers.set_reachable(address, true));
     sleep(Duration::from_secs(60)).await;
     ask(&first, "third", "tide").await.unwrap();
     sleep(Duration::from_secs(40)).await;
