Save prefixes at first sight by the policy, and list small stores every second

Cause: saving only what one process saw twice left most returning prompts unsaved, and copies of other processes were known only after five seconds.

Change: the saving policy is asked at every use; a store is listed every second, more rarely the more it holds.

--- a/crates/skylarkpick-entry/src/context/follow.rs
+++ b/crates/skylarkpick-entry/src/context/follow.rs
@@ -26,8 +26,10 @@
 const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(30);
 /// Time between two reads of a store's room and link.
 const STORE_READ_INTERVAL: Duration = Duration::from_millis(500);
-/// Time between two listings of a store.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
+/// Shortest time between two listings of a store.
+const LIST_INTERVAL_FLOOR: Duration = Duration::from_secs(1);
+/// Time between two listings for each manifest listed, so that a full store is listed rarely.
+const LIST_INTERVAL_PER_MANIFEST: Duration = Duration::from_millis(1);
 /// Manifests read at once.
 const LIST_PAGE_COUNT: usize = 256;
 /// Time for a target to answer.
@@ -172,7 +174,7 @@
         let _ = self.router.tell(Learned::StoreStatus(name.clone(), status.clone())).await;
         let _ = self.saving.tell(StoreSeen(name.clone(), Some(status))).await;
         let is_due = known.incarnation != incarnation
-            || known.listed_at.is_none_or(|at| at.elapsed() >= LIST_INTERVAL);
+            || known.listed_at.is_none_or(|at| at.elapsed() >= known.interval());
         if is_due && self.list(name, store, incarnation, known).await.is_some() {
             known.incarnation = incarnation;
             known.listed_at = Some(Instant::now());
@@ -197,6 +199,7 @@
             }
             manifests.extend(page);
         }
+        known.manifests = u32::try_from(manifests.len()).unwrap_or(u32::MAX);
         let listed: BTreeSet<(PrefixKey, Generation)> = manifests.iter().map(place).collect();
         for copy in before {
             if !listed.contains(&(copy.prefix_key, copy.generation)) {
@@ -224,11 +227,16 @@
 struct Listed {
     incarnation: u64,
     listed_at: Option<Instant>,
+    manifests: u32,
     /// Copies being written, with the time at which they were seen first.
     writing: BTreeMap<(PrefixKey, Generation), Instant>,
 }
 
 impl Listed {
+    fn interval(&self) -> Duration {
+        LIST_INTERVAL_FLOOR.max(LIST_INTERVAL_PER_MANIFEST * self.manifests)
+    }
+
     /// Saves that nobody will finish or use: written for too long, or replaced by a newer one.
     fn left_behind(&mut self, manifests: &[Manifest]) -> Vec<(PrefixKey, Generation)> {
         let now = Instant::now();
--- a/crates/skylarkpick-entry/src/context/saving.rs
+++ b/crates/skylarkpick-entry/src/context/saving.rs
@@ -83,9 +83,11 @@
         }
     }
 
-    /// The part of a prompt that returned and is worth a copy, if there is one.
-    fn returned_keys<'a>(&mut self, used: &'a Used) -> Option<&'a [PrefixKey]> {
-        let blocks = self.seen.note(&used.keys, tokio::time::Instant::now());
+    /// The part of a prompt that may be worth a copy: the longest start that returned, or at
+    /// first sight all of it.
+    fn saved_keys<'a>(&mut self, used: &'a Used) -> Option<&'a [PrefixKey]> {
+        let returned = self.seen.note(&used.keys, tokio::time::Instant::now());
+        let blocks = if returned >= SAVED_BLOCKS_FLOOR { returned } else { used.keys.len() };
         (blocks >= SAVED_BLOCKS_FLOOR).then(|| &used.keys[..blocks])
     }
 
@@ -94,7 +96,7 @@
         let configuration = &in_force.configuration;
         let Some(model) = configuration.models.get(&used.model) else { return Vec::new() };
         let saves = configuration.serving.get(&model.serving).is_none_or(|serving| serving.saving);
-        let Some(keys) = self.returned_keys(used).filter(|_| saves) else { return Vec::new() };
+        let Some(keys) = self.saved_keys(used).filter(|_| saves) else { return Vec::new() };
         let Some(last) = keys.last().copied() else { return Vec::new() };
         if self.exports >= EXPORTS_LIMIT {
             return Vec::new();
