Tell the process that keeps a run when another one reads it

Cause: a resumable stream taken up again at another entry process was cancelled at the end of the window by the process that it began at.

Change: the process that takes a stream up tells the one named in the token, until that one answers; the answer ends its wait.

Conclusion: a run that outlives the window by far reaches its caller whole; the test is red when nothing is told.

--- a/crates/skylarkpick-entry/src/peers/handle.rs
+++ b/crates/skylarkpick-entry/src/peers/handle.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     configuration_actor::ConfigurationActor, in_force::InForce, parts::EntryParts,
-    router_actor::RouterActor,
+    router_actor::RouterActor, streams::RetentionActor,
 };
 use kameo::{actor::Spawn, prelude::ActorRef};
 use skylarkpick_interface::{PeerHandler, PeerNetwork};
@@ -74,6 +74,7 @@
             membership: membership.clone(),
             in_force: in_force.clone(),
             directory: OnceLock::new(),
+            retention: OnceLock::new(),
         });
         let handler: Arc<dyn PeerHandler> = inbox.clone();
         parts.peers.listen(Arc::downgrade(&handler));
@@ -116,6 +117,11 @@
         Reporter(self.membership.clone())
     }
 
+    /// Lets peers say that they read runs that are kept here; only the first call counts.
+    pub(crate) fn serve_retention(&self, retention: ActorRef<RetentionActor>) {
+        let _ = self.inbox.retention.set(retention);
+    }
+
     /// Says that the present start of a target leaves.
     pub async fn observe_leaving(&self, target: &str) {
         // A stopped actor means that the process ends.
--- a/crates/skylarkpick-entry/src/peers/inbox.rs
+++ b/crates/skylarkpick-entry/src/peers/inbox.rs
@@ -4,7 +4,10 @@
     directory_border::DirectoryPart,
     membership_actor::{MembershipActor, Receive},
 };
-use crate::in_force::InForce;
+use crate::{
+    in_force::InForce,
+    streams::{Release, RetentionActor},
+};
 use async_trait::async_trait;
 use kameo::prelude::ActorRef;
 use prost::Message;
@@ -21,6 +24,7 @@
     pub(super) membership: ActorRef<MembershipActor>,
     pub(super) in_force: watch::Receiver<Arc<InForce>>,
     pub(super) directory: OnceLock<Arc<dyn DirectoryPart>>,
+    pub(super) retention: OnceLock<ActorRef<RetentionActor>>,
 }
 
 impl Inbox {
@@ -50,6 +54,10 @@
                 let answer = self.directory.get()?.look_up(lookup).await;
                 Some(Body::DirectoryAnswer(answer))
             }
+            Some(Body::RunTakenUp(taken_up)) => {
+                self.retention.get()?.tell(Release(taken_up.run_id.clone())).await.ok()?;
+                Some(Body::RunTakenUp(taken_up))
+            }
             Some(Body::DirectoryUpdate(update)) => {
                 self.directory.get()?.update(update).await;
                 None
--- a/crates/skylarkpick-entry/src/streams.rs
+++ b/crates/skylarkpick-entry/src/streams.rs
@@ -8,6 +8,7 @@
 mod retention;
 mod retention_actor;
 mod run_guard;
+mod taken_up;
 #[cfg(test)]
 mod tests;
 
@@ -16,5 +17,5 @@
 pub(crate) use resume::resume;
 pub use resume_token::ResumeKey;
 pub(crate) use resume_token::{milliseconds, seal_token};
-pub(crate) use retention_actor::{CountWaiting, RetentionActor};
+pub(crate) use retention_actor::{CountWaiting, Release, RetentionActor};
 pub(crate) use run_guard::RunGuard;
--- a/crates/skylarkpick-entry/src/streams/resume.rs
+++ b/crates/skylarkpick-entry/src/streams/resume.rs
@@ -8,6 +8,7 @@
     resume_token::{ResumeTokenError, milliseconds, open_token},
     retention_actor::Attach,
     run_guard::RunEnd,
+    taken_up::tell_taken_up,
 };
 use crate::{
     completion::{AnswerStream, EVENTS_AHEAD, UnderWay},
@@ -52,6 +53,9 @@
         _under_way: under_way.clone(),
     };
     tokio::spawn(resumed.run());
+    if claims.resumable {
+        tokio::spawn(tell_taken_up(shared.parts.peers.clone(), claims.clone()));
+    }
     Ok(AnswerStream::open(events, under_way).with_claims(claims))
 }
 
--- a/crates/skylarkpick-entry/tests/streams.rs
+++ b/crates/skylarkpick-entry/tests/streams.rs
@@ -5,7 +5,7 @@
 mod fleet;
 
 use async_trait::async_trait;
-use fleet::{ACCOUNT, Fleet, OTHER_ACCOUNT, request, runner_settings};
+use fleet::{ACCOUNT, Fleet, OTHER_ACCOUNT, SEED_PEERS, request, runner_settings};
 use futures::StreamExt;
 use skylarkpick_entry::{AnswerEvent, AnswerStream, CompletionRequest, FailureCode, Ran};
 use skylarkpick_interface::{
@@ -13,7 +13,7 @@
     ImportReceipt, LoadReport, Order, OrderError, RunFrame, RunRequest, Runner, RunnerStatus,
     StartError, TransferError,
 };
-use skylarkpick_standin::{FakeRunner, RunnerFaults, expected_token};
+use skylarkpick_standin::{FakeRunner, MemoryPeers, RunnerFaults, expected_token};
 use std::{
     sync::{
         Arc, Mutex,
@@ -244,6 +244,25 @@
     assert_eq!(rest.tokens, expected("prompt", 2, 1_000));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_stream_resumed_elsewhere_outlives_the_window_of_its_first_process() {
+    let fleet = Fleet::open(runner_settings(), 1, &[]).await;
+    let peers = MemoryPeers::open(Duration::from_millis(1));
+    let [one, other] = SEED_PEERS.map(|address| peers.join(address, "mnl-a"));
+    let first = fleet.entry_with(1, Some(KEY), one, "mnl-a").await;
+    let second = fleet.entry_with(2, Some(KEY), other, "mnl-a").await;
+    let mut stream = first.complete(resumable("r1", "prompt", 1_000)).unwrap();
+    let got = take(&mut stream, 2).await;
+    drop(stream);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(first.state().await.runs_retained, 1);
+    let mut stream = second.resume(ACCOUNT, &got.resume_token, 2).unwrap();
+    let rest = take(&mut stream, usize::MAX).await;
+    assert_eq!(rest.finished, Some(1_000), "{:?}", rest.failure);
+    assert_eq!(rest.tokens, expected("prompt", 2, 1_000));
+    assert_eq!(first.state().await.runs_retained, 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_token_in_the_wrong_hands_is_refused() {
     struct Case {
