--- a/crates/skylarkpick-entry/src/attempts.rs
+++ b/crates/skylarkpick-entry/src/attempts.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     admission::News,
+    attempt_log::note_attempt,
     completion::UnderWay,
     context::Used,
     entry::Shared,
@@ -56,6 +57,17 @@
     GaveUp(String),
 }
 
+impl AttemptEnd {
+    /// Word for logs and metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            AttemptEnd::Done => "done",
+            AttemptEnd::TryElsewhere(_) => "try_elsewhere",
+            AttemptEnd::GaveUp(_) => "gave_up",
+        }
+    }
+}
+
 impl Attempts {
     /// Makes attempts until the answer is whole, the deadline passes, or the caller has gone.
     pub(crate) async fn run(mut self) {
@@ -98,7 +110,9 @@
                 let message = format!("no runner can take the request now ({last})");
                 return Some(self.failure(FailureCode::NoTarget, message));
             };
-            match self.attempt(attempt_id, &route).await {
+            let end = self.attempt(attempt_id, &route).await;
+            note_attempt(&self.request, attempt_id, &route.runner, end.name());
+            match end {
                 AttemptEnd::Done => return None,
                 AttemptEnd::TryElsewhere(why) => {
                     last = why;
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! outside systems. [`Front`] puts the callers' and operators' HTTP before an entry.
 
 mod admission;
+mod attempt_log;
 mod attempts;
 mod claimed_call;
 mod completion;
