--- a/crates/skylarkpick-entry/src/entry.rs
+++ b/crates/skylarkpick-entry/src/entry.rs
@@ -5,6 +5,7 @@
     claimed_call::open_claims,
     completion::{self, AnswerStream},
     configuration_actor::{ConfigurationActor, Install},
+    context::ContextKeeper,
     failure::Failure,
     in_force::InForce,
     parts::EntryParts,
@@ -41,6 +42,7 @@
     pub(crate) parts: EntryParts,
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) router: ActorRef<RouterActor>,
+    pub(crate) context: ContextKeeper,
     pub(crate) resume_key: ResumeKey,
     pub(crate) retention: ActorRef<RetentionActor>,
     pub(crate) admission: Desk,
@@ -69,10 +71,14 @@
         let window = Duration::from_millis(parts.settings.limits.resume_window_ms);
         let resume_key = parts.resume_key.clone();
         let claims = open_claims(&parts);
+        let context = ContextKeeper::spawn(&parts, in_force.clone(), router.clone(), &peers);
         let planner = Planner::spawn(&parts, in_force.clone(), router.clone());
+        let retention = RetentionActor::spawn(RetentionActor::open(window));
+        peers.serve_retention(retention.clone());
         let shared = Shared {
+            context,
             resume_key: resume_key.unwrap_or_else(|| ResumeKey::from_seed(parts.seed)),
-            retention: RetentionActor::spawn(RetentionActor::open(window)),
+            retention,
             parts,
             in_force,
             router,
@@ -186,6 +192,7 @@
             configuration_version: self.in_force().version,
             is_ready: self.is_ready(),
             requests_under_way: self.requests_under_way(),
+            context: self.shared.context.state().await,
             runs_retained: self.shared.retention.ask(CountWaiting).await.unwrap_or_default(),
             peers: self.shared.peers.state().await,
             planner: self.shared.planner.state(),
--- a/crates/skylarkpick-entry/src/lib.rs
+++ b/crates/skylarkpick-entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod claimed_call;
 mod completion;
 mod configuration_actor;
+mod context;
 mod entry;
 mod failure;
 mod front;
@@ -24,6 +25,7 @@
 
 pub use admission::{AdmissionState, ModelAdmission};
 pub use completion::AnswerStream;
+pub use context::ContextState;
 pub use entry::Entry;
 pub use failure::{Failure, FailureCode, Ran};
 pub use front::Front;
--- a/crates/skylarkpick-entry/src/peers.rs
+++ b/crates/skylarkpick-entry/src/peers.rs
@@ -15,5 +15,6 @@
 
 pub use directory_border::DirectoryPart;
 pub use handle::Peers;
+pub(crate) use handle::Reporter;
 pub use status::{ConfigurationStatus, PeersState, ProcessStatus};
 pub use view::{PeerProcess, PeersView};
--- a/crates/skylarkpick-entry/src/peers/handle.rs
+++ b/crates/skylarkpick-entry/src/peers/handle.rs
@@ -5,14 +5,16 @@
     directory_border::DirectoryPart,
     inbox::Inbox,
     list::follow_list,
-    membership_actor::{IsLeaving, Leave, MembershipActor, ReadState, ReadStatus, Seen, Tick},
+    membership_actor::{
+        IsLeaving, Leave, MembershipActor, ReadState, ReadStatus, ReadsRunner, Seen, Tick,
+    },
     status::{ConfigurationStatus, PeersState},
     targets::follow_targets,
     view::PeersView,
 };
 use crate::{
     configuration_actor::ConfigurationActor, in_force::InForce, parts::EntryParts,
-    router_actor::RouterActor,
+    router_actor::RouterActor, streams::RetentionActor,
 };
 use kameo::{actor::Spawn, prelude::ActorRef};
 use skylarkpick_interface::{PeerHandler, PeerNetwork};
@@ -28,6 +30,18 @@
     time::{MissedTickBehavior, interval},
 };
 
+/// Tells which runners this process reads for its data centre.
+#[derive(Clone)]
+pub(crate) struct Reporter(ActorRef<MembershipActor>);
+
+impl Reporter {
+    /// Whether this process reads the runner now.
+    pub(crate) async fn reads(&self, runner: &str) -> bool {
+        let asked = self.0.ask(ReadsRunner(runner.to_string())).await;
+        asked.is_ok_and(|(reads, _)| reads)
+    }
+}
+
 /// The running membership of this process. Dropping it stops everything about it.
 pub struct Peers {
     membership: ActorRef<MembershipActor>,
@@ -60,6 +74,7 @@
             membership: membership.clone(),
             in_force: in_force.clone(),
             directory: OnceLock::new(),
+            retention: OnceLock::new(),
         });
         let handler: Arc<dyn PeerHandler> = inbox.clone();
         parts.peers.listen(Arc::downgrade(&handler));
@@ -97,6 +112,16 @@
         let _ = self.inbox.directory.set(part);
     }
 
+    /// Tells which runners this process reads for its data centre.
+    pub(crate) fn reporter(&self) -> Reporter {
+        Reporter(self.membership.clone())
+    }
+
+    /// Lets peers say that they read runs that are kept here; only the first call counts.
+    pub(crate) fn serve_retention(&self, retention: ActorRef<RetentionActor>) {
+        let _ = self.inbox.retention.set(retention);
+    }
+
     /// Says that the present start of a target leaves.
     pub async fn observe_leaving(&self, target: &str) {
         // A stopped actor means that the process ends.
--- a/crates/skylarkpick-entry/tests/fleet/mod.rs
+++ b/crates/skylarkpick-entry/tests/fleet/mod.rs
@@ -16,6 +16,8 @@
     time::{Duration, SystemTime},
 };
 
+/// Addresses of the processes that a test may join to a network.
+pub const SEED_PEERS: [&str; 2] = ["peer-1", "peer-2"];
 pub const MODEL: &str = "model";
 pub const ACCOUNT: &str = "cubesat";
 pub const OTHER_ACCOUNT: &str = "relay";
@@ -31,6 +33,16 @@
 
 impl Fleet {
     pub async fn open(runner: RunnerSettings, runners: usize, stores: &[StoreSettings]) -> Fleet {
+        Fleet::open_with(runner, runners, stores, |_| {}).await
+    }
+
+    /// Opens a fleet whose configuration `change` has changed.
+    pub async fn open_with(
+        runner: RunnerSettings,
+        runners: usize,
+        stores: &[StoreSettings],
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Fleet {
         let connector = MemoryConnector::open();
         let platform = MemoryPlatform::open(Duration::from_secs(5), PlatformRates::default());
         let weight_store = WeightStore::open(Duration::from_millis(600), 2);
@@ -69,6 +81,7 @@
                 json!({"address": address, "link_bytes_per_second": link_bytes_per_second});
             fleet.stores.push(store);
         }
+        change(&mut document);
         let record = json!({"version": 1, "history": [], "configuration": document});
         let value = serde_json::to_vec(&record).unwrap();
         fleet.platform.put("config/current", None, value).await.unwrap();
@@ -103,6 +116,7 @@
                 entry_id: format!("entry-{seed}"),
                 data_centre: data_centre.to_string(),
                 peer_address: peers.address(),
+                seed_peers: SEED_PEERS.iter().map(|seed| seed.to_string()).collect(),
                 limits: Limits { resume_window_ms: 5_000, ..Limits::default() },
                 ..Settings::default()
             },
