Replay behind the queues and in-flight limits of entry processes

Cause: the flooding account was replayed with every request admitted at once.

Change: EntryAdmission drives schedule's Admission and TargetHealth, one set for each entry process, before routing; baselines admit everything. Figures tell refusals by account. The test that every request is answered keeps its condition by admitting everything; a new test holds one request back and refuses another.

Conclusion: kept, as it is what entry processes run.

--- a/crates/skylarkpick-replay/src/engine/admission.rs
+++ b/crates/skylarkpick-replay/src/engine/admission.rs
@@ -1,9 +1,13 @@
 //! What stands before routing.
 
+mod entry;
+
+pub use entry::EntryAdmission;
+
 use crate::trace::TraceRequest;
-use std::time::Instant;
+use std::time::Duration;
 
-/// What becomes of a request that arrives.
+/// What becomes of a request that arrives or waited.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
     /// It is routed now.
@@ -14,16 +18,36 @@
     Refuse,
 }
 
-/// Queues and limits before routing, driven with the time of the replay.
+/// Queues and limits before routing, driven with the time since the start of the replay.
 pub trait Admission {
-    /// Decides about a request that arrives; `number` names it from now on.
-    fn offer(&mut self, number: usize, request: &TraceRequest, now: Instant) -> Verdict;
+    /// Decides about a request that arrives at an entry process; `number` names it from now on.
+    fn offer(
+        &mut self,
+        entry: usize,
+        number: usize,
+        request: &TraceRequest,
+        now: Duration,
+    ) -> Verdict;
 
     /// Notes that a request that was started has ended.
-    fn ended(&mut self, number: usize, now: Instant);
+    fn ended(&mut self, number: usize, now: Duration);
+
+    /// Verdicts that are due about requests that waited, in this order.
+    fn release(&mut self, now: Duration) -> Vec<(usize, Verdict)>;
+
+    /// Runners that should get nothing more now from the request's entry process.
+    fn full(&self, _number: usize) -> Vec<String> {
+        Vec::new()
+    }
+
+    /// Notes that a run was sent to a runner.
+    fn run_began(&mut self, _number: usize, _runner: &str) {}
+
+    /// Notes that a run has its first token, having waited so long beside its own computation.
+    fn first_token(&mut self, _number: usize, _waited: Duration, _now: Duration) {}
 
-    /// Requests that waited and are routed now, in this order.
-    fn release(&mut self, now: Instant) -> Vec<usize>;
+    /// Notes that a run has ended; `failed` when the runner did not answer.
+    fn run_ended(&mut self, _number: usize, _failed: bool, _now: Duration) {}
 }
 
 /// Starts every request as it arrives.
@@ -31,13 +55,13 @@
 pub struct AdmitAll;
 
 impl Admission for AdmitAll {
-    fn offer(&mut self, _: usize, _: &TraceRequest, _: Instant) -> Verdict {
+    fn offer(&mut self, _: usize, _: usize, _: &TraceRequest, _: Duration) -> Verdict {
         Verdict::Start
     }
 
-    fn ended(&mut self, _: usize, _: Instant) {}
+    fn ended(&mut self, _: usize, _: Duration) {}
 
-    fn release(&mut self, _: Instant) -> Vec<usize> {
+    fn release(&mut self, _: Duration) -> Vec<(usize, Verdict)> {
         Vec::new()
     }
 }
--- a/crates/skylarkpick-replay/src/engine/faults.rs
+++ b/crates/skylarkpick-replay/src/engine/faults.rs
@@ -14,6 +14,7 @@
 
 impl World<'_> {
     pub(super) fn take_reports(&mut self) {
+        self.release_waiting();
         let reports = Reports {
             taken_at: self.now,
             runners: (0..self.runners.len()).map(|place| self.runner_report(place)).collect(),
--- a/crates/skylarkpick-replay/src/engine/requests.rs
+++ b/crates/skylarkpick-replay/src/engine/requests.rs
@@ -8,7 +8,7 @@
     world::World,
 };
 use skylarkpick_schedule::{ContextPlan, Route};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time after which an unreachable runner is given up.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -17,8 +17,8 @@
 
 impl World<'_> {
     pub(super) fn arrive(&mut self, number: usize) {
-        let now = self.instant();
-        match self.admission.offer(number, &self.trace.requests[number], now) {
+        let entry = self.requests[number].entry;
+        match self.admission.offer(entry, number, &self.trace.requests[number], self.now) {
             Verdict::Start => self.route(RunId { request: number, attempt: 1 }),
             Verdict::Wait => {}
             Verdict::Refuse => self.finish(number),
@@ -35,11 +35,21 @@
     /// Ends a request that was started, and starts those that waited for it.
     fn finish_started(&mut self, number: usize) {
         self.finish(number);
-        let now = self.instant();
-        self.admission.ended(number, now);
-        for released in self.admission.release(now) {
-            let run = RunId { request: released, attempt: 1 };
-            self.agenda.add(self.now, Event::Route(run));
+        self.admission.ended(number, self.now);
+        self.release_waiting();
+    }
+
+    /// Carries out the verdicts about requests that waited.
+    pub(super) fn release_waiting(&mut self) {
+        for (number, verdict) in self.admission.release(self.now) {
+            match verdict {
+                Verdict::Start => {
+                    let run = RunId { request: number, attempt: 1 };
+                    self.agenda.add(self.now, Event::Route(run));
+                }
+                Verdict::Refuse => self.finish(number),
+                Verdict::Wait => {}
+            }
         }
     }
 
@@ -52,9 +62,8 @@
         self.hand_over_reports(entry);
         self.name_keys(number);
         let now = self.instant();
-        let state = &self.requests[number];
-        let chosen = self.entries[entry].placement.choose(&state.route_request, &self.beliefs, now);
-        let Some(route) = chosen else { return self.no_runner(run) };
+        let Some(route) = self.choose(number, now) else { return self.no_runner(run) };
+        self.admission.run_began(number, &route.runner);
         let import = match &route.context {
             ContextPlan::Import(plan) => Some(plan.clone()),
             _ => None,
@@ -66,6 +75,21 @@
         }
     }
 
+    /// Chooses among the runners that are not full, or among all if all are.
+    fn choose(&mut self, number: usize, now: Instant) -> Option<Route> {
+        let state = &self.requests[number];
+        let placement = &mut self.entries[state.entry].placement;
+        let full = self.admission.full(number);
+        if !full.is_empty() {
+            let mut request = state.route_request.clone();
+            request.avoid.extend(full);
+            if let Some(route) = placement.choose(&request, &self.beliefs, now) {
+                return Some(route);
+            }
+        }
+        placement.choose(&state.route_request, &self.beliefs, now)
+    }
+
     fn name_keys(&mut self, number: usize) {
         let tokens = self.trace.requests[number].prefix_tokens;
         let prefix = self.requests[number].prefix;
@@ -110,7 +134,7 @@
             return self.fail_attempt(run);
         }
         if runner.loading || runner.weight_version != route.weight_version {
-            return self.try_elsewhere(run, Duration::ZERO);
+            return self.try_elsewhere(run, Duration::ZERO, false);
         }
         let request = &self.trace.requests[run.request];
         let prefix = self.requests[run.request].prefix;
@@ -129,10 +153,11 @@
         let entry = self.requests[run.request].entry;
         let now = self.instant();
         self.entries[entry].placement.runner_failed(&route.runner, now);
-        self.try_elsewhere(run, ATTEMPT_TIMEOUT);
+        self.try_elsewhere(run, ATTEMPT_TIMEOUT, true);
     }
 
-    fn try_elsewhere(&mut self, run: RunId, pause: Duration) {
+    fn try_elsewhere(&mut self, run: RunId, pause: Duration, failed: bool) {
+        self.admission.run_ended(run.request, failed, self.now);
         let now = self.instant();
         let state = &mut self.requests[run.request];
         let Some(route) = state.route.take() else { return };
@@ -175,12 +200,14 @@
         let end = Event::RunEnd { runner: place, run, epoch };
         self.agenda.add(self.now + Duration::from_secs_f64(seconds), end);
         if self.is_current(run) {
-            self.first_token(place, run, prompt);
+            let rest = prompt.prefix_tokens + prompt.question_tokens - begun.cached_tokens;
+            let seconds = rest as f64 / self.trace.fleet.prefill_tokens_per_second;
+            self.first_token(place, run, prompt, Duration::from_secs_f64(seconds));
         }
         self.begin_next(place);
     }
 
-    fn first_token(&mut self, place: usize, run: RunId, prompt: Prompt) {
+    fn first_token(&mut self, place: usize, run: RunId, prompt: Prompt, computing: Duration) {
         let Some((route, _)) = self.route_of(run) else { return };
         let now = self.instant();
         let entry = self.requests[run.request].entry;
@@ -190,6 +217,8 @@
         state.first_token_at.get_or_insert(self.now + delay);
         let placement = &mut self.entries[entry].placement;
         placement.first_token(&route, &state.route_request, now);
+        let waited = now.saturating_duration_since(route.chosen_at).saturating_sub(computing);
+        self.admission.first_token(run.request, waited, self.now);
         self.beliefs.set_held(place, prompt.context, prompt.prefix_tokens);
         self.prefix_tokens.insert(prompt.context.prefix, prompt.prefix_tokens);
         if self.policy.saves() {
@@ -214,6 +243,7 @@
         let state = &self.requests[run.request];
         let placement = &mut self.entries[state.entry].placement;
         placement.ended(&route, &state.route_request, true, now);
+        self.admission.run_ended(run.request, false, self.now);
         self.finish_started(run.request);
     }
 }
--- a/crates/skylarkpick-replay/src/engine/setup.rs
+++ b/crates/skylarkpick-replay/src/engine/setup.rs
@@ -60,6 +60,11 @@
     configuration
 }
 
+/// Names of all runners in the order of the data centres.
+pub(crate) fn runner_names(fleet: &Fleet) -> Vec<String> {
+    runners(fleet).into_iter().map(|runner| runner.name).collect()
+}
+
 fn runner_name(centre: &str, number: u32) -> String {
     format!("{centre}-runner-{number:03}")
 }
--- a/crates/skylarkpick-replay/src/lib.rs
+++ b/crates/skylarkpick-replay/src/lib.rs
@@ -13,7 +13,7 @@
 mod report;
 mod trace;
 
-pub use engine::{Admission, AdmitAll, Verdict};
+pub use engine::{Admission, AdmitAll, EntryAdmission, Verdict};
 pub use generate::{FleetName, TraceKind, generate_trace};
 pub use measure::{Floors, Measures};
 pub use outcome::{JudgedOutcome, Measure, Outcome, Reference};
--- a/crates/skylarkpick-replay/src/measure.rs
+++ b/crates/skylarkpick-replay/src/measure.rs
@@ -39,6 +39,8 @@
     pub link_peak_share: f64,
     /// Requests refused or given up.
     pub refusals: usize,
+    /// Requests refused or given up by account, where there are any.
+    pub accounts_refusals: BTreeMap<String, usize>,
     /// Jain's index over the accounts with demand.
     pub fairness: f64,
     /// Loads of weights under way at once.
@@ -69,6 +71,7 @@
             link_bytes: played.carried.iter().flatten().map(|(_, _, bytes)| bytes).sum(),
             link_peak_share: link_peak_share(trace, played),
             refusals: records.iter().filter(|record| record.first_token.is_none()).count(),
+            accounts_refusals: accounts_refusals(trace, records),
             fairness: fairness(trace, records, floors),
             loads_at_once: played.loads_at_once,
         }
@@ -110,6 +113,15 @@
     times.into_iter().map(|(account, times)| (account, nearest_rank_ms(&times, 95))).collect()
 }
 
+fn accounts_refusals(trace: &Trace, records: &[RequestRecord]) -> BTreeMap<String, usize> {
+    let mut refusals: BTreeMap<String, usize> = BTreeMap::new();
+    let requests = trace.requests.iter().zip(records);
+    for (request, _) in requests.filter(|(_, record)| record.first_token.is_none()) {
+        *refusals.entry(request.account.clone()).or_default() += 1;
+    }
+    refusals
+}
+
 /// Jain's index, (sum x)^2 / (n sum x^2), of x = time on an idle fleet / time found, over the
 /// accounts with demand; requests without a first token lower an account's x in proportion.
 fn fairness(trace: &Trace, records: &[RequestRecord], floors: &Floors) -> f64 {
--- a/crates/skylarkpick-replay/src/replay.rs
+++ b/crates/skylarkpick-replay/src/replay.rs
@@ -1,7 +1,7 @@
 //! Replays a trace under several policies and judges its stated outcomes.
 
 use crate::{
-    engine::{Admission, AdmitAll, Played, World},
+    engine::{Admission, AdmitAll, EntryAdmission, Played, World, runner_names},
     measure::{Floors, Measures},
     outcome::{JudgedOutcome, Measure, Outcome, Reference},
     policy::PolicyName,
@@ -24,7 +24,7 @@
     pub saving: SavingSettings,
     /// Order of imports over a link.
     pub ordering: ImportOrdering,
-    /// Opens what stands before routing.
+    /// Opens what stands before routing under the own policy; baselines admit everything.
     pub admission: fn(&Trace) -> Box<dyn Admission>,
 }
 
@@ -36,7 +36,10 @@
             rules: DEFAULT_RULES,
             saving: SavingSettings::default(),
             ordering: ImportOrdering::default(),
-            admission: |_| Box::new(AdmitAll),
+            admission: |trace| {
+                let runners = runner_names(&trace.fleet);
+                Box::new(EntryAdmission::open(&trace.fleet, &runners))
+            },
         }
     }
 }
@@ -102,7 +105,10 @@
         prefill_tokens_per_second: trace.fleet.prefill_tokens_per_second,
         ..options.saving
     };
-    let admission = (options.admission)(trace);
+    let admission: Box<dyn Admission> = match policy {
+        PolicyName::Skylarkpick => (options.admission)(trace),
+        _ => Box::new(AdmitAll),
+    };
     World::open(trace, policy, options.rules, saving, options.ordering, admission).play()
 }
 
--- a/crates/skylarkpick-replay/src/tests.rs
+++ b/crates/skylarkpick-replay/src/tests.rs
@@ -1,9 +1,11 @@
 //! Tables of cases for traces and their replay.
 
 use crate::{
-    FleetName, Measure, PolicyName, ReplayOptions, Trace, TraceKind, generate_trace, html_report,
-    parse_faults, parse_trace, replay_trace, text_table, write_trace,
+    Admission, AdmitAll, FleetName, Measure, PolicyName, ReplayOptions, Trace, TraceKind,
+    TraceRequest, Verdict, generate_trace, html_report, parse_faults, parse_trace, replay_trace,
+    text_table, write_trace,
 };
+use std::time::Duration;
 
 const HEADER: &str = r#"{"trace": {"format": 1, "name": "case"}}"#;
 
@@ -152,7 +154,8 @@
     for (name, kind) in TraceKind::ALL {
         let mut trace = generate_trace(FleetName::Bantay, kind, 5);
         trace.requests.retain(|request| (1_150..1_300).contains(&request.at.as_secs()));
-        let options = ReplayOptions::default();
+        let admission: fn(&Trace) -> Box<dyn Admission> = |_| Box::new(AdmitAll);
+        let options = ReplayOptions { admission, ..ReplayOptions::default() };
         let replay = replay_trace(&trace, &options);
         let again = replay_trace(&trace, &options);
         assert_eq!(replay, again, "{name}");
@@ -200,3 +203,54 @@
     assert_eq!(parse_faults(text).unwrap()[0].factor, Some(0.1));
     assert!(parse_faults(&text.replace("0.1", "0")).is_err());
 }
+
+/// Lets one request start at a time and refuses those of one account.
+#[derive(Default)]
+struct OneAtATime {
+    running: Option<usize>,
+    waiting: Vec<usize>,
+}
+
+impl Admission for OneAtATime {
+    fn offer(&mut self, _: usize, number: usize, request: &TraceRequest, _: Duration) -> Verdict {
+        if request.account == "refused" {
+            return Verdict::Refuse;
+        }
+        if self.running.is_some() {
+            self.waiting.push(number);
+            return Verdict::Wait;
+        }
+        self.running = Some(number);
+        Verdict::Start
+    }
+
+    fn ended(&mut self, number: usize, _: Duration) {
+        self.running.take_if(|running| *running == number);
+    }
+
+    fn release(&mut self, _: Duration) -> Vec<(usize, Verdict)> {
+        if self.running.is_some() || self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let next = self.waiting.remove(0);
+        self.running = Some(next);
+        vec![(next, Verdict::Start)]
+    }
+}
+
+#[test]
+fn admission_decides_before_routing() {
+    let refused = request(0, "p").replace("\"account\": \"a\"", "\"account\": \"refused\"");
+    let trace = trace(&[request(0, "p"), request(1, "p"), refused]);
+    let measure = |admission: fn(&Trace) -> Box<dyn Admission>| {
+        let baselines = Vec::new();
+        let options = ReplayOptions { baselines, admission, ..ReplayOptions::default() };
+        replay_trace(&trace, &options).measures[&PolicyName::Skylarkpick].clone()
+    };
+    let one_at_a_time = measure(|_| Box::<OneAtATime>::default());
+    assert_eq!(one_at_a_time.refusals, 1);
+    // The second waits for the whole first one: 2,058 tokens, 10 tokens of answer, 10 of question.
+    assert!((one_at_a_time.first_token_p99_ms - 2_169.0).abs() < 0.1, "{one_at_a_time:?}");
+    let at_once = measure(|_| Box::new(AdmitAll));
+    assert_eq!(at_once.refusals, 0);
+}
