Work each role's share at the planned size out of measured slopes

Cause: nothing showed whether what stands reaches 360 processes before 870 runners. Change: skylarkpick-capacity measures bytes, times, messages and platform calls; the command `capacity` works shares and budgets out, as built and as planned; docs/CAPACITY.md.

--- /dev/null
+++ b/crates/skylarkpick-capacity/src/lib.rs
@@ -0,0 +1,14 @@
+//! Measures slopes on one machine and works out each role's share at a planned size.
+
+mod limit;
+mod measures;
+mod memory;
+mod plan;
+mod share;
+mod slope;
+
+pub use limit::{Limit, limits};
+pub use measures::measure_all;
+pub use plan::{BUDGET, Budget, PLANNED, PlannedSize};
+pub use share::{Form, Share, work_out};
+pub use slope::{Slope, Slopes};
--- /dev/null
+++ b/crates/skylarkpick-capacity/src/measures/queue.rs
@@ -0,0 +1,59 @@
+//! Queues and account limits.
+
+use super::timing::seconds_each;
+use crate::{memory::bytes_each, plan::PLANNED, slope::Slopes};
+use skylarkpick_interface::Priority;
+use skylarkpick_schedule::{AccountLimits, Admission, Admitted, FairQueue, Offer, Queued};
+use std::time::Duration;
+
+/// Requests held to measure the bytes of one.
+const HELD: usize = 200_000;
+
+pub(super) fn measure(slopes: &mut Slopes) {
+    let accounts = PLANNED.accounts as u64;
+    let mut queue = FairQueue::default();
+    let bytes = bytes_each(HELD, |index| queue.push(queued(index as u64, accounts), 1.0));
+    std::mem::forget(queue);
+    slopes.note("queued request memory", bytes, "bytes", "200,000 requests of 560 accounts held");
+    let bytes = bytes_each(200, |_| {
+        let mut admission = Admission::open(PLANNED.entries as usize);
+        (0..accounts).for_each(|account| {
+            admission.offer(&offer(account, accounts), Duration::ZERO);
+        });
+        admission
+    });
+    let each = bytes / PLANNED.accounts;
+    slopes.note("account memory", each, "bytes", "560 accounts with one request each, 200 times");
+    let (mut admission, mut next) = (Admission::open(1), 0);
+    admission.set_room("model", usize::MAX);
+    let time = seconds_each(|| {
+        next += 1;
+        let now = Duration::from_micros(next * 100);
+        if let Admitted::Start(id) = admission.offer(&offer(next, accounts), now) {
+            admission.release(id);
+        }
+    });
+    slopes.note("admission time", time, "s", "enter and release, 560 accounts in turn");
+}
+
+fn queued(id: u64, accounts: u64) -> Queued {
+    Queued {
+        id,
+        account: format!("account-{}", id % accounts),
+        priority: Priority::Normal,
+        cost_tokens: 1_000,
+        start_by: Duration::from_secs(60),
+    }
+}
+
+fn offer(id: u64, accounts: u64) -> Offer {
+    Offer {
+        account: format!("account-{}", id % accounts),
+        model: "model".to_string(),
+        weight: 1.0,
+        limits: AccountLimits { requests_limit: 1_000_000, tokens_per_second_limit: 1e12 },
+        priority: Priority::Normal,
+        cost_tokens: 1_000,
+        start_by: Duration::from_secs(1_000_000),
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-capacity/src/slope.rs
@@ -0,0 +1,45 @@
+//! Slopes: what one more of something costs.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What one more of something costs, as measured.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Slope {
+    /// Name, for looking it up.
+    pub name: String,
+    /// Measured value.
+    pub value: f64,
+    /// Unit of the value.
+    pub unit: String,
+    /// How it was measured.
+    pub method: String,
+}
+
+/// All slopes by name.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Slopes(pub BTreeMap<String, Slope>);
+
+impl Slopes {
+    /// Notes a slope.
+    ///
+    /// ```
+    /// let mut slopes = skylarkpick_capacity::Slopes::default();
+    /// slopes.note("member memory", 300.0, "bytes", "360 members held");
+    /// assert_eq!(slopes.value("member memory"), 300.0);
+    /// ```
+    pub fn note(&mut self, name: &str, value: f64, unit: &str, method: &str) {
+        let slope = Slope {
+            name: name.to_string(),
+            value,
+            unit: unit.to_string(),
+            method: method.to_string(),
+        };
+        self.0.insert(name.to_string(), slope);
+    }
+
+    /// Value of a slope; a missing one counts as infinite, so that no budget holds without it.
+    pub fn value(&self, name: &str) -> f64 {
+        self.0.get(name).map_or(f64::INFINITY, |slope| slope.value)
+    }
+}
--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -1,5 +1,6 @@
 //! The commands, one a file.
 
+mod capacity;
 mod check;
 mod config;
 mod demo;
@@ -28,6 +29,7 @@
         Box::new(overhead::OverheadCommand),
         Box::new(replay::ReplayCommand),
         Box::new(scenario::ScenarioCommand),
+        Box::new(capacity::CapacityCommand),
         Box::new(version::VersionCommand),
         Box::new(help::HelpCommand),
     ]
