Count the first token, not the event before it, in `overhead`

Cause: a clean clone printed that the entry process adds -981 us at the median. Since streams begin with an event that carries the resume token, `overhead` took that event for the first token; the direct path, without it, looked slower. Change: only events of tokens, which have an id, count.

--- a/crates/skylarkpick-command/src/overhead/client.rs
+++ b/crates/skylarkpick-command/src/overhead/client.rs
@@ -73,7 +73,8 @@
         while let Some(frame) = body.next().await {
             lines.push(&frame?.into_data().unwrap_or_default());
             for line in lines.by_ref() {
-                if line.starts_with(b"data: ") {
+                // Only events of tokens have an id; the event before them names the stream.
+                if line.starts_with(b"id: ") {
                     first_token.get_or_insert_with(|| sent_at.elapsed());
                 }
                 if line.as_ref() == b"data: [DONE]" {
