Set ejected runners without copying what is known of each

Cause: a read-through of the whole change. Ten times a second, and after each failed run, the router actor copied every candidate only to walk their names; account shares kept limits that nothing read; the steps `cut` and `heal` were one function twice. Change: the router takes the list of ejected runners itself; the unread field and its setter are gone; one function changes a link, the method is its argument. No figure of speed was taken. Conclusion: behaviour as before.

--- a/crates/skylarkpick-entry/src/router_actor.rs
+++ b/crates/skylarkpick-entry/src/router_actor.rs
@@ -99,10 +99,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: SetEjected, _: &mut Context<Self, Self::Reply>) {
-        let runners: Vec<RunnerId> = self.router.candidates().into_keys().collect();
-        for runner in runners {
-            self.router.set_ejected(&runner, message.0.contains(&runner));
-        }
+        self.router.set_ejected(&message.0);
     }
 }
 
--- a/crates/skylarkpick-scenario/src/steps/network.rs
+++ b/crates/skylarkpick-scenario/src/steps/network.rs
@@ -4,6 +4,7 @@
 use crate::{
     arguments::{Arguments, bad_argument},
     error::StepError,
+    network::Network,
     world::World,
 };
 use async_trait::async_trait;
@@ -28,11 +29,7 @@
         world: &mut Option<World>,
         arguments: Arguments,
     ) -> Result<String, StepError> {
-        let world = world_of(world)?;
-        let (one, other) = read_pair(arguments)?;
-        world.network.cut(&one, &other);
-        world.force.note_disturbance();
-        Ok(String::new())
+        change_link(world_of(world)?, arguments, Network::cut)
     }
 }
 
@@ -51,14 +48,22 @@
         world: &mut Option<World>,
         arguments: Arguments,
     ) -> Result<String, StepError> {
-        let world = world_of(world)?;
-        let (one, other) = read_pair(arguments)?;
-        world.network.heal(&one, &other);
-        world.force.note_disturbance();
-        Ok(String::new())
+        change_link(world_of(world)?, arguments, Network::heal)
     }
 }
 
+/// Changes the link between the two places that the arguments name.
+fn change_link(
+    world: &World,
+    arguments: Arguments,
+    change: fn(&Network, &str, &str),
+) -> Result<String, StepError> {
+    let (one, other) = read_pair(arguments)?;
+    change(&world.network, &one, &other);
+    world.force.note_disturbance();
+    Ok(String::new())
+}
+
 fn read_pair(mut arguments: Arguments) -> Result<(String, String), StepError> {
     let places = arguments.take_list("between");
     arguments.finish()?;
--- a/crates/skylarkpick-schedule/src/limit/account_share.rs
+++ b/crates/skylarkpick-schedule/src/limit/account_share.rs
@@ -45,7 +45,6 @@
 
 #[derive(Debug)]
 struct Share {
-    limits: AccountLimits,
     bucket: TokenBucket,
     demand: f64,
     demand_at: Duration,
@@ -64,12 +63,6 @@
         self.processes = processes.max(1);
     }
 
-    /// Changes an account's limits.
-    pub fn set_limits(&mut self, account: &str, limits: AccountLimits, now: Duration) {
-        let share = self.share(account, limits, now);
-        share.limits = limits;
-    }
-
     /// Takes in what a peer told of its demand.
     pub fn observe_peer(&mut self, account: &str, peer: &str, demand: Demand) {
         if let Some(share) = self.accounts.get_mut(account) {
@@ -90,7 +83,6 @@
     ) -> Result<(), Duration> {
         let processes = self.processes;
         let share = self.share(account, limits, now);
-        share.limits = limits;
         share.note_demand(cost_tokens as f64, now);
         let part = share.part(processes, now);
         let requests_limit = (f64::from(limits.requests_limit) * part).ceil().max(1.0);
@@ -125,7 +117,6 @@
         self.accounts.entry(account.to_string()).or_insert_with(|| {
             let rate = limits.tokens_per_second_limit * part;
             Share {
-                limits,
                 bucket: TokenBucket::open(rate, rate * BURST.as_secs_f64(), now),
                 demand: 0.0,
                 demand_at: now,
--- a/crates/skylarkpick-schedule/src/route/observe.rs
+++ b/crates/skylarkpick-schedule/src/route/observe.rs
@@ -4,7 +4,7 @@
     router::Router,
     types::{BeliefCorrection, ContextPlan, ImportPlan, Route, RouteRequest},
 };
-use skylarkpick_interface::{LoadReport, RunnerStatus, StoreStatus};
+use skylarkpick_interface::{LoadReport, RunnerId, RunnerStatus, StoreStatus};
 use std::time::{Duration, Instant};
 
 impl Router {
@@ -58,10 +58,10 @@
         }
     }
 
-    /// Leaves a runner out, or takes it in again.
-    pub fn set_ejected(&mut self, runner: &str, ejected: bool) {
-        if let Some(place) = self.runner_place(runner) {
-            self.runners[place].ejected = ejected;
+    /// Leaves these runners out, and takes all others in again.
+    pub fn set_ejected(&mut self, ejected: &[RunnerId]) {
+        for runner in &mut self.runners {
+            runner.ejected = ejected.contains(&runner.name);
         }
     }
 
--- a/crates/skylarkpick-schedule/src/route/tests.rs
+++ b/crates/skylarkpick-schedule/src/route/tests.rs
@@ -204,7 +204,7 @@
         ("loading", |router| {
             router.observe_status("runner-1", &RunnerStatus { loading: Some(2), ..status() });
         }),
-        ("ejected", |router| router.set_ejected("runner-1", true)),
+        ("ejected", |router| router.set_ejected(&["runner-1".to_string()])),
     ];
     for (name, exclude) in cases {
         let now = Instant::now();
