--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod entry;
 mod help;
+mod node;
 mod overhead;
 mod replay;
 mod scenario;
@@ -20,6 +21,7 @@
 pub fn all_commands() -> Vec<Box<dyn Command>> {
     vec![
         Box::new(entry::EntryCommand),
+        Box::new(node::NodeCommand),
         Box::new(demo::DemoCommand),
         Box::new(check::CheckCommand),
         Box::new(config::ConfigCommand),
--- /dev/null
+++ b/crates/skylarkpick-forward/src/desk.rs
@@ -0,0 +1,189 @@
+//! What the requests of a process share: the serving document, placement, and budgets.
+
+use crate::serving::Serving;
+use skylarkpick_interface::{Clock, NodeBounds, ServiceName, ToldLoad, WeightVersion};
+use skylarkpick_schedule::{Ask, AskPrompt, Choice, Place, Placement, TargetOutcome, WindowBudget};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::Notify;
+
+/// Part of the time for which replaced weights may be used that is left unused, for messages and
+/// queues on the way.
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
+/// Entry processes that share the retries allowed besides, until more are known.
+const ENTRIES_FLOOR: u32 = 8;
+
+/// What the requests of a process share.
+pub(crate) struct Desk {
+    state: Mutex<DeskState>,
+    clock: Arc<dyn Clock>,
+    bounds: NodeBounds,
+    /// Wakes the tasks that follow caches when the set of caches may have changed.
+    pub(crate) caches_changed: Notify,
+    /// Wakes the planner when weights or targets changed.
+    pub(crate) weights_changed: Notify,
+    draining: AtomicBool,
+    under_way: AtomicU64,
+}
+
+/// State behind the lock; never held across an await.
+pub(crate) struct DeskState {
+    serving: Option<Arc<Serving>>,
+    pub(crate) placement: Placement,
+    budgets: BTreeMap<ServiceName, WindowBudget>,
+    entries: u32,
+}
+
+impl Desk {
+    pub(crate) fn open(clock: Arc<dyn Clock>, bounds: NodeBounds) -> Arc<Desk> {
+        let usable_for = bounds.weights.saturating_sub(OLD_WEIGHTS_MARGIN);
+        Arc::new(Desk {
+            state: Mutex::new(DeskState {
+                serving: None,
+                placement: Placement::open(usable_for),
+                budgets: BTreeMap::new(),
+                entries: ENTRIES_FLOOR,
+            }),
+            clock,
+            bounds,
+            caches_changed: Notify::new(),
+            weights_changed: Notify::new(),
+            draining: AtomicBool::new(false),
+            under_way: AtomicU64::new(0),
+        })
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time since boot, which goes on while the VM is suspended.
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.since_boot()
+    }
+
+    pub(crate) fn bounds(&self) -> &NodeBounds {
+        &self.bounds
+    }
+
+    pub(crate) fn serving(&self) -> Option<Arc<Serving>> {
+        self.lock().serving.clone()
+    }
+
+    /// Takes a serving document over if it is newer; gives whether it did.
+    pub(crate) fn install(&self, serving: Serving) -> bool {
+        let mut state = self.lock();
+        if state.serving.as_ref().is_some_and(|known| known.version() >= serving.version()) {
+            return false;
+        }
+        state.placement.set_services(&serving.document.services);
+        state.serving = Some(Arc::new(serving));
+        drop(state);
+        self.caches_changed.notify_waiters();
+        true
+    }
+
+    /// Sets the number of entry processes that share the retries allowed besides.
+    pub(crate) fn set_entries(&self, count: usize) {
+        self.lock().entries = u32::try_from(count).unwrap_or(u32::MAX).max(ENTRIES_FLOOR);
+    }
+
+    pub(crate) fn choose(&self, ask: &Ask) -> Choice {
+        self.lock().placement.choose(ask, self.now())
+    }
+
+    /// Counts a request as under way at its place until the guard goes.
+    pub(crate) fn begin(self: &Arc<Self>, place: Place, prompt: Option<&AskPrompt>) -> PlaceGuard {
+        self.lock().placement.begin(&place, prompt, self.now());
+        PlaceGuard { desk: self.clone(), place, outcome: TargetOutcome::Unknown }
+    }
+
+    pub(crate) fn observe_load(&self, target: &str, load: ToldLoad) {
+        self.lock().placement.observe_load(target, load, self.now());
+    }
+
+    pub(crate) fn observe_weights(&self, target: &str, model: &str, version: WeightVersion) {
+        self.lock().placement.observe_weights(target, model, version);
+    }
+
+    pub(crate) fn note_first_attempt(&self, service: &str) {
+        let now = self.now();
+        let mut state = self.lock();
+        self.budget(&mut state, service).note_first_attempt(now);
+    }
+
+    /// Takes one retry out of the budget of a service; gives whether it may be made.
+    pub(crate) fn take_retry(&self, service: &str) -> bool {
+        let now = self.now();
+        let mut state = self.lock();
+        let extra = self.bounds.retry_extra / state.entries;
+        self.budget(&mut state, service).take(extra, now)
+    }
+
+    fn budget<'a>(&self, state: &'a mut DeskState, service: &str) -> &'a mut WindowBudget {
+        let (window, percent) = (self.bounds.retry_window, self.bounds.retry_percent);
+        state
+            .budgets
+            .entry(service.to_string())
+            .or_insert_with(|| WindowBudget::open(window, percent))
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the process should get new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.lock();
+        let knows_targets = !state.placement.targets().is_empty();
+        state.serving.is_some() && knows_targets && !self.is_draining()
+    }
+
+    pub(crate) fn requests_under_way(&self) -> u64 {
+        self.under_way.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn count_request(self: &Arc<Self>) -> RequestCount {
+        self.under_way.fetch_add(1, Ordering::SeqCst);
+        RequestCount(self.clone())
+    }
+}
+
+/// Counts a request of a client as under way until dropped.
+pub(crate) struct RequestCount(Arc<Desk>);
+
+impl Drop for RequestCount {
+    fn drop(&mut self) {
+        self.0.under_way.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Counts a request as under way at a target until dropped.
+pub(crate) struct PlaceGuard {
+    desk: Arc<Desk>,
+    pub(crate) place: Place,
+    pub(crate) outcome: TargetOutcome,
+}
+
+impl Drop for PlaceGuard {
+    fn drop(&mut self) {
+        let now = self.desk.now();
+        self.desk.lock().placement.end(&self.place, self.outcome, now);
+    }
+}
+
+impl DeskState {
+    pub(crate) fn serving(&self) -> Option<&Arc<Serving>> {
+        self.serving.as_ref()
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -0,0 +1,14 @@
+//! Follows the platform's records and what caches tell.
+
+mod caches;
+mod confirm;
+mod follow;
+mod lapses;
+mod plan;
+mod record;
+
+pub(crate) use caches::follow_caches;
+pub(crate) use confirm::ServingConfirmer;
+pub(crate) use follow::{FleetFollower, follow_topic};
+pub(crate) use plan::{PlannerParts, run_planner};
+pub(crate) use record::Recorder;
--- /dev/null
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -0,0 +1,201 @@
+//! Brings runners to the newest weights while this process holds the planner's lease.
+
+use crate::desk::Desk;
+use skylarkpick_interface::{
+    Clock, ModelName, ObjectStore, OrderAnswer, ServiceKind, TargetControl, TargetId, WeightOrder,
+    WeightVersion,
+};
+use skylarkpick_lease::{Lease, LeaseSettings};
+use skylarkpick_schedule::{RolloutRunner, RolloutWish, plan_rollout};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Key of the lease.
+const LEASE_KEY: &str = "leases/planner";
+/// Term of the lease; much shorter than the time in which orders of two holders must not mix.
+const LEASE_TERM: Duration = Duration::from_millis(1_800);
+/// Time between renewals.
+const LEASE_RENEWAL: Duration = Duration::from_millis(600);
+/// Time between a waiting candidate's reads.
+const LEASE_POLL: Duration = Duration::from_millis(900);
+/// Longest call to the platform for the lease.
+const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the acceptance of an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which an order whose effect was not seen is given again.
+const ORDER_AGAIN: Duration = Duration::from_millis(3_500);
+/// Pause between two looks at the fleet.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+/// Weights loaded at the same time; more slow each other down.
+const LOADS_LIMIT: u32 = 3;
+/// Share of the runners that go on serving.
+const SERVING_SHARE_FLOOR: f64 = 0.6;
+
+/// What the planner is made of.
+pub(crate) struct PlannerParts {
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) objects: Arc<dyn ObjectStore>,
+    pub(crate) control: Arc<dyn TargetControl>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) node: String,
+}
+
+struct Planner {
+    parts: PlannerParts,
+    lease: Lease,
+    holder: String,
+    /// Since when this process holds the lease under which number.
+    held: Option<(u64, Instant)>,
+    ordered: BTreeMap<TargetId, Ordered>,
+}
+
+struct Ordered {
+    weight_version: WeightVersion,
+    at: Instant,
+}
+
+/// Plans for as long as the task runs.
+pub(crate) async fn run_planner(parts: PlannerParts) {
+    let holder = format!("{}-{:08x}", parts.node, rand::random::<u32>());
+    let settings = LeaseSettings {
+        key: LEASE_KEY.to_string(),
+        holder: holder.clone(),
+        term: LEASE_TERM,
+        order_timeout: ORDER_TIMEOUT,
+        renewal_interval: LEASE_RENEWAL,
+        poll_interval: LEASE_POLL,
+        call_timeout: LEASE_CALL_TIMEOUT,
+    };
+    let lease = Lease::spawn(parts.objects.clone(), parts.clock.clone(), settings, rand::random());
+    let mut planner = Planner { parts, lease, holder, held: None, ordered: BTreeMap::new() };
+    loop {
+        let changed = planner.parts.desk.weights_changed.notified();
+        let _ = tokio::time::timeout(LOOK_PAUSE, changed).await;
+        planner.look().await;
+    }
+}
+
+impl Planner {
+    async fn look(&mut self) {
+        let Some(permit) = self.lease.permit() else {
+            if self.held.take().is_some() {
+                spdlog::info!("planner's lease lost");
+                self.ordered.clear();
+            }
+            return;
+        };
+        let (number, since) = match self.held {
+            Some(held) => held,
+            None => {
+                let held = (permit.fencing_number, Instant::now());
+                spdlog::info!("planner's lease held", kv: { fencing_number = held.0 });
+                self.held = Some(held);
+                held
+            }
+        };
+        let _ = number;
+        // A former holder may have given orders until the moment of the change.
+        if since.elapsed() < self.parts.desk.bounds().lease {
+            return;
+        }
+        let models: Vec<(ModelName, WeightVersion)> = {
+            let state = self.parts.desk.lock();
+            state.placement.weights.models().map(|(name, it)| (name.to_string(), it)).collect()
+        };
+        for (model, version) in models {
+            self.plan(&model, version).await;
+        }
+    }
+
+    async fn plan(&mut self, model: &str, version: WeightVersion) {
+        let (runners, orders) = self.runners(model, version);
+        let wish = RolloutWish {
+            model: model.to_string(),
+            weight_version: version,
+            usable_weight_versions: (0..=version).rev().take(3).collect(),
+            loads_limit: LOADS_LIMIT,
+            serving_share_floor: SERVING_SHARE_FLOOR,
+        };
+        let loading = runners.iter().filter(|runner| runner.is_loading).count();
+        let plan = plan_rollout(&runners, &wish, u32::try_from(loading).unwrap_or(u32::MAX));
+        for target in plan.order {
+            let Some(order) = orders.get(&target) else { continue };
+            if !self.order(order).await {
+                return;
+            }
+        }
+    }
+
+    /// The runners of a model as the plan wants them, with the order that each would get.
+    fn runners(
+        &mut self,
+        model: &str,
+        version: WeightVersion,
+    ) -> (Vec<RolloutRunner>, BTreeMap<TargetId, WeightOrder>) {
+        let state = self.parts.desk.lock();
+        let now = self.parts.desk.now();
+        let (mut runners, mut orders) = (Vec::new(), BTreeMap::new());
+        for (id, target) in state.placement.targets() {
+            let service = state
+                .serving()
+                .and_then(|serving| serving.document.services.get(&target.listed.service));
+            let listed = target.listed.weights.get(model).copied();
+            let (Some(ServiceKind::Engines(_)), Some(listed)) = (service, listed) else { continue };
+            let ordered = self
+                .ordered
+                .get(id)
+                .filter(|it| it.weight_version >= version && it.at.elapsed() < ORDER_AGAIN);
+            runners.push(RolloutRunner {
+                name: id.clone(),
+                model: model.to_string(),
+                weight_version: Some(listed),
+                is_loading: listed < version && ordered.is_some(),
+                is_leaving: target.listed.is_draining,
+                runs: target.requests(now).round() as u32,
+                slots: target.slots(),
+                hot_blocks: 0,
+            });
+            orders.insert(
+                id.clone(),
+                WeightOrder {
+                    target: id.clone(),
+                    address: target.listed.address,
+                    model: model.to_string(),
+                    weight_version: version,
+                    holder: self.holder.clone(),
+                    fencing_number: 0,
+                    orders_accepted: target.listed.orders_accepted,
+                },
+            );
+        }
+        (runners, orders)
+    }
+
+    /// Gives one order; gives whether the lease still covers another.
+    async fn order(&mut self, order: &WeightOrder) -> bool {
+        let Some(permit) = self.lease.permit() else { return false };
+        if permit.remaining < ORDER_TIMEOUT {
+            return false;
+        }
+        let order = WeightOrder { fencing_number: permit.fencing_number, ..order.clone() };
+        let ordered = Ordered { weight_version: order.weight_version, at: Instant::now() };
+        self.ordered.insert(order.target.clone(), ordered);
+        let answer = self.parts.control.order(&order, ORDER_TIMEOUT).await;
+        let outcome = match &answer {
+            Ok(answer) => format!("{answer:?}"),
+            Err(error) => error.to_string(),
+        };
+        spdlog::info!("order given", kv: {
+            target = order.target.as_str(),
+            model = order.model.as_str(),
+            weight_version = order.weight_version,
+            fencing_number = order.fencing_number,
+            orders_accepted = order.orders_accepted,
+            outcome = outcome.as_str(),
+        });
+        if answer == Ok(OrderAnswer::AlreadySo) {
+            self.parts.desk.observe_weights(&order.target, &order.model, order.weight_version);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-forward/src/front.rs
@@ -0,0 +1,7 @@
+//! The clients' door.
+
+mod activity;
+mod connection;
+mod door;
+
+pub(crate) use door::Door;
--- /dev/null
+++ b/crates/skylarkpick-forward/src/front/connection.rs
@@ -0,0 +1,118 @@
+//! One client's connection.
+
+use super::activity::{Activity, Phase, WatchedStream};
+use crate::life::{AnswerBody, AnswerBroken, Lives};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    body::{Body, Frame, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::{
+    convert::Infallible,
+    pin::{Pin, pin},
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{net::TcpStream, sync::watch};
+
+/// Size of a head that the HTTP library needs at least.
+const HEAD_SIZE_FLOOR_BYTES: usize = 8_192;
+/// Largest head while no serving document names a limit.
+const HEAD_SIZE_LIMIT_BYTES: usize = 16_384;
+/// Time for a head while no serving document names a limit.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time that a connection may stay unused while no serving document names a limit.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Serves a connection until it ends, or until `stopped` and its last answer is out.
+pub(super) async fn serve(
+    stream: TcpStream,
+    lives: Arc<Lives>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let activity = Activity::open();
+    let io = TokioIo::new(WatchedStream::open(stream, activity.clone()));
+    let limits = lives.desk.serving().map(|serving| *serving.limits());
+    let head_size_bytes = limits.map_or(HEAD_SIZE_LIMIT_BYTES, |limits| limits.head_size_bytes);
+    let head_timeout = limits.map_or(HEAD_TIMEOUT, |limits| limits.head_timeout);
+    let idle_timeout = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    let service = {
+        let activity = activity.clone();
+        service_fn(move |request| {
+            let (lives, activity) = (lives.clone(), activity.clone());
+            activity.set(Phase::Busy);
+            async move {
+                let response = lives.answer(request).await;
+                Ok::<_, Infallible>(response.map(|body| watch_body(body, activity)))
+            }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(head_size_bytes.max(HEAD_SIZE_FLOOR_BYTES))
+        .serve_connection(io, service);
+    let mut connection = pin!(connection);
+    let mut is_stopping = false;
+    loop {
+        let due = activity.due(head_timeout, idle_timeout);
+        tokio::select! {
+            // A connection that breaks is the client's affair; its request was dropped with it.
+            _ = connection.as_mut() => return,
+            () = tokio::time::sleep_until(due) => {
+                let (phase, _) = activity.get();
+                if phase == Phase::Head && activity.due(head_timeout, idle_timeout) <= due {
+                    return;
+                }
+                if phase == Phase::Idle && activity.due(head_timeout, idle_timeout) <= due {
+                    connection.as_mut().graceful_shutdown();
+                    is_stopping = true;
+                }
+            }
+            _ = stopped.wait_for(|stopped| *stopped), if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// An answer's body that notes its end.
+struct WatchedBody {
+    body: AnswerBody,
+    activity: Arc<Activity>,
+}
+
+fn watch_body(body: AnswerBody, activity: Arc<Activity>) -> AnswerBody {
+    WatchedBody { body, activity }.boxed_unsync()
+}
+
+impl Body for WatchedBody {
+    type Data = Bytes;
+    type Error = AnswerBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBroken>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for WatchedBody {
+    fn drop(&mut self) {
+        self.activity.set(Phase::Idle);
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-forward/src/life.rs
@@ -0,0 +1,10 @@
+//! One request from its head to the end of its answer.
+
+mod answer;
+mod attempt;
+mod events;
+mod relay;
+mod request;
+
+pub(crate) use answer::{AnswerBody, AnswerBroken};
+pub(crate) use request::Lives;
--- /dev/null
+++ b/crates/skylarkpick-forward/src/life/request.rs
@@ -0,0 +1,430 @@
+//! Takes a request in, sends it to targets, and answers.
+
+use super::{
+    answer::{AnswerBody, Ending, close_connection, whole_body},
+    attempt::{Attempt, AttemptEnd, BegunAnswer, WholeAnswer},
+    relay::{Relay, milliseconds},
+};
+use crate::{
+    desk::{Desk, RequestCount},
+    fleet::ServingConfirmer,
+    log::request_log,
+    pool::Pool,
+    serving::{Serving, pick_destination},
+};
+use bytes::Bytes;
+use futures::stream;
+use http::{Method, Request, Response, StatusCode, request::Parts};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
+use skylarkpick_http::{ReadBodyError, read_body};
+use skylarkpick_interface::{
+    AnswerMarks, AnswerShape, DataCentreId, Dialect, EventId, ForwardHead, HeadError,
+    Repeatability, ServiceName, ServingAccount, ServingRoute, TargetId,
+};
+use skylarkpick_schedule::{Ask, AskPrompt, Choice, Unplaced};
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Largest body while no serving document names a limit.
+const BODY_LIMIT_BYTES: usize = 4 * 1_048_576;
+/// Time for a body to arrive; clients on the platform's links need far less.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Sends of one request beyond the runs that its route allows. Sends that were turned away have
+/// not run, but each costs the time of a round trip.
+const EXTRA_SENDS_LIMIT: u32 = 2;
+/// Wait named to a client where nothing is known of the backlog.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
+
+/// What the requests of a process are carried out with.
+pub(crate) struct Lives {
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) confirmer: ServingConfirmer,
+    pub(crate) data_centre: DataCentreId,
+}
+
+/// A request that the rules allow, with what was tried for it.
+pub(crate) struct RequestLife {
+    pub(crate) received: Instant,
+    pub(crate) head: ForwardHead,
+    pub(crate) method: Method,
+    /// Path and query, as they came.
+    pub(crate) path: String,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<ServingRoute>,
+    pub(crate) account: Option<Arc<ServingAccount>>,
+    pub(crate) deadline: Instant,
+    ask: Ask,
+    serving_version: u64,
+    sends: u32,
+    runs: u32,
+    _count: RequestCount,
+}
+
+/// How a request ends that has no target to go to any more.
+enum SendResult {
+    Whole(WholeAnswer),
+    Begun(Box<BegunAnswer>),
+    Ended(Ending, String),
+}
+
+impl RequestLife {
+    /// Rank at the targets, 0 first.
+    pub(crate) fn rank(&self) -> u8 {
+        self.account.as_ref().and_then(|account| account.rank).unwrap_or(self.route.rank)
+    }
+
+    /// Whether another runner may go on with its stream.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.route.shape == AnswerShape::Events
+            && self.route.repeatability == Repeatability::Repeatable
+    }
+
+    /// Keeps the request away from a target that failed it.
+    pub(crate) fn note_failed(&mut self, target: &TargetId) {
+        self.ask.avoid.push(target.clone());
+    }
+
+    fn may_run_again(&self) -> bool {
+        let may_repeat = self.route.repeatability == Repeatability::Repeatable;
+        self.runs == 0 || (may_repeat && self.runs < self.route.attempts_limit)
+    }
+
+    fn may_send_again(&self) -> bool {
+        self.sends < self.route.attempts_limit + EXTRA_SENDS_LIMIT && self.may_run_again()
+    }
+}
+
+impl Lives {
+    /// Answers one request. Dropping the answer's body means that the client went away.
+    pub(crate) async fn answer(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<AnswerBody> {
+        let received = Instant::now();
+        let (head, body) = request.into_parts();
+        let mut response = match self.take_in(&head, body, received).await {
+            Ok(life) => self.carry_out(life).await,
+            Err((attempt_id, ending, why)) => {
+                request_log!("refused", kv: {
+                    request = attempt_id.as_str(),
+                    status = ending.status().as_u16(),
+                    why = why.as_str(),
+                    serving_version = self.desk.serving().map_or(0, |it| it.version()),
+                });
+                ending.response(&*self.dialect, &attempt_id, rand::random())
+            }
+        };
+        if self.desk.is_draining() {
+            close_connection(response.headers_mut());
+        }
+        response
+    }
+
+    /// Checks a request against the serving document and reads its body.
+    async fn take_in(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        received: Instant,
+    ) -> Result<RequestLife, (String, Ending, String)> {
+        let head = self.dialect.read_request(parts).map_err(|error| {
+            let closes = error == HeadError::NoAttemptId;
+            (String::new(), not_allowed(StatusCode::BAD_REQUEST, closes), error.to_string())
+        })?;
+        let attempt_id = head.attempt_id.clone();
+        let fail = |ending: Ending, why: &str| (attempt_id.clone(), ending, why.to_string());
+        let limit = self
+            .desk
+            .serving()
+            .map_or(BODY_LIMIT_BYTES, |serving| serving.limits().body_size_bytes);
+        if body.size_hint().lower() > limit as u64 {
+            return Err(fail(too_large(), "the body is announced as too large"));
+        }
+        let body = read_body(body, limit, BODY_TIMEOUT).await.map_err(|error| match error {
+            ReadBodyError::TooLarge(_) => fail(too_large(), "the body is too large"),
+            error => fail(not_allowed(StatusCode::REQUEST_TIMEOUT, true), &error.to_string()),
+        })?;
+        let (serving, route, account) =
+            self.authorize(&head, parts).await.map_err(|(ending, why)| fail(ending, &why))?;
+        let longest = route.timeout;
+        let allowed = head.deadline.map_or(longest, |deadline| deadline.min(longest));
+        let service = pick_destination(&route.destinations, rand::random())
+            .map(|destination| destination.service.clone())
+            .unwrap_or_default();
+        let ask = self.ask(&head, &route, account.as_deref(), service, allowed);
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
+        Ok(RequestLife {
+            received,
+            method: parts.method.clone(),
+            path,
+            body,
+            route,
+            account,
+            deadline: received + allowed,
+            ask,
+            serving_version: serving.version(),
+            sends: 0,
+            runs: 0,
+            _count: self.desk.count_request(),
+            head,
+        })
+    }
+
+    /// Finds the route and the client account. What the document does not know is looked up in the
+    /// platform before it is refused for good, since the document may be old.
+    async fn authorize(
+        &self,
+        head: &ForwardHead,
+        parts: &Parts,
+    ) -> Result<(Arc<Serving>, Arc<ServingRoute>, Option<Arc<ServingAccount>>), (Ending, String)>
+    {
+        let come_back = || Ending::ComeBack { wait: UNKNOWN_WAIT };
+        let Some(serving) = self.desk.serving() else {
+            return Err((come_back(), "no serving document yet".to_string()));
+        };
+        match look_up(&serving, head, parts) {
+            Ok((route, account)) => return Ok((serving, route, account)),
+            Err(_) if self.confirmer.confirm().await => {}
+            Err(status) => {
+                let why = format!("{status}, but the serving document may be old");
+                return Err((come_back(), why));
+            }
+        }
+        let serving = self.desk.serving().unwrap_or(serving);
+        let (route, account) = look_up(&serving, head, parts)
+            .map_err(|status| (not_allowed(status, false), "not in the document".to_string()))?;
+        Ok((serving, route, account))
+    }
+
+    fn ask(
+        &self,
+        head: &ForwardHead,
+        route: &ServingRoute,
+        account: Option<&ServingAccount>,
+        service: ServiceName,
+        allowed: Duration,
+    ) -> Ask {
+        let isolated = account.filter(|account| account.is_isolated);
+        Ask {
+            service,
+            data_centre: self.data_centre.clone(),
+            prompt: head.prompt.as_ref().map(|prompt| AskPrompt {
+                model: prompt.model.clone(),
+                parts: prompt.parts.clone(),
+                prompt_tokens: prompt.prompt_tokens,
+                answer_tokens_limit: prompt.answer_tokens_limit,
+                isolated_account: isolated.map(|account| account.account.clone()),
+            }),
+            avoid: Vec::new(),
+            patience: allowed.min(route.timeout),
+        }
+    }
+
+    /// Sends the request to targets until one answers, and passes the answer on.
+    async fn carry_out(self: &Arc<Self>, mut life: RequestLife) -> Response<AnswerBody> {
+        self.desk.note_first_attempt(&life.ask.service);
+        match self.send_until_answered(&mut life, None).await {
+            SendResult::Whole(answer) => {
+                request_log!("answered", kv: {
+                    request = life.head.attempt_id.as_str(),
+                    status = answer.head.status.as_u16(),
+                    sends = life.sends,
+                    took_ms = milliseconds(life.received.elapsed()),
+                });
+                let mut response = Response::new(whole_body(answer.content));
+                *response.status_mut() = answer.head.status;
+                *response.headers_mut() = self.dialect.answer_headers(&answer.head.headers);
+                response
+            }
+            SendResult::Begun(begun) => {
+                request_log!("answer begun", kv: {
+                    request = life.head.attempt_id.as_str(),
+                    status = begun.head.status.as_u16(),
+                    sends = life.sends,
+                    took_ms = milliseconds(life.received.elapsed()),
+                });
+                let (status, headers) = (begun.head.status, begun.head.headers.clone());
+                let relay = Relay::open(self.clone(), life, begun);
+                let pieces = stream::unfold(relay, |mut relay| async move {
+                    let piece = relay.next().await?;
+                    Some((piece.map(Frame::data), relay))
+                });
+                let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(pieces)));
+                *response.status_mut() = status;
+                *response.headers_mut() = self.dialect.answer_headers(&headers);
+                response
+            }
+            SendResult::Ended(ending, why) => {
+                request_log!("not answered", kv: {
+                    request = life.head.attempt_id.as_str(),
+                    status = ending.status().as_u16(),
+                    why = why.as_str(),
+                    sends = life.sends,
+                    runs = life.runs,
+                    serving_version = life.serving_version,
+                    took_ms = milliseconds(life.received.elapsed()),
+                });
+                ending.response(&*self.dialect, &life.head.attempt_id, rand::random())
+            }
+        }
+    }
+
+    /// Goes on with a stream at another runner.
+    pub(crate) async fn resume(
+        &self,
+        life: &mut RequestLife,
+        after: Option<EventId>,
+    ) -> Option<Box<BegunAnswer>> {
+        life.runs = life.runs.max(1);
+        if !life.may_send_again() {
+            return None;
+        }
+        match self.send_until_answered(life, after).await {
+            SendResult::Begun(begun) if begun.head.status.is_success() => Some(begun),
+            _ => None,
+        }
+    }
+
+    async fn send_until_answered(
+        &self,
+        life: &mut RequestLife,
+        resume_after: Option<EventId>,
+    ) -> SendResult {
+        let mut last = SendResult::Ended(
+            Ending::ComeBack { wait: UNKNOWN_WAIT },
+            "no target was tried".to_string(),
+        );
+        loop {
+            let place = match self.desk.choose(&life.ask) {
+                Choice::Place(place) => place,
+                Choice::Unplaced(why) => return self.unplaced(life, why, last),
+            };
+            if life.sends > 0 && !self.desk.take_retry(&life.ask.service) {
+                request_log!("retry budget used up", kv: {
+                    request = life.head.attempt_id.as_str(),
+                    service = life.ask.service.as_str(),
+                });
+                return last;
+            }
+            request_log!("sent", kv: {
+                request = life.head.attempt_id.as_str(),
+                target = place.target.as_str(),
+                held_tokens = place.held_tokens,
+                fetches = place.fetch.iter().flatten().count(),
+                saves = place.save.iter().flatten().count(),
+                weight_version = place.weight_version.unwrap_or_default(),
+                load_age_ms = place.load_age.map_or(u64::MAX, milliseconds),
+                expected_wait_ms = milliseconds(place.expected_wait),
+                serving_version = life.serving_version,
+            });
+            let target = place.target.clone();
+            let guard = self.desk.begin(*place, life.ask.prompt.as_ref());
+            life.sends += 1;
+            let attempt = Attempt { lives: self, life, guard, resume_after };
+            let end = attempt.run().await;
+            if let Some(result) = self.weigh(life, target, end, &mut last) {
+                return result;
+            }
+            if !life.may_send_again() {
+                return last;
+            }
+        }
+    }
+
+    /// Takes in how a send ended; gives the result where it is the last word.
+    fn weigh(
+        &self,
+        life: &mut RequestLife,
+        target: TargetId,
+        end: AttemptEnd,
+        last: &mut SendResult,
+    ) -> Option<SendResult> {
+        match end {
+            AttemptEnd::Begun(begun) => return Some(SendResult::Begun(begun)),
+            AttemptEnd::Whole(answer) => {
+                life.runs += 1;
+                let is_failure = answer.head.status.is_server_error();
+                if !is_failure || !life.may_send_again() {
+                    return Some(SendResult::Whole(answer));
+                }
+                life.note_failed(&target);
+                *last = SendResult::Whole(answer);
+            }
+            AttemptEnd::NotSent(why) => {
+                // Nothing was sent: neither a run nor a retry.
+                life.sends -= 1;
+                life.note_failed(&target);
+                if life.runs == 0 {
+                    let wait = UNKNOWN_WAIT;
+                    *last = SendResult::Ended(Ending::ComeBack { wait }, why);
+                }
+            }
+            AttemptEnd::NotRun(marks) => self.not_run(life, target, &marks, last),
+            AttemptEnd::Broken(why) => {
+                life.runs += 1;
+                life.note_failed(&target);
+                *last = SendResult::Ended(Ending::NoAnswer, why);
+            }
+            AttemptEnd::TimedOut => {
+                let why = "the time is over".to_string();
+                return Some(SendResult::Ended(Ending::TimedOut, why));
+            }
+        }
+        None
+    }
+
+    fn not_run(
+        &self,
+        life: &mut RequestLife,
+        target: TargetId,
+        marks: &AnswerMarks,
+        last: &mut SendResult,
+    ) {
+        let has_other_weights = marks.weight_version.is_some();
+        if !has_other_weights {
+            life.note_failed(&target);
+        }
+        if life.runs == 0 {
+            let why = format!("{target} turned it away");
+            *last = SendResult::Ended(Ending::ComeBack { wait: UNKNOWN_WAIT }, why);
+        }
+    }
+
+    fn unplaced(&self, life: &RequestLife, why: Unplaced, last: SendResult) -> SendResult {
+        if life.sends > 0 || life.runs > 0 {
+            return last;
+        }
+        let wait = match why {
+            Unplaced::Full { wait } => wait,
+            _ => UNKNOWN_WAIT,
+        };
+        SendResult::Ended(Ending::ComeBack { wait }, format!("{why:?}"))
+    }
+}
+
+fn not_allowed(status: StatusCode, closes: bool) -> Ending {
+    Ending::NotAllowed { status, closes }
+}
+
+fn too_large() -> Ending {
+    not_allowed(StatusCode::PAYLOAD_TOO_LARGE, true)
+}
+
+fn look_up(
+    serving: &Serving,
+    head: &ForwardHead,
+    parts: &Parts,
+) -> Result<(Arc<ServingRoute>, Option<Arc<ServingAccount>>), StatusCode> {
+    let route = serving.route(&head.host, &parts.uri).ok_or(StatusCode::NOT_FOUND)?;
+    if !serving.wants_keys() {
+        return Ok((route, None));
+    }
+    let account = head.key.as_deref().and_then(|key| serving.account(key));
+    if account.is_none() && !route.is_anonymous {
+        return Err(StatusCode::UNAUTHORIZED);
+    }
+    Ok((route, account))
+}
--- /dev/null
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -0,0 +1,130 @@
+//! A running process on a VM.
+
+use crate::{
+    desk::Desk,
+    fleet::{
+        FleetFollower, PlannerParts, ServingConfirmer, follow_caches, follow_topic, run_planner,
+    },
+    front::Door,
+    life::Lives,
+    pool::Pool,
+    readiness::Readiness,
+};
+use skylarkpick_http::{Server, ServerLimits};
+use skylarkpick_interface::{
+    Clock, Dialect, FleetSource, FleetTopic, ListedEntry, NodeSettings, ObjectStore, TargetControl,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{task::JoinSet, time::Instant};
+
+/// Time after SIGTERM in which the balancer still sends new connections: it asks once a second and
+/// takes two refusals.
+const BALANCER_LAG: Duration = Duration::from_millis(2_600);
+/// Part of the time before SIGKILL that is left unused.
+const GRACE_MARGIN: Duration = Duration::from_millis(350);
+/// Pause between looks for records that lapsed.
+const LAPSE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before a failed registration is made again.
+const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Settings and outside systems of a process.
+pub struct NodeParts {
+    /// Settings of the process.
+    pub settings: NodeSettings,
+    /// The platform's own records.
+    pub fleet: Arc<dyn FleetSource>,
+    /// The product's own objects.
+    pub objects: Arc<dyn ObjectStore>,
+    /// How heads of requests and answers are read and written.
+    pub dialect: Arc<dyn Dialect>,
+    /// Calls to targets that are not requests of clients.
+    pub control: Arc<dyn TargetControl>,
+    /// The clock of the VM.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// A running process on a VM. Dropping it stops it at once.
+pub struct Node {
+    desk: Arc<Desk>,
+    door: Door,
+    _ready: Server,
+    _tasks: JoinSet<()>,
+}
+
+impl Node {
+    /// Starts a process: its doors are open when this returns.
+    ///
+    /// # Errors
+    /// When an address cannot be taken.
+    pub async fn spawn(parts: NodeParts) -> std::io::Result<Node> {
+        let settings = &parts.settings;
+        let desk = Desk::open(parts.clock.clone(), settings.bounds);
+        let recorder = crate::fleet::Recorder::open(desk.clone());
+        let follower = Arc::new(FleetFollower { source: parts.fleet.clone(), recorder });
+        let lives = Arc::new(Lives {
+            desk: desk.clone(),
+            dialect: parts.dialect.clone(),
+            pool: Pool::open(),
+            confirmer: ServingConfirmer::open(follower.clone()),
+            data_centre: settings.data_centre.clone(),
+        });
+        let ready = Server::bind(
+            &settings.ready_address.to_string(),
+            Arc::new(Readiness { desk: desk.clone() }),
+            ServerLimits::default(),
+        )
+        .await?;
+        let door = Door::bind(settings.front_address, lives).await?;
+        let mut tasks = JoinSet::new();
+        let topics =
+            [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
+        for topic in topics {
+            tasks.spawn(follow_topic(follower.clone(), topic));
+        }
+        tasks.spawn(look_for_lapses(follower));
+        tasks.spawn(follow_caches(desk.clone(), parts.control.clone()));
+        tasks.spawn(register(parts.fleet.clone(), entry(settings)));
+        tasks.spawn(run_planner(PlannerParts {
+            desk: desk.clone(),
+            objects: parts.objects.clone(),
+            control: parts.control.clone(),
+            clock: parts.clock.clone(),
+            node: settings.node.clone(),
+        }));
+        Ok(Node { desk, door, _ready: ready, _tasks: tasks })
+    }
+
+    /// Takes no new connections once the balancer has noticed, and waits until every answer is
+    /// out. Gives whether all of them are.
+    pub async fn shutdown(self) -> bool {
+        let began = Instant::now();
+        let until = began + self.desk.bounds().grace.saturating_sub(GRACE_MARGIN);
+        self.desk.drain();
+        spdlog::info!("draining", kv: { requests = self.desk.requests_under_way() });
+        tokio::time::sleep_until((began + BALANCER_LAG).min(until)).await;
+        self.door.close(until).await
+    }
+}
+
+fn entry(settings: &NodeSettings) -> ListedEntry {
+    ListedEntry {
+        name: settings.node.clone(),
+        address: settings.peer_address,
+        data_centre: settings.data_centre.clone(),
+    }
+}
+
+async fn look_for_lapses(follower: Arc<FleetFollower>) {
+    loop {
+        tokio::time::sleep(LAPSE_PAUSE).await;
+        follower.recorder.remove_lapsed();
+    }
+}
+
+/// Registers the process once.
+async fn register(fleet: Arc<dyn FleetSource>, entry: ListedEntry) {
+    while let Err(error) = fleet.register(&entry).await {
+        spdlog::info!("not registered yet", kv: { error: });
+        tokio::time::sleep(REGISTER_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+    }
+}
--- a/crates/skylarkpick-interface/src/ids.rs
+++ b/crates/skylarkpick-interface/src/ids.rs
@@ -33,5 +33,7 @@
 pub type ServiceName = String;
 /// Names a store VM.
 pub type StoreId = String;
+/// Names a target: a runner, a store, or an instance of a plain service.
+pub type TargetId = String;
 /// Number of a model's weights.
 pub type WeightVersion = u64;
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -5,8 +5,12 @@
 //! in-memory stand-ins in tests.
 
 mod clock;
+mod control;
+mod fleet;
+mod forward;
 mod hexadecimal;
 mod ids;
+mod node;
 mod peers;
 mod plain_service;
 mod platform;
@@ -15,12 +19,25 @@
 mod targets;
 
 pub use clock::{BootClock, Clock, TokioClock};
+pub use control::{
+    CacheEpoch, ControlError, OrderAnswer, PartChange, PartChanges, TargetControl, WeightOrder,
+};
+pub use fleet::{
+    AnswerShape, ClientLimits, ContextMemory, Destination, FeedError, FleetNews, FleetRecord,
+    FleetRevision, FleetSource, FleetTopic, ListedEntry, ListedTarget, NamedRecord, NamedWeights,
+    Repeatability, ServiceKind, ServingAccount, ServingDocument, ServingRoute,
+};
+pub use forward::{
+    AnswerMarks, CacheScope, ClientAttemptId, Dialect, EventId, FetchSource, ForwardHead,
+    HeadError, PartId, PromptPart, PromptShape, SendMarks, ToldLoad,
+};
 pub use hexadecimal::{format_prefix_key, parse_prefix_key};
 pub use ids::{
     AccountId, AdapterName, AttemptId, ConfigurationVersion, DataCentreId, EntryId, FencingNumber,
     Generation, IdempotencyKey, ModelName, PrefixKey, RequestId, RunId, RunnerId, ServiceName,
-    StoreId, WeightVersion,
+    StoreId, TargetId, WeightVersion,
 };
+pub use node::{NodeBounds, NodeSettings};
 pub use peers::{NoPeers, PeerError, PeerHandler, PeerNetwork};
 pub use plain_service::{PlainService, ServiceCall, ServiceError, ServiceReply};
 pub use platform::{
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod health;
 mod limit;
+mod placement;
 mod queue;
 mod retry;
 mod rollout;
@@ -13,8 +14,12 @@
 pub use admission::{Admission, Admitted, Offer, Refusal, RefusalReason, Verdict};
 pub use health::{Ejection, TargetHealth, TargetState};
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
+pub use placement::{
+    Ask, AskPrompt, CacheKind, CacheView, Choice, NamedWeightsView, PartDirectory, PartKey, Place,
+    Placement, TargetOutcome, TargetView, Unplaced,
+};
 pub use queue::{FairQueue, Queued, QueuedId};
-pub use retry::RetryBudget;
+pub use retry::{RetryBudget, WindowBudget};
 pub use rollout::{RolloutPlan, RolloutRunner, RolloutWait, RolloutWish, plan_rollout};
 pub use route::{
     Backlog, BeliefCorrection, Candidate, ContextPlan, DEFAULT_RULES, Holder, ImportPlan, NoRoute,
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -0,0 +1,20 @@
+//! Where a request that is passed on goes: which target, with which weights, and where the
+//! context of its prompt comes from.
+//!
+//! Answers both the ordinary load, where context decides, and the load of a burst or of lost
+//! targets, where the backlog does.
+
+mod cost;
+mod parts;
+mod place;
+mod target;
+#[cfg(test)]
+mod tests;
+mod types;
+mod weights;
+
+pub use parts::{CacheKind, CacheView, PartDirectory, PartKey};
+pub use place::Placement;
+pub use target::{TargetOutcome, TargetView};
+pub use types::{Ask, AskPrompt, Choice, Place, Unplaced};
+pub use weights::NamedWeightsView;
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -0,0 +1,182 @@
+//! What a request costs at a target, in milliseconds until its first answer.
+
+use super::{
+    parts::{CacheView, PartDirectory, PartKey, rendezvous_weight},
+    target::TargetView,
+    types::{Ask, AskPrompt},
+};
+use skylarkpick_interface::{CacheScope, ContextMemory, FetchSource};
+use std::{net::SocketAddr, time::Duration};
+
+/// Prompt tokens that an engine reads in a millisecond, by the users' sheets.
+const PREFILL_TOKENS_PER_MS: f64 = 36.1;
+/// What another request on an engine adds to the first token: its share of the steps and of the
+/// prompts that are read between them.
+const ENGINE_REQUEST_MS: f64 = 9.0;
+/// Time for which a call holds a place of a plain service, by the users' sheets.
+const PLAIN_CALL_MS: f64 = 60.0;
+/// What a busier instance of a plain service costs while it still has room.
+const PLAIN_REQUEST_MS: f64 = 3.0;
+/// What another data centre costs: the way there and back, and the price of its bytes.
+const OTHER_DATA_CENTRE_MS: f64 = 6.0;
+/// Advantage of the target that a prompt's longest shared part is hashed to, so that processes that
+/// know nothing of each other send it to the same one.
+const HASHED_TARGET_MS: f64 = 8.0;
+/// What each token over the memory of an engine costs: others are preempted and read again.
+const OVER_MEMORY_MS_PER_TOKEN: f64 = 1.0 / PREFILL_TOKENS_PER_MS;
+/// Transfers between data centres take this many times as long.
+const OTHER_DATA_CENTRE_TRANSFER: f64 = 2.0;
+/// Share of the time for reading a part that fetching it must save.
+const FETCH_GAIN: f64 = 0.8;
+/// Set-up of a transfer at an engine.
+const TRANSFER_SET_UP_MS: f64 = 3.3;
+/// What it costs, beside the wait, to begin on weights that are about to be replaced.
+const OLD_WEIGHTS_MS: f64 = 150.0;
+
+/// Where the context of a prompt comes from at one target.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ContextPlan {
+    pub(super) fetch: Vec<Option<FetchSource>>,
+    pub(super) held_tokens: u64,
+    /// Time until the prompt is in memory.
+    pub(super) ready_ms: f64,
+}
+
+/// What a request costs at a target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Cost {
+    /// Time until the first answer, with all that is weighed like time.
+    pub(super) total_ms: f64,
+    /// Wait for a place.
+    pub(super) wait_ms: f64,
+}
+
+/// Cost of a call at an instance of a plain service.
+pub(super) fn plain_cost(target: &TargetView, ask: &Ask, now: Duration) -> Cost {
+    let requests = target.requests(now);
+    let slots = f64::from(target.slots());
+    let wait_ms = ((requests + 1.0 - slots) / slots).max(0.0) * PLAIN_CALL_MS;
+    let distance = distance_ms(target, ask);
+    Cost { total_ms: wait_ms + requests * PLAIN_REQUEST_MS + distance, wait_ms }
+}
+
+/// Cost of a prompt at an engine.
+pub(super) fn engine_cost(
+    target: &TargetView,
+    ask: &Ask,
+    prompt: &AskPrompt,
+    plan: &ContextPlan,
+    memory: &ContextMemory,
+    has_newer_weights: bool,
+    now: Duration,
+) -> Cost {
+    let requests = target.requests(now);
+    let slots = f64::from(target.slots());
+    let over_slots = (requests + 1.0 - slots).max(0.0);
+    // Others' requests are taken to be as large as the own ones, or as this one.
+    let others = (requests - f64::from(target.own_requests)).max(0.0);
+    let own_share = match target.own_requests {
+        0 => own_tokens(prompt),
+        count => target.own_tokens / u64::from(count),
+    };
+    let needed = target.own_tokens as f64 + others * own_share as f64 + own_tokens(prompt) as f64;
+    let over_memory = (needed - memory.capacity_tokens as f64).max(0.0);
+    let wait_ms = over_slots * PLAIN_CALL_MS + over_memory * OVER_MEMORY_MS_PER_TOKEN;
+    let hashed = hashed_advantage(target, prompt);
+    let old = if has_newer_weights { OLD_WEIGHTS_MS } else { 0.0 };
+    let total_ms =
+        wait_ms + requests * ENGINE_REQUEST_MS + plan.ready_ms + old + distance_ms(target, ask)
+            - hashed;
+    Cost { total_ms, wait_ms }
+}
+
+/// Memory that a request takes beside the parts that it shares with others.
+pub(super) fn own_tokens(prompt: &AskPrompt) -> u64 {
+    let shared: u64 = shared_parts(prompt).iter().map(|part| part.tokens).sum();
+    prompt.prompt_tokens.saturating_sub(shared) + prompt.answer_tokens_limit
+}
+
+/// Parts that other requests may share: all but the last.
+pub(super) fn shared_parts(prompt: &AskPrompt) -> &[skylarkpick_interface::PromptPart] {
+    let count = prompt.parts.len().saturating_sub(1);
+    &prompt.parts[..count]
+}
+
+fn distance_ms(target: &TargetView, ask: &Ask) -> f64 {
+    if target.listed.data_centre == ask.data_centre { 0.0 } else { OTHER_DATA_CENTRE_MS }
+}
+
+/// Part of the advantage of being the target that the prompt is hashed to, by rank.
+fn hashed_advantage(target: &TargetView, prompt: &AskPrompt) -> f64 {
+    let Some(part) = shared_parts(prompt).last() else { return 0.0 };
+    // A weight spread evenly over all candidates: the highest one wins most of the advantage.
+    rendezvous_weight(&part.id, &target.listed.id) as f64 / u64::MAX as f64 * HASHED_TARGET_MS
+}
+
+/// Plans where the context of a prompt comes from at one target.
+pub(super) fn plan_context(
+    directory: &PartDirectory,
+    target: &TargetView,
+    prompt: &AskPrompt,
+    scope: &CacheScope,
+    memory: &ContextMemory,
+    now: Duration,
+) -> ContextPlan {
+    let mut plan = ContextPlan { fetch: vec![None; prompt.parts.len()], ..ContextPlan::default() };
+    let own_cache = directory.cache(&target.listed.address);
+    let mut read_tokens = prompt.prompt_tokens;
+    let mut transfer_ms = 0.0;
+    let mut is_covered = true;
+    for (index, part) in shared_parts(prompt).iter().enumerate() {
+        let key = PartKey { scope: scope.clone(), part: part.id.clone() };
+        if own_cache.is_some_and(|cache| cache.tokens_of(&key) >= part.tokens) && is_covered {
+            plan.held_tokens += part.tokens;
+            read_tokens = read_tokens.saturating_sub(part.tokens);
+            continue;
+        }
+        if !is_covered {
+            break;
+        }
+        match best_source(directory, target, &key, part.tokens, memory, now) {
+            Some((source, time_ms)) => {
+                plan.fetch[index] = Some(FetchSource { address: source });
+                transfer_ms += time_ms;
+                read_tokens = read_tokens.saturating_sub(part.tokens);
+            }
+            None => is_covered = false,
+        }
+    }
+    plan.ready_ms = transfer_ms + read_tokens as f64 / PREFILL_TOKENS_PER_MS;
+    plan
+}
+
+/// The cache that a part comes from soonest, if that is sooner than reading it again.
+fn best_source(
+    directory: &PartDirectory,
+    target: &TargetView,
+    key: &PartKey,
+    tokens: u64,
+    memory: &ContextMemory,
+    now: Duration,
+) -> Option<(SocketAddr, f64)> {
+    let read_ms = tokens as f64 / PREFILL_TOKENS_PER_MS;
+    let sources = directory.caches().filter(|(address, cache)| {
+        **address != target.listed.address && cache.is_fresh(now) && cache.tokens_of(key) >= tokens
+    });
+    sources
+        .map(|(address, cache)| (*address, transfer_ms(cache, target, tokens, memory)))
+        .filter(|(_, time_ms)| *time_ms < read_ms * FETCH_GAIN)
+        .min_by(|left, right| left.1.total_cmp(&right.1))
+}
+
+fn transfer_ms(cache: &CacheView, target: &TargetView, tokens: u64, memory: &ContextMemory) -> f64 {
+    let speed = cache.memory.link_megabits_per_second.min(memory.link_megabits_per_second);
+    let bits = (tokens * memory.token_size_bytes * 8) as f64;
+    let moved_ms = bits / (speed * 1_000.0);
+    let distance = if cache.data_centre == target.listed.data_centre {
+        1.0
+    } else {
+        OTHER_DATA_CENTRE_TRANSFER
+    };
+    TRANSFER_SET_UP_MS + cache.memory.first_byte_delay.as_secs_f64() * 1_000.0 + moved_ms * distance
+}
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/placement/parts.rs
@@ -0,0 +1,246 @@
+//! Which caches keep which parts of prompts, as far as their events tell.
+
+use skylarkpick_interface::{
+    CacheEpoch, CacheScope, ContextMemory, DataCentreId, PartChanges, PartId, TargetId,
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+/// Time without word from a store after which nothing is fetched from it. A store that restarts is
+/// away for longer, so that a part that is being saved anew is never taken for the old one.
+const STORE_WORD_LIMIT: Duration = Duration::from_millis(1_200);
+/// Time after which a save that no event confirmed may be made again.
+const SAVE_RETRY: Duration = Duration::from_secs(4);
+/// Share of a store that saves may fill; the rest is for parts whose events were lost.
+const STORE_FILL_LIMIT: f64 = 0.97;
+/// Blocks of a store, in tokens; a part takes whole blocks.
+const STORE_BLOCK_TOKENS: u64 = 16;
+
+/// Names a part of a prompt under a scope.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PartKey {
+    /// Text under which it is kept.
+    pub scope: CacheScope,
+    /// The part.
+    pub part: PartId,
+}
+
+/// What a cache belongs to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CacheKind {
+    /// The memory of a runner.
+    Runner(TargetId),
+    /// A store that drops nothing by itself.
+    ManagedStore,
+    /// A store that drops what was used least recently.
+    Store,
+}
+
+/// One cache and what it keeps.
+#[derive(Clone, Debug)]
+pub struct CacheView {
+    /// What it belongs to.
+    pub kind: CacheKind,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentreId,
+    /// Its size and its link.
+    pub memory: ContextMemory,
+    /// Its life, once it was heard of.
+    pub epoch: Option<CacheEpoch>,
+    heard_at: Option<Duration>,
+    held: HashMap<PartKey, u64>,
+    held_tokens: u64,
+    saving: HashMap<PartKey, Saving>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Saving {
+    tokens: u64,
+    since: Duration,
+}
+
+/// Which caches keep which parts.
+#[derive(Clone, Debug, Default)]
+pub struct PartDirectory {
+    caches: BTreeMap<SocketAddr, CacheView>,
+}
+
+impl CacheView {
+    fn open(kind: CacheKind, data_centre: DataCentreId, memory: ContextMemory) -> CacheView {
+        CacheView {
+            kind,
+            data_centre,
+            memory,
+            epoch: None,
+            heard_at: None,
+            held: HashMap::new(),
+            held_tokens: 0,
+            saving: HashMap::new(),
+        }
+    }
+
+    /// Whether it is a store.
+    pub fn is_store(&self) -> bool {
+        !matches!(self.kind, CacheKind::Runner(_))
+    }
+
+    /// Tokens of a part that it keeps, 0 for none.
+    pub fn tokens_of(&self, key: &PartKey) -> u64 {
+        self.held.get(key).copied().unwrap_or(0)
+    }
+
+    /// Whether its word is new enough to fetch from it.
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        self.heard_at.is_some_and(|at| !self.is_store() || now < at + STORE_WORD_LIMIT)
+    }
+
+    /// Parts that it keeps, with their tokens.
+    pub fn held(&self) -> impl Iterator<Item = (&PartKey, u64)> {
+        self.held.iter().map(|(key, tokens)| (key, *tokens))
+    }
+
+    /// Tokens that it keeps.
+    pub fn held_tokens(&self) -> u64 {
+        self.held_tokens
+    }
+
+    fn forget(&mut self) {
+        self.held.clear();
+        self.held_tokens = 0;
+        self.saving.clear();
+    }
+
+    fn set(&mut self, key: PartKey, tokens: u64) {
+        self.saving.remove(&key);
+        let before =
+            if tokens == 0 { self.held.remove(&key) } else { self.held.insert(key, tokens) };
+        self.held_tokens = self.held_tokens + tokens - before.unwrap_or(0);
+    }
+
+    fn saving_tokens(&self, now: Duration) -> u64 {
+        let recent = self.saving.values().filter(|saving| now < saving.since + SAVE_RETRY);
+        recent.map(|saving| saving.tokens).sum()
+    }
+
+    fn has_room(&self, tokens: u64, now: Duration) -> bool {
+        let limit = self.memory.capacity_tokens as f64 * STORE_FILL_LIMIT;
+        let used = self.held_tokens + self.saving_tokens(now) + whole_blocks(tokens);
+        used as f64 <= limit
+    }
+
+    fn is_saving(&self, key: &PartKey, now: Duration) -> bool {
+        self.saving.get(key).is_some_and(|saving| now < saving.since + SAVE_RETRY)
+    }
+}
+
+fn whole_blocks(tokens: u64) -> u64 {
+    tokens.div_ceil(STORE_BLOCK_TOKENS) * STORE_BLOCK_TOKENS
+}
+
+impl PartDirectory {
+    /// Adds a cache, or updates its size; one of another kind under the address replaces it.
+    pub fn set_cache(
+        &mut self,
+        address: SocketAddr,
+        kind: CacheKind,
+        data_centre: &str,
+        memory: ContextMemory,
+    ) {
+        let known = self.caches.get_mut(&address).filter(|cache| cache.kind == kind);
+        match known {
+            Some(cache) => cache.memory = memory,
+            None => {
+                let cache = CacheView::open(kind, data_centre.to_string(), memory);
+                self.caches.insert(address, cache);
+            }
+        }
+    }
+
+    /// Keeps only the caches at these addresses.
+    pub fn retain(&mut self, is_wanted: impl Fn(&SocketAddr) -> bool) {
+        self.caches.retain(|address, _| is_wanted(address));
+    }
+
+    /// Forgets what a cache kept, after its restart or a gap in its events.
+    pub fn forget(&mut self, address: &SocketAddr) {
+        if let Some(cache) = self.caches.get_mut(address) {
+            cache.forget();
+            cache.heard_at = None;
+            cache.epoch = None;
+        }
+    }
+
+    /// Takes in what a cache told. Another life or a gap means that what was known is dropped.
+    pub fn apply(&mut self, address: &SocketAddr, changes: &PartChanges, now: Duration) {
+        let Some(cache) = self.caches.get_mut(address) else { return };
+        if cache.epoch != Some(changes.epoch) || changes.has_gap {
+            cache.forget();
+        }
+        cache.epoch = Some(changes.epoch);
+        cache.heard_at = Some(now);
+        for change in &changes.changes {
+            let key = PartKey { scope: change.scope.clone(), part: change.part.clone() };
+            cache.set(key, change.tokens);
+        }
+    }
+
+    /// Notes that a request saves a part to a store.
+    pub fn note_saving(&mut self, address: &SocketAddr, key: PartKey, tokens: u64, now: Duration) {
+        if let Some(cache) = self.caches.get_mut(address) {
+            cache.saving.retain(|_, saving| now < saving.since + SAVE_RETRY);
+            cache.saving.insert(key, Saving { tokens: whole_blocks(tokens), since: now });
+        }
+    }
+
+    /// Notes that parts of a store were freed.
+    pub fn note_freed(&mut self, address: &SocketAddr, keys: &[PartKey]) {
+        if let Some(cache) = self.caches.get_mut(address) {
+            for key in keys {
+                cache.set(key.clone(), 0);
+            }
+        }
+    }
+
+    /// A cache.
+    pub fn cache(&self, address: &SocketAddr) -> Option<&CacheView> {
+        self.caches.get(address)
+    }
+
+    /// All caches.
+    pub fn caches(&self) -> impl Iterator<Item = (&SocketAddr, &CacheView)> {
+        self.caches.iter()
+    }
+
+    /// Store that a part is saved to now, if it is worth saving: none keeps it or is being sent it,
+    /// and one has room. The store is chosen by the part's name, so that every process chooses the
+    /// same one.
+    pub fn store_for(&self, key: &PartKey, tokens: u64, now: Duration) -> Option<SocketAddr> {
+        let stores = || {
+            let managed = self.caches.iter().filter(|(_, it)| it.kind == CacheKind::ManagedStore);
+            managed.filter(|(_, store)| store.is_fresh(now))
+        };
+        if stores().any(|(_, store)| store.tokens_of(key) > 0 || store.is_saving(key, now)) {
+            return None;
+        }
+        let with_room = stores().filter(|(_, store)| store.has_room(tokens, now));
+        let chosen = with_room.max_by_key(|(address, store)| {
+            (store.memory.capacity_tokens, rendezvous_weight(&key.part, &address.to_string()))
+        });
+        chosen.map(|(address, _)| *address)
+    }
+}
+
+/// Weight of a candidate for a subject; the same in every process.
+pub(super) fn rendezvous_weight(subject: &str, candidate: &str) -> u64 {
+    // FNV-1a over both names, then the finalizer of SplitMix64.
+    let bytes = subject.bytes().chain([0]).chain(candidate.bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/placement/place.rs
@@ -0,0 +1,276 @@
+//! Chooses the target of a request.
+
+use super::{
+    cost::{self, Cost},
+    parts::{CacheKind, PartDirectory, PartKey},
+    target::{TargetOutcome, TargetView},
+    types::{Ask, AskPrompt, Choice, Place, Unplaced},
+    weights::NamedWeightsView,
+};
+use skylarkpick_interface::{
+    CacheScope, ContextMemory, ListedTarget, ServiceKind, ServiceName, TargetId, ToldLoad,
+    WeightVersion,
+};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+/// Parts shorter than this are read again sooner than they are fetched.
+const SAVED_TOKENS_FLOOR: u64 = 256;
+
+/// All that is known of the targets, and who is asked next.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    targets: BTreeMap<TargetId, TargetView>,
+    services: BTreeMap<ServiceName, ServiceKind>,
+    /// Which caches keep which parts.
+    pub parts: PartDirectory,
+    /// Weights that new runs may begin on.
+    pub weights: NamedWeightsView,
+}
+
+/// A candidate with its cost.
+struct Candidate<'a> {
+    target: &'a TargetView,
+    cost: Cost,
+    plan: cost::ContextPlan,
+    weight_version: Option<WeightVersion>,
+    scope: Option<CacheScope>,
+}
+
+impl Placement {
+    /// Opens a placement that knows no target. Weights that were replaced are used for
+    /// `old_weights_usable_for`.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::{Ask, Choice, Placement, Unplaced};
+    /// use std::time::Duration;
+    /// let placement = Placement::open(Duration::from_secs(10));
+    /// let ask = Ask {
+    ///     service: "book-api".to_string(),
+    ///     data_centre: "mnl-a".to_string(),
+    ///     prompt: None,
+    ///     avoid: Vec::new(),
+    ///     patience: Duration::from_secs(1),
+    /// };
+    /// assert_eq!(placement.choose(&ask, Duration::ZERO), Choice::Unplaced(Unplaced::NoTarget));
+    /// ```
+    pub fn open(old_weights_usable_for: Duration) -> Placement {
+        Placement {
+            targets: BTreeMap::new(),
+            services: BTreeMap::new(),
+            parts: PartDirectory::default(),
+            weights: NamedWeightsView::open(old_weights_usable_for),
+        }
+    }
+
+    /// Takes over the services of a serving document.
+    pub fn set_services(&mut self, services: &BTreeMap<ServiceName, ServiceKind>) {
+        self.services = services.clone();
+        self.update_caches();
+    }
+
+    /// Takes in a target's registration. Gives whether it is a new life.
+    pub fn set_target(&mut self, listed: ListedTarget) -> bool {
+        let known = self.targets.get_mut(&listed.id);
+        let is_new = match known {
+            Some(state) if !state.is_other_life(&listed) => {
+                state.listed = listed;
+                false
+            }
+            Some(state) => {
+                self.parts.forget(&state.listed.address);
+                *state = TargetView::open(listed);
+                true
+            }
+            None => {
+                self.targets.insert(listed.id.clone(), TargetView::open(listed));
+                true
+            }
+        };
+        self.update_caches();
+        is_new
+    }
+
+    /// Forgets a target that is gone.
+    pub fn remove_target(&mut self, id: &str) {
+        if let Some(state) = self.targets.remove(id) {
+            self.parts.forget(&state.listed.address);
+        }
+        self.update_caches();
+    }
+
+    /// The targets.
+    pub fn targets(&self) -> &BTreeMap<TargetId, TargetView> {
+        &self.targets
+    }
+
+    /// Caches of engines' runners and of stores, for whoever follows their events.
+    fn update_caches(&mut self) {
+        let mut wanted: BTreeMap<SocketAddr, (CacheKind, String, ContextMemory)> = BTreeMap::new();
+        for kind in self.services.values() {
+            if let ServiceKind::Store { address, data_centre, memory, is_managed } = kind {
+                let cache = if *is_managed { CacheKind::ManagedStore } else { CacheKind::Store };
+                wanted.insert(*address, (cache, data_centre.clone(), *memory));
+            }
+        }
+        for state in self.targets.values() {
+            let listed = &state.listed;
+            if let Some(ServiceKind::Engines(memory)) = self.services.get(&listed.service) {
+                let cache = CacheKind::Runner(listed.id.clone());
+                wanted.insert(listed.address, (cache, listed.data_centre.clone(), *memory));
+            }
+        }
+        self.parts.retain(|address| wanted.contains_key(address));
+        for (address, (kind, data_centre, memory)) in wanted {
+            self.parts.set_cache(address, kind, &data_centre, memory);
+        }
+    }
+
+    /// Chooses the target of a request, or says why there is none.
+    pub fn choose(&self, ask: &Ask, now: Duration) -> Choice {
+        let of_service = self.targets.values().filter(|it| it.listed.service == ask.service);
+        let known: Vec<&TargetView> = of_service.collect();
+        if known.is_empty() {
+            return Choice::Unplaced(Unplaced::NoTarget);
+        }
+        let usable: Vec<&TargetView> = known
+            .into_iter()
+            .filter(|it| !it.listed.is_draining && !ask.avoid.contains(&it.listed.id))
+            .collect();
+        let rested = usable.iter().copied().filter(|it| !it.is_resting(now));
+        let mut candidates: Vec<Candidate<'_>> =
+            rested.filter_map(|it| self.candidate(it, ask, now)).collect();
+        if candidates.is_empty() {
+            // Resting targets are better than none.
+            candidates = usable.iter().filter_map(|it| self.candidate(it, ask, now)).collect();
+        }
+        let best = candidates
+            .into_iter()
+            .min_by(|left, right| left.cost.total_ms.total_cmp(&right.cost.total_ms));
+        let Some(best) = best else { return Choice::Unplaced(Unplaced::NoneUsable) };
+        let expected_wait = Duration::from_secs_f64(best.cost.wait_ms / 1_000.0);
+        if expected_wait > ask.patience {
+            return Choice::Unplaced(Unplaced::Full { wait: expected_wait });
+        }
+        Choice::Place(Box::new(self.place(best, ask, expected_wait, now)))
+    }
+
+    fn candidate<'a>(
+        &self,
+        target: &'a TargetView,
+        ask: &Ask,
+        now: Duration,
+    ) -> Option<Candidate<'a>> {
+        let (Some(prompt), Some(ServiceKind::Engines(memory))) =
+            (&ask.prompt, self.services.get(&ask.service))
+        else {
+            return Some(Candidate {
+                target,
+                cost: cost::plain_cost(target, ask, now),
+                plan: cost::ContextPlan::default(),
+                weight_version: None,
+                scope: None,
+            });
+        };
+        let version = target.weight_version(&prompt.model)?;
+        if !self.weights.is_usable(&prompt.model, version, now) {
+            return None;
+        }
+        let has_newer = self.weights.age_of_newer(&prompt.model, version, now).is_some();
+        let scope = cache_scope(prompt, version);
+        let plan = cost::plan_context(&self.parts, target, prompt, &scope, memory, now);
+        let cost = cost::engine_cost(target, ask, prompt, &plan, memory, has_newer, now);
+        Some(Candidate { target, cost, plan, weight_version: Some(version), scope: Some(scope) })
+    }
+
+    fn place(
+        &self,
+        candidate: Candidate<'_>,
+        ask: &Ask,
+        expected_wait: Duration,
+        now: Duration,
+    ) -> Place {
+        let listed = &candidate.target.listed;
+        let mut place = Place {
+            target: listed.id.clone(),
+            address: listed.address,
+            weight_version: candidate.weight_version,
+            cache_scope: candidate.scope,
+            fetch: candidate.plan.fetch,
+            save: Vec::new(),
+            held_tokens: candidate.plan.held_tokens,
+            memory_tokens: ask.prompt.as_ref().map_or(0, cost::own_tokens),
+            expected_wait,
+            load_age: candidate.target.load_age(now),
+        };
+        if let (Some(prompt), Some(scope)) = (&ask.prompt, &place.cache_scope) {
+            let newest = self.weights.newest(&prompt.model);
+            // What was made on replaced weights is never asked for again.
+            if place.weight_version >= newest {
+                place.save = self.saves(prompt, scope, now);
+            }
+        }
+        place
+    }
+
+    fn saves(&self, prompt: &AskPrompt, scope: &str, now: Duration) -> Vec<Option<SocketAddr>> {
+        let shared = cost::shared_parts(prompt);
+        let mut saves: Vec<Option<SocketAddr>> = shared
+            .iter()
+            .map(|part| {
+                let key = PartKey { scope: scope.to_string(), part: part.id.clone() };
+                (part.tokens >= SAVED_TOKENS_FLOOR)
+                    .then(|| self.parts.store_for(&key, part.tokens, now))
+                    .flatten()
+            })
+            .collect();
+        saves.resize(prompt.parts.len(), None);
+        saves
+    }
+
+    /// Counts a request as under way at its place.
+    pub fn begin(&mut self, place: &Place, prompt: Option<&AskPrompt>, now: Duration) {
+        if let Some(state) = self.targets.get_mut(&place.target) {
+            state.own_requests += 1;
+            state.own_tokens += place.memory_tokens;
+        }
+        let (Some(prompt), Some(scope)) = (prompt, &place.cache_scope) else { return };
+        for (part, store) in prompt.parts.iter().zip(&place.save) {
+            if let Some(store) = store {
+                let key = PartKey { scope: scope.clone(), part: part.id.clone() };
+                self.parts.note_saving(store, key, part.tokens, now);
+            }
+        }
+    }
+
+    /// Counts a request out, with what it says of the target.
+    pub fn end(&mut self, place: &Place, outcome: TargetOutcome, now: Duration) {
+        if let Some(state) = self.targets.get_mut(&place.target) {
+            state.own_requests = state.own_requests.saturating_sub(1);
+            state.own_tokens = state.own_tokens.saturating_sub(place.memory_tokens);
+            state.observe_outcome(outcome, now);
+        }
+    }
+
+    /// Takes in the load that a target told.
+    pub fn observe_load(&mut self, target: &str, load: ToldLoad, now: Duration) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.observe_load(load, now);
+        }
+    }
+
+    /// Takes in the weights that a run began on, or that a target named when it refused.
+    pub fn observe_weights(&mut self, target: &str, model: &str, version: WeightVersion) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.observe_weights(model, version);
+        }
+    }
+}
+
+/// Text under which the context of a prompt is kept: no other model, weights or isolated account
+/// has the same.
+fn cache_scope(prompt: &AskPrompt, version: WeightVersion) -> CacheScope {
+    match &prompt.isolated_account {
+        Some(account) => format!("{}.{version}.{account}", prompt.model),
+        None => format!("{}.{version}", prompt.model),
+    }
+}
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -0,0 +1,1 @@
+//! Placement decides as its notes say.
--- a/crates/skylarkpick-schedule/src/retry.rs
+++ b/crates/skylarkpick-schedule/src/retry.rs
@@ -1,8 +1,10 @@
-//! The retry budget.
+//! Retry budgets.
 
 mod budget;
+mod window;
 
 pub use budget::RetryBudget;
+pub use window::WindowBudget;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/retry/window.rs
@@ -0,0 +1,57 @@
+//! A budget that keeps retries to a share of the first attempts of a sliding window.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// A budget that keeps retries to a share of the first attempts of a sliding window, with a few
+/// besides. Each process keeps one of its own; the shares of all add up to the fleet's.
+#[derive(Clone, Debug)]
+pub struct WindowBudget {
+    window: Duration,
+    percent: u32,
+    first_attempts: VecDeque<Duration>,
+    retries: VecDeque<Duration>,
+}
+
+impl WindowBudget {
+    /// Opens a budget of `percent` retries for each hundred first attempts within `window`.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::WindowBudget;
+    /// use std::time::Duration;
+    /// let mut budget = WindowBudget::open(Duration::from_secs(10), 20);
+    /// (0..5).for_each(|_| budget.note_first_attempt(Duration::ZERO));
+    /// assert!(budget.take(0, Duration::from_secs(1)));
+    /// assert!(!budget.take(0, Duration::from_secs(2)));
+    /// assert!(!budget.take(0, Duration::from_secs(11)), "the first attempts are too old");
+    /// ```
+    pub fn open(window: Duration, percent: u32) -> WindowBudget {
+        let (first_attempts, retries) = (VecDeque::new(), VecDeque::new());
+        WindowBudget { window, percent, first_attempts, retries }
+    }
+
+    /// Counts a first attempt.
+    pub fn note_first_attempt(&mut self, now: Duration) {
+        self.forget(now);
+        self.first_attempts.push_back(now);
+    }
+
+    /// Takes one retry, of which `extra` are allowed besides; gives whether it may be made.
+    pub fn take(&mut self, extra: u32, now: Duration) -> bool {
+        self.forget(now);
+        let allowed = self.first_attempts.len() * self.percent as usize / 100 + extra as usize;
+        if self.retries.len() >= allowed {
+            return false;
+        }
+        self.retries.push_back(now);
+        true
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let since = now.saturating_sub(self.window);
+        for times in [&mut self.first_attempts, &mut self.retries] {
+            while times.front().is_some_and(|time| *time < since) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/skylarkpick-telemetry/src/lib.rs
+++ b/crates/skylarkpick-telemetry/src/lib.rs
@@ -7,7 +7,7 @@
 mod metrics;
 mod table;
 
-pub use logs::{LogsError, open_logs};
+pub use logs::{LogsError, open_logs, open_output_logs};
 pub use metrics::{Metrics, MetricsError, install_metrics, metrics};
 pub use spdlog::{Level, LevelFilter};
 pub use table::{
