Weigh backlogs by what is told and sent; name the orders that a target has taken

Cause: 21 of 21 orders were refused: the count in a registration is that of its heartbeats, the count of orders is in the report only. Requests followed the few runners with new weights, each request counted as a flat 9 ms. Change: the planner reads the report before an order; engines cost what is waiting there by their own word and what this process sent unread; a target that turns a request away with room is left alone for the time of a swap.

--- a/crates/skylarkpick-forward/src/desk.rs
+++ b/crates/skylarkpick-forward/src/desk.rs
@@ -101,7 +101,12 @@
     /// Counts a request as under way at its place until the guard goes.
     pub(crate) fn begin(self: &Arc<Self>, place: Place, prompt: Option<&AskPrompt>) -> PlaceGuard {
         self.lock().placement.begin(&place, prompt, self.now());
-        PlaceGuard { desk: self.clone(), place, outcome: TargetOutcome::Unknown }
+        PlaceGuard {
+            desk: self.clone(),
+            place,
+            outcome: TargetOutcome::Unknown,
+            is_first_answer_noted: false,
+        }
     }
 
     pub(crate) fn observe_load(&self, target: &str, load: ToldLoad) {
@@ -173,10 +178,21 @@
     desk: Arc<Desk>,
     pub(crate) place: Place,
     pub(crate) outcome: TargetOutcome,
+    is_first_answer_noted: bool,
+}
+
+impl PlaceGuard {
+    /// Notes that the request has its first answer.
+    pub(crate) fn note_first_answer(&mut self) {
+        if !std::mem::replace(&mut self.is_first_answer_noted, true) {
+            self.desk.lock().placement.note_first_answer(&self.place);
+        }
+    }
 }
 
 impl Drop for PlaceGuard {
     fn drop(&mut self) {
+        self.note_first_answer();
         let now = self.desk.now();
         self.desk.lock().placement.end(&self.place, self.outcome, now);
     }
--- a/crates/skylarkpick-forward/src/fleet/plan.rs
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -22,6 +22,8 @@
 const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the acceptance of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for a target's word on its orders.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which an order whose effect was not seen is given again.
 const ORDER_AGAIN: Duration = Duration::from_millis(3_500);
 /// Pause between two looks at the fleet.
@@ -94,7 +96,7 @@
             }
         };
         let _ = number;
-        // A former holder may have given orders until the moment of the change.
+        // A former holder may have given orders until shortly before the change.
         if since.elapsed() < self.parts.desk.bounds().lease {
             return;
         }
@@ -139,7 +141,7 @@
             let service = state
                 .serving()
                 .and_then(|serving| serving.document.services.get(&target.listed.service));
-            let listed = target.listed.weights.get(model).copied();
+            let listed = target.weight_version(model);
             let (Some(ServiceKind::Engines(_)), Some(listed)) = (service, listed) else { continue };
             let ordered = self
                 .ordered
@@ -164,7 +166,7 @@
                     weight_version: version,
                     holder: self.holder.clone(),
                     fencing_number: 0,
-                    orders_accepted: target.listed.orders_accepted,
+                    orders_accepted: 0,
                 },
             );
         }
@@ -173,11 +175,31 @@
 
     /// Gives one order; gives whether the lease still covers another.
     async fn order(&mut self, order: &WeightOrder) -> bool {
+        let state = match self.parts.control.order_state(order.address, REPORT_TIMEOUT).await {
+            Ok(state) => state,
+            Err(error) => {
+                spdlog::info!("no order: the target does not say what it serves", kv: {
+                    target = order.target.as_str(), error:,
+                });
+                return true;
+            }
+        };
+        if let Some(version) = state.weights.get(&order.model) {
+            self.parts.desk.observe_weights(&order.target, &order.model, *version);
+            if state.is_busy || *version >= order.weight_version {
+                return true;
+            }
+        }
+        // The permit is asked for last: nothing may pass between it and the order.
         let Some(permit) = self.lease.permit() else { return false };
         if permit.remaining < ORDER_TIMEOUT {
             return false;
         }
-        let order = WeightOrder { fencing_number: permit.fencing_number, ..order.clone() };
+        let order = WeightOrder {
+            fencing_number: permit.fencing_number,
+            orders_accepted: state.orders_accepted,
+            ..order.clone()
+        };
         let ordered = Ordered { weight_version: order.weight_version, at: Instant::now() };
         self.ordered.insert(order.target.clone(), ordered);
         let answer = self.parts.control.order(&order, ORDER_TIMEOUT).await;
--- a/crates/skylarkpick-forward/src/life/attempt.rs
+++ b/crates/skylarkpick-forward/src/life/attempt.rs
@@ -251,6 +251,7 @@
                 return AttemptEnd::Broken(error.to_string());
             }
         };
+        self.guard.note_first_answer();
         let guard = self.guard;
         AttemptEnd::Begun(Box::new(BegunAnswer { head, marks, first, body, connection, guard }))
     }
--- a/crates/skylarkpick-forward/src/life/request.rs
+++ b/crates/skylarkpick-forward/src/life/request.rs
@@ -313,6 +313,7 @@
                 request = life.head.attempt_id.as_str(),
                 target = place.target.as_str(),
                 held_tokens = place.held_tokens,
+                missing_tokens = place.missing_tokens,
                 fetches = place.fetch.iter().flatten().count(),
                 saves = place.save.iter().flatten().count(),
                 weight_version = place.weight_version.unwrap_or_default(),
--- a/crates/skylarkpick-interface/src/control.rs
+++ b/crates/skylarkpick-interface/src/control.rs
@@ -5,7 +5,7 @@
     ids::{FencingNumber, ModelName, TargetId, WeightVersion},
 };
 use async_trait::async_trait;
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// Number of a target's or store's life; another one means that it holds nothing of before.
 pub type CacheEpoch = u64;
@@ -84,9 +84,30 @@
     pub changes: Vec<PartChange>,
 }
 
+/// What a target says of the orders that it takes.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct OrderState {
+    /// Orders that it has accepted since its start.
+    pub orders_accepted: u64,
+    /// Whether one is being carried out.
+    pub is_busy: bool,
+    /// Weights of each model that it serves.
+    pub weights: BTreeMap<ModelName, WeightVersion>,
+}
+
 /// Calls to targets and stores.
 #[async_trait]
 pub trait TargetControl: Send + Sync {
+    /// Reads what a target says of the orders that it takes.
+    ///
+    /// # Errors
+    /// When there is no answer.
+    async fn order_state(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<OrderState, ControlError>;
+
     /// Gives an order and waits for its acceptance.
     ///
     /// # Errors
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -29,8 +29,6 @@
     pub is_draining: bool,
     /// Weights of each model that it serves.
     pub weights: BTreeMap<ModelName, WeightVersion>,
-    /// Orders that it has accepted since its start.
-    pub orders_accepted: u64,
     /// Wall-clock time of its start, which tells two lives under one name apart.
     pub started_at_ms: u64,
 }
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -20,7 +20,8 @@
 
 pub use clock::{BootClock, Clock, TokioClock};
 pub use control::{
-    CacheEpoch, ControlError, OrderAnswer, PartChange, PartChanges, TargetControl, WeightOrder,
+    CacheEpoch, ControlError, OrderAnswer, OrderState, PartChange, PartChanges, TargetControl,
+    WeightOrder,
 };
 pub use fleet::{
     AnswerShape, ClientLimits, ContextMemory, Destination, FeedError, FleetNews, FleetRecord,
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -10,34 +10,44 @@
 
 /// Prompt tokens that an engine reads in a millisecond, by the users' sheets.
 const PREFILL_TOKENS_PER_MS: f64 = 36.1;
-/// What another request on an engine adds to the first token: its share of the steps and of the
-/// prompts that are read between them.
-const ENGINE_REQUEST_MS: f64 = 9.0;
+/// What another running request on an engine adds to the first token: its share of the steps.
+const ENGINE_RUNNING_MS: f64 = 5.0;
+/// What another waiting request adds: its prompt is read first.
+const ENGINE_WAITING_MS: f64 = 70.0;
 /// Time for which a call holds a place of a plain service, by the users' sheets.
 const PLAIN_CALL_MS: f64 = 60.0;
 /// What a busier instance of a plain service costs while it still has room.
 const PLAIN_REQUEST_MS: f64 = 3.0;
 /// What another data centre costs: the way there and back, and the price of its bytes.
 const OTHER_DATA_CENTRE_MS: f64 = 6.0;
-/// Advantage of the target that a prompt's longest shared part is hashed to, so that processes that
-/// know nothing of each other send it to the same one.
+/// Advantage of the target that a prompt's longest shared part is hashed to.
 const HASHED_TARGET_MS: f64 = 8.0;
+/// The same for a part that no cache is known to keep: processes that know nothing of each other
+/// must send it to the same target, or it is read twice.
+const HASHED_TARGET_UNKNOWN_MS: f64 = 120.0;
+/// What each shared token costs that is read although a cache keeps it, beside the time to read it.
+/// The users price a thousand such tokens at a sixth of a long prompt's answer.
+const READ_AGAIN_MS_PER_TOKEN: f64 = 0.1;
+/// Longest transfer that is waited for instead of reading a part again.
+const TRANSFER_LIMIT_MS: f64 = 900.0;
 /// What each token over the memory of an engine costs: others are preempted and read again.
 const OVER_MEMORY_MS_PER_TOKEN: f64 = 1.0 / PREFILL_TOKENS_PER_MS;
 /// Transfers between data centres take this many times as long.
 const OTHER_DATA_CENTRE_TRANSFER: f64 = 2.0;
-/// Share of the time for reading a part that fetching it must save.
-const FETCH_GAIN: f64 = 0.8;
 /// Set-up of a transfer at an engine.
 const TRANSFER_SET_UP_MS: f64 = 3.3;
 /// What it costs, beside the wait, to begin on weights that are about to be replaced.
-const OLD_WEIGHTS_MS: f64 = 150.0;
+const OLD_WEIGHTS_MS: f64 = 80.0;
 
 /// Where the context of a prompt comes from at one target.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ContextPlan {
     pub(super) fetch: Vec<Option<FetchSource>>,
     pub(super) held_tokens: u64,
+    /// Shared tokens that are neither held nor fetched.
+    pub(super) missing_tokens: u64,
+    /// Tokens that are read.
+    pub(super) read_tokens: u64,
     /// Time until the prompt is in memory.
     pub(super) ready_ms: f64,
 }
@@ -73,6 +83,8 @@
     let requests = target.requests(now);
     let slots = f64::from(target.slots());
     let over_slots = (requests + 1.0 - slots).max(0.0);
+    let own_queue_ms = target.own_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
+    let queue_ms = own_queue_ms + target.others_waiting(now) * ENGINE_WAITING_MS;
     // Others' requests are taken to be as large as the own ones, or as this one.
     let others = (requests - f64::from(target.own_requests)).max(0.0);
     let own_share = match target.own_requests {
@@ -82,12 +94,18 @@
     let needed = target.own_tokens as f64 + others * own_share as f64 + own_tokens(prompt) as f64;
     let over_memory = (needed - memory.capacity_tokens as f64).max(0.0);
     let wait_ms = over_slots * PLAIN_CALL_MS + over_memory * OVER_MEMORY_MS_PER_TOKEN;
-    let hashed = hashed_advantage(target, prompt);
+    let hashed = hashed_advantage(target, prompt, plan.missing_tokens > 0);
+    let read_again = plan.missing_tokens as f64 * READ_AGAIN_MS_PER_TOKEN;
     let old = if has_newer_weights { OLD_WEIGHTS_MS } else { 0.0 };
-    let total_ms =
-        wait_ms + requests * ENGINE_REQUEST_MS + plan.ready_ms + old + distance_ms(target, ask)
-            - hashed;
-    Cost { total_ms, wait_ms }
+    let total_ms = wait_ms
+        + queue_ms
+        + requests * ENGINE_RUNNING_MS
+        + plan.ready_ms
+        + old
+        + read_again
+        + distance_ms(target, ask)
+        - hashed;
+    Cost { total_ms, wait_ms: wait_ms + queue_ms }
 }
 
 /// Memory that a request takes beside the parts that it shares with others.
@@ -107,10 +125,11 @@
 }
 
 /// Part of the advantage of being the target that the prompt is hashed to, by rank.
-fn hashed_advantage(target: &TargetView, prompt: &AskPrompt) -> f64 {
+fn hashed_advantage(target: &TargetView, prompt: &AskPrompt, is_unknown: bool) -> f64 {
     let Some(part) = shared_parts(prompt).last() else { return 0.0 };
     // A weight spread evenly over all candidates: the highest one wins most of the advantage.
-    rendezvous_weight(&part.id, &target.listed.id) as f64 / u64::MAX as f64 * HASHED_TARGET_MS
+    let share = rendezvous_weight(&part.id, &target.listed.id) as f64 / u64::MAX as f64;
+    share * if is_unknown { HASHED_TARGET_UNKNOWN_MS } else { HASHED_TARGET_MS }
 }
 
 /// Plans where the context of a prompt comes from at one target.
@@ -126,26 +145,29 @@
     let own_cache = directory.cache(&target.listed.address);
     let mut read_tokens = prompt.prompt_tokens;
     let mut transfer_ms = 0.0;
+    // A part is of use only if all parts before it are there.
     let mut is_covered = true;
     for (index, part) in shared_parts(prompt).iter().enumerate() {
         let key = PartKey { scope: scope.clone(), part: part.id.clone() };
-        if own_cache.is_some_and(|cache| cache.tokens_of(&key) >= part.tokens) && is_covered {
+        if is_covered && own_cache.is_some_and(|cache| cache.tokens_of(&key) >= part.tokens) {
             plan.held_tokens += part.tokens;
             read_tokens = read_tokens.saturating_sub(part.tokens);
             continue;
         }
-        if !is_covered {
-            break;
-        }
-        match best_source(directory, target, &key, part.tokens, memory, now) {
+        let source = best_source(directory, target, &key, part.tokens, memory, now);
+        match source.filter(|_| is_covered) {
             Some((source, time_ms)) => {
                 plan.fetch[index] = Some(FetchSource { address: source });
                 transfer_ms += time_ms;
                 read_tokens = read_tokens.saturating_sub(part.tokens);
             }
-            None => is_covered = false,
+            None => {
+                is_covered = false;
+                plan.missing_tokens += part.tokens;
+            }
         }
     }
+    plan.read_tokens = read_tokens;
     plan.ready_ms = transfer_ms + read_tokens as f64 / PREFILL_TOKENS_PER_MS;
     plan
 }
@@ -159,13 +181,12 @@
     memory: &ContextMemory,
     now: Duration,
 ) -> Option<(SocketAddr, f64)> {
-    let read_ms = tokens as f64 / PREFILL_TOKENS_PER_MS;
     let sources = directory.caches().filter(|(address, cache)| {
         **address != target.listed.address && cache.is_fresh(now) && cache.tokens_of(key) >= tokens
     });
     sources
         .map(|(address, cache)| (*address, transfer_ms(cache, target, tokens, memory)))
-        .filter(|(_, time_ms)| *time_ms < read_ms * FETCH_GAIN)
+        .filter(|(_, time_ms)| *time_ms < TRANSFER_LIMIT_MS)
         .min_by(|left, right| left.1.total_cmp(&right.1))
 }
 
--- a/crates/skylarkpick-schedule/src/placement/place.rs
+++ b/crates/skylarkpick-schedule/src/placement/place.rs
@@ -13,8 +13,8 @@
 };
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-/// Parts shorter than this are read again sooner than they are fetched.
-const SAVED_TOKENS_FLOOR: u64 = 256;
+/// Parts shorter than a block are never kept whole.
+const SAVED_TOKENS_FLOOR: u64 = 16;
 
 /// All that is known of the targets, and who is asked next.
 #[derive(Clone, Debug)]
@@ -73,7 +73,7 @@
         let known = self.targets.get_mut(&listed.id);
         let is_new = match known {
             Some(state) if !state.is_other_life(&listed) => {
-                state.listed = listed;
+                state.set_listed(listed);
                 false
             }
             Some(state) => {
@@ -198,6 +198,8 @@
             fetch: candidate.plan.fetch,
             save: Vec::new(),
             held_tokens: candidate.plan.held_tokens,
+            missing_tokens: candidate.plan.missing_tokens,
+            read_tokens: candidate.plan.read_tokens,
             memory_tokens: ask.prompt.as_ref().map_or(0, cost::own_tokens),
             expected_wait,
             load_age: candidate.target.load_age(now),
@@ -232,6 +234,7 @@
         if let Some(state) = self.targets.get_mut(&place.target) {
             state.own_requests += 1;
             state.own_tokens += place.memory_tokens;
+            state.own_prefill_tokens += place.read_tokens;
         }
         let (Some(prompt), Some(scope)) = (prompt, &place.cache_scope) else { return };
         for (part, store) in prompt.parts.iter().zip(&place.save) {
@@ -242,6 +245,13 @@
         }
     }
 
+    /// Notes that a request has its first answer: its prompt is read.
+    pub fn note_first_answer(&mut self, place: &Place) {
+        if let Some(state) = self.targets.get_mut(&place.target) {
+            state.own_prefill_tokens = state.own_prefill_tokens.saturating_sub(place.read_tokens);
+        }
+    }
+
     /// Counts a request out, with what it says of the target.
     pub fn end(&mut self, place: &Place, outcome: TargetOutcome, now: Duration) {
         if let Some(state) = self.targets.get_mut(&place.target) {
--- a/crates/skylarkpick-schedule/src/placement/target.rs
+++ b/crates/skylarkpick-schedule/src/placement/target.rs
@@ -10,6 +10,8 @@
 const LOAD_STALE: Duration = Duration::from_secs(6);
 /// Time for which a target that turned a request away gets none.
 const SHED_PAUSE: Duration = Duration::from_millis(300);
+/// The same for a target that had room: it swaps its weights, which takes more than a second.
+const SWAP_PAUSE: Duration = Duration::from_millis(1_500);
 /// Time for which a target that could not be reached is a last choice; doubles each time.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(800);
 /// Longest such time.
@@ -39,6 +41,8 @@
     pub own_requests: u32,
     /// Memory that these requests take there.
     pub own_tokens: u64,
+    /// Prompt tokens of these requests that are not read yet.
+    pub own_prefill_tokens: u64,
     told: Option<Told>,
     turned_away_until: Duration,
     unreachable_until: Duration,
@@ -60,6 +64,7 @@
             listed,
             own_requests: 0,
             own_tokens: 0,
+            own_prefill_tokens: 0,
             told: None,
             turned_away_until: Duration::ZERO,
             unreachable_until: Duration::ZERO,
@@ -96,6 +101,13 @@
         others + f64::from(self.own_requests)
     }
 
+    /// Requests of others that wait there for their first answer, as the target told last.
+    pub fn others_waiting(&self, now: Duration) -> f64 {
+        self.told.map_or(0.0, |told| {
+            f64::from(told.load.waiting) * freshness(now.saturating_sub(told.at))
+        })
+    }
+
     /// Requests that it runs at once.
     pub fn slots(&self) -> u32 {
         self.told.map_or(self.listed.slots, |told| told.load.slots).max(1)
@@ -106,6 +118,15 @@
         self.told.map(|told| now.saturating_sub(told.at))
     }
 
+    /// Takes over a newer registration of the same life.
+    pub(super) fn set_listed(&mut self, listed: ListedTarget) {
+        if listed.weights != self.listed.weights {
+            // The swap that it turned requests away for is over.
+            self.turned_away_until = Duration::ZERO;
+        }
+        self.listed = listed;
+    }
+
     pub(super) fn observe_load(&mut self, load: ToldLoad, now: Duration) {
         self.told = Some(Told { load, at: now, own_then: self.own_requests });
     }
@@ -122,7 +143,13 @@
                 self.unreachable_count = 0;
                 self.unreachable_until = Duration::ZERO;
             }
-            TargetOutcome::TurnedAway => self.turned_away_until = now + SHED_PAUSE,
+            TargetOutcome::TurnedAway => {
+                let had_room = self.told.is_some_and(|told| {
+                    told.at == now || now < told.at + LOAD_FRESH
+                } && told.load.running + told.load.waiting < told.load.slots);
+                let pause = if had_room { SWAP_PAUSE } else { SHED_PAUSE };
+                self.turned_away_until = now + pause;
+            }
             TargetOutcome::Failed => self.ejection.observe_failure(now),
             TargetOutcome::Unreachable => {
                 let factor = 2_u32.saturating_pow(self.unreachable_count.min(8));
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -53,6 +53,10 @@
     pub save: Vec<Option<SocketAddr>>,
     /// Tokens that the request is believed to find at the target.
     pub held_tokens: u64,
+    /// Shared tokens that it is believed to read.
+    pub missing_tokens: u64,
+    /// Tokens of the prompt that it is believed to read, shared ones or not.
+    pub read_tokens: u64,
     /// Tokens that it takes of the target's memory while it runs.
     pub memory_tokens: u64,
     /// Wait for a place that is expected there.
