Name a source for every shared part, stores before runners

Change: each shared part names its best source, held or not; a runner as source costs the risk of an eviction.

--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -34,6 +34,8 @@
 const OVER_MEMORY_MS_PER_TOKEN: f64 = 1.0 / PREFILL_TOKENS_PER_MS;
 /// Transfers between data centres take this many times as long.
 const OTHER_DATA_CENTRE_TRANSFER: f64 = 2.0;
+/// What it costs that a runner may evict a part before it is fetched; a store does not.
+const EVICTION_RISK_MS: f64 = 40.0;
 /// Set-up of a transfer at an engine.
 const TRANSFER_SET_UP_MS: f64 = 3.3;
 /// What it costs, beside the wait, to begin on weights that are about to be replaced.
@@ -149,15 +151,18 @@
     let mut is_covered = true;
     for (index, part) in shared_parts(prompt).iter().enumerate() {
         let key = PartKey { scope: scope.clone(), part: part.id.clone() };
+        let source = best_source(directory, target, &key, part.tokens, memory, now);
+        if is_covered {
+            // Named also for a part that is held: it may be evicted before the request starts.
+            plan.fetch[index] = source.map(|(address, _)| FetchSource { address });
+        }
         if is_covered && own_cache.is_some_and(|cache| cache.tokens_of(&key) >= part.tokens) {
             plan.held_tokens += part.tokens;
             read_tokens = read_tokens.saturating_sub(part.tokens);
             continue;
         }
-        let source = best_source(directory, target, &key, part.tokens, memory, now);
         match source.filter(|_| is_covered) {
-            Some((source, time_ms)) => {
-                plan.fetch[index] = Some(FetchSource { address: source });
+            Some((_, time_ms)) => {
                 transfer_ms += time_ms;
                 read_tokens = read_tokens.saturating_sub(part.tokens);
             }
@@ -199,5 +204,8 @@
     } else {
         OTHER_DATA_CENTRE_TRANSFER
     };
-    TRANSFER_SET_UP_MS + cache.memory.first_byte_delay.as_secs_f64() * 1_000.0 + moved_ms * distance
+    let risk = if cache.is_store() { 0.0 } else { EVICTION_RISK_MS };
+    risk + TRANSFER_SET_UP_MS
+        + cache.memory.first_byte_delay.as_secs_f64() * 1_000.0
+        + moved_ms * distance
 }
