Let entry processes tell each other records and what stores keep

Cause: a process that the platform turns away learned of no change until it was let in again; and a store serves a dozen readers, so that a larger fleet could not follow the stores in every process. Change: QUIC between entry processes; the first to create the authority's object settles it. A process without the platform asks two others for newer records. Over twelve processes, two of each data centre read the stores and tell others; runners' caches are then found by hashing.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -5,9 +5,10 @@
 mod follow;
 mod lapses;
 mod plan;
+mod reading;
 mod record;
 
-pub(crate) use caches::follow_caches;
+pub(crate) use caches::{CacheFollowers, follow_caches};
 pub(crate) use confirm::ServingConfirmer;
 pub(crate) use follow::{FleetFollower, follow_topic};
 pub(crate) use plan::{PlannerParts, run_planner};
--- a/crates/skylarkpick-forward/src/fleet/caches.rs
+++ b/crates/skylarkpick-forward/src/fleet/caches.rs
@@ -1,6 +1,10 @@
 //! Follows what caches tell of the parts that they keep.
 
-use crate::desk::Desk;
+use super::{follow::FleetFollower, reading::CacheReading};
+use crate::{
+    desk::Desk,
+    peers::{StoreNews, StoreRelay},
+};
 use skylarkpick_interface::{ControlError, PartChanges, TargetControl};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::task::JoinHandle;
@@ -14,13 +18,20 @@
 /// Events of a cache that is new to this process are asked for from here on.
 const FIRST_EVENT: u64 = 0;
 
-/// Keeps one follower for each cache for as long as the task runs.
-pub(crate) async fn follow_caches(desk: Arc<Desk>, control: Arc<dyn TargetControl>) {
+/// What the followers of caches share.
+pub(crate) struct CacheFollowers {
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) control: Arc<dyn TargetControl>,
+    pub(crate) fleet: Arc<FleetFollower>,
+    pub(crate) relay: Arc<StoreRelay>,
+}
+
+/// Keeps one follower for each cache that this process reads, for as long as the task runs.
+pub(crate) async fn follow_caches(parts: Arc<CacheFollowers>) {
     let mut followers: BTreeMap<SocketAddr, JoinHandle<()>> = BTreeMap::new();
     loop {
-        let changed = desk.caches_changed.notified();
-        let wanted: Vec<SocketAddr> =
-            desk.lock().placement.parts.caches().map(|(address, _)| *address).collect();
+        let changed = parts.desk.caches_changed.notified();
+        let wanted = parts.wanted();
         followers.retain(|address, task| {
             let is_wanted = wanted.contains(address);
             if !is_wanted {
@@ -29,41 +40,69 @@
             is_wanted
         });
         for address in wanted {
-            followers.entry(address).or_insert_with(|| {
-                tokio::spawn(follow_cache(desk.clone(), control.clone(), address))
-            });
+            followers
+                .entry(address)
+                .or_insert_with(|| tokio::spawn(follow_cache(parts.clone(), address)));
         }
         changed.await;
     }
 }
 
-async fn follow_cache(desk: Arc<Desk>, control: Arc<dyn TargetControl>, address: SocketAddr) {
+impl CacheFollowers {
+    fn wanted(&self) -> Vec<SocketAddr> {
+        let reading = self.fleet.recorder.cache_reading();
+        let state = self.desk.lock();
+        let caches = state.placement.parts.caches();
+        let wanted = caches.filter(|(_, cache)| match reading {
+            CacheReading::All => true,
+            CacheReading::Relay => cache.is_store(),
+            CacheReading::Follower { .. } => false,
+        });
+        wanted.map(|(address, _)| *address).collect()
+    }
+
+    fn is_store(&self, address: &SocketAddr) -> bool {
+        let state = self.desk.lock();
+        state.placement.parts.cache(address).is_some_and(|cache| cache.is_store())
+    }
+
+    /// Takes in what a cache told, and keeps it for those who follow this process.
+    fn take(&self, address: SocketAddr, changes: &PartChanges, is_reset: bool) {
+        let now = self.desk.now();
+        self.desk.lock().placement.parts.apply(&address, changes, now);
+        if self.is_store(&address) {
+            self.relay.note(&StoreNews { address, changes, is_reset });
+        }
+    }
+}
+
+async fn follow_cache(parts: Arc<CacheFollowers>, address: SocketAddr) {
     let mut since = FIRST_EVENT;
     let mut epoch = None;
     let mut is_lost = false;
     loop {
-        match control.part_changes(address, since, EVENTS_WAIT).await {
+        match parts.control.part_changes(address, since, EVENTS_WAIT).await {
             Ok(changes) => {
                 if std::mem::replace(&mut is_lost, false) {
                     spdlog::info!("cache regained", kv: { address: });
                 }
                 let is_other_life = epoch.is_some_and(|known| known != changes.epoch);
+                let is_first = epoch.is_none();
                 let needs_listing = changes.has_gap || is_other_life;
                 epoch = Some(changes.epoch);
                 since = changes.next;
-                let changes = if needs_listing && is_store(&desk, &address) {
-                    list(&*control, address, changes).await
+                let changes = if needs_listing && parts.is_store(&address) {
+                    list(&*parts.control, address, changes).await
                 } else {
                     changes
                 };
-                let now = desk.now();
-                desk.lock().placement.parts.apply(&address, &changes, now);
+                parts.take(address, &changes, needs_listing || is_first);
             }
             Err(ControlError::TooMany) => tokio::time::sleep(CROWDED_PAUSE).await,
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
                     spdlog::info!("cache lost", kv: { address:, error: });
-                    desk.lock().placement.parts.forget(&address);
+                    parts.desk.lock().placement.parts.forget(&address);
                     // After a failure the cache may be in another life.
                     since = FIRST_EVENT;
                     epoch = None;
@@ -74,10 +113,6 @@
     }
 }
 
-fn is_store(desk: &Desk, address: &SocketAddr) -> bool {
-    desk.lock().placement.parts.cache(address).is_some_and(|cache| cache.is_store())
-}
-
 /// All that a cache keeps, or only the changes where it does not say.
 async fn list(
     control: &dyn TargetControl,
--- a/crates/skylarkpick-forward/src/fleet/confirm.rs
+++ b/crates/skylarkpick-forward/src/fleet/confirm.rs
@@ -1,4 +1,4 @@
-//! Asks the platform for the newest serving document before a request is refused for good.
+//! Asks the platform, or else other entry processes, for the newest serving document before a request is refused for good.
 
 use super::follow::FleetFollower;
 use skylarkpick_interface::FleetTopic;
@@ -22,7 +22,8 @@
         ServingConfirmer { follower, confirmed_at: Arc::default() }
     }
 
-    /// Takes over the newest document; gives whether the platform answered.
+    /// Takes over the newest document; gives whether the platform or another entry process
+    /// answered.
     pub(crate) async fn confirm(&self) -> bool {
         let asked_at = Instant::now();
         let mut confirmed_at = self.confirmed_at.lock().await;
@@ -36,7 +37,7 @@
                 *confirmed_at = Some(asked_at);
                 true
             }
-            _ => false,
+            _ => self.follower.rescue.ask(&self.follower.recorder, FleetTopic::Serving).await,
         }
     }
 }
--- a/crates/skylarkpick-forward/src/fleet/follow.rs
+++ b/crates/skylarkpick-forward/src/fleet/follow.rs
@@ -1,12 +1,15 @@
 //! Follows one topic of the platform's records.
 
 use super::record::Recorder;
+use crate::peers::PeerRescue;
 use skylarkpick_interface::{FeedError, FleetSource, FleetTopic};
 use std::{sync::Arc, time::Duration};
 
 /// Longest wait of a watch. A watch whose connection went silent is noticed a second later, within
 /// the time that a leaving target still serves.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// The same for entry processes, which change seldom and bind no request.
+const ENTRIES_WATCH_WAIT: Duration = Duration::from_secs(12);
 /// Pause after a failed call, on average.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -14,6 +17,7 @@
 pub(crate) struct FleetFollower {
     pub(crate) source: Arc<dyn FleetSource>,
     pub(crate) recorder: Recorder,
+    pub(crate) rescue: Arc<PeerRescue>,
 }
 
 /// Follows a topic for as long as the task runs.
@@ -24,6 +28,7 @@
             Ok(news) => news,
             Err(error) => {
                 note_failure(&follower, topic, &error, &mut is_lost);
+                follower.rescue.ask(&follower.recorder, topic).await;
                 pause().await;
                 continue;
             }
@@ -41,8 +46,12 @@
     mut revision: u64,
     is_lost: &mut bool,
 ) {
+    let wait = match topic {
+        FleetTopic::Entries => ENTRIES_WATCH_WAIT,
+        _ => WATCH_WAIT,
+    };
     loop {
-        match follower.source.changes(topic, revision, WATCH_WAIT).await {
+        match follower.source.changes(topic, revision, wait).await {
             Ok(news) => {
                 note_success(follower, topic, is_lost);
                 follower.recorder.update(topic, &news);
@@ -54,6 +63,8 @@
             }
             Err(error) => {
                 note_failure(follower, topic, &error, is_lost);
+                follower.rescue.ask(&follower.recorder, topic).await;
+                revision = revision.max(follower.recorder.revision(topic));
                 pause().await;
             }
         }
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod life;
 mod log;
 mod node;
+mod peers;
 mod pool;
 mod readiness;
 mod serving;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -3,10 +3,12 @@
 use crate::{
     desk::Desk,
     fleet::{
-        FleetFollower, PlannerParts, ServingConfirmer, follow_caches, follow_topic, run_planner,
+        CacheFollowers, FleetFollower, PlannerParts, Recorder, ServingConfirmer, follow_caches,
+        follow_topic, run_planner,
     },
     front::Door,
     life::Lives,
+    peers::{Handler, PeerParts, PeerRescue, StoreRelay, follow_relay, open_peers},
     pool::Pool,
     readiness::Readiness,
 };
@@ -47,6 +49,7 @@
 pub struct Node {
     desk: Arc<Desk>,
     door: Door,
+    _handler: Arc<Handler>,
     _ready: Server,
     _tasks: JoinSet<()>,
 }
@@ -59,8 +62,14 @@
     pub async fn spawn(parts: NodeParts) -> std::io::Result<Node> {
         let settings = &parts.settings;
         let desk = Desk::open(parts.clock.clone(), settings.bounds);
-        let recorder = crate::fleet::Recorder::open(desk.clone());
-        let follower = Arc::new(FleetFollower { source: parts.fleet.clone(), recorder });
+        let rescue = Arc::new(PeerRescue::default());
+        let follower = Arc::new(FleetFollower {
+            source: parts.fleet.clone(),
+            recorder: Recorder::open(desk.clone(), &settings.node),
+            rescue: rescue.clone(),
+        });
+        let relay = StoreRelay::open(desk.clone());
+        let handler = Arc::new(Handler { follower: follower.clone(), relay: relay.clone() });
         let lives = Arc::new(Lives {
             desk: desk.clone(),
             dialect: parts.dialect.clone(),
@@ -81,8 +90,24 @@
         for topic in topics {
             tasks.spawn(follow_topic(follower.clone(), topic));
         }
-        tasks.spawn(look_for_lapses(follower));
-        tasks.spawn(follow_caches(desk.clone(), parts.control.clone()));
+        tasks.spawn(look_for_lapses(follower.clone()));
+        tasks.spawn(follow_caches(Arc::new(CacheFollowers {
+            desk: desk.clone(),
+            control: parts.control.clone(),
+            fleet: follower.clone(),
+            relay,
+        })));
+        tasks.spawn(follow_relay(desk.clone(), rescue.clone(), follower));
+        let peer_parts = PeerParts {
+            settings: settings.clone(),
+            objects: parts.objects.clone(),
+            handler: handler.clone(),
+        };
+        tasks.spawn(async move {
+            if let Some(network) = open_peers(peer_parts).await {
+                rescue.set_network(network);
+            }
+        });
         tasks.spawn(register(parts.fleet.clone(), entry(settings)));
         tasks.spawn(run_planner(PlannerParts {
             desk: desk.clone(),
@@ -91,7 +116,7 @@
             clock: parts.clock.clone(),
             node: settings.node.clone(),
         }));
-        Ok(Node { desk, door, _ready: ready, _tasks: tasks })
+        Ok(Node { desk, door, _handler: handler, _ready: ready, _tasks: tasks })
     }
 
     /// Takes no new connections once the balancer has noticed, and waits until every answer is
@@ -111,6 +136,7 @@
         name: settings.node.clone(),
         address: settings.peer_address,
         data_centre: settings.data_centre.clone(),
+        cpu_percent: settings.cpu_percent,
     }
 }
 
--- /dev/null
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -0,0 +1,13 @@
+//! What entry processes tell each other: records of the platform for a process that it turns away,
+//! and what stores keep, where there are too many processes for each to follow every store.
+
+mod handler;
+mod link;
+mod messages;
+mod relay;
+mod rescue;
+
+pub(crate) use handler::Handler;
+pub(crate) use link::{PeerParts, open_peers};
+pub(crate) use relay::{StoreNews, StoreRelay, follow_relay};
+pub(crate) use rescue::PeerRescue;
--- /dev/null
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -0,0 +1,51 @@
+//! Answers what other entry processes ask.
+
+use super::{
+    messages::{Question, Reply},
+    relay::StoreRelay,
+};
+use crate::fleet::FleetFollower;
+use async_trait::async_trait;
+use skylarkpick_interface::PeerHandler;
+use std::{sync::Arc, time::Duration};
+
+/// Longest wait that another process may ask for.
+const WAIT_LIMIT: Duration = Duration::from_secs(2);
+
+/// Answers what other entry processes ask.
+pub(crate) struct Handler {
+    pub(crate) follower: Arc<FleetFollower>,
+    pub(crate) relay: Arc<StoreRelay>,
+}
+
+#[async_trait]
+impl PeerHandler for Handler {
+    async fn told(&self, _: Vec<u8>) {}
+
+    async fn asked(&self, message: Vec<u8>) -> Vec<u8> {
+        let reply = match serde_json::from_slice(&message) {
+            Ok(question) => self.reply(question).await,
+            Err(error) => {
+                spdlog::warn!("a message of another entry process is unreadable", kv: { error: });
+                Reply::Nothing
+            }
+        };
+        // A reply of strings and numbers always serializes.
+        serde_json::to_vec(&reply).unwrap_or_default()
+    }
+}
+
+impl Handler {
+    async fn reply(&self, question: Question) -> Reply {
+        match question {
+            Question::Records { topic, since } => {
+                let newer = self.follower.recorder.newer_than(topic, since);
+                newer.map_or(Reply::Nothing, Reply::Records)
+            }
+            Question::Stores { log, since, wait_ms } => {
+                let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
+                Reply::Stores(self.relay.changes(log, since, wait).await)
+            }
+        }
+    }
+}
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -184,6 +184,8 @@
     pub address: SocketAddr,
     /// Data centre that it runs in.
     pub data_centre: DataCentreId,
+    /// Hundredths of a core that its VM has.
+    pub cpu_percent: u32,
 }
 
 /// What a feed tells of.
--- a/crates/skylarkpick-interface/src/node.rs
+++ b/crates/skylarkpick-interface/src/node.rs
@@ -20,6 +20,8 @@
     pub metrics_address: SocketAddr,
     /// Where the platform's object API is.
     pub platform_address: SocketAddr,
+    /// Hundredths of a core that the VM has.
+    pub cpu_percent: u32,
     /// What the platform promises and asks for.
     pub bounds: NodeBounds,
 }
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -25,6 +25,9 @@
 /// The same for a part that no cache is known to keep: processes that know nothing of each other
 /// must send it to the same target, or it is read twice.
 const HASHED_TARGET_UNKNOWN_MS: f64 = 120.0;
+/// The same where this process does not hear of what runners keep: the target that a part is hashed
+/// to is the one most likely to keep it.
+const HASHED_TARGET_UNHEARD_MS: f64 = 60.0;
 /// What each shared token costs that is read although a cache keeps it, beside the time to read it.
 /// The users price a thousand such tokens at a sixth of a long prompt's answer.
 const READ_AGAIN_MS_PER_TOKEN: f64 = 0.1;
@@ -46,6 +49,8 @@
 pub(super) struct ContextPlan {
     pub(super) fetch: Vec<Option<FetchSource>>,
     pub(super) held_tokens: u64,
+    /// Whether this process hears of what the target keeps.
+    pub(super) is_target_followed: bool,
     /// Shared tokens that are neither held nor fetched.
     pub(super) missing_tokens: u64,
     /// Tokens that are read.
@@ -96,7 +101,7 @@
     let needed = target.own_tokens as f64 + others * own_share as f64 + own_tokens(prompt) as f64;
     let over_memory = (needed - memory.capacity_tokens as f64).max(0.0);
     let wait_ms = over_slots * PLAIN_CALL_MS + over_memory * OVER_MEMORY_MS_PER_TOKEN;
-    let hashed = hashed_advantage(target, prompt, plan.missing_tokens > 0);
+    let hashed = hashed_advantage(target, prompt, plan);
     let read_again = plan.missing_tokens as f64 * READ_AGAIN_MS_PER_TOKEN;
     let old = if has_newer_weights { OLD_WEIGHTS_MS } else { 0.0 };
     let total_ms = wait_ms
@@ -127,11 +132,16 @@
 }
 
 /// Part of the advantage of being the target that the prompt is hashed to, by rank.
-fn hashed_advantage(target: &TargetView, prompt: &AskPrompt, is_unknown: bool) -> f64 {
+fn hashed_advantage(target: &TargetView, prompt: &AskPrompt, plan: &ContextPlan) -> f64 {
     let Some(part) = shared_parts(prompt).last() else { return 0.0 };
     // A weight spread evenly over all candidates: the highest one wins most of the advantage.
     let share = rendezvous_weight(&part.id, &target.listed.id) as f64 / u64::MAX as f64;
-    share * if is_unknown { HASHED_TARGET_UNKNOWN_MS } else { HASHED_TARGET_MS }
+    share
+        * match plan {
+            _ if plan.missing_tokens > 0 => HASHED_TARGET_UNKNOWN_MS,
+            _ if !plan.is_target_followed => HASHED_TARGET_UNHEARD_MS,
+            _ => HASHED_TARGET_MS,
+        }
 }
 
 /// Plans where the context of a prompt comes from at one target.
@@ -145,6 +155,7 @@
 ) -> ContextPlan {
     let mut plan = ContextPlan { fetch: vec![None; prompt.parts.len()], ..ContextPlan::default() };
     let own_cache = directory.cache(&target.listed.address);
+    plan.is_target_followed = own_cache.is_some_and(CacheView::is_followed);
     let mut read_tokens = prompt.prompt_tokens;
     let mut transfer_ms = 0.0;
     // A part is of use only if all parts before it are there.
--- a/crates/skylarkpick-schedule/src/placement/parts.rs
+++ b/crates/skylarkpick-schedule/src/placement/parts.rs
@@ -4,7 +4,7 @@
     CacheEpoch, CacheScope, ContextMemory, DataCentreId, PartChanges, PartId, TargetId,
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -16,6 +16,8 @@
 const SAVE_RETRY: Duration = Duration::from_secs(4);
 /// Share of a store that saves may fill; the rest is for parts whose events were lost.
 const STORE_FILL_LIMIT: f64 = 0.97;
+/// Share of a runner's memory that parts sent there are taken to stay in; runs need the rest.
+const EXPECTED_FILL_LIMIT: f64 = 0.6;
 /// Blocks of a store, in tokens; a part takes whole blocks.
 const STORE_BLOCK_TOKENS: u64 = 16;
 
@@ -54,6 +56,8 @@
     held: HashMap<PartKey, u64>,
     held_tokens: u64,
     saving: HashMap<PartKey, Saving>,
+    /// Parts that were sent there and not heard of, oldest first.
+    expected: VecDeque<PartKey>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -79,6 +83,7 @@
             held: HashMap::new(),
             held_tokens: 0,
             saving: HashMap::new(),
+            expected: VecDeque::new(),
         }
     }
 
@@ -111,6 +116,7 @@
         self.held.clear();
         self.held_tokens = 0;
         self.saving.clear();
+        self.expected.clear();
     }
 
     fn set(&mut self, key: PartKey, tokens: u64) {
@@ -120,6 +126,23 @@
         self.held_tokens = self.held_tokens + tokens - before.unwrap_or(0);
     }
 
+    /// Whether this process hears of what it keeps.
+    pub fn is_followed(&self) -> bool {
+        self.heard_at.is_some()
+    }
+
+    /// Takes a part as kept that a request brings there, until others must have pushed it out.
+    fn expect(&mut self, key: PartKey, tokens: u64) {
+        self.expected.retain(|known| *known != key);
+        self.expected.push_back(key.clone());
+        self.set(key, tokens);
+        let limit = self.memory.capacity_tokens as f64 * EXPECTED_FILL_LIMIT;
+        while self.held_tokens as f64 > limit {
+            let Some(oldest) = self.expected.pop_front() else { return };
+            self.set(oldest, 0);
+        }
+    }
+
     fn saving_tokens(&self, now: Duration) -> u64 {
         let recent = self.saving.values().filter(|saving| now < saving.since + SAVE_RETRY);
         recent.map(|saving| saving.tokens).sum()
@@ -195,6 +218,15 @@
         }
     }
 
+    /// Notes that a request brings parts to a cache that this process does not hear of.
+    pub fn note_sent(&mut self, address: &SocketAddr, parts: impl Iterator<Item = (PartKey, u64)>) {
+        let unheard = self.caches.get_mut(address).filter(|cache| !cache.is_followed());
+        let Some(cache) = unheard else { return };
+        for (key, tokens) in parts {
+            cache.expect(key, tokens);
+        }
+    }
+
     /// Notes that parts of a store were freed.
     pub fn note_freed(&mut self, address: &SocketAddr, keys: &[PartKey]) {
         if let Some(cache) = self.caches.get_mut(address) {
--- a/crates/skylarkpick-schedule/src/placement/place.rs
+++ b/crates/skylarkpick-schedule/src/placement/place.rs
@@ -8,8 +8,8 @@
     weights::NamedWeightsView,
 };
 use skylarkpick_interface::{
-    CacheScope, ContextMemory, ListedTarget, ServiceKind, ServiceName, TargetId, ToldLoad,
-    WeightVersion,
+    CacheScope, ContextMemory, ListedTarget, PromptPart, ServiceKind, ServiceName, TargetId,
+    ToldLoad, WeightVersion,
 };
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -237,10 +237,12 @@
             state.own_prefill_tokens += place.read_tokens;
         }
         let (Some(prompt), Some(scope)) = (prompt, &place.cache_scope) else { return };
+        let key = |part: &PromptPart| PartKey { scope: scope.clone(), part: part.id.clone() };
+        let shared = cost::shared_parts(prompt).iter();
+        self.parts.note_sent(&place.address, shared.map(|part| (key(part), part.tokens)));
         for (part, store) in prompt.parts.iter().zip(&place.save) {
             if let Some(store) = store {
-                let key = PartKey { scope: scope.clone(), part: part.id.clone() };
-                self.parts.note_saving(store, key, part.tokens, now);
+                self.parts.note_saving(store, key(part), part.tokens, now);
             }
         }
     }
