Read the platform through a few processes in a large fleet

Change: over twelve processes, the two that read the stores in a data centre read the platform's records as well and stand for the lease; the others follow them, and fall back to the platform when what they tell is over 3.8 s old. Records carry the revision that brought them, so that only newer ones travel.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod caches;
 mod confirm;
+mod entries;
 mod follow;
 mod lapses;
 mod plan;
--- a/crates/skylarkpick-forward/src/fleet/confirm.rs
+++ b/crates/skylarkpick-forward/src/fleet/confirm.rs
@@ -7,6 +7,9 @@
 
 /// Time for which an answer of the platform counts as new.
 const CONFIRMED_FOR: Duration = Duration::from_millis(250);
+/// Age up to which the document is the newest but for what a watch tells within milliseconds: a
+/// watch is answered at least this often.
+const WATCHED_FOR: Duration = Duration::from_millis(2_700);
 /// Longest wait for the platform.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -25,6 +28,10 @@
     /// Takes over the newest document; gives whether the platform or another entry process
     /// answered.
     pub(crate) async fn confirm(&self) -> bool {
+        let age = self.follower.recorder.age(FleetTopic::Serving);
+        if age.is_some_and(|age| age < WATCHED_FOR) {
+            return true;
+        }
         let asked_at = Instant::now();
         let mut confirmed_at = self.confirmed_at.lock().await;
         if confirmed_at.is_some_and(|at| asked_at < at + CONFIRMED_FOR) {
--- a/crates/skylarkpick-forward/src/fleet/follow.rs
+++ b/crates/skylarkpick-forward/src/fleet/follow.rs
@@ -10,6 +10,12 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 /// The same for entry processes, which change seldom and bind no request.
 const ENTRIES_WATCH_WAIT: Duration = Duration::from_secs(12);
+/// Pause after a change among the entry processes.
+const ENTRIES_PAUSE: Duration = Duration::from_millis(700);
+/// Longest wait for news of a process that reads the platform.
+const RELAY_WAIT: Duration = Duration::from_millis(1_200);
+/// Age from which what such a process tells is not relied on: its watch has had no answer.
+const RELAY_AGE_LIMIT: Duration = Duration::from_millis(3_800);
 /// Pause after a failed call, on average.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -20,10 +26,14 @@
     pub(crate) rescue: Arc<PeerRescue>,
 }
 
-/// Follows a topic for as long as the task runs.
+/// Follows a topic for as long as the task runs: through another entry process where there are
+/// many, else at the platform.
 pub(crate) async fn follow_topic(follower: Arc<FleetFollower>, topic: FleetTopic) {
     let mut is_lost = false;
     loop {
+        if follow_relays(&follower, topic).await {
+            continue;
+        }
         let news = match follower.source.read(topic).await {
             Ok(news) => news,
             Err(error) => {
@@ -39,7 +49,32 @@
     }
 }
 
-/// Follows changes until the platform no longer keeps those since the last one.
+/// Follows a topic through the processes that read it, as long as what they tell is new. Gives
+/// whether they told anything.
+async fn follow_relays(follower: &FleetFollower, topic: FleetTopic) -> bool {
+    let mut has_followed = false;
+    loop {
+        let relays = follower.recorder.relays_to_follow();
+        let mut is_fresh = false;
+        for relay in relays {
+            let recorder = &follower.recorder;
+            let age = follower.rescue.ask_one(&relay, recorder, topic, RELAY_WAIT).await;
+            if let Some(age) = age.filter(|age| *age < RELAY_AGE_LIMIT) {
+                recorder.note_newest(topic, age);
+                recorder.note_heard();
+                is_fresh = true;
+                break;
+            }
+        }
+        if !is_fresh {
+            return has_followed;
+        }
+        has_followed = true;
+    }
+}
+
+/// Follows changes until the platform no longer keeps those since the last one, or other processes
+/// are to be followed.
 async fn follow_changes(
     follower: &FleetFollower,
     topic: FleetTopic,
@@ -50,12 +85,16 @@
         FleetTopic::Entries => ENTRIES_WATCH_WAIT,
         _ => WATCH_WAIT,
     };
-    loop {
+    while *is_lost || follower.recorder.relays_to_follow().is_empty() {
         match follower.source.changes(topic, revision, wait).await {
             Ok(news) => {
                 note_success(follower, topic, is_lost);
                 follower.recorder.update(topic, &news);
                 revision = news.revision;
+                if topic == FleetTopic::Entries {
+                    // Processes start together; their registrations are taken in together.
+                    tokio::time::sleep(ENTRIES_PAUSE).await;
+                }
             }
             Err(FeedError::HistoryGone) => {
                 spdlog::info!("changes are no longer kept", kv: { topic:, revision });
@@ -85,6 +124,7 @@
 
 fn note_success(follower: &FleetFollower, topic: FleetTopic, is_lost: &mut bool) {
     follower.recorder.note_heard();
+    follower.recorder.note_newest(topic, Duration::ZERO);
     if std::mem::replace(is_lost, false) {
         spdlog::info!("platform regained", kv: { topic: });
     }
--- a/crates/skylarkpick-forward/src/fleet/plan.rs
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -1,5 +1,6 @@
 //! Brings runners to the newest weights while this process holds the planner's lease.
 
+use super::{entries::EntryCheck, follow::FleetFollower};
 use crate::desk::Desk;
 use skylarkpick_interface::{
     Clock, ModelName, ObjectStore, OrderAnswer, ServiceKind, TargetControl, TargetId, WeightOrder,
@@ -26,6 +27,10 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which an order whose effect was not seen is given again.
 const ORDER_AGAIN: Duration = Duration::from_millis(3_500);
+/// Time after the start for the other processes to register.
+const FIRST_LOOK: Duration = Duration::from_millis(1_500);
+/// Pause before a process looks again whether it stands for the lease.
+const CANDIDATE_PAUSE: Duration = Duration::from_secs(1);
 /// Pause between two looks at the fleet.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// Weights loaded at the same time; more slow each other down.
@@ -39,6 +44,7 @@
     pub(crate) objects: Arc<dyn ObjectStore>,
     pub(crate) control: Arc<dyn TargetControl>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) fleet: Arc<FleetFollower>,
     pub(crate) node: String,
 }
 
@@ -46,9 +52,10 @@
     parts: PlannerParts,
     lease: Lease,
     holder: String,
-    /// Since when this process holds the lease under which number.
-    held: Option<(u64, Instant)>,
+    /// Since when this process holds the lease.
+    held: Option<Instant>,
     ordered: BTreeMap<TargetId, Ordered>,
+    entries: EntryCheck,
 }
 
 struct Ordered {
@@ -56,8 +63,13 @@
     at: Instant,
 }
 
-/// Plans for as long as the task runs.
+/// Plans for as long as the task runs. In a large fleet only those processes that read the stores
+/// stand for the lease, so that the platform is not asked by all.
 pub(crate) async fn run_planner(parts: PlannerParts) {
+    tokio::time::sleep(FIRST_LOOK).await;
+    while !parts.fleet.recorder.relays_to_follow().is_empty() || !parts.fleet.recorder.is_listed() {
+        tokio::time::sleep(CANDIDATE_PAUSE).await;
+    }
     let holder = format!("{}-{:08x}", parts.node, rand::random::<u32>());
     let settings = LeaseSettings {
         key: LEASE_KEY.to_string(),
@@ -69,7 +81,9 @@
         call_timeout: LEASE_CALL_TIMEOUT,
     };
     let lease = Lease::spawn(parts.objects.clone(), parts.clock.clone(), settings, rand::random());
-    let mut planner = Planner { parts, lease, holder, held: None, ordered: BTreeMap::new() };
+    let entries = EntryCheck::open(parts.fleet.clone());
+    let mut planner =
+        Planner { parts, lease, holder, held: None, ordered: BTreeMap::new(), entries };
     loop {
         let changed = planner.parts.desk.weights_changed.notified();
         let _ = tokio::time::timeout(LOOK_PAUSE, changed).await;
@@ -86,16 +100,17 @@
             }
             return;
         };
-        let (number, since) = match self.held {
-            Some(held) => held,
+        let since = match self.held {
+            Some(since) => since,
             None => {
-                let held = (permit.fencing_number, Instant::now());
-                spdlog::info!("planner's lease held", kv: { fencing_number = held.0 });
-                self.held = Some(held);
-                held
+                let since = Instant::now();
+                spdlog::info!("planner's lease held", kv: {
+                    fencing_number = permit.fencing_number,
+                });
+                self.held = Some(since);
+                since
             }
         };
-        let _ = number;
         // A former holder may have given orders until shortly before the change.
         if since.elapsed() < self.parts.desk.bounds().lease {
             return;
@@ -107,6 +122,7 @@
         for (model, version) in models {
             self.plan(&model, version).await;
         }
+        self.entries.look().await;
     }
 
     async fn plan(&mut self, model: &str, version: WeightVersion) {
--- a/crates/skylarkpick-forward/src/fleet/record.rs
+++ b/crates/skylarkpick-forward/src/fleet/record.rs
@@ -2,6 +2,7 @@
 
 use super::lapses::Lapses;
 use super::reading::{CacheReading, cache_reading};
+use crate::peers::PeerNews;
 use crate::{desk::Desk, log::request_log, serving::Serving};
 use rand::seq::SliceRandom;
 use skylarkpick_interface::{
@@ -11,7 +12,9 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
+use tokio::sync::watch;
 
 /// Takes records of the platform into the desk.
 pub(crate) struct Recorder {
@@ -20,13 +23,56 @@
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
     /// Name of the VM of this process.
     node: String,
+    /// Counts what was taken in.
+    changed: watch::Sender<u64>,
 }
 
 /// Records of a topic as they were read last.
 #[derive(Default)]
 struct TopicState {
     revision: FleetRevision,
-    records: BTreeMap<String, FleetRecord>,
+    /// Revision of the first reading; changes before it are not known.
+    first: FleetRevision,
+    records: BTreeMap<String, KnownRecord>,
+    /// When it was last known to be the newest.
+    heard_at: Option<Duration>,
+}
+
+/// A record with the revision that brought it; `None` once it was removed.
+struct KnownRecord {
+    revision: FleetRevision,
+    record: Option<FleetRecord>,
+}
+
+impl TopicState {
+    fn set(&mut self, name: &str, revision: FleetRevision, record: Option<FleetRecord>) {
+        self.records.insert(name.to_string(), KnownRecord { revision, record });
+    }
+
+    /// Takes in all records; those that are not among them are gone.
+    fn replace(&mut self, news: &FleetNews) {
+        if self.first == 0 {
+            self.first = news.revision;
+        }
+        let named: BTreeSet<&String> = news.records.iter().map(|it| &it.name).collect();
+        let gone = self
+            .records
+            .iter_mut()
+            .filter(|(name, it)| it.record.is_some() && !named.contains(name));
+        for (_, known) in gone {
+            *known = KnownRecord { revision: news.revision, record: None };
+        }
+    }
+
+    fn update(&mut self, news: &FleetNews) {
+        self.revision = self.revision.max(news.revision);
+        for named in &news.records {
+            let known = self.records.get(&named.name).and_then(|it| it.record.as_ref());
+            if known != named.record.as_ref() {
+                self.set(&named.name, news.revision, named.record.clone());
+            }
+        }
+    }
 }
 
 impl Recorder {
@@ -36,6 +82,7 @@
             lapses: Mutex::default(),
             topics: Mutex::default(),
             node: node.to_string(),
+            changed: watch::Sender::new(0),
         }
     }
 
@@ -48,15 +95,52 @@
         self.topics().get(&topic).map_or(0, |state| state.revision)
     }
 
-    /// All records of a topic, if they are newer than a revision.
-    pub(crate) fn newer_than(&self, topic: FleetTopic, since: FleetRevision) -> Option<FleetNews> {
+    /// Records of a topic that are newer than a revision.
+    pub(crate) fn newer_than(&self, topic: FleetTopic, since: FleetRevision) -> Option<PeerNews> {
         let topics = self.topics();
-        let state = topics.get(&topic).filter(|state| state.revision > since)?;
-        let records = state
-            .records
-            .iter()
-            .map(|(name, record)| NamedRecord { name: name.clone(), record: Some(record.clone()) });
-        Some(FleetNews { records: records.collect(), revision: state.revision })
+        let state = topics.get(&topic)?;
+        let is_whole = since < state.first;
+        let newer = state.records.iter().filter(|(_, it)| it.revision > since);
+        let records = newer.filter(|(_, it)| !is_whole || it.record.is_some());
+        let records =
+            records.map(|(name, it)| NamedRecord { name: name.clone(), record: it.record.clone() });
+        let news = FleetNews { records: records.collect(), revision: state.revision };
+        let age = state.heard_at.map(|at| self.desk.now().saturating_sub(at));
+        let age_ms = age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+        Some(PeerNews { news, is_whole, age_ms })
+    }
+
+    /// Takes in what another entry process told. Gives whether it was newer.
+    pub(crate) fn take_over(&self, topic: FleetTopic, told: &PeerNews) -> bool {
+        if told.news.revision <= self.revision(topic) {
+            return false;
+        }
+        if told.is_whole {
+            return self.replace(topic, &told.news);
+        }
+        self.update(topic, &told.news);
+        true
+    }
+
+    /// Time since a topic was last known to be the newest.
+    pub(crate) fn age(&self, topic: FleetTopic) -> Option<Duration> {
+        let heard_at = self.topics().get(&topic)?.heard_at?;
+        Some(self.desk.now().saturating_sub(heard_at))
+    }
+
+    /// Notes that a topic was the newest a while ago.
+    pub(crate) fn note_newest(&self, topic: FleetTopic, age: Duration) {
+        let at = self.desk.now().saturating_sub(age);
+        let mut topics = self.topics();
+        let state = topics.entry(topic).or_default();
+        state.heard_at = state.heard_at.max(Some(at));
+        drop(topics);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Tells of every change, for those who wait for one.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
     }
 
     /// The entry processes by name.
@@ -65,8 +149,8 @@
         let records = topics.get(&FleetTopic::Entries).map(|state| &state.records);
         let entries = records.into_iter().flat_map(BTreeMap::values);
         entries
-            .filter_map(|record| match record {
-                FleetRecord::Entry(entry) => Some(entry.clone()),
+            .filter_map(|known| match &known.record {
+                Some(FleetRecord::Entry(entry)) => Some(entry.clone()),
                 _ => None,
             })
             .collect()
@@ -74,18 +158,29 @@
 
     /// Addresses of a few other entry processes, other ones each time.
     pub(crate) fn some_entries(&self, count: usize) -> Vec<String> {
-        let mut others = self.entries();
-        others.retain(|entry| entry.name != self.node);
+        let mut others = self.other_entries();
         others.shuffle(&mut rand::rng());
         others.into_iter().take(count).map(|entry| entry.address.to_string()).collect()
     }
 
+    /// Whether the fleet's list names this process.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.entries().iter().any(|entry| entry.name == self.node)
+    }
+
+    /// The other entry processes.
+    pub(crate) fn other_entries(&self) -> Vec<ListedEntry> {
+        let mut others = self.entries();
+        others.retain(|entry| entry.name != self.node);
+        others
+    }
+
     /// How this process learns what caches keep.
     pub(crate) fn cache_reading(&self) -> CacheReading {
         cache_reading(&self.entries(), &self.node)
     }
 
-    /// Addresses of the processes that this one follows for what stores keep.
+    /// Addresses of the processes that this one follows.
     pub(crate) fn relays_to_follow(&self) -> Vec<String> {
         match self.cache_reading() {
             CacheReading::Follower { relays } => relays,
@@ -124,7 +219,7 @@
             if news.revision < state.revision {
                 return false;
             }
-            state.records.clear();
+            state.replace(news);
         }
         let named: BTreeSet<&String> = news.records.iter().map(|record| &record.name).collect();
         if topic == FleetTopic::Targets {
@@ -141,18 +236,12 @@
     pub(crate) fn update(&self, topic: FleetTopic, news: &FleetNews) {
         {
             let mut topics = self.topics();
-            let state = topics.entry(topic).or_default();
-            state.revision = state.revision.max(news.revision);
-            for named in &news.records {
-                match &named.record {
-                    Some(record) => state.records.insert(named.name.clone(), record.clone()),
-                    None => state.records.remove(&named.name),
-                };
-            }
+            topics.entry(topic).or_default().update(news);
         }
         for record in &news.records {
             self.take(topic, record, news.revision);
         }
+        self.changed.send_modify(|count| *count += 1);
         if topic == FleetTopic::Entries && !news.records.is_empty() {
             self.desk.set_entries(self.entries().len());
             self.desk.caches_changed.notify_waiters();
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -26,6 +26,8 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 /// Pause between looks for records that lapsed.
 const LAPSE_PAUSE: Duration = Duration::from_millis(200);
+/// Time for a registration to show in the fleet's list.
+const LISTED_PAUSE: Duration = Duration::from_secs(5);
 /// Pause before a failed registration is made again.
 const REGISTER_PAUSE: Duration = Duration::from_secs(1);
 
@@ -97,7 +99,7 @@
             fleet: follower.clone(),
             relay,
         })));
-        tasks.spawn(follow_relay(desk.clone(), rescue.clone(), follower));
+        tasks.spawn(follow_relay(desk.clone(), rescue.clone(), follower.clone()));
         let peer_parts = PeerParts {
             settings: settings.clone(),
             objects: parts.objects.clone(),
@@ -108,12 +110,13 @@
                 rescue.set_network(network);
             }
         });
-        tasks.spawn(register(parts.fleet.clone(), entry(settings)));
+        tasks.spawn(register(follower.clone(), entry(settings)));
         tasks.spawn(run_planner(PlannerParts {
             desk: desk.clone(),
             objects: parts.objects.clone(),
             control: parts.control.clone(),
             clock: parts.clock.clone(),
+            fleet: follower,
             node: settings.node.clone(),
         }));
         Ok(Node { desk, door, _handler: handler, _ready: ready, _tasks: tasks })
@@ -147,10 +150,16 @@
     }
 }
 
-/// Registers the process once.
-async fn register(fleet: Arc<dyn FleetSource>, entry: ListedEntry) {
-    while let Err(error) = fleet.register(&entry).await {
-        spdlog::info!("not registered yet", kv: { error: });
-        tokio::time::sleep(REGISTER_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+/// Registers the process, and again whenever the fleet's list does not name it.
+async fn register(follower: Arc<FleetFollower>, entry: ListedEntry) {
+    loop {
+        while let Err(error) = follower.source.register(&entry).await {
+            spdlog::info!("not registered yet", kv: { error: });
+            tokio::time::sleep(REGISTER_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+        }
+        tokio::time::sleep(LISTED_PAUSE).await;
+        while follower.recorder.is_listed() {
+            tokio::time::sleep(REGISTER_PAUSE).await;
+        }
     }
 }
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -10,7 +10,7 @@
 use std::{sync::Arc, time::Duration};
 
 /// Longest wait that another process may ask for.
-const WAIT_LIMIT: Duration = Duration::from_secs(2);
+const WAIT_LIMIT: Duration = Duration::from_secs(3);
 
 /// Answers what other entry processes ask.
 pub(crate) struct Handler {
@@ -38,9 +38,14 @@
 impl Handler {
     async fn reply(&self, question: Question) -> Reply {
         match question {
-            Question::Records { topic, since } => {
-                let newer = self.follower.recorder.newer_than(topic, since);
-                newer.map_or(Reply::Nothing, Reply::Records)
+            Question::Records { topic, since, wait_ms } => {
+                let recorder = &self.follower.recorder;
+                let mut changes = recorder.changes();
+                let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
+                let is_newer = |_: &u64| recorder.revision(topic) > since;
+                // Nothing newer within the wait is an answer too.
+                let _ = tokio::time::timeout(wait, changes.wait_for(is_newer)).await;
+                recorder.newer_than(topic, since).map_or(Reply::Nothing, Reply::Records)
             }
             Question::Stores { log, since, wait_ms } => {
                 let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -8,12 +8,14 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum Question {
-    /// All records of a topic, if they are newer than this revision.
+    /// Records of a topic that are newer than this revision.
     Records {
         /// Topic of the records.
         topic: FleetTopic,
         /// Revision that the asker has.
         since: FleetRevision,
+        /// Longest wait for newer ones.
+        wait_ms: u64,
     },
     /// What changed in stores since a place in this process's log of changes.
     Stores {
@@ -32,12 +34,23 @@
 pub(crate) enum Reply {
     /// Nothing newer, or nothing to say.
     Nothing,
-    /// All records of the topic.
-    Records(FleetNews),
+    /// Records of the topic.
+    Records(PeerNews),
     /// Changes of stores.
     Stores(StoreChanges),
 }
 
+/// Records that a process knows, newer than the asker's.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct PeerNews {
+    /// The records, and the revision up to which the process has read.
+    pub(crate) news: FleetNews,
+    /// Whether they are all records of the topic.
+    pub(crate) is_whole: bool,
+    /// Time since they were last known to be the newest.
+    pub(crate) age_ms: u64,
+}
+
 /// Changes of stores since a place in a process's log.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct StoreChanges {
--- a/crates/skylarkpick-forward/src/peers/rescue.rs
+++ b/crates/skylarkpick-forward/src/peers/rescue.rs
@@ -32,39 +32,49 @@
     /// Takes over newer records of a topic from a few other processes. Gives whether one of them
     /// answered.
     pub(crate) async fn ask(&self, recorder: &Recorder, topic: FleetTopic) -> bool {
-        let Some(network) = self.network.get() else { return false };
         let asked = recorder.some_entries(ASKED_COUNT);
-        let answers = asked.iter().map(|address| {
-            let since = recorder.revision(topic);
-            ask_records(&**network, address, topic, since)
+        let answers =
+            asked.iter().map(|address| self.ask_one(address, recorder, topic, Duration::ZERO));
+        let answers = futures::future::join_all(answers).await;
+        answers.iter().flatten().count() > 0
+    }
+
+    /// Takes over newer records of a topic from one process, which may wait for some. Gives the
+    /// time since its records were last known to be the newest.
+    pub(crate) async fn ask_one(
+        &self,
+        address: &str,
+        recorder: &Recorder,
+        topic: FleetTopic,
+        wait: Duration,
+    ) -> Option<Duration> {
+        let network = self.network.get()?;
+        let since = recorder.revision(topic);
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let question = Question::Records { topic, since, wait_ms };
+        // A question of numbers always serializes.
+        let message = serde_json::to_vec(&question).unwrap_or_default();
+        let answer = network.ask(address, message, wait + ASK_TIMEOUT).await;
+        let reply = answer.map_err(|error| error.to_string()).and_then(|answer| {
+            serde_json::from_slice::<Reply>(&answer).map_err(|error| error.to_string())
         });
-        let mut has_answer = false;
-        for reply in futures::future::join_all(answers).await.into_iter().flatten() {
-            has_answer = true;
-            if let Reply::Records(news) = reply
-                && recorder.replace(topic, &news)
-            {
-                spdlog::info!("records taken over from another entry process", kv: {
-                    topic:, revision = news.revision,
+        match reply {
+            Ok(Reply::Records(told)) => {
+                let (revision, age) = (told.news.revision, Duration::from_millis(told.age_ms));
+                if recorder.take_over(topic, &told) && !told.news.records.is_empty() {
+                    spdlog::info!("records taken over from another entry process", kv: {
+                        topic:, revision, address,
+                    });
+                }
+                Some(age)
+            }
+            Ok(_) => None,
+            Err(error) => {
+                spdlog::debug!("another entry process gave no records", kv: {
+                    address, error = error.as_str(),
                 });
+                None
             }
         }
-        has_answer
-    }
-}
-
-async fn ask_records(
-    network: &dyn PeerNetwork,
-    address: &str,
-    topic: FleetTopic,
-    since: u64,
-) -> Option<Reply> {
-    let question = serde_json::to_vec(&Question::Records { topic, since }).ok()?;
-    match network.ask(address, question, ASK_TIMEOUT).await {
-        Ok(answer) => serde_json::from_slice(&answer).ok(),
-        Err(error) => {
-            spdlog::debug!("another entry process gave no records", kv: { address, error: });
-            None
-        }
     }
 }
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -283,4 +283,10 @@
     /// # Errors
     /// When the platform is away; the registration may have taken effect.
     async fn register(&self, entry: &ListedEntry) -> Result<(), PlatformError>;
+
+    /// Removes the registration of a process that is gone.
+    ///
+    /// # Errors
+    /// When the platform is away; the registration may be gone all the same.
+    async fn unregister(&self, name: &str) -> Result<(), PlatformError>;
 }
