--- a/crates/skylarkpick-forward/src/fleet/plan.rs
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -33,8 +33,9 @@
 const CANDIDATE_PAUSE: Duration = Duration::from_secs(1);
 /// Pause between two looks at the fleet.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
-/// Weights loaded at the same time; more slow each other down.
-const LOADS_LIMIT: u32 = 3;
+/// Share of a model's runners that load at the same time. The weight store serves a fifth of them at
+/// full speed; some of those that were ordered still finish their runs.
+const LOADS_SHARE: f64 = 0.25;
 /// Share of the runners that go on serving.
 const SERVING_SHARE_FLOOR: f64 = 0.6;
 
@@ -131,7 +132,7 @@
             model: model.to_string(),
             weight_version: version,
             usable_weight_versions: (0..=version).rev().take(3).collect(),
-            loads_limit: LOADS_LIMIT,
+            loads_limit: (runners.len() as f64 * LOADS_SHARE).ceil() as u32,
             serving_share_floor: SERVING_SHARE_FLOOR,
         };
         let loading = runners.iter().filter(|runner| runner.is_loading).count();
--- a/crates/skylarkpick-forward/src/front/door.rs
+++ b/crates/skylarkpick-forward/src/front/door.rs
@@ -19,6 +19,7 @@
 
 /// Takes clients' connections until it is closed.
 pub(crate) struct Door {
+    address: SocketAddr,
     stop: watch::Sender<bool>,
     accepting: JoinHandle<()>,
     places: Arc<Semaphore>,
@@ -28,10 +29,16 @@
     /// Listens on `address`.
     pub(crate) async fn bind(address: SocketAddr, lives: Arc<Lives>) -> std::io::Result<Door> {
         let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let places = Arc::new(Semaphore::new(CONNECTIONS_LIMIT));
         let accepting = tokio::spawn(accept(listener, lives, places.clone(), stopped));
-        Ok(Door { stop, accepting, places })
+        Ok(Door { address, stop, accepting, places })
+    }
+
+    /// Where it listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Accepts nothing more, and waits until every answer is out, at most until `until`. Gives
--- a/crates/skylarkpick-forward/src/life/request.rs
+++ b/crates/skylarkpick-forward/src/life/request.rs
@@ -143,9 +143,13 @@
         if body.size_hint().lower() > limit as u64 {
             return Err(fail(too_large(), "the body is announced as too large"));
         }
-        let body = read_body(body, limit, BODY_TIMEOUT).await.map_err(|error| match error {
-            ReadBodyError::TooLarge(_) => fail(too_large(), "the body is too large"),
-            error => fail(not_allowed(StatusCode::REQUEST_TIMEOUT, true), &error.to_string()),
+        let body = read_body(body, limit, BODY_TIMEOUT).await.map_err(|error| {
+            let status = match error {
+                ReadBodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+                ReadBodyError::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+                ReadBodyError::Broken(_) => StatusCode::BAD_REQUEST,
+            };
+            fail(not_allowed(status, true), &error.to_string())
         })?;
         let (serving, route, account) =
             self.authorize(&head, parts).await.map_err(|(ending, why)| fail(ending, &why))?;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -16,7 +16,7 @@
 use skylarkpick_interface::{
     Clock, Dialect, FleetSource, FleetTopic, ListedEntry, NodeSettings, ObjectStore, TargetControl,
 };
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{task::JoinSet, time::Instant};
 
 /// Time after SIGTERM in which the balancer still sends new connections: it asks once a second and
@@ -52,7 +52,7 @@
     desk: Arc<Desk>,
     door: Door,
     _handler: Arc<Handler>,
-    _ready: Server,
+    ready: Server,
     _tasks: JoinSet<()>,
 }
 
@@ -119,7 +119,28 @@
             fleet: follower,
             node: settings.node.clone(),
         }));
-        Ok(Node { desk, door, _handler: handler, _ready: ready, _tasks: tasks })
+        Ok(Node { desk, door, _handler: handler, ready, _tasks: tasks })
+    }
+
+    /// Where clients' connections arrive.
+    pub fn front_address(&self) -> SocketAddr {
+        self.door.address()
+    }
+
+    /// Where the balancer asks whether the process takes new connections.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready.address()
+    }
+
+    /// Whether the process takes new connections.
+    pub fn is_ready(&self) -> bool {
+        self.desk.is_ready()
+    }
+
+    /// Targets that may get new requests, as far as their records tell.
+    pub fn listed_targets(&self) -> usize {
+        let state = self.desk.lock();
+        state.placement.targets().values().filter(|it| !it.listed.is_draining).count()
     }
 
     /// Takes no new connections once the balancer has noticed, and waits until every answer is
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -5,7 +5,7 @@
     target::TargetView,
     types::{Ask, AskPrompt},
 };
-use skylarkpick_interface::{CacheScope, ContextMemory, FetchSource};
+use skylarkpick_interface::{CacheScope, ContextMemory, FetchSource, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
 /// Prompt tokens that an engine reads in a millisecond, by the users' sheets.
@@ -22,9 +22,11 @@
 const OTHER_DATA_CENTRE_MS: f64 = 6.0;
 /// Advantage of the target that a prompt's longest shared part is hashed to.
 const HASHED_TARGET_MS: f64 = 8.0;
+/// Share of the advantage that the second target has, for when the first is busy.
+const SECOND_HASHED_SHARE: f64 = 0.5;
 /// The same for a part that no cache is known to keep: processes that know nothing of each other
 /// must send it to the same target, or it is read twice.
-const HASHED_TARGET_UNKNOWN_MS: f64 = 120.0;
+const HASHED_TARGET_UNKNOWN_MS: f64 = 250.0;
 /// The same where this process does not hear of what runners keep: the target that a part is hashed
 /// to is the one most likely to keep it.
 const HASHED_TARGET_UNHEARD_MS: f64 = 60.0;
@@ -77,16 +79,24 @@
     Cost { total_ms: wait_ms + requests * PLAIN_REQUEST_MS + distance, wait_ms }
 }
 
+/// A prompt that wants an engine.
+#[derive(Clone, Copy)]
+pub(super) struct EngineAsk<'a> {
+    pub(super) ask: &'a Ask,
+    pub(super) prompt: &'a AskPrompt,
+    pub(super) ranking: &'a HashRanking,
+    pub(super) memory: &'a ContextMemory,
+    pub(super) now: Duration,
+}
+
 /// Cost of a prompt at an engine.
 pub(super) fn engine_cost(
     target: &TargetView,
-    ask: &Ask,
-    prompt: &AskPrompt,
+    asked: &EngineAsk<'_>,
     plan: &ContextPlan,
-    memory: &ContextMemory,
     has_newer_weights: bool,
-    now: Duration,
 ) -> Cost {
+    let EngineAsk { ask, prompt, ranking, memory, now } = *asked;
     let requests = target.requests(now);
     let slots = f64::from(target.slots());
     let over_slots = (requests + 1.0 - slots).max(0.0);
@@ -101,7 +111,7 @@
     let needed = target.own_tokens as f64 + others * own_share as f64 + own_tokens(prompt) as f64;
     let over_memory = (needed - memory.capacity_tokens as f64).max(0.0);
     let wait_ms = over_slots * PLAIN_CALL_MS + over_memory * OVER_MEMORY_MS_PER_TOKEN;
-    let hashed = hashed_advantage(target, prompt, plan);
+    let hashed = hashed_advantage(target, ranking, plan);
     let read_again = plan.missing_tokens as f64 * READ_AGAIN_MS_PER_TOKEN;
     let old = if has_newer_weights { OLD_WEIGHTS_MS } else { 0.0 };
     let total_ms = wait_ms
@@ -131,17 +141,55 @@
     if target.listed.data_centre == ask.data_centre { 0.0 } else { OTHER_DATA_CENTRE_MS }
 }
 
-/// Part of the advantage of being the target that the prompt is hashed to, by rank.
-fn hashed_advantage(target: &TargetView, prompt: &AskPrompt, plan: &ContextPlan) -> f64 {
-    let Some(part) = shared_parts(prompt).last() else { return 0.0 };
-    // A weight spread evenly over all candidates: the highest one wins most of the advantage.
-    let share = rendezvous_weight(&part.id, &target.listed.id) as f64 / u64::MAX as f64;
-    share
-        * match plan {
-            _ if plan.missing_tokens > 0 => HASHED_TARGET_UNKNOWN_MS,
-            _ if !plan.is_target_followed => HASHED_TARGET_UNHEARD_MS,
-            _ => HASHED_TARGET_MS,
+/// Advantage of being a target that the prompt is hashed to.
+fn hashed_advantage(target: &TargetView, ranking: &HashRanking, plan: &ContextPlan) -> f64 {
+    let full = match plan {
+        _ if plan.missing_tokens > 0 => HASHED_TARGET_UNKNOWN_MS,
+        _ if !plan.is_target_followed => HASHED_TARGET_UNHEARD_MS,
+        _ => HASHED_TARGET_MS,
+    };
+    full * ranking.share(&target.listed.id)
+}
+
+/// The targets that a prompt's longest shared part is hashed to, the same in every process.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HashRanking {
+    first: Option<TargetId>,
+    second: Option<TargetId>,
+}
+
+impl HashRanking {
+    /// Ranks targets for a prompt. All targets of the service are ranked, so that one that rests
+    /// for a moment does not move the others.
+    pub(super) fn open<'a>(
+        prompt: &AskPrompt,
+        targets: impl Iterator<Item = &'a TargetView>,
+    ) -> HashRanking {
+        let Some(part) = shared_parts(prompt).last() else { return HashRanking::default() };
+        let (mut first, mut second) = (None, None);
+        for target in targets {
+            let id = &target.listed.id;
+            let entry = Some((rendezvous_weight(&part.id, id), id));
+            if entry > first {
+                (first, second) = (entry, first);
+            } else if entry > second {
+                second = entry;
+            }
         }
+        let name = |entry: Option<(u64, &TargetId)>| entry.map(|(_, id)| id.clone());
+        HashRanking { first: name(first), second: name(second) }
+    }
+
+    /// Share of the advantage that a target has.
+    fn share(&self, target: &TargetId) -> f64 {
+        if self.first.as_ref() == Some(target) {
+            1.0
+        } else if self.second.as_ref() == Some(target) {
+            SECOND_HASHED_SHARE
+        } else {
+            0.0
+        }
+    }
 }
 
 /// Plans where the context of a prompt comes from at one target.
--- a/crates/skylarkpick-schedule/src/placement/place.rs
+++ b/crates/skylarkpick-schedule/src/placement/place.rs
@@ -1,7 +1,7 @@
 //! Chooses the target of a request.
 
 use super::{
-    cost::{self, Cost},
+    cost::{self, Cost, EngineAsk, HashRanking},
     parts::{CacheKind, PartDirectory, PartKey},
     target::{TargetOutcome, TargetView},
     types::{Ask, AskPrompt, Choice, Place, Unplaced},
@@ -132,16 +132,22 @@
         if known.is_empty() {
             return Choice::Unplaced(Unplaced::NoTarget);
         }
+        let ranking = ask
+            .prompt
+            .as_ref()
+            .map(|prompt| HashRanking::open(prompt, known.iter().copied()))
+            .unwrap_or_default();
         let usable: Vec<&TargetView> = known
             .into_iter()
             .filter(|it| !it.listed.is_draining && !ask.avoid.contains(&it.listed.id))
             .collect();
         let rested = usable.iter().copied().filter(|it| !it.is_resting(now));
         let mut candidates: Vec<Candidate<'_>> =
-            rested.filter_map(|it| self.candidate(it, ask, now)).collect();
+            rested.filter_map(|it| self.candidate(it, ask, &ranking, now)).collect();
         if candidates.is_empty() {
             // Resting targets are better than none.
-            candidates = usable.iter().filter_map(|it| self.candidate(it, ask, now)).collect();
+            candidates =
+                usable.iter().filter_map(|it| self.candidate(it, ask, &ranking, now)).collect();
         }
         let best = candidates
             .into_iter()
@@ -158,6 +164,7 @@
         &self,
         target: &'a TargetView,
         ask: &Ask,
+        ranking: &HashRanking,
         now: Duration,
     ) -> Option<Candidate<'a>> {
         let (Some(prompt), Some(ServiceKind::Engines(memory))) =
@@ -178,7 +185,8 @@
         let has_newer = self.weights.age_of_newer(&prompt.model, version, now).is_some();
         let scope = cache_scope(prompt, version);
         let plan = cost::plan_context(&self.parts, target, prompt, &scope, memory, now);
-        let cost = cost::engine_cost(target, ask, prompt, &plan, memory, has_newer, now);
+        let asked = EngineAsk { ask, prompt, ranking, memory, now };
+        let cost = cost::engine_cost(target, &asked, &plan, has_newer);
         Some(Candidate { target, cost, plan, weight_version: Some(version), scope: Some(scope) })
     }
 
