Tell all entry processes which runners swap their weights

Change: the planner tells all processes before an order; they leave the runner alone until its weights are there.

--- a/crates/skylarkpick-forward/src/desk.rs
+++ b/crates/skylarkpick-forward/src/desk.rs
@@ -117,6 +117,12 @@
         self.lock().placement.observe_weights(target, model, version);
     }
 
+    /// Notes that a target was ordered to swap its weights.
+    pub(crate) fn note_swapping(&self, target: &str, model: &str, version: WeightVersion) {
+        let now = self.now();
+        self.lock().placement.note_swapping(target, model, version, now);
+    }
+
     pub(crate) fn note_first_attempt(&self, service: &str) {
         let now = self.now();
         let mut state = self.lock();
--- a/crates/skylarkpick-forward/src/fleet/plan.rs
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -1,7 +1,7 @@
 //! Brings runners to the newest weights while this process holds the planner's lease.
 
 use super::{entries::EntryCheck, follow::FleetFollower};
-use crate::desk::Desk;
+use crate::{desk::Desk, peers::Notice};
 use skylarkpick_interface::{
     Clock, ModelName, ObjectStore, OrderAnswer, ServiceKind, TargetControl, TargetId, WeightOrder,
     WeightVersion,
@@ -219,6 +219,13 @@
         };
         let ordered = Ordered { weight_version: order.weight_version, at: Instant::now() };
         self.ordered.insert(order.target.clone(), ordered);
+        let notice = Notice::Swapping {
+            target: order.target.clone(),
+            model: order.model.clone(),
+            weight_version: order.weight_version,
+        };
+        self.parts.fleet.rescue.tell_all(&self.parts.fleet.recorder, &notice);
+        self.parts.desk.note_swapping(&order.target, &order.model, order.weight_version);
         let answer = self.parts.control.order(&order, ORDER_TIMEOUT).await;
         let outcome = match &answer {
             Ok(answer) => format!("{answer:?}"),
--- a/crates/skylarkpick-forward/src/fleet/record.rs
+++ b/crates/skylarkpick-forward/src/fleet/record.rs
@@ -277,18 +277,21 @@
     fn target(&self, listed: &ListedTarget, revision: u64) {
         self.lapses().came_back(&listed.id);
         let mut state = self.desk.lock();
-        let was_draining =
-            state.placement.targets().get(&listed.id).is_some_and(|it| it.listed.is_draining);
+        let known = state.placement.targets().get(&listed.id);
+        let is_changed = known.is_none_or(|it| {
+            it.listed.is_draining != listed.is_draining || it.listed.weights != listed.weights
+        });
         let is_new = state.placement.set_target(listed.clone());
         drop(state);
         if is_new {
             self.desk.caches_changed.notify_waiters();
         }
-        if is_new || was_draining != listed.is_draining {
+        if is_new || is_changed {
             spdlog::info!("target listed", kv: {
                 target = listed.id.as_str(),
                 service = listed.service.as_str(),
                 draining = listed.is_draining,
+                weights:? = listed.weights,
                 is_new,
                 revision,
             });
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -71,7 +71,11 @@
             rescue: rescue.clone(),
         });
         let relay = StoreRelay::open(desk.clone());
-        let handler = Arc::new(Handler { follower: follower.clone(), relay: relay.clone() });
+        let handler = Arc::new(Handler {
+            desk: desk.clone(),
+            follower: follower.clone(),
+            relay: relay.clone(),
+        });
         let lives = Arc::new(Lives {
             desk: desk.clone(),
             dialect: parts.dialect.clone(),
--- a/crates/skylarkpick-forward/src/peers.rs
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -9,6 +9,6 @@
 
 pub(crate) use handler::Handler;
 pub(crate) use link::{PeerParts, open_peers};
-pub(crate) use messages::PeerNews;
+pub(crate) use messages::{Notice, PeerNews};
 pub(crate) use relay::{StoreNews, StoreRelay, follow_relay};
 pub(crate) use rescue::PeerRescue;
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -1,10 +1,10 @@
 //! Answers what other entry processes ask.
 
 use super::{
-    messages::{Question, Reply},
+    messages::{Notice, Question, Reply},
     relay::StoreRelay,
 };
-use crate::fleet::FleetFollower;
+use crate::{desk::Desk, fleet::FleetFollower, log::request_log};
 use async_trait::async_trait;
 use skylarkpick_interface::PeerHandler;
 use std::{sync::Arc, time::Duration};
@@ -14,13 +14,26 @@
 
 /// Answers what other entry processes ask.
 pub(crate) struct Handler {
+    pub(crate) desk: Arc<Desk>,
     pub(crate) follower: Arc<FleetFollower>,
     pub(crate) relay: Arc<StoreRelay>,
 }
 
 #[async_trait]
 impl PeerHandler for Handler {
-    async fn told(&self, _: Vec<u8>) {}
+    async fn told(&self, message: Vec<u8>) {
+        match serde_json::from_slice(&message) {
+            Ok(Notice::Swapping { target, model, weight_version }) => {
+                request_log!("target swaps its weights", kv: {
+                    target = target.as_str(), model = model.as_str(), weight_version,
+                });
+                self.desk.note_swapping(&target, &model, weight_version);
+            }
+            Err(error) => {
+                spdlog::warn!("a notice of another entry process is unreadable", kv: { error: });
+            }
+        }
+    }
 
     async fn asked(&self, message: Vec<u8>) -> Vec<u8> {
         let reply = match serde_json::from_slice(&message) {
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -1,7 +1,9 @@
 //! Messages between entry processes.
 
 use serde::{Deserialize, Serialize};
-use skylarkpick_interface::{FleetNews, FleetRevision, FleetTopic};
+use skylarkpick_interface::{
+    FleetNews, FleetRevision, FleetTopic, ModelName, TargetId, WeightVersion,
+};
 use std::net::SocketAddr;
 
 /// What one process asks another.
@@ -28,6 +30,21 @@
     },
 }
 
+/// What one process tells others without wanting an answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Notice {
+    /// A target is ordered to swap its weights and turns requests away until it has.
+    Swapping {
+        /// The target.
+        target: TargetId,
+        /// Model of the weights.
+        model: ModelName,
+        /// Weights that it will serve.
+        weight_version: WeightVersion,
+    },
+}
+
 /// What the other process answers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/skylarkpick-forward/src/peers/rescue.rs
+++ b/crates/skylarkpick-forward/src/peers/rescue.rs
@@ -1,6 +1,6 @@
 //! Asks other entry processes for records while the platform turns this one away.
 
-use super::messages::{Question, Reply};
+use super::messages::{Notice, Question, Reply};
 use crate::fleet::Recorder;
 use skylarkpick_interface::{FleetTopic, PeerNetwork};
 use std::{
@@ -29,6 +29,24 @@
         self.network.get()
     }
 
+    /// Tells all other entry processes, without waiting for any of them.
+    pub(crate) fn tell_all(&self, recorder: &Recorder, notice: &Notice) {
+        let Some(network) = self.network.get() else { return };
+        // A notice of strings and numbers always serializes.
+        let message = serde_json::to_vec(notice).unwrap_or_default();
+        for entry in recorder.other_entries() {
+            let (network, message) = (network.clone(), message.clone());
+            tokio::spawn(async move {
+                let address = entry.address.to_string();
+                if let Err(error) = network.tell(&address, message).await {
+                    spdlog::debug!("a notice was not delivered", kv: {
+                        address = address.as_str(), error:,
+                    });
+                }
+            });
+        }
+    }
+
     /// Takes over newer records of a topic from a few other processes. Gives whether one of them
     /// answered.
     pub(crate) async fn ask(&self, recorder: &Recorder, topic: FleetTopic) -> bool {
--- a/crates/skylarkpick-schedule/src/placement/place.rs
+++ b/crates/skylarkpick-schedule/src/placement/place.rs
@@ -271,6 +271,20 @@
         }
     }
 
+    /// Notes that a target was ordered to swap its weights: it turns requests away until it has.
+    pub fn note_swapping(
+        &mut self,
+        target: &str,
+        model: &str,
+        version: WeightVersion,
+        now: Duration,
+    ) {
+        let state = self.targets.get_mut(target);
+        if let Some(state) = state.filter(|it| it.weight_version(model) < Some(version)) {
+            state.note_swapping(now);
+        }
+    }
+
     /// Takes in the load that a target told.
     pub fn observe_load(&mut self, target: &str, load: ToldLoad, now: Duration) {
         if let Some(state) = self.targets.get_mut(target) {
--- a/crates/skylarkpick-schedule/src/placement/target.rs
+++ b/crates/skylarkpick-schedule/src/placement/target.rs
@@ -12,6 +12,8 @@
 const SHED_PAUSE: Duration = Duration::from_millis(300);
 /// The same for a target that had room: it swaps its weights, which takes more than a second.
 const SWAP_PAUSE: Duration = Duration::from_millis(1_500);
+/// The same for a target that is known to have been ordered to: runs under way finish first.
+const ORDERED_SWAP_PAUSE: Duration = Duration::from_millis(4_000);
 /// Time for which a target that could not be reached is a last choice; doubles each time.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(800);
 /// Longest such time.
@@ -127,13 +129,20 @@
         self.listed = listed;
     }
 
+    pub(super) fn note_swapping(&mut self, now: Duration) {
+        self.turned_away_until = now + ORDERED_SWAP_PAUSE;
+    }
+
     pub(super) fn observe_load(&mut self, load: ToldLoad, now: Duration) {
         self.told = Some(Told { load, at: now, own_then: self.own_requests });
     }
 
     pub(super) fn observe_weights(&mut self, model: &str, version: WeightVersion) {
-        let seen = self.seen_weights.entry(model.to_string()).or_default();
-        *seen = version.max(*seen);
+        if Some(version) > self.weight_version(model) {
+            // The swap that it turned requests away for is over.
+            self.turned_away_until = Duration::ZERO;
+            self.seen_weights.insert(model.to_string(), version);
+        }
     }
 
     pub(super) fn observe_outcome(&mut self, outcome: TargetOutcome, now: Duration) {
