Announce swaps ahead of their orders; each weight version counts from its own naming

Cause: an order turns away all that waits at its runner; a second version named 4 s after the first prolonged the use of the weights before both, past the bound on the first; a change of the planner waited the whole lease again. Change: the swap is told 450 ms before its order; the view keeps when each version was named; the new holder waits what is left of the bound.

--- a/crates/skylarkpick-forward/src/fleet/plan.rs
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -14,17 +14,25 @@
 /// Key of the lease.
 const LEASE_KEY: &str = "leases/planner";
 /// Term of the lease; much shorter than the time in which orders of two holders must not mix.
-const LEASE_TERM: Duration = Duration::from_millis(1_800);
+const LEASE_TERM: Duration = Duration::from_millis(1_500);
 /// Time between renewals.
-const LEASE_RENEWAL: Duration = Duration::from_millis(600);
+const LEASE_RENEWAL: Duration = Duration::from_millis(500);
 /// Time between a waiting candidate's reads.
-const LEASE_POLL: Duration = Duration::from_millis(900);
+const LEASE_POLL: Duration = Duration::from_millis(700);
 /// Longest call to the platform for the lease.
 const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the acceptance of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for a target's word on its orders.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between telling all processes of a swap and its order, for what waits at the runner to
+/// start: the order turns away all that has not.
+const ORDER_LEAD: Duration = Duration::from_millis(450);
+/// Time between the last order that a former holder can have sent and the change of the holder: it
+/// needs the time of an order within its term, and its successor waits as long beyond the term.
+const LEASE_GAP: Duration = ORDER_TIMEOUT.saturating_mul(2);
+/// Part of that gap that is not relied on.
+const LEASE_GAP_MARGIN: Duration = Duration::from_millis(200);
 /// Time after which an order whose effect was not seen is given again.
 const ORDER_AGAIN: Duration = Duration::from_millis(3_500);
 /// Time after the start for the other processes to register.
@@ -35,7 +43,7 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// Share of a model's runners that load at the same time. The weight store serves a fifth of them at
 /// full speed; some of those that were ordered still finish their runs.
-const LOADS_SHARE: f64 = 0.25;
+const LOADS_SHARE: f64 = 0.22;
 /// Share of the runners that go on serving.
 const SERVING_SHARE_FLOOR: f64 = 0.6;
 
@@ -56,6 +64,8 @@
     /// Since when this process holds the lease.
     held: Option<Instant>,
     ordered: BTreeMap<TargetId, Ordered>,
+    /// Targets whose swap was told and whose order is still to come.
+    announced: BTreeMap<TargetId, Instant>,
     entries: EntryCheck,
 }
 
@@ -83,8 +93,15 @@
     };
     let lease = Lease::spawn(parts.objects.clone(), parts.clock.clone(), settings, rand::random());
     let entries = EntryCheck::open(parts.fleet.clone());
-    let mut planner =
-        Planner { parts, lease, holder, held: None, ordered: BTreeMap::new(), entries };
+    let mut planner = Planner {
+        parts,
+        lease,
+        holder,
+        held: None,
+        ordered: BTreeMap::new(),
+        announced: BTreeMap::new(),
+        entries,
+    };
     loop {
         let changed = planner.parts.desk.weights_changed.notified();
         let _ = tokio::time::timeout(LOOK_PAUSE, changed).await;
@@ -98,6 +115,7 @@
             if self.held.take().is_some() {
                 spdlog::info!("planner's lease lost");
                 self.ordered.clear();
+                self.announced.clear();
             }
             return;
         };
@@ -113,7 +131,8 @@
             }
         };
         // A former holder may have given orders until shortly before the change.
-        if since.elapsed() < self.parts.desk.bounds().lease {
+        let pause = self.parts.desk.bounds().lease.saturating_sub(LEASE_GAP - LEASE_GAP_MARGIN);
+        if since.elapsed() < pause {
             return;
         }
         let models: Vec<(ModelName, WeightVersion)> = {
@@ -135,16 +154,39 @@
             loads_limit: (runners.len() as f64 * LOADS_SHARE).ceil() as u32,
             serving_share_floor: SERVING_SHARE_FLOOR,
         };
+        let due: Vec<TargetId> = self
+            .announced
+            .iter()
+            .filter(|(target, at)| orders.contains_key(*target) && at.elapsed() >= ORDER_LEAD)
+            .map(|(target, _)| target.clone())
+            .collect();
+        for target in due {
+            self.announced.remove(&target);
+            if let Some(order) = orders.get(&target)
+                && !self.order(order).await
+            {
+                return;
+            }
+        }
         let loading = runners.iter().filter(|runner| runner.is_loading).count();
         let plan = plan_rollout(&runners, &wish, u32::try_from(loading).unwrap_or(u32::MAX));
         for target in plan.order {
-            let Some(order) = orders.get(&target) else { continue };
-            if !self.order(order).await {
-                return;
-            }
+            self.announce(&target, model, version);
         }
     }
 
+    /// Tells all processes that a runner is about to swap its weights.
+    fn announce(&mut self, target: &str, model: &str, weight_version: WeightVersion) {
+        let notice = Notice::Swapping {
+            target: target.to_string(),
+            model: model.to_string(),
+            weight_version,
+        };
+        self.parts.fleet.rescue.tell_all(&self.parts.fleet.recorder, &notice);
+        self.parts.desk.note_swapping(target, model, weight_version);
+        self.announced.insert(target.to_string(), Instant::now());
+    }
+
     /// The runners of a model as the plan wants them, with the order that each would get.
     fn runners(
         &mut self,
@@ -168,7 +210,8 @@
                 name: id.clone(),
                 model: model.to_string(),
                 weight_version: Some(listed),
-                is_loading: listed < version && ordered.is_some(),
+                is_loading: listed < version
+                    && (ordered.is_some() || self.announced.contains_key(id)),
                 is_leaving: target.listed.is_draining,
                 runs: target.requests(now).round() as u32,
                 slots: target.slots(),
@@ -219,13 +262,6 @@
         };
         let ordered = Ordered { weight_version: order.weight_version, at: Instant::now() };
         self.ordered.insert(order.target.clone(), ordered);
-        let notice = Notice::Swapping {
-            target: order.target.clone(),
-            model: order.model.clone(),
-            weight_version: order.weight_version,
-        };
-        self.parts.fleet.rescue.tell_all(&self.parts.fleet.recorder, &notice);
-        self.parts.desk.note_swapping(&order.target, &order.model, order.weight_version);
         let answer = self.parts.control.order(&order, ORDER_TIMEOUT).await;
         let outcome = match &answer {
             Ok(answer) => format!("{answer:?}"),
--- a/crates/skylarkpick-forward/src/life/request.rs
+++ b/crates/skylarkpick-forward/src/life/request.rs
@@ -355,10 +355,12 @@
                 if !is_failure || !life.may_send_again() {
                     return Some(SendResult::Whole(answer));
                 }
+                log_failed_send(life, &target, "failed", answer.head.status.as_str());
                 life.note_failed(&target);
                 *last = SendResult::Whole(answer);
             }
             AttemptEnd::NotSent(why) => {
+                log_failed_send(life, &target, "not_sent", &why);
                 // Nothing was sent: neither a run nor a retry.
                 life.sends -= 1;
                 life.note_failed(&target);
@@ -369,6 +371,7 @@
             }
             AttemptEnd::NotRun(marks) => self.not_run(life, target, &marks, last),
             AttemptEnd::Broken(why) => {
+                log_failed_send(life, &target, "broken", &why);
                 life.runs += 1;
                 life.note_failed(&target);
                 *last = SendResult::Ended(Ending::NoAnswer, why);
@@ -389,6 +392,12 @@
         last: &mut SendResult,
     ) {
         let has_other_weights = marks.weight_version.is_some();
+        let load = marks.load.unwrap_or_default();
+        let why = format!(
+            "weights {:?}, {} running and {} waiting of {}",
+            marks.weight_version, load.running, load.waiting, load.slots
+        );
+        log_failed_send(life, &target, "not_run", &why);
         if !has_other_weights {
             life.note_failed(&target);
         }
@@ -410,6 +419,18 @@
     }
 }
 
+/// Writes how a send ended that is not the last word on its request.
+fn log_failed_send(life: &RequestLife, target: &str, end: &'static str, why: &str) {
+    request_log!("send failed", kv: {
+        request = life.head.attempt_id.as_str(),
+        target,
+        end,
+        why,
+        sends = life.sends,
+        took_ms = milliseconds(life.received.elapsed()),
+    });
+}
+
 fn not_allowed(status: StatusCode, closes: bool) -> Ending {
     Ending::NotAllowed { status, closes }
 }
--- a/crates/skylarkpick-schedule/src/placement/target.rs
+++ b/crates/skylarkpick-schedule/src/placement/target.rs
@@ -13,7 +13,7 @@
 /// The same for a target that had room: it swaps its weights, which takes more than a second.
 const SWAP_PAUSE: Duration = Duration::from_millis(1_500);
 /// The same for a target that is known to have been ordered to: runs under way finish first.
-const ORDERED_SWAP_PAUSE: Duration = Duration::from_millis(4_000);
+const ORDERED_SWAP_PAUSE: Duration = Duration::from_millis(5_500);
 /// Time for which a target that could not be reached is a last choice; doubles each time.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(800);
 /// Longest such time.
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -232,6 +232,38 @@
     assert_eq!((place.target.as_str(), place.weight_version), ("i-4", Some(2)));
 }
 
+#[test]
+fn a_second_version_does_not_prolong_the_use_of_the_first() {
+    let mut placement = fleet();
+    placement.weights.name(MODEL, 2, Duration::ZERO);
+    placement.weights.name(MODEL, 3, Duration::from_secs(4));
+    placement.set_target(listed(4, ENGINES, 64, 2));
+    let ask = prompt("s", "o");
+    let place = placed(&placement, &ask, Duration::from_secs(11));
+    assert_eq!(place.weight_version, Some(2), "the first version went out of use after 10 s");
+    let late = placement.choose(&ask, Duration::from_secs(14));
+    assert_eq!(late, Choice::Unplaced(Unplaced::NoneUsable));
+}
+
+#[test]
+fn a_target_that_is_to_swap_gets_nothing_until_its_weights_are_there() {
+    let mut placement = fleet();
+    (2..=9).for_each(|index| placement.remove_target(&format!("i-{index}")));
+    placement.set_target(listed(2, ENGINES, 64, 2));
+    placement.note_swapping("i-1", MODEL, 2, Duration::ZERO);
+    placement.note_swapping("i-2", MODEL, 2, Duration::ZERO);
+    for session in 0..8 {
+        let ask = prompt(&format!("s{session}"), "o");
+        assert_eq!(placed(&placement, &ask, Duration::from_secs(3)).target, "i-2");
+    }
+    placement.set_target(listed(1, ENGINES, 64, 2));
+    let targets: BTreeSet<String> = (0..20)
+        .map(|session| prompt(&format!("s{session}"), "o"))
+        .map(|ask| placed(&placement, &ask, Duration::from_secs(3)).target)
+        .collect();
+    assert!(targets.contains("i-1"), "{targets:?}");
+}
+
 #[test]
 fn isolated_accounts_share_a_scope_with_nobody() {
     let placement = fleet();
--- a/crates/skylarkpick-schedule/src/placement/weights.rs
+++ b/crates/skylarkpick-schedule/src/placement/weights.rs
@@ -3,19 +3,17 @@
 use skylarkpick_interface::{ModelName, WeightVersion};
 use std::{collections::BTreeMap, time::Duration};
 
+/// Versions of a model that are remembered; older ones are long out of use.
+const VERSIONS_LIMIT: usize = 8;
+
 /// The newest weights of each model, and how long older ones may still be used.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct NamedWeightsView {
-    models: BTreeMap<ModelName, Named>,
+    /// For each model, its versions with the time at which each was named.
+    models: BTreeMap<ModelName, BTreeMap<WeightVersion, Duration>>,
     usable_for: Duration,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Named {
-    version: WeightVersion,
-    since: Duration,
-}
-
 impl NamedWeightsView {
     /// Opens a view in which older weights are used for `usable_for` after newer ones were named.
     ///
@@ -36,35 +34,44 @@
         if self.newest(model).is_some_and(|known| known >= version) {
             return false;
         }
-        self.models.insert(model.to_string(), Named { version, since: now });
+        let versions = self.models.entry(model.to_string()).or_default();
+        versions.insert(version, now);
+        while versions.len() > VERSIONS_LIMIT {
+            versions.pop_first();
+        }
         true
     }
 
     /// The newest weights of a model, if any were named.
     pub fn newest(&self, model: &str) -> Option<WeightVersion> {
-        self.models.get(model).map(|named| named.version)
+        let versions = self.models.get(model)?;
+        versions.last_key_value().map(|(version, _)| *version)
     }
 
-    /// Whether a run may begin on these weights now.
+    /// Whether a run may begin on these weights now. Each newer version counts from its own naming:
+    /// a second one does not prolong the use of weights that the first one replaced.
     pub fn is_usable(&self, model: &str, version: WeightVersion, now: Duration) -> bool {
-        self.models
-            .get(model)
-            .is_none_or(|named| version >= named.version || now < named.since + self.usable_for)
+        self.age_of_newer(model, version, now).is_none_or(|age| age < self.usable_for)
     }
 
-    /// Time since newer weights than these were named, if they were.
+    /// Time since the first newer weights than these were named, if any were.
     pub fn age_of_newer(
         &self,
         model: &str,
         version: WeightVersion,
         now: Duration,
     ) -> Option<Duration> {
-        let named = self.models.get(model).filter(|named| named.version > version)?;
-        Some(now.saturating_sub(named.since))
+        let newer = self.models.get(model)?.range(version.checked_add(1)?..).next();
+        newer.map(|(_, since)| now.saturating_sub(*since))
     }
 
     /// Models with their newest weights.
     pub fn models(&self) -> impl Iterator<Item = (&str, WeightVersion)> {
-        self.models.iter().map(|(model, named)| (model.as_str(), named.version))
+        let newest = |versions: &BTreeMap<WeightVersion, Duration>| {
+            versions.last_key_value().map(|(version, _)| *version)
+        };
+        self.models
+            .iter()
+            .filter_map(move |(model, versions)| Some((model.as_str(), newest(versions)?)))
     }
 }
