Tell followers of runners' caches as well; fill the fastest stores first

Change: relays read every cache, not the stores alone; resets travel as entries of the log; a part is saved to the store with the fastest link that has room.

--- a/crates/skylarkpick-forward/src/fleet/caches.rs
+++ b/crates/skylarkpick-forward/src/fleet/caches.rs
@@ -1,10 +1,7 @@
 //! Follows what caches tell of the parts that they keep.
 
 use super::{follow::FleetFollower, reading::CacheReading};
-use crate::{
-    desk::Desk,
-    peers::{StoreNews, StoreRelay},
-};
+use crate::{desk::Desk, peers::CacheRelay};
 use skylarkpick_interface::{ControlError, PartChanges, TargetControl};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::task::JoinHandle;
@@ -23,7 +20,7 @@
     pub(crate) desk: Arc<Desk>,
     pub(crate) control: Arc<dyn TargetControl>,
     pub(crate) fleet: Arc<FleetFollower>,
-    pub(crate) relay: Arc<StoreRelay>,
+    pub(crate) relay: Arc<CacheRelay>,
 }
 
 /// Keeps one follower for each cache that this process reads, for as long as the task runs.
@@ -53,12 +50,12 @@
         let reading = self.fleet.recorder.cache_reading();
         let state = self.desk.lock();
         let caches = state.placement.parts.caches();
-        let wanted = caches.filter(|(_, cache)| match reading {
-            CacheReading::All => true,
-            CacheReading::Relay => cache.is_store(),
-            CacheReading::Follower { .. } => false,
-        });
-        wanted.map(|(address, _)| *address).collect()
+        match reading {
+            CacheReading::All | CacheReading::Relay => {
+                caches.map(|(address, _)| *address).collect()
+            }
+            CacheReading::Follower { .. } => Vec::new(),
+        }
     }
 
     fn is_store(&self, address: &SocketAddr) -> bool {
@@ -70,9 +67,7 @@
     fn take(&self, address: SocketAddr, changes: &PartChanges, is_reset: bool) {
         let now = self.desk.now();
         self.desk.lock().placement.parts.apply(&address, changes, now);
-        if self.is_store(&address) {
-            self.relay.note(&StoreNews { address, changes, is_reset });
-        }
+        self.relay.note(address, changes, is_reset);
     }
 }
 
@@ -103,6 +98,7 @@
                 if !std::mem::replace(&mut is_lost, true) {
                     spdlog::info!("cache lost", kv: { address:, error: });
                     parts.desk.lock().placement.parts.forget(&address);
+                    parts.relay.note_lost(address);
                     // After a failure the cache may be in another life.
                     since = FIRST_EVENT;
                     epoch = None;
--- a/crates/skylarkpick-forward/src/fleet/reading.rs
+++ b/crates/skylarkpick-forward/src/fleet/reading.rs
@@ -1,15 +1,14 @@
 //! Which processes read the events of caches themselves.
 //!
 //! A cache serves a dozen readers. A small fleet reads every cache in every process. In a larger
-//! one, two processes of each data centre read the stores and tell the others; the runners' own
-//! caches are then found by hashing alone.
+//! one, two processes of each data centre read them and tell the others.
 
 use skylarkpick_interface::ListedEntry;
 
 /// Processes up to which each of them reads every cache.
 const ALL_READ_LIMIT: usize = 12;
-/// Processes of a data centre that read the stores in a larger fleet. With up to six data centres
-/// they stay within the readers that a store serves.
+/// Processes of a data centre that read the caches in a larger fleet. With up to six data centres
+/// they stay within the readers that a cache serves.
 const RELAYS_PER_DATA_CENTRE: usize = 2;
 
 /// How a process learns what caches keep.
@@ -17,11 +16,11 @@
 pub(crate) enum CacheReading {
     /// It reads every cache.
     All,
-    /// It reads the stores and tells others of them.
+    /// It reads every cache and tells others of them.
     Relay,
     /// It follows one of these processes.
     Follower {
-        /// Addresses of the processes that read the stores.
+        /// Addresses of the processes that read the caches.
         relays: Vec<String>,
     },
 }
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -8,7 +8,7 @@
     },
     front::Door,
     life::Lives,
-    peers::{Handler, PeerParts, PeerRescue, StoreRelay, follow_relay, open_peers},
+    peers::{CacheRelay, Handler, PeerParts, PeerRescue, follow_relay, open_peers},
     pool::Pool,
     readiness::Readiness,
 };
@@ -70,7 +70,7 @@
             recorder: Recorder::open(desk.clone(), &settings.node),
             rescue: rescue.clone(),
         });
-        let relay = StoreRelay::open(desk.clone());
+        let relay = CacheRelay::open(desk.clone());
         let handler = Arc::new(Handler {
             desk: desk.clone(),
             follower: follower.clone(),
--- a/crates/skylarkpick-forward/src/peers.rs
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -1,5 +1,5 @@
 //! What entry processes tell each other: records of the platform for a process that it turns away,
-//! and what stores keep, where there are too many processes for each to follow every store.
+//! and what caches keep, where there are too many processes for each to follow every cache.
 
 mod handler;
 mod link;
@@ -10,5 +10,5 @@
 pub(crate) use handler::Handler;
 pub(crate) use link::{PeerParts, open_peers};
 pub(crate) use messages::{Notice, PeerNews};
-pub(crate) use relay::{StoreNews, StoreRelay, follow_relay};
+pub(crate) use relay::{CacheRelay, follow_relay};
 pub(crate) use rescue::PeerRescue;
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -2,7 +2,7 @@
 
 use super::{
     messages::{Notice, Question, Reply},
-    relay::StoreRelay,
+    relay::CacheRelay,
 };
 use crate::{desk::Desk, fleet::FleetFollower, log::request_log};
 use async_trait::async_trait;
@@ -16,7 +16,7 @@
 pub(crate) struct Handler {
     pub(crate) desk: Arc<Desk>,
     pub(crate) follower: Arc<FleetFollower>,
-    pub(crate) relay: Arc<StoreRelay>,
+    pub(crate) relay: Arc<CacheRelay>,
 }
 
 #[async_trait]
@@ -60,9 +60,9 @@
                 let _ = tokio::time::timeout(wait, changes.wait_for(is_newer)).await;
                 recorder.newer_than(topic, since).map_or(Reply::Nothing, Reply::Records)
             }
-            Question::Stores { log, since, wait_ms } => {
+            Question::Caches { log, since, wait_ms } => {
                 let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
-                Reply::Stores(self.relay.changes(log, since, wait).await)
+                Reply::Caches(self.relay.changes(log, since, wait).await)
             }
         }
     }
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -19,8 +19,8 @@
         /// Longest wait for newer ones.
         wait_ms: u64,
     },
-    /// What changed in stores since a place in this process's log of changes.
-    Stores {
+    /// What changed in caches since a place in this process's log of changes.
+    Caches {
         /// Life of the log that the place belongs to; 0 for none.
         log: u64,
         /// Place after the last change that the asker has.
@@ -53,8 +53,8 @@
     Nothing,
     /// Records of the topic.
     Records(PeerNews),
-    /// Changes of stores.
-    Stores(StoreChanges),
+    /// Changes of caches.
+    Caches(CacheNews),
 }
 
 /// Records that a process knows, newer than the asker's.
@@ -68,17 +68,28 @@
     pub(crate) age_ms: u64,
 }
 
-/// Changes of stores since a place in a process's log.
+/// Changes of caches since a place in a process's log.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub(crate) struct StoreChanges {
+pub(crate) struct CacheNews {
     /// Life of the log.
     pub(crate) log: u64,
     /// Place to go on from.
     pub(crate) next: u64,
-    /// Whether `changes` is all that the stores keep.
+    /// Whether `entries` is all that the caches keep.
     pub(crate) is_whole: bool,
-    /// Stores that were heard of just now, with their life.
-    pub(crate) heard: Vec<(SocketAddr, u64)>,
-    /// Store, scope, part and the tokens kept now, oldest first.
-    pub(crate) changes: Vec<(SocketAddr, String, String, u64)>,
+    /// Stores that were heard of just now.
+    pub(crate) fresh_stores: Vec<SocketAddr>,
+    /// Changes, oldest first.
+    pub(crate) entries: Vec<CacheEntry>,
+}
+
+/// One entry of a log of changes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum CacheEntry {
+    /// What was known of the cache no longer holds.
+    #[serde(rename = "r")]
+    Reset(SocketAddr),
+    /// Cache, scope, part and the tokens that it keeps of it now.
+    #[serde(rename = "p")]
+    Part(SocketAddr, String, String, u64),
 }
--- a/crates/skylarkpick-forward/src/peers/relay.rs
+++ b/crates/skylarkpick-forward/src/peers/relay.rs
@@ -1,10 +1,10 @@
-//! Tells other entry processes what stores keep.
+//! Tells other entry processes what caches keep.
 //!
-//! A store serves a dozen readers. In a larger fleet, two processes of each data centre read the
-//! stores' events, and the others of that data centre follow one of them.
+//! A cache serves a dozen readers. In a larger fleet, two processes of each data centre read the
+//! caches' events, and the others of that data centre follow one of them.
 
 use super::{
-    messages::{Question, Reply, StoreChanges},
+    messages::{CacheEntry, CacheNews, Question, Reply},
     rescue::PeerRescue,
 };
 use crate::{desk::Desk, fleet::FleetFollower};
@@ -17,21 +17,22 @@
 };
 use tokio::sync::watch;
 
-/// Changes kept for followers; older ones are told by all that the stores keep.
-const LOG_LIMIT: usize = 20_000;
+/// Entries kept for followers; older ones are told by all that the caches keep. At the planned load
+/// it holds some seconds.
+const LOG_LIMIT: usize = 30_000;
 /// Time for which word of a store counts as new.
 const HEARD_LIMIT: Duration = Duration::from_millis(900);
 /// Longest wait of a follower for a change.
 const FOLLOW_WAIT: Duration = Duration::from_millis(500);
-/// What an answer may take beyond that.
-const FOLLOW_SLACK: Duration = Duration::from_millis(500);
+/// What an answer may take beyond that; all that the caches keep takes a while on a slow link.
+const FOLLOW_SLACK: Duration = Duration::from_millis(1_500);
 /// Shortest pause between two questions; changes within it come together.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
 /// Pause while there is nobody to follow.
 const ALONE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Log of the changes of stores that this process read itself.
-pub(crate) struct StoreRelay {
+/// Log of the changes of caches that this process reads itself.
+pub(crate) struct CacheRelay {
     desk: Arc<Desk>,
     log: u64,
     state: Mutex<RelayState>,
@@ -41,90 +42,106 @@
 #[derive(Default)]
 struct RelayState {
     first: u64,
-    changes: VecDeque<(SocketAddr, PartChange)>,
-    heard: BTreeMap<SocketAddr, (u64, Duration)>,
+    entries: VecDeque<CacheEntry>,
+    heard: BTreeMap<SocketAddr, Duration>,
 }
 
-/// What a process read of a store.
-pub(crate) struct StoreNews<'a> {
-    pub(crate) address: SocketAddr,
-    pub(crate) changes: &'a PartChanges,
-    /// Whether what was known of the store no longer holds.
-    pub(crate) is_reset: bool,
+impl RelayState {
+    fn end(&self) -> u64 {
+        self.first + self.entries.len() as u64
+    }
 }
 
-impl StoreRelay {
-    pub(crate) fn open(desk: Arc<Desk>) -> Arc<StoreRelay> {
+impl CacheRelay {
+    pub(crate) fn open(desk: Arc<Desk>) -> Arc<CacheRelay> {
         let (latest, _) = watch::channel(0);
         // 0 stands for no log.
         let log = rand::random::<u64>().max(1);
-        Arc::new(StoreRelay { desk, log, state: Mutex::default(), latest })
+        Arc::new(CacheRelay { desk, log, state: Mutex::default(), latest })
     }
 
     fn lock(&self) -> MutexGuard<'_, RelayState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in what this process read of a store.
-    pub(crate) fn note(&self, news: &StoreNews<'_>) {
-        let now = self.desk.now();
+    /// Takes in what this process read of a cache.
+    pub(crate) fn note(&self, address: SocketAddr, changes: &PartChanges, is_reset: bool) {
         let mut state = self.lock();
-        state.heard.insert(news.address, (news.changes.epoch, now));
-        if news.is_reset {
-            // Followers start anew from all that the stores keep.
-            state.first += state.changes.len() as u64 + 1;
-            state.changes.clear();
-        } else {
-            let changes = news.changes.changes.iter().cloned();
-            state.changes.extend(changes.map(|change| (news.address, change)));
+        state.heard.insert(address, self.desk.now());
+        if is_reset {
+            state.entries.push_back(CacheEntry::Reset(address));
         }
-        while state.changes.len() > LOG_LIMIT {
-            state.changes.pop_front();
+        state.entries.extend(
+            changes
+                .changes
+                .iter()
+                .map(|it| CacheEntry::Part(address, it.scope.clone(), it.part.clone(), it.tokens)),
+        );
+        self.publish(state);
+    }
+
+    /// Notes that a cache gives no word any more.
+    pub(crate) fn note_lost(&self, address: SocketAddr) {
+        let mut state = self.lock();
+        state.heard.remove(&address);
+        state.entries.push_back(CacheEntry::Reset(address));
+        self.publish(state);
+    }
+
+    fn publish(&self, mut state: MutexGuard<'_, RelayState>) {
+        while state.entries.len() > LOG_LIMIT {
+            state.entries.pop_front();
             state.first += 1;
         }
-        let end = state.first + state.changes.len() as u64;
+        let end = state.end();
         drop(state);
         self.latest.send_replace(end);
     }
 
-    /// Changes after a place of the log, or all that the stores keep.
-    pub(crate) async fn changes(&self, log: u64, since: u64, wait: Duration) -> StoreChanges {
+    /// Changes after a place of the log, or all that the caches keep.
+    pub(crate) async fn changes(&self, log: u64, since: u64, wait: Duration) -> CacheNews {
         if log == self.log {
             let mut latest = self.latest.subscribe();
             // Nothing new within the wait is an answer too.
             let _ = tokio::time::timeout(wait, latest.wait_for(|end| *end > since)).await;
         }
-        let whole = self.whole();
+        let next = self.lock().end();
+        let is_known = log == self.log && (self.lock().first..=next).contains(&since);
+        let entries = if is_known { self.entries_since(since) } else { self.all_kept() };
+        let fresh_stores = self.fresh_stores();
+        CacheNews { log: self.log, next, is_whole: !is_known, fresh_stores, entries }
+    }
+
+    fn entries_since(&self, since: u64) -> Vec<CacheEntry> {
         let state = self.lock();
-        let end = state.first + state.changes.len() as u64;
-        let now = self.desk.now();
-        let fresh = state.heard.iter().filter(|(_, (_, at))| now < *at + HEARD_LIMIT);
-        let heard = fresh.map(|(address, (epoch, _))| (*address, *epoch)).collect();
-        let is_known = log == self.log && (state.first..=end).contains(&since);
-        let changes = if is_known {
-            let skip = usize::try_from(since - state.first).unwrap_or(usize::MAX);
-            let new = state.changes.iter().skip(skip);
-            new.map(|(address, it)| (*address, it.scope.clone(), it.part.clone(), it.tokens))
-                .collect()
-        } else {
-            whole
-        };
-        StoreChanges { log: self.log, next: end, is_whole: !is_known, heard, changes }
+        let skip = usize::try_from(since.saturating_sub(state.first)).unwrap_or(usize::MAX);
+        state.entries.iter().skip(skip).cloned().collect()
     }
 
-    fn whole(&self) -> Vec<(SocketAddr, String, String, u64)> {
+    fn all_kept(&self) -> Vec<CacheEntry> {
         let state = self.desk.lock();
-        let stores = state.placement.parts.caches().filter(|(_, cache)| cache.is_store());
-        let held = stores.flat_map(|(address, cache)| {
-            cache
-                .held()
-                .map(|(key, tokens)| (*address, key.scope.clone(), key.part.clone(), tokens))
+        let caches = state.placement.parts.caches();
+        let kept = caches.flat_map(|(address, cache)| {
+            cache.held().map(|(key, tokens)| {
+                CacheEntry::Part(*address, key.scope.clone(), key.part.clone(), tokens)
+            })
         });
-        held.collect()
+        kept.collect()
+    }
+
+    fn fresh_stores(&self) -> Vec<SocketAddr> {
+        let desk = self.desk.lock();
+        let now = self.desk.now();
+        let state = self.lock();
+        let heard = state.heard.iter().filter(|(_, at)| now < **at + HEARD_LIMIT);
+        let is_store = |address: &SocketAddr| {
+            desk.placement.parts.cache(address).is_some_and(|cache| cache.is_store())
+        };
+        heard.map(|(address, _)| *address).filter(is_store).collect()
     }
 }
 
-/// Follows what a process that reads the stores tells, for as long as the task runs.
+/// Follows what a process that reads the caches tells, for as long as the task runs.
 pub(crate) async fn follow_relay(
     desk: Arc<Desk>,
     rescue: Arc<PeerRescue>,
@@ -140,17 +157,23 @@
         };
         let relay = &relays[turn % relays.len()];
         let wait_ms = u64::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u64::MAX);
-        let question = Question::Stores { log, since, wait_ms };
+        let question = Question::Caches { log, since, wait_ms };
         // A question of numbers always serializes.
         let message = serde_json::to_vec(&question).unwrap_or_default();
         let answer = network.ask(relay, message, FOLLOW_WAIT + FOLLOW_SLACK).await;
-        let reply = answer.ok().and_then(|answer| serde_json::from_slice(&answer).ok());
+        let reply = answer
+            .map_err(|error| error.to_string())
+            .and_then(|answer| serde_json::from_slice(&answer).map_err(|error| error.to_string()));
         match reply {
-            Some(Reply::Stores(changes)) => {
-                (log, since) = (changes.log, changes.next);
-                apply(&desk, &changes);
+            Ok(Reply::Caches(news)) => {
+                (log, since) = (news.log, news.next);
+                apply(&desk, news);
             }
-            _ => {
+            Ok(_) => turn += 1,
+            Err(why) => {
+                spdlog::info!("no word of caches from another entry process", kv: {
+                    address = relay.as_str(), why = why.as_str(),
+                });
                 turn += 1;
                 log = 0;
             }
@@ -160,25 +183,29 @@
 }
 
 /// Takes in what a relay told. Only stores that it heard of just now count as heard of.
-fn apply(desk: &Desk, changes: &StoreChanges) {
-    let mut by_store: BTreeMap<SocketAddr, Vec<PartChange>> = BTreeMap::new();
-    for (address, scope, part, tokens) in &changes.changes {
-        let change = PartChange { scope: scope.clone(), part: part.clone(), tokens: *tokens };
-        by_store.entry(*address).or_default().push(change);
-    }
+fn apply(desk: &Desk, news: CacheNews) {
     let now = desk.now();
+    let epoch = news.log;
+    let told = |changes: Vec<PartChange>| PartChanges { epoch, next: 0, has_gap: false, changes };
     let mut state = desk.lock();
-    for (address, epoch) in &changes.heard {
-        let news = PartChanges {
-            epoch: *epoch,
-            next: 0,
-            has_gap: changes.is_whole,
-            changes: by_store.remove(address).unwrap_or_default(),
-        };
-        state.placement.parts.apply(address, &news, now);
+    let parts = &mut state.placement.parts;
+    if news.is_whole {
+        let known: Vec<SocketAddr> = parts.caches().map(|(address, _)| *address).collect();
+        for address in known {
+            parts.forget(&address);
+            parts.apply(&address, &told(Vec::new()), now);
+        }
+    }
+    for entry in news.entries {
+        match entry {
+            CacheEntry::Reset(address) => parts.forget(&address),
+            CacheEntry::Part(address, scope, part, tokens) => {
+                let change = PartChange { scope, part, tokens };
+                parts.take_part(&address, epoch, change);
+            }
+        }
     }
-    // Word of a store that the relay lost is of no use.
-    for address in by_store.keys() {
-        state.placement.parts.forget(address);
+    for address in &news.fresh_stores {
+        parts.apply(address, &told(Vec::new()), now);
     }
 }
--- a/crates/skylarkpick-schedule/src/placement/parts.rs
+++ b/crates/skylarkpick-schedule/src/placement/parts.rs
@@ -1,7 +1,7 @@
 //! Which caches keep which parts of prompts, as far as their events tell.
 
 use skylarkpick_interface::{
-    CacheEpoch, CacheScope, ContextMemory, DataCentreId, PartChanges, PartId, TargetId,
+    CacheEpoch, CacheScope, ContextMemory, DataCentreId, PartChange, PartChanges, PartId, TargetId,
 };
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -210,6 +210,21 @@
         }
     }
 
+    /// Takes in one change of a cache that another process told of, in the life that it names.
+    pub fn take_part(&mut self, address: &SocketAddr, epoch: CacheEpoch, change: PartChange) {
+        let Some(cache) = self.caches.get_mut(address) else { return };
+        if cache.epoch != Some(epoch) {
+            cache.forget();
+            cache.epoch = Some(epoch);
+        }
+        let key = PartKey { scope: change.scope, part: change.part };
+        cache.set(key, change.tokens);
+        if !cache.is_store() {
+            // A runner's part that is gone meanwhile is a miss, which another source makes good.
+            cache.heard_at = cache.heard_at.or(Some(Duration::ZERO));
+        }
+    }
+
     /// Notes that a request saves a part to a store.
     pub fn note_saving(&mut self, address: &SocketAddr, key: PartKey, tokens: u64, now: Duration) {
         if let Some(cache) = self.caches.get_mut(address) {
@@ -247,8 +262,8 @@
     }
 
     /// Store that a part is saved to now, if it is worth saving: none keeps it or is being sent it,
-    /// and one has room. The store is chosen by the part's name, so that every process chooses the
-    /// same one.
+    /// and one has room. Of those with the fastest link it is chosen by the part's name, so that
+    /// every process chooses the same one.
     pub fn store_for(&self, key: &PartKey, tokens: u64, now: Duration) -> Option<SocketAddr> {
         let stores = || {
             let managed = self.caches.iter().filter(|(_, it)| it.kind == CacheKind::ManagedStore);
@@ -259,7 +274,8 @@
         }
         let with_room = stores().filter(|(_, store)| store.has_room(tokens, now));
         let chosen = with_room.max_by_key(|(address, store)| {
-            (store.memory.capacity_tokens, rendezvous_weight(&key.part, &address.to_string()))
+            let speed = store.memory.link_megabits_per_second as u64;
+            (speed, rendezvous_weight(&key.part, &address.to_string()))
         });
         chosen.map(|(address, _)| *address)
     }
