Free parts of stores that no run can ask for any more

Change: the holder of the lease frees parts of versions that no runner has served for 4.5 s, in the life of the store that they were seen in. A quarter of a model's runners load at once again. Ruled out: freeing at the naming; runs on old weights may still fetch.

--- a/crates/skylarkpick-forward/src/fleet/plan.rs
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -7,7 +7,7 @@
     WeightVersion,
 };
 use skylarkpick_lease::{Lease, LeaseSettings};
-use skylarkpick_schedule::{RolloutRunner, RolloutWish, plan_rollout};
+use skylarkpick_schedule::{OutdatedWatch, RolloutRunner, RolloutWish, plan_rollout};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -43,7 +43,7 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// Share of a model's runners that load at the same time. The weight store serves a fifth of them at
 /// full speed; some of those that were ordered still finish their runs.
-const LOADS_SHARE: f64 = 0.22;
+const LOADS_SHARE: f64 = 0.26;
 /// Share of the runners that go on serving.
 const SERVING_SHARE_FLOOR: f64 = 0.6;
 
@@ -67,6 +67,7 @@
     /// Targets whose swap was told and whose order is still to come.
     announced: BTreeMap<TargetId, Instant>,
     entries: EntryCheck,
+    outdated: OutdatedWatch,
 }
 
 struct Ordered {
@@ -94,6 +95,7 @@
     let lease = Lease::spawn(parts.objects.clone(), parts.clock.clone(), settings, rand::random());
     let entries = EntryCheck::open(parts.fleet.clone());
     let mut planner = Planner {
+        outdated: OutdatedWatch::default(),
         parts,
         lease,
         holder,
@@ -142,9 +144,40 @@
         for (model, version) in models {
             self.plan(&model, version).await;
         }
+        self.free_outdated().await;
         self.entries.look().await;
     }
 
+    /// Frees the parts of stores that no run can ask for any more. One process does so, under the
+    /// lease; the store checks that it is still in the life that the parts were seen in.
+    async fn free_outdated(&mut self) {
+        let now = self.parts.desk.now();
+        let outdated = self.outdated.look(&self.parts.desk.lock().placement, now);
+        for found in outdated {
+            let permit = self.lease.permit();
+            if permit.is_none_or(|permit| permit.remaining < ORDER_TIMEOUT) {
+                return;
+            }
+            let keys = found.parts.iter().map(|key| (key.scope.clone(), key.part.clone()));
+            let keys: Vec<(String, String)> = keys.collect();
+            let freed = self.parts.control.free_parts(found.store, found.epoch, &keys).await;
+            let outcome = match &freed {
+                Ok(true) => "freed".to_string(),
+                Ok(false) => "the store is in another life".to_string(),
+                Err(error) => error.to_string(),
+            };
+            spdlog::info!("outdated parts of a store", kv: {
+                store: = found.store,
+                parts = keys.len(),
+                outcome = outcome.as_str(),
+            });
+            if freed == Ok(true) {
+                let mut state = self.parts.desk.lock();
+                state.placement.parts.note_freed(&found.store, &found.parts);
+            }
+        }
+    }
+
     async fn plan(&mut self, model: &str, version: WeightVersion) {
         let (runners, orders) = self.runners(model, version);
         let wish = RolloutWish {
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -15,8 +15,8 @@
 pub use health::{Ejection, TargetHealth, TargetState};
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use placement::{
-    Ask, AskPrompt, CacheKind, CacheView, Choice, NamedWeightsView, PartDirectory, PartKey, Place,
-    Placement, TargetOutcome, TargetView, Unplaced,
+    Ask, AskPrompt, CacheKind, CacheView, Choice, NamedWeightsView, OutdatedParts, OutdatedWatch,
+    PartDirectory, PartKey, Place, Placement, TargetOutcome, TargetView, Unplaced,
 };
 pub use queue::{FairQueue, Queued, QueuedId};
 pub use retry::{RetryBudget, WindowBudget};
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -5,6 +5,7 @@
 //! targets, where the backlog does.
 
 mod cost;
+mod outdated;
 mod parts;
 mod place;
 mod target;
@@ -13,6 +14,7 @@
 mod types;
 mod weights;
 
+pub use outdated::{OutdatedParts, OutdatedWatch};
 pub use parts::{CacheKind, CacheView, PartDirectory, PartKey};
 pub use place::Placement;
 pub use target::{TargetOutcome, TargetView};
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -1,6 +1,6 @@
 //! Placement decides as its notes say, for single requests and under played loads.
 
-use super::{Ask, AskPrompt, Choice, Place, Placement, TargetOutcome, Unplaced};
+use super::{Ask, AskPrompt, Choice, OutdatedWatch, Place, Placement, TargetOutcome, Unplaced};
 use skylarkpick_interface::{
     ContextMemory, ListedTarget, PartChange, PartChanges, PromptPart, ServiceKind, ToldLoad,
 };
@@ -34,6 +34,7 @@
 }
 
 fn listed(index: u8, service: &str, slots: u32, weight_version: u64) -> ListedTarget {
+    let weights = BTreeMap::from([(MODEL.to_string(), weight_version)]);
     ListedTarget {
         id: format!("i-{index}"),
         service: service.to_string(),
@@ -41,7 +42,7 @@
         data_centre: "mnl-a".to_string(),
         slots,
         is_draining: false,
-        weights: BTreeMap::from([(MODEL.to_string(), weight_version)]),
+        weights: if service == ENGINES { weights } else { BTreeMap::new() },
         started_at_ms: 1,
     }
 }
@@ -264,6 +265,56 @@
     assert!(targets.contains("i-1"), "{targets:?}");
 }
 
+#[test]
+fn parts_of_a_store_are_freed_once_no_runner_has_served_their_weights_for_a_while() {
+    struct Case {
+        name: &'static str,
+        /// Whether one runner still serves the old weights.
+        has_laggard: bool,
+        after: Duration,
+        is_freed: bool,
+    }
+    let cases = [
+        Case {
+            name: "just swapped",
+            has_laggard: false,
+            after: Duration::from_secs(4),
+            is_freed: false,
+        },
+        Case {
+            name: "long swapped",
+            has_laggard: false,
+            after: Duration::from_secs(5),
+            is_freed: true,
+        },
+        Case {
+            name: "one runner lags",
+            has_laggard: true,
+            after: Duration::from_secs(9),
+            is_freed: false,
+        },
+    ];
+    for case in cases {
+        let mut placement = fleet();
+        placement.weights.name(MODEL, 2, Duration::ZERO);
+        let mut watch = OutdatedWatch::default();
+        assert!(watch.look(&placement, Duration::ZERO).is_empty(), "{}", case.name);
+        (if case.has_laggard { 2 } else { 1 }..=9).for_each(|index| {
+            placement.set_target(listed(index, ENGINES, 64, 2));
+        });
+        watch.look(&placement, Duration::from_secs(1));
+        let now = Duration::from_secs(1) + case.after;
+        let held = [("tala.1", "old", 32), ("tala.1.acme", "walled", 32), ("tala.2", "new", 32)];
+        tell(&mut placement, store(), &held, now);
+        let freed = watch.look(&placement, now);
+        let mut parts: Vec<&str> =
+            freed.iter().flat_map(|found| &found.parts).map(|key| key.part.as_str()).collect();
+        parts.sort_unstable();
+        let expected: &[&str] = if case.is_freed { &["old", "walled"] } else { &[] };
+        assert_eq!(parts, expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn isolated_accounts_share_a_scope_with_nobody() {
     let placement = fleet();
