Show counters and latency histograms on the metrics address

Cause: on call there are logs and metrics only, and metrics went to StatsD, which the platform does not read.

--- a/crates/skylarkpick-command/src/commands/node.rs
+++ b/crates/skylarkpick-command/src/commands/node.rs
@@ -12,7 +12,9 @@
     ObjectClient, PlatformControl, PlatformDialect, PlatformFleet, PlatformObjects,
     read_node_settings,
 };
-use skylarkpick_telemetry::{Level, LevelFilter, open_output_logs};
+use skylarkpick_telemetry::{
+    Exposition, Level, LevelFilter, Metrics, install_metrics, open_output_logs,
+};
 use std::sync::Arc;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -68,7 +70,10 @@
         data_centre = settings.data_centre.as_str(),
         version = env!("CARGO_PKG_VERSION"),
     });
+    let exposition = Exposition::open();
+    install_metrics(Metrics::open(exposition.clone(), &[]));
     let node = Node::spawn(NodeParts {
+        exposition,
         fleet: Arc::new(PlatformFleet::open(client.clone())),
         objects: Arc::new(PlatformObjects::open(client)),
         dialect: Arc::new(PlatformDialect::open()),
--- a/crates/skylarkpick-forward/src/desk.rs
+++ b/crates/skylarkpick-forward/src/desk.rs
@@ -160,6 +160,14 @@
         state.serving.is_some() && knows_targets && !self.is_draining()
     }
 
+    /// Targets that may get new requests, and those that leave.
+    pub(crate) fn count_targets(&self) -> (u64, u64) {
+        let state = self.lock();
+        let targets = state.placement.targets();
+        let leaving = targets.values().filter(|it| it.listed.is_draining).count();
+        ((targets.len() - leaving) as u64, leaving as u64)
+    }
+
     pub(crate) fn requests_under_way(&self) -> u64 {
         self.under_way.load(Ordering::SeqCst)
     }
--- a/crates/skylarkpick-forward/src/fleet/follow.rs
+++ b/crates/skylarkpick-forward/src/fleet/follow.rs
@@ -3,6 +3,7 @@
 use super::record::Recorder;
 use crate::peers::PeerRescue;
 use skylarkpick_interface::{FeedError, FleetSource, FleetTopic};
+use skylarkpick_telemetry::{FEEDS_LOST, metrics};
 use std::{sync::Arc, time::Duration};
 
 /// Longest wait of a watch. A watch whose connection went silent is noticed a second later, within
@@ -118,6 +119,7 @@
 ) {
     follower.recorder.note_lost();
     if !std::mem::replace(is_lost, true) {
+        metrics().count(&FEEDS_LOST, &[("topic", &topic.to_string())]);
         spdlog::warn!("platform lost", kv: { topic:, error: });
     }
 }
--- a/crates/skylarkpick-forward/src/fleet/plan.rs
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -8,6 +8,7 @@
 };
 use skylarkpick_lease::{Lease, LeaseSettings};
 use skylarkpick_schedule::{OutdatedWatch, RolloutRunner, RolloutWish, plan_rollout};
+use skylarkpick_telemetry::{ORDERS_GIVEN, metrics};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -300,6 +301,8 @@
             Ok(answer) => format!("{answer:?}"),
             Err(error) => error.to_string(),
         };
+        let tag = if answer.is_ok() { "answered" } else { "no_answer" };
+        metrics().count(&ORDERS_GIVEN, &[("outcome", tag)]);
         spdlog::info!("order given", kv: {
             target = order.target.as_str(),
             model = order.model.as_str(),
--- a/crates/skylarkpick-forward/src/life/attempt.rs
+++ b/crates/skylarkpick-forward/src/life/attempt.rs
@@ -38,6 +38,20 @@
     Begun(Box<BegunAnswer>),
 }
 
+impl AttemptEnd {
+    /// Word for metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            AttemptEnd::NotSent(_) => "not_sent",
+            AttemptEnd::NotRun(_) => "not_run",
+            AttemptEnd::Broken(_) => "broken",
+            AttemptEnd::TimedOut => "timed_out",
+            AttemptEnd::Whole(_) => "whole",
+            AttemptEnd::Begun(_) => "begun",
+        }
+    }
+}
+
 /// A whole answer of a target.
 pub(crate) struct WholeAnswer {
     pub(crate) head: Parts,
--- a/crates/skylarkpick-forward/src/life/relay.rs
+++ b/crates/skylarkpick-forward/src/life/relay.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use skylarkpick_interface::{EventId, Repeatability};
 use skylarkpick_schedule::TargetOutcome;
+use skylarkpick_telemetry::{REQUESTS_ENDED, metrics};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -194,6 +195,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
+        metrics().count(&REQUESTS_ENDED, &[("end", self.end.name())]);
         let took_ms = milliseconds(self.life.received.elapsed());
         request_log!("answer ended", kv: {
             request = self.life.head.attempt_id.as_str(),
--- a/crates/skylarkpick-forward/src/life/request.rs
+++ b/crates/skylarkpick-forward/src/life/request.rs
@@ -23,6 +23,7 @@
     Repeatability, ServiceName, ServingAccount, ServingRoute, TargetId,
 };
 use skylarkpick_schedule::{Ask, AskPrompt, Choice, Unplaced};
+use skylarkpick_telemetry::{REQUESTS_ANSWER_START, REQUESTS_ANSWERED, SENDS_ENDED, metrics};
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -108,6 +109,7 @@
         let mut response = match self.take_in(&head, body, received).await {
             Ok(life) => self.carry_out(life).await,
             Err((attempt_id, ending, why)) => {
+                count_answer("none", ending.status(), received);
                 request_log!("refused", kv: {
                     request = attempt_id.as_str(),
                     status = ending.status().as_u16(),
@@ -232,6 +234,7 @@
         self.desk.note_first_attempt(&life.ask.service);
         match self.send_until_answered(&mut life, None).await {
             SendResult::Whole(answer) => {
+                count_answer(&life.route.name, answer.head.status, life.received);
                 request_log!("answered", kv: {
                     request = life.head.attempt_id.as_str(),
                     status = answer.head.status.as_u16(),
@@ -244,6 +247,7 @@
                 response
             }
             SendResult::Begun(begun) => {
+                count_answer(&life.route.name, begun.head.status, life.received);
                 request_log!("answer begun", kv: {
                     request = life.head.attempt_id.as_str(),
                     status = begun.head.status.as_u16(),
@@ -262,6 +266,7 @@
                 response
             }
             SendResult::Ended(ending, why) => {
+                count_answer(&life.route.name, ending.status(), life.received);
                 request_log!("not answered", kv: {
                     request = life.head.attempt_id.as_str(),
                     status = ending.status().as_u16(),
@@ -330,6 +335,7 @@
             life.sends += 1;
             let attempt = Attempt { lives: self, life, guard, resume_after };
             let end = attempt.run().await;
+            metrics().count(&SENDS_ENDED, &[("end", end.name())]);
             if let Some(result) = self.weigh(life, target, end, &mut last) {
                 return result;
             }
@@ -419,6 +425,12 @@
     }
 }
 
+fn count_answer(route: &str, status: StatusCode, received: Instant) {
+    let tags = [("path", route), ("status", status.as_str())];
+    metrics().count(&REQUESTS_ANSWERED, &tags);
+    metrics().time(&REQUESTS_ANSWER_START, received.elapsed(), &tags[..1]);
+}
+
 /// Writes how a send ended that is not the last word on its request.
 fn log_failed_send(life: &RequestLife, target: &str, end: &'static str, why: &str) {
     request_log!("send failed", kv: {
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -10,12 +10,13 @@
     life::Lives,
     peers::{CacheRelay, Handler, PeerParts, PeerRescue, follow_relay, open_peers},
     pool::Pool,
-    readiness::Readiness,
+    readiness::{MetricsPage, Readiness},
 };
 use skylarkpick_http::{Server, ServerLimits};
 use skylarkpick_interface::{
     Clock, Dialect, FleetSource, FleetTopic, ListedEntry, NodeSettings, ObjectStore, TargetControl,
 };
+use skylarkpick_telemetry::Exposition;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{task::JoinSet, time::Instant};
 
@@ -43,6 +44,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Calls to targets that are not requests of clients.
     pub control: Arc<dyn TargetControl>,
+    /// Metrics of the process, shown on its metrics address.
+    pub exposition: Exposition,
     /// The clock of the VM.
     pub clock: Arc<dyn Clock>,
 }
@@ -53,6 +56,7 @@
     door: Door,
     _handler: Arc<Handler>,
     ready: Server,
+    metrics: Server,
     _tasks: JoinSet<()>,
 }
 
@@ -89,6 +93,13 @@
             ServerLimits::default(),
         )
         .await?;
+        let page = MetricsPage { desk: desk.clone(), exposition: parts.exposition.clone() };
+        let metrics = Server::bind(
+            &settings.metrics_address.to_string(),
+            Arc::new(page),
+            ServerLimits::default(),
+        )
+        .await?;
         let door = Door::bind(settings.front_address, lives).await?;
         let mut tasks = JoinSet::new();
         let topics =
@@ -123,7 +134,7 @@
             fleet: follower,
             node: settings.node.clone(),
         }));
-        Ok(Node { desk, door, _handler: handler, ready, _tasks: tasks })
+        Ok(Node { desk, door, _handler: handler, ready, metrics, _tasks: tasks })
     }
 
     /// Where clients' connections arrive.
@@ -136,6 +147,11 @@
         self.ready.address()
     }
 
+    /// Where metrics are read.
+    pub fn metrics_address(&self) -> SocketAddr {
+        self.metrics.address()
+    }
+
     /// Whether the process takes new connections.
     pub fn is_ready(&self) -> bool {
         self.desk.is_ready()
@@ -143,8 +159,7 @@
 
     /// Targets that may get new requests, as far as their records tell.
     pub fn listed_targets(&self) -> usize {
-        let state = self.desk.lock();
-        state.placement.targets().values().filter(|it| !it.listed.is_draining).count()
+        usize::try_from(self.desk.count_targets().0).unwrap_or(usize::MAX)
     }
 
     /// Takes no new connections once the balancer has noticed, and waits until every answer is
--- a/crates/skylarkpick-telemetry/src/table.rs
+++ b/crates/skylarkpick-telemetry/src/table.rs
@@ -96,6 +96,38 @@
     meaning: "runners that leave",
 };
 
+/// Sends of forwarded requests to targets.
+pub const SENDS_ENDED: Metric = Metric {
+    name: "sends.ended",
+    kind: MetricKind::Counter,
+    tags: &["end"],
+    meaning: "sends of forwarded requests to targets, by how they ended",
+};
+
+/// Answers that came in pieces and ended.
+pub const REQUESTS_ENDED: Metric = Metric {
+    name: "requests.ended",
+    kind: MetricKind::Counter,
+    tags: &["end"],
+    meaning: "answers that came in pieces, by how they ended",
+};
+
+/// Times that the platform was lost.
+pub const FEEDS_LOST: Metric = Metric {
+    name: "feeds.lost",
+    kind: MetricKind::Counter,
+    tags: &["topic"],
+    meaning: "times that records of the platform could not be read any more",
+};
+
+/// Orders that the planner gave.
+pub const ORDERS_GIVEN: Metric = Metric {
+    name: "orders.given",
+    kind: MetricKind::Counter,
+    tags: &["outcome"],
+    meaning: "orders to targets, by outcome",
+};
+
 /// Every metric, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -107,4 +139,8 @@
     READY,
     RUNNERS_SERVING,
     RUNNERS_LEAVING,
+    SENDS_ENDED,
+    REQUESTS_ENDED,
+    FEEDS_LOST,
+    ORDERS_GIVEN,
 ];
