Count a data centre whose targets cannot be reached as cut off

Change: two unreachable targets with none reached since rest their whole data centre for 3 s, as targets and as sources; connects give up after 350 ms, dead connections after 0.8 s.

--- a/crates/skylarkpick-forward/src/pool.rs
+++ b/crates/skylarkpick-forward/src/pool.rs
@@ -18,9 +18,10 @@
 use tokio::{net::TcpStream, time::Instant};
 
 /// Time for a connection to be made; targets take a millisecond, a lost packet one second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
-/// Time for which bytes may stay unacknowledged before the connection counts as dead.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_200);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time for which bytes may stay unacknowledged before the connection counts as dead: two lost
+/// packets in a row are sent again within it.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(800);
 /// Silence after which a connection is probed, and the pause between probes.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection counts as dead.
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -4,6 +4,7 @@
 //! Answers both the ordinary load, where context decides, and the load of a burst or of lost
 //! targets, where the backlog does.
 
+mod centres;
 mod cost;
 mod outdated;
 mod parts;
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -192,17 +192,24 @@
     }
 }
 
+/// Caches that context may come from.
+pub(super) struct Sources<'a> {
+    pub(super) directory: &'a PartDirectory,
+    /// Whether a data centre can be reached.
+    pub(super) is_reachable: &'a dyn Fn(&str) -> bool,
+    pub(super) now: Duration,
+}
+
 /// Plans where the context of a prompt comes from at one target.
 pub(super) fn plan_context(
-    directory: &PartDirectory,
+    sources: &Sources<'_>,
     target: &TargetView,
     prompt: &AskPrompt,
     scope: &CacheScope,
     memory: &ContextMemory,
-    now: Duration,
 ) -> ContextPlan {
     let mut plan = ContextPlan { fetch: vec![None; prompt.parts.len()], ..ContextPlan::default() };
-    let own_cache = directory.cache(&target.listed.address);
+    let own_cache = sources.directory.cache(&target.listed.address);
     plan.is_target_followed = own_cache.is_some_and(CacheView::is_followed);
     let mut read_tokens = prompt.prompt_tokens;
     let mut transfer_ms = 0.0;
@@ -210,7 +217,7 @@
     let mut is_covered = true;
     for (index, part) in shared_parts(prompt).iter().enumerate() {
         let key = PartKey { scope: scope.clone(), part: part.id.clone() };
-        let source = best_source(directory, target, &key, part.tokens, memory, now);
+        let source = best_source(sources, target, &key, part.tokens, memory);
         if is_covered {
             // Named also for a part that is held: it may be evicted before the request starts.
             plan.fetch[index] = source.map(|(address, _)| FetchSource { address });
@@ -238,17 +245,19 @@
 
 /// The cache that a part comes from soonest, if that is sooner than reading it again.
 fn best_source(
-    directory: &PartDirectory,
+    sources: &Sources<'_>,
     target: &TargetView,
     key: &PartKey,
     tokens: u64,
     memory: &ContextMemory,
-    now: Duration,
 ) -> Option<(SocketAddr, f64)> {
-    let sources = directory.caches().filter(|(address, cache)| {
-        **address != target.listed.address && cache.is_fresh(now) && cache.tokens_of(key) >= tokens
+    let keepers = sources.directory.caches().filter(|(address, cache)| {
+        **address != target.listed.address
+            && cache.is_fresh(sources.now)
+            && cache.tokens_of(key) >= tokens
+            && (sources.is_reachable)(&cache.data_centre)
     });
-    sources
+    keepers
         .map(|(address, cache)| (*address, transfer_ms(cache, target, tokens, memory)))
         .filter(|(_, time_ms)| *time_ms < TRANSFER_LIMIT_MS)
         .min_by(|left, right| left.1.total_cmp(&right.1))
--- a/crates/skylarkpick-schedule/src/placement/parts.rs
+++ b/crates/skylarkpick-schedule/src/placement/parts.rs
@@ -174,7 +174,10 @@
     ) {
         let known = self.caches.get_mut(&address).filter(|cache| cache.kind == kind);
         match known {
-            Some(cache) => cache.memory = memory,
+            Some(cache) => {
+                cache.memory = memory;
+                cache.data_centre = data_centre.to_string();
+            }
             None => {
                 let cache = CacheView::open(kind, data_centre.to_string(), memory);
                 self.caches.insert(address, cache);
--- a/crates/skylarkpick-schedule/src/placement/place.rs
+++ b/crates/skylarkpick-schedule/src/placement/place.rs
@@ -1,7 +1,8 @@
 //! Chooses the target of a request.
 
 use super::{
-    cost::{self, Cost, EngineAsk, HashRanking},
+    centres::CentreReach,
+    cost::{self, Cost, EngineAsk, HashRanking, Sources},
     parts::{CacheKind, PartDirectory, PartKey},
     target::{TargetOutcome, TargetView},
     types::{Ask, AskPrompt, Choice, Place, Unplaced},
@@ -21,6 +22,7 @@
 pub struct Placement {
     targets: BTreeMap<TargetId, TargetView>,
     services: BTreeMap<ServiceName, ServiceKind>,
+    centres: CentreReach,
     /// Which caches keep which parts.
     pub parts: PartDirectory,
     /// Weights that new runs may begin on.
@@ -57,6 +59,7 @@
         Placement {
             targets: BTreeMap::new(),
             services: BTreeMap::new(),
+            centres: CentreReach::default(),
             parts: PartDirectory::default(),
             weights: NamedWeightsView::open(old_weights_usable_for),
         }
@@ -141,7 +144,10 @@
             .into_iter()
             .filter(|it| !it.listed.is_draining && !ask.avoid.contains(&it.listed.id))
             .collect();
-        let rested = usable.iter().copied().filter(|it| !it.is_resting(now));
+        let is_cut_off = |it: &TargetView| {
+            self.centres.is_cut_off(&it.listed.data_centre, &ask.data_centre, now)
+        };
+        let rested = usable.iter().copied().filter(|it| !it.is_resting(now) && !is_cut_off(it));
         let mut candidates: Vec<Candidate<'_>> =
             rested.filter_map(|it| self.candidate(it, ask, &ranking, now)).collect();
         if candidates.is_empty() {
@@ -184,7 +190,12 @@
         }
         let has_newer = self.weights.age_of_newer(&prompt.model, version, now).is_some();
         let scope = cache_scope(prompt, version);
-        let plan = cost::plan_context(&self.parts, target, prompt, &scope, memory, now);
+        let sources = Sources {
+            directory: &self.parts,
+            is_reachable: &|centre| !self.centres.is_cut_off(centre, &ask.data_centre, now),
+            now,
+        };
+        let plan = cost::plan_context(&sources, target, prompt, &scope, memory);
         let asked = EngineAsk { ask, prompt, ranking, memory, now };
         let cost = cost::engine_cost(target, &asked, &plan, has_newer);
         Some(Candidate { target, cost, plan, weight_version: Some(version), scope: Some(scope) })
@@ -268,6 +279,16 @@
             state.own_requests = state.own_requests.saturating_sub(1);
             state.own_tokens = state.own_tokens.saturating_sub(place.memory_tokens);
             state.observe_outcome(outcome, now);
+            let centre = &state.listed.data_centre;
+            match outcome {
+                TargetOutcome::Unreachable => {
+                    self.centres.note_unreachable(centre, &place.target, now);
+                }
+                TargetOutcome::Served | TargetOutcome::TurnedAway => {
+                    self.centres.note_reached(centre);
+                }
+                TargetOutcome::Failed | TargetOutcome::Unknown => {}
+            }
         }
     }
 
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -355,6 +355,79 @@
     assert_eq!(placed(&placement, &call(), Duration::ZERO).target, place.target);
 }
 
+/// Plays calls while one of two other data centres is cut off: gives how many of them waited for a
+/// connection that was never made.
+fn play_cut(calls: u32) -> u32 {
+    let mut placement = Placement::open(Duration::from_secs(10));
+    placement.set_services(&BTreeMap::from([(PLAIN.to_string(), ServiceKind::Plain)]));
+    for index in 1..=18 {
+        let data_centre = ["mnl-a", "mnl-b", "mnl-c"][usize::from(index) % 3].to_string();
+        placement.set_target(ListedTarget { data_centre, ..listed(index, PLAIN, 1, 1) });
+    }
+    let mut waited = 0;
+    let mut held = Vec::new();
+    for index in 0..calls {
+        let now = Duration::from_millis(u64::from(index) * 50);
+        let place = placed(&placement, &call(), now);
+        placement.begin(&place, None, now);
+        let is_cut = placement.targets()[&place.target].listed.data_centre == "mnl-b";
+        if is_cut {
+            waited += 1;
+            placement.end(&place, TargetOutcome::Unreachable, now);
+        } else {
+            held.push(place);
+        }
+        // Calls take a while, so that the near targets alone do not do.
+        if held.len() > 10 {
+            placement.end(&held.remove(0), TargetOutcome::Served, now);
+        }
+    }
+    waited
+}
+
+#[test]
+fn a_data_centre_that_is_cut_off_costs_a_few_calls_and_not_one_a_target() {
+    // Two calls find out; then one or two try again each three seconds.
+    let waited = play_cut(100);
+    assert!(waited <= 4, "{waited} of 100 calls in 5 s waited for nothing");
+}
+
+#[test]
+fn one_target_that_cannot_be_reached_does_not_cut_its_data_centre_off() {
+    let mut placement = fleet();
+    let far =
+        |index| ListedTarget { data_centre: "mnl-b".to_string(), ..listed(index, PLAIN, 6, 1) };
+    (11..=13).for_each(|index| {
+        placement.set_target(far(index));
+    });
+    let place = placed(&placement, &call(), Duration::ZERO);
+    placement.end(&place, TargetOutcome::Unreachable, Duration::ZERO);
+    let other = placed(&placement, &call(), Duration::ZERO);
+    assert_ne!(other.target, place.target);
+}
+
+#[test]
+fn parts_are_not_fetched_from_a_data_centre_that_is_cut_off() {
+    let mut placement = fleet();
+    let far =
+        |index| ListedTarget { data_centre: "mnl-b".to_string(), ..listed(index, ENGINES, 64, 1) };
+    (7..=9).for_each(|index| {
+        placement.set_target(far(index));
+    });
+    let held = [("tala.1", "root", 2_520), ("tala.1", "s", 5_000)];
+    tell(&mut placement, address(7), &held, Duration::ZERO);
+    let ask = prompt("s", "o");
+    assert_eq!(placed(&placement, &ask, Duration::ZERO).target, "i-7");
+    for index in [8, 9] {
+        let place =
+            Place { target: format!("i-{index}"), ..placed(&placement, &ask, Duration::ZERO) };
+        placement.end(&place, TargetOutcome::Unreachable, Duration::ZERO);
+    }
+    let place = placed(&placement, &ask, Duration::ZERO);
+    assert_ne!(place.target, "i-7");
+    assert_eq!(place.fetch.iter().flatten().count(), 0);
+}
+
 #[test]
 fn a_target_that_started_again_under_its_name_holds_nothing() {
     let mut placement = fleet();
