--- a/crates/skylarkpick-forward/src/life/request.rs
+++ b/crates/skylarkpick-forward/src/life/request.rs
@@ -326,7 +326,8 @@
                 fetches = place.fetch.iter().flatten().count(),
                 saves = place.save.iter().flatten().count(),
                 weight_version = place.weight_version.unwrap_or_default(),
-                load_age_ms = place.load_age.map_or(u64::MAX, milliseconds),
+                // -1 for a target that has told no load yet.
+                load_age_ms = place.load_age.map_or(-1, |age| age.as_millis() as i64),
                 expected_wait_ms = milliseconds(place.expected_wait),
                 serving_version = life.serving_version,
             });
