Look the keepers of a prompt's parts up once a request

Each of 140 candidates looked each part up in each of 173 caches, some 70,000 look-ups a request. A relay wrote whole answers for all its followers at once (73 MB of 88 at the peak). Change: keepers are looked up once a weight version; two whole answers at a time.

--- a/crates/skylarkpick-forward/src/peers/relay.rs
+++ b/crates/skylarkpick-forward/src/peers/relay.rs
@@ -15,11 +15,14 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 /// Entries kept for followers; older ones are told by all that the caches keep. At the planned load
 /// it holds some seconds.
 const LOG_LIMIT: usize = 30_000;
+/// Answers with all that the caches keep that are written at once: each takes a few megabytes at the
+/// planned size.
+const WHOLE_ANSWERS_LIMIT: usize = 2;
 /// Time for which word of a store counts as new.
 const HEARD_LIMIT: Duration = Duration::from_millis(900);
 /// Longest wait of a follower for a change.
@@ -37,6 +40,7 @@
     log: u64,
     state: Mutex<RelayState>,
     latest: watch::Sender<u64>,
+    whole_answers: Semaphore,
 }
 
 #[derive(Default)]
@@ -57,7 +61,8 @@
         let (latest, _) = watch::channel(0);
         // 0 stands for no log.
         let log = rand::random::<u64>().max(1);
-        Arc::new(CacheRelay { desk, log, state: Mutex::default(), latest })
+        let whole_answers = Semaphore::new(WHOLE_ANSWERS_LIMIT);
+        Arc::new(CacheRelay { desk, log, state: Mutex::default(), latest, whole_answers })
     }
 
     fn lock(&self) -> MutexGuard<'_, RelayState> {
@@ -107,6 +112,8 @@
         }
         let next = self.lock().end();
         let is_known = log == self.log && (self.lock().first..=next).contains(&since);
+        // The semaphore is never closed.
+        let _place = if is_known { None } else { self.whole_answers.acquire().await.ok() };
         let entries = if is_known { self.entries_since(since) } else { self.all_kept() };
         let fresh_stores = self.fresh_stores();
         CacheNews { log: self.log, next, is_whole: !is_known, fresh_stores, entries }
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -5,7 +5,7 @@
     target::TargetView,
     types::{Ask, AskPrompt},
 };
-use skylarkpick_interface::{CacheScope, ContextMemory, FetchSource, TargetId};
+use skylarkpick_interface::{CacheScope, ContextMemory, FetchSource, PromptPart, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
 /// Prompt tokens that an engine reads in a millisecond, by the users' sheets.
@@ -132,7 +132,7 @@
 }
 
 /// Parts that other requests may share: all but the last.
-pub(super) fn shared_parts(prompt: &AskPrompt) -> &[skylarkpick_interface::PromptPart] {
+pub(super) fn shared_parts(prompt: &AskPrompt) -> &[PromptPart] {
     let count = prompt.parts.len().saturating_sub(1);
     &prompt.parts[..count]
 }
@@ -192,37 +192,89 @@
     }
 }
 
-/// Caches that context may come from.
-pub(super) struct Sources<'a> {
-    pub(super) directory: &'a PartDirectory,
-    /// Whether a data centre can be reached.
-    pub(super) is_reachable: &'a dyn Fn(&str) -> bool,
-    pub(super) now: Duration,
+/// Which caches keep the shared parts of one prompt, looked up once for all targets.
+pub(super) struct PartKeepers<'a> {
+    /// For each shared part, the caches that keep it whole.
+    parts: Vec<Vec<Keeper<'a>>>,
+}
+
+struct Keeper<'a> {
+    address: SocketAddr,
+    cache: &'a CacheView,
+    /// Whether it may be fetched from.
+    is_source: bool,
+}
+
+impl<'a> PartKeepers<'a> {
+    /// Looks up the keepers of a prompt's shared parts under a scope.
+    pub(super) fn open(
+        directory: &'a PartDirectory,
+        prompt: &AskPrompt,
+        scope: &CacheScope,
+        is_reachable: &dyn Fn(&str) -> bool,
+        now: Duration,
+    ) -> PartKeepers<'a> {
+        let keepers = |part: &PromptPart| {
+            let key = PartKey { scope: scope.clone(), part: part.id.clone() };
+            let caches = directory.caches();
+            let whole = caches.filter(|(_, cache)| cache.tokens_of(&key) >= part.tokens);
+            whole
+                .map(|(address, cache)| Keeper {
+                    address: *address,
+                    cache,
+                    is_source: cache.is_fresh(now) && is_reachable(&cache.data_centre),
+                })
+                .collect()
+        };
+        PartKeepers { parts: shared_parts(prompt).iter().map(keepers).collect() }
+    }
+
+    fn is_kept_at(&self, index: usize, address: &SocketAddr) -> bool {
+        self.parts[index].iter().any(|keeper| keeper.address == *address)
+    }
+
+    /// The cache that a part comes from soonest, with the time that it takes.
+    fn best_source(
+        &self,
+        index: usize,
+        target: &TargetView,
+        tokens: u64,
+        memory: &ContextMemory,
+    ) -> Option<(SocketAddr, f64)> {
+        let others = self.parts[index]
+            .iter()
+            .filter(|keeper| keeper.is_source && keeper.address != target.listed.address);
+        others
+            .map(|keeper| (keeper.address, transfer_ms(keeper.cache, target, tokens, memory)))
+            .filter(|(_, time_ms)| *time_ms < TRANSFER_LIMIT_MS)
+            .min_by(|left, right| left.1.total_cmp(&right.1))
+    }
 }
 
 /// Plans where the context of a prompt comes from at one target.
 pub(super) fn plan_context(
-    sources: &Sources<'_>,
+    keepers: &PartKeepers<'_>,
     target: &TargetView,
+    is_target_followed: bool,
     prompt: &AskPrompt,
-    scope: &CacheScope,
     memory: &ContextMemory,
 ) -> ContextPlan {
-    let mut plan = ContextPlan { fetch: vec![None; prompt.parts.len()], ..ContextPlan::default() };
-    let own_cache = sources.directory.cache(&target.listed.address);
-    plan.is_target_followed = own_cache.is_some_and(CacheView::is_followed);
+    let mut plan = ContextPlan {
+        fetch: vec![None; prompt.parts.len()],
+        is_target_followed,
+        ..ContextPlan::default()
+    };
     let mut read_tokens = prompt.prompt_tokens;
     let mut transfer_ms = 0.0;
     // A part is of use only if all parts before it are there.
     let mut is_covered = true;
     for (index, part) in shared_parts(prompt).iter().enumerate() {
-        let key = PartKey { scope: scope.clone(), part: part.id.clone() };
-        let source = best_source(sources, target, &key, part.tokens, memory);
+        let source = keepers.best_source(index, target, part.tokens, memory);
         if is_covered {
             // Named also for a part that is held: it may be evicted before the request starts.
             plan.fetch[index] = source.map(|(address, _)| FetchSource { address });
         }
-        if is_covered && own_cache.is_some_and(|cache| cache.tokens_of(&key) >= part.tokens) {
+        if is_covered && keepers.is_kept_at(index, &target.listed.address) {
             plan.held_tokens += part.tokens;
             read_tokens = read_tokens.saturating_sub(part.tokens);
             continue;
@@ -243,26 +295,6 @@
     plan
 }
 
-/// The cache that a part comes from soonest, if that is sooner than reading it again.
-fn best_source(
-    sources: &Sources<'_>,
-    target: &TargetView,
-    key: &PartKey,
-    tokens: u64,
-    memory: &ContextMemory,
-) -> Option<(SocketAddr, f64)> {
-    let keepers = sources.directory.caches().filter(|(address, cache)| {
-        **address != target.listed.address
-            && cache.is_fresh(sources.now)
-            && cache.tokens_of(key) >= tokens
-            && (sources.is_reachable)(&cache.data_centre)
-    });
-    keepers
-        .map(|(address, cache)| (*address, transfer_ms(cache, target, tokens, memory)))
-        .filter(|(_, time_ms)| *time_ms < TRANSFER_LIMIT_MS)
-        .min_by(|left, right| left.1.total_cmp(&right.1))
-}
-
 fn transfer_ms(cache: &CacheView, target: &TargetView, tokens: u64, memory: &ContextMemory) -> f64 {
     let speed = cache.memory.link_megabits_per_second.min(memory.link_megabits_per_second);
     let bits = (tokens * memory.token_size_bytes * 8) as f64;
--- a/crates/skylarkpick-schedule/src/placement/place.rs
+++ b/crates/skylarkpick-schedule/src/placement/place.rs
@@ -2,7 +2,7 @@
 
 use super::{
     centres::CentreReach,
-    cost::{self, Cost, EngineAsk, HashRanking, Sources},
+    cost::{self, Cost, EngineAsk, HashRanking, PartKeepers},
     parts::{CacheKind, PartDirectory, PartKey},
     target::{TargetOutcome, TargetView},
     types::{Ask, AskPrompt, Choice, Place, Unplaced},
@@ -38,6 +38,13 @@
     scope: Option<CacheScope>,
 }
 
+/// What is looked up once for all candidates of a request.
+struct Lookup<'a> {
+    ranking: HashRanking,
+    /// By weight version, which names the scope.
+    keepers: BTreeMap<WeightVersion, PartKeepers<'a>>,
+}
+
 impl Placement {
     /// Opens a placement that knows no target. Weights that were replaced are used for
     /// `old_weights_usable_for`.
@@ -140,6 +147,7 @@
             .as_ref()
             .map(|prompt| HashRanking::open(prompt, known.iter().copied()))
             .unwrap_or_default();
+        let mut lookup = Lookup { ranking, keepers: BTreeMap::new() };
         let usable: Vec<&TargetView> = known
             .into_iter()
             .filter(|it| !it.listed.is_draining && !ask.avoid.contains(&it.listed.id))
@@ -149,11 +157,11 @@
         };
         let rested = usable.iter().copied().filter(|it| !it.is_resting(now) && !is_cut_off(it));
         let mut candidates: Vec<Candidate<'_>> =
-            rested.filter_map(|it| self.candidate(it, ask, &ranking, now)).collect();
+            rested.filter_map(|it| self.candidate(it, ask, &mut lookup, now)).collect();
         if candidates.is_empty() {
             // Resting targets are better than none.
             candidates =
-                usable.iter().filter_map(|it| self.candidate(it, ask, &ranking, now)).collect();
+                usable.iter().filter_map(|it| self.candidate(it, ask, &mut lookup, now)).collect();
         }
         let best = candidates
             .into_iter()
@@ -167,10 +175,10 @@
     }
 
     fn candidate<'a>(
-        &self,
+        &'a self,
         target: &'a TargetView,
         ask: &Ask,
-        ranking: &HashRanking,
+        lookup: &mut Lookup<'a>,
         now: Duration,
     ) -> Option<Candidate<'a>> {
         let (Some(prompt), Some(ServiceKind::Engines(memory))) =
@@ -190,12 +198,15 @@
         }
         let has_newer = self.weights.age_of_newer(&prompt.model, version, now).is_some();
         let scope = cache_scope(prompt, version);
-        let sources = Sources {
-            directory: &self.parts,
-            is_reachable: &|centre| !self.centres.is_cut_off(centre, &ask.data_centre, now),
-            now,
-        };
-        let plan = cost::plan_context(&sources, target, prompt, &scope, memory);
+        let is_reachable = |centre: &str| !self.centres.is_cut_off(centre, &ask.data_centre, now);
+        let keepers = lookup
+            .keepers
+            .entry(version)
+            .or_insert_with(|| PartKeepers::open(&self.parts, prompt, &scope, &is_reachable, now));
+        let followed = self.parts.cache(&target.listed.address);
+        let is_followed = followed.is_some_and(|cache| cache.is_followed());
+        let plan = cost::plan_context(keepers, target, is_followed, prompt, memory);
+        let ranking = &lookup.ranking;
         let asked = EngineAsk { ask, prompt, ranking, memory, now };
         let cost = cost::engine_cost(target, &asked, &plan, has_newer);
         Some(Candidate { target, cost, plan, weight_version: Some(version), scope: Some(scope) })
