--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -9,6 +9,9 @@
 mod reading;
 mod record;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use caches::{CacheFollowers, follow_caches};
 pub(crate) use confirm::ServingConfirmer;
 pub(crate) use follow::{FleetFollower, follow_topic};
--- /dev/null
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -0,0 +1,145 @@
+//! Records are taken in, told on, and lapse as their notes say.
+
+use super::{
+    lapses::Lapses,
+    reading::{CacheReading, cache_reading},
+    record::Recorder,
+};
+use crate::desk::Desk;
+use skylarkpick_interface::{
+    FleetNews, FleetRecord, FleetTopic, ListedEntry, ListedTarget, NamedRecord, NodeBounds,
+    TokioClock,
+};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn recorder() -> (Arc<Desk>, Recorder) {
+    let clock = Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH));
+    let bounds = NodeBounds {
+        drain: 2 * SECOND,
+        grace: 8 * SECOND,
+        configuration: 2 * SECOND,
+        retry_percent: 20,
+        retry_window: 10 * SECOND,
+        retry_extra: 54,
+        lease: 3 * SECOND,
+        weights: 12 * SECOND,
+    };
+    let desk = Desk::open(clock, bounds);
+    (desk.clone(), Recorder::open(desk, "entry-1"))
+}
+
+fn target(id: &str) -> NamedRecord {
+    let listed = ListedTarget {
+        id: id.to_string(),
+        service: "book-api".to_string(),
+        address: "10.1.0.1:80".parse().unwrap(),
+        data_centre: "mnl-a".to_string(),
+        slots: 6,
+        is_draining: false,
+        weights: BTreeMap::new(),
+        started_at_ms: 1,
+    };
+    NamedRecord { name: id.to_string(), record: Some(FleetRecord::Target(listed)) }
+}
+
+fn gone(id: &str) -> NamedRecord {
+    NamedRecord { name: id.to_string(), record: None }
+}
+
+fn known(desk: &Desk) -> Vec<String> {
+    desk.lock().placement.targets().keys().cloned().collect()
+}
+
+#[test]
+fn a_missing_record_waits_only_after_the_platforms_return() {
+    struct Case {
+        name: &'static str,
+        was_lost: bool,
+        /// Time from the platform's return to the removal.
+        after: Duration,
+        waits: bool,
+    }
+    let cases = [
+        Case { name: "never lost", was_lost: false, after: Duration::ZERO, waits: false },
+        Case { name: "just back", was_lost: true, after: Duration::from_millis(500), waits: true },
+        Case { name: "long back", was_lost: true, after: 3 * SECOND, waits: false },
+    ];
+    for case in cases {
+        let mut lapses = Lapses::default();
+        if case.was_lost {
+            lapses.note_lost();
+        }
+        lapses.note_heard(SECOND);
+        let now = SECOND + case.after;
+        assert_eq!(lapses.missing("i-1", now), case.waits, "{}", case.name);
+        assert!(lapses.due(now).is_empty(), "{}", case.name);
+        let due = lapses.due(now + 3 * SECOND);
+        assert_eq!(due.len(), usize::from(case.waits), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_target_that_came_back_in_time_is_not_removed() {
+    let mut lapses = Lapses::default();
+    lapses.note_lost();
+    lapses.note_heard(SECOND);
+    assert!(lapses.missing("i-1", SECOND));
+    lapses.came_back("i-1");
+    assert!(lapses.due(9 * SECOND).is_empty());
+}
+
+#[test]
+fn two_processes_of_a_data_centre_read_the_caches_of_a_large_fleet() {
+    let entries: Vec<ListedEntry> = (0..40)
+        .map(|index| ListedEntry {
+            name: format!("entry-{index:02}"),
+            address: ([10, 0, 0, index], 80).into(),
+            data_centre: ["mnl-a", "mnl-b"][usize::from(index) % 2].to_string(),
+            cpu_percent: if index >= 36 { 50 } else { 12 },
+        })
+        .collect();
+    assert_eq!(cache_reading(&entries[..12], "entry-00"), CacheReading::All);
+    let reads = |node: &str| cache_reading(&entries, node) == CacheReading::Relay;
+    let relays: Vec<&str> =
+        entries.iter().map(|it| it.name.as_str()).filter(|name| reads(name)).collect();
+    assert_eq!(relays, ["entry-36", "entry-37", "entry-38", "entry-39"], "the strongest VMs");
+    let CacheReading::Follower { relays } = cache_reading(&entries, "entry-01") else {
+        panic!("entry-01 follows")
+    };
+    assert_eq!(relays, ["10.0.0.37:80", "10.0.0.39:80"], "those of its own data centre");
+    assert_eq!(cache_reading(&entries, "unlisted"), CacheReading::All);
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_process_takes_over_what_is_newer_and_removals_too() {
+    let (_, first) = recorder();
+    let news = FleetNews { records: vec![target("i-1"), target("i-2")], revision: 10 };
+    first.replace(FleetTopic::Targets, &news);
+    let (desk, second) = recorder();
+    let told = first.newer_than(FleetTopic::Targets, 0).unwrap();
+    assert!(told.is_whole);
+    assert!(second.take_over(FleetTopic::Targets, &told));
+    assert_eq!(known(&desk), ["i-1", "i-2"]);
+    first.update(FleetTopic::Targets, &FleetNews { records: vec![gone("i-1")], revision: 12 });
+    let told = first.newer_than(FleetTopic::Targets, 10).unwrap();
+    assert_eq!((told.is_whole, told.news.records.len()), (false, 1), "only what changed");
+    assert!(second.take_over(FleetTopic::Targets, &told));
+    assert_eq!(known(&desk), ["i-2"]);
+    assert!(!second.take_over(FleetTopic::Targets, &told), "it is not newer any more");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_older_reading_never_replaces_a_newer_one() {
+    let (desk, recorder) = recorder();
+    let newer = FleetNews { records: vec![target("i-2")], revision: 20 };
+    assert!(recorder.replace(FleetTopic::Targets, &newer));
+    let older = FleetNews { records: vec![target("i-1")], revision: 19 };
+    assert!(!recorder.replace(FleetTopic::Targets, &older));
+    assert_eq!(known(&desk), ["i-2"]);
+}
--- a/crates/skylarkpick-forward/src/life.rs
+++ b/crates/skylarkpick-forward/src/life.rs
@@ -6,5 +6,8 @@
 mod relay;
 mod request;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use answer::{AnswerBody, AnswerBroken};
 pub(crate) use request::Lives;
--- /dev/null
+++ b/crates/skylarkpick-forward/src/life/tests.rs
@@ -0,0 +1,104 @@
+//! Streams are cut into events, and refused clients come back spread, as their notes say.
+
+use super::{answer::Ending, events::EventCutter};
+use http::{HeaderMap, request, response};
+use skylarkpick_interface::{AnswerMarks, Dialect, ForwardHead, HeadError, SendMarks};
+use std::time::Duration;
+
+/// A dialect that notes when clients are asked to come back.
+struct PlainDialect;
+
+impl Dialect for PlainDialect {
+    fn read_request(&self, _: &request::Parts) -> Result<ForwardHead, HeadError> {
+        Ok(ForwardHead::default())
+    }
+
+    fn write_request(&self, head: &ForwardHead, _: &SendMarks) -> HeaderMap {
+        head.headers.clone()
+    }
+
+    fn read_answer(&self, _: &response::Parts) -> AnswerMarks {
+        AnswerMarks::default()
+    }
+
+    fn write_retry_after(&self, headers: &mut HeaderMap, wait: Duration) {
+        headers.insert("retry-after", wait.as_millis().to_string().parse().unwrap());
+    }
+
+    fn answer_headers(&self, headers: &HeaderMap) -> HeaderMap {
+        headers.clone()
+    }
+
+    fn write_attempt_id(&self, _: &mut HeaderMap, _: &str) {}
+}
+
+#[test]
+fn streams_are_cut_into_whole_events() {
+    struct Case {
+        name: &'static str,
+        pieces: &'static [&'static str],
+        events: &'static [(Option<u64>, &'static str)],
+        is_empty: bool,
+    }
+    let cases = [
+        Case {
+            name: "one by one",
+            pieces: &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"],
+            events: &[(Some(1), "id: 1\ndata: a\n\n"), (Some(2), "id: 2\ndata: b\n\n")],
+            is_empty: true,
+        },
+        Case {
+            name: "cut anywhere",
+            pieces: &["id", ": 1\nda", "ta: a\n", "\nid: 2\n"],
+            events: &[(Some(1), "id: 1\ndata: a\n\n")],
+            is_empty: false,
+        },
+        Case {
+            name: "lines that end in two bytes",
+            pieces: &["id: 7\r\ndata: a\r\n\r\n"],
+            events: &[(Some(7), "id: 7\r\ndata: a\r\n\r\n")],
+            is_empty: true,
+        },
+        Case {
+            name: "a header line before the number, and an event without one",
+            pieces: &["weights: 3\nid: 4\ndata: a\n\n: note\n\n"],
+            events: &[(Some(4), "weights: 3\nid: 4\ndata: a\n\n"), (None, ": note\n\n")],
+            is_empty: true,
+        },
+    ];
+    for case in cases {
+        let mut cutter = EventCutter::default();
+        let mut events = Vec::new();
+        for piece in case.pieces {
+            assert!(cutter.push(piece.as_bytes()));
+            while let Some(event) = cutter.next_event() {
+                events.push((event.id, String::from_utf8(event.bytes.to_vec()).unwrap()));
+            }
+        }
+        let expected: Vec<(Option<u64>, String)> =
+            case.events.iter().map(|(id, text)| (*id, text.to_string())).collect();
+        assert_eq!(events, expected, "{}", case.name);
+        assert_eq!(cutter.is_empty(), case.is_empty, "{}", case.name);
+    }
+}
+
+#[test]
+fn refused_clients_are_asked_to_come_back_after_the_wait_and_spread() {
+    struct Case {
+        wait_ms: u64,
+        spread: f64,
+        retry_ms: u64,
+    }
+    let cases = [
+        Case { wait_ms: 0, spread: 0.0, retry_ms: 150 },
+        Case { wait_ms: 0, spread: 0.999, retry_ms: 599 },
+        Case { wait_ms: 1_000, spread: 0.0, retry_ms: 1_000 },
+        Case { wait_ms: 1_000, spread: 0.5, retry_ms: 1_500 },
+    ];
+    for case in cases {
+        let ending = Ending::ComeBack { wait: Duration::from_millis(case.wait_ms) };
+        let response = ending.response(&PlainDialect, "a1", case.spread);
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers()["retry-after"], case.retry_ms.to_string());
+    }
+}
