Soak real processes with faults from outside them

Change: `skylarkpick soak` draws the faults of a seed (signals, restarts, links that are delayed, reset, silenced or cut one way, outages of the object API, targets that crash or leave, keys that change), plays them against `skylarkpick node` processes, and judges what clients got and what targets ran: at most once, attempts, true refusals, right and whole answers, leaving targets, keys, time limits, planned work, ends in the grace period, recovery.

Not played: wall clocks that jump, and faults between the processes themselves.

--- a/crates/skylarkpick-command/src/commands.rs
+++ b/crates/skylarkpick-command/src/commands.rs
@@ -10,6 +10,7 @@
 mod overhead;
 mod replay;
 mod scenario;
+mod soak;
 mod stand_in;
 mod state;
 mod token;
@@ -31,6 +32,7 @@
         Box::new(overhead::OverheadCommand),
         Box::new(replay::ReplayCommand),
         Box::new(scenario::ScenarioCommand),
+        Box::new(soak::SoakCommand),
         Box::new(capacity::CapacityCommand),
         Box::new(version::VersionCommand),
         Box::new(help::HelpCommand),
