Tell of caches by numbers, and read them less often in large fleets

Ruled out: the look-ups of keepers for each request (1 %), logging.

Change: a part is known by a fingerprint that is the same in every process; names are kept only for managed stores, whose parts are freed by name. The directory keeps its keepers by part. A relay names each cache once a message and each change by three numbers. Events of a runner that come within 100 ms (400 ms at a relay) are read together. A target's record that changes no cache no longer rebuilds the list of caches.

--- a/crates/skylarkpick-forward/src/fleet/caches.rs
+++ b/crates/skylarkpick-forward/src/fleet/caches.rs
@@ -12,6 +12,11 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after too many readers were there already.
 const CROWDED_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between two calls for a runner's events; those within it come together. A prompt that is sent
+/// meanwhile goes where its longest shared part is hashed to.
+const RUNNER_PAUSE: Duration = Duration::from_millis(100);
+/// The same in a larger fleet, where a process reads a hundred runners and more for others.
+const RELAYED_RUNNER_PAUSE: Duration = Duration::from_millis(400);
 /// Events of a cache that is new to this process are asked for from here on.
 const FIRST_EVENT: u64 = 0;
 
@@ -63,6 +68,13 @@
         state.placement.parts.cache(address).is_some_and(|cache| cache.is_store())
     }
 
+    fn runner_pause(&self) -> Duration {
+        match self.fleet.recorder.cache_reading() {
+            CacheReading::All => RUNNER_PAUSE,
+            CacheReading::Relay | CacheReading::Follower { .. } => RELAYED_RUNNER_PAUSE,
+        }
+    }
+
     /// Takes in what a cache told, and keeps it for those who follow this process.
     fn take(&self, address: SocketAddr, changes: &PartChanges, is_reset: bool) {
         let now = self.desk.now();
@@ -92,6 +104,9 @@
                     changes
                 };
                 parts.take(address, &changes, needs_listing || is_first);
+                if !parts.is_store(&address) {
+                    tokio::time::sleep(parts.runner_pause()).await;
+                }
             }
             Err(ControlError::TooMany) => tokio::time::sleep(CROWDED_PAUSE).await,
             Err(error) => {
--- a/crates/skylarkpick-forward/src/peers.rs
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -12,3 +12,6 @@
 pub(crate) use messages::{Notice, PeerNews};
 pub(crate) use relay::{CacheRelay, follow_relay};
 pub(crate) use rescue::PeerRescue;
+
+#[cfg(test)]
+mod tests;
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -79,17 +79,14 @@
     pub(crate) is_whole: bool,
     /// Stores that were heard of just now.
     pub(crate) fresh_stores: Vec<SocketAddr>,
+    /// Caches that the entries name by their place here.
+    pub(crate) caches: Vec<SocketAddr>,
     /// Changes, oldest first.
     pub(crate) entries: Vec<CacheEntry>,
 }
 
-/// One entry of a log of changes.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) enum CacheEntry {
-    /// What was known of the cache no longer holds.
-    #[serde(rename = "r")]
-    Reset(SocketAddr),
-    /// Cache, scope, part and the tokens that it keeps of it now.
-    #[serde(rename = "p")]
-    Part(SocketAddr, String, String, u64),
-}
+/// One entry of a log of changes, as short as it can be: a large fleet tells thousands a second.
+/// Place of the cache among those of the message, fingerprint of the part, and the tokens that it
+/// keeps of it now. Without a part, what was known of the cache no longer holds.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct CacheEntry(pub(crate) u32, pub(crate) Option<u64>, pub(crate) u64);
--- a/crates/skylarkpick-forward/src/peers/relay.rs
+++ b/crates/skylarkpick-forward/src/peers/relay.rs
@@ -8,9 +8,10 @@
     rescue::PeerRescue,
 };
 use crate::{desk::Desk, fleet::FleetFollower};
-use skylarkpick_interface::{PartChange, PartChanges};
+use skylarkpick_interface::PartChanges;
+use skylarkpick_schedule::PartFingerprint;
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -43,10 +44,19 @@
     whole_answers: Semaphore,
 }
 
+/// One change of a cache.
+#[derive(Clone, Copy, Debug)]
+enum CacheChange {
+    /// What was known of the cache no longer holds.
+    Reset(SocketAddr),
+    /// It keeps this many tokens of the part.
+    Part(SocketAddr, PartFingerprint, u64),
+}
+
 #[derive(Default)]
 struct RelayState {
     first: u64,
-    entries: VecDeque<CacheEntry>,
+    entries: VecDeque<CacheChange>,
     heard: BTreeMap<SocketAddr, Duration>,
 }
 
@@ -74,14 +84,12 @@
         let mut state = self.lock();
         state.heard.insert(address, self.desk.now());
         if is_reset {
-            state.entries.push_back(CacheEntry::Reset(address));
+            state.entries.push_back(CacheChange::Reset(address));
         }
-        state.entries.extend(
-            changes
-                .changes
-                .iter()
-                .map(|it| CacheEntry::Part(address, it.scope.clone(), it.part.clone(), it.tokens)),
-        );
+        state.entries.extend(changes.changes.iter().map(|change| {
+            let part = PartFingerprint::of(&change.scope, &change.part);
+            CacheChange::Part(address, part, change.tokens)
+        }));
         self.publish(state);
     }
 
@@ -89,7 +97,7 @@
     pub(crate) fn note_lost(&self, address: SocketAddr) {
         let mut state = self.lock();
         state.heard.remove(&address);
-        state.entries.push_back(CacheEntry::Reset(address));
+        state.entries.push_back(CacheChange::Reset(address));
         self.publish(state);
     }
 
@@ -114,24 +122,23 @@
         let is_known = log == self.log && (self.lock().first..=next).contains(&since);
         // The semaphore is never closed.
         let _place = if is_known { None } else { self.whole_answers.acquire().await.ok() };
-        let entries = if is_known { self.entries_since(since) } else { self.all_kept() };
+        let changes = if is_known { self.changes_since(since) } else { self.all_kept() };
+        let (caches, entries) = shorten(&changes);
         let fresh_stores = self.fresh_stores();
-        CacheNews { log: self.log, next, is_whole: !is_known, fresh_stores, entries }
+        CacheNews { log: self.log, next, is_whole: !is_known, fresh_stores, caches, entries }
     }
 
-    fn entries_since(&self, since: u64) -> Vec<CacheEntry> {
+    fn changes_since(&self, since: u64) -> Vec<CacheChange> {
         let state = self.lock();
         let skip = usize::try_from(since.saturating_sub(state.first)).unwrap_or(usize::MAX);
-        state.entries.iter().skip(skip).cloned().collect()
+        state.entries.iter().skip(skip).copied().collect()
     }
 
-    fn all_kept(&self) -> Vec<CacheEntry> {
+    fn all_kept(&self) -> Vec<CacheChange> {
         let state = self.desk.lock();
         let caches = state.placement.parts.caches();
         let kept = caches.flat_map(|(address, cache)| {
-            cache.held().map(|(key, tokens)| {
-                CacheEntry::Part(*address, key.scope.clone(), key.part.clone(), tokens)
-            })
+            cache.held().map(|(part, tokens)| CacheChange::Part(*address, part, tokens))
         });
         kept.collect()
     }
@@ -148,6 +155,27 @@
     }
 }
 
+/// Names each cache once.
+fn shorten(changes: &[CacheChange]) -> (Vec<SocketAddr>, Vec<CacheEntry>) {
+    let mut caches = Vec::new();
+    let mut places: HashMap<SocketAddr, u32> = HashMap::new();
+    let mut place = |address: SocketAddr| {
+        *places.entry(address).or_insert_with(|| {
+            caches.push(address);
+            // A fleet has far fewer caches.
+            u32::try_from(caches.len() - 1).unwrap_or(u32::MAX)
+        })
+    };
+    let entries = changes.iter().map(|change| match change {
+        CacheChange::Reset(address) => CacheEntry(place(*address), None, 0),
+        CacheChange::Part(address, part, tokens) => {
+            CacheEntry(place(*address), Some(part.0), *tokens)
+        }
+    });
+    let entries = entries.collect();
+    (caches, entries)
+}
+
 /// Follows what a process that reads the caches tells, for as long as the task runs.
 pub(crate) async fn follow_relay(
     desk: Arc<Desk>,
@@ -190,29 +218,30 @@
 }
 
 /// Takes in what a relay told. Only stores that it heard of just now count as heard of.
-fn apply(desk: &Desk, news: CacheNews) {
+pub(super) fn apply(desk: &Desk, news: CacheNews) {
     let now = desk.now();
     let epoch = news.log;
-    let told = |changes: Vec<PartChange>| PartChanges { epoch, next: 0, has_gap: false, changes };
+    let told = PartChanges { epoch, next: 0, has_gap: false, changes: Vec::new() };
     let mut state = desk.lock();
     let parts = &mut state.placement.parts;
     if news.is_whole {
         let known: Vec<SocketAddr> = parts.caches().map(|(address, _)| *address).collect();
         for address in known {
             parts.forget(&address);
-            parts.apply(&address, &told(Vec::new()), now);
+            parts.apply(&address, &told, now);
         }
     }
-    for entry in news.entries {
-        match entry {
-            CacheEntry::Reset(address) => parts.forget(&address),
-            CacheEntry::Part(address, scope, part, tokens) => {
-                let change = PartChange { scope, part, tokens };
-                parts.take_part(&address, epoch, change);
+    for CacheEntry(place, part, tokens) in news.entries {
+        let address = usize::try_from(place).ok().and_then(|place| news.caches.get(place));
+        match (address, part) {
+            (Some(address), Some(part)) => {
+                parts.take_part(address, epoch, PartFingerprint(part), tokens);
             }
+            (Some(address), None) => parts.forget(address),
+            (None, _) => spdlog::warn!("a change of a cache that its message does not name"),
         }
     }
     for address in &news.fresh_stores {
-        parts.apply(address, &told(Vec::new()), now);
+        parts.apply(address, &told, now);
     }
 }
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -16,7 +16,7 @@
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use placement::{
     Ask, AskPrompt, CacheKind, CacheView, Choice, NamedWeightsView, OutdatedParts, OutdatedWatch,
-    PartDirectory, PartKey, Place, Placement, TargetOutcome, TargetView, Unplaced,
+    PartDirectory, PartFingerprint, PartKey, Place, Placement, TargetOutcome, TargetView, Unplaced,
 };
 pub use queue::{FairQueue, Queued, QueuedId};
 pub use retry::{RetryBudget, WindowBudget};
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -16,7 +16,7 @@
 mod weights;
 
 pub use outdated::{OutdatedParts, OutdatedWatch};
-pub use parts::{CacheKind, CacheView, PartDirectory, PartKey};
+pub use parts::{CacheKind, CacheView, PartDirectory, PartFingerprint, PartKey};
 pub use place::Placement;
 pub use target::{TargetOutcome, TargetView};
 pub use types::{Ask, AskPrompt, Choice, Place, Unplaced};
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -1,7 +1,7 @@
 //! What a request costs at a target, in milliseconds until its first answer.
 
 use super::{
-    parts::{CacheView, PartDirectory, PartKey, rendezvous_weight},
+    parts::{CacheView, PartDirectory, PartFingerprint, rendezvous_weight},
     target::TargetView,
     types::{Ask, AskPrompt},
 };
@@ -215,11 +215,10 @@
         now: Duration,
     ) -> PartKeepers<'a> {
         let keepers = |part: &PromptPart| {
-            let key = PartKey { scope: scope.clone(), part: part.id.clone() };
-            let caches = directory.caches();
-            let whole = caches.filter(|(_, cache)| cache.tokens_of(&key) >= part.tokens);
+            let keepers = directory.keepers(PartFingerprint::of(scope, &part.id));
+            let whole = keepers.filter(|(_, _, tokens)| *tokens >= part.tokens);
             whole
-                .map(|(address, cache)| Keeper {
+                .map(|(address, cache, _)| Keeper {
                     address: *address,
                     cache,
                     is_source: cache.is_fresh(now) && is_reachable(&cache.data_centre),
--- a/crates/skylarkpick-schedule/src/placement/outdated.rs
+++ b/crates/skylarkpick-schedule/src/placement/outdated.rs
@@ -84,7 +84,7 @@
         .caches()
         .filter(|(_, cache)| cache.kind == CacheKind::ManagedStore && cache.is_fresh(now));
     let outdated = stores.filter_map(|(store, cache)| {
-        let old = cache.held().map(|(key, _)| key).filter(|key| {
+        let old = cache.names().filter(|key| {
             scope_version(&key.scope, model).is_some_and(|of_part| of_part < version)
         });
         let parts: Vec<PartKey> = old.take(PARTS_LIMIT).cloned().collect();
--- a/crates/skylarkpick-schedule/src/placement/parts.rs
+++ b/crates/skylarkpick-schedule/src/placement/parts.rs
@@ -1,7 +1,7 @@
 //! Which caches keep which parts of prompts, as far as their events tell.
 
 use skylarkpick_interface::{
-    CacheEpoch, CacheScope, ContextMemory, DataCentreId, PartChange, PartChanges, PartId, TargetId,
+    CacheEpoch, CacheScope, ContextMemory, DataCentreId, PartChanges, PartId, TargetId,
 };
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -30,6 +30,30 @@
     pub part: PartId,
 }
 
+/// Stands for a [`PartKey`], the same in every process. Two parts with one fingerprint cost a fetch
+/// that finds nothing: a target names the part that it wants by its own request.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PartFingerprint(pub u64);
+
+impl PartFingerprint {
+    /// The fingerprint of a part under a scope.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::PartFingerprint;
+    /// assert_eq!(PartFingerprint::of("tala.1", "p"), PartFingerprint::of("tala.1", "p"));
+    /// assert_ne!(PartFingerprint::of("tala.1", "p"), PartFingerprint::of("tala.2", "p"));
+    /// ```
+    pub fn of(scope: &str, part: &str) -> PartFingerprint {
+        PartFingerprint(rendezvous_weight(part, scope))
+    }
+}
+
+impl From<&PartKey> for PartFingerprint {
+    fn from(key: &PartKey) -> PartFingerprint {
+        PartFingerprint::of(&key.scope, &key.part)
+    }
+}
+
 /// What a cache belongs to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CacheKind {
@@ -53,11 +77,13 @@
     /// Its life, once it was heard of.
     pub epoch: Option<CacheEpoch>,
     heard_at: Option<Duration>,
-    held: HashMap<PartKey, u64>,
+    held: HashMap<PartFingerprint, u64>,
     held_tokens: u64,
-    saving: HashMap<PartKey, Saving>,
+    /// What managed stores keep by name, so that it can be freed.
+    names: HashMap<PartFingerprint, PartKey>,
+    saving: HashMap<PartFingerprint, Saving>,
     /// Parts that were sent there and not heard of, oldest first.
-    expected: VecDeque<PartKey>,
+    expected: VecDeque<PartFingerprint>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -70,6 +96,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PartDirectory {
     caches: BTreeMap<SocketAddr, CacheView>,
+    /// For each part, the caches that keep some of it.
+    keepers: HashMap<PartFingerprint, Vec<SocketAddr>>,
 }
 
 impl CacheView {
@@ -82,6 +110,7 @@
             heard_at: None,
             held: HashMap::new(),
             held_tokens: 0,
+            names: HashMap::new(),
             saving: HashMap::new(),
             expected: VecDeque::new(),
         }
@@ -93,8 +122,8 @@
     }
 
     /// Tokens of a part that it keeps, 0 for none.
-    pub fn tokens_of(&self, key: &PartKey) -> u64 {
-        self.held.get(key).copied().unwrap_or(0)
+    pub fn tokens_of(&self, part: PartFingerprint) -> u64 {
+        self.held.get(&part).copied().unwrap_or(0)
     }
 
     /// Whether its word is new enough to fetch from it.
@@ -103,8 +132,13 @@
     }
 
     /// Parts that it keeps, with their tokens.
-    pub fn held(&self) -> impl Iterator<Item = (&PartKey, u64)> {
-        self.held.iter().map(|(key, tokens)| (key, *tokens))
+    pub fn held(&self) -> impl Iterator<Item = (PartFingerprint, u64)> {
+        self.held.iter().map(|(part, tokens)| (*part, *tokens))
+    }
+
+    /// Names of the parts that a managed store keeps, as far as this process read them itself.
+    pub fn names(&self) -> impl Iterator<Item = &PartKey> {
+        self.names.values()
     }
 
     /// Tokens that it keeps.
@@ -112,17 +146,14 @@
         self.held_tokens
     }
 
-    fn forget(&mut self) {
-        self.held.clear();
-        self.held_tokens = 0;
-        self.saving.clear();
-        self.expected.clear();
-    }
-
-    fn set(&mut self, key: PartKey, tokens: u64) {
-        self.saving.remove(&key);
-        let before =
-            if tokens == 0 { self.held.remove(&key) } else { self.held.insert(key, tokens) };
+    fn set(&mut self, part: PartFingerprint, tokens: u64) {
+        self.saving.remove(&part);
+        let before = if tokens == 0 {
+            self.names.remove(&part);
+            self.held.remove(&part)
+        } else {
+            self.held.insert(part, tokens)
+        };
         self.held_tokens = self.held_tokens + tokens - before.unwrap_or(0);
     }
 
@@ -131,18 +162,6 @@
         self.heard_at.is_some()
     }
 
-    /// Takes a part as kept that a request brings there, until others must have pushed it out.
-    fn expect(&mut self, key: PartKey, tokens: u64) {
-        self.expected.retain(|known| *known != key);
-        self.expected.push_back(key.clone());
-        self.set(key, tokens);
-        let limit = self.memory.capacity_tokens as f64 * EXPECTED_FILL_LIMIT;
-        while self.held_tokens as f64 > limit {
-            let Some(oldest) = self.expected.pop_front() else { return };
-            self.set(oldest, 0);
-        }
-    }
-
     fn saving_tokens(&self, now: Duration) -> u64 {
         let recent = self.saving.values().filter(|saving| now < saving.since + SAVE_RETRY);
         recent.map(|saving| saving.tokens).sum()
@@ -154,8 +173,8 @@
         used as f64 <= limit
     }
 
-    fn is_saving(&self, key: &PartKey, now: Duration) -> bool {
-        self.saving.get(key).is_some_and(|saving| now < saving.since + SAVE_RETRY)
+    fn is_saving(&self, part: PartFingerprint, now: Duration) -> bool {
+        self.saving.get(&part).is_some_and(|saving| now < saving.since + SAVE_RETRY)
     }
 }
 
@@ -179,6 +198,7 @@
                 cache.data_centre = data_centre.to_string();
             }
             None => {
+                self.clear(&address);
                 let cache = CacheView::open(kind, data_centre.to_string(), memory);
                 self.caches.insert(address, cache);
             }
@@ -187,41 +207,83 @@
 
     /// Keeps only the caches at these addresses.
     pub fn retain(&mut self, is_wanted: impl Fn(&SocketAddr) -> bool) {
-        self.caches.retain(|address, _| is_wanted(address));
+        let gone: Vec<SocketAddr> =
+            self.caches.keys().filter(|address| !is_wanted(address)).copied().collect();
+        for address in gone {
+            self.clear(&address);
+            self.caches.remove(&address);
+        }
     }
 
     /// Forgets what a cache kept, after its restart or a gap in its events.
     pub fn forget(&mut self, address: &SocketAddr) {
+        self.clear(address);
         if let Some(cache) = self.caches.get_mut(address) {
-            cache.forget();
             cache.heard_at = None;
             cache.epoch = None;
         }
     }
 
+    fn clear(&mut self, address: &SocketAddr) {
+        let Some(cache) = self.caches.get_mut(address) else { return };
+        let held = std::mem::take(&mut cache.held);
+        cache.held_tokens = 0;
+        cache.names.clear();
+        cache.saving.clear();
+        cache.expected.clear();
+        for part in held.into_keys() {
+            remove_keeper(&mut self.keepers, part, address);
+        }
+    }
+
+    /// Sets the tokens that a cache keeps of a part.
+    fn set(&mut self, address: &SocketAddr, part: PartFingerprint, tokens: u64) {
+        let Some(cache) = self.caches.get_mut(address) else { return };
+        let was_held = cache.tokens_of(part) > 0;
+        cache.set(part, tokens);
+        match (was_held, tokens > 0) {
+            (false, true) => self.keepers.entry(part).or_default().push(*address),
+            (true, false) => remove_keeper(&mut self.keepers, part, address),
+            _ => {}
+        }
+    }
+
     /// Takes in what a cache told. Another life or a gap means that what was known is dropped.
     pub fn apply(&mut self, address: &SocketAddr, changes: &PartChanges, now: Duration) {
-        let Some(cache) = self.caches.get_mut(address) else { return };
+        let Some(cache) = self.caches.get(address) else { return };
         if cache.epoch != Some(changes.epoch) || changes.has_gap {
-            cache.forget();
+            self.clear(address);
         }
+        let Some(cache) = self.caches.get_mut(address) else { return };
         cache.epoch = Some(changes.epoch);
         cache.heard_at = Some(now);
+        let has_names = cache.kind == CacheKind::ManagedStore;
         for change in &changes.changes {
-            let key = PartKey { scope: change.scope.clone(), part: change.part.clone() };
-            cache.set(key, change.tokens);
+            let part = PartFingerprint::of(&change.scope, &change.part);
+            self.set(address, part, change.tokens);
+            let named = self.caches.get_mut(address).filter(|_| has_names && change.tokens > 0);
+            if let Some(store) = named {
+                let key = PartKey { scope: change.scope.clone(), part: change.part.clone() };
+                store.names.insert(part, key);
+            }
         }
     }
 
     /// Takes in one change of a cache that another process told of, in the life that it names.
-    pub fn take_part(&mut self, address: &SocketAddr, epoch: CacheEpoch, change: PartChange) {
-        let Some(cache) = self.caches.get_mut(address) else { return };
+    pub fn take_part(
+        &mut self,
+        address: &SocketAddr,
+        epoch: CacheEpoch,
+        part: PartFingerprint,
+        tokens: u64,
+    ) {
+        let Some(cache) = self.caches.get(address) else { return };
         if cache.epoch != Some(epoch) {
-            cache.forget();
-            cache.epoch = Some(epoch);
+            self.clear(address);
         }
-        let key = PartKey { scope: change.scope, part: change.part };
-        cache.set(key, change.tokens);
+        self.set(address, part, tokens);
+        let Some(cache) = self.caches.get_mut(address) else { return };
+        cache.epoch = Some(epoch);
         if !cache.is_store() {
             // A runner's part that is gone meanwhile is a miss, which another source makes good.
             cache.heard_at = cache.heard_at.or(Some(Duration::ZERO));
@@ -229,31 +291,66 @@
     }
 
     /// Notes that a request saves a part to a store.
-    pub fn note_saving(&mut self, address: &SocketAddr, key: PartKey, tokens: u64, now: Duration) {
+    pub fn note_saving(
+        &mut self,
+        address: &SocketAddr,
+        part: PartFingerprint,
+        tokens: u64,
+        now: Duration,
+    ) {
         if let Some(cache) = self.caches.get_mut(address) {
             cache.saving.retain(|_, saving| now < saving.since + SAVE_RETRY);
-            cache.saving.insert(key, Saving { tokens: whole_blocks(tokens), since: now });
+            cache.saving.insert(part, Saving { tokens: whole_blocks(tokens), since: now });
         }
     }
 
     /// Notes that a request brings parts to a cache that this process does not hear of.
-    pub fn note_sent(&mut self, address: &SocketAddr, parts: impl Iterator<Item = (PartKey, u64)>) {
-        let unheard = self.caches.get_mut(address).filter(|cache| !cache.is_followed());
-        let Some(cache) = unheard else { return };
-        for (key, tokens) in parts {
-            cache.expect(key, tokens);
+    pub fn note_sent(
+        &mut self,
+        address: &SocketAddr,
+        parts: impl Iterator<Item = (PartFingerprint, u64)>,
+    ) {
+        if self.caches.get(address).is_some_and(|cache| !cache.is_followed()) {
+            for (part, tokens) in parts {
+                self.expect(address, part, tokens);
+            }
+        }
+    }
+
+    /// Takes a part as kept that a request brings there, until others must have pushed it out.
+    fn expect(&mut self, address: &SocketAddr, part: PartFingerprint, tokens: u64) {
+        self.set(address, part, tokens);
+        let Some(cache) = self.caches.get_mut(address) else { return };
+        cache.expected.retain(|known| *known != part);
+        cache.expected.push_back(part);
+        let limit = cache.memory.capacity_tokens as f64 * EXPECTED_FILL_LIMIT;
+        while let Some(cache) = self.caches.get_mut(address)
+            && cache.held_tokens as f64 > limit
+        {
+            let Some(oldest) = cache.expected.pop_front() else { return };
+            self.set(address, oldest, 0);
         }
     }
 
     /// Notes that parts of a store were freed.
     pub fn note_freed(&mut self, address: &SocketAddr, keys: &[PartKey]) {
-        if let Some(cache) = self.caches.get_mut(address) {
-            for key in keys {
-                cache.set(key.clone(), 0);
-            }
+        for key in keys {
+            self.set(address, key.into(), 0);
         }
     }
 
+    /// The caches that keep some of a part, with the tokens that each keeps of it.
+    pub fn keepers(
+        &self,
+        part: PartFingerprint,
+    ) -> impl Iterator<Item = (&SocketAddr, &CacheView, u64)> {
+        let addresses = self.keepers.get(&part).into_iter().flatten();
+        addresses.filter_map(move |address| {
+            let cache = self.caches.get(address)?;
+            Some((address, cache, cache.tokens_of(part)))
+        })
+    }
+
     /// A cache.
     pub fn cache(&self, address: &SocketAddr) -> Option<&CacheView> {
         self.caches.get(address)
@@ -267,23 +364,46 @@
     /// Store that a part is saved to now, if it is worth saving: none keeps it or is being sent it,
     /// and one has room. Of those with the fastest link it is chosen by the part's name, so that
     /// every process chooses the same one.
-    pub fn store_for(&self, key: &PartKey, tokens: u64, now: Duration) -> Option<SocketAddr> {
+    pub fn store_for(
+        &self,
+        part: PartFingerprint,
+        tokens: u64,
+        now: Duration,
+    ) -> Option<SocketAddr> {
         let stores = || {
             let managed = self.caches.iter().filter(|(_, it)| it.kind == CacheKind::ManagedStore);
             managed.filter(|(_, store)| store.is_fresh(now))
         };
-        if stores().any(|(_, store)| store.tokens_of(key) > 0 || store.is_saving(key, now)) {
+        if stores().any(|(_, store)| store.tokens_of(part) > 0 || store.is_saving(part, now)) {
             return None;
         }
         let with_room = stores().filter(|(_, store)| store.has_room(tokens, now));
         let chosen = with_room.max_by_key(|(address, store)| {
             let speed = store.memory.link_megabits_per_second as u64;
-            (speed, rendezvous_weight(&key.part, &address.to_string()))
+            (speed, weight_of(part, address))
         });
         chosen.map(|(address, _)| *address)
     }
 }
 
+fn remove_keeper(
+    keepers: &mut HashMap<PartFingerprint, Vec<SocketAddr>>,
+    part: PartFingerprint,
+    address: &SocketAddr,
+) {
+    if let Some(addresses) = keepers.get_mut(&part) {
+        addresses.retain(|known| known != address);
+        if addresses.is_empty() {
+            keepers.remove(&part);
+        }
+    }
+}
+
+/// Weight of a store for a part.
+fn weight_of(part: PartFingerprint, store: &SocketAddr) -> u64 {
+    rendezvous_weight(&part.0.to_string(), &store.to_string())
+}
+
 /// Weight of a candidate for a subject; the same in every process.
 pub(super) fn rendezvous_weight(subject: &str, candidate: &str) -> u64 {
     // FNV-1a over both names, then the finalizer of SplitMix64.
--- a/crates/skylarkpick-schedule/src/placement/place.rs
+++ b/crates/skylarkpick-schedule/src/placement/place.rs
@@ -3,7 +3,7 @@
 use super::{
     centres::CentreReach,
     cost::{self, Cost, EngineAsk, HashRanking, PartKeepers},
-    parts::{CacheKind, PartDirectory, PartKey},
+    parts::{CacheKind, PartDirectory, PartFingerprint},
     target::{TargetOutcome, TargetView},
     types::{Ask, AskPrompt, Choice, Place, Unplaced},
     weights::NamedWeightsView,
@@ -81,23 +81,23 @@
     /// Takes in a target's registration. Gives whether it is a new life.
     pub fn set_target(&mut self, listed: ListedTarget) -> bool {
         let known = self.targets.get_mut(&listed.id);
-        let is_new = match known {
-            Some(state) if !state.is_other_life(&listed) => {
-                state.set_listed(listed);
-                false
+        if let Some(state) = known
+            && !state.is_other_life(&listed)
+        {
+            let is_same_cache = state.listed.service == listed.service
+                && state.listed.data_centre == listed.data_centre;
+            state.set_listed(listed);
+            if !is_same_cache {
+                self.update_caches();
             }
-            Some(state) => {
-                self.parts.forget(&state.listed.address);
-                *state = TargetView::open(listed);
-                true
-            }
-            None => {
-                self.targets.insert(listed.id.clone(), TargetView::open(listed));
-                true
-            }
-        };
+            return false;
+        }
+        let former = self.targets.insert(listed.id.clone(), TargetView::open(listed));
+        if let Some(former) = former {
+            self.parts.forget(&former.listed.address);
+        }
         self.update_caches();
-        is_new
+        true
     }
 
     /// Forgets a target that is gone.
@@ -249,9 +249,9 @@
         let mut saves: Vec<Option<SocketAddr>> = shared
             .iter()
             .map(|part| {
-                let key = PartKey { scope: scope.to_string(), part: part.id.clone() };
+                let fingerprint = PartFingerprint::of(scope, &part.id);
                 (part.tokens >= SAVED_TOKENS_FLOOR)
-                    .then(|| self.parts.store_for(&key, part.tokens, now))
+                    .then(|| self.parts.store_for(fingerprint, part.tokens, now))
                     .flatten()
             })
             .collect();
@@ -267,12 +267,12 @@
             state.own_prefill_tokens += place.read_tokens;
         }
         let (Some(prompt), Some(scope)) = (prompt, &place.cache_scope) else { return };
-        let key = |part: &PromptPart| PartKey { scope: scope.clone(), part: part.id.clone() };
+        let fingerprint = |part: &PromptPart| PartFingerprint::of(scope, &part.id);
         let shared = cost::shared_parts(prompt).iter();
-        self.parts.note_sent(&place.address, shared.map(|part| (key(part), part.tokens)));
+        self.parts.note_sent(&place.address, shared.map(|part| (fingerprint(part), part.tokens)));
         for (part, store) in prompt.parts.iter().zip(&place.save) {
             if let Some(store) = store {
-                self.parts.note_saving(store, key(part), part.tokens, now);
+                self.parts.note_saving(store, fingerprint(part), part.tokens, now);
             }
         }
     }
