Leave a relay that lost the platform within two seconds

Its process followed a relay whose link to the platform was reset; a follower relied on a relay for 3.8 s after its last word, and the bound is 3 s.

Ruled out: the change of the message format (the follower had the relay's newest record; the relay had none newer).

Change: a relay tells at once that its last call failed; its watches for what is bound to three seconds take one second; followers ask again when the age limit (1.9 s) is reached and not later. Then they read the platform themselves for six seconds. While the platform is away for all they ask it each 1.5 s, not each 0.25 s. The list of entry processes is followed although its watch takes 12 s (it was read anew each 3.8 s). Targets' heartbeats within 300 ms are taken in together by relays, and waiting planners look at the lease half as often.

Tests without the bench: a lost relay tells so; a follower leaves a silent one within two seconds whenever it asked. Both fail on the code before.

--- a/crates/skylarkpick-forward/src/fleet/follow.rs
+++ b/crates/skylarkpick-forward/src/fleet/follow.rs
@@ -1,10 +1,11 @@
 //! Follows one topic of the platform's records.
 
-use super::record::Recorder;
+use super::{reading::CacheReading, record::Recorder};
 use crate::peers::PeerRescue;
 use skylarkpick_interface::{FeedError, FleetSource, FleetTopic};
 use skylarkpick_telemetry::{FEEDS_LOST, metrics};
 use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 /// Longest wait of a watch. A watch whose connection went silent is noticed a second later, within
 /// the time that a leaving target still serves.
@@ -13,12 +14,28 @@
 const ENTRIES_WATCH_WAIT: Duration = Duration::from_secs(12);
 /// Pause after a change among the entry processes.
 const ENTRIES_PAUSE: Duration = Duration::from_millis(700);
+/// The same for what has to be in force within three seconds, in a process that tells others of it: by
+/// the age of its last answer they know early that it is cut off.
+const RELAYED_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait for news of a process that reads the platform.
 const RELAY_WAIT: Duration = Duration::from_millis(1_200);
+/// Shortest such wait.
+const RELAY_WAIT_FLOOR: Duration = Duration::from_millis(50);
 /// Age from which what such a process tells is not relied on: its watch has had no answer.
 const RELAY_AGE_LIMIT: Duration = Duration::from_millis(3_800);
+/// The same for what has to be in force within three seconds; the rest is for reading it elsewhere.
+const PROMPT_RELAY_AGE_LIMIT: Duration = Duration::from_millis(1_900);
+/// The same for entry processes: a process that reads them hears of nothing for as long as its watch.
+const ENTRIES_RELAY_AGE_LIMIT: Duration = Duration::from_secs(15);
+/// Pause after a change among the targets in a process that tells others of it: they heartbeat in
+/// their records, a hundred of them all the time.
+const RELAYED_TARGETS_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which a process reads the platform itself after those that it follows were cut off.
+const DIRECT_SPAN: Duration = Duration::from_secs(6);
 /// Pause after a failed call, on average.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// The same where other processes are followed: they hear of the platform's return first.
+const FOLLOWER_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// What followers of topics share.
 pub(crate) struct FleetFollower {
@@ -32,70 +49,103 @@
 pub(crate) async fn follow_topic(follower: Arc<FleetFollower>, topic: FleetTopic) {
     let mut is_lost = false;
     loop {
-        if follow_relays(&follower, topic).await {
-            continue;
-        }
+        follow_relays(&follower, topic).await;
         let news = match follower.source.read(topic).await {
             Ok(news) => news,
             Err(error) => {
                 note_failure(&follower, topic, &error, &mut is_lost);
                 follower.rescue.ask(&follower.recorder, topic).await;
-                pause().await;
+                pause(&follower).await;
                 continue;
             }
         };
         note_success(&follower, topic, &mut is_lost);
         follower.recorder.replace(topic, &news);
-        follow_changes(&follower, topic, news.revision, &mut is_lost).await;
+        let are_relays_old = !follower.recorder.relays_to_follow().is_empty();
+        let span = if are_relays_old { DIRECT_SPAN } else { Duration::ZERO };
+        let until = Instant::now() + span;
+        follow_changes(&follower, topic, news.revision, until, &mut is_lost).await;
     }
 }
 
-/// Follows a topic through the processes that read it, as long as what they tell is new. Gives
-/// whether they told anything.
-async fn follow_relays(follower: &FleetFollower, topic: FleetTopic) -> bool {
-    let mut has_followed = false;
+/// Follows a topic through the processes that read it, as long as what one of them tells is new.
+async fn follow_relays(follower: &FleetFollower, topic: FleetTopic) {
+    let limit = relay_age_limit(topic);
+    let mut known_age = Duration::ZERO;
     loop {
-        let relays = follower.recorder.relays_to_follow();
         let mut is_fresh = false;
-        for relay in relays {
+        for relay in follower.recorder.relays_to_follow() {
             let recorder = &follower.recorder;
-            let age = follower.rescue.ask_one(&relay, recorder, topic, RELAY_WAIT).await;
-            if let Some(age) = age.filter(|age| *age < RELAY_AGE_LIMIT) {
+            let wait = relay_wait(known_age, limit);
+            let age = follower.rescue.ask_one(&relay, recorder, topic, wait).await;
+            if let Some(age) = age.filter(|age| *age < limit) {
                 recorder.note_newest(topic, age);
                 recorder.note_heard();
+                known_age = age;
                 is_fresh = true;
                 break;
             }
+            // The next one is asked for what it knows now.
+            known_age = limit;
         }
         if !is_fresh {
-            return has_followed;
+            return;
         }
-        has_followed = true;
     }
 }
 
-/// Follows changes until the platform no longer keeps those since the last one, or other processes
-/// are to be followed.
+fn relay_age_limit(topic: FleetTopic) -> Duration {
+    match topic {
+        FleetTopic::Serving | FleetTopic::Targets => PROMPT_RELAY_AGE_LIMIT,
+        FleetTopic::Weights => RELAY_AGE_LIMIT,
+        FleetTopic::Entries => ENTRIES_RELAY_AGE_LIMIT,
+    }
+}
+
+/// How long a process that told records of this age is asked to wait for newer ones: its answer
+/// without any comes when they are too old.
+pub(super) fn relay_wait(age: Duration, limit: Duration) -> Duration {
+    limit.saturating_sub(age).clamp(RELAY_WAIT_FLOOR, RELAY_WAIT)
+}
+
+fn watch_wait(follower: &FleetFollower, topic: FleetTopic) -> Duration {
+    let is_relay = follower.recorder.cache_reading() == CacheReading::Relay;
+    match topic {
+        FleetTopic::Entries => ENTRIES_WATCH_WAIT,
+        FleetTopic::Serving | FleetTopic::Targets if is_relay => RELAYED_WATCH_WAIT,
+        _ => WATCH_WAIT,
+    }
+}
+
+/// Pause in which further changes of a topic come together.
+fn pause_after(follower: &FleetFollower, topic: FleetTopic) -> Duration {
+    let is_relay = follower.recorder.cache_reading() == CacheReading::Relay;
+    match topic {
+        // Processes start together.
+        FleetTopic::Entries => ENTRIES_PAUSE,
+        FleetTopic::Targets if is_relay => RELAYED_TARGETS_PAUSE,
+        _ => Duration::ZERO,
+    }
+}
+
+/// Follows changes until the platform no longer keeps those since the last one, or until other
+/// processes are to be followed, which is not before `until`.
 async fn follow_changes(
     follower: &FleetFollower,
     topic: FleetTopic,
     mut revision: u64,
+    until: Instant,
     is_lost: &mut bool,
 ) {
-    let wait = match topic {
-        FleetTopic::Entries => ENTRIES_WATCH_WAIT,
-        _ => WATCH_WAIT,
-    };
-    while *is_lost || follower.recorder.relays_to_follow().is_empty() {
+    let is_own_reader = || follower.recorder.relays_to_follow().is_empty();
+    while Instant::now() < until || is_own_reader() {
+        let wait = watch_wait(follower, topic);
         match follower.source.changes(topic, revision, wait).await {
             Ok(news) => {
                 note_success(follower, topic, is_lost);
                 follower.recorder.update(topic, &news);
                 revision = news.revision;
-                if topic == FleetTopic::Entries {
-                    // Processes start together; their registrations are taken in together.
-                    tokio::time::sleep(ENTRIES_PAUSE).await;
-                }
+                tokio::time::sleep(pause_after(follower, topic)).await;
             }
             Err(FeedError::HistoryGone) => {
                 spdlog::info!("changes are no longer kept", kv: { topic:, revision });
@@ -105,7 +155,10 @@
                 note_failure(follower, topic, &error, is_lost);
                 follower.rescue.ask(&follower.recorder, topic).await;
                 revision = revision.max(follower.recorder.revision(topic));
-                pause().await;
+                pause(follower).await;
+                if !is_own_reader() {
+                    return;
+                }
             }
         }
     }
@@ -117,7 +170,7 @@
     error: &FeedError,
     is_lost: &mut bool,
 ) {
-    follower.recorder.note_lost();
+    follower.recorder.note_lost(topic);
     if !std::mem::replace(is_lost, true) {
         metrics().count(&FEEDS_LOST, &[("topic", &topic.to_string())]);
         spdlog::warn!("platform lost", kv: { topic:, error: });
@@ -133,6 +186,8 @@
 }
 
 /// Pauses between half and one and a half of the usual time, so that processes do not call together.
-async fn pause() {
-    tokio::time::sleep(RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+async fn pause(follower: &FleetFollower) {
+    let is_own_reader = follower.recorder.relays_to_follow().is_empty();
+    let usual = if is_own_reader { RETRY_PAUSE } else { FOLLOWER_RETRY_PAUSE };
+    tokio::time::sleep(usual.mul_f64(0.5 + rand::random::<f64>())).await;
 }
--- a/crates/skylarkpick-forward/src/fleet/plan.rs
+++ b/crates/skylarkpick-forward/src/fleet/plan.rs
@@ -19,7 +19,7 @@
 /// Time between renewals.
 const LEASE_RENEWAL: Duration = Duration::from_millis(500);
 /// Time between a waiting candidate's reads.
-const LEASE_POLL: Duration = Duration::from_millis(700);
+const LEASE_POLL: Duration = Duration::from_millis(1_400);
 /// Longest call to the platform for the lease.
 const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the acceptance of an order.
--- a/crates/skylarkpick-forward/src/fleet/record.rs
+++ b/crates/skylarkpick-forward/src/fleet/record.rs
@@ -23,6 +23,8 @@
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
     /// Name of the VM of this process.
     node: String,
+    /// How this process learns what caches keep, by the entry processes that are listed.
+    reading: Mutex<CacheReading>,
     /// Counts what was taken in.
     changed: watch::Sender<u64>,
 }
@@ -36,6 +38,8 @@
     records: BTreeMap<String, KnownRecord>,
     /// When it was last known to be the newest.
     heard_at: Option<Duration>,
+    /// Whether the last call for it failed.
+    is_lost: bool,
 }
 
 /// A record with the revision that brought it; `None` once it was removed.
@@ -82,6 +86,7 @@
             lapses: Mutex::default(),
             topics: Mutex::default(),
             node: node.to_string(),
+            reading: Mutex::new(CacheReading::All),
             changed: watch::Sender::new(0),
         }
     }
@@ -105,7 +110,9 @@
         let records =
             records.map(|(name, it)| NamedRecord { name: name.clone(), record: it.record.clone() });
         let news = FleetNews { records: records.collect(), revision: state.revision };
-        let age = state.heard_at.map(|at| self.desk.now().saturating_sub(at));
+        // Who follows this process must not wait until its records are old.
+        let heard_at = state.heard_at.filter(|_| !state.is_lost);
+        let age = heard_at.map(|at| self.desk.now().saturating_sub(at));
         let age_ms = age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
         Some(PeerNews { news, is_whole, age_ms })
     }
@@ -134,6 +141,7 @@
         let mut topics = self.topics();
         let state = topics.entry(topic).or_default();
         state.heard_at = state.heard_at.max(Some(at));
+        state.is_lost = false;
         drop(topics);
         self.changed.send_modify(|count| *count += 1);
     }
@@ -177,7 +185,7 @@
 
     /// How this process learns what caches keep.
     pub(crate) fn cache_reading(&self) -> CacheReading {
-        cache_reading(&self.entries(), &self.node)
+        self.reading.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Addresses of the processes that this one follows.
@@ -192,9 +200,16 @@
         self.lapses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that the platform could not be reached.
-    pub(crate) fn note_lost(&self) {
+    /// Notes that the platform could not be reached for a topic.
+    pub(crate) fn note_lost(&self, topic: FleetTopic) {
+        self.topics().entry(topic).or_default().is_lost = true;
         self.lapses().note_lost();
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Whether the last call for a topic failed.
+    pub(crate) fn is_lost(&self, topic: FleetTopic) -> bool {
+        self.topics().get(&topic).is_some_and(|state| state.is_lost)
     }
 
     /// Notes that the platform answers.
@@ -242,12 +257,19 @@
             self.take(topic, record, news.revision);
         }
         self.changed.send_modify(|count| *count += 1);
-        if topic == FleetTopic::Entries && !news.records.is_empty() {
-            self.desk.set_entries(self.entries().len());
-            self.desk.caches_changed.notify_waiters();
+        if topic == FleetTopic::Entries {
+            self.entries_changed();
         }
     }
 
+    fn entries_changed(&self) {
+        let entries = self.entries();
+        let reading = cache_reading(&entries, &self.node);
+        *self.reading.lock().unwrap_or_else(PoisonError::into_inner) = reading;
+        self.desk.set_entries(entries.len());
+        self.desk.caches_changed.notify_waiters();
+    }
+
     fn take(&self, topic: FleetTopic, named: &NamedRecord, revision: u64) {
         match &named.record {
             Some(FleetRecord::Serving(document)) => self.serving(document, revision),
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -1,6 +1,7 @@
 //! Records are taken in, told on, and lapse as their notes say.
 
 use super::{
+    follow::relay_wait,
     lapses::Lapses,
     reading::{CacheReading, cache_reading},
     record::Recorder,
@@ -143,3 +144,30 @@
     assert!(!recorder.replace(FleetTopic::Targets, &older));
     assert_eq!(known(&desk), ["i-2"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_process_that_lost_the_platform_tells_its_followers_at_once() {
+    let (_, relay) = recorder();
+    let news = FleetNews { records: vec![target("i-1")], revision: 10 };
+    relay.replace(FleetTopic::Targets, &news);
+    relay.note_newest(FleetTopic::Targets, Duration::ZERO);
+    let age_ms = || relay.newer_than(FleetTopic::Targets, 10).unwrap().age_ms;
+    assert_eq!(age_ms(), 0);
+    relay.note_lost(FleetTopic::Targets);
+    assert_eq!(age_ms(), u64::MAX);
+    relay.note_newest(FleetTopic::Targets, Duration::ZERO);
+    assert_eq!(age_ms(), 0);
+}
+
+#[test]
+fn followers_leave_a_process_whose_link_fell_silent_within_two_seconds() {
+    // A configuration has three seconds to be in force.
+    let limit = Duration::from_millis(1_900);
+    for first_ms in [0, 300, 900, 1_300] {
+        let mut age = Duration::from_millis(first_ms);
+        while age < limit {
+            age += relay_wait(age, limit);
+        }
+        assert!(age <= Duration::from_millis(2_000), "asked at {first_ms} ms, left at {age:?}");
+    }
+}
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -55,7 +55,8 @@
                 let recorder = &self.follower.recorder;
                 let mut changes = recorder.changes();
                 let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
-                let is_newer = |_: &u64| recorder.revision(topic) > since;
+                let is_newer =
+                    |_: &u64| recorder.revision(topic) > since || recorder.is_lost(topic);
                 // Nothing newer within the wait is an answer too.
                 let _ = tokio::time::timeout(wait, changes.wait_for(is_newer)).await;
                 recorder.newer_than(topic, since).map_or(Reply::Nothing, Reply::Records)
