Soak: a target for each process of a larger fleet

So fleets in which processes follow relays could not be played.

Change: as many targets as processes, four at least. The soak alone.

--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -25,8 +25,8 @@
     time::{Instant, sleep, sleep_until},
 };
 
-/// Targets of a seed.
-const TARGETS: usize = 4;
+/// Fewest targets of a seed; a larger fleet has one for each process.
+const TARGETS_FLOOR: usize = 4;
 /// Requests that a target runs at once.
 const TARGET_SLOTS: usize = 6;
 /// Time after the last fault from which everything is served, by the users' pages.
@@ -97,8 +97,9 @@
 /// # }
 /// ```
 pub async fn run_seed(settings: SoakSettings) -> anyhow::Result<SoakReport> {
-    let plan = FaultPlan::draw(settings.seed, settings.span, settings.processes, TARGETS);
-    let world = World::start(&settings).await?;
+    let targets = settings.processes.max(TARGETS_FLOOR);
+    let plan = FaultPlan::draw(settings.seed, settings.span, settings.processes, targets);
+    let world = World::start(&settings, targets).await?;
     world.wait_until_ready().await?;
     let callers = Callers::spawn(settings.seed, &world.fronts());
     let began = Instant::now();
@@ -165,7 +166,7 @@
 }
 
 impl World {
-    async fn start(settings: &SoakSettings) -> anyhow::Result<Arc<World>> {
+    async fn start(settings: &SoakSettings, targets: usize) -> anyhow::Result<Arc<World>> {
         std::fs::create_dir_all(&settings.folder)
             .with_context(|| format!("{} cannot be made", settings.folder.display()))?;
         let objects = Objects::start().await?;
@@ -177,7 +178,7 @@
             changes: History::begin(),
         };
         state.change_keys(&objects, |keys| keys.push(held_now(MAIN_KEY)));
-        for _ in 0..TARGETS {
+        for _ in 0..targets {
             state.next_target += 1;
             state.targets.push(new_target(state.next_target, &objects, &arrivals).await?);
         }
