Name the waits and ages of relays and followers plainly

Cause: read as a newcomer, 'prompt' meant two things in one file, and 'the same' pointed at the wrong line.

Change: comments and one constant's name. The program is the same.

--- a/crates/skylarkpick-forward/src/fleet/follow.rs
+++ b/crates/skylarkpick-forward/src/fleet/follow.rs
@@ -14,27 +14,26 @@
 const ENTRIES_WATCH_WAIT: Duration = Duration::from_secs(12);
 /// Pause after a change among the entry processes.
 const ENTRIES_PAUSE: Duration = Duration::from_millis(700);
-/// The same for what has to be in force within three seconds, in a process that tells others of it: by
-/// the age of its last answer they know early that it is cut off.
+/// Longest wait of a relay's watch for what has to be in force within three seconds: by the age of its
+/// last answer its followers know early that it is cut off.
 const RELAYED_WATCH_WAIT: Duration = Duration::from_secs(1);
-/// Longest wait for news of a process that reads the platform.
+/// Longest wait for news from a relay.
 const RELAY_WAIT: Duration = Duration::from_millis(1_200);
 /// Shortest such wait.
 const RELAY_WAIT_FLOOR: Duration = Duration::from_millis(50);
-/// Age from which what such a process tells is not relied on: its watch has had no answer.
+/// Age from which what a relay tells is not relied on: its watch has had no answer.
 const RELAY_AGE_LIMIT: Duration = Duration::from_millis(3_800);
 /// The same for what has to be in force within three seconds; the rest is for reading it elsewhere.
-const PROMPT_RELAY_AGE_LIMIT: Duration = Duration::from_millis(1_900);
-/// The same for entry processes: a process that reads them hears of nothing for as long as its watch.
+const URGENT_RELAY_AGE_LIMIT: Duration = Duration::from_millis(1_900);
+/// The same for entry processes, whose watch may be silent for as long as it waits.
 const ENTRIES_RELAY_AGE_LIMIT: Duration = Duration::from_secs(15);
-/// Pause after a change among the targets in a process that tells others of it: they heartbeat in
-/// their records, a hundred of them all the time.
+/// Pause of a relay after a change among the targets: each heartbeat of a target is one.
 const RELAYED_TARGETS_PAUSE: Duration = Duration::from_millis(300);
-/// Time for which a process reads the platform itself after those that it follows were cut off.
+/// Time for which a follower reads the platform itself after its relays were cut off.
 const DIRECT_SPAN: Duration = Duration::from_secs(6);
 /// Pause after a failed call, on average.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// The same where other processes are followed: they hear of the platform's return first.
+/// The same for a follower: its relays hear of the platform's return first.
 const FOLLOWER_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// What followers of topics share.
@@ -96,7 +95,7 @@
 
 fn relay_age_limit(topic: FleetTopic) -> Duration {
     match topic {
-        FleetTopic::Serving | FleetTopic::Targets => PROMPT_RELAY_AGE_LIMIT,
+        FleetTopic::Serving | FleetTopic::Targets => URGENT_RELAY_AGE_LIMIT,
         FleetTopic::Weights => RELAY_AGE_LIMIT,
         FleetTopic::Entries => ENTRIES_RELAY_AGE_LIMIT,
     }
