One pause, one question to a peer, one reading of a number option

Cause: reading the whole change once more showed pieces written twice: the pause with a random share (three places), asking a peer and parsing its reply (two), the desk of tests (two), an option that is a number (two), and a copy of the list of relays only to see whether this process is one.

Change: pause_around, ask_peer, test_support::empty_desk, option_or (after getopts' own), Recorder::is_relay. Events of runners no longer look their cache up again for names that only managed stores have. No bound, check or assertion changes; the one text that does is the message for a soak option that is no number, which is now that of `overhead`.

Ruled out: one hash for placement and membership (it would move every hashed part), one flag for a lost topic (it would change which lines are logged), both left to the issue.

--- a/crates/skylarkpick-command/src/command.rs
+++ b/crates/skylarkpick-command/src/command.rs
@@ -2,6 +2,7 @@
 
 use crate::console::Console;
 use getopts::{Matches, Options};
+use std::str::FromStr;
 
 /// How a command ended, which is also the exit code of the process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,6 +27,27 @@
 
 impl std::error::Error for WrongUse {}
 
+/// Value of an option, or `default` where the call has none.
+///
+/// # Errors
+/// When the value has another form than its type.
+///
+/// ```
+/// use skylarkpick_command::option_or;
+/// let mut options = getopts::Options::new();
+/// options.optopt("", "seeds", "how many", "N");
+/// let matches = options.parse(["--seeds", "3"])?;
+/// assert_eq!(option_or(&matches, "seeds", 1).ok(), Some(3));
+/// # Ok::<(), getopts::Fail>(())
+/// ```
+pub fn option_or<T>(matches: &Matches, name: &str, default: T) -> Result<T, WrongUse>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    matches.opt_get_default(name, default).map_err(|error| WrongUse(format!("--{name}: {error}")))
+}
+
 /// How a command is called.
 pub struct Signature {
     /// What stands after the command's name, for example `FILE [--json]`.
--- a/crates/skylarkpick-command/src/commands/overhead.rs
+++ b/crates/skylarkpick-command/src/commands/overhead.rs
@@ -1,7 +1,7 @@
 //! `skylarkpick overhead`.
 
 use crate::{
-    command::{Command, Example, Exit, Signature, WrongUse},
+    command::{Command, Example, Exit, Signature, WrongUse, option_or},
     console::Console,
     overhead::{self, OverheadPlan},
 };
@@ -81,9 +81,7 @@
 }
 
 fn number(matches: &Matches, name: &str, default: u32, limit: u32) -> Result<u32, WrongUse> {
-    let number = matches
-        .opt_get_default(name, default)
-        .map_err(|error| WrongUse(format!("--{name}: {error}")))?;
+    let number = option_or(matches, name, default)?;
     if (1..=limit).contains(&number) {
         return Ok(number);
     }
--- a/crates/skylarkpick-command/src/commands/soak.rs
+++ b/crates/skylarkpick-command/src/commands/soak.rs
@@ -1,13 +1,13 @@
 //! `skylarkpick soak`.
 
 use crate::{
-    command::{Command, Example, Exit, Signature, WrongUse},
+    command::{Command, Example, Exit, Signature, option_or},
     console::Console,
 };
 use anyhow::Context;
 use getopts::{Matches, Options};
 use skylarkpick_soak::{SoakReport, SoakSettings, run_seed};
-use std::{path::PathBuf, str::FromStr, time::Duration};
+use std::{path::PathBuf, time::Duration};
 use tokio::task::JoinSet;
 
 /// First seed, seeds, seeds at once, seconds of faults, and entry processes, where nothing is said.
@@ -62,14 +62,14 @@
     }
 
     fn run(&self, matches: &Matches, console: &mut Console) -> anyhow::Result<Exit> {
-        let first = number(matches, "seed", FIRST_SEED)?;
-        let seeds = number(matches, "seeds", SEEDS)?;
-        let jobs = number(matches, "jobs", JOBS)?.clamp(1, JOBS_LIMIT);
+        let first = option_or(matches, "seed", FIRST_SEED)?;
+        let seeds = option_or(matches, "seeds", SEEDS)?;
+        let jobs = option_or(matches, "jobs", JOBS)?.clamp(1, JOBS_LIMIT);
         let folder = matches.opt_str("keep").map_or_else(temporary_folder, PathBuf::from);
         let settings = SoakSettings {
             seed: first,
-            span: Duration::from_secs(number(matches, "seconds", SECONDS)?),
-            processes: number(matches, "processes", PROCESSES)?.clamp(1, PROCESSES_LIMIT),
+            span: Duration::from_secs(option_or(matches, "seconds", SECONDS)?),
+            processes: option_or(matches, "processes", PROCESSES)?.clamp(1, PROCESSES_LIMIT),
             program: std::env::current_exe().context("the program's own path is not known")?,
             folder,
             network: 0,
@@ -138,9 +138,3 @@
     }
     text
 }
-
-fn number<T: FromStr>(matches: &Matches, name: &str, default: T) -> anyhow::Result<T> {
-    let Some(text) = matches.opt_str(name) else { return Ok(default) };
-    let wrong = || WrongUse(format!("--{name} is {text:?}, expected a number"));
-    Ok(text.parse().map_err(|_| wrong())?)
-}
--- a/crates/skylarkpick-command/src/lib.rs
+++ b/crates/skylarkpick-command/src/lib.rs
@@ -8,7 +8,7 @@
 mod operator_client;
 mod overhead;
 
-pub use command::{Command, Example, Exit, Signature, WrongUse};
+pub use command::{Command, Example, Exit, Signature, WrongUse, option_or};
 pub use commands::all_commands;
 pub use console::Console;
 pub use dispatch::{run_main, run_with};
--- a/crates/skylarkpick-forward/src/fleet/follow.rs
+++ b/crates/skylarkpick-forward/src/fleet/follow.rs
@@ -1,7 +1,7 @@
 //! Follows one topic of the platform's records.
 
-use super::{reading::CacheReading, record::Recorder};
-use crate::peers::PeerRescue;
+use super::record::Recorder;
+use crate::{pause::pause_around, peers::PeerRescue};
 use skylarkpick_interface::{FeedError, FleetSource, FleetTopic};
 use skylarkpick_telemetry::{FEEDS_LOST, metrics};
 use std::{sync::Arc, time::Duration};
@@ -123,7 +123,7 @@
 }
 
 fn watch_wait(follower: &FleetFollower, topic: FleetTopic) -> Duration {
-    let is_relay = follower.recorder.cache_reading() == CacheReading::Relay;
+    let is_relay = follower.recorder.is_relay();
     match topic {
         FleetTopic::Entries => ENTRIES_WATCH_WAIT,
         FleetTopic::Serving | FleetTopic::Targets if is_relay => RELAYED_WATCH_WAIT,
@@ -133,7 +133,7 @@
 
 /// Pause in which further changes of a topic come together.
 fn pause_after(follower: &FleetFollower, topic: FleetTopic) -> Duration {
-    let is_relay = follower.recorder.cache_reading() == CacheReading::Relay;
+    let is_relay = follower.recorder.is_relay();
     match topic {
         // Processes start together.
         FleetTopic::Entries => ENTRIES_PAUSE,
@@ -201,10 +201,9 @@
     }
 }
 
-/// Pauses between half and one and a half of the usual time, so that processes do not call together.
 async fn pause(follower: &FleetFollower, failures: u32) {
     let is_own_reader = follower.recorder.relays_to_follow().is_empty();
     let is_prompt = is_own_reader || failures < PROMPT_RETRIES;
     let usual = if is_prompt { RETRY_PAUSE } else { FOLLOWER_RETRY_PAUSE };
-    tokio::time::sleep(usual.mul_f64(0.5 + rand::random::<f64>())).await;
+    pause_around(usual).await;
 }
--- a/crates/skylarkpick-forward/src/fleet/record.rs
+++ b/crates/skylarkpick-forward/src/fleet/record.rs
@@ -188,6 +188,11 @@
         self.reading.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Whether this process reads the platform and the caches for others.
+    pub(crate) fn is_relay(&self) -> bool {
+        self.cache_reading() == CacheReading::Relay
+    }
+
     /// Addresses of the processes that this one follows.
     pub(crate) fn relays_to_follow(&self) -> Vec<String> {
         match self.cache_reading() {
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -6,11 +6,11 @@
     reading::{CacheReading, cache_reading},
     record::Recorder,
 };
-use crate::{desk::Desk, peers::PeerRescue};
+use crate::{desk::Desk, peers::PeerRescue, test_support::empty_desk};
 use async_trait::async_trait;
 use skylarkpick_interface::{
     FeedError, FleetNews, FleetRecord, FleetRevision, FleetSource, FleetTopic, ListedEntry,
-    ListedTarget, NamedRecord, NodeBounds, PlatformError, TokioClock,
+    ListedTarget, NamedRecord, PlatformError,
 };
 use std::{
     collections::BTreeMap,
@@ -18,24 +18,13 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::{Duration, SystemTime},
+    time::Duration,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
 
 fn recorder() -> (Arc<Desk>, Recorder) {
-    let clock = Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH));
-    let bounds = NodeBounds {
-        drain: 2 * SECOND,
-        grace: 8 * SECOND,
-        configuration: 2 * SECOND,
-        retry_percent: 20,
-        retry_window: 10 * SECOND,
-        retry_extra: 54,
-        lease: 3 * SECOND,
-        weights: 12 * SECOND,
-    };
-    let desk = Desk::open(clock, bounds);
+    let desk = empty_desk();
     (desk.clone(), Recorder::open(desk, "entry-1"))
 }
 
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -9,9 +9,12 @@
 mod life;
 mod log;
 mod node;
+mod pause;
 mod peers;
 mod pool;
 mod readiness;
 mod serving;
+#[cfg(test)]
+mod test_support;
 
 pub use node::{Node, NodeParts};
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -8,6 +8,7 @@
     },
     front::Door,
     life::Lives,
+    pause::pause_around,
     peers::{CacheRelay, Handler, PeerParts, PeerRescue, follow_relay, open_peers},
     pool::Pool,
     readiness::{MetricsPage, Readiness},
@@ -195,7 +196,7 @@
     loop {
         while let Err(error) = follower.source.register(&entry).await {
             spdlog::info!("not registered yet", kv: { error: });
-            tokio::time::sleep(REGISTER_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+            pause_around(REGISTER_PAUSE).await;
         }
         tokio::time::sleep(LISTED_PAUSE).await;
         while follower.recorder.is_listed() {
--- a/crates/skylarkpick-forward/src/peers/relay.rs
+++ b/crates/skylarkpick-forward/src/peers/relay.rs
@@ -5,7 +5,7 @@
 
 use super::{
     messages::{CacheEntry, CacheNews, Question, Reply},
-    rescue::PeerRescue,
+    rescue::{PeerRescue, ask_peer},
 };
 use crate::{desk::Desk, fleet::FleetFollower};
 use skylarkpick_interface::PartChanges;
@@ -193,13 +193,7 @@
         let relay = &relays[turn % relays.len()];
         let wait_ms = u64::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u64::MAX);
         let question = Question::Caches { log, since, wait_ms };
-        // A question of numbers always serializes.
-        let message = serde_json::to_vec(&question).unwrap_or_default();
-        let answer = network.ask(relay, message, FOLLOW_WAIT + FOLLOW_SLACK).await;
-        let reply = answer
-            .map_err(|error| error.to_string())
-            .and_then(|answer| serde_json::from_slice(&answer).map_err(|error| error.to_string()));
-        match reply {
+        match ask_peer(&**network, relay, &question, FOLLOW_WAIT + FOLLOW_SLACK).await {
             Ok(Reply::Caches(news)) => {
                 (log, since) = (news.log, news.next);
                 apply(&desk, news);
--- a/crates/skylarkpick-forward/src/peers/rescue.rs
+++ b/crates/skylarkpick-forward/src/peers/rescue.rs
@@ -70,13 +70,7 @@
         let since = recorder.revision(topic);
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let question = Question::Records { topic, since, wait_ms };
-        // A question of numbers always serializes.
-        let message = serde_json::to_vec(&question).unwrap_or_default();
-        let answer = network.ask(address, message, wait + ASK_TIMEOUT).await;
-        let reply = answer.map_err(|error| error.to_string()).and_then(|answer| {
-            serde_json::from_slice::<Reply>(&answer).map_err(|error| error.to_string())
-        });
-        match reply {
+        match ask_peer(&**network, address, &question, wait + ASK_TIMEOUT).await {
             Ok(Reply::Records(told)) => {
                 let (revision, age) = (told.news.revision, Duration::from_millis(told.age_ms));
                 if recorder.take_over(topic, &told) && !told.news.records.is_empty() {
@@ -96,3 +90,16 @@
         }
     }
 }
+
+/// Asks another process and reads its reply.
+pub(super) async fn ask_peer(
+    network: &dyn PeerNetwork,
+    address: &str,
+    question: &Question,
+    timeout: Duration,
+) -> Result<Reply, String> {
+    // A question of numbers always serializes.
+    let message = serde_json::to_vec(question).unwrap_or_default();
+    let answer = network.ask(address, message, timeout).await.map_err(|error| error.to_string())?;
+    serde_json::from_slice(&answer).map_err(|error| error.to_string())
+}
--- a/crates/skylarkpick-forward/src/peers/tests.rs
+++ b/crates/skylarkpick-forward/src/peers/tests.rs
@@ -1,14 +1,10 @@
 //! What one process tells of caches is what another one knows of them.
 
 use super::relay::{CacheRelay, apply};
-use crate::desk::Desk;
-use skylarkpick_interface::{ContextMemory, NodeBounds, PartChange, PartChanges, TokioClock};
+use crate::{desk::Desk, test_support::empty_desk};
+use skylarkpick_interface::{ContextMemory, PartChange, PartChanges};
 use skylarkpick_schedule::{CacheKind, PartFingerprint};
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime},
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -21,17 +17,7 @@
 }
 
 fn desk() -> Arc<Desk> {
-    let bounds = NodeBounds {
-        drain: 2 * SECOND,
-        grace: 8 * SECOND,
-        configuration: 2 * SECOND,
-        retry_percent: 20,
-        retry_window: 10 * SECOND,
-        retry_extra: 54,
-        lease: 3 * SECOND,
-        weights: 12 * SECOND,
-    };
-    let desk = Desk::open(Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)), bounds);
+    let desk = empty_desk();
     let memory = ContextMemory {
         capacity_tokens: 40_000,
         token_size_bytes: 18_432,
--- a/crates/skylarkpick-schedule/src/placement/parts.rs
+++ b/crates/skylarkpick-schedule/src/placement/parts.rs
@@ -261,8 +261,10 @@
         for change in &changes.changes {
             let part = PartFingerprint::of(&change.scope, &change.part);
             self.set(address, part, change.tokens);
-            let named = self.caches.get_mut(address).filter(|_| has_names && change.tokens > 0);
-            if let Some(store) = named {
+            if has_names
+                && change.tokens > 0
+                && let Some(store) = self.caches.get_mut(address)
+            {
                 let key = PartKey { scope: change.scope.clone(), part: change.part.clone() };
                 store.names.insert(part, key);
             }
