--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -3,6 +3,7 @@
 mod cache_role;
 mod cache_watch;
 mod entry_health;
+mod load_sampler;
 mod missing_targets;
 mod planner;
 mod records;
@@ -13,6 +14,7 @@
 mod tests;
 
 pub(crate) use cache_watch::{CacheWatchers, watch_caches};
+pub(crate) use load_sampler::{LoadSampler, sample_loads};
 pub(crate) use planner::{PlannerParts, run_planner};
 pub(crate) use records::FleetRecords;
 pub(crate) use serving_confirmer::ServingConfirmer;
--- a/crates/skylarkpick-forward/src/fleet/cache_role.rs
+++ b/crates/skylarkpick-forward/src/fleet/cache_role.rs
@@ -35,12 +35,27 @@
     let Some(own) = own.filter(|_| entries.len() > DIRECT_WATCH_LIMIT) else {
         return CacheWatchRole::Direct;
     };
-    let mut relays: Vec<&RegisteredEntry> =
-        entries.iter().filter(|entry| entry.data_centre == own.data_centre).collect();
-    relays.sort_by_key(|entry| (std::cmp::Reverse(entry.cpu_percent), entry.name.clone()));
-    relays.truncate(RELAYS_PER_DATA_CENTRE);
+    let relays = strongest_entries(entries, &own.data_centre);
     if relays.iter().any(|entry| entry.name == node) {
         return CacheWatchRole::Relay;
     }
     CacheWatchRole::Follower { relays: relays.iter().map(|it| it.address.to_string()).collect() }
 }
+
+/// Returns whether the process `node` samples the load of the engines in a data centre. The VMs with
+/// the most CPU there do; every process derives the same ones from the same list.
+pub(crate) fn is_load_sampler(entries: &[RegisteredEntry], node: &str, data_centre: &str) -> bool {
+    strongest_entries(entries, data_centre).iter().any(|entry| entry.name == node)
+}
+
+/// Returns the VMs with the most CPU in a data centre.
+fn strongest_entries<'a>(
+    entries: &'a [RegisteredEntry],
+    data_centre: &str,
+) -> Vec<&'a RegisteredEntry> {
+    let mut strongest: Vec<&RegisteredEntry> =
+        entries.iter().filter(|entry| entry.data_centre == data_centre).collect();
+    strongest.sort_by_key(|entry| (std::cmp::Reverse(entry.cpu_percent), entry.name.clone()));
+    strongest.truncate(RELAYS_PER_DATA_CENTRE);
+    strongest
+}
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -1,6 +1,6 @@
 //! Stores the platform's records and applies them to the node state.
 
-use super::cache_role::{CacheWatchRole, cache_watch_role};
+use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler};
 use super::missing_targets::MissingTargets;
 use crate::peers::PeerRecords;
 use crate::{log::request_log, node_state::NodeState, serving_index::ServingIndex};
@@ -190,6 +190,11 @@
         others
     }
 
+    /// Returns whether this process samples the load of the engines in its own data centre.
+    pub(crate) fn is_load_sampler(&self, data_centre: &str) -> bool {
+        is_load_sampler(&self.entries(), &self.node, data_centre)
+    }
+
     /// Returns the role of this process.
     pub(crate) fn cache_watch_role(&self) -> CacheWatchRole {
         self.role.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -19,10 +19,10 @@
 use hyper::body::{Body, Frame, Incoming};
 use skylarkpick_http::{ReadBodyError, read_body};
 use skylarkpick_interface::{
-    DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead, ResponseKind,
-    ResponseMetadata, ServiceName, ServingAccount, ServingRoute, TargetId,
+    ControlError, DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead, ResponseKind,
+    ReservationOutcome, ResponseMetadata, ServiceName, ServingAccount, ServingRoute, TargetControl, TargetId,
 };
-use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
+use skylarkpick_schedule::{Assignment, PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use skylarkpick_telemetry::{REQUESTS_ANSWER_START, REQUESTS_ANSWERED, SENDS_ENDED, metrics};
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -34,6 +34,15 @@
 /// Maximum number of attempts of a request beyond the runs that its route allows. Rejected attempts
 /// are not runs, but each of them costs a round trip.
 const EXTRA_ATTEMPTS_LIMIT: u32 = 2;
+/// Share of a request's latency objective for which it may wait until a target has capacity.
+const CAPACITY_WAIT_SHARE: f64 = 0.5;
+/// Longest expected wait that is compared with the time left: estimates of longer waits are rough,
+/// and capacity may become free earlier.
+const CAPACITY_WAIT_STEP: Duration = Duration::from_millis(50);
+/// Time within which a request uses the memory reserved for it.
+const RESERVATION_LIFETIME: Duration = Duration::from_secs(1);
+/// Timeout of a reservation. The request is then sent without one.
+const RESERVATION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Expected wait if there is no estimate.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
@@ -44,6 +53,7 @@
     pub(crate) pool: Arc<ConnectionPool>,
     pub(crate) confirmer: ServingConfirmer,
     pub(crate) data_centre: DataCentreId,
+    pub(crate) control: Arc<dyn TargetControl>,
 }
 
 /// Accepted request and the state of its attempts.
@@ -92,6 +102,18 @@
         self.placement_request.avoid.push(target.clone());
     }
 
+    /// Returns the time up to which the request may wait for a target with capacity. A later start
+    /// would miss the latency objective.
+    fn waits_until(&self) -> Instant {
+        self.received + self.route.target_latency.mul_f64(CAPACITY_WAIT_SHARE)
+    }
+
+    /// Returns whether the request can wait for a target that has capacity after `wait`.
+    fn may_wait(&self, wait: Duration) -> bool {
+        let is_engine_request = self.placement_request.prompt.is_some();
+        is_engine_request && Instant::now() + wait.min(CAPACITY_WAIT_STEP) < self.waits_until()
+    }
+
     fn may_run_again(&self) -> bool {
         let may_repeat = self.route.repeatability == Repeatability::Repeatable;
         self.runs == 0 || (may_repeat && self.runs < self.route.attempts_limit)
@@ -233,6 +255,7 @@
                 answer_tokens_limit: prompt.answer_tokens_limit,
                 isolated_account: isolated.map(|account| account.account.clone()),
             }),
+            rank: account.and_then(|account| account.rank).unwrap_or(route.rank),
             avoid: Vec::new(),
             max_wait: timeout.min(route.timeout),
         }
@@ -320,6 +343,13 @@
         loop {
             let assignment = match self.node_state.choose(&request.placement_request) {
                 PlacementDecision::Assigned(assignment) => assignment,
+                PlacementDecision::Unplaced(UnplacedReason::Full { wait })
+                    if request.may_wait(wait) =>
+                {
+                    let until = request.waits_until();
+                    self.node_state.wait_for_capacity(&request.placement_request, until).await;
+                    continue;
+                }
                 PlacementDecision::Unplaced(why) => {
                     return self.handle_unplaced(request, why, last);
                 }
@@ -333,22 +363,35 @@
                 });
                 return last;
             }
+            let target = assignment.target.clone();
+            let mut guard =
+                self.node_state.begin(*assignment, request.placement_request.prompt.as_ref());
+            match self.reserve(&guard.assignment, request.deadline).await {
+                Ok(Some(ReservationOutcome::Granted(id))) => guard.reservation = Some(id),
+                Ok(Some(ReservationOutcome::Denied)) => {
+                    guard.deny();
+                    continue;
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    log_failed_attempt(request, &target, "not_reserved", &error.to_string());
+                }
+            }
             request_log!("request sent to target", kv: {
                 request = request.head.attempt_id.as_str(),
-                target = assignment.target.as_str(),
-                held_tokens = assignment.held_tokens,
-                missing_tokens = assignment.missing_tokens,
-                fetches = assignment.fetch.iter().flatten().count(),
-                saves = assignment.save.iter().flatten().count(),
-                weight_version = assignment.weight_version.unwrap_or_default(),
+                target = guard.assignment.target.as_str(),
+                held_tokens = guard.assignment.held_tokens,
+                missing_tokens = guard.assignment.missing_tokens,
+                fetches = guard.assignment.fetch.iter().flatten().count(),
+                saves = guard.assignment.save.iter().flatten().count(),
+                weight_version = guard.assignment.weight_version.unwrap_or_default(),
                 // -1 for a target that has not reported its load yet.
-                load_age_ms = assignment.load_age.map_or(-1, |age| age.as_millis() as i64),
-                expected_wait_ms = milliseconds(assignment.expected_wait),
+                load_age_ms = guard.assignment.load_age.map_or(-1, |age| age.as_millis() as i64),
+                sources = guard.assignment.sources.len(),
+                prefill_tokens = guard.assignment.prefill_tokens,
+                expected_wait_ms = milliseconds(guard.assignment.expected_wait),
                 serving_version = request.serving_version,
             });
-            let target = assignment.target.clone();
-            let guard =
-                self.node_state.begin(*assignment, request.placement_request.prompt.as_ref());
             request.sends += 1;
             let attempt = Attempt { forwarder: self, request, guard, resume_after };
             let outcome = attempt.run().await;
@@ -362,6 +405,28 @@
         }
     }
 
+    /// Reserves memory for a request at its engine, so that it runs at once. Returns `None` if the
+    /// target reserves none.
+    async fn reserve(
+        &self,
+        assignment: &Assignment,
+        deadline: Instant,
+    ) -> Result<Option<ReservationOutcome>, ControlError> {
+        let longest = self.node_state.lock().placement.reservation_limit(&assignment.target);
+        if longest.is_zero() || assignment.memory_tokens == 0 {
+            return Ok(None);
+        }
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let reserving = self.control.reserve(
+            &assignment.target,
+            assignment.address,
+            assignment.memory_tokens,
+            longest.min(RESERVATION_LIFETIME),
+            remaining.min(RESERVATION_TIMEOUT),
+        );
+        reserving.await.map(Some)
+    }
+
     /// Records the outcome of an attempt. Returns the result of the request if it is final;
     /// otherwise sets `last` to the result that applies if no further attempt is possible.
     fn handle_outcome(
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -4,7 +4,7 @@
     client::ClientListener,
     connection_pool::ConnectionPool,
     fleet::{
-        CacheWatchers, FleetRecords, FleetWatcher, PlannerParts, ServingConfirmer, run_planner,
+        CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer, run_planner, sample_loads,
         watch_caches, watch_topic,
     },
     forwarding::Forwarder,
@@ -89,6 +89,7 @@
             pool: ConnectionPool::open(),
             confirmer: ServingConfirmer::open(watcher.clone()),
             data_centre: settings.data_centre.clone(),
+            control: parts.control.clone(),
         });
         let ready = Server::bind(
             &settings.ready_address.to_string(),
@@ -112,6 +113,12 @@
             tasks.spawn(watch_topic(watcher.clone(), topic));
         }
         tasks.spawn(expire_targets(watcher.clone()));
+        tasks.spawn(sample_loads(LoadSampler {
+            node_state: node_state.clone(),
+            control: parts.control.clone(),
+            watcher: watcher.clone(),
+            data_centre: settings.data_centre.clone(),
+        }));
         tasks.spawn(watch_caches(Arc::new(CacheWatchers {
             node_state: node_state.clone(),
             control: parts.control.clone(),
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -1,10 +1,12 @@
 //! State shared by all requests of a process: serving document, placement and retry budgets.
 
 use crate::serving_index::ServingIndex;
-use skylarkpick_interface::{Clock, NodeLimits, ReportedLoad, ServiceName, WeightVersion};
+use skylarkpick_interface::{
+    Clock, NodeLimits, ReportedLoad, ReservationId, ServiceName, WeightVersion,
+};
 use skylarkpick_schedule::{
-    Assignment, Placement, PlacementDecision, PlacementPrompt, PlacementRequest, TargetOutcome,
-    WindowRetryBudget,
+    Assignment, Placement, PlacementDecision, PlacementPrompt, PlacementRequest, TargetOutcome, UnplacedReason,
+    MemorySample, WaitingRequests, WindowRetryBudget,
 };
 use std::{
     collections::BTreeMap,
@@ -14,7 +16,7 @@
     },
     time::Duration,
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
 
 /// Safety margin before the time at which runs on previous weights must no longer start; covers
 /// message and queue delays.
@@ -23,6 +25,9 @@
 /// process that has just started doesn't know the others yet.
 const ENTRIES_FLOOR: u32 = 8;
 
+/// Longest time after which a request that waits for capacity is placed again.
+const CAPACITY_POLL: Duration = Duration::from_millis(25);
+
 /// State shared by all requests of a process.
 pub(crate) struct NodeState {
     state: Mutex<RoutingState>,
@@ -32,6 +37,8 @@
     pub(crate) caches_changed: Notify,
     /// Wakes the planner when weights or targets have changed.
     pub(crate) weights_changed: Notify,
+    /// Wakes the requests that wait for capacity when some may have become free.
+    capacity_changed: Notify,
     draining: AtomicBool,
     in_flight: AtomicU64,
 }
@@ -44,6 +51,8 @@
     budgets: BTreeMap<ServiceName, WindowRetryBudget>,
     /// Number of entry processes that share the additional retries.
     entries: u32,
+    /// Requests that wait until a target has capacity.
+    waiting: WaitingRequests,
 }
 
 impl NodeState {
@@ -55,11 +64,13 @@
                 placement: Placement::open(usable_for),
                 budgets: BTreeMap::new(),
                 entries: ENTRIES_FLOOR,
+                waiting: WaitingRequests::default(),
             }),
             clock,
             limits,
             caches_changed: Notify::new(),
             weights_changed: Notify::new(),
+            capacity_changed: Notify::new(),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
         })
@@ -100,8 +111,35 @@
         self.lock().entries = u32::try_from(count).unwrap_or(u32::MAX).max(ENTRIES_FLOOR);
     }
 
+    /// Chooses a target. No target is chosen while more urgent requests wait for the service.
     pub(crate) fn choose(&self, request: &PlacementRequest) -> PlacementDecision {
-        self.lock().placement.choose(request, self.now())
+        let state = self.lock();
+        let decision = state.placement.choose(request, self.now());
+        if matches!(decision, PlacementDecision::Assigned(_))
+            && state.waiting.has_more_urgent(&request.service, request.rank)
+        {
+            let wait = CAPACITY_POLL;
+            return PlacementDecision::Unplaced(UnplacedReason::Full { wait });
+        }
+        decision
+    }
+
+    /// Waits until a target may have capacity for the request, or until `until`.
+    pub(crate) async fn wait_for_capacity(
+        self: &Arc<Self>,
+        request: &PlacementRequest,
+        until: Instant,
+    ) {
+        let _waiting = WaitingGuard::begin(self, request);
+        let until = until.min(Instant::now() + CAPACITY_POLL);
+        // After the timeout the request is placed again, or rejected.
+        let _ = tokio::time::timeout_at(until, self.capacity_changed.notified()).await;
+    }
+
+    /// Applies a sample of an engine's memory that arrived now.
+    pub(crate) fn observe_memory(&self, target: &str, sample: MemorySample) {
+        self.lock().placement.observe_memory(target, sample, self.now());
+        self.capacity_changed.notify_waiters();
     }
 
     /// Counts a request as in flight at the assigned target until the guard is dropped.
@@ -110,12 +148,16 @@
         assignment: Assignment,
         prompt: Option<&PlacementPrompt>,
     ) -> AssignmentGuard {
-        self.lock().placement.begin(&assignment, prompt, self.now());
+        let now = self.now();
+        self.lock().placement.begin(&assignment, prompt, now);
         AssignmentGuard {
             node_state: self.clone(),
             assignment,
+            sent_at: now,
             outcome: TargetOutcome::Unknown,
-            is_first_response_noted: false,
+            has_responded: false,
+            is_denied: false,
+            reservation: None,
         }
     }
 
@@ -197,29 +239,76 @@
     }
 }
 
+/// Counts a request as waiting for capacity until dropped.
+struct WaitingGuard<'a> {
+    node_state: &'a NodeState,
+    service: ServiceName,
+    rank: u8,
+}
+
+impl<'a> WaitingGuard<'a> {
+    fn begin(node_state: &'a NodeState, request: &PlacementRequest) -> WaitingGuard<'a> {
+        node_state.lock().waiting.begin(&request.service, request.rank);
+        WaitingGuard { node_state, service: request.service.clone(), rank: request.rank }
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.node_state.lock().waiting.end(&self.service, self.rank);
+    }
+}
+
 /// Counts a request as in flight at its assigned target until dropped, and then records its
 /// outcome.
 pub(crate) struct AssignmentGuard {
     node_state: Arc<NodeState>,
     pub(crate) assignment: Assignment,
     pub(crate) outcome: TargetOutcome,
-    is_first_response_noted: bool,
+    sent_at: Duration,
+    has_responded: bool,
+    is_denied: bool,
+    pub(crate) reservation: Option<ReservationId>,
 }
 
 impl AssignmentGuard {
+    /// Ends the assignment, since the target denied the memory for the request.
+    pub(crate) fn deny(mut self) {
+        self.is_denied = true;
+    }
+
     /// Records that the first part of the response has arrived.
     pub(crate) fn note_first_response(&mut self) {
-        if !std::mem::replace(&mut self.is_first_response_noted, true) {
-            self.node_state.lock().placement.note_first_response(&self.assignment);
+        if !std::mem::replace(&mut self.has_responded, true) {
+            let now = self.node_state.now();
+            let elapsed = now.saturating_sub(self.sent_at);
+            let mut state = self.node_state.lock();
+            state.placement.note_first_response(&self.assignment, elapsed, now);
         }
     }
 }
 
 impl Drop for AssignmentGuard {
     fn drop(&mut self) {
-        self.note_first_response();
         let now = self.node_state.now();
-        self.node_state.lock().placement.end(&self.assignment, self.outcome, now);
+        let elapsed = now.saturating_sub(self.sent_at);
+        let mut state = self.node_state.lock();
+        match (self.has_responded, self.outcome) {
+            (true, _) => {}
+            (false, _) if self.is_denied => {
+                state.placement.end_prefill(&self.assignment);
+                state.placement.note_denied(&self.assignment, now);
+            }
+            (false, TargetOutcome::Unknown) if self.assignment.cache_scope.is_some() => {
+                state.placement.note_no_response(&self.assignment, elapsed, now);
+            }
+            (false, _) => state.placement.end_prefill(&self.assignment),
+        }
+        state.placement.end(&self.assignment, self.outcome, elapsed, now);
+        drop(state);
+        if !self.is_denied {
+            self.node_state.capacity_changed.notify_waiters();
+        }
     }
 }
 
--- a/crates/skylarkpick-forward/src/peers.rs
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -11,7 +11,7 @@
 mod relay;
 
 pub(crate) use handler::PeerMessageHandler;
-pub(crate) use messages::{Notice, PeerRecords};
+pub(crate) use messages::{EngineLoadNotice, Notice, PeerRecords};
 pub(crate) use network::{NetworkParts, open_network};
 pub(crate) use peer_client::PeerClient;
 pub(crate) use relay::{CacheRelay, follow_relay};
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -7,6 +7,7 @@
 use crate::{fleet::FleetWatcher, log::request_log, node_state::NodeState};
 use async_trait::async_trait;
 use skylarkpick_interface::PeerHandler;
+use skylarkpick_schedule::MemorySample;
 use std::{sync::Arc, time::Duration};
 
 /// Upper limit of the wait that a request specifies.
@@ -29,6 +30,13 @@
                 });
                 self.node_state.note_swapping(&target, &model, weight_version);
             }
+            Ok(Notice::Loads { loads }) => {
+                for load in loads {
+                    let sample =
+                        MemorySample { used_tokens: load.used_tokens, waiting: load.waiting };
+                    self.node_state.observe_memory(&load.target, sample);
+                }
+            }
             Err(error) => {
                 spdlog::warn!("invalid notice from another entry process", kv: { error: });
             }
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -44,6 +44,22 @@
         /// Weight version that it will serve.
         weight_version: WeightVersion,
     },
+    /// Loads that engines reported to the sender.
+    Loads {
+        /// The reported loads.
+        loads: Vec<EngineLoadNotice>,
+    },
+}
+
+/// Load that an engine reported to another process.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct EngineLoadNotice {
+    /// Name of the engine's target.
+    pub(crate) target: TargetId,
+    /// Requests that wait for memory or a slot.
+    pub(crate) waiting: u32,
+    /// Tokens in memory that belong to running requests.
+    pub(crate) used_tokens: u64,
 }
 
 /// Response to a [`PeerRequest`].
--- a/crates/skylarkpick-interface/src/control.rs
+++ b/crates/skylarkpick-interface/src/control.rs
@@ -97,6 +97,27 @@
     pub weights: BTreeMap<ModelName, WeightVersion>,
 }
 
+/// Load of an engine and its memory, as it reported them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EngineLoad {
+    /// Requests that wait for memory or a slot.
+    pub waiting: u32,
+    /// Tokens in memory that belong to running requests and are not evicted.
+    pub used_tokens: u64,
+}
+
+/// ID of memory that was reserved at an engine.
+pub type ReservationId = String;
+
+/// Outcome of asking an engine to reserve memory.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReservationOutcome {
+    /// The memory is reserved for the request that names the ID.
+    Granted(ReservationId),
+    /// The engine has too little memory or no slot.
+    Denied,
+}
+
 /// Client for control calls to targets and stores.
 #[async_trait]
 pub trait TargetControl: Send + Sync {
@@ -110,6 +131,29 @@
         timeout: Duration,
     ) -> Result<OrderState, ControlError>;
 
+    /// Reads the load of an engine.
+    ///
+    /// # Errors
+    /// Returns an error if there is no valid response.
+    async fn engine_load(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<EngineLoad, ControlError>;
+
+    /// Reserves a slot and `tokens` of an engine's memory for `lifetime`.
+    ///
+    /// # Errors
+    /// Returns an error if there is no valid response; the memory may be reserved nevertheless.
+    async fn reserve(
+        &self,
+        target: &TargetId,
+        address: SocketAddr,
+        tokens: u64,
+        lifetime: Duration,
+        timeout: Duration,
+    ) -> Result<ReservationOutcome, ControlError>;
+
     /// Sends an order and waits until the target has accepted or rejected it.
     ///
     /// # Errors
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -23,9 +23,9 @@
 pub use health::{Ejection, TargetHealth, TargetState};
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use placement::{
-    Assignment, CacheKind, CacheView, DesiredWeightsView, OutdatedPartFinder, OutdatedParts,
+    Assignment, CacheKind, CacheView, DesiredWeightsView, MemorySample, OutdatedPartFinder, OutdatedParts,
     PartDirectory, PartFingerprint, PartKey, Placement, PlacementDecision, PlacementPrompt,
-    PlacementRequest, TargetOutcome, TargetView, UnplacedReason,
+    PlacementRequest, TargetOutcome, TargetView, UnplacedReason, WaitingRequests,
 };
 pub use queue::{FairQueue, QueuedId, QueuedRequest};
 pub use retry::{RetryBudget, WindowRetryBudget};
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -5,19 +5,25 @@
 //! lengths do.
 
 mod cost;
+mod estimate;
+mod memory;
 mod outdated;
 mod parts;
 mod reachability;
 mod selection;
 mod target;
+mod timing;
 #[cfg(test)]
 mod tests;
 mod types;
+mod waiting;
 mod weights;
 
+pub use memory::MemorySample;
 pub use outdated::{OutdatedPartFinder, OutdatedParts};
 pub use parts::{CacheKind, CacheView, PartDirectory, PartFingerprint, PartKey};
 pub use selection::Placement;
 pub use target::{TargetOutcome, TargetView};
 pub use types::{Assignment, PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
+pub use waiting::WaitingRequests;
 pub use weights::DesiredWeightsView;
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -4,20 +4,15 @@
 use super::{
     parts::{CacheView, PartDirectory, PartFingerprint, rendezvous_weight},
     target::TargetView,
+    timing::ServiceTiming,
     types::{PlacementPrompt, PlacementRequest},
 };
 use skylarkpick_interface::{CacheScope, ContextMemory, FetchSource, PromptPart, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
-/// Prefill rate of an engine, from the users' data sheets.
-const PREFILL_TOKENS_PER_MS: f64 = 36.1;
 /// Delay of the first token for each other request in flight at an engine, since all requests share
 /// the steps of the engine.
 const ENGINE_IN_FLIGHT_DELAY_MS: f64 = 5.0;
-/// Delay for each request waiting at an engine: its prompt is prefilled first.
-const ENGINE_WAITING_DELAY_MS: f64 = 70.0;
-/// Time for which a call occupies a slot of a plain service, from the users' data sheets.
-const PLAIN_CALL_MS: f64 = 60.0;
 /// Penalty for each request in flight at an instance of a plain service, so that the least loaded
 /// instance is preferred while slots are free.
 const PLAIN_IN_FLIGHT_PENALTY_MS: f64 = 3.0;
@@ -27,29 +22,39 @@
 const AFFINITY_BONUS_MS: f64 = 8.0;
 /// Share of the bonus that the second-ranked target gets. Prompts go there if the first is busy.
 const SECOND_AFFINITY_SHARE: f64 = 0.5;
-/// Affinity bonus if no known cache provides some of the shared parts. Processes that don't know
-/// each other's decisions must choose the same target, or those parts are prefilled twice.
-const MISSING_PART_AFFINITY_BONUS_MS: f64 = 250.0;
+/// Affinity bonus if no known cache provides some of the shared parts, relative to their prefill
+/// time. Processes that don't know each other's decisions must choose the same target, or those
+/// parts are prefilled twice.
+const MISSING_PART_AFFINITY_FACTOR: f64 = 1.2;
 /// Affinity bonus if this process doesn't watch the target's cache. The target that a part hashes
 /// to is the most likely holder.
 const UNWATCHED_AFFINITY_BONUS_MS: f64 = 60.0;
-/// Penalty for each shared token that is prefilled instead of reused, on top of the prefill time.
-/// The users price 1,000 recomputed tokens at a sixth of the response to a long prompt.
-const RECOMPUTE_PENALTY_MS_PER_TOKEN: f64 = 0.1;
-/// Longest transfer to wait for. A part whose transfer takes longer is prefilled.
-const TRANSFER_LIMIT_MS: f64 = 900.0;
-/// Penalty for each token beyond an engine's memory: other requests are preempted and their prompts
-/// prefilled again.
-const OVER_MEMORY_PENALTY_MS_PER_TOKEN: f64 = 1.0 / PREFILL_TOKENS_PER_MS;
+/// Penalty for shared tokens that are prefilled instead of reused, relative to their prefill time:
+/// all requests at the engine wait for it.
+const RECOMPUTE_PENALTY_FACTOR: f64 = 3.6;
 /// Factor on the time that the bytes of a part take between data centres.
 const OTHER_DATA_CENTRE_TRANSFER_FACTOR: f64 = 2.0;
-/// Penalty for fetching from a runner, which may evict the part before the fetch. A store keeps it.
-const EVICTION_RISK_PENALTY_MS: f64 = 40.0;
+/// Share of the fetches from a runner that fail, since it evicted the part meanwhile; the part is
+/// then prefilled. A store keeps it.
+const EVICTION_RISK: f64 = 0.3;
 /// Setup time of a transfer at an engine.
 const TRANSFER_SETUP_MS: f64 = 3.3;
 /// Penalty for starting on weights that are about to be replaced, on top of the wait.
 const OLD_WEIGHTS_PENALTY_MS: f64 = 80.0;
 
+/// Share of an engine's memory that running requests may fill. The rest holds cached parts, and the
+/// requests that other processes sent since the last sample.
+const OCCUPANCY_LIMIT: f64 = 0.95;
+/// Share by which that limit is lower for each rank.
+const RESERVED_SHARE_PER_RANK: f64 = 0.04;
+/// Lowest limit of any rank.
+const OCCUPANCY_LIMIT_FLOOR: f64 = 0.7;
+/// Penalty for an engine whose memory is full, relative to the time for which requests occupy it.
+const OCCUPANCY_PENALTY_SHARE: f64 = 0.1;
+
+/// Expected wait after an engine denied a reservation.
+const DENIED_WAIT_MS: f64 = 20.0;
+
 /// How one target gets the context of a prompt.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ContextPlan {
@@ -63,6 +68,12 @@
     pub(super) missing_tokens: u64,
     /// Tokens to prefill, shared or not.
     pub(super) prefill_tokens: u64,
+    /// Caches to fetch parts from that the target lacks.
+    pub(super) sources: Vec<SocketAddr>,
+    /// Tokens of these transfers.
+    pub(super) transfer_tokens: u64,
+    /// Time of these transfers if no others delay them.
+    pub(super) transfer_ms: f64,
     /// Time to fetch and prefill the prompt.
     pub(super) ready_ms: f64,
 }
@@ -74,15 +85,25 @@
     pub(super) total_ms: f64,
     /// Time until the request starts to be served.
     pub(super) wait_ms: f64,
+    /// Time until the target has capacity for the request; 0 if it has.
+    pub(super) capacity_wait_ms: f64,
 }
 
 /// Returns the cost of a call at an instance of a plain service.
-pub(super) fn plain_cost(target: &TargetView, request: &PlacementRequest, now: Duration) -> Cost {
+pub(super) fn plain_cost(
+    target: &TargetView,
+    request: &PlacementRequest,
+    timing: &ServiceTiming,
+    now: Duration,
+) -> Cost {
     let in_flight = target.requests(now);
     let slots = f64::from(target.slots());
-    let wait_ms = ((in_flight + 1.0 - slots) / slots).max(0.0) * PLAIN_CALL_MS;
+    let wait_ms = ((in_flight + 1.0 - slots) / slots).max(0.0) * timing.run_ms();
     let distance = distance_penalty_ms(target, request);
-    Cost { total_ms: wait_ms + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS + distance, wait_ms }
+    Cost { total_ms: wait_ms + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS + distance,
+        wait_ms,
+        capacity_wait_ms: 0.0,
+    }
 }
 
 /// The inputs of an engine's cost that are the same for all targets.
@@ -92,6 +113,7 @@
     pub(super) prompt: &'a PlacementPrompt,
     pub(super) ranking: &'a AffinityRanking,
     pub(super) memory: &'a ContextMemory,
+    pub(super) timing: &'a ServiceTiming,
     pub(super) now: Duration,
 }
 
@@ -102,41 +124,82 @@
     plan: &ContextPlan,
     has_newer_weights: bool,
 ) -> Cost {
-    let EngineRequest { request, prompt, ranking, memory, now } = *engine_request;
+    let EngineRequest { request, ranking, timing, now, .. } = *engine_request;
     let in_flight = target.requests(now);
     let slots = f64::from(target.slots());
     let over_slots = (in_flight + 1.0 - slots).max(0.0);
-    let own_queue_ms = target.own_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
-    let queue_ms = own_queue_ms + target.reported_waiting(now) * ENGINE_WAITING_DELAY_MS;
-    // The requests of other processes are assumed to need as much memory as this process's
-    // requests there or, if it has none, as this request.
-    let others = (in_flight - f64::from(target.own_requests)).max(0.0);
-    let mean_tokens = match target.own_requests {
-        0 => unshared_tokens(prompt),
-        count => target.own_tokens / u64::from(count),
-    };
-    let needed =
-        target.own_tokens as f64 + others * mean_tokens as f64 + unshared_tokens(prompt) as f64;
-    let over_memory = (needed - memory.capacity_tokens as f64).max(0.0);
-    let wait_ms = over_slots * PLAIN_CALL_MS + over_memory * OVER_MEMORY_PENALTY_MS_PER_TOKEN;
-    let affinity_bonus_ms = affinity_bonus_ms(target, ranking, plan);
-    let recompute_penalty_ms = plan.missing_tokens as f64 * RECOMPUTE_PENALTY_MS_PER_TOKEN;
+    let own_queue_ms = timing.prefill_ms(target.own_prefill_tokens);
+    let waiting_ms = target.reported_waiting(now) * timing.prompt_prefill_ms();
+    let queue_ms = (own_queue_ms + waiting_ms).max(target.response_delay.value_ms(now));
+    let occupancy = Occupancy::of(target, engine_request, plan);
+    let memory_wait_ms = occupancy.excess * timing.residence_ms();
+    let wait_ms = over_slots / slots * timing.run_ms() + memory_wait_ms;
+    let occupancy_penalty_ms =
+        OCCUPANCY_PENALTY_SHARE * timing.residence_ms() * occupancy.share.powi(2);
+    let missing_ms = timing.prefill_ms(plan.missing_tokens);
+    let affinity_bonus_ms = affinity_bonus_ms(target, ranking, plan, missing_ms);
+    let recompute_penalty_ms = missing_ms * RECOMPUTE_PENALTY_FACTOR;
     let weights_penalty_ms = if has_newer_weights { OLD_WEIGHTS_PENALTY_MS } else { 0.0 };
     let total_ms = wait_ms
         + queue_ms
         + in_flight * ENGINE_IN_FLIGHT_DELAY_MS
+        + occupancy_penalty_ms
         + plan.ready_ms
         + weights_penalty_ms
         + recompute_penalty_ms
         + distance_penalty_ms(target, request)
         - affinity_bonus_ms;
-    Cost { total_ms, wait_ms: wait_ms + queue_ms }
+    let needed = needed_tokens(engine_request.prompt, plan);
+    let capacity_wait_ms = if target.memory.is_denied(needed, now) {
+        memory_wait_ms.max(DENIED_WAIT_MS)
+    } else if occupancy.is_sampled {
+        memory_wait_ms
+    } else {
+        0.0
+    };
+    Cost { total_ms, wait_ms: wait_ms + queue_ms, capacity_wait_ms }
 }
 
-/// Returns the memory that a request takes in addition to the parts that it shares with others.
-pub(super) fn unshared_tokens(prompt: &PlacementPrompt) -> u64 {
-    let shared: u64 = shared_parts(prompt).iter().map(|part| part.tokens).sum();
-    prompt.prompt_tokens.saturating_sub(shared) + prompt.answer_tokens_limit
+/// Memory of an engine in use with one more request, as shares of its capacity.
+struct Occupancy {
+    share: f64,
+    /// Share beyond the limit for the rank of the request.
+    excess: f64,
+    /// Whether the engine reported its memory recently.
+    is_sampled: bool,
+}
+
+impl Occupancy {
+    fn of(
+        target: &TargetView,
+        engine_request: &EngineRequest<'_>,
+        plan: &ContextPlan,
+    ) -> Occupancy {
+        let EngineRequest { request, prompt, memory, timing, now, .. } = *engine_request;
+        let sampled = target.memory.used_tokens(timing.memory_tokens(), now);
+        let used = sampled.unwrap_or_else(|| {
+            let others = (target.requests(now) - f64::from(target.own_requests)).max(0.0);
+            target.own_tokens as f64 + others * timing.memory_tokens()
+        });
+        let capacity = memory.capacity_tokens.max(1) as f64;
+        let share = (used + needed_tokens(prompt, plan) as f64) / capacity;
+        // An idle engine takes any request.
+        let is_idle = used < 1.0;
+        let excess = if is_idle { 0.0 } else { (share - occupancy_limit(request.rank)).max(0.0) };
+        Occupancy { share, excess, is_sampled: sampled.is_some() }
+    }
+}
+
+/// Returns the share of an engine's memory that requests of a rank may fill. Less urgent ones leave
+/// room for more urgent ones.
+fn occupancy_limit(rank: u8) -> f64 {
+    let reserved = f64::from(rank) * RESERVED_SHARE_PER_RANK;
+    (OCCUPANCY_LIMIT - reserved).max(OCCUPANCY_LIMIT_FLOOR)
+}
+
+/// Returns the memory that a request takes at an engine in addition to the parts that it holds.
+pub(super) fn needed_tokens(prompt: &PlacementPrompt, plan: &ContextPlan) -> u64 {
+    prompt.prompt_tokens.saturating_sub(plan.held_tokens) + prompt.answer_tokens_limit
 }
 
 /// Returns the parts that other requests may share: all but the last.
@@ -151,9 +214,14 @@
 }
 
 /// Returns the bonus of a target for its rank among those that the prompt hashes to.
-fn affinity_bonus_ms(target: &TargetView, ranking: &AffinityRanking, plan: &ContextPlan) -> f64 {
+fn affinity_bonus_ms(
+    target: &TargetView,
+    ranking: &AffinityRanking,
+    plan: &ContextPlan,
+    missing_ms: f64,
+) -> f64 {
     let full_ms = match plan {
-        _ if plan.missing_tokens > 0 => MISSING_PART_AFFINITY_BONUS_MS,
+        _ if plan.missing_tokens > 0 => missing_ms * MISSING_PART_AFFINITY_FACTOR,
         _ if !plan.is_target_watched => UNWATCHED_AFFINITY_BONUS_MS,
         _ => AFFINITY_BONUS_MS,
     };
@@ -244,82 +312,131 @@
         self.parts[index].iter().any(|holder| holder.address == *address)
     }
 
-    /// Returns the cache with the shortest transfer of a part to the target, and the time of that
-    /// transfer.
+    /// Returns the cache with the fastest transfer of a part to the target.
     fn fastest_source(
         &self,
         index: usize,
         target: &TargetView,
         tokens: u64,
-        memory: &ContextMemory,
-    ) -> Option<(SocketAddr, f64)> {
+        costs: &TransferCosts<'_>,
+    ) -> Option<Transfer> {
         let others = self.parts[index]
             .iter()
             .filter(|holder| holder.is_source && holder.address != target.registration.address);
         others
-            .map(|holder| (holder.address, transfer_ms(holder.cache, target, tokens, memory)))
-            .filter(|(_, time_ms)| *time_ms < TRANSFER_LIMIT_MS)
-            .min_by(|left, right| left.1.total_cmp(&right.1))
+            .map(|holder| costs.transfer(holder, target, tokens))
+            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
+    }
+}
+
+/// Transfer of one part.
+#[derive(Clone, Copy, Debug)]
+struct Transfer {
+    source: SocketAddr,
+    /// Time that the transfer takes if no others delay it.
+    unloaded_ms: f64,
+    /// Expected time, with the delay by other transfers and the risk of an eviction.
+    cost_ms: f64,
+}
+
+/// What determines the costs of transfers to the engines of one service.
+pub(super) struct TransferCosts<'a> {
+    pub(super) memory: &'a ContextMemory,
+    pub(super) timing: &'a ServiceTiming,
+    pub(super) now: Duration,
+}
+
+impl TransferCosts<'_> {
+    fn transfer(&self, holder: &Holder<'_>, target: &TargetView, tokens: u64) -> Transfer {
+        let (cache, memory) = (holder.cache, self.memory);
+        let speed = cache.memory.link_megabits_per_second.min(memory.link_megabits_per_second);
+        let bits = (tokens * memory.token_size_bytes * 8) as f64;
+        let moved_ms = bits / (speed * 1_000.0);
+        let distance_factor = if cache.data_centre == target.registration.data_centre {
+            1.0
+        } else {
+            OTHER_DATA_CENTRE_TRANSFER_FACTOR
+        };
+        let unloaded_ms = TRANSFER_SETUP_MS
+            + cache.memory.first_byte_delay.as_secs_f64() * 1_000.0
+            + moved_ms * distance_factor;
+        let risk_ms =
+            if cache.is_store() { 0.0 } else { EVICTION_RISK * self.timing.prefill_ms(tokens) };
+        let cost_ms = unloaded_ms + cache.transfer_delay.value_ms(self.now) + risk_ms;
+        Transfer { source: holder.address, unloaded_ms, cost_ms }
+    }
+
+    /// Returns the cost of prefilling tokens that are cached elsewhere.
+    fn recompute_ms(&self, tokens: u64) -> f64 {
+        self.timing.prefill_ms(tokens) * (1.0 + RECOMPUTE_PENALTY_FACTOR)
     }
 }
 
 /// Plans how one target gets the context of a prompt.
+///
+/// A cached part is usable only if all parts before it are held or fetched. The plan covers as many
+/// leading parts as is cheapest; the target prefills the rest.
 pub(super) fn plan_context(
     holders: &PartHolders<'_>,
     target: &TargetView,
     is_target_watched: bool,
     prompt: &PlacementPrompt,
-    memory: &ContextMemory,
+    costs: &TransferCosts<'_>,
 ) -> ContextPlan {
+    let shared = shared_parts(prompt);
+    let transfers: Vec<Option<Transfer>> = shared
+        .iter()
+        .enumerate()
+        .map(|(index, part)| holders.fastest_source(index, target, part.tokens, costs))
+        .collect();
+    let is_held = |index: usize| holders.is_held_at(index, &target.registration.address);
+    let covered = cheapest_coverage(shared, &transfers, &is_held, costs);
     let mut plan = ContextPlan {
         fetch: vec![None; prompt.parts.len()],
         is_target_watched,
+        prefill_tokens: prompt.prompt_tokens,
         ..ContextPlan::default()
     };
-    let mut prefill_tokens = prompt.prompt_tokens;
-    let mut transfer_ms = 0.0;
-    // A cached part is usable only if all parts before it are held or fetched.
-    let mut is_covered = true;
-    for (index, part) in shared_parts(prompt).iter().enumerate() {
-        let source = holders.fastest_source(index, target, part.tokens, memory);
-        if is_covered {
-            // A held part gets a source too, since it may be evicted before the request starts.
-            plan.fetch[index] = source.map(|(address, _)| FetchSource { address });
-        }
-        if is_covered && holders.is_held_at(index, &target.registration.address) {
-            plan.held_tokens += part.tokens;
-            prefill_tokens = prefill_tokens.saturating_sub(part.tokens);
+    let mut transfer_cost_ms = 0.0;
+    for (index, (part, transfer)) in shared.iter().zip(&transfers).enumerate() {
+        if index >= covered {
+            plan.missing_tokens += part.tokens;
             continue;
         }
-        match source.filter(|_| is_covered) {
-            Some((_, time_ms)) => {
-                transfer_ms += time_ms;
-                prefill_tokens = prefill_tokens.saturating_sub(part.tokens);
-            }
-            None => {
-                is_covered = false;
-                plan.missing_tokens += part.tokens;
-            }
+        plan.prefill_tokens = plan.prefill_tokens.saturating_sub(part.tokens);
+        // A held part gets a source too, since it may be evicted before the request starts.
+        plan.fetch[index] = transfer.map(|it| FetchSource { address: it.source });
+        if is_held(index) {
+            plan.held_tokens += part.tokens;
+        } else if let Some(transfer) = transfer {
+            plan.sources.push(transfer.source);
+            plan.transfer_tokens += part.tokens;
+            plan.transfer_ms += transfer.unloaded_ms;
+            transfer_cost_ms += transfer.cost_ms;
         }
     }
-    plan.prefill_tokens = prefill_tokens;
-    plan.ready_ms = transfer_ms + prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
+    plan.ready_ms = transfer_cost_ms + costs.timing.prefill_ms(plan.prefill_tokens);
     plan
 }
 
-/// Returns the estimated time to transfer tokens from a cache to a target.
-fn transfer_ms(cache: &CacheView, target: &TargetView, tokens: u64, memory: &ContextMemory) -> f64 {
-    let speed = cache.memory.link_megabits_per_second.min(memory.link_megabits_per_second);
-    let bits = (tokens * memory.token_size_bytes * 8) as f64;
-    let moved_ms = bits / (speed * 1_000.0);
-    let distance_factor = if cache.data_centre == target.registration.data_centre {
-        1.0
-    } else {
-        OTHER_DATA_CENTRE_TRANSFER_FACTOR
-    };
-    let risk_penalty_ms = if cache.is_store() { 0.0 } else { EVICTION_RISK_PENALTY_MS };
-    risk_penalty_ms
-        + TRANSFER_SETUP_MS
-        + cache.memory.first_byte_delay.as_secs_f64() * 1_000.0
-        + moved_ms * distance_factor
+/// Returns how many leading parts to take from caches so that the total cost is lowest.
+fn cheapest_coverage(
+    shared: &[PromptPart],
+    transfers: &[Option<Transfer>],
+    is_held: &dyn Fn(usize) -> bool,
+    costs: &TransferCosts<'_>,
+) -> usize {
+    // Cost of the coverage minus the cost of prefilling the covered parts.
+    let (mut balance_ms, mut best) = (0.0, (0.0, 0));
+    for (index, (part, transfer)) in shared.iter().zip(transfers).enumerate() {
+        if !is_held(index) {
+            let Some(transfer) = transfer else { break };
+            balance_ms += transfer.cost_ms;
+        }
+        balance_ms -= costs.recompute_ms(part.tokens);
+        if balance_ms <= best.0 {
+            best = (balance_ms, index + 1);
+        }
+    }
+    best.1
 }
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -1,10 +1,12 @@
 //! Selects the target with the lowest cost for a request, and tracks the targets' state.
 
 use super::{
-    cost::{self, AffinityRanking, Cost, EngineRequest, PartHolders},
+    cost::{self, AffinityRanking, Cost, EngineRequest, PartHolders, TransferCosts},
+    memory::MemorySample,
     parts::{CacheKind, PartDirectory, PartFingerprint},
     reachability::DataCentreReachability,
     target::{TargetOutcome, TargetView},
+    timing::ServiceTiming,
     types::{Assignment, PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason},
     weights::DesiredWeightsView,
 };
@@ -18,12 +20,18 @@
 /// held completely.
 const SAVED_TOKENS_FLOOR: u64 = 16;
 
+/// Safety factor on the expected time until a run starts, while its weights are being replaced.
+const START_DELAY_FACTOR: f64 = 2.0;
+/// Share of the error of an expected response time by which the delays are corrected.
+const DELAY_GAIN: f64 = 0.5;
+
 /// Assigns requests to targets by the tracked state of targets and caches.
 #[derive(Clone, Debug)]
 pub struct Placement {
     targets: BTreeMap<TargetId, TargetView>,
     services: BTreeMap<ServiceName, ServiceKind>,
     reachability: DataCentreReachability,
+    timings: BTreeMap<ServiceName, ServiceTiming>,
     /// Which caches hold which parts.
     pub parts: PartDirectory,
     /// Weights that new runs may start on.
@@ -58,6 +66,7 @@
     ///     service: "book-api".to_string(),
     ///     data_centre: "mnl-a".to_string(),
     ///     prompt: None,
+    ///     rank: 0,
     ///     avoid: Vec::new(),
     ///     max_wait: Duration::from_secs(1),
     /// };
@@ -69,6 +78,7 @@
             targets: BTreeMap::new(),
             services: BTreeMap::new(),
             reachability: DataCentreReachability::default(),
+            timings: BTreeMap::new(),
             parts: PartDirectory::default(),
             weights: DesiredWeightsView::open(old_weights_usable_for),
         }
@@ -173,13 +183,19 @@
                 .filter_map(|it| self.candidate(it, request, &mut lookup, now))
                 .collect();
         }
+        let shortest_wait_ms =
+            candidates.iter().map(|it| it.cost.capacity_wait_ms).min_by(f64::total_cmp);
         let best = candidates
             .into_iter()
+            .filter(|it| it.cost.capacity_wait_ms <= 0.0)
             .min_by(|left, right| left.cost.total_ms.total_cmp(&right.cost.total_ms));
         let Some(best) = best else {
-            return PlacementDecision::Unplaced(UnplacedReason::NoneUsable);
+            return PlacementDecision::Unplaced(shortest_wait_ms.map_or(
+                UnplacedReason::NoneUsable,
+                |wait_ms| UnplacedReason::Full { wait: from_milliseconds(wait_ms) },
+            ));
         };
-        let expected_wait = Duration::from_secs_f64(best.cost.wait_ms / 1_000.0);
+        let expected_wait = from_milliseconds(best.cost.wait_ms);
         if expected_wait > request.max_wait {
             return PlacementDecision::Unplaced(UnplacedReason::Full { wait: expected_wait });
         }
@@ -194,21 +210,19 @@
         lookup: &mut Lookup<'a>,
         now: Duration,
     ) -> Option<Candidate<'a>> {
+        let timing = self.timing(&request.service);
         let (Some(prompt), Some(ServiceKind::Engines(memory))) =
             (&request.prompt, self.services.get(&request.service))
         else {
             return Some(Candidate {
                 target,
-                cost: cost::plain_cost(target, request, now),
+                cost: cost::plain_cost(target, request, &timing, now),
                 plan: cost::ContextPlan::default(),
                 weight_version: None,
                 scope: None,
             });
         };
         let version = target.weight_version(&prompt.model)?;
-        if !self.weights.is_usable(&prompt.model, version, now) {
-            return None;
-        }
         let has_newer = self.weights.age_of_newer(&prompt.model, version, now).is_some();
         let scope = cache_scope(prompt, version);
         let is_reachable = |data_centre: &str| {
@@ -220,10 +234,18 @@
             .or_insert_with(|| PartHolders::open(&self.parts, prompt, &scope, &is_reachable, now));
         let cache = self.parts.cache(&target.registration.address);
         let is_watched = cache.is_some_and(|cache| cache.is_watched());
-        let plan = cost::plan_context(holders, target, is_watched, prompt, memory);
+        let costs = TransferCosts { memory, timing: &timing, now };
+        let plan = cost::plan_context(holders, target, is_watched, prompt, &costs);
         let ranking = &lookup.ranking;
-        let engine_request = EngineRequest { request, prompt, ranking, memory, now };
+        let engine_request =
+            EngineRequest { request, prompt, ranking, memory, timing: &timing, now };
         let cost = cost::engine_cost(target, &engine_request, &plan, has_newer);
+        // A run has to start on usable weights, so its wait at the engine counts.
+        let start_ms = (cost.wait_ms + plan.ready_ms) * START_DELAY_FACTOR;
+        let start = now + from_milliseconds(start_ms);
+        if !self.weights.is_usable(&prompt.model, version, start) {
+            return None;
+        }
         Some(Candidate { target, cost, plan, weight_version: Some(version), scope: Some(scope) })
     }
 
@@ -235,6 +257,10 @@
         now: Duration,
     ) -> Assignment {
         let target = &candidate.target.registration;
+        let memory_tokens = request
+            .prompt
+            .as_ref()
+            .map_or(0, |prompt| cost::needed_tokens(prompt, &candidate.plan));
         let mut assignment = Assignment {
             target: target.id.clone(),
             address: target.address,
@@ -245,7 +271,10 @@
             held_tokens: candidate.plan.held_tokens,
             missing_tokens: candidate.plan.missing_tokens,
             prefill_tokens: candidate.plan.prefill_tokens,
-            memory_tokens: request.prompt.as_ref().map_or(0, cost::unshared_tokens),
+            memory_tokens,
+            sources: candidate.plan.sources,
+            transfer_tokens: candidate.plan.transfer_tokens,
+            transfer: from_milliseconds(candidate.plan.transfer_ms),
             expected_wait,
             load_age: candidate.target.load_age(now),
         };
@@ -290,7 +319,13 @@
         if let Some(state) = self.targets.get_mut(&assignment.target) {
             state.own_requests += 1;
             state.own_tokens += assignment.memory_tokens;
+            state.memory.note_change(assignment.memory_tokens as f64, now);
             state.own_prefill_tokens += assignment.prefill_tokens;
+            if prompt.is_some() {
+                let service = state.registration.service.clone();
+                let timing = self.timings.entry(service).or_default();
+                timing.observe_prompt(assignment.prefill_tokens);
+            }
         }
         let (Some(prompt), Some(scope)) = (prompt, &assignment.cache_scope) else { return };
         let fingerprint = |part: &PromptPart| PartFingerprint::of(scope, &part.id);
@@ -304,20 +339,108 @@
         }
     }
 
-    /// Records that the response to a request has started, so its prompt is prefilled.
-    pub fn note_first_response(&mut self, assignment: &Assignment) {
+    /// Counts a request as not sent, since its target denied the memory for it.
+    pub fn note_denied(&mut self, assignment: &Assignment, now: Duration) {
+        if let Some(state) = self.targets.get_mut(&assignment.target) {
+            state.memory.note_denied(assignment.memory_tokens, now);
+        }
+    }
+
+    /// Returns the longest time for which the engines of a target's service reserve memory.
+    pub fn reservation_limit(&self, target: &str) -> Duration {
+        let target = self.targets.get(target);
+        match target.and_then(|it| self.services.get(&it.registration.service)) {
+            Some(ServiceKind::Engines(memory)) => memory.reservation_limit,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Records that the response to a prompt started `elapsed` after it was sent.
+    pub fn note_first_response(
+        &mut self,
+        assignment: &Assignment,
+        elapsed: Duration,
+        now: Duration,
+    ) {
+        self.end_prefill(assignment);
+        let Some(state) = self.targets.get(&assignment.target) else { return };
+        let timing = self.timings.entry(state.registration.service.clone()).or_default();
+        let elapsed_ms = milliseconds(elapsed);
+        if assignment.sources.is_empty() {
+            timing.observe_response(assignment.prefill_tokens, elapsed_ms);
+        }
+        let error_ms = elapsed_ms - self.expected_response_ms(assignment, now);
+        self.correct_delays(assignment, error_ms, now);
+    }
+
+    /// Records that a prompt sent `elapsed` ago ended without a response, for example because its
+    /// client disconnected. Its response would have taken at least as long.
+    pub fn note_no_response(&mut self, assignment: &Assignment, elapsed: Duration, now: Duration) {
+        self.end_prefill(assignment);
+        let error_ms = milliseconds(elapsed) - self.expected_response_ms(assignment, now);
+        if error_ms > 0.0 {
+            self.correct_delays(assignment, error_ms, now);
+        }
+    }
+
+    /// Ends the count of a request's prompt tokens that are not prefilled yet.
+    pub fn end_prefill(&mut self, assignment: &Assignment) {
         if let Some(state) = self.targets.get_mut(&assignment.target) {
             state.own_prefill_tokens =
                 state.own_prefill_tokens.saturating_sub(assignment.prefill_tokens);
         }
     }
 
-    /// Counts a request as finished, and applies its outcome to the state of the target.
-    pub fn end(&mut self, assignment: &Assignment, outcome: TargetOutcome, now: Duration) {
+    /// Returns the expected time until the response to a prompt starts, with the delays that are
+    /// currently observed at its target and sources.
+    fn expected_response_ms(&self, assignment: &Assignment, now: Duration) -> f64 {
+        let Some(target) = self.targets.get(&assignment.target) else { return 0.0 };
+        let timing = self.timing(&target.registration.service);
+        let caches = assignment.sources.iter().filter_map(|source| self.parts.cache(source));
+        let source_delay_ms: f64 = caches.map(|cache| cache.transfer_delay.value_ms(now)).sum();
+        timing.response_ms()
+            + timing.prefill_ms(assignment.prefill_tokens)
+            + milliseconds(assignment.transfer)
+            + target.response_delay.value_ms(now)
+            + source_delay_ms
+    }
+
+    /// Divides the error of an expected response time among the delays of the target and of the
+    /// sources, since one response doesn't show which of them is slow. Over many requests, the
+    /// combinations of targets and sources do.
+    fn correct_delays(&mut self, assignment: &Assignment, error_ms: f64, now: Duration) {
+        let share_ms = error_ms * DELAY_GAIN / (assignment.sources.len() + 1) as f64;
+        for source in &assignment.sources {
+            self.parts.correct_transfer_delay(source, share_ms, now);
+        }
+        if let Some(state) = self.targets.get_mut(&assignment.target) {
+            state.response_delay.correct(share_ms, now);
+        }
+    }
+
+    /// Returns what was learned of the times of a service.
+    fn timing(&self, service: &str) -> ServiceTiming {
+        self.timings.get(service).copied().unwrap_or_default()
+    }
+
+    /// Counts a request as finished `elapsed` after it was sent, and applies its outcome to the
+    /// state of the target.
+    pub fn end(
+        &mut self,
+        assignment: &Assignment,
+        outcome: TargetOutcome,
+        elapsed: Duration,
+        now: Duration,
+    ) {
         if let Some(state) = self.targets.get_mut(&assignment.target) {
             state.own_requests = state.own_requests.saturating_sub(1);
             state.own_tokens = state.own_tokens.saturating_sub(assignment.memory_tokens);
+            state.memory.note_change(-(assignment.memory_tokens as f64), now);
             state.observe_outcome(outcome, now);
+            if outcome == TargetOutcome::Served {
+                let service = state.registration.service.clone();
+                self.timings.entry(service).or_default().observe_run(assignment.memory_tokens, milliseconds(elapsed));
+            }
             let data_centre = &state.registration.data_centre;
             match outcome {
                 TargetOutcome::Unreachable => {
@@ -353,6 +476,13 @@
         }
     }
 
+    /// Applies a sample of an engine's memory that it returned at `reported_at`.
+    pub fn observe_memory(&mut self, target: &str, sample: MemorySample, reported_at: Duration) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.memory.observe(sample, reported_at);
+        }
+    }
+
     /// Records the weights that a run started on, or that a target returned when it rejected a
     /// request.
     pub fn observe_weights(&mut self, target: &str, model: &str, version: WeightVersion) {
@@ -362,6 +492,14 @@
     }
 }
 
+fn milliseconds(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
+fn from_milliseconds(time_ms: f64) -> Duration {
+    Duration::from_secs_f64(time_ms.max(0.0) / 1_000.0)
+}
+
 /// Returns the scope under which the context of a prompt is cached. Different models, weight
 /// versions and isolated accounts never share a scope.
 fn cache_scope(prompt: &PlacementPrompt, version: WeightVersion) -> CacheScope {
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -25,6 +25,7 @@
         link_megabits_per_second,
         first_byte_delay: Duration::ZERO,
         event_readers_limit: 12,
+        reservation_limit: Duration::ZERO,
     }
 }
 
@@ -93,6 +94,7 @@
         service: PLAIN.to_string(),
         data_centre: "mnl-a".to_string(),
         prompt: None,
+        rank: 0,
         avoid: Vec::new(),
         max_wait: Duration::from_secs(2),
     }
@@ -354,7 +356,7 @@
     let mut placement = fleet();
     let assignment = assigned(&placement, &call(), Duration::ZERO);
     placement.begin(&assignment, None, Duration::ZERO);
-    placement.end(&assignment, TargetOutcome::Unreachable, Duration::ZERO);
+    placement.end(&assignment, TargetOutcome::Unreachable, Duration::ZERO, Duration::ZERO);
     for _ in 0..10 {
         assert_ne!(assigned(&placement, &call(), Duration::ZERO).target, assignment.target);
     }
@@ -383,13 +385,13 @@
             placement.targets()[&assignment.target].registration.data_centre == "mnl-b";
         if is_unreachable {
             waited += 1;
-            placement.end(&assignment, TargetOutcome::Unreachable, now);
+            placement.end(&assignment, TargetOutcome::Unreachable, Duration::ZERO, now);
         } else {
             held.push(assignment);
         }
         // Up to ten calls stay in flight, which is more than the local targets have slots for.
         if held.len() > 10 {
-            placement.end(&held.remove(0), TargetOutcome::Served, now);
+            placement.end(&held.remove(0), TargetOutcome::Served, Duration::from_millis(500), now);
         }
     }
     waited
@@ -413,7 +415,7 @@
         placement.set_target(far(index));
     });
     let assignment = assigned(&placement, &call(), Duration::ZERO);
-    placement.end(&assignment, TargetOutcome::Unreachable, Duration::ZERO);
+    placement.end(&assignment, TargetOutcome::Unreachable, Duration::ZERO, Duration::ZERO);
     let other = assigned(&placement, &call(), Duration::ZERO);
     assert_ne!(other.target, assignment.target);
 }
@@ -437,7 +439,7 @@
             target: format!("i-{index}"),
             ..assigned(&placement, &request, Duration::ZERO)
         };
-        placement.end(&assignment, TargetOutcome::Unreachable, Duration::ZERO);
+        placement.end(&assignment, TargetOutcome::Unreachable, Duration::ZERO, Duration::ZERO);
     }
     let assignment = assigned(&placement, &request, Duration::ZERO);
     assert_ne!(assignment.target, "i-7");
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -15,6 +15,8 @@
     pub data_centre: DataCentreId,
     /// The prompt; `None` for a call to a plain service.
     pub prompt: Option<PlacementPrompt>,
+    /// Priority rank; 0 is the most urgent.
+    pub rank: u8,
     /// Targets that already failed this request.
     pub avoid: Vec<TargetId>,
     /// Longest acceptable wait for a slot at a target.
@@ -60,6 +62,12 @@
     pub prefill_tokens: u64,
     /// Tokens of the target's memory that the request takes while it runs.
     pub memory_tokens: u64,
+    /// Caches that the target is expected to fetch from, since it lacks their parts.
+    pub sources: Vec<SocketAddr>,
+    /// Prompt tokens of these transfers.
+    pub transfer_tokens: u64,
+    /// Expected time of these transfers if no other transfers delay them.
+    pub transfer: Duration,
     /// Expected wait for a slot.
     pub expected_wait: Duration,
     /// Age of the target's last load report, if there is one.
@@ -73,9 +81,10 @@
     NoTarget,
     /// Every target is draining, has already failed the request, or has no usable weights.
     NoneUsable,
-    /// The cheapest target makes the request wait longer than its maximum wait.
+    /// No target has capacity for the request, or the cheapest one makes it wait longer than its
+    /// maximum wait.
     Full {
-        /// Expected wait at that target.
+        /// Expected wait until a target has capacity.
         wait: Duration,
     },
 }
