--- a/crates/skylarkpick-command/src/commands/node.rs
+++ b/crates/skylarkpick-command/src/commands/node.rs
@@ -5,13 +5,15 @@
     console::Console,
 };
 use anyhow::Context;
-use getopts::Matches;
+use getopts::{Matches, Options};
 use skylarkpick_forward::{Node, NodeParts};
 use skylarkpick_interface::{BootClock, NodeSettings};
 use skylarkpick_platform::{
     ObjectClient, PlatformControl, PlatformDialect, PlatformFleet, PlatformObjects,
     read_node_settings,
 };
+use skylarkpick_config::parse_policy;
+use skylarkpick_schedule::PlacementPolicy;
 use skylarkpick_telemetry::{
     Exposition, Level, LevelFilter, Metrics, install_metrics, open_stdout_logs,
 };
@@ -31,7 +33,14 @@
     }
 
     fn signature(&self) -> Signature {
-        Signature::empty()
+        let mut options = Options::new();
+        options.optopt(
+            "",
+            "policy",
+            "weights and switches of placement, for experiments (JSON with comments)",
+            "FILE",
+        );
+        Signature { usage: "[--policy FILE]".to_string(), options, ..Signature::empty() }
     }
 
     fn description(&self) -> &'static str {
@@ -49,19 +58,30 @@
         }]
     }
 
-    fn run(&self, _: &Matches, _: &mut Console) -> anyhow::Result<Exit> {
+    fn run(&self, matches: &Matches, _: &mut Console) -> anyhow::Result<Exit> {
         let settings = read_node_settings().map_err(|error| UsageError(error.to_string()))?;
+        let policy = read_policy(matches.opt_str("policy"))?;
         open_stdout_logs(LevelFilter::MoreSevereEqual(Level::Info))?;
         // A VM has less than one core, so more threads would only add context switches.
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .context("failed to start the async runtime")?;
-        runtime.block_on(serve(settings))
+        runtime.block_on(serve(settings, policy))
     }
 }
 
-async fn serve(settings: NodeSettings) -> anyhow::Result<Exit> {
+/// Reads the placement policy from a file, or returns the default one.
+fn read_policy(path: Option<String>) -> anyhow::Result<PlacementPolicy> {
+    let Some(path) = path else { return Ok(PlacementPolicy::default()) };
+    let text = std::fs::read_to_string(&path)
+        .map_err(|error| UsageError(format!("failed to read the policy file {path}: {error}")))?;
+    let policy = parse_policy(&text)
+        .map_err(|error| UsageError(format!("invalid policy file {path}: {error}")))?;
+    Ok(policy)
+}
+
+async fn serve(settings: NodeSettings, policy: PlacementPolicy) -> anyhow::Result<Exit> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let client = ObjectClient::open(settings.platform_address);
@@ -79,6 +99,7 @@
         dialect: Arc::new(PlatformDialect::open()),
         control: Arc::new(PlatformControl::open()),
         clock: Arc::new(BootClock),
+        policy,
         settings,
     })
     .await
--- a/crates/skylarkpick-config/src/lib.rs
+++ b/crates/skylarkpick-config/src/lib.rs
@@ -27,7 +27,7 @@
 pub use patch::{Patch, PatchError, PatchId, apply_patch};
 pub use read::{
     DOCUMENT_SIZE_LIMIT_BYTES, DocumentKind, detect_document_kind, parse_configuration,
-    parse_settings,
+    parse_policy, parse_settings,
 };
 pub use record::{AcceptedPatch, CONFIGURATION_KEY, ConfigurationRecord};
 pub use record_codec::{DecodeError, decode_record, encode_record};
--- a/crates/skylarkpick-config/src/read.rs
+++ b/crates/skylarkpick-config/src/read.rs
@@ -5,7 +5,7 @@
     conflicts::find_conflicts,
     diagnostic::{Diagnostic, Diagnostics},
     document::Configuration,
-    schema::{CONFIGURATION_FIELDS, Field, Findings, SETTINGS_FIELDS, walk},
+    schema::{CONFIGURATION_FIELDS, Field, Findings, POLICY_FIELDS, SETTINGS_FIELDS, walk},
     settings::Settings,
     validate::validate,
 };
@@ -73,6 +73,24 @@
     parse(text, CONFIGURATION_FIELDS, validate)
 }
 
+/// Parses a placement policy, whose type belongs to the crate that decides.
+///
+/// # Errors
+/// Returns all errors of the document with their positions.
+///
+/// ```
+/// #[derive(Default, serde::Deserialize)]
+/// struct Policy {
+///     eviction_risk: f64,
+/// }
+/// let policy: Policy = skylarkpick_config::parse_policy(r#"{"eviction_risk": 0.1}"#)?;
+/// assert_eq!(policy.eviction_risk, 0.1);
+/// # Ok::<(), skylarkpick_config::Diagnostics>(())
+/// ```
+pub fn parse_policy<T: Default + DeserializeOwned>(text: &str) -> Result<T, Diagnostics> {
+    parse(text, POLICY_FIELDS, |_| Vec::new())
+}
+
 /// Detects the kind of a document by the number of top-level fields that it shares with each kind.
 /// Returns `None` for a tie.
 ///
--- a/crates/skylarkpick-config/src/schema.rs
+++ b/crates/skylarkpick-config/src/schema.rs
@@ -1,6 +1,7 @@
 //! Schemas of settings files and configuration documents.
 
 mod configuration;
+mod policy;
 mod settings;
 mod walk;
 
@@ -10,6 +11,7 @@
 use serde_json::{Value as Json, json};
 
 pub use configuration::CONFIGURATION_FIELDS;
+pub use policy::POLICY_FIELDS;
 pub use settings::SETTINGS_FIELDS;
 pub(crate) use walk::{Findings, walk};
 
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -34,8 +34,6 @@
 /// Maximum number of attempts of a request beyond the runs that its route allows. Rejected attempts
 /// are not runs, but each of them costs a round trip.
 const EXTRA_ATTEMPTS_LIMIT: u32 = 2;
-/// Share of a request's latency objective for which it may wait until a target has capacity.
-const CAPACITY_WAIT_SHARE: f64 = 0.5;
 /// Longest expected wait that is compared with the time left: estimates of longer waits are rough,
 /// and capacity may become free earlier.
 const CAPACITY_WAIT_STEP: Duration = Duration::from_millis(50);
@@ -68,6 +66,8 @@
     pub(crate) account: Option<Arc<ServingAccount>>,
     pub(crate) deadline: Instant,
     placement_request: PlacementRequest,
+    /// Share of the latency objective for which the request may wait for capacity.
+    capacity_wait_share: f64,
     /// Version of the serving document that the request was checked against.
     serving_version: u64,
     /// Attempts that may have reached a target.
@@ -105,7 +105,7 @@
     /// Returns the time up to which the request may wait for a target with capacity. A later start
     /// would miss the latency objective.
     fn waits_until(&self) -> Instant {
-        self.received + self.route.target_latency.mul_f64(CAPACITY_WAIT_SHARE)
+        self.received + self.route.target_latency.mul_f64(self.capacity_wait_share)
     }
 
     /// Returns whether the request can wait for a target that has capacity after `wait`.
@@ -199,6 +199,7 @@
             account,
             deadline: received + timeout,
             placement_request,
+            capacity_wait_share: self.node_state.lock().placement.policy().capacity_wait_share,
             serving_version: serving.version(),
             sends: 0,
             runs: 0,
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -18,6 +18,7 @@
     Clock, Dialect, FleetSource, FleetTopic, NodeSettings, ObjectStore, RegisteredEntry,
     TargetControl,
 };
+use skylarkpick_schedule::PlacementPolicy;
 use skylarkpick_telemetry::Exposition;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{task::JoinSet, time::Instant};
@@ -37,6 +38,8 @@
 
 /// Settings and external systems of a process.
 pub struct NodeParts {
+    /// Weights and switches of placement.
+    pub policy: PlacementPolicy,
     /// Settings of the process.
     pub settings: NodeSettings,
     /// Platform records of the fleet.
@@ -70,7 +73,7 @@
     /// Returns an error if an address can't be bound.
     pub async fn spawn(parts: NodeParts) -> std::io::Result<Node> {
         let settings = &parts.settings;
-        let node_state = NodeState::open(parts.clock.clone(), settings.bounds);
+        let node_state = NodeState::open(parts.clock.clone(), settings.bounds, parts.policy);
         let peer_client = Arc::new(PeerClient::default());
         let watcher = Arc::new(FleetWatcher {
             source: parts.fleet.clone(),
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -5,7 +5,7 @@
     Clock, NodeLimits, ReportedLoad, ReservationId, ServiceName, WeightVersion,
 };
 use skylarkpick_schedule::{
-    Assignment, Placement, PlacementDecision, PlacementPrompt, PlacementRequest, TargetOutcome, UnplacedReason,
+    Assignment, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt, PlacementRequest, TargetOutcome, UnplacedReason,
     MemorySample, WaitingRequests, WindowRetryBudget,
 };
 use std::{
@@ -56,12 +56,16 @@
 }
 
 impl NodeState {
-    pub(crate) fn open(clock: Arc<dyn Clock>, limits: NodeLimits) -> Arc<NodeState> {
+    pub(crate) fn open(
+        clock: Arc<dyn Clock>,
+        limits: NodeLimits,
+        policy: PlacementPolicy,
+    ) -> Arc<NodeState> {
         let usable_for = limits.weights.saturating_sub(OLD_WEIGHTS_MARGIN);
         Arc::new(NodeState {
             state: Mutex::new(RoutingState {
                 serving: None,
-                placement: Placement::open(usable_for),
+                placement: Placement::open_with_policy(usable_for, policy),
                 budgets: BTreeMap::new(),
                 entries: ENTRIES_FLOOR,
                 waiting: WaitingRequests::default(),
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -2,6 +2,7 @@
 
 use crate::node_state::NodeState;
 use skylarkpick_interface::{NodeLimits, TokioClock};
+use skylarkpick_schedule::PlacementPolicy;
 use std::{
     sync::Arc,
     time::{Duration, SystemTime},
@@ -21,5 +22,5 @@
         lease: 3 * SECOND,
         weights: 12 * SECOND,
     };
-    NodeState::open(Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)), limits)
+    NodeState::open(Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)), limits, PlacementPolicy::default())
 }
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -24,7 +24,7 @@
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use placement::{
     Assignment, CacheKind, CacheView, DesiredWeightsView, MemorySample, OutdatedPartFinder, OutdatedParts,
-    PartDirectory, PartFingerprint, PartKey, Placement, PlacementDecision, PlacementPrompt,
+    PartDirectory, PartFingerprint, PartKey, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt,
     PlacementRequest, TargetOutcome, TargetView, UnplacedReason, WaitingRequests,
 };
 pub use queue::{FairQueue, QueuedId, QueuedRequest};
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -3,6 +3,7 @@
 
 use super::{
     parts::{CacheView, PartDirectory, PartFingerprint, rendezvous_weight},
+    policy::PlacementPolicy,
     target::TargetView,
     timing::ServiceTiming,
     types::{PlacementPrompt, PlacementRequest},
@@ -29,28 +30,17 @@
 /// Affinity bonus if this process doesn't watch the target's cache. The target that a part hashes
 /// to is the most likely holder.
 const UNWATCHED_AFFINITY_BONUS_MS: f64 = 60.0;
-/// Penalty for shared tokens that are prefilled instead of reused, relative to their prefill time:
-/// all requests at the engine wait for it.
-const RECOMPUTE_PENALTY_FACTOR: f64 = 3.6;
 /// Factor on the time that the bytes of a part take between data centres.
 const OTHER_DATA_CENTRE_TRANSFER_FACTOR: f64 = 2.0;
-/// Share of the fetches from a runner that fail, since it evicted the part meanwhile; the part is
-/// then prefilled. A store keeps it.
-const EVICTION_RISK: f64 = 0.3;
 /// Setup time of a transfer at an engine.
 const TRANSFER_SETUP_MS: f64 = 3.3;
 /// Penalty for starting on weights that are about to be replaced, on top of the wait.
 const OLD_WEIGHTS_PENALTY_MS: f64 = 80.0;
 
-/// Share of an engine's memory that running requests may fill. The rest holds cached parts, and the
-/// requests that other processes sent since the last sample.
-const OCCUPANCY_LIMIT: f64 = 0.95;
 /// Share by which that limit is lower for each rank.
 const RESERVED_SHARE_PER_RANK: f64 = 0.04;
 /// Lowest limit of any rank.
 const OCCUPANCY_LIMIT_FLOOR: f64 = 0.7;
-/// Penalty for an engine whose memory is full, relative to the time for which requests occupy it.
-const OCCUPANCY_PENALTY_SHARE: f64 = 0.1;
 
 /// Expected wait after an engine denied a reservation.
 const DENIED_WAIT_MS: f64 = 20.0;
@@ -109,6 +99,7 @@
 /// The inputs of an engine's cost that are the same for all targets.
 #[derive(Clone, Copy)]
 pub(super) struct EngineRequest<'a> {
+    pub(super) policy: &'a PlacementPolicy,
     pub(super) request: &'a PlacementRequest,
     pub(super) prompt: &'a PlacementPrompt,
     pub(super) ranking: &'a AffinityRanking,
@@ -124,7 +115,7 @@
     plan: &ContextPlan,
     has_newer_weights: bool,
 ) -> Cost {
-    let EngineRequest { request, ranking, timing, now, .. } = *engine_request;
+    let EngineRequest { policy, request, ranking, timing, now, .. } = *engine_request;
     let in_flight = target.requests(now);
     let slots = f64::from(target.slots());
     let over_slots = (in_flight + 1.0 - slots).max(0.0);
@@ -135,10 +126,11 @@
     let memory_wait_ms = occupancy.excess * timing.residence_ms();
     let wait_ms = over_slots / slots * timing.run_ms() + memory_wait_ms;
     let occupancy_penalty_ms =
-        OCCUPANCY_PENALTY_SHARE * timing.residence_ms() * occupancy.share.powi(2);
+        policy.occupancy_penalty_share * timing.residence_ms() * occupancy.share.powi(2);
     let missing_ms = timing.prefill_ms(plan.missing_tokens);
-    let affinity_bonus_ms = affinity_bonus_ms(target, ranking, plan, missing_ms);
-    let recompute_penalty_ms = missing_ms * RECOMPUTE_PENALTY_FACTOR;
+    let affinity_bonus_ms =
+        policy.affinity_factor * affinity_bonus_ms(target, ranking, plan, missing_ms);
+    let recompute_penalty_ms = missing_ms * policy.recompute_penalty_factor;
     let weights_penalty_ms = if has_newer_weights { OLD_WEIGHTS_PENALTY_MS } else { 0.0 };
     let total_ms = wait_ms
         + queue_ms
@@ -175,7 +167,7 @@
         engine_request: &EngineRequest<'_>,
         plan: &ContextPlan,
     ) -> Occupancy {
-        let EngineRequest { request, prompt, memory, timing, now, .. } = *engine_request;
+        let EngineRequest { policy, request, prompt, memory, timing, now, .. } = *engine_request;
         let sampled = target.memory.used_tokens(timing.memory_tokens(), now);
         let used = sampled.unwrap_or_else(|| {
             let others = (target.requests(now) - f64::from(target.own_requests)).max(0.0);
@@ -185,16 +177,16 @@
         let share = (used + needed_tokens(prompt, plan) as f64) / capacity;
         // An idle engine takes any request.
         let is_idle = used < 1.0;
-        let excess = if is_idle { 0.0 } else { (share - occupancy_limit(request.rank)).max(0.0) };
+        let excess = if is_idle { 0.0 } else { (share - occupancy_limit(policy, request.rank)).max(0.0) };
         Occupancy { share, excess, is_sampled: sampled.is_some() }
     }
 }
 
 /// Returns the share of an engine's memory that requests of a rank may fill. Less urgent ones leave
 /// room for more urgent ones.
-fn occupancy_limit(rank: u8) -> f64 {
+fn occupancy_limit(policy: &PlacementPolicy, rank: u8) -> f64 {
     let reserved = f64::from(rank) * RESERVED_SHARE_PER_RANK;
-    (OCCUPANCY_LIMIT - reserved).max(OCCUPANCY_LIMIT_FLOOR)
+    (policy.occupancy_limit - reserved).max(OCCUPANCY_LIMIT_FLOOR)
 }
 
 /// Returns the memory that a request takes at an engine in addition to the parts that it holds.
@@ -341,6 +333,7 @@
 
 /// What determines the costs of transfers to the engines of one service.
 pub(super) struct TransferCosts<'a> {
+    pub(super) policy: &'a PlacementPolicy,
     pub(super) memory: &'a ContextMemory,
     pub(super) timing: &'a ServiceTiming,
     pub(super) now: Duration,
@@ -361,14 +354,14 @@
             + cache.memory.first_byte_delay.as_secs_f64() * 1_000.0
             + moved_ms * distance_factor;
         let risk_ms =
-            if cache.is_store() { 0.0 } else { EVICTION_RISK * self.timing.prefill_ms(tokens) };
+            if cache.is_store() { 0.0 } else { self.policy.eviction_risk * self.timing.prefill_ms(tokens) };
         let cost_ms = unloaded_ms + cache.transfer_delay.value_ms(self.now) + risk_ms;
         Transfer { source: holder.address, unloaded_ms, cost_ms }
     }
 
     /// Returns the cost of prefilling tokens that are cached elsewhere.
     fn recompute_ms(&self, tokens: u64) -> f64 {
-        self.timing.prefill_ms(tokens) * (1.0 + RECOMPUTE_PENALTY_FACTOR)
+        self.timing.prefill_ms(tokens) * (1.0 + self.policy.recompute_penalty_factor)
     }
 }
 
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -4,6 +4,7 @@
     cost::{self, AffinityRanking, Cost, EngineRequest, PartHolders, TransferCosts},
     memory::MemorySample,
     parts::{CacheKind, PartDirectory, PartFingerprint},
+    policy::PlacementPolicy,
     reachability::DataCentreReachability,
     target::{TargetOutcome, TargetView},
     timing::ServiceTiming,
@@ -32,6 +33,7 @@
     services: BTreeMap<ServiceName, ServiceKind>,
     reachability: DataCentreReachability,
     timings: BTreeMap<ServiceName, ServiceTiming>,
+    policy: PlacementPolicy,
     /// Which caches hold which parts.
     pub parts: PartDirectory,
     /// Weights that new runs may start on.
@@ -74,7 +76,21 @@
     /// assert_eq!(decision, PlacementDecision::Unplaced(UnplacedReason::NoTarget));
     /// ```
     pub fn open(old_weights_usable_for: Duration) -> Placement {
+        Placement::open_with_policy(old_weights_usable_for, PlacementPolicy::default())
+    }
+
+    /// Opens a placement that follows a policy.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::{Placement, PlacementPolicy};
+    /// use std::time::Duration;
+    /// let policy = PlacementPolicy { reserves_memory: false, ..PlacementPolicy::default() };
+    /// let placement = Placement::open_with_policy(Duration::from_secs(10), policy);
+    /// assert_eq!(placement.policy(), &policy);
+    /// ```
+    pub fn open_with_policy(old_weights_usable_for: Duration, policy: PlacementPolicy) -> Placement {
         Placement {
+            policy,
             targets: BTreeMap::new(),
             services: BTreeMap::new(),
             reachability: DataCentreReachability::default(),
@@ -121,6 +137,11 @@
         self.update_caches();
     }
 
+    /// Returns the policy.
+    pub fn policy(&self) -> &PlacementPolicy {
+        &self.policy
+    }
+
     /// Returns the state of all targets.
     pub fn targets(&self) -> &BTreeMap<TargetId, TargetView> {
         &self.targets
@@ -234,11 +255,12 @@
             .or_insert_with(|| PartHolders::open(&self.parts, prompt, &scope, &is_reachable, now));
         let cache = self.parts.cache(&target.registration.address);
         let is_watched = cache.is_some_and(|cache| cache.is_watched());
-        let costs = TransferCosts { memory, timing: &timing, now };
+        let policy = &self.policy;
+        let costs = TransferCosts { policy, memory, timing: &timing, now };
         let plan = cost::plan_context(holders, target, is_watched, prompt, &costs);
         let ranking = &lookup.ranking;
         let engine_request =
-            EngineRequest { request, prompt, ranking, memory, timing: &timing, now };
+            EngineRequest { policy, request, prompt, ranking, memory, timing: &timing, now };
         let cost = cost::engine_cost(target, &engine_request, &plan, has_newer);
         // A run has to start on usable weights, so its wait at the engine counts.
         let start_ms = (cost.wait_ms + plan.ready_ms) * START_DELAY_FACTOR;
@@ -281,7 +303,7 @@
         if let (Some(prompt), Some(scope)) = (&request.prompt, &assignment.cache_scope) {
             let newest = self.weights.newest(&prompt.model);
             // Context of replaced weights is of no use after their usable period, so it isn't saved.
-            if assignment.weight_version >= newest {
+            if assignment.weight_version >= newest && self.policy.saves_parts {
                 assignment.save = self.saves(prompt, scope, now);
             }
         }
@@ -321,7 +343,7 @@
             state.own_tokens += assignment.memory_tokens;
             state.memory.note_change(assignment.memory_tokens as f64, now);
             state.own_prefill_tokens += assignment.prefill_tokens;
-            if prompt.is_some() {
+            if prompt.is_some() && self.policy.learns_times {
                 let service = state.registration.service.clone();
                 let timing = self.timings.entry(service).or_default();
                 timing.observe_prompt(assignment.prefill_tokens);
@@ -350,7 +372,7 @@
     pub fn reservation_limit(&self, target: &str) -> Duration {
         let target = self.targets.get(target);
         match target.and_then(|it| self.services.get(&it.registration.service)) {
-            Some(ServiceKind::Engines(memory)) => memory.reservation_limit,
+            Some(ServiceKind::Engines(memory)) if self.policy.reserves_memory => memory.reservation_limit,
             _ => Duration::ZERO,
         }
     }
@@ -366,7 +388,7 @@
         let Some(state) = self.targets.get(&assignment.target) else { return };
         let timing = self.timings.entry(state.registration.service.clone()).or_default();
         let elapsed_ms = milliseconds(elapsed);
-        if assignment.sources.is_empty() {
+        if assignment.sources.is_empty() && self.policy.learns_times {
             timing.observe_response(assignment.prefill_tokens, elapsed_ms);
         }
         let error_ms = elapsed_ms - self.expected_response_ms(assignment, now);
@@ -410,10 +432,12 @@
     /// combinations of targets and sources do.
     fn correct_delays(&mut self, assignment: &Assignment, error_ms: f64, now: Duration) {
         let share_ms = error_ms * DELAY_GAIN / (assignment.sources.len() + 1) as f64;
-        for source in &assignment.sources {
+        for source in assignment.sources.iter().filter(|_| self.policy.learns_transfer_delays) {
             self.parts.correct_transfer_delay(source, share_ms, now);
         }
-        if let Some(state) = self.targets.get_mut(&assignment.target) {
+        if let Some(state) = self.targets.get_mut(&assignment.target)
+            && self.policy.learns_response_delays
+        {
             state.response_delay.correct(share_ms, now);
         }
     }
@@ -436,20 +460,22 @@
             state.own_requests = state.own_requests.saturating_sub(1);
             state.own_tokens = state.own_tokens.saturating_sub(assignment.memory_tokens);
             state.memory.note_change(-(assignment.memory_tokens as f64), now);
-            state.observe_outcome(outcome, now);
-            if outcome == TargetOutcome::Served {
+            if outcome != TargetOutcome::Failed || self.policy.ejects_targets {
+                state.observe_outcome(outcome, now);
+            }
+            if outcome == TargetOutcome::Served && self.policy.learns_times {
                 let service = state.registration.service.clone();
                 self.timings.entry(service).or_default().observe_run(assignment.memory_tokens, milliseconds(elapsed));
             }
             let data_centre = &state.registration.data_centre;
             match outcome {
-                TargetOutcome::Unreachable => {
+                TargetOutcome::Unreachable if self.policy.detects_partitions => {
                     self.reachability.note_unreachable(data_centre, &assignment.target, now);
                 }
                 TargetOutcome::Served | TargetOutcome::Rejected => {
                     self.reachability.note_reached(data_centre);
                 }
-                TargetOutcome::Failed | TargetOutcome::Unknown => {}
+                TargetOutcome::Failed | TargetOutcome::Unknown | TargetOutcome::Unreachable => {}
             }
         }
     }
@@ -478,7 +504,9 @@
 
     /// Applies a sample of an engine's memory that it returned at `reported_at`.
     pub fn observe_memory(&mut self, target: &str, sample: MemorySample, reported_at: Duration) {
-        if let Some(state) = self.targets.get_mut(target) {
+        if let Some(state) = self.targets.get_mut(target)
+            && self.policy.samples_memory
+        {
             state.memory.observe(sample, reported_at);
         }
     }
