Take back reservations and learned delays

Removed: worth nothing here.

Tried here too: a penalty for prefill that grows with the requests in flight, and a tolerated wait at the engine.

--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -143,7 +143,6 @@
             cache_scope: assignment.cache_scope.clone(),
             fetch: assignment.fetch.clone(),
             save: assignment.save.clone(),
-            reservation: self.guard.reservation.clone(),
             resume_after: self.resume_after.or(request.head.resume_after),
         };
         let mut http_request = Request::new(Full::new(request.body.clone()));
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -19,10 +19,10 @@
 use hyper::body::{Body, Frame, Incoming};
 use skylarkpick_http::{ReadBodyError, read_body};
 use skylarkpick_interface::{
-    ControlError, DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead, ResponseKind,
-    ReservationOutcome, ResponseMetadata, ServiceName, ServingAccount, ServingRoute, TargetControl, TargetId,
+    DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead, ResponseKind,
+    ResponseMetadata, ServiceName, ServingAccount, ServingRoute, TargetId,
 };
-use skylarkpick_schedule::{Assignment, PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
+use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use skylarkpick_telemetry::{REQUESTS_ANSWER_START, REQUESTS_ANSWERED, SENDS_ENDED, metrics};
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -37,10 +37,6 @@
 /// Longest expected wait that is compared with the time left: estimates of longer waits are rough,
 /// and capacity may become free earlier.
 const CAPACITY_WAIT_STEP: Duration = Duration::from_millis(50);
-/// Time within which a request uses the memory reserved for it.
-const RESERVATION_LIFETIME: Duration = Duration::from_secs(1);
-/// Timeout of a reservation. The request is then sent without one.
-const RESERVATION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Expected wait if there is no estimate.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
@@ -51,7 +47,6 @@
     pub(crate) pool: Arc<ConnectionPool>,
     pub(crate) confirmer: ServingConfirmer,
     pub(crate) data_centre: DataCentreId,
-    pub(crate) control: Arc<dyn TargetControl>,
 }
 
 /// Accepted request and the state of its attempts.
@@ -245,6 +240,7 @@
         service: ServiceName,
         timeout: Duration,
     ) -> PlacementRequest {
+        let policy = *self.node_state.lock().placement.policy();
         let isolated = account.filter(|account| account.is_isolated);
         PlacementRequest {
             service,
@@ -257,6 +253,7 @@
                 isolated_account: isolated.map(|account| account.account.clone()),
             }),
             rank: account.and_then(|account| account.rank).unwrap_or(route.rank),
+            tolerated_wait: route.target_latency.mul_f64(policy.tolerated_wait_share),
             avoid: Vec::new(),
             max_wait: timeout.min(route.timeout),
         }
@@ -365,19 +362,8 @@
                 return last;
             }
             let target = assignment.target.clone();
-            let mut guard =
+            let guard =
                 self.node_state.begin(*assignment, request.placement_request.prompt.as_ref());
-            match self.reserve(&guard.assignment, request.deadline).await {
-                Ok(Some(ReservationOutcome::Granted(id))) => guard.reservation = Some(id),
-                Ok(Some(ReservationOutcome::Denied)) => {
-                    guard.deny();
-                    continue;
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    log_failed_attempt(request, &target, "not_reserved", &error.to_string());
-                }
-            }
             request_log!("request sent to target", kv: {
                 request = request.head.attempt_id.as_str(),
                 target = guard.assignment.target.as_str(),
@@ -388,7 +374,7 @@
                 weight_version = guard.assignment.weight_version.unwrap_or_default(),
                 // -1 for a target that has not reported its load yet.
                 load_age_ms = guard.assignment.load_age.map_or(-1, |age| age.as_millis() as i64),
-                sources = guard.assignment.sources.len(),
+                transfers = guard.assignment.transfers,
                 prefill_tokens = guard.assignment.prefill_tokens,
                 expected_wait_ms = milliseconds(guard.assignment.expected_wait),
                 serving_version = request.serving_version,
@@ -406,28 +392,6 @@
         }
     }
 
-    /// Reserves memory for a request at its engine, so that it runs at once. Returns `None` if the
-    /// target reserves none.
-    async fn reserve(
-        &self,
-        assignment: &Assignment,
-        deadline: Instant,
-    ) -> Result<Option<ReservationOutcome>, ControlError> {
-        let longest = self.node_state.lock().placement.reservation_limit(&assignment.target);
-        if longest.is_zero() || assignment.memory_tokens == 0 {
-            return Ok(None);
-        }
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let reserving = self.control.reserve(
-            &assignment.target,
-            assignment.address,
-            assignment.memory_tokens,
-            longest.min(RESERVATION_LIFETIME),
-            remaining.min(RESERVATION_TIMEOUT),
-        );
-        reserving.await.map(Some)
-    }
-
     /// Records the outcome of an attempt. Returns the result of the request if it is final;
     /// otherwise sets `last` to the result that applies if no further attempt is possible.
     fn handle_outcome(
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -92,7 +92,6 @@
             pool: ConnectionPool::open(),
             confirmer: ServingConfirmer::open(watcher.clone()),
             data_centre: settings.data_centre.clone(),
-            control: parts.control.clone(),
         });
         let ready = Server::bind(
             &settings.ready_address.to_string(),
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -2,7 +2,7 @@
 
 use crate::serving_index::ServingIndex;
 use skylarkpick_interface::{
-    Clock, NodeLimits, ReportedLoad, ReservationId, ServiceName, WeightVersion,
+    Clock, NodeLimits, ReportedLoad, ServiceName, WeightVersion,
 };
 use skylarkpick_schedule::{
     Assignment, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt, PlacementRequest, TargetOutcome, UnplacedReason,
@@ -160,8 +160,6 @@
             sent_at: now,
             outcome: TargetOutcome::Unknown,
             has_responded: false,
-            is_denied: false,
-            reservation: None,
         }
     }
 
@@ -271,23 +269,16 @@
     pub(crate) outcome: TargetOutcome,
     sent_at: Duration,
     has_responded: bool,
-    is_denied: bool,
-    pub(crate) reservation: Option<ReservationId>,
 }
 
 impl AssignmentGuard {
-    /// Ends the assignment, since the target denied the memory for the request.
-    pub(crate) fn deny(mut self) {
-        self.is_denied = true;
-    }
-
     /// Records that the first part of the response has arrived.
     pub(crate) fn note_first_response(&mut self) {
         if !std::mem::replace(&mut self.has_responded, true) {
             let now = self.node_state.now();
             let elapsed = now.saturating_sub(self.sent_at);
             let mut state = self.node_state.lock();
-            state.placement.note_first_response(&self.assignment, elapsed, now);
+            state.placement.note_first_response(&self.assignment, elapsed);
         }
     }
 }
@@ -297,22 +288,12 @@
         let now = self.node_state.now();
         let elapsed = now.saturating_sub(self.sent_at);
         let mut state = self.node_state.lock();
-        match (self.has_responded, self.outcome) {
-            (true, _) => {}
-            (false, _) if self.is_denied => {
-                state.placement.end_prefill(&self.assignment);
-                state.placement.note_denied(&self.assignment, now);
-            }
-            (false, TargetOutcome::Unknown) if self.assignment.cache_scope.is_some() => {
-                state.placement.note_no_response(&self.assignment, elapsed, now);
-            }
-            (false, _) => state.placement.end_prefill(&self.assignment),
+        if !self.has_responded {
+            state.placement.end_prefill(&self.assignment);
         }
         state.placement.end(&self.assignment, self.outcome, elapsed, now);
         drop(state);
-        if !self.is_denied {
-            self.node_state.capacity_changed.notify_waiters();
-        }
+        self.node_state.capacity_changed.notify_waiters();
     }
 }
 
--- a/crates/skylarkpick-forward/src/peers/tests.rs
+++ b/crates/skylarkpick-forward/src/peers/tests.rs
@@ -24,7 +24,6 @@
         link_megabits_per_second: 1_000.0,
         first_byte_delay: Duration::ZERO,
         event_readers_limit: 12,
-        reservation_limit: Duration::ZERO,
     };
     let kinds =
         [(runner(), CacheKind::Runner("i-1".to_string())), (store(), CacheKind::ManagedStore)];
--- a/crates/skylarkpick-interface/src/control.rs
+++ b/crates/skylarkpick-interface/src/control.rs
@@ -106,18 +106,6 @@
     pub used_tokens: u64,
 }
 
-/// ID of memory that was reserved at an engine.
-pub type ReservationId = String;
-
-/// Outcome of asking an engine to reserve memory.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ReservationOutcome {
-    /// The memory is reserved for the request that names the ID.
-    Granted(ReservationId),
-    /// The engine has too little memory or no slot.
-    Denied,
-}
-
 /// Client for control calls to targets and stores.
 #[async_trait]
 pub trait TargetControl: Send + Sync {
@@ -141,19 +129,6 @@
         timeout: Duration,
     ) -> Result<EngineLoad, ControlError>;
 
-    /// Reserves a slot and `tokens` of an engine's memory for `lifetime`.
-    ///
-    /// # Errors
-    /// Returns an error if there is no valid response; the memory may be reserved nevertheless.
-    async fn reserve(
-        &self,
-        target: &TargetId,
-        address: SocketAddr,
-        tokens: u64,
-        lifetime: Duration,
-        timeout: Duration,
-    ) -> Result<ReservationOutcome, ControlError>;
-
     /// Sends an order and waits until the target has accepted or rejected it.
     ///
     /// # Errors
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -103,9 +103,6 @@
     pub first_byte_delay: Duration,
     /// Maximum number of concurrent readers of cache events.
     pub event_readers_limit: u32,
-    /// Longest time for which memory can be reserved; zero if it can't be.
-    #[serde(default)]
-    pub reservation_limit: Duration,
 }
 
 /// Kind of a service in the serving document.
--- a/crates/skylarkpick-interface/src/forward.rs
+++ b/crates/skylarkpick-interface/src/forward.rs
@@ -1,9 +1,6 @@
 //! Heads of requests that are forwarded byte for byte, and of their responses.
 
-use crate::{
-    control::ReservationId,
-    ids::{AccountId, ModelName, TargetId, WeightVersion},
-};
+use crate::ids::{AccountId, ModelName, TargetId, WeightVersion};
 use http::{HeaderMap, request, response};
 use std::{net::SocketAddr, time::Duration};
 
@@ -95,8 +92,6 @@
     pub fetch: Vec<Option<FetchSource>>,
     /// For each part, the store to save it to.
     pub save: Vec<Option<SocketAddr>>,
-    /// Memory that is reserved for the request at the target.
-    pub reservation: Option<ReservationId>,
     /// Event after which a resumed stream continues.
     pub resume_after: Option<EventId>,
 }
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use clock::{BootClock, Clock, TokioClock};
 pub use control::{
-    CacheEpoch, ControlError, EngineLoad, OrderOutcome, OrderState, PartChange, PartChanges, ReservationId, ReservationOutcome, TargetControl,
+    CacheEpoch, ControlError, EngineLoad, OrderOutcome, OrderState, PartChange, PartChanges, TargetControl,
     WeightOrder,
 };
 pub use fleet::{
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -23,10 +23,6 @@
 const AFFINITY_BONUS_MS: f64 = 8.0;
 /// Share of the bonus that the second-ranked target gets. Prompts go there if the first is busy.
 const SECOND_AFFINITY_SHARE: f64 = 0.5;
-/// Affinity bonus if no known cache provides some of the shared parts, relative to their prefill
-/// time. Processes that don't know each other's decisions must choose the same target, or those
-/// parts are prefilled twice.
-const MISSING_PART_AFFINITY_FACTOR: f64 = 1.2;
 /// Affinity bonus if this process doesn't watch the target's cache. The target that a part hashes
 /// to is the most likely holder.
 const UNWATCHED_AFFINITY_BONUS_MS: f64 = 60.0;
@@ -42,9 +38,6 @@
 /// Lowest limit of any rank.
 const OCCUPANCY_LIMIT_FLOOR: f64 = 0.7;
 
-/// Expected wait after an engine denied a reservation.
-const DENIED_WAIT_MS: f64 = 20.0;
-
 /// How one target gets the context of a prompt.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ContextPlan {
@@ -58,12 +51,8 @@
     pub(super) missing_tokens: u64,
     /// Tokens to prefill, shared or not.
     pub(super) prefill_tokens: u64,
-    /// Caches to fetch parts from that the target lacks.
-    pub(super) sources: Vec<SocketAddr>,
-    /// Tokens of these transfers.
-    pub(super) transfer_tokens: u64,
-    /// Time of these transfers if no others delay them.
-    pub(super) transfer_ms: f64,
+    /// Number of parts to fetch that the target lacks.
+    pub(super) transfers: usize,
     /// Time to fetch and prefill the prompt.
     pub(super) ready_ms: f64,
 }
@@ -121,16 +110,16 @@
     let over_slots = (in_flight + 1.0 - slots).max(0.0);
     let own_queue_ms = timing.prefill_ms(target.own_prefill_tokens);
     let waiting_ms = target.reported_waiting(now) * timing.prompt_prefill_ms();
-    let queue_ms = (own_queue_ms + waiting_ms).max(target.response_delay.value_ms(now));
+    let queue_ms = own_queue_ms + waiting_ms;
     let occupancy = Occupancy::of(target, engine_request, plan);
     let memory_wait_ms = occupancy.excess * timing.residence_ms();
     let wait_ms = over_slots / slots * timing.run_ms() + memory_wait_ms;
     let occupancy_penalty_ms =
         policy.occupancy_penalty_share * timing.residence_ms() * occupancy.share.powi(2);
     let missing_ms = timing.prefill_ms(plan.missing_tokens);
+    let recompute_penalty_ms = missing_ms * recompute_factor(policy, in_flight);
     let affinity_bonus_ms =
-        policy.affinity_factor * affinity_bonus_ms(target, ranking, plan, missing_ms);
-    let recompute_penalty_ms = missing_ms * policy.recompute_penalty_factor;
+        policy.affinity_factor * affinity_bonus_ms(target, ranking, plan, recompute_penalty_ms);
     let weights_penalty_ms = if has_newer_weights { OLD_WEIGHTS_PENALTY_MS } else { 0.0 };
     let total_ms = wait_ms
         + queue_ms
@@ -141,17 +130,16 @@
         + recompute_penalty_ms
         + distance_penalty_ms(target, request)
         - affinity_bonus_ms;
-    let needed = needed_tokens(engine_request.prompt, plan);
-    let capacity_wait_ms = if target.memory.is_denied(needed, now) {
-        memory_wait_ms.max(DENIED_WAIT_MS)
-    } else if occupancy.is_sampled {
-        memory_wait_ms
-    } else {
-        0.0
-    };
+    let capacity_wait_ms = if occupancy.is_sampled { memory_wait_ms } else { 0.0 };
     Cost { total_ms, wait_ms: wait_ms + queue_ms, capacity_wait_ms }
 }
 
+/// Returns the penalty for prefilling tokens again relative to their prefill time: it delays all
+/// requests that run at the engine.
+fn recompute_factor(policy: &PlacementPolicy, in_flight: f64) -> f64 {
+    policy.recompute_penalty_factor.max(in_flight * policy.recompute_load_factor)
+}
+
 /// Memory of an engine in use with one more request, as shares of its capacity.
 struct Occupancy {
     share: f64,
@@ -210,10 +198,12 @@
     target: &TargetView,
     ranking: &AffinityRanking,
     plan: &ContextPlan,
-    missing_ms: f64,
+    recompute_penalty_ms: f64,
 ) -> f64 {
     let full_ms = match plan {
-        _ if plan.missing_tokens > 0 => missing_ms * MISSING_PART_AFFINITY_FACTOR,
+        // Processes that don't know each other's decisions must choose the same target for parts
+        // that no known cache provides, or those parts are prefilled twice.
+        _ if plan.missing_tokens > 0 => recompute_penalty_ms,
         _ if !plan.is_target_watched => UNWATCHED_AFFINITY_BONUS_MS,
         _ => AFFINITY_BONUS_MS,
     };
@@ -325,9 +315,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Transfer {
     source: SocketAddr,
-    /// Time that the transfer takes if no others delay it.
-    unloaded_ms: f64,
-    /// Expected time, with the delay by other transfers and the risk of an eviction.
+    /// Expected time, with the risk that the source evicts the part.
     cost_ms: f64,
 }
 
@@ -336,7 +324,8 @@
     pub(super) policy: &'a PlacementPolicy,
     pub(super) memory: &'a ContextMemory,
     pub(super) timing: &'a ServiceTiming,
-    pub(super) now: Duration,
+    /// Requests in flight at the target.
+    pub(super) in_flight: f64,
 }
 
 impl TransferCosts<'_> {
@@ -350,18 +339,17 @@
         } else {
             OTHER_DATA_CENTRE_TRANSFER_FACTOR
         };
-        let unloaded_ms = TRANSFER_SETUP_MS
+        let transfer_ms = TRANSFER_SETUP_MS
             + cache.memory.first_byte_delay.as_secs_f64() * 1_000.0
             + moved_ms * distance_factor;
         let risk_ms =
             if cache.is_store() { 0.0 } else { self.policy.eviction_risk * self.timing.prefill_ms(tokens) };
-        let cost_ms = unloaded_ms + cache.transfer_delay.value_ms(self.now) + risk_ms;
-        Transfer { source: holder.address, unloaded_ms, cost_ms }
+        Transfer { source: holder.address, cost_ms: transfer_ms + risk_ms }
     }
 
     /// Returns the cost of prefilling tokens that are cached elsewhere.
     fn recompute_ms(&self, tokens: u64) -> f64 {
-        self.timing.prefill_ms(tokens) * (1.0 + self.policy.recompute_penalty_factor)
+        self.timing.prefill_ms(tokens) * (1.0 + recompute_factor(self.policy, self.in_flight))
     }
 }
 
@@ -390,7 +378,7 @@
         prefill_tokens: prompt.prompt_tokens,
         ..ContextPlan::default()
     };
-    let mut transfer_cost_ms = 0.0;
+    let mut transfer_ms = 0.0;
     for (index, (part, transfer)) in shared.iter().zip(&transfers).enumerate() {
         if index >= covered {
             plan.missing_tokens += part.tokens;
@@ -402,13 +390,11 @@
         if is_held(index) {
             plan.held_tokens += part.tokens;
         } else if let Some(transfer) = transfer {
-            plan.sources.push(transfer.source);
-            plan.transfer_tokens += part.tokens;
-            plan.transfer_ms += transfer.unloaded_ms;
-            transfer_cost_ms += transfer.cost_ms;
+            plan.transfers += 1;
+            transfer_ms += transfer.cost_ms;
         }
     }
-    plan.ready_ms = transfer_cost_ms + costs.timing.prefill_ms(plan.prefill_tokens);
+    plan.ready_ms = transfer_ms + costs.timing.prefill_ms(plan.prefill_tokens);
     plan
 }
 
--- a/crates/skylarkpick-schedule/src/placement/estimate.rs
+++ b/crates/skylarkpick-schedule/src/placement/estimate.rs
@@ -1,14 +1,7 @@
 //! Estimators of quantities that are observed one sample at a time.
 
-use std::time::Duration;
-
 /// Relative change of a quantile estimate with one sample.
 const QUANTILE_STEP: f64 = 0.1;
-/// Time in which a delay that is no longer observed halves, so that a cause that is gone is forgotten.
-const DELAY_HALF_LIFE: Duration = Duration::from_millis(1_000);
-/// Highest estimate of a delay.
-const DELAY_LIMIT_MS: f64 = 5_000.0;
-
 /// Estimate of a quantile of a positive quantity.
 ///
 /// Each sample moves the estimate by a small factor. A single outlier therefore changes it no more
@@ -42,28 +35,6 @@
     }
 }
 
-/// Estimate of a delay that fades while it is not observed.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(super) struct DelayEstimate {
-    delay_ms: f64,
-    updated_at: Duration,
-}
-
-impl DelayEstimate {
-    /// Returns the delay in milliseconds.
-    pub(super) fn value_ms(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated_at);
-        let half_lives = age.as_secs_f64() / DELAY_HALF_LIFE.as_secs_f64();
-        self.delay_ms * (-half_lives).exp2()
-    }
-
-    /// Adds a correction, positive or negative. The delay never falls below zero.
-    pub(super) fn correct(&mut self, correction_ms: f64, now: Duration) {
-        self.delay_ms = (self.value_ms(now) + correction_ms).clamp(0.0, DELAY_LIMIT_MS);
-        self.updated_at = now;
-    }
-}
-
 /// Share of a sample in a mean.
 const MEAN_GAIN: f64 = 0.05;
 
--- a/crates/skylarkpick-schedule/src/placement/memory.rs
+++ b/crates/skylarkpick-schedule/src/placement/memory.rs
@@ -7,9 +7,6 @@
 /// Age of a target's figures when it reports them, and the time that a request takes to reach it.
 const REPORT_LAG: Duration = Duration::from_millis(150);
 
-/// Time for which a denied reservation is not repeated at the engine.
-const DENIAL_LIFETIME: Duration = Duration::from_millis(60);
-
 /// Memory use of an engine as it reported it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct MemorySample {
@@ -24,8 +21,6 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct MemoryView {
     sample: Option<(MemorySample, Duration)>,
-    /// Last request for memory that the engine denied: its tokens and the time.
-    denied: Option<(u64, Duration)>,
     /// Tokens of this process's requests that began or ended, with the time; oldest first.
     changes: VecDeque<(Duration, f64)>,
 }
@@ -48,16 +43,6 @@
         }
     }
 
-    /// Records that the engine denied a reservation.
-    pub(super) fn note_denied(&mut self, tokens: u64, now: Duration) {
-        self.denied = Some((tokens, now));
-    }
-
-    /// Returns whether the engine denied as many tokens a moment ago.
-    pub(super) fn is_denied(&self, tokens: u64, now: Duration) -> bool {
-        self.denied.is_some_and(|(denied, at)| tokens >= denied && now < at + DENIAL_LIFETIME)
-    }
-
     /// Returns the tokens in use, counting `mean_tokens` for each waiting request, or `None` without
     /// a recent sample.
     pub(super) fn used_tokens(&self, mean_tokens: f64, now: Duration) -> Option<f64> {
--- a/crates/skylarkpick-schedule/src/placement/parts.rs
+++ b/crates/skylarkpick-schedule/src/placement/parts.rs
@@ -1,6 +1,5 @@
 //! Directory of the prompt parts that caches hold, built from their cache events.
 
-use super::estimate::DelayEstimate;
 use skylarkpick_interface::{
     CacheEpoch, CacheScope, ContextMemory, DataCentreId, PartChanges, PartId, TargetId,
 };
@@ -81,8 +80,6 @@
     pub memory: ContextMemory,
     /// Incarnation of the cache, once an update named it.
     pub epoch: Option<CacheEpoch>,
-    /// Time that a transfer from the cache waits for others.
-    pub(super) transfer_delay: DelayEstimate,
     /// When the last update arrived, if the cache is watched.
     updated_at: Option<Duration>,
     /// Tokens held of each part.
@@ -117,7 +114,6 @@
             data_centre,
             memory,
             epoch: None,
-            transfer_delay: DelayEstimate::default(),
             updated_at: None,
             held: HashMap::new(),
             held_tokens: 0,
@@ -373,18 +369,6 @@
         })
     }
 
-    /// Corrects the time that a transfer from a cache waits for others.
-    pub(super) fn correct_transfer_delay(
-        &mut self,
-        address: &SocketAddr,
-        correction_ms: f64,
-        now: Duration,
-    ) {
-        if let Some(cache) = self.caches.get_mut(address) {
-            cache.transfer_delay.correct(correction_ms, now);
-        }
-    }
-
     /// Returns the cache at an address.
     pub fn cache(&self, address: &SocketAddr) -> Option<&CacheView> {
         self.caches.get(address)
--- a/crates/skylarkpick-schedule/src/placement/policy.rs
+++ b/crates/skylarkpick-schedule/src/placement/policy.rs
@@ -7,8 +7,8 @@
 ///
 /// ```
 /// use skylarkpick_schedule::PlacementPolicy;
-/// let policy: PlacementPolicy = serde_json::from_str(r#"{ "reserves_memory": false }"#).unwrap();
-/// assert!(!policy.reserves_memory);
+/// let policy: PlacementPolicy = serde_json::from_str(r#"{ "samples_memory": false }"#).unwrap();
+/// assert!(!policy.samples_memory);
 /// assert!(policy.saves_parts);
 /// ```
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
@@ -16,9 +16,11 @@
 pub struct PlacementPolicy {
     /// Factor on the bonuses of the targets that the last shared part of a prompt hashes to.
     pub affinity_factor: f64,
-    /// Penalty for shared tokens that are prefilled instead of reused, relative to their prefill
-    /// time.
+    /// Lowest penalty for shared tokens that are prefilled instead of reused, relative to their
+    /// prefill time.
     pub recompute_penalty_factor: f64,
+    /// Penalty for the same tokens for each request in flight at the engine, which waits for them.
+    pub recompute_load_factor: f64,
     /// Share of the fetches from a runner that fail, since it evicted the part meanwhile.
     pub eviction_risk: f64,
     /// Share of an engine's memory that running requests may fill.
@@ -28,16 +30,12 @@
     pub occupancy_penalty_share: f64,
     /// Share of a request's latency objective for which it may wait until a target has capacity.
     pub capacity_wait_share: f64,
+    /// Share of a request's latency objective for which it may wait at an engine.
+    pub tolerated_wait_share: f64,
     /// Whether the times of targets are learned; otherwise the priors stay in use.
     pub learns_times: bool,
-    /// Whether the delays of transfers are learned.
-    pub learns_transfer_delays: bool,
-    /// Whether the delays of responses are learned.
-    pub learns_response_delays: bool,
     /// Whether sampled memory of engines counts.
     pub samples_memory: bool,
-    /// Whether memory is reserved at an engine before a request is sent.
-    pub reserves_memory: bool,
     /// Whether shared parts are saved to stores.
     pub saves_parts: bool,
     /// Whether targets are ejected after failures.
@@ -51,15 +49,14 @@
         PlacementPolicy {
             affinity_factor: 1.0,
             recompute_penalty_factor: 3.6,
+            recompute_load_factor: 0.0,
             eviction_risk: 0.3,
-            occupancy_limit: 0.95,
+            occupancy_limit: 0.8,
             occupancy_penalty_share: 0.1,
-            capacity_wait_share: 0.5,
+            capacity_wait_share: 0.8,
+            tolerated_wait_share: 0.05,
             learns_times: true,
-            learns_transfer_delays: true,
-            learns_response_delays: true,
             samples_memory: true,
-            reserves_memory: true,
             saves_parts: true,
             ejects_targets: true,
             detects_partitions: true,
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -23,8 +23,6 @@
 
 /// Safety factor on the expected time until a run starts, while its weights are being replaced.
 const START_DELAY_FACTOR: f64 = 2.0;
-/// Share of the error of an expected response time by which the delays are corrected.
-const DELAY_GAIN: f64 = 0.5;
 
 /// Assigns requests to targets by the tracked state of targets and caches.
 #[derive(Clone, Debug)]
@@ -69,6 +67,7 @@
     ///     data_centre: "mnl-a".to_string(),
     ///     prompt: None,
     ///     rank: 0,
+    ///     tolerated_wait: Duration::ZERO,
     ///     avoid: Vec::new(),
     ///     max_wait: Duration::from_secs(1),
     /// };
@@ -84,7 +83,7 @@
     /// ```
     /// use skylarkpick_schedule::{Placement, PlacementPolicy};
     /// use std::time::Duration;
-    /// let policy = PlacementPolicy { reserves_memory: false, ..PlacementPolicy::default() };
+    /// let policy = PlacementPolicy { samples_memory: false, ..PlacementPolicy::default() };
     /// let placement = Placement::open_with_policy(Duration::from_secs(10), policy);
     /// assert_eq!(placement.policy(), &policy);
     /// ```
@@ -208,7 +207,7 @@
             candidates.iter().map(|it| it.cost.capacity_wait_ms).min_by(f64::total_cmp);
         let best = candidates
             .into_iter()
-            .filter(|it| it.cost.capacity_wait_ms <= 0.0)
+            .filter(|it| it.cost.capacity_wait_ms <= milliseconds(request.tolerated_wait))
             .min_by(|left, right| left.cost.total_ms.total_cmp(&right.cost.total_ms));
         let Some(best) = best else {
             return PlacementDecision::Unplaced(shortest_wait_ms.map_or(
@@ -256,14 +255,16 @@
         let cache = self.parts.cache(&target.registration.address);
         let is_watched = cache.is_some_and(|cache| cache.is_watched());
         let policy = &self.policy;
-        let costs = TransferCosts { policy, memory, timing: &timing, now };
+        let in_flight = target.requests(now);
+        let costs = TransferCosts { policy, memory, timing: &timing, in_flight };
         let plan = cost::plan_context(holders, target, is_watched, prompt, &costs);
         let ranking = &lookup.ranking;
         let engine_request =
             EngineRequest { policy, request, prompt, ranking, memory, timing: &timing, now };
         let cost = cost::engine_cost(target, &engine_request, &plan, has_newer);
         // A run has to start on usable weights, so its wait at the engine counts.
-        let start_ms = (cost.wait_ms + plan.ready_ms) * START_DELAY_FACTOR;
+        let expected_ms = (cost.wait_ms + plan.ready_ms) * START_DELAY_FACTOR;
+        let start_ms = expected_ms.max(timing.slow_response_ms());
         let start = now + from_milliseconds(start_ms);
         if !self.weights.is_usable(&prompt.model, version, start) {
             return None;
@@ -294,9 +295,7 @@
             missing_tokens: candidate.plan.missing_tokens,
             prefill_tokens: candidate.plan.prefill_tokens,
             memory_tokens,
-            sources: candidate.plan.sources,
-            transfer_tokens: candidate.plan.transfer_tokens,
-            transfer: from_milliseconds(candidate.plan.transfer_ms),
+            transfers: candidate.plan.transfers,
             expected_wait,
             load_age: candidate.target.load_age(now),
         };
@@ -361,48 +360,16 @@
         }
     }
 
-    /// Counts a request as not sent, since its target denied the memory for it.
-    pub fn note_denied(&mut self, assignment: &Assignment, now: Duration) {
-        if let Some(state) = self.targets.get_mut(&assignment.target) {
-            state.memory.note_denied(assignment.memory_tokens, now);
-        }
-    }
-
-    /// Returns the longest time for which the engines of a target's service reserve memory.
-    pub fn reservation_limit(&self, target: &str) -> Duration {
-        let target = self.targets.get(target);
-        match target.and_then(|it| self.services.get(&it.registration.service)) {
-            Some(ServiceKind::Engines(memory)) if self.policy.reserves_memory => memory.reservation_limit,
-            _ => Duration::ZERO,
-        }
-    }
-
     /// Records that the response to a prompt started `elapsed` after it was sent.
-    pub fn note_first_response(
-        &mut self,
-        assignment: &Assignment,
-        elapsed: Duration,
-        now: Duration,
-    ) {
+    pub fn note_first_response(&mut self, assignment: &Assignment, elapsed: Duration) {
         self.end_prefill(assignment);
         let Some(state) = self.targets.get(&assignment.target) else { return };
         let timing = self.timings.entry(state.registration.service.clone()).or_default();
         let elapsed_ms = milliseconds(elapsed);
-        if assignment.sources.is_empty() && self.policy.learns_times {
+        timing.observe_any_response(elapsed_ms);
+        if assignment.transfers == 0 && self.policy.learns_times {
             timing.observe_response(assignment.prefill_tokens, elapsed_ms);
         }
-        let error_ms = elapsed_ms - self.expected_response_ms(assignment, now);
-        self.correct_delays(assignment, error_ms, now);
-    }
-
-    /// Records that a prompt sent `elapsed` ago ended without a response, for example because its
-    /// client disconnected. Its response would have taken at least as long.
-    pub fn note_no_response(&mut self, assignment: &Assignment, elapsed: Duration, now: Duration) {
-        self.end_prefill(assignment);
-        let error_ms = milliseconds(elapsed) - self.expected_response_ms(assignment, now);
-        if error_ms > 0.0 {
-            self.correct_delays(assignment, error_ms, now);
-        }
     }
 
     /// Ends the count of a request's prompt tokens that are not prefilled yet.
@@ -413,35 +380,6 @@
         }
     }
 
-    /// Returns the expected time until the response to a prompt starts, with the delays that are
-    /// currently observed at its target and sources.
-    fn expected_response_ms(&self, assignment: &Assignment, now: Duration) -> f64 {
-        let Some(target) = self.targets.get(&assignment.target) else { return 0.0 };
-        let timing = self.timing(&target.registration.service);
-        let caches = assignment.sources.iter().filter_map(|source| self.parts.cache(source));
-        let source_delay_ms: f64 = caches.map(|cache| cache.transfer_delay.value_ms(now)).sum();
-        timing.response_ms()
-            + timing.prefill_ms(assignment.prefill_tokens)
-            + milliseconds(assignment.transfer)
-            + target.response_delay.value_ms(now)
-            + source_delay_ms
-    }
-
-    /// Divides the error of an expected response time among the delays of the target and of the
-    /// sources, since one response doesn't show which of them is slow. Over many requests, the
-    /// combinations of targets and sources do.
-    fn correct_delays(&mut self, assignment: &Assignment, error_ms: f64, now: Duration) {
-        let share_ms = error_ms * DELAY_GAIN / (assignment.sources.len() + 1) as f64;
-        for source in assignment.sources.iter().filter(|_| self.policy.learns_transfer_delays) {
-            self.parts.correct_transfer_delay(source, share_ms, now);
-        }
-        if let Some(state) = self.targets.get_mut(&assignment.target)
-            && self.policy.learns_response_delays
-        {
-            state.response_delay.correct(share_ms, now);
-        }
-    }
-
     /// Returns what was learned of the times of a service.
     fn timing(&self, service: &str) -> ServiceTiming {
         self.timings.get(service).copied().unwrap_or_default()
@@ -463,9 +401,13 @@
             if outcome != TargetOutcome::Failed || self.policy.ejects_targets {
                 state.observe_outcome(outcome, now);
             }
-            if outcome == TargetOutcome::Served && self.policy.learns_times {
+            if outcome == TargetOutcome::Served {
                 let service = state.registration.service.clone();
-                self.timings.entry(service).or_default().observe_run(assignment.memory_tokens, milliseconds(elapsed));
+                let timing = self.timings.entry(service).or_default();
+                timing.observe_residence(assignment.memory_tokens, milliseconds(elapsed));
+                if self.policy.learns_times {
+                    timing.observe_run(milliseconds(elapsed));
+                }
             }
             let data_centre = &state.registration.data_centre;
             match outcome {
--- a/crates/skylarkpick-schedule/src/placement/target.rs
+++ b/crates/skylarkpick-schedule/src/placement/target.rs
@@ -1,6 +1,6 @@
 //! Tracked state of one target: its load, its cooldowns, and the weights that it serves.
 
-use super::{estimate::DelayEstimate, memory::MemoryView};
+use super::memory::MemoryView;
 use crate::Ejection;
 use skylarkpick_interface::{ModelName, RegisteredTarget, ReportedLoad, WeightVersion};
 use std::{collections::BTreeMap, time::Duration};
@@ -47,8 +47,6 @@
     pub own_tokens: u64,
     /// Prompt tokens of these requests that are not prefilled yet.
     pub own_prefill_tokens: u64,
-    /// Time that a response waits beyond the transfers and the prefill of its own prompt.
-    pub(super) response_delay: DelayEstimate,
     /// Memory use of an engine.
     pub(super) memory: MemoryView,
     last_report: Option<LoadSample>,
@@ -74,7 +72,6 @@
             own_requests: 0,
             own_tokens: 0,
             own_prefill_tokens: 0,
-            response_delay: DelayEstimate::default(),
             memory: MemoryView::default(),
             last_report: None,
             rejecting_until: Duration::ZERO,
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -25,7 +25,6 @@
         link_megabits_per_second,
         first_byte_delay: Duration::ZERO,
         event_readers_limit: 12,
-        reservation_limit: Duration::ZERO,
     }
 }
 
@@ -95,6 +94,7 @@
         data_centre: "mnl-a".to_string(),
         prompt: None,
         rank: 0,
+        tolerated_wait: Duration::ZERO,
         avoid: Vec::new(),
         max_wait: Duration::from_secs(2),
     }
--- a/crates/skylarkpick-schedule/src/placement/timing.rs
+++ b/crates/skylarkpick-schedule/src/placement/timing.rs
@@ -6,6 +6,12 @@
 const UNLOADED_QUANTILE: f64 = 0.25;
 /// Median.
 const TYPICAL_QUANTILE: f64 = 0.5;
+/// Quantile that only few responses exceed.
+const SLOW_QUANTILE: f64 = 0.97;
+/// Time that only few responses exceed, until samples arrive.
+const SLOW_PRIOR_MS: f64 = 500.0;
+/// Bounds of that time.
+const SLOW_BOUNDS_MS: (f64, f64) = (20.0, 3_000.0);
 /// Time until the first byte of a response to a short prompt, until samples arrive.
 const RESPONSE_PRIOR_MS: f64 = 10.0;
 /// Bounds of that time.
@@ -36,6 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct ServiceTiming {
     response_ms: QuantileEstimate,
+    slow_response_ms: QuantileEstimate,
     prefill_ms_per_token: QuantileEstimate,
     prompt_prefill_ms: QuantileEstimate,
     run_ms: QuantileEstimate,
@@ -49,6 +56,7 @@
         let open = QuantileEstimate::open;
         ServiceTiming {
             response_ms: open(RESPONSE_PRIOR_MS, UNLOADED_QUANTILE, RESPONSE_BOUNDS_MS),
+            slow_response_ms: open(SLOW_PRIOR_MS, SLOW_QUANTILE, SLOW_BOUNDS_MS),
             prefill_ms_per_token: open(PREFILL_PRIOR_MS, UNLOADED_QUANTILE, PREFILL_BOUNDS_MS),
             prompt_prefill_ms: open(WAITING_PRIOR_MS, TYPICAL_QUANTILE, WAITING_BOUNDS_MS),
             run_ms: open(RUN_PRIOR_MS, TYPICAL_QUANTILE, RUN_BOUNDS_MS),
@@ -94,6 +102,16 @@
         self.prompt_prefill_ms.observe(self.prefill_ms(prefill_tokens));
     }
 
+    /// Returns a time within which nearly all responses start.
+    pub(super) fn slow_response_ms(&self) -> f64 {
+        self.slow_response_ms.value()
+    }
+
+    /// Records the time until the first byte of any response.
+    pub(super) fn observe_any_response(&mut self, elapsed_ms: f64) {
+        self.slow_response_ms.observe(elapsed_ms);
+    }
+
     /// Records the time until the first byte of a response to a prompt that was prefilled without
     /// transfers.
     pub(super) fn observe_response(&mut self, prefill_tokens: u64, elapsed_ms: f64) {
@@ -106,8 +124,12 @@
     }
 
     /// Records the time that a completed request occupied a slot.
-    pub(super) fn observe_run(&mut self, memory_tokens: u64, elapsed_ms: f64) {
+    pub(super) fn observe_run(&mut self, elapsed_ms: f64) {
         self.run_ms.observe(elapsed_ms);
+    }
+
+    /// Records the memory of a completed request and the time for which it occupied it.
+    pub(super) fn observe_residence(&mut self, memory_tokens: u64, elapsed_ms: f64) {
         self.memory_tokens.observe(memory_tokens as f64);
         self.memory_token_ms.observe(memory_tokens as f64 * elapsed_ms);
     }
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -19,6 +19,8 @@
     pub rank: u8,
     /// Targets that already failed this request.
     pub avoid: Vec<TargetId>,
+    /// Expected wait for capacity at an engine up to which the request is sent there nevertheless.
+    pub tolerated_wait: Duration,
     /// Longest acceptable wait for a slot at a target.
     pub max_wait: Duration,
 }
@@ -62,12 +64,8 @@
     pub prefill_tokens: u64,
     /// Tokens of the target's memory that the request takes while it runs.
     pub memory_tokens: u64,
-    /// Caches that the target is expected to fetch from, since it lacks their parts.
-    pub sources: Vec<SocketAddr>,
-    /// Prompt tokens of these transfers.
-    pub transfer_tokens: u64,
-    /// Expected time of these transfers if no other transfers delay them.
-    pub transfer: Duration,
+    /// Number of parts that the target is expected to fetch, since it lacks them.
+    pub transfers: usize,
     /// Expected wait for a slot.
     pub expected_wait: Duration,
     /// Age of the target's last load report, if there is one.
