--- a/crates/skylarkpick-command/src/commands/node.rs
+++ b/crates/skylarkpick-command/src/commands/node.rs
@@ -6,13 +6,13 @@
 };
 use anyhow::Context;
 use getopts::{Matches, Options};
+use skylarkpick_config::parse_policy;
 use skylarkpick_forward::{Node, NodeParts};
 use skylarkpick_interface::{BootClock, NodeSettings};
 use skylarkpick_platform::{
     ObjectClient, PlatformControl, PlatformDialect, PlatformFleet, PlatformObjects,
     read_node_settings,
 };
-use skylarkpick_config::parse_policy;
 use skylarkpick_schedule::PlacementPolicy;
 use skylarkpick_telemetry::{
     Exposition, Level, LevelFilter, Metrics, install_metrics, open_stdout_logs,
--- a/crates/skylarkpick-config/src/schema/policy.rs
+++ b/crates/skylarkpick-config/src/schema/policy.rs
@@ -13,11 +13,6 @@
         FACTOR,
         "Penalty for prefilling shared tokens again, relative to their prefill time",
     ),
-    field(
-        "recompute_load_factor",
-        FACTOR,
-        "The same penalty for each request in flight at the engine",
-    ),
     field("eviction_risk", FACTOR, "Share of the fetches from a runner that miss"),
     field("occupancy_limit", SHARE, "Share of an engine's memory that running requests may fill"),
     field(
@@ -30,11 +25,6 @@
         SHARE,
         "Share of the latency objective for which a request waits for capacity",
     ),
-    field(
-        "tolerated_wait_share",
-        SHARE,
-        "Share of the latency objective for which a request waits at an engine",
-    ),
     field("learns_times", FieldKind::Boolean, "Whether the times of targets are learned"),
     field("samples_memory", FieldKind::Boolean, "Whether the memory of engines is sampled"),
     field("saves_parts", FieldKind::Boolean, "Whether shared parts are saved to stores"),
--- a/crates/skylarkpick-forward/src/fleet/load_sampler.rs
+++ b/crates/skylarkpick-forward/src/fleet/load_sampler.rs
@@ -37,7 +37,8 @@
         if !records.is_load_sampler(&sampler.data_centre) {
             continue;
         }
-        let samples = sampler.engines().into_iter().map(|(id, address)| sampler.sample(id, address));
+        let samples =
+            sampler.engines().into_iter().map(|(id, address)| sampler.sample(id, address));
         let loads: Vec<EngineLoadNotice> = join_all(samples).await.into_iter().flatten().collect();
         if !loads.is_empty() {
             sampler.watcher.peer_client.broadcast(records, &Notice::Loads { loads });
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -240,7 +240,6 @@
         service: ServiceName,
         timeout: Duration,
     ) -> PlacementRequest {
-        let policy = *self.node_state.lock().placement.policy();
         let isolated = account.filter(|account| account.is_isolated);
         PlacementRequest {
             service,
@@ -253,7 +252,7 @@
                 isolated_account: isolated.map(|account| account.account.clone()),
             }),
             rank: account.and_then(|account| account.rank).unwrap_or(route.rank),
-            tolerated_wait: route.target_latency.mul_f64(policy.tolerated_wait_share),
+            is_continuation: false,
             avoid: Vec::new(),
             max_wait: timeout.min(route.timeout),
         }
@@ -321,6 +320,7 @@
         if !request.may_send_again() {
             return None;
         }
+        request.placement_request.is_continuation = true;
         match self.send_with_retries(request, after).await {
             SendResult::Streaming(response) if response.head.status.is_success() => Some(response),
             _ => None,
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -4,8 +4,8 @@
     client::ClientListener,
     connection_pool::ConnectionPool,
     fleet::{
-        CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer, run_planner, sample_loads,
-        watch_caches, watch_topic,
+        CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer,
+        run_planner, sample_loads, watch_caches, watch_topic,
     },
     forwarding::Forwarder,
     jitter::sleep_with_jitter,
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -1,12 +1,10 @@
 //! State shared by all requests of a process: serving document, placement and retry budgets.
 
 use crate::serving_index::ServingIndex;
-use skylarkpick_interface::{
-    Clock, NodeLimits, ReportedLoad, ServiceName, WeightVersion,
-};
+use skylarkpick_interface::{Clock, NodeLimits, ReportedLoad, ServiceName, WeightVersion};
 use skylarkpick_schedule::{
-    Assignment, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt, PlacementRequest, TargetOutcome, UnplacedReason,
-    MemorySample, WaitingRequests, WindowRetryBudget,
+    Assignment, MemorySample, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt,
+    PlacementRequest, TargetOutcome, UnplacedReason, WaitingRequests, WindowRetryBudget,
 };
 use std::{
     collections::BTreeMap,
@@ -120,6 +118,7 @@
         let state = self.lock();
         let decision = state.placement.choose(request, self.now());
         if matches!(decision, PlacementDecision::Assigned(_))
+            && !request.is_continuation
             && state.waiting.has_more_urgent(&request.service, request.rank)
         {
             let wait = CAPACITY_POLL;
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -22,5 +22,9 @@
         lease: 3 * SECOND,
         weights: 12 * SECOND,
     };
-    NodeState::open(Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)), limits, PlacementPolicy::default())
+    NodeState::open(
+        Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)),
+        limits,
+        PlacementPolicy::default(),
+    )
 }
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -20,8 +20,8 @@
 
 pub use clock::{BootClock, Clock, TokioClock};
 pub use control::{
-    CacheEpoch, ControlError, EngineLoad, OrderOutcome, OrderState, PartChange, PartChanges, TargetControl,
-    WeightOrder,
+    CacheEpoch, ControlError, EngineLoad, OrderOutcome, OrderState, PartChange, PartChanges,
+    TargetControl, WeightOrder,
 };
 pub use fleet::{
     ClientLimits, ContextMemory, DesiredWeights, Destination, FleetRecord, FleetRevision,
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -6,6 +6,8 @@
 
 mod cost;
 mod estimate;
+#[cfg(test)]
+mod load_tests;
 mod memory;
 mod outdated;
 mod parts;
@@ -13,9 +15,9 @@
 mod reachability;
 mod selection;
 mod target;
-mod timing;
 #[cfg(test)]
 mod tests;
+mod timing;
 mod types;
 mod waiting;
 mod weights;
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -32,11 +32,12 @@
 const TRANSFER_SETUP_MS: f64 = 3.3;
 /// Penalty for starting on weights that are about to be replaced, on top of the wait.
 const OLD_WEIGHTS_PENALTY_MS: f64 = 80.0;
-
-/// Share by which that limit is lower for each rank.
+/// Share by which the occupancy limit is lower for each rank.
 const RESERVED_SHARE_PER_RANK: f64 = 0.04;
 /// Lowest limit of any rank.
 const OCCUPANCY_LIMIT_FLOOR: f64 = 0.7;
+/// Largest share of an engine's memory that a single request has to find free.
+const COUNTED_SHARE_LIMIT: f64 = 0.25;
 
 /// How one target gets the context of a prompt.
 #[derive(Clone, Debug, Default)]
@@ -79,7 +80,8 @@
     let slots = f64::from(target.slots());
     let wait_ms = ((in_flight + 1.0 - slots) / slots).max(0.0) * timing.run_ms();
     let distance = distance_penalty_ms(target, request);
-    Cost { total_ms: wait_ms + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS + distance,
+    Cost {
+        total_ms: wait_ms + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS + distance,
         wait_ms,
         capacity_wait_ms: 0.0,
     }
@@ -117,7 +119,7 @@
     let occupancy_penalty_ms =
         policy.occupancy_penalty_share * timing.residence_ms() * occupancy.share.powi(2);
     let missing_ms = timing.prefill_ms(plan.missing_tokens);
-    let recompute_penalty_ms = missing_ms * recompute_factor(policy, in_flight);
+    let recompute_penalty_ms = missing_ms * policy.recompute_penalty_factor;
     let affinity_bonus_ms =
         policy.affinity_factor * affinity_bonus_ms(target, ranking, plan, recompute_penalty_ms);
     let weights_penalty_ms = if has_newer_weights { OLD_WEIGHTS_PENALTY_MS } else { 0.0 };
@@ -130,23 +132,15 @@
         + recompute_penalty_ms
         + distance_penalty_ms(target, request)
         - affinity_bonus_ms;
-    let capacity_wait_ms = if occupancy.is_sampled { memory_wait_ms } else { 0.0 };
-    Cost { total_ms, wait_ms: wait_ms + queue_ms, capacity_wait_ms }
-}
-
-/// Returns the penalty for prefilling tokens again relative to their prefill time: it delays all
-/// requests that run at the engine.
-fn recompute_factor(policy: &PlacementPolicy, in_flight: f64) -> f64 {
-    policy.recompute_penalty_factor.max(in_flight * policy.recompute_load_factor)
+    Cost { total_ms, wait_ms: wait_ms + queue_ms, capacity_wait_ms: memory_wait_ms }
 }
 
 /// Memory of an engine in use with one more request, as shares of its capacity.
 struct Occupancy {
     share: f64,
-    /// Share beyond the limit for the rank of the request.
+    /// Share beyond the limit for the rank of the request. When the last sample is outdated, only
+    /// the requests of this process count, since the memory of others is a rough estimate.
     excess: f64,
-    /// Whether the engine reported its memory recently.
-    is_sampled: bool,
 }
 
 impl Occupancy {
@@ -156,17 +150,25 @@
         plan: &ContextPlan,
     ) -> Occupancy {
         let EngineRequest { policy, request, prompt, memory, timing, now, .. } = *engine_request;
-        let sampled = target.memory.used_tokens(timing.memory_tokens(), now);
-        let used = sampled.unwrap_or_else(|| {
-            let others = (target.requests(now) - f64::from(target.own_requests)).max(0.0);
-            target.own_tokens as f64 + others * timing.memory_tokens()
-        });
+        let own = target.own_tokens as f64;
+        let (used, known_used) = match target.memory.used_tokens(timing.memory_tokens(), now) {
+            Some(used) => (used, used),
+            None => {
+                let others = (target.requests(now) - f64::from(target.own_requests)).max(0.0);
+                let known = if target.memory.is_sampled() { own } else { 0.0 };
+                (own + others * timing.memory_tokens(), known)
+            }
+        };
         let capacity = memory.capacity_tokens.max(1) as f64;
-        let share = (used + needed_tokens(prompt, plan) as f64) / capacity;
+        let needed = needed_tokens(prompt, plan) as f64;
+        // A long prompt waits for no more room than a prompt of this size. Otherwise shorter ones
+        // would always take the room before there is enough for it.
+        let counted = needed.min(capacity * COUNTED_SHARE_LIMIT);
+        let limit = capacity * occupancy_limit(policy, request.rank);
         // An idle engine takes any request.
-        let is_idle = used < 1.0;
-        let excess = if is_idle { 0.0 } else { (share - occupancy_limit(policy, request.rank)).max(0.0) };
-        Occupancy { share, excess, is_sampled: sampled.is_some() }
+        let is_idle = known_used < 1.0;
+        let excess = if is_idle { 0.0 } else { (known_used + counted - limit).max(0.0) };
+        Occupancy { share: (used + needed) / capacity, excess: excess / capacity }
     }
 }
 
@@ -324,8 +326,6 @@
     pub(super) policy: &'a PlacementPolicy,
     pub(super) memory: &'a ContextMemory,
     pub(super) timing: &'a ServiceTiming,
-    /// Requests in flight at the target.
-    pub(super) in_flight: f64,
 }
 
 impl TransferCosts<'_> {
@@ -342,14 +342,17 @@
         let transfer_ms = TRANSFER_SETUP_MS
             + cache.memory.first_byte_delay.as_secs_f64() * 1_000.0
             + moved_ms * distance_factor;
-        let risk_ms =
-            if cache.is_store() { 0.0 } else { self.policy.eviction_risk * self.timing.prefill_ms(tokens) };
+        let risk_ms = if cache.is_store() {
+            0.0
+        } else {
+            self.policy.eviction_risk * self.timing.prefill_ms(tokens)
+        };
         Transfer { source: holder.address, cost_ms: transfer_ms + risk_ms }
     }
 
     /// Returns the cost of prefilling tokens that are cached elsewhere.
     fn recompute_ms(&self, tokens: u64) -> f64 {
-        self.timing.prefill_ms(tokens) * (1.0 + recompute_factor(self.policy, self.in_flight))
+        self.timing.prefill_ms(tokens) * (1.0 + self.policy.recompute_penalty_factor)
     }
 }
 
--- a/crates/skylarkpick-schedule/src/placement/memory.rs
+++ b/crates/skylarkpick-schedule/src/placement/memory.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns whether the engine was ever sampled.
+    pub(super) fn is_sampled(&self) -> bool {
+        self.sample.is_some()
+    }
+
     /// Returns the tokens in use, counting `mean_tokens` for each waiting request, or `None` without
     /// a recent sample.
     pub(super) fn used_tokens(&self, mean_tokens: f64, now: Duration) -> Option<f64> {
--- a/crates/skylarkpick-schedule/src/placement/policy.rs
+++ b/crates/skylarkpick-schedule/src/placement/policy.rs
@@ -16,11 +16,9 @@
 pub struct PlacementPolicy {
     /// Factor on the bonuses of the targets that the last shared part of a prompt hashes to.
     pub affinity_factor: f64,
-    /// Lowest penalty for shared tokens that are prefilled instead of reused, relative to their
-    /// prefill time.
+    /// Penalty for shared tokens that are prefilled instead of reused, relative to their prefill
+    /// time.
     pub recompute_penalty_factor: f64,
-    /// Penalty for the same tokens for each request in flight at the engine, which waits for them.
-    pub recompute_load_factor: f64,
     /// Share of the fetches from a runner that fail, since it evicted the part meanwhile.
     pub eviction_risk: f64,
     /// Share of an engine's memory that running requests may fill.
@@ -30,8 +28,6 @@
     pub occupancy_penalty_share: f64,
     /// Share of a request's latency objective for which it may wait until a target has capacity.
     pub capacity_wait_share: f64,
-    /// Share of a request's latency objective for which it may wait at an engine.
-    pub tolerated_wait_share: f64,
     /// Whether the times of targets are learned; otherwise the priors stay in use.
     pub learns_times: bool,
     /// Whether sampled memory of engines counts.
@@ -49,12 +45,10 @@
         PlacementPolicy {
             affinity_factor: 1.0,
             recompute_penalty_factor: 3.6,
-            recompute_load_factor: 0.0,
             eviction_risk: 0.3,
             occupancy_limit: 0.8,
             occupancy_penalty_share: 0.1,
-            capacity_wait_share: 0.8,
-            tolerated_wait_share: 0.05,
+            capacity_wait_share: 0.9,
             learns_times: true,
             samples_memory: true,
             saves_parts: true,
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -67,7 +67,7 @@
     ///     data_centre: "mnl-a".to_string(),
     ///     prompt: None,
     ///     rank: 0,
-    ///     tolerated_wait: Duration::ZERO,
+    ///     is_continuation: false,
     ///     avoid: Vec::new(),
     ///     max_wait: Duration::from_secs(1),
     /// };
@@ -87,7 +87,10 @@
     /// let placement = Placement::open_with_policy(Duration::from_secs(10), policy);
     /// assert_eq!(placement.policy(), &policy);
     /// ```
-    pub fn open_with_policy(old_weights_usable_for: Duration, policy: PlacementPolicy) -> Placement {
+    pub fn open_with_policy(
+        old_weights_usable_for: Duration,
+        policy: PlacementPolicy,
+    ) -> Placement {
         Placement {
             policy,
             targets: BTreeMap::new(),
@@ -207,13 +210,14 @@
             candidates.iter().map(|it| it.cost.capacity_wait_ms).min_by(f64::total_cmp);
         let best = candidates
             .into_iter()
-            .filter(|it| it.cost.capacity_wait_ms <= milliseconds(request.tolerated_wait))
+            .filter(|it| it.cost.capacity_wait_ms <= 0.0 || request.is_continuation)
             .min_by(|left, right| left.cost.total_ms.total_cmp(&right.cost.total_ms));
         let Some(best) = best else {
-            return PlacementDecision::Unplaced(shortest_wait_ms.map_or(
-                UnplacedReason::NoneUsable,
-                |wait_ms| UnplacedReason::Full { wait: from_milliseconds(wait_ms) },
-            ));
+            return PlacementDecision::Unplaced(
+                shortest_wait_ms.map_or(UnplacedReason::NoneUsable, |wait_ms| {
+                    UnplacedReason::Full { wait: from_milliseconds(wait_ms) }
+                }),
+            );
         };
         let expected_wait = from_milliseconds(best.cost.wait_ms);
         if expected_wait > request.max_wait {
@@ -255,8 +259,7 @@
         let cache = self.parts.cache(&target.registration.address);
         let is_watched = cache.is_some_and(|cache| cache.is_watched());
         let policy = &self.policy;
-        let in_flight = target.requests(now);
-        let costs = TransferCosts { policy, memory, timing: &timing, in_flight };
+        let costs = TransferCosts { policy, memory, timing: &timing };
         let plan = cost::plan_context(holders, target, is_watched, prompt, &costs);
         let ranking = &lookup.ranking;
         let engine_request =
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -94,7 +94,7 @@
         data_centre: "mnl-a".to_string(),
         prompt: None,
         rank: 0,
-        tolerated_wait: Duration::ZERO,
+        is_continuation: false,
         avoid: Vec::new(),
         max_wait: Duration::from_secs(2),
     }
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -17,10 +17,11 @@
     pub prompt: Option<PlacementPrompt>,
     /// Priority rank; 0 is the most urgent.
     pub rank: u8,
+    /// Whether the request continues a run whose target failed. It doesn't wait for capacity, since
+    /// its client would see a pause in the response.
+    pub is_continuation: bool,
     /// Targets that already failed this request.
     pub avoid: Vec<TargetId>,
-    /// Expected wait for capacity at an engine up to which the request is sent there nevertheless.
-    pub tolerated_wait: Duration,
     /// Longest acceptable wait for a slot at a target.
     pub max_wait: Duration,
 }
