Show waiting requests and the memory of engines in logs and metrics

A request that waits for room has a line of its own, a send says how long its request waited, and two gauges show the requests that wait and the memory in use at sampled engines.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -63,6 +63,8 @@
     placement_request: PlacementRequest,
     /// Share of the latency objective for which the request may wait for capacity.
     capacity_wait_share: f64,
+    /// Whether the request has waited for capacity.
+    has_waited: bool,
     /// Version of the serving document that the request was checked against.
     serving_version: u64,
     /// Attempts that may have reached a target.
@@ -196,6 +198,7 @@
             placement_request,
             capacity_wait_share: self.node_state.lock().placement.policy().capacity_wait_share,
             serving_version: serving.version(),
+            has_waited: false,
             sends: 0,
             runs: 0,
             _in_flight: self.node_state.track_request(),
@@ -344,6 +347,14 @@
                 PlacementDecision::Unplaced(UnplacedReason::Full { wait })
                     if request.may_wait(wait) =>
                 {
+                    if !std::mem::replace(&mut request.has_waited, true) {
+                        request_log!("request waits for capacity", kv: {
+                            request = request.head.attempt_id.as_str(),
+                            service = request.placement_request.service.as_str(),
+                            rank = request.rank(),
+                            expected_wait_ms = milliseconds(wait),
+                        });
+                    }
                     let until = request.waits_until();
                     self.node_state.wait_for_capacity(&request.placement_request, until).await;
                     continue;
@@ -378,6 +389,7 @@
                 prefill_tokens = guard.assignment.prefill_tokens,
                 expected_wait_ms = milliseconds(guard.assignment.expected_wait),
                 serving_version = request.serving_version,
+                waited_ms = milliseconds(request.received.elapsed()),
             });
             request.sends += 1;
             let attempt = Attempt { forwarder: self, request, guard, resume_after };
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -221,6 +221,13 @@
         ((targets.len() - draining) as u64, draining as u64)
     }
 
+    /// Returns the number of requests that wait for capacity, and the memory in use at engines in
+    /// hundredths of their capacity.
+    pub(crate) fn capacity(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.waiting.len() as u64, state.placement.memory_percent(self.now()))
+    }
+
     pub(crate) fn requests_in_flight(&self) -> u64 {
         self.in_flight.load(Ordering::SeqCst)
     }
--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -6,8 +6,8 @@
 use hyper::body::Incoming;
 use skylarkpick_http::{Handler, ResponseBody, empty_response, full_body};
 use skylarkpick_telemetry::{
-    CONFIGURATION_VERSION, Exposition, READY, REQUESTS_UNDER_WAY, RUNNERS_LEAVING, RUNNERS_SERVING,
-    metrics,
+    CONFIGURATION_VERSION, ENGINES_MEMORY_PERCENT, Exposition, READY, REQUESTS_UNDER_WAY,
+    REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING, metrics,
 };
 use std::sync::Arc;
 
@@ -41,6 +41,9 @@
         }
         let metrics = metrics();
         metrics.set(&REQUESTS_UNDER_WAY, self.node_state.requests_in_flight(), &[]);
+        let (waiting, memory_percent) = self.node_state.capacity();
+        metrics.set(&REQUESTS_WAITING, waiting, &[]);
+        metrics.set(&ENGINES_MEMORY_PERCENT, memory_percent, &[]);
         metrics.set(&READY, u64::from(self.node_state.is_ready()), &[]);
         let version = self.node_state.serving().map_or(0, |serving| serving.version());
         metrics.set(&CONFIGURATION_VERSION, version, &[]);
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -456,6 +456,22 @@
         }
     }
 
+    /// Returns the memory in use at the recently sampled engines in hundredths of their capacity, 0
+    /// without samples.
+    pub fn memory_percent(&self, now: Duration) -> u64 {
+        let (mut used_tokens, mut capacity_tokens) = (0.0, 0.0);
+        for target in self.targets.values() {
+            let service = &target.registration.service;
+            let Some(ServiceKind::Engines(memory)) = self.services.get(service) else { continue };
+            let mean_tokens = self.timing(service).memory_tokens();
+            if let Some(used) = target.memory.used_tokens(mean_tokens, now) {
+                used_tokens += used;
+                capacity_tokens += memory.capacity_tokens as f64;
+            }
+        }
+        if capacity_tokens > 0.0 { (used_tokens / capacity_tokens * 100.0) as u64 } else { 0 }
+    }
+
     /// Records the weights that a run started on, or that a target returned when it rejected a
     /// request.
     pub fn observe_weights(&mut self, target: &str, model: &str, version: WeightVersion) {
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -48,6 +48,22 @@
     description: "requests in flight, whose response is not complete yet",
 };
 
+/// Requests that wait in the process until a target has capacity.
+pub const REQUESTS_WAITING: Metric = Metric {
+    name: "requests.waiting",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "requests that wait in the process until a target has capacity",
+};
+
+/// Memory in use at the engines that were sampled recently.
+pub const ENGINES_MEMORY_PERCENT: Metric = Metric {
+    name: "engines.memory_percent",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "memory in use at recently sampled engines, in hundredths of their capacity",
+};
+
 /// Finished attempts at a runner.
 pub const ATTEMPTS_ENDED: Metric = Metric {
     name: "attempts.ended",
@@ -135,6 +151,8 @@
     REQUESTS_ANSWERED,
     REQUESTS_ANSWER_START,
     REQUESTS_UNDER_WAY,
+    REQUESTS_WAITING,
+    ENGINES_MEMORY_PERCENT,
     ATTEMPTS_ENDED,
     PATCHES_ENDED,
     CONFIGURATION_VERSION,
