--- a/crates/skylarkpick-command/tests/shipped_documents.rs
+++ b/crates/skylarkpick-command/tests/shipped_documents.rs
@@ -1,7 +1,8 @@
 //! Checks the settings and configuration files in `config/` and `examples/`.
 
 use skylarkpick_command::{Console, Exit, run_with};
-use skylarkpick_config::{AccountRole, Configuration, parse_configuration};
+use skylarkpick_config::{AccountRole, Configuration, parse_configuration, parse_policy};
+use skylarkpick_schedule::PlacementPolicy;
 use std::path::PathBuf;
 
 fn root() -> PathBuf {
@@ -27,6 +28,32 @@
     assert!(checked >= 12, "only {checked} files were found");
 }
 
+#[test]
+fn the_shipped_policy_lists_every_field_with_its_default() {
+    let text = std::fs::read_to_string(root().join("examples/policy/default.jsonc")).unwrap();
+    let policy: PlacementPolicy = parse_policy(&text).unwrap();
+    assert_eq!(policy, PlacementPolicy::default());
+    let listed = text.lines().filter(|line| line.trim_start().starts_with('"')).count();
+    assert_eq!(listed, format!("{policy:?}").matches(':').count());
+}
+
+#[test]
+fn a_wrong_policy_is_rejected_with_the_field_and_the_reason() {
+    struct Case {
+        text: &'static str,
+        expected: &'static str,
+    }
+    let cases = [
+        Case { text: r#"{ "occupancy_limit": 2 }"#, expected: "occupancy_limit" },
+        Case { text: r#"{ "saves": true }"#, expected: "saves" },
+        Case { text: r#"{ "learns_times": 1 }"#, expected: "true or false" },
+    ];
+    for case in cases {
+        let error = parse_policy::<PlacementPolicy>(case.text).unwrap_err().to_string();
+        assert!(error.contains(case.expected), "{}: {error}", case.text);
+    }
+}
+
 /// Size of a fleet, from its configuration.
 #[derive(Debug, Eq, PartialEq)]
 struct Sizes {
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of how platform records are applied, relayed to other processes and expired.
 
 use super::{
-    cache_role::{CacheWatchRole, cache_watch_role},
+    cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler},
     missing_targets::MissingTargets,
     records::FleetRecords,
     topic_watch::{FleetWatcher, relay_wait, watch_topic},
@@ -132,6 +132,10 @@
     };
     assert_eq!(relays, ["10.0.0.37:80", "10.0.0.39:80"], "those of its own data centre");
     assert_eq!(cache_watch_role(&entries, "unlisted"), CacheWatchRole::Direct);
+    let samples = |node: &str, data_centre: &str| is_load_sampler(&entries, node, data_centre);
+    let own = entries.iter().find(|entry| entry.name == "entry-36").unwrap().data_centre.clone();
+    assert!(samples("entry-36", &own), "the relays sample the engines of their data centre");
+    assert!(!samples("entry-01", &own) && !samples("entry-36", "elsewhere"));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/skylarkpick-schedule/src/placement/load_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/load_tests.rs
@@ -475,13 +475,17 @@
     PlacementPolicy { samples_memory: false, ..PlacementPolicy::default() }
 }
 
+/// Returns the shares of requests answered in time before a burst and from 5 s after it.
+fn play_burst(deployment: Deployment, policy: PlacementPolicy, seed: u64) -> (f64, f64) {
+    let mut simulation = Simulation::open(deployment, policy, seed);
+    simulation.play(24, 6..9, 2.5);
+    (simulation.share_in_time(2..6), simulation.share_in_time(14..22))
+}
+
 #[test]
 fn service_comes_back_after_a_burst() {
     for seed in 1..=3 {
-        let mut simulation = Simulation::open(LARGE_CONTEXTS, PlacementPolicy::default(), seed);
-        simulation.play(24, 6..9, 2.5);
-        let before = simulation.share_in_time(2..6);
-        let after = simulation.share_in_time(14..22);
+        let (before, after) = play_burst(LARGE_CONTEXTS, PlacementPolicy::default(), seed);
         assert!(before >= 0.93, "seed {seed}: {before:.2} in time before the burst");
         assert!(after >= 0.93, "seed {seed}: {after:.2} in time from 5 s after the burst");
     }
@@ -490,9 +494,59 @@
 #[test]
 fn without_samples_service_stays_down_after_a_burst() {
     for seed in 1..=3 {
-        let mut simulation = Simulation::open(LARGE_CONTEXTS, without_samples(), seed);
-        simulation.play(24, 6..9, 2.5);
-        let after = simulation.share_in_time(14..22);
+        let (_, after) = play_burst(LARGE_CONTEXTS, without_samples(), seed);
         assert!(after < 0.8, "seed {seed}: {after:.2} in time, so the load shows no collapse");
     }
 }
+
+#[test]
+fn service_comes_back_on_other_engines() {
+    struct Case {
+        name: &'static str,
+        deployment: Deployment,
+    }
+    let cases = [
+        Case {
+            name: "slow prefill, small contexts",
+            deployment: Deployment {
+                prefill_tokens_per_ms: 36.0,
+                step_ms: 3.5,
+                memory_tokens: 41_600,
+                token_size_bytes: 18_432,
+                shared_tokens: 5_000,
+                own_tokens: 800,
+                answer_tokens: 60,
+                requests_per_second: 24.0,
+                ..LARGE_CONTEXTS
+            },
+        },
+        Case {
+            name: "fast prefill, many engines",
+            deployment: Deployment {
+                engines: 16,
+                processes: 12,
+                sessions: 400,
+                prefill_tokens_per_ms: 300.0,
+                token_size_bytes: 200_000,
+                requests_per_second: 56.0,
+                ..LARGE_CONTEXTS
+            },
+        },
+        Case {
+            name: "three engines, short answers",
+            deployment: Deployment {
+                engines: 3,
+                prefill_tokens_per_ms: 80.0,
+                token_size_bytes: 60_000,
+                answer_tokens: 100,
+                requests_per_second: 18.0,
+                ..LARGE_CONTEXTS
+            },
+        },
+    ];
+    for case in cases {
+        let (before, after) = play_burst(case.deployment, PlacementPolicy::default(), 1);
+        assert!(before >= 0.93, "{}: {before:.2} in time before the burst", case.name);
+        assert!(after >= 0.93, "{}: {after:.2} in time from 5 s after the burst", case.name);
+    }
+}
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of placement: single requests, and simulated partitions and bursts.
 
 use super::{
-    Assignment, OutdatedPartFinder, Placement, PlacementDecision, PlacementPrompt,
+    Assignment, MemorySample, OutdatedPartFinder, Placement, PlacementDecision, PlacementPrompt,
     PlacementRequest, TargetOutcome, UnplacedReason,
 };
 use skylarkpick_interface::{
@@ -512,3 +512,154 @@
     assert!(placement.0 <= round_robin.0, "longest backlog: {placement:?} and {round_robin:?}");
     assert!(placement.1 < round_robin.1, "recomputed tokens: {placement:?} and {round_robin:?}");
 }
+
+fn sample(placement: &mut Placement, index: u8, used_tokens: u64, waiting: u32, at: Duration) {
+    let sample = MemorySample { used_tokens, waiting };
+    placement.observe_memory(&format!("i-{index}"), sample, at);
+}
+
+#[test]
+fn places_a_prompt_only_where_memory_has_room() {
+    struct Case {
+        name: &'static str,
+        rank: u8,
+        is_continuation: bool,
+        /// Tokens in use at the first engine; all others are full.
+        used_tokens: u64,
+        waiting: u32,
+        age: Duration,
+        is_placed: bool,
+    }
+    let base = Case {
+        name: "room",
+        rank: 0,
+        is_continuation: false,
+        used_tokens: 10_000,
+        waiting: 0,
+        age: Duration::from_millis(100),
+        is_placed: true,
+    };
+    let cases = [
+        Case { name: "no room", used_tokens: 40_000, is_placed: false, ..base },
+        Case { name: "room for urgent requests", used_tokens: 23_500, rank: 0, ..base },
+        Case {
+            name: "the same, less urgent",
+            used_tokens: 23_500,
+            rank: 2,
+            is_placed: false,
+            ..base
+        },
+        Case { name: "others wait there", waiting: 12, is_placed: false, ..base },
+        Case { name: "continued run", used_tokens: 40_000, is_continuation: true, ..base },
+        Case {
+            name: "outdated samples",
+            used_tokens: 40_000,
+            age: Duration::from_millis(1_600),
+            ..base
+        },
+        base,
+    ];
+    for case in cases {
+        let mut placement = fleet();
+        let now = Duration::from_secs(5);
+        (2..=9).for_each(|index| sample(&mut placement, index, 41_600, 9, now - case.age));
+        sample(&mut placement, 1, case.used_tokens, case.waiting, now - case.age);
+        let request = PlacementRequest {
+            rank: case.rank,
+            is_continuation: case.is_continuation,
+            ..prompt("s", "o")
+        };
+        match placement.choose(&request, now) {
+            PlacementDecision::Assigned(_) => assert!(case.is_placed, "{}", case.name),
+            PlacementDecision::Unplaced(UnplacedReason::Full { wait }) => {
+                assert!(!case.is_placed, "{}", case.name);
+                assert!(wait > Duration::ZERO, "{}", case.name);
+            }
+            other => panic!("{}: {other:?}", case.name),
+        }
+    }
+}
+
+#[test]
+fn counts_what_it_sent_since_the_last_sample() {
+    let mut placement = fleet();
+    (2..=9).for_each(|index| placement.remove_target(&format!("i-{index}")));
+    sample(&mut placement, 1, 5_000, 0, Duration::from_secs(1));
+    let mut sent = Vec::new();
+    let now = Duration::from_millis(1_010);
+    loop {
+        let request = prompt(&format!("s{}", sent.len()), "o");
+        let PlacementDecision::Assigned(assignment) = placement.choose(&request, now) else {
+            break;
+        };
+        placement.begin(&assignment, request.prompt.as_ref(), now);
+        sent.push(*assignment);
+        assert!(sent.len() < 10, "the engine takes any number of prompts");
+    }
+    // 5,000 tokens in use, 9,200 of the first prompt and 6,680 of each further one, which shares the
+    // root, into 0.8 of 41,616.
+    assert_eq!(sent.len(), 3);
+    placement.end(&sent[0], TargetOutcome::Served, Duration::from_millis(40), now);
+    assert!(matches!(placement.choose(&prompt("t", "o"), now), PlacementDecision::Assigned(_)));
+}
+
+#[test]
+fn an_idle_engine_takes_a_prompt_of_any_size() {
+    let mut placement = fleet();
+    (1..=9).for_each(|index| sample(&mut placement, index, 0, 0, Duration::ZERO));
+    let mut request = prompt("s", "o");
+    request.prompt.as_mut().unwrap().prompt_tokens = 41_000;
+    assert!(matches!(placement.choose(&request, Duration::ZERO), PlacementDecision::Assigned(_)));
+}
+
+#[test]
+fn does_not_send_to_old_weights_what_would_start_too_late() {
+    let mut placement = fleet();
+    placement.weights.set_desired(MODEL, 2, Duration::ZERO);
+    let request = prompt("s", "o");
+    let at = Duration::from_millis(9_000);
+    let assignment = assigned(&placement, &request, at);
+    assert_eq!(assignment.weight_version, Some(1), "a run that starts within half a second");
+    // Slow responses show that a run would wait past the end of the usable period.
+    for _ in 0..100 {
+        placement.note_first_response(&assignment, Duration::from_millis(2_500));
+    }
+    let decision = placement.choose(&request, at);
+    assert_eq!(decision, PlacementDecision::Unplaced(UnplacedReason::NoneUsable));
+}
+
+#[test]
+fn learns_the_prefill_time_of_engines() {
+    struct Case {
+        name: &'static str,
+        ms_per_token: f64,
+        is_fetched: bool,
+    }
+    let cases = [
+        Case { name: "fast engines", ms_per_token: 0.005, is_fetched: false },
+        Case { name: "slow engines", ms_per_token: 0.2, is_fetched: true },
+    ];
+    for case in cases {
+        let mut placement = fleet();
+        let first = assigned(&placement, &prompt("s", "o"), Duration::ZERO);
+        let elapsed_ms = 10.0 + first.prefill_tokens as f64 * case.ms_per_token;
+        for _ in 0..200 {
+            placement.note_first_response(&first, Duration::from_secs_f64(elapsed_ms / 1_000.0));
+        }
+        // A store whose transfer of 5,000 tokens takes about 740 ms.
+        let slow = ServiceKind::Store {
+            address: store(),
+            data_centre: "mnl-a".to_string(),
+            memory: memory(20_000, 1_000.0),
+            is_managed: true,
+        };
+        placement.set_services(&BTreeMap::from([
+            (ENGINES.to_string(), ServiceKind::Engines(memory(41_616, 550_000.0))),
+            ("tala-cache-b".to_string(), slow),
+        ]));
+        let held = [("tala.1", "root", 2_520), ("tala.1", "s", 5_000)];
+        apply_parts(&mut placement, store(), &held, Duration::ZERO);
+        let assignment = assigned(&placement, &prompt("s", "o"), Duration::ZERO);
+        assert_eq!(assignment.transfers > 0, case.is_fetched, "{}", case.name);
+    }
+}
