Sample an engine often only while its memory is well used

Change: a pass asks the engines whose memory is half full or more; each fourth asks all, so that an empty one is asked twice a second by the two processes together, within the 1.5 s for which a sample counts.

--- a/crates/skylarkpick-forward/src/fleet/load_sampler.rs
+++ b/crates/skylarkpick-forward/src/fleet/load_sampler.rs
@@ -15,8 +15,12 @@
 use skylarkpick_schedule::MemorySample;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-/// Mean pause between two samples of an engine by one process.
+/// Mean pause between two passes. Each pass samples the engines whose memory is well used.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of passes of which one samples all engines.
+const PASSES_PER_FULL_PASS: u64 = 4;
+/// Share of an engine's memory from which each pass samples it.
+const WELL_USED_SHARE: f64 = 0.5;
 /// Timeout of a sample. A later response would be outdated.
 const SAMPLE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -31,14 +35,17 @@
 /// Samples the engines of the process's data centre, if that is its role, for as long as the task
 /// runs.
 pub(crate) async fn sample_loads(sampler: LoadSampler) {
-    loop {
+    for pass in 0_u64.. {
         sleep_with_jitter(SAMPLE_INTERVAL).await;
         let records = &sampler.watcher.records;
         if !records.is_load_sampler(&sampler.data_centre) {
             continue;
         }
-        let samples =
-            sampler.engines().into_iter().map(|(id, address)| sampler.sample(id, address));
+        let is_full_pass = pass.is_multiple_of(PASSES_PER_FULL_PASS);
+        let samples = sampler
+            .engines(is_full_pass)
+            .into_iter()
+            .map(|(id, address)| sampler.sample(id, address));
         let loads: Vec<EngineLoadNotice> = join_all(samples).await.into_iter().flatten().collect();
         if !loads.is_empty() {
             sampler.watcher.peer_client.broadcast(records, &Notice::Loads { loads });
@@ -47,15 +54,20 @@
 }
 
 impl LoadSampler {
-    fn engines(&self) -> Vec<(TargetId, SocketAddr)> {
+    /// Returns the engines to sample: all, or those whose memory is well used.
+    fn engines(&self, includes_all: bool) -> Vec<(TargetId, SocketAddr)> {
+        let now = self.node_state.now();
         let state = self.node_state.lock();
         let Some(serving) = state.serving() else { return Vec::new() };
         let is_engine = |service: &String| {
             matches!(serving.document.services.get(service), Some(ServiceKind::Engines(_)))
         };
+        let is_well_used =
+            |target: &str| state.placement.memory_share(target, now) >= WELL_USED_SHARE;
         let targets = state.placement.targets().values().map(|target| &target.registration);
         targets
             .filter(|target| target.data_centre == self.data_centre && is_engine(&target.service))
+            .filter(|target| includes_all || is_well_used(&target.id))
             .map(|target| (target.id.clone(), target.address))
             .collect()
     }
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -456,22 +456,29 @@
         }
     }
 
+    /// Returns the share of an engine's memory that is in use, 0 without a recent sample.
+    pub fn memory_share(&self, target: &str, now: Duration) -> f64 {
+        let memory = self.targets.get(target).and_then(|target| self.memory_use(target, now));
+        memory.map_or(0.0, |(used_tokens, capacity_tokens)| used_tokens / capacity_tokens)
+    }
+
     /// Returns the memory in use at the recently sampled engines in hundredths of their capacity, 0
     /// without samples.
     pub fn memory_percent(&self, now: Duration) -> u64 {
-        let (mut used_tokens, mut capacity_tokens) = (0.0, 0.0);
-        for target in self.targets.values() {
-            let service = &target.registration.service;
-            let Some(ServiceKind::Engines(memory)) = self.services.get(service) else { continue };
-            let mean_tokens = self.timing(service).memory_tokens();
-            if let Some(used) = target.memory.used_tokens(mean_tokens, now) {
-                used_tokens += used;
-                capacity_tokens += memory.capacity_tokens as f64;
-            }
-        }
+        let engines = self.targets.values().filter_map(|target| self.memory_use(target, now));
+        let (used_tokens, capacity_tokens) =
+            engines.fold((0.0, 0.0), |sum, engine| (sum.0 + engine.0, sum.1 + engine.1));
         if capacity_tokens > 0.0 { (used_tokens / capacity_tokens * 100.0) as u64 } else { 0 }
     }
 
+    /// Returns the tokens in use at a recently sampled engine, and its capacity.
+    fn memory_use(&self, target: &TargetView, now: Duration) -> Option<(f64, f64)> {
+        let service = &target.registration.service;
+        let Some(ServiceKind::Engines(memory)) = self.services.get(service) else { return None };
+        let used_tokens = target.memory.used_tokens(self.timing(service).memory_tokens(), now)?;
+        Some((used_tokens, memory.capacity_tokens.max(1) as f64))
+    }
+
     /// Records the weights that a run started on, or that a target returned when it rejected a
     /// request.
     pub fn observe_weights(&mut self, target: &str, model: &str, version: WeightVersion) {
