--- a/crates/skylarkpick-schedule/src/placement/policy.rs
+++ b/crates/skylarkpick-schedule/src/placement/policy.rs
@@ -7,7 +7,7 @@
 ///
 /// ```
 /// use skylarkpick_schedule::PlacementPolicy;
-/// let policy: PlacementPolicy = serde_json::from_str(r#"{ "samples_memory": false }"#).unwrap();
+/// let policy = PlacementPolicy { samples_memory: false, ..PlacementPolicy::default() };
 /// assert!(!policy.samples_memory);
 /// assert!(policy.saves_parts);
 /// ```
