Log how old newer weights are when a request is sent and when its response starts

Cause: the logs of an entry process did not show how much of the time for which replaced weights may be used had passed, by its own reckoning, when it sent a request, nor when the run began.

Change: 'request sent to target' and 'response started' carry newer_weights_age_ms, -1 if there are none, and the latter the weights. No decision changes.

Ruled out: a metric instead, which would not lead from a request to its cause.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -284,6 +284,8 @@
                     request = request.head.attempt_id.as_str(),
                     status = streaming.head.status.as_u16(),
                     sends = request.sends,
+                    weight_version = streaming.guard.assignment.weight_version.unwrap_or_default(),
+                    newer_weights_age_ms = age_ms(streaming.guard.newer_weights_age()),
                     took_ms = milliseconds(request.received.elapsed()),
                 });
                 let (status, headers) = (streaming.head.status, streaming.head.headers.clone());
@@ -383,8 +385,8 @@
                 fetches = guard.assignment.fetch.iter().flatten().count(),
                 saves = guard.assignment.save.iter().flatten().count(),
                 weight_version = guard.assignment.weight_version.unwrap_or_default(),
-                // -1 for a target that has not reported its load yet.
-                load_age_ms = guard.assignment.load_age.map_or(-1, |age| age.as_millis() as i64),
+                newer_weights_age_ms = age_ms(guard.assignment.newer_weights_age),
+                load_age_ms = age_ms(guard.assignment.load_age),
                 transfers = guard.assignment.transfers,
                 prefill_tokens = guard.assignment.prefill_tokens,
                 expected_wait_ms = milliseconds(guard.assignment.expected_wait),
@@ -510,6 +512,11 @@
     });
 }
 
+/// Returns an age for a log line; -1 if there is none.
+fn age_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+}
+
 fn rejected(status: StatusCode, closes: bool) -> GatewayError {
     GatewayError::Rejected { status, closes }
 }
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -1,7 +1,9 @@
 //! State shared by all requests of a process: serving document, placement and retry budgets.
 
 use crate::serving_index::ServingIndex;
-use skylarkpick_interface::{Clock, NodeLimits, ReportedLoad, ServiceName, WeightVersion};
+use skylarkpick_interface::{
+    Clock, ModelName, NodeLimits, ReportedLoad, ServiceName, WeightVersion,
+};
 use skylarkpick_schedule::{
     Assignment, MemorySample, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt,
     PlacementRequest, TargetOutcome, UnplacedReason, WaitingRequests, WindowRetryBudget,
@@ -156,6 +158,7 @@
         AssignmentGuard {
             node_state: self.clone(),
             assignment,
+            model: prompt.map(|prompt| prompt.model.clone()),
             sent_at: now,
             outcome: TargetOutcome::Unknown,
             has_responded: false,
@@ -272,12 +275,22 @@
 pub(crate) struct AssignmentGuard {
     node_state: Arc<NodeState>,
     pub(crate) assignment: Assignment,
+    /// Model of the prompt; `None` for a call to a plain service.
+    model: Option<ModelName>,
     pub(crate) outcome: TargetOutcome,
     sent_at: Duration,
     has_responded: bool,
 }
 
 impl AssignmentGuard {
+    /// Returns the time since weights newer than those of the attempt became the desired ones, if
+    /// there are newer ones.
+    pub(crate) fn newer_weights_age(&self) -> Option<Duration> {
+        let version = self.assignment.weight_version?;
+        let now = self.node_state.now();
+        self.node_state.lock().placement.weights.age_of_newer(self.model.as_ref()?, version, now)
+    }
+
     /// Records that the first part of the response has arrived.
     pub(crate) fn note_first_response(&mut self) {
         if !std::mem::replace(&mut self.has_responded, true) {
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -44,6 +44,7 @@
     cost: Cost,
     plan: cost::ContextPlan,
     weight_version: Option<WeightVersion>,
+    newer_weights_age: Option<Duration>,
     scope: Option<CacheScope>,
 }
 
@@ -243,11 +244,12 @@
                 cost: cost::plain_cost(target, request, &timing, now),
                 plan: cost::ContextPlan::default(),
                 weight_version: None,
+                newer_weights_age: None,
                 scope: None,
             });
         };
         let version = target.weight_version(&prompt.model)?;
-        let has_newer = self.weights.age_of_newer(&prompt.model, version, now).is_some();
+        let newer_weights_age = self.weights.age_of_newer(&prompt.model, version, now);
         let scope = cache_scope(prompt, version);
         let is_reachable = |data_centre: &str| {
             !self.reachability.is_unreachable(data_centre, &request.data_centre, now)
@@ -264,7 +266,7 @@
         let ranking = &lookup.ranking;
         let engine_request =
             EngineRequest { policy, request, prompt, ranking, memory, timing: &timing, now };
-        let cost = cost::engine_cost(target, &engine_request, &plan, has_newer);
+        let cost = cost::engine_cost(target, &engine_request, &plan, newer_weights_age.is_some());
         // A run has to start on usable weights, so its wait at the engine counts.
         let expected_ms = (cost.wait_ms + plan.ready_ms) * START_DELAY_FACTOR;
         let start_ms = expected_ms.max(timing.slow_response_ms());
@@ -272,7 +274,14 @@
         if !self.weights.is_usable(&prompt.model, version, start) {
             return None;
         }
-        Some(Candidate { target, cost, plan, weight_version: Some(version), scope: Some(scope) })
+        Some(Candidate {
+            target,
+            cost,
+            plan,
+            weight_version: Some(version),
+            newer_weights_age,
+            scope: Some(scope),
+        })
     }
 
     fn assign(
@@ -301,6 +310,7 @@
             transfers: candidate.plan.transfers,
             expected_wait,
             load_age: candidate.target.load_age(now),
+            newer_weights_age: candidate.newer_weights_age,
         };
         if let (Some(prompt), Some(scope)) = (&request.prompt, &assignment.cache_scope) {
             let newest = self.weights.newest(&prompt.model);
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -71,6 +71,9 @@
     pub expected_wait: Duration,
     /// Age of the target's last load report, if there is one.
     pub load_age: Option<Duration>,
+    /// Time since the first version newer than `weight_version` became the desired one, if there is
+    /// a newer one.
+    pub newer_weights_age: Option<Duration>,
 }
 
 /// Why a request was not assigned to a target.
