Withdraw an attempt that has not started when its weights become too old

What callers saw: whole, signed answers with status 200, made on weights that a newer version had replaced over 12 s before.

Cause: whether a run may start on replaced weights was checked when its request was sent, while the limit holds for its start. The wait in between, at the runner, had no bound: two requests were sent 10.15 and 10.22 s after the newer version was acknowledged, with 1.5 s of margin left, and started 1.9 and 2.2 s later. Class of fault: a condition is checked when a decision is made, and acted on later. The estimate of the wait that placement has counted since makes it rarer and bounds nothing: it is a learned quantile, and other processes send to the same runner in between.

Ruled out: a process that counts from a later moment (the sends lie inside the window of one that learned in time; a fault of its own, though); a runner taken for newer than it is (it rejects a request that names other weights). Weighed: a deadline that ends with the limit, which runners enforce in their queues: it would also cut runs that started in time. An earlier end of the window for all: takes away capacity on every roll-out and bounds nothing either.

Change: until a run has started (its response, or the first event of its stream) its attempt ends 0.5 s before the limit, also if the newer weights were named after the send. The connection is closed, so the runner drops what still waits; a request that may be repeated goes to another runner, one that may run only once fails with 502, since it may have started meanwhile. A run that has started is left alone.

--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -354,11 +354,9 @@
     }
 
     fn apply_weights(&self, weights: &DesiredWeights, revision: u64) {
-        let now = self.node_state.now();
         let (model, version) = (weights.model.as_str(), weights.weight_version);
-        if self.node_state.lock().placement.weights.set_desired(model, version, now) {
+        if self.node_state.set_desired_weights(model, version) {
             spdlog::info!("desired weights changed", kv: { model, version, revision });
-            self.node_state.weights_changed.notify_one();
         }
     }
 }
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -35,6 +35,9 @@
     NotRun(ResponseMetadata),
     /// The request may have run, but there is no valid response.
     NoValidResponse(String),
+    /// The run had not started when its weights became too old. The request may have run, since it
+    /// may have started while it was withdrawn.
+    Withdrawn(String),
     /// The request's deadline passed before there was a response.
     TimedOut,
     /// The response is complete.
@@ -50,6 +53,7 @@
             AttemptOutcome::NotSent(_) => "not_sent",
             AttemptOutcome::NotRun(_) => "not_run",
             AttemptOutcome::NoValidResponse(_) => "broken",
+            AttemptOutcome::Withdrawn(_) => "withdrawn",
             AttemptOutcome::TimedOut => "timed_out",
             AttemptOutcome::Complete(_) => "whole",
             AttemptOutcome::Streaming(_) => "begun",
@@ -86,15 +90,10 @@
 impl Attempt<'_> {
     /// Sends the request and reads the response: completely, or its beginning if it is streamed.
     pub(crate) async fn run(mut self) -> AttemptOutcome {
-        let deadline = self.request.deadline;
-        let sent = tokio::time::timeout_at(deadline, self.send()).await;
-        let (connection, head, body) = match sent {
+        let (connection, head, body) = match self.before_start(self.send()).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return self.handle_send_error(error),
-            Err(_) => {
-                self.guard.outcome = TargetOutcome::Unknown;
-                return AttemptOutcome::TimedOut;
-            }
+            Err(outcome) => return outcome,
         };
         let metadata = self.forwarder.dialect.read_response(&head);
         if let Err(why) = self.validate(&head, &metadata) {
@@ -111,7 +110,20 @@
         self.read_complete(connection, head, metadata, body).await
     }
 
-    async fn send(&mut self) -> Result<(Connection, Parts, Incoming), SendError> {
+    /// Takes a step before the run's start. Returns an outcome if the run must no longer start. Its
+    /// connection is closed then, on which the target drops a request that still waits.
+    async fn before_start<T>(&self, step: impl Future<Output = T>) -> Result<T, AttemptOutcome> {
+        tokio::select! {
+            biased;
+            result = step => Ok(result),
+            () = tokio::time::sleep_until(self.request.deadline) => Err(AttemptOutcome::TimedOut),
+            () = self.guard.wait_for_expiry() => {
+                Err(AttemptOutcome::Withdrawn("its weights became too old".to_string()))
+            }
+        }
+    }
+
+    async fn send(&self) -> Result<(Connection, Parts, Incoming), SendError> {
         let assignment = &self.guard.assignment;
         let idle_limit = match self.request.route.repeatability {
             Repeatability::Once => ONCE_IDLE_LIMIT,
@@ -267,9 +279,8 @@
         metadata: ResponseMetadata,
         mut body: Incoming,
     ) -> AttemptOutcome {
-        let frame = tokio::time::timeout_at(self.request.deadline, body.frame()).await;
-        let first = match frame {
-            Err(_) => return AttemptOutcome::TimedOut,
+        let first = match self.before_start(body.frame()).await {
+            Err(outcome) => return outcome,
             Ok(Some(Ok(frame))) => frame.into_data().ok(),
             Ok(None) => None,
             Ok(Some(Err(error))) => {
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -415,6 +415,7 @@
         outcome: AttemptOutcome,
         last: &mut SendResult,
     ) -> Option<SendResult> {
+        let end = outcome.name();
         match outcome {
             AttemptOutcome::Streaming(response) => return Some(SendResult::Streaming(response)),
             AttemptOutcome::Complete(response) => {
@@ -428,7 +429,7 @@
                 *last = SendResult::Complete(response);
             }
             AttemptOutcome::NotSent(why) => {
-                log_failed_attempt(request, &target, "not_sent", &why);
+                log_failed_attempt(request, &target, end, &why);
                 // Nothing was sent, so this counts neither as a run nor as a retry.
                 request.sends -= 1;
                 request.avoid(&target);
@@ -440,8 +441,8 @@
             AttemptOutcome::NotRun(metadata) => {
                 self.handle_rejection(request, target, &metadata, last);
             }
-            AttemptOutcome::NoValidResponse(why) => {
-                log_failed_attempt(request, &target, "broken", &why);
+            AttemptOutcome::NoValidResponse(why) | AttemptOutcome::Withdrawn(why) => {
+                log_failed_attempt(request, &target, end, &why);
                 request.runs += 1;
                 request.avoid(&target);
                 *last = SendResult::Failed(GatewayError::NoResponse, why);
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -21,6 +21,9 @@
 /// Safety margin before the time at which runs on previous weights must no longer start; covers
 /// message and queue delays.
 const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
+/// The same for runs that were already sent; covers the time in which their runner notices that the
+/// connection is closed.
+const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(500);
 /// Minimum number of entry processes among which the additional retries are divided, since a
 /// process that has just started doesn't know the others yet.
 const ENTRIES_FLOOR: u32 = 8;
@@ -37,6 +40,8 @@
     pub(crate) caches_changed: Notify,
     /// Wakes the planner when weights or targets have changed.
     pub(crate) weights_changed: Notify,
+    /// Wakes the attempts that have not started when desired weights have changed.
+    desired_weights_changed: Notify,
     /// Wakes the requests that wait for capacity when some may have become free.
     capacity_changed: Notify,
     draining: AtomicBool,
@@ -74,6 +79,7 @@
             limits,
             caches_changed: Notify::new(),
             weights_changed: Notify::new(),
+            desired_weights_changed: Notify::new(),
             capacity_changed: Notify::new(),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
@@ -173,6 +179,36 @@
         self.lock().placement.observe_weights(target, model, version);
     }
 
+    /// Sets the desired weights of a model. Returns whether anything changed.
+    pub(crate) fn set_desired_weights(&self, model: &str, version: WeightVersion) -> bool {
+        let now = self.now();
+        let is_changed = self.lock().placement.weights.set_desired(model, version, now);
+        if is_changed {
+            self.weights_changed.notify_one();
+            self.desired_weights_changed.notify_waiters();
+        }
+        is_changed
+    }
+
+    /// Waits until runs on a weight version must no longer start, which may never be the case.
+    pub(crate) async fn wait_for_expiry(&self, model: &str, version: WeightVersion) {
+        let startable_for = self.limits.weights.saturating_sub(WITHDRAWAL_MARGIN);
+        loop {
+            let changed = self.desired_weights_changed.notified();
+            let replaced_at = self.lock().placement.weights.replaced_at(model, version);
+            let Some(replaced_at) = replaced_at else {
+                changed.await;
+                continue;
+            };
+            let remaining = (replaced_at + startable_for).saturating_sub(self.now());
+            if remaining.is_zero() {
+                return;
+            }
+            // After the timeout the remaining time is checked again.
+            let _ = tokio::time::timeout(remaining, changed).await;
+        }
+    }
+
     /// Records that a target is about to swap its weights.
     pub(crate) fn note_swapping(&self, target: &str, model: &str, version: WeightVersion) {
         let now = self.now();
@@ -291,6 +327,14 @@
         self.node_state.lock().placement.weights.age_of_newer(self.model.as_ref()?, version, now)
     }
 
+    /// Waits until the run must no longer start on its weights, which may never be the case.
+    pub(crate) async fn wait_for_expiry(&self) {
+        match (&self.model, self.assignment.weight_version) {
+            (Some(model), Some(version)) => self.node_state.wait_for_expiry(model, version).await,
+            _ => std::future::pending().await,
+        }
+    }
+
     /// Records that the first part of the response has arrived.
     pub(crate) fn note_first_response(&mut self) {
         if !std::mem::replace(&mut self.has_responded, true) {
--- a/crates/skylarkpick-schedule/src/placement/weights.rs
+++ b/crates/skylarkpick-schedule/src/placement/weights.rs
@@ -64,8 +64,13 @@
         version: WeightVersion,
         now: Duration,
     ) -> Option<Duration> {
+        self.replaced_at(model, version).map(|since| now.saturating_sub(since))
+    }
+
+    /// Returns the time at which the first newer version was set, if there is one.
+    pub fn replaced_at(&self, model: &str, version: WeightVersion) -> Option<Duration> {
         let newer = self.models.get(model)?.range(version.checked_add(1)?..).next();
-        newer.map(|(_, since)| now.saturating_sub(*since))
+        newer.map(|(_, since)| *since)
     }
 
     /// Returns the models with their desired versions.
