Order runners at once when no run may start on their weights any more

What callers saw: answers made on weights that had been replaced over 12 s before. In the users' record two runners had no order yet 12.07 and 12.40 s after the newer version was acknowledged.

Cause: nothing made a roll-out reach a runner by the time its weights expire. Class: two places judge the same condition by different facts.

Change: the planner's goal takes usable and expired versions from the weights that placement uses; runners on expired ones are ordered whatever the limits; the others from the oldest weights on. Loads beyond the limit take longer each, but these runners serve nothing meanwhile.

Ruled out: a shorter time for old weights (takes away capacity on every roll-out, bounds nothing); a higher limit of loads for all (costs serving capacity).

--- a/crates/skylarkpick-entry/src/planner/reconciler.rs
+++ b/crates/skylarkpick-entry/src/planner/reconciler.rs
@@ -170,6 +170,7 @@
         model: name.to_string(),
         weight_version: model.weight_version,
         usable_weight_versions: model.usable_weight_versions(),
+        expired_weight_versions: Vec::new(),
         loads_limit: serving.loads_limit,
         serving_share_floor: serving.serving_share_floor,
     }
--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -7,9 +7,15 @@
     WeightVersion,
 };
 use skylarkpick_lease::{Lease, LeaseSettings};
-use skylarkpick_schedule::{OutdatedPartFinder, RolloutGoal, RolloutRunner, plan_rollout};
+use skylarkpick_schedule::{
+    DesiredWeightsView, OutdatedPartFinder, RolloutGoal, RolloutRunner, plan_rollout,
+};
 use skylarkpick_telemetry::{ORDERS_GIVEN, metrics};
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Object key of the lease.
@@ -185,12 +191,10 @@
 
     async fn plan(&mut self, model: &str, version: WeightVersion) {
         let (runners, orders) = self.runners(model, version);
-        let goal = RolloutGoal {
-            model: model.to_string(),
-            weight_version: version,
-            usable_weight_versions: (0..=version).rev().take(3).collect(),
-            loads_limit: (runners.len() as f64 * LOADS_SHARE).ceil() as u32,
-            serving_share_floor: SERVING_SHARE_FLOOR,
+        let goal = {
+            let now = self.parts.node_state.now();
+            let state = self.parts.node_state.lock();
+            rollout_goal(&state.placement.weights, model, version, &runners, now)
         };
         let due: Vec<TargetId> = self
             .announced
@@ -324,3 +328,25 @@
         true
     }
 }
+
+/// Returns the goal of a model's rollout. Placement uses the same weights.
+pub(super) fn rollout_goal(
+    weights: &DesiredWeightsView,
+    model: &str,
+    version: WeightVersion,
+    runners: &[RolloutRunner],
+    now: Duration,
+) -> RolloutGoal {
+    let served: BTreeSet<WeightVersion> =
+        runners.iter().filter_map(|it| it.weight_version).collect();
+    let (usable_weight_versions, expired_weight_versions) =
+        served.into_iter().rev().partition(|served| weights.is_usable(model, *served, now));
+    RolloutGoal {
+        model: model.to_string(),
+        weight_version: version,
+        usable_weight_versions,
+        expired_weight_versions,
+        loads_limit: (runners.len() as f64 * LOADS_SHARE).ceil() as u32,
+        serving_share_floor: SERVING_SHARE_FLOOR,
+    }
+}
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -3,6 +3,7 @@
 use super::{
     cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler},
     missing_targets::MissingTargets,
+    planner::rollout_goal,
     records::FleetRecords,
     topic_watch::{FleetWatcher, relay_wait, watch_topic},
 };
@@ -12,6 +13,7 @@
     FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, PlatformError,
     RegisteredEntry, RegisteredTarget, WatchError,
 };
+use skylarkpick_schedule::{DesiredWeightsView, RolloutRunner, plan_rollout};
 use std::{
     collections::BTreeMap,
     sync::{
@@ -157,6 +159,38 @@
     assert!(!second.apply_peer_records(FleetTopic::Targets, &received), "no longer newer");
 }
 
+#[test]
+fn runners_are_ordered_once_no_run_may_start_on_their_weights() {
+    let mut weights = DesiredWeightsView::open(10 * SECOND);
+    weights.set_desired("tala", 2, SECOND);
+    weights.set_desired("tala", 3, 5 * SECOND);
+    let runner = |index: u64| RolloutRunner {
+        name: format!("i-{index}"),
+        model: "tala".to_string(),
+        weight_version: Some(index),
+        slots: 8,
+        ..RolloutRunner::default()
+    };
+    let runners: Vec<RolloutRunner> = (1..=3).map(runner).collect();
+    struct Case {
+        now: Duration,
+        usable: &'static [u64],
+        expired: &'static [u64],
+        order: &'static [&'static str],
+    }
+    let cases = [
+        Case { now: 10 * SECOND, usable: &[3, 2, 1], expired: &[], order: &["i-1"] },
+        Case { now: 12 * SECOND, usable: &[3, 2], expired: &[1], order: &["i-1"] },
+        Case { now: 16 * SECOND, usable: &[3], expired: &[2, 1], order: &["i-1", "i-2"] },
+    ];
+    for case in cases {
+        let goal = rollout_goal(&weights, "tala", 3, &runners, case.now);
+        assert_eq!(goal.usable_weight_versions, case.usable, "at {:?}", case.now);
+        assert_eq!(goal.expired_weight_versions, case.expired, "at {:?}", case.now);
+        assert_eq!(plan_rollout(&runners, &goal, 0).order, case.order, "at {:?}", case.now);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_older_read_never_replaces_newer_records() {
     let (node_state, records) = records();
--- a/crates/skylarkpick-schedule/src/rollout/plan.rs
+++ b/crates/skylarkpick-schedule/src/rollout/plan.rs
@@ -1,6 +1,7 @@
 //! Chooses the runners to order next to load the desired weights.
 
 use super::types::{RolloutGoal, RolloutPlan, RolloutRunner, RolloutWait};
+use skylarkpick_interface::WeightVersion;
 
 /// Runs that a runner can carry for each of its slots.
 const RUNS_PER_SLOT: f64 = 1.0;
@@ -9,7 +10,7 @@
 /// runners that share the weight store.
 ///
 /// Runners without usable weights go first, since ordering them takes away no capacity. The others
-/// follow by fewest hot blocks, then by fewest runs.
+/// follow from the oldest weights on, then by fewest hot blocks, then by fewest runs.
 ///
 /// ```
 /// use skylarkpick_schedule::{RolloutGoal, RolloutRunner, plan_rollout};
@@ -24,6 +25,7 @@
 ///     model: "tala-llm".to_string(),
 ///     weight_version: 2,
 ///     usable_weight_versions: vec![2, 1],
+///     expired_weight_versions: Vec::new(),
 ///     loads_limit: 2,
 ///     serving_share_floor: 0.6,
 /// };
@@ -69,8 +71,18 @@
     runner.model == goal.model && !runner.is_loading && runner.weight_version.is_some_and(usable)
 }
 
-fn order_key<'a>(runner: &'a RolloutRunner, goal: &RolloutGoal) -> (bool, u64, u32, &'a str) {
-    (is_serving(runner, goal), runner.hot_blocks, runner.runs, &runner.name)
+/// Returns whether no run may start on the runner's weights any more.
+fn is_expired(runner: &RolloutRunner, goal: &RolloutGoal) -> bool {
+    let expired = |version| goal.expired_weight_versions.contains(&version);
+    runner.model == goal.model && runner.weight_version.is_some_and(expired)
+}
+
+fn order_key<'a>(
+    runner: &'a RolloutRunner,
+    goal: &RolloutGoal,
+) -> (bool, Option<WeightVersion>, u64, u32, &'a str) {
+    let is_serving = is_serving(runner, goal);
+    (is_serving, runner.weight_version, runner.hot_blocks, runner.runs, &runner.name)
 }
 
 /// Capacity that keeps serving while other runners load.
@@ -105,6 +117,9 @@
         if runner.weight_version.is_none() {
             return Some(RolloutWait::Unreachable);
         }
+        if is_expired(runner, goal) {
+            return None;
+        }
         if loads >= goal.loads_limit {
             return Some(RolloutWait::LoadsLimit);
         }
--- a/crates/skylarkpick-schedule/src/rollout/tests.rs
+++ b/crates/skylarkpick-schedule/src/rollout/tests.rs
@@ -20,6 +20,7 @@
         model: MODEL.to_string(),
         weight_version,
         usable_weight_versions: usable.to_vec(),
+        expired_weight_versions: Vec::new(),
         loads_limit: 2,
         serving_share_floor: 0.5,
     }
@@ -129,6 +130,32 @@
         order: &["r1", "r2"],
         waiting: &[("r3", RolloutWait::LoadsLimit)],
     },
+    Case {
+        name: "runners on expired weights are ordered beyond the limit of concurrent loads",
+        change: |runners, goal| {
+            goal.usable_weight_versions = vec![2];
+            goal.expired_weight_versions = vec![1];
+            runners[0].weight_version = Some(2);
+            runners[1].is_loading = true;
+        },
+        loads_in_progress: 2,
+        order: &["r2", "r3"],
+        waiting: &[("r1", RolloutWait::Loading)],
+    },
+    Case {
+        name: "runners on the oldest weights first, although they have more runs",
+        change: |runners, goal| {
+            *goal = RolloutGoal { weight_version: 3, ..goal.clone() };
+            goal.usable_weight_versions = vec![3, 2, 1];
+            runners[0].weight_version = Some(2);
+            runners[1].weight_version = Some(2);
+            runners[2].runs = 3;
+            runners[3].runs = 2;
+        },
+        loads_in_progress: 0,
+        order: &["r3", "r2"],
+        waiting: &[("r0", RolloutWait::LoadsLimit), ("r1", RolloutWait::LoadsLimit)],
+    },
     Case {
         name: "a runner of another model is ordered",
         change: |runners, _| {
