Don't send a prompt to a service that the serving document doesn't name

What callers would see: an answer made on weights out of date for any length of time, or on context that another account's requests left in the runner's cache, also where an account is isolated.

Cause: placement took every service that is not known as engines for a plain one. A request finds its route and service in one serving document and is placed later, and again after each wait for capacity and each retry, by the services of the document in force then. If that one no longer names the service while its targets are still registered, the prompt was sent without expected weights and cache scope, so that the runner took any weights and the scope shared by all. Class of fault: a condition is checked when a decision is made, and acted on later.

Evidence: the test, on the code before: "removed service: Assignment { target: "i-1", weight_version: None, cache_scope: None, .. }".

Ruled out: the check at the route, which reads a document once and is over before the first wait; the target, which rejects other weights only if a request names some.

Change: with a prompt, only a service known as plain is plain. One that is unknown, or a store, makes the target unusable: the request gets 503 with a time to come back if it was not sent, and the failure of its last attempt else. Calls without a prompt are placed as before.

Before: the test fails on the first of its three cases. After: 61 tests of schedule, 12 of forward and 22 of platform pass (debug build, one run each).

Why it works: weights and scope are set in one place, placement, from the services in force when the target is chosen; no path is left there on which a prompt goes without them to anything but a service that the document names as plain. What follows: a stream that breaks off while its service is being dropped is not resumed, since nobody can say on which weights.

--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -227,7 +227,8 @@
         PlacementDecision::Assigned(Box::new(self.assign(best, request, expected_wait, now)))
     }
 
-    /// Returns a target with its cost, or `None` if its weights may not be used.
+    /// Returns a target with its cost, or `None` if its weights may not be used or the prompt's
+    /// service is not known.
     fn candidate<'a>(
         &'a self,
         target: &'a TargetView,
@@ -236,17 +237,21 @@
         now: Duration,
     ) -> Option<Candidate<'a>> {
         let timing = self.timing(&request.service);
-        let (Some(prompt), Some(ServiceKind::Engines(memory))) =
-            (&request.prompt, self.services.get(&request.service))
-        else {
-            return Some(Candidate {
-                target,
-                cost: cost::plain_cost(target, request, &timing, now),
-                plan: cost::ContextPlan::default(),
-                weight_version: None,
-                newer_weights_age: None,
-                scope: None,
-            });
+        let plain = || Candidate {
+            target,
+            cost: cost::plain_cost(target, request, &timing, now),
+            plan: cost::ContextPlan::default(),
+            weight_version: None,
+            newer_weights_age: None,
+            scope: None,
+        };
+        let Some(prompt) = &request.prompt else { return Some(plain()) };
+        let memory = match self.services.get(&request.service) {
+            Some(ServiceKind::Engines(memory)) => memory,
+            Some(ServiceKind::Plain) => return Some(plain()),
+            // Without weights and cache scope, a prompt could run on any weights and share context
+            // with any account.
+            Some(ServiceKind::Store { .. }) | None => return None,
         };
         let version = target.weight_version(&prompt.model)?;
         let newer_weights_age = self.weights.age_of_newer(&prompt.model, version, now);
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -338,6 +338,50 @@
     assert_eq!(scopes.len(), 3);
 }
 
+#[test]
+fn a_prompt_to_an_unknown_service_is_not_sent_without_weights() {
+    struct Case {
+        name: &'static str,
+        /// Service of the prompt in the serving document.
+        kind: Option<ServiceKind>,
+        is_placed: bool,
+        weight_version: Option<u64>,
+    }
+    let cases = [
+        Case { name: "removed service", kind: None, is_placed: false, weight_version: None },
+        Case {
+            name: "plain service",
+            kind: Some(ServiceKind::Plain),
+            is_placed: true,
+            weight_version: None,
+        },
+        Case {
+            name: "engines",
+            kind: Some(ServiceKind::Engines(memory(41_616, 550_000.0))),
+            is_placed: true,
+            weight_version: Some(1),
+        },
+    ];
+    for case in cases {
+        let mut placement = fleet();
+        let kind = case.kind.map(|kind| (ENGINES.to_string(), kind));
+        placement.set_services(&BTreeMap::from_iter(kind));
+        let decision = placement.choose(&prompt("s", "o"), Duration::ZERO);
+        match decision {
+            PlacementDecision::Assigned(assignment) => {
+                assert!(case.is_placed, "{}: {assignment:?}", case.name);
+                assert_eq!(assignment.weight_version, case.weight_version, "{}", case.name);
+                let has_scope = assignment.cache_scope.is_some();
+                assert_eq!(has_scope, case.weight_version.is_some(), "{}", case.name);
+            }
+            PlacementDecision::Unplaced(why) => {
+                assert!(!case.is_placed, "{}", case.name);
+                assert_eq!(why, UnplacedReason::NoneUsable, "{}", case.name);
+            }
+        }
+    }
+}
+
 #[test]
 fn skips_draining_removed_and_avoided_targets() {
     let mut placement = fleet();
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -81,7 +81,8 @@
 pub enum UnplacedReason {
     /// No target of the service is registered.
     NoTarget,
-    /// Every target is draining, has already failed the request, or has no usable weights.
+    /// Every target is draining, has already failed the request, or has no usable weights, or the
+    /// prompt's service is not in the serving document.
     NoneUsable,
     /// No target has capacity for the request, or the cheapest one makes it wait longer than its
     /// maximum wait.
