--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -43,6 +43,14 @@
     is_disconnected: bool,
 }
 
+/// How records arrived.
+#[derive(Clone, Copy)]
+struct RecordOrigin {
+    revision: FleetRevision,
+    /// Whether the topic was unknown before, so that a record may have changed long ago.
+    is_first_read: bool,
+}
+
 /// A record and the revision of its last change; `None` if it was removed.
 struct StoredRecord {
     revision: FleetRevision,
@@ -267,12 +275,15 @@
 
     /// Applies changes of a topic.
     pub(crate) fn update(&self, topic: FleetTopic, update: &FleetUpdate) {
-        {
+        let origin = {
             let mut topics = self.topics();
-            topics.entry(topic).or_default().update(update);
-        }
+            let state = topics.entry(topic).or_default();
+            let is_first_read = state.revision == 0;
+            state.update(update);
+            RecordOrigin { revision: update.revision, is_first_read }
+        };
         for record in &update.records {
-            self.apply(topic, record, update.revision);
+            self.apply(topic, record, origin);
         }
         self.changes.send_modify(|count| *count += 1);
         if topic == FleetTopic::Entries {
@@ -288,11 +299,12 @@
         self.node_state.caches_changed.notify_waiters();
     }
 
-    fn apply(&self, topic: FleetTopic, named: &NamedRecord, revision: u64) {
+    fn apply(&self, topic: FleetTopic, named: &NamedRecord, origin: RecordOrigin) {
+        let revision = origin.revision;
         match &named.record {
             Some(FleetRecord::Serving(document)) => self.apply_serving(document, revision),
             Some(FleetRecord::Target(target)) => self.apply_target(target, revision),
-            Some(FleetRecord::Weights(weights)) => self.apply_weights(weights, revision),
+            Some(FleetRecord::Weights(weights)) => self.apply_weights(weights, origin),
             Some(FleetRecord::Entry(_)) => {}
             Some(FleetRecord::Unreadable(why)) => {
                 request_log!("invalid platform record", kv: {
@@ -353,11 +365,14 @@
         self.node_state.caches_changed.notify_waiters();
     }
 
-    fn apply_weights(&self, weights: &DesiredWeights, revision: u64) {
+    fn apply_weights(&self, weights: &DesiredWeights, origin: RecordOrigin) {
         let now = self.node_state.now();
         let (model, version) = (weights.model.as_str(), weights.weight_version);
         if self.node_state.lock().placement.weights.set_desired(model, version, now) {
-            spdlog::info!("desired weights changed", kv: { model, version, revision });
+            let RecordOrigin { revision, is_first_read } = origin;
+            spdlog::info!("desired weights changed", kv: {
+                model, version, revision, is_first_read,
+            });
             self.node_state.weights_changed.notify_one();
         }
     }
