Count the use of replaced weights from when the newer version was named

Callers saw: answers made by weights that were replaced up to `versionMs` and more before, from processes that started in the middle of a roll-out. They see now: 503 with a time to come back, at once and before anything is sent, or another runner.

Cause: a process took its first read of the records for the moment at which a version was named, and entered the newest version alone.

Evidence: rollout_start, red before (200, one prompt at the runner; 503 and none expected), passes.

Ruled out: an object of our own (a second watch, and two records that may disagree), a peer's word (nobody answers while all restart), `created` of the object (the first version's). The record's time as it is: a clock far behind would end the use of replaced weights at every process at once, so a record counts for no earlier than the process's own last read without that version; a process without such a read adds 2 s, a usual clock step, to the record's age.

Change: the `status` of versions/MODEL keeps the time since which each of the last eight versions is desired. A process that saw the version change after its first read of the topic and is no follower writes it after up to 0.3 s unless the record has it, on the object's revision, six attempts with pauses of 0.5 to 8 s. `DesiredWeightsView::set_desired` takes the time, enters older versions too, and keeps the earliest, ascending with the version. Until the weights are read, a prompt is not placed and the process is not ready; a platform that does not know the kind counts as read (`WatchError::UnknownKind`).

Guards, each taken away once and put back; a test went red for each of the 15: the record's time, the own last read, the 2 s, node time at boot, first reads not recorded, times above the named version, the follower check, the check before writing, the prompt's wait for the weights, readiness, the earliest time, ascending times, an existing entry, eight versions, an unreadable status.

Calls: one read and one write for each version named, a few more if two processes write within the time that a watch takes.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod cache_role;
 mod cache_watch;
+mod desired_times;
 mod entry_health;
 mod load_sampler;
 mod missing_targets;
@@ -9,9 +10,12 @@
 mod records;
 mod serving_confirmer;
 mod topic_watch;
+mod weight_recorder;
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod weight_tests;
 
 pub(crate) use cache_watch::{CacheWatchers, watch_caches};
 pub(crate) use load_sampler::{LoadSampler, sample_loads};
@@ -19,3 +23,4 @@
 pub(crate) use records::FleetRecords;
 pub(crate) use serving_confirmer::ServingConfirmer;
 pub(crate) use topic_watch::{FleetWatcher, watch_topic};
+pub(crate) use weight_recorder::record_weights;
--- /dev/null
+++ b/crates/skylarkpick-forward/src/fleet/desired_times.rs
@@ -0,0 +1,53 @@
+//! Since when weight versions are desired, from own observations and from the platform's records.
+
+use skylarkpick_interface::{ModelName, WeightVersion};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Versions remembered for each model. Older ones have long been out of use.
+const VERSIONS_LIMIT: usize = 8;
+/// Assumed difference between the wall clocks of two VMs. Covers clocks that were stepped by two
+/// seconds.
+const WALL_CLOCK_ERROR: Duration = Duration::from_secs(2);
+
+/// Lower bounds of the times since which versions are desired.
+///
+/// A process that read the records before a version was named knows an earliest time for it on its
+/// own monotonic clock. This limits the effect of a recorded time that comes from a wrong wall clock.
+#[derive(Debug, Default)]
+pub(super) struct DesiredTimes {
+    /// For each model, the time at which each version was known not to be desired yet.
+    not_before: BTreeMap<ModelName, BTreeMap<WeightVersion, Duration>>,
+}
+
+impl DesiredTimes {
+    /// Records that a version was not desired yet at the node time `not_before`.
+    pub(super) fn note_not_before(
+        &mut self,
+        model: &str,
+        version: WeightVersion,
+        not_before: Duration,
+    ) {
+        let versions = self.not_before.entry(model.to_string()).or_default();
+        versions.insert(version, not_before);
+        while versions.len() > VERSIONS_LIMIT {
+            versions.pop_first();
+        }
+    }
+
+    /// Returns the node time since which a version is desired, for a record that was read at `now`
+    /// and names the time `recorded_age` ago.
+    pub(super) fn since(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        recorded_age: Option<Duration>,
+        now: Duration,
+    ) -> Duration {
+        let Some(age) = recorded_age else { return now };
+        let not_before = self.not_before.get(model).and_then(|versions| versions.get(&version));
+        match not_before {
+            Some(not_before) => now.saturating_sub(age).max(*not_before).min(now),
+            None => now.saturating_sub(age.saturating_add(WALL_CLOCK_ERROR)),
+        }
+    }
+}
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -1,26 +1,32 @@
 //! Stores the platform's records and applies them to the node state.
 
 use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler};
+use super::desired_times::DesiredTimes;
 use super::missing_targets::MissingTargets;
 use crate::peers::PeerRecords;
 use crate::{log::request_log, node_state::NodeState, serving_index::ServingIndex};
 use rand::seq::SliceRandom;
 use skylarkpick_interface::{
-    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord,
-    RegisteredEntry, RegisteredTarget, ServingDocument,
+    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, ModelName, NamedRecord,
+    RegisteredEntry, RegisteredTarget, ServingDocument, WeightVersion,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Latest platform records by topic. Applies them to the node state, and serves them to other entry
 /// processes.
 pub(crate) struct FleetRecords {
     node_state: Arc<NodeState>,
     missing_targets: Mutex<MissingTargets>,
+    desired_times: Mutex<DesiredTimes>,
+    /// Weights whose change this process saw and that [`FleetRecords::named_weights`] has not
+    /// returned yet.
+    named_weights: Mutex<Vec<NamedWeights>>,
+    weights_named: Notify,
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
     /// Name of this process's VM.
     node: String,
@@ -30,6 +36,15 @@
     changes: watch::Sender<u64>,
 }
 
+/// Weights that became the desired ones while this process watched.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct NamedWeights {
+    pub(super) model: ModelName,
+    pub(super) version: WeightVersion,
+    /// Wall-clock time in Unix milliseconds at which the process saw the change.
+    pub(super) since_ms: u64,
+}
+
 /// Latest records of a topic.
 #[derive(Default)]
 struct TopicState {
@@ -39,6 +54,8 @@
     records: BTreeMap<String, StoredRecord>,
     /// Time at which the records were last known to be current.
     verified_at: Option<Duration>,
+    /// The time before that at which they were known to be current.
+    previously_verified_at: Option<Duration>,
     /// Whether the last call for the topic failed.
     is_disconnected: bool,
 }
@@ -49,6 +66,8 @@
     revision: FleetRevision,
     /// Whether the topic was unknown before, so that a record may have changed long ago.
     is_first_read: bool,
+    /// Time at which none of the changes had happened yet, if one is known.
+    not_before: Option<Duration>,
 }
 
 /// A record and the revision of its last change; `None` if it was removed.
@@ -93,6 +112,9 @@
         FleetRecords {
             node_state,
             missing_targets: Mutex::default(),
+            desired_times: Mutex::default(),
+            named_weights: Mutex::default(),
+            weights_named: Notify::new(),
             topics: Mutex::default(),
             node: node.to_string(),
             role: Mutex::new(CacheWatchRole::Direct),
@@ -155,7 +177,9 @@
         let at = self.node_state.now().saturating_sub(age);
         let mut topics = self.topics();
         let state = topics.entry(topic).or_default();
-        state.verified_at = state.verified_at.max(Some(at));
+        if state.verified_at.is_none_or(|known| known < at) {
+            state.previously_verified_at = state.verified_at.replace(at);
+        }
         state.is_disconnected = false;
         drop(topics);
         self.changes.send_modify(|count| *count += 1);
@@ -232,6 +256,13 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Records that the platform has no records of a topic.
+    pub(crate) fn note_no_records(&self, topic: FleetTopic) {
+        if topic == FleetTopic::Weights {
+            self.node_state.note_weights_read();
+        }
+    }
+
     /// Returns whether the last call for a topic failed.
     pub(crate) fn is_disconnected(&self, topic: FleetTopic) -> bool {
         self.topics().get(&topic).is_some_and(|state| state.is_disconnected)
@@ -279,12 +310,17 @@
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
             let is_first_read = state.revision == 0;
+            // The last verification may be that of the response with these changes.
+            let not_before = state.previously_verified_at.filter(|_| !is_first_read);
             state.update(update);
-            RecordOrigin { revision: update.revision, is_first_read }
+            RecordOrigin { revision: update.revision, is_first_read, not_before }
         };
         for record in &update.records {
             self.apply(topic, record, origin);
         }
+        if topic == FleetTopic::Weights {
+            self.node_state.note_weights_read();
+        }
         self.changes.send_modify(|count| *count += 1);
         if topic == FleetTopic::Entries {
             self.entries_changed();
@@ -366,14 +402,66 @@
     }
 
     fn apply_weights(&self, weights: &DesiredWeights, origin: RecordOrigin) {
-        let now = self.node_state.now();
+        let (now, wall_ms) = (self.node_state.now(), self.node_state.wall_ms());
         let (model, version) = (weights.model.as_str(), weights.weight_version);
-        if self.node_state.lock().placement.weights.set_desired(model, version, now) {
-            let RecordOrigin { revision, is_first_read } = origin;
-            spdlog::info!("desired weights changed", kv: {
-                model, version, revision, is_first_read,
-            });
-            self.node_state.weights_changed.notify_one();
+        let known = self.node_state.lock().placement.weights.newest(model);
+        let recorded = weights.desired_since_ms.range(..=version);
+        let mut ages: BTreeMap<WeightVersion, Option<Duration>> = recorded
+            .map(|(version, at)| (*version, Duration::from_millis(wall_ms.saturating_sub(*at))))
+            .map(|(version, age)| (version, Some(age)))
+            .collect();
+        let recorded_age = *ages.entry(version).or_default();
+        for (version, age) in ages {
+            let mut times = self.desired_times.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(not_before) = origin.not_before
+                && known.is_none_or(|known| known < version)
+            {
+                times.note_not_before(model, version, not_before);
+            }
+            let since = times.since(model, version, age, now);
+            self.node_state.set_desired_weights(model, version, since);
         }
+        if known.is_some_and(|known| known >= version) {
+            return;
+        }
+        let RecordOrigin { revision, is_first_read, .. } = origin;
+        spdlog::info!("desired weights changed", kv: {
+            model,
+            version,
+            revision,
+            is_first_read,
+            recorded_age_ms = recorded_age.map_or(-1, |age| age.as_millis() as i64),
+        });
+        if !is_first_read && recorded_age.is_none() {
+            let named = NamedWeights { model: model.to_string(), version, since_ms: wall_ms };
+            self.lock_named_weights().push(named);
+            self.weights_named.notify_one();
+        }
+    }
+
+    fn lock_named_weights(&self) -> MutexGuard<'_, Vec<NamedWeights>> {
+        self.named_weights.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for weights that became the desired ones while this process watched, and whose record
+    /// had no time yet. Returns each of them once.
+    pub(super) async fn named_weights(&self) -> Vec<NamedWeights> {
+        loop {
+            let named = std::mem::take(&mut *self.lock_named_weights());
+            if !named.is_empty() {
+                return named;
+            }
+            self.weights_named.notified().await;
+        }
+    }
+
+    /// Returns whether the record has the time since which these weights are desired.
+    pub(super) fn has_desired_since(&self, weights: &NamedWeights) -> bool {
+        let topics = self.topics();
+        let records = topics.get(&FleetTopic::Weights).map(|state| &state.records);
+        records.into_iter().flat_map(BTreeMap::values).any(|stored| {
+            let Some(FleetRecord::Weights(found)) = &stored.record else { return false };
+            found.model == weights.model && found.desired_since_ms.contains_key(&weights.version)
+        })
     }
 }
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -9,8 +9,9 @@
 use crate::{node_state::NodeState, peers::PeerClient, test_support::empty_node_state};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, PlatformError,
-    RegisteredEntry, RegisteredTarget, WatchError,
+    DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
+    NamedRecord, PlatformError, RegisteredEntry, RegisteredTarget, WatchError, WeightVersion,
+    WriteError,
 };
 use std::{
     collections::BTreeMap,
@@ -219,6 +220,15 @@
         std::future::pending().await
     }
 
+    async fn record_desired_since(
+        &self,
+        _: &str,
+        _: WeightVersion,
+        _: u64,
+    ) -> Result<DesiredSinceOutcome, WriteError> {
+        Ok(DesiredSinceOutcome::Recorded)
+    }
+
     async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
         Ok(())
     }
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -64,6 +64,9 @@
         let update = match watcher.source.read(topic).await {
             Ok(update) => update,
             Err(error) => {
+                if error == WatchError::UnknownKind {
+                    watcher.records.note_no_records(topic);
+                }
                 note_failure(&watcher, topic, &error, &mut is_disconnected);
                 watcher.peer_client.fetch_from_any(&watcher.records, topic).await;
                 failures += 1;
--- /dev/null
+++ b/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
@@ -0,0 +1,58 @@
+//! Records at the platform since when new weights are desired, for processes that start later.
+
+use super::{records::NamedWeights, topic_watch::FleetWatcher};
+use crate::jitter::sleep_with_jitter;
+use skylarkpick_interface::DesiredSinceOutcome;
+use std::{sync::Arc, time::Duration};
+
+/// Maximum delay before the time is recorded. Processes that see the change together mostly find it
+/// recorded by the first of them.
+const RECORD_JITTER: Duration = Duration::from_millis(300);
+/// Number of attempts to record a time. Together with the delays they last about as long as replaced
+/// weights may be used; later the time matters little.
+const ATTEMPTS_LIMIT: u32 = 6;
+/// Mean delay after the first failed attempt; doubles with each further one.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Records the times of weights whose change this process saw, for as long as the task runs.
+pub(crate) async fn record_weights(watcher: Arc<FleetWatcher>) {
+    loop {
+        let named = watcher.records.named_weights().await;
+        let recordings = named.iter().map(|weights| record(&watcher, weights));
+        futures::future::join_all(recordings).await;
+    }
+}
+
+async fn record(watcher: &FleetWatcher, weights: &NamedWeights) {
+    // Followers leave it to their relays, which limits the calls to the platform.
+    if !watcher.records.relays().is_empty() {
+        return;
+    }
+    let NamedWeights { model, version, since_ms } = weights;
+    let (model, version, since_ms) = (model.as_str(), *version, *since_ms);
+    tokio::time::sleep(RECORD_JITTER.mul_f64(rand::random::<f64>())).await;
+    let mut delay = RETRY_DELAY;
+    for attempt in 1..=ATTEMPTS_LIMIT {
+        if watcher.records.has_desired_since(weights) {
+            return;
+        }
+        match watcher.source.record_desired_since(model, version, since_ms).await {
+            Ok(outcome) => {
+                let is_recorded = outcome == DesiredSinceOutcome::Recorded;
+                spdlog::info!("time of desired weights recorded", kv: {
+                    model, version, since_ms, attempt, is_recorded,
+                });
+                return;
+            }
+            Err(error) => {
+                spdlog::warn!("failed to record the time of desired weights", kv: {
+                    model, version, since_ms, attempt, attempts_limit = ATTEMPTS_LIMIT, error:,
+                });
+            }
+        }
+        if attempt < ATTEMPTS_LIMIT {
+            sleep_with_jitter(delay).await;
+            delay *= 2;
+        }
+    }
+}
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -5,7 +5,7 @@
     connection_pool::ConnectionPool,
     fleet::{
         CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer,
-        run_planner, sample_loads, watch_caches, watch_topic,
+        record_weights, run_planner, sample_loads, watch_caches, watch_topic,
     },
     forwarding::Forwarder,
     jitter::sleep_with_jitter,
@@ -114,6 +114,7 @@
         for topic in topics {
             tasks.spawn(watch_topic(watcher.clone(), topic));
         }
+        tasks.spawn(record_weights(watcher.clone()));
         tasks.spawn(expire_targets(watcher.clone()));
         tasks.spawn(sample_loads(LoadSampler {
             node_state: node_state.clone(),
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -12,7 +12,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 use tokio::{sync::Notify, time::Instant};
 
@@ -23,6 +23,8 @@
 /// process that has just started doesn't know the others yet.
 const ENTRIES_FLOOR: u32 = 8;
 
+/// Node time at boot, so that the node time of what happened before the boot is not negative.
+const NODE_TIME_AT_BOOT: Duration = Duration::from_secs(24 * 60 * 60);
 /// Longest time after which a request that waits for capacity is placed again.
 const CAPACITY_POLL: Duration = Duration::from_millis(25);
 
@@ -37,6 +39,8 @@
     pub(crate) weights_changed: Notify,
     /// Wakes the requests that wait for capacity when some may have become free.
     capacity_changed: Notify,
+    /// Whether the desired weights have been read since the start.
+    knows_weights: AtomicBool,
     draining: AtomicBool,
     in_flight: AtomicU64,
 }
@@ -73,6 +77,7 @@
             caches_changed: Notify::new(),
             weights_changed: Notify::new(),
             capacity_changed: Notify::new(),
+            knows_weights: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
         })
@@ -82,9 +87,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the time since boot, including time for which the VM was suspended.
+    /// Returns the node time: monotonic, including time for which the VM was suspended.
     pub(crate) fn now(&self) -> Duration {
-        self.clock.since_boot()
+        NODE_TIME_AT_BOOT + self.clock.since_boot()
+    }
+
+    /// Returns the wall-clock time in Unix milliseconds.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        let since_epoch = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        // A clock before 1970 has no usable time; 0 makes recorded times look like those of now.
+        since_epoch.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX))
     }
 
     pub(crate) fn limits(&self) -> &NodeLimits {
@@ -113,8 +125,12 @@
         self.lock().entries = u32::try_from(count).unwrap_or(u32::MAX).max(ENTRIES_FLOOR);
     }
 
-    /// Chooses a target. No target is chosen while more urgent requests wait for the service.
+    /// Chooses a target. No target is chosen while more urgent requests wait for the service, and
+    /// none for a prompt before the desired weights are known.
     pub(crate) fn choose(&self, request: &PlacementRequest) -> PlacementDecision {
+        if request.prompt.is_some() && !self.knows_weights.load(Ordering::SeqCst) {
+            return PlacementDecision::Unplaced(UnplacedReason::NoneUsable);
+        }
         let state = self.lock();
         let decision = state.placement.choose(request, self.now());
         if matches!(decision, PlacementDecision::Assigned(_))
@@ -170,6 +186,26 @@
         self.lock().placement.observe_weights(target, model, version);
     }
 
+    /// Sets the node time since which a weight version of a model has been desired. Returns whether
+    /// anything changed.
+    pub(crate) fn set_desired_weights(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        since: Duration,
+    ) -> bool {
+        let is_changed = self.lock().placement.weights.set_desired(model, version, since);
+        if is_changed {
+            self.weights_changed.notify_one();
+        }
+        is_changed
+    }
+
+    /// Records that the desired weights have been read.
+    pub(crate) fn note_weights_read(&self) {
+        self.knows_weights.store(true, Ordering::SeqCst);
+    }
+
     /// Records that a target is about to swap its weights.
     pub(crate) fn note_swapping(&self, target: &str, model: &str, version: WeightVersion) {
         let now = self.now();
@@ -210,7 +246,8 @@
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.lock();
         let knows_targets = !state.placement.targets().is_empty();
-        state.serving.is_some() && knows_targets && !self.is_draining()
+        let knows_weights = self.knows_weights.load(Ordering::SeqCst);
+        state.serving.is_some() && knows_targets && knows_weights && !self.is_draining()
     }
 
     /// Returns the number of targets that accept new requests, and of those that are draining.
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     ids::{AccountId, DataCentreId, ModelName, ServiceName, TargetId, WeightVersion},
-    platform::PlatformError,
+    platform::{PlatformError, WriteError},
 };
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
@@ -174,6 +174,9 @@
     pub model: ModelName,
     /// Desired weight version of its runners.
     pub weight_version: WeightVersion,
+    /// Wall-clock time in Unix milliseconds at which versions became desired, as far as recorded.
+    #[serde(default)]
+    pub desired_since_ms: BTreeMap<WeightVersion, u64>,
 }
 
 /// An entry process as it registered itself.
@@ -255,11 +258,23 @@
     /// read again.
     #[error("changes since the revision have been compacted")]
     HistoryCompacted,
+    /// The platform doesn't know this kind of records, so there are none.
+    #[error("the platform has no records of this kind")]
+    UnknownKind,
     /// The call to the platform failed.
     #[error(transparent)]
     Platform(#[from] PlatformError),
 }
 
+/// Result of recording the time since which weights are desired.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DesiredSinceOutcome {
+    /// The time was recorded.
+    Recorded,
+    /// A time had been recorded before, and stays.
+    AlreadyRecorded,
+}
+
 /// Access to the platform's records of the fleet.
 #[async_trait]
 pub trait FleetSource: Send + Sync {
@@ -280,6 +295,19 @@
         timeout: Duration,
     ) -> Result<FleetUpdate, WatchError>;
 
+    /// Records the wall-clock time in Unix milliseconds since which a weight version of a model is
+    /// desired. A time that is already recorded stays.
+    ///
+    /// # Errors
+    /// Returns an error if the platform is unavailable, has no record of the model, or another
+    /// process wrote the record at the same time.
+    async fn record_desired_since(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        since_ms: u64,
+    ) -> Result<DesiredSinceOutcome, WriteError>;
+
     /// Registers this process, or updates its registration.
     ///
     /// # Errors
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -24,10 +24,10 @@
     TargetControl, WeightOrder,
 };
 pub use fleet::{
-    ClientLimits, ContextMemory, DesiredWeights, Destination, FleetRecord, FleetRevision,
-    FleetSource, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry, RegisteredTarget,
-    Repeatability, ResponseKind, ServiceKind, ServingAccount, ServingDocument, ServingRoute,
-    WatchError,
+    ClientLimits, ContextMemory, DesiredSinceOutcome, DesiredWeights, Destination, FleetRecord,
+    FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry,
+    RegisteredTarget, Repeatability, ResponseKind, ServiceKind, ServingAccount, ServingDocument,
+    ServingRoute, WatchError,
 };
 pub use forward::{
     CacheScope, ClientAttemptId, Dialect, EventId, FetchSource, HeadError, PartId,
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -257,6 +257,91 @@
     assert_eq!(late, PlacementDecision::Unplaced(UnplacedReason::NoneUsable));
 }
 
+#[test]
+fn replaced_weights_are_counted_from_the_earliest_known_time_of_a_newer_version() {
+    struct Case {
+        name: &'static str,
+        /// Versions with the second since which each is desired, in the order of arrival.
+        set: &'static [(u64, u64)],
+        /// Whether the last of them changes anything.
+        is_changed: bool,
+        newest: u64,
+        /// Age in seconds, at 50 s, of what replaced versions 1 and 2.
+        ages: [Option<u64>; 2],
+    }
+    let cases = [
+        Case {
+            name: "one version",
+            set: &[(2, 40)],
+            is_changed: true,
+            newest: 2,
+            ages: [Some(10), None],
+        },
+        Case {
+            name: "the same time again",
+            set: &[(2, 40), (2, 40)],
+            is_changed: false,
+            newest: 2,
+            ages: [Some(10), None],
+        },
+        Case {
+            name: "a later time of the same version",
+            set: &[(2, 40), (2, 45)],
+            is_changed: false,
+            newest: 2,
+            ages: [Some(10), None],
+        },
+        Case {
+            name: "an earlier time of the same version",
+            set: &[(2, 40), (2, 30)],
+            is_changed: true,
+            newest: 2,
+            ages: [Some(20), None],
+        },
+        Case {
+            name: "an older version",
+            set: &[(3, 40), (2, 20)],
+            is_changed: true,
+            newest: 3,
+            ages: [Some(30), Some(10)],
+        },
+        Case {
+            name: "an older version with a later time",
+            set: &[(3, 40), (2, 45)],
+            is_changed: true,
+            newest: 3,
+            ages: [Some(10), Some(10)],
+        },
+        Case {
+            name: "a newer version with an earlier time",
+            set: &[(2, 40), (3, 30)],
+            is_changed: true,
+            newest: 3,
+            ages: [Some(20), Some(20)],
+        },
+        Case {
+            name: "more versions than are kept",
+            set: &[(2, 1), (3, 2), (4, 3), (5, 4), (6, 5), (7, 6), (8, 7), (9, 8), (10, 9)],
+            is_changed: true,
+            newest: 10,
+            ages: [Some(48), Some(48)],
+        },
+    ];
+    for case in cases {
+        let mut placement = fleet();
+        let mut is_changed = false;
+        for (version, since) in case.set {
+            let since = Duration::from_secs(*since);
+            is_changed = placement.weights.set_desired(MODEL, *version, since);
+        }
+        assert_eq!(is_changed, case.is_changed, "{}", case.name);
+        assert_eq!(placement.weights.newest(MODEL), Some(case.newest), "{}", case.name);
+        let now = Duration::from_secs(50);
+        let ages = [1, 2].map(|version| placement.weights.age_of_newer(MODEL, version, now));
+        assert_eq!(ages.map(|age| age.map(|age| age.as_secs())), case.ages, "{}", case.name);
+    }
+}
+
 #[test]
 fn avoids_a_target_with_a_swap_order_until_it_serves_the_new_weights() {
     let mut placement = fleet();
--- a/crates/skylarkpick-schedule/src/placement/weights.rs
+++ b/crates/skylarkpick-schedule/src/placement/weights.rs
@@ -29,18 +29,33 @@
         DesiredWeightsView { models: BTreeMap::new(), usable_for }
     }
 
-    /// Sets the desired version of a model. A version that isn't higher than the current one is
-    /// ignored. Returns whether anything changed.
-    pub fn set_desired(&mut self, model: &str, version: WeightVersion, now: Duration) -> bool {
-        if self.newest(model).is_some_and(|known| known >= version) {
-            return false;
-        }
+    /// Sets the time since which a version of a model has been desired. Of several times the
+    /// earliest stays, and the highest version is the desired one. Returns whether anything changed.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::DesiredWeightsView;
+    /// use std::time::Duration;
+    /// let mut view = DesiredWeightsView::open(Duration::from_secs(10));
+    /// assert!(view.set_desired("tala", 3, Duration::from_secs(20)));
+    /// assert!(view.set_desired("tala", 2, Duration::from_secs(5)));
+    /// assert!(!view.set_desired("tala", 2, Duration::from_secs(6)));
+    /// assert_eq!(view.newest("tala"), Some(3));
+    /// assert!(!view.is_usable("tala", 1, Duration::from_secs(20)));
+    /// ```
+    pub fn set_desired(&mut self, model: &str, version: WeightVersion, since: Duration) -> bool {
         let versions = self.models.entry(model.to_string()).or_default();
-        versions.insert(version, now);
+        // Versions are named in ascending order, so their times ascend too.
+        let limit = versions.range(version..).next().map(|(_, at)| *at);
+        let since = limit.map_or(since, |limit| limit.min(since));
+        let mut is_changed = versions.insert(version, since) != Some(since);
+        for (_, at) in versions.range_mut(..version).filter(|(_, at)| **at > since) {
+            *at = since;
+            is_changed = true;
+        }
         while versions.len() > VERSIONS_LIMIT {
             versions.pop_first();
         }
-        true
+        is_changed
     }
 
     /// Returns the desired version of a model, if one was set.
