Test that silent peers hold up neither requests to them nor reads of the platform

Cause: after a failed read, a process asks two peers, with a timeout of 0.4 s, and only then reads the platform again. The timeout does not cover the connection to the peer. Connecting takes up to 2 s, callers queue behind one lock per peer, and each of them makes an attempt of its own after the one before has failed. With processes stopped for planned work, the four topics, the lookups of unknown routes and the health checks of the planner queued for up to 19.5 s.

The failed calls to the platform themselves took 1 to 5 ms; the peers that were asked after them took 2,002, 5,621, 7,349, 8,723, 9,826, 9,911 and 19,537 ms. All processes that had started during the outage were back within 0.4 s, since none of their peers was known to be away.

Ruled out: a watch held by the platform (calls fail within 5 ms until its return); the pause between retries (0.13 to 0.38 s); a document refused as older (the revision applied was the newest at each time).

Both tests run on tokio's paused clock and fail on this code: 2 s in place of 0.4 s for a request, 2.1 to 2.4 s without a read in six runs.

--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -12,14 +12,19 @@
     FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, PlatformError,
     RegisteredEntry, RegisteredTarget, WatchError,
 };
+use skylarkpick_transport::{
+    Authority, CertificateTiming, PeerIdentity, QuicPeers, TransportLimits,
+};
 use std::{
     collections::BTreeMap,
+    net::UdpSocket,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
+use tokio::{task::JoinSet, time::Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -254,3 +259,79 @@
         task.abort();
     }
 }
+
+/// Platform that is down; records the time of each read.
+#[derive(Default)]
+struct UnavailableSource {
+    reads: Mutex<BTreeMap<FleetTopic, Vec<Instant>>>,
+}
+
+#[async_trait]
+impl FleetSource for UnavailableSource {
+    async fn read(&self, topic: FleetTopic) -> Result<FleetUpdate, WatchError> {
+        self.reads.lock().unwrap().entry(topic).or_default().push(Instant::now());
+        Err(PlatformError::Unavailable("connection reset".to_string()).into())
+    }
+
+    async fn changes(
+        &self,
+        topic: FleetTopic,
+        _: FleetRevision,
+        _: Duration,
+    ) -> Result<FleetUpdate, WatchError> {
+        self.read(topic).await
+    }
+
+    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
+        Ok(())
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_peers_do_not_delay_the_reads_of_an_unavailable_platform() {
+    let (_, records) = records();
+    let silent = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
+    let entries = silent.iter().enumerate().map(|(index, socket)| {
+        let entry = RegisteredEntry {
+            name: format!("entry-{}", index + 2),
+            address: socket.local_addr().unwrap(),
+            data_centre: "mnl-a".to_string(),
+            cpu_percent: 25,
+        };
+        NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
+    });
+    let entries = FleetUpdate { records: entries.collect(), revision: 3 };
+    records.replace(FleetTopic::Entries, &entries);
+    let (certificate, key) = Authority::generate_pem().unwrap();
+    let identity =
+        PeerIdentity { entry_id: "entry-1".to_string(), data_centre: "mnl-a".to_string() };
+    let network = QuicPeers::bind(
+        "127.0.0.1:0",
+        Authority::open(certificate.as_bytes(), key.as_bytes()).unwrap(),
+        identity,
+        CertificateTiming::default(),
+        TransportLimits::open(65_536),
+    );
+    let peer_client = Arc::new(PeerClient::default());
+    peer_client.set_network(network.unwrap());
+    let source = Arc::new(UnavailableSource::default());
+    let watcher = Arc::new(FleetWatcher { source: source.clone(), records, peer_client });
+    let topics =
+        [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
+    let mut tasks = JoinSet::new();
+    for topic in topics {
+        tasks.spawn(watch_topic(watcher.clone(), topic));
+    }
+    tokio::time::sleep(10 * SECOND).await;
+    let reads = source.reads.lock().unwrap();
+    for topic in topics {
+        let pauses = reads[&topic].windows(2).map(|pair| pair[1] - pair[0]);
+        let longest = pauses.max().unwrap_or(Duration::MAX);
+        // The platform's new configuration takes effect within 2 s of its return.
+        assert!(longest <= SECOND, "{topic}: {longest:?} without a read");
+    }
+}
--- a/crates/skylarkpick-transport/src/tests.rs
+++ b/crates/skylarkpick-transport/src/tests.rs
@@ -10,7 +10,7 @@
     sync::{Arc, Mutex},
     time::{Duration, SystemTime},
 };
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, task::JoinSet, time::Instant};
 
 const FREE_PORT: &str = "127.0.0.1:0";
 /// Long enough not to expire on a busy machine.
@@ -226,6 +226,50 @@
     drop(restarted);
 }
 
+#[tokio::test(start_paused = true)]
+async fn requests_to_a_silent_peer_wait_no_longer_than_their_timeout() {
+    struct Case {
+        name: &'static str,
+        connect_timeout: Duration,
+        request_timeout: Duration,
+        waits_at_most: Duration,
+    }
+    let second = Duration::from_secs(1);
+    let cases = [
+        Case {
+            name: "the request's timeout is shorter than that of connecting",
+            connect_timeout: 2 * second,
+            request_timeout: Duration::from_millis(400),
+            waits_at_most: Duration::from_millis(401),
+        },
+        Case {
+            name: "concurrent requests share one connection attempt and its failure",
+            connect_timeout: 2 * second,
+            request_timeout: 60 * second,
+            waits_at_most: Duration::from_millis(2_001),
+        },
+    ];
+    for case in cases {
+        let silent = std::net::UdpSocket::bind(FREE_PORT).unwrap();
+        let address = silent.local_addr().unwrap().to_string();
+        let limits = TransportLimits { connect_timeout: case.connect_timeout, ..limits() };
+        let one = start_at(FREE_PORT, &pem(), limits);
+        let mut requests = JoinSet::new();
+        let began = Instant::now();
+        for _ in 0..5 {
+            let (peers, address) = (one.peers.clone(), address.clone());
+            requests.spawn(async move {
+                let response = peers.request(&address, vec![1], case.request_timeout).await;
+                (response, began.elapsed())
+            });
+        }
+        for (response, waited) in requests.join_all().await {
+            assert!(matches!(response, Err(PeerError::Timeout(_))), "{}: {response:?}", case.name);
+            assert!(waited <= case.waits_at_most, "{}: {waited:?}", case.name);
+        }
+    }
+}
+
 #[tokio::test]
 async fn authority_errors_name_the_invalid_part_without_the_key() {
     struct Case {
