End a request to a peer at its timeout, connecting included, and share a failed attempt

Change: the timeout of a request covers the whole exchange. An attempt to connect is a task of its own that goes on when a caller stops waiting, so that a handshake longer than the patience of one caller is of use to the next; all who wait for it get its result, also if it failed.

Why it works: a process without the platform waits 0.4 s at most for its peers and 0.38 s until it reads the platform again, whichever peers are away and however many callers wait for them. 0.78 s and one read fit into the 2 s in which a configuration has to take effect.

Weighed: a shorter timeout for connecting alone (a lost packet of a handshake is sent again after 1 s; callers would still queue); reading the platform while the peers are asked (hides the queue from one caller of five).

--- a/crates/skylarkpick-transport/src/connections.rs
+++ b/crates/skylarkpick-transport/src/connections.rs
@@ -3,73 +3,89 @@
 use crate::authority::PEER_NAME;
 use quinn::{Connection, Endpoint};
 use skylarkpick_interface::PeerError;
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
-use tokio::sync::Mutex;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::sync::watch;
 
 /// Number of addresses from which closed connections are removed before a new one is added.
 const ADDRESSES_LIMIT: usize = 1_024;
 
-/// Connection to one address. The lock is held while connecting, so that concurrent callers share
-/// one connection attempt.
-type Slot = Arc<Mutex<Option<Connection>>>;
+/// Result of an attempt to connect to one address; `None` while it lasts.
+type Attempt = watch::Receiver<Option<Result<Connection, PeerError>>>;
 
 /// Pool of connections to peers.
 pub(crate) struct Connections {
     endpoint: Endpoint,
     timeout: Duration,
-    slots: Mutex<BTreeMap<String, Slot>>,
+    /// Latest attempt for each address.
+    attempts: Mutex<BTreeMap<String, Attempt>>,
 }
 
 impl Connections {
     pub(crate) fn open(endpoint: Endpoint, timeout: Duration) -> Connections {
-        Connections { endpoint, timeout, slots: Mutex::default() }
+        Connections { endpoint, timeout, attempts: Mutex::default() }
     }
 
-    /// Returns the open connection to an address, or opens one.
+    /// Returns the open connection to an address, or opens one. Concurrent callers share one
+    /// attempt, which goes on if they stop waiting.
     pub(crate) async fn get(&self, address: &str) -> Result<Connection, PeerError> {
-        let slot = self.slot(address).await;
-        let mut held = slot.lock().await;
-        if let Some(connection) = held.as_ref().filter(|open| open.close_reason().is_none()) {
-            return Ok(connection.clone());
-        }
-        let connection = self.connect(address).await?;
-        *held = Some(connection.clone());
-        Ok(connection)
+        let mut attempt = self.attempt(address)?;
+        let ended = attempt.wait_for(Option::is_some).await;
+        let result = ended.ok().and_then(|result| result.clone());
+        result.unwrap_or_else(|| Err(unreachable(address, "the process ends")))
     }
 
-    /// Closes a connection that timed out, so that the next message opens another.
-    pub(crate) async fn discard(&self, address: &str, connection: &Connection) {
-        connection.close(0_u32.into(), b"no answer");
-        let slot = self.slot(address).await;
-        let mut held = slot.lock().await;
-        if held.as_ref().is_some_and(|open| open.stable_id() == connection.stable_id()) {
-            *held = None;
+    /// Returns the current attempt for an address, or begins one.
+    fn attempt(&self, address: &str) -> Result<Attempt, PeerError> {
+        let mut attempts = self.lock();
+        if let Some(current) = attempts.get(address).filter(|attempt| is_usable(attempt)) {
+            return Ok(current.clone());
         }
-    }
-
-    async fn slot(&self, address: &str) -> Slot {
-        let mut slots = self.slots.lock().await;
-        if slots.len() >= ADDRESSES_LIMIT && !slots.contains_key(address) {
-            slots.retain(|_, slot| {
-                let is_open = |held: &Option<Connection>| {
-                    held.as_ref().is_some_and(|open| open.close_reason().is_none())
-                };
-                slot.try_lock().map_or(true, |held| is_open(&held))
-            });
+        if attempts.len() >= ADDRESSES_LIMIT && !attempts.contains_key(address) {
+            attempts.retain(|_, attempt| is_usable(attempt));
         }
-        slots.entry(address.to_string()).or_default().clone()
+        let attempt = self.connect(address)?;
+        attempts.insert(address.to_string(), attempt.clone());
+        Ok(attempt)
     }
 
-    async fn connect(&self, address: &str) -> Result<Connection, PeerError> {
-        let unreachable = |reason: String| PeerError::Unreachable(format!("{address}: {reason}"));
+    fn connect(&self, address: &str) -> Result<Attempt, PeerError> {
         let socket_address: SocketAddr =
-            address.parse().map_err(|_| unreachable("not an IP:port address".to_string()))?;
+            address.parse().map_err(|_| unreachable(address, "not an IP:port address"))?;
         let connecting = self
             .endpoint
             .connect(socket_address, PEER_NAME)
-            .map_err(|error| unreachable(error.to_string()))?;
-        let connected = tokio::time::timeout(self.timeout, connecting).await;
-        let connection = connected.map_err(|_| PeerError::Timeout(self.timeout))?;
-        connection.map_err(|error| unreachable(error.to_string()))
+            .map_err(|error| unreachable(address, error))?;
+        let (ended, attempt) = watch::channel(None);
+        let (address, timeout) = (address.to_string(), self.timeout);
+        tokio::spawn(async move {
+            let connected = tokio::time::timeout(timeout, connecting).await;
+            let result = connected
+                .map_err(|_| PeerError::Timeout(timeout))
+                .and_then(|result| result.map_err(|error| unreachable(&address, error)));
+            ended.send_replace(Some(result));
+        });
+        Ok(attempt)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Attempt>> {
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns whether an attempt lasts, or its connection is still open.
+fn is_usable(attempt: &Attempt) -> bool {
+    match &*attempt.borrow() {
+        None => attempt.has_changed().is_ok(),
+        Some(Ok(connection)) => connection.close_reason().is_none(),
+        Some(Err(_)) => false,
+    }
+}
+
+fn unreachable(address: &str, reason: impl std::fmt::Display) -> PeerError {
+    PeerError::Unreachable(format!("{address}: {reason}"))
+}
--- a/crates/skylarkpick-transport/src/quic_peers.rs
+++ b/crates/skylarkpick-transport/src/quic_peers.rs
@@ -152,6 +152,12 @@
     }
 }
 
+/// Closes a connection that timed out, so that the next message opens another, and returns the error.
+fn close_silent(connection: &Connection, timeout: Duration) -> PeerError {
+    connection.close(0_u32.into(), b"no answer");
+    PeerError::Timeout(timeout)
+}
+
 #[async_trait]
 impl PeerNetwork for QuicPeers {
     fn address(&self) -> String {
@@ -169,10 +175,7 @@
         let timeout = self.limits.send_timeout;
         match tokio::time::timeout(timeout, send_one_way(&connection, &message)).await {
             Ok(sent) => sent.map_err(PeerError::Unreachable),
-            Err(_) => {
-                self.connections.discard(address, &connection).await;
-                Err(PeerError::Timeout(timeout))
-            }
+            Err(_) => Err(close_silent(&connection, timeout)),
         }
     }
 
@@ -183,17 +186,13 @@
         timeout: Duration,
     ) -> Result<Vec<u8>, PeerError> {
         self.check_size(&message)?;
-        let started = Instant::now();
-        let connection = self.connections.get(address).await?;
-        let remaining = timeout.saturating_sub(started.elapsed());
-        match tokio::time::timeout(remaining, send_and_receive(&connection, &message, &self.limits))
-            .await
-        {
+        let until = Instant::now() + timeout;
+        let connected = tokio::time::timeout_at(until, self.connections.get(address)).await;
+        let connection = connected.map_err(|_| PeerError::Timeout(timeout))??;
+        let exchange = send_and_receive(&connection, &message, &self.limits);
+        match tokio::time::timeout_at(until, exchange).await {
             Ok(response) => response.map_err(PeerError::Unreachable),
-            Err(_) => {
-                self.connections.discard(address, &connection).await;
-                Err(PeerError::Timeout(timeout))
-            }
+            Err(_) => Err(close_silent(&connection, timeout)),
         }
     }
 }
