--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -139,6 +139,7 @@
                     status = error.status().as_u16(),
                     why = why.as_str(),
                     serving_version = self.node_state.serving().map_or(0, |it| it.version()),
+                    took_ms = milliseconds(received.elapsed()),
                 });
                 error.response(&*self.dialect, &attempt_id, rand::random())
             }
