Test that requests that need the current document do not wait for each other's lookups

Cause: one lookup runs at a time, and only a reading of the platform itself is reused by those who waited meanwhile. When the platform does not respond, each of them asks the peers again in turn: 0.4 s each while one of the two peers is away.

--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -4,13 +4,18 @@
     cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler},
     missing_targets::MissingTargets,
     records::FleetRecords,
+    serving_confirmer::ServingConfirmer,
     topic_watch::{FleetWatcher, relay_wait, watch_topic},
 };
-use crate::{node_state::NodeState, peers::PeerClient, test_support::empty_node_state};
+use crate::{
+    node_state::NodeState,
+    peers::{PeerClient, PeerRecords},
+    test_support::empty_node_state,
+};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, PlatformError,
-    RegisteredEntry, RegisteredTarget, WatchError,
+    FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, PeerError,
+    PeerHandler, PeerNetwork, PlatformError, RegisteredEntry, RegisteredTarget, WatchError,
 };
 use skylarkpick_transport::{
     Authority, CertificateTiming, PeerIdentity, QuicPeers, TransportLimits,
@@ -19,7 +24,7 @@
     collections::BTreeMap,
     net::UdpSocket,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, Weak,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -335,3 +340,69 @@
         assert!(longest <= SECOND, "{topic}: {longest:?} without a read");
     }
 }
+
+/// Peers that respond, or fail, after a delay.
+struct SlowPeers {
+    delay: Duration,
+    responds: bool,
+}
+
+#[async_trait]
+impl PeerNetwork for SlowPeers {
+    fn address(&self) -> String {
+        String::new()
+    }
+
+    fn listen(&self, _: Weak<dyn PeerHandler>) {}
+
+    async fn send(&self, _: &str, _: Vec<u8>) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    async fn request(&self, _: &str, _: Vec<u8>, _: Duration) -> Result<Vec<u8>, PeerError> {
+        tokio::time::sleep(self.delay).await;
+        if !self.responds {
+            return Err(PeerError::Timeout(self.delay));
+        }
+        let records = PeerRecords { update: FleetUpdate::default(), is_complete: false, age_ms: 0 };
+        Ok(serde_json::to_vec(&serde_json::json!({ "records": records })).unwrap())
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_that_need_the_current_document_do_not_wait_for_each_others_lookups() {
+    let delay = Duration::from_millis(400);
+    for responds in [true, false] {
+        let (_, records) = records();
+        let entry = RegisteredEntry {
+            name: "entry-2".to_string(),
+            address: ([10, 0, 0, 2], 80).into(),
+            data_centre: "mnl-a".to_string(),
+            cpu_percent: 25,
+        };
+        let entry =
+            NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) };
+        let entries = FleetUpdate { records: vec![entry], revision: 3 };
+        records.replace(FleetTopic::Entries, &entries);
+        let peer_client = Arc::new(PeerClient::default());
+        peer_client.set_network(Arc::new(SlowPeers { delay, responds }));
+        let source = Arc::new(UnavailableSource::default());
+        let watcher = Arc::new(FleetWatcher { source: source.clone(), records, peer_client });
+        let confirmer = ServingConfirmer::open(watcher);
+        let mut lookups = JoinSet::new();
+        for index in 0..5 {
+            let confirmer = confirmer.clone();
+            lookups.spawn(async move {
+                tokio::time::sleep(index * Duration::from_millis(40)).await;
+                let began = Instant::now();
+                (confirmer.confirm().await, began.elapsed())
+            });
+        }
+        for (is_confirmed, waited) in lookups.join_all().await {
+            assert_eq!(is_confirmed, responds);
+            assert!(waited <= delay, "peers respond: {responds}; waited {waited:?}");
+        }
+        let reads = source.reads.lock().unwrap()[&FleetTopic::Serving].len();
+        assert_eq!(reads, 1, "peers respond: {responds}");
+    }
+}
