--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -5,24 +5,34 @@
     missing_targets::MissingTargets,
     planner::rollout_goal,
     records::FleetRecords,
+    serving_confirmer::ServingConfirmer,
     topic_watch::{FleetWatcher, relay_wait, watch_topic},
 };
-use crate::{node_state::NodeState, peers::PeerClient, test_support::empty_node_state};
+use crate::{
+    node_state::NodeState,
+    peers::{PeerClient, PeerRecords},
+    test_support::empty_node_state,
+};
 use async_trait::async_trait;
 use skylarkpick_interface::{
     DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
-    NamedRecord, PlatformError, RegisteredEntry, RegisteredTarget, WatchError, WeightVersion,
-    WriteError,
+    NamedRecord, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
+    RegisteredTarget, WatchError, WeightVersion, WriteError,
 };
 use skylarkpick_schedule::{DesiredWeightsView, RolloutRunner, plan_rollout};
+use skylarkpick_transport::{
+    Authority, CertificateTiming, PeerIdentity, QuicPeers, TransportLimits,
+};
 use std::{
     collections::BTreeMap,
+    net::UdpSocket,
     sync::{
-        Arc,
+        Arc, Mutex, Weak,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
+use tokio::{task::JoinSet, time::Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -298,3 +308,154 @@
         task.abort();
     }
 }
+
+/// Platform that is down; records the time of each read.
+#[derive(Default)]
+struct UnavailableSource {
+    reads: Mutex<BTreeMap<FleetTopic, Vec<Instant>>>,
+}
+
+#[async_trait]
+impl FleetSource for UnavailableSource {
+    async fn read(&self, topic: FleetTopic) -> Result<FleetUpdate, WatchError> {
+        self.reads.lock().unwrap().entry(topic).or_default().push(Instant::now());
+        Err(PlatformError::Unavailable("connection reset".to_string()).into())
+    }
+
+    async fn changes(
+        &self,
+        topic: FleetTopic,
+        _: FleetRevision,
+        _: Duration,
+    ) -> Result<FleetUpdate, WatchError> {
+        self.read(topic).await
+    }
+
+    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    async fn record_desired_since(
+        &self,
+        _: &str,
+        _: WeightVersion,
+        _: u64,
+    ) -> Result<DesiredSinceOutcome, WriteError> {
+        Ok(DesiredSinceOutcome::AlreadyRecorded)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_peers_do_not_delay_the_reads_of_an_unavailable_platform() {
+    let (_, records) = records();
+    let silent = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
+    let entries = silent.iter().enumerate().map(|(index, socket)| {
+        let entry = RegisteredEntry {
+            name: format!("entry-{}", index + 2),
+            address: socket.local_addr().unwrap(),
+            data_centre: "mnl-a".to_string(),
+            cpu_percent: 25,
+        };
+        NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
+    });
+    let entries = FleetUpdate { records: entries.collect(), revision: 3 };
+    records.replace(FleetTopic::Entries, &entries);
+    let (certificate, key) = Authority::generate_pem().unwrap();
+    let identity =
+        PeerIdentity { entry_id: "entry-1".to_string(), data_centre: "mnl-a".to_string() };
+    let network = QuicPeers::bind(
+        "127.0.0.1:0",
+        Authority::open(certificate.as_bytes(), key.as_bytes()).unwrap(),
+        identity,
+        CertificateTiming::default(),
+        TransportLimits::open(65_536),
+    );
+    let peer_client = Arc::new(PeerClient::default());
+    peer_client.set_network(network.unwrap());
+    let source = Arc::new(UnavailableSource::default());
+    let watcher = Arc::new(FleetWatcher { source: source.clone(), records, peer_client });
+    let topics =
+        [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
+    let mut tasks = JoinSet::new();
+    for topic in topics {
+        tasks.spawn(watch_topic(watcher.clone(), topic));
+    }
+    tokio::time::sleep(10 * SECOND).await;
+    let reads = source.reads.lock().unwrap();
+    for topic in topics {
+        let pauses = reads[&topic].windows(2).map(|pair| pair[1] - pair[0]);
+        let longest = pauses.max().unwrap_or(Duration::MAX);
+        // The platform's new configuration takes effect within 2 s of its return.
+        assert!(longest <= SECOND, "{topic}: {longest:?} without a read");
+    }
+}
+
+/// Peers that respond, or fail, after a delay.
+struct SlowPeers {
+    delay: Duration,
+    responds: bool,
+}
+
+#[async_trait]
+impl PeerNetwork for SlowPeers {
+    fn address(&self) -> String {
+        String::new()
+    }
+
+    fn listen(&self, _: Weak<dyn PeerHandler>) {}
+
+    async fn send(&self, _: &str, _: Vec<u8>) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    async fn request(&self, _: &str, _: Vec<u8>, _: Duration) -> Result<Vec<u8>, PeerError> {
+        tokio::time::sleep(self.delay).await;
+        if !self.responds {
+            return Err(PeerError::Timeout(self.delay));
+        }
+        let records = PeerRecords { update: FleetUpdate::default(), is_complete: false, age_ms: 0 };
+        Ok(serde_json::to_vec(&serde_json::json!({ "records": records })).unwrap())
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_that_need_the_current_document_do_not_wait_for_each_others_lookups() {
+    let delay = Duration::from_millis(400);
+    for responds in [true, false] {
+        let (_, records) = records();
+        let entry = RegisteredEntry {
+            name: "entry-2".to_string(),
+            address: ([10, 0, 0, 2], 80).into(),
+            data_centre: "mnl-a".to_string(),
+            cpu_percent: 25,
+        };
+        let entry =
+            NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) };
+        let entries = FleetUpdate { records: vec![entry], revision: 3 };
+        records.replace(FleetTopic::Entries, &entries);
+        let peer_client = Arc::new(PeerClient::default());
+        peer_client.set_network(Arc::new(SlowPeers { delay, responds }));
+        let source = Arc::new(UnavailableSource::default());
+        let watcher = Arc::new(FleetWatcher { source: source.clone(), records, peer_client });
+        let confirmer = ServingConfirmer::open(watcher);
+        let mut lookups = JoinSet::new();
+        for index in 0..5 {
+            let confirmer = confirmer.clone();
+            lookups.spawn(async move {
+                tokio::time::sleep(index * Duration::from_millis(40)).await;
+                let began = Instant::now();
+                (confirmer.confirm().await, began.elapsed())
+            });
+        }
+        for (is_confirmed, waited) in lookups.join_all().await {
+            assert_eq!(is_confirmed, responds);
+            assert!(waited <= delay, "peers respond: {responds}; waited {waited:?}");
+        }
+        let reads = source.reads.lock().unwrap()[&FleetTopic::Serving].len();
+        assert_eq!(reads, 1, "peers respond: {responds}");
+    }
+}
