Check other processes apart from the planner's pass

What callers saw: while a process was frozen or had been killed, orders of new weights came late, and so requests began on old weights for longer.

What the checks had found also outlived the lease: a process that was silent in one term was removed on the first failed check of a later one, although nobody had checked it in between. Class of fault: a loop that has to be prompt awaits something that may be slow, and that it doesn't need.

Ruled out: a shorter timeout of the checks. It makes the delay smaller, and every pass that checks still pays it. A task for each process: more state, no gain.

Change: the checks are a loop of their own next to that of the planner's passes. It runs while the lease is held and starts anew with each term; the lease is looked at before the checks go on, since after a freeze of this process everything is due at once.

Measured on a paused clock: five runners on weights 1, new weights named while one other process never answers: no order at all before (the pass never ends), the first within 1 s now, as with a process whose requests fail at once. A process silent in two terms of the lease: removed within 7 s of the second before, not within 7 s and once within 15 s now.

Why it works: the pass awaits calls to runners and stores only; the checks can hold up nothing but themselves. A store that doesn't answer still holds up the pass while parts are freed (0.8 s a call).

--- a/crates/skylarkpick-forward/src/fleet/entry_health.rs
+++ b/crates/skylarkpick-forward/src/fleet/entry_health.rs
@@ -6,9 +6,12 @@
 
 use super::topic_watch::FleetWatcher;
 use skylarkpick_interface::{FleetTopic, RegisteredEntry};
+use skylarkpick_lease::Lease;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
+/// Pause between two passes, and between two looks at the lease.
+const PASS_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between two checks of the same process.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Maximum number of processes checked in one pass.
@@ -17,8 +20,29 @@
 /// restart lasts.
 const UNRESPONSIVE_LIMIT: Duration = Duration::from_secs(8);
 
-/// Health checks of the other entry processes.
-pub(crate) struct EntryHealthCheck {
+/// Checks the other entry processes while this process holds the lease, for as long as the task runs.
+/// What the checks have found is dropped with the lease.
+pub(crate) async fn check_entries(watcher: Arc<FleetWatcher>, lease: Arc<Lease>) {
+    loop {
+        wait_until_lease_is(true, &lease).await;
+        let mut checks = EntryHealthCheck::open(watcher.clone());
+        tokio::select! {
+            // The lease comes first: after a freeze of this process, everything is due.
+            biased;
+            () = wait_until_lease_is(false, &lease) => {}
+            () = checks.run() => {}
+        }
+    }
+}
+
+async fn wait_until_lease_is(held: bool, lease: &Lease) {
+    while lease.permit().is_some() != held {
+        tokio::time::sleep(PASS_INTERVAL).await;
+    }
+}
+
+/// Health checks of the other entry processes during one term of the lease.
+struct EntryHealthCheck {
     watcher: Arc<FleetWatcher>,
     states: BTreeMap<String, EntryState>,
 }
@@ -30,12 +54,19 @@
 }
 
 impl EntryHealthCheck {
-    pub(crate) fn open(watcher: Arc<FleetWatcher>) -> EntryHealthCheck {
+    fn open(watcher: Arc<FleetWatcher>) -> EntryHealthCheck {
         EntryHealthCheck { watcher, states: BTreeMap::new() }
     }
 
+    async fn run(&mut self) {
+        loop {
+            self.check_due().await;
+            tokio::time::sleep(PASS_INTERVAL).await;
+        }
+    }
+
     /// Checks the processes that are due, and removes the registrations of unresponsive ones.
-    pub(crate) async fn run(&mut self) {
+    async fn check_due(&mut self) {
         let now = Instant::now();
         let mut due = self.watcher.records.other_entries();
         due.retain(|entry| {
--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -1,6 +1,6 @@
 //! Rolls out the desired weights to runners while this process holds the planner lease.
 
-use super::{entry_health::EntryHealthCheck, topic_watch::FleetWatcher};
+use super::{entry_health::check_entries, topic_watch::FleetWatcher};
 use crate::{node_state::NodeState, peers::Notice};
 use skylarkpick_interface::{
     Clock, ModelName, ObjectStore, OrderOutcome, ServiceKind, TargetControl, TargetId, WeightOrder,
@@ -68,7 +68,7 @@
 
 struct Planner {
     parts: PlannerParts,
-    lease: Lease,
+    lease: Arc<Lease>,
     holder: String,
     /// Time since which this process has held the lease.
     held_since: Option<Instant>,
@@ -76,7 +76,6 @@
     ordered: BTreeMap<TargetId, SentOrder>,
     /// Targets whose swap has been announced but not ordered yet.
     announced: BTreeMap<TargetId, Instant>,
-    entries: EntryHealthCheck,
     outdated: OutdatedPartFinder,
 }
 
@@ -102,8 +101,9 @@
         poll_interval: LEASE_POLL,
         call_timeout: LEASE_CALL_TIMEOUT,
     };
-    let lease = Lease::spawn(parts.objects.clone(), parts.clock.clone(), settings, rand::random());
-    let entries = EntryHealthCheck::open(parts.watcher.clone());
+    let (objects, clock) = (parts.objects.clone(), parts.clock.clone());
+    let lease = Arc::new(Lease::spawn(objects, clock, settings, rand::random()));
+    let checks = check_entries(parts.watcher.clone(), lease.clone());
     let mut planner = Planner {
         outdated: OutdatedPartFinder::default(),
         parts,
@@ -112,16 +112,19 @@
         held_since: None,
         ordered: BTreeMap::new(),
         announced: BTreeMap::new(),
-        entries,
     };
-    loop {
-        let changed = planner.parts.node_state.weights_changed.notified();
-        let _ = tokio::time::timeout(RECONCILE_INTERVAL, changed).await;
-        planner.reconcile().await;
-    }
+    tokio::join!(planner.run(), checks);
 }
 
 impl Planner {
+    async fn run(&mut self) {
+        loop {
+            let changed = self.parts.node_state.weights_changed.notified();
+            let _ = tokio::time::timeout(RECONCILE_INTERVAL, changed).await;
+            self.reconcile().await;
+        }
+    }
+
     async fn reconcile(&mut self) {
         let Some(permit) = self.lease.permit() else {
             if self.held_since.take().is_some() {
@@ -156,7 +159,6 @@
             self.plan(&model, version).await;
         }
         self.free_outdated().await;
-        self.entries.run().await;
     }
 
     /// Frees stored parts that no run can request any more. Only the lease holder does so, and the
--- /dev/null
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -0,0 +1,270 @@
+//! Tests of the planner's lease, orders and health checks, without a network.
+
+use super::{
+    planner::{PlannerParts, run_planner},
+    records::FleetRecords,
+    topic_watch::FleetWatcher,
+};
+use crate::{peers::PeerClient, test_support::empty_node_state};
+use async_trait::async_trait;
+use skylarkpick_interface::{
+    CacheEpoch, CacheScope, ClientLimits, ContextMemory, ControlError, DesiredSinceOutcome,
+    DesiredWeights, EngineLoad, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
+    NamedRecord, OrderOutcome, OrderState, PartChanges, PartId, PeerError, PeerHandler,
+    PeerNetwork, PlatformError, RegisteredEntry, RegisteredTarget, ServiceKind, ServingDocument,
+    TargetControl, TokioClock, WatchError, WeightOrder, WeightVersion, WriteError,
+};
+use skylarkpick_standin::{MemoryPlatform, PlatformRates};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, SystemTime},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Platform whose records the tests set directly.
+#[derive(Default)]
+struct CountingSource {
+    unregistered: AtomicU32,
+}
+
+#[async_trait]
+impl FleetSource for CountingSource {
+    async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
+        std::future::pending().await
+    }
+
+    async fn changes(
+        &self,
+        _: FleetTopic,
+        _: FleetRevision,
+        _: Duration,
+    ) -> Result<FleetUpdate, WatchError> {
+        std::future::pending().await
+    }
+
+    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
+        self.unregistered.fetch_add(1, Ordering::SeqCst);
+        Ok(())
+    }
+
+    async fn record_desired_since(
+        &self,
+        _: &str,
+        _: WeightVersion,
+        _: u64,
+    ) -> Result<DesiredSinceOutcome, WriteError> {
+        Ok(DesiredSinceOutcome::Recorded)
+    }
+}
+
+/// Network to processes that are frozen (requests never end) or gone (requests fail).
+struct DeadNetwork {
+    is_frozen: bool,
+}
+
+#[async_trait]
+impl PeerNetwork for DeadNetwork {
+    fn address(&self) -> String {
+        "10.0.0.1:80".to_string()
+    }
+
+    fn listen(&self, _: Weak<dyn PeerHandler>) {}
+
+    async fn send(&self, _: &str, _: Vec<u8>) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    async fn request(&self, _: &str, _: Vec<u8>, _: Duration) -> Result<Vec<u8>, PeerError> {
+        if self.is_frozen {
+            std::future::pending().await
+        }
+        Err(PeerError::Unreachable("no such process".to_string()))
+    }
+}
+
+/// Runners that accept every order.
+#[derive(Default)]
+struct CountingControl {
+    orders: AtomicU32,
+}
+
+#[async_trait]
+impl TargetControl for CountingControl {
+    async fn order_state(&self, _: SocketAddr, _: Duration) -> Result<OrderState, ControlError> {
+        Ok(OrderState::default())
+    }
+
+    async fn engine_load(&self, _: SocketAddr, _: Duration) -> Result<EngineLoad, ControlError> {
+        Ok(EngineLoad::default())
+    }
+
+    async fn order(&self, _: &WeightOrder, _: Duration) -> Result<OrderOutcome, ControlError> {
+        self.orders.fetch_add(1, Ordering::SeqCst);
+        Ok(OrderOutcome::Accepted)
+    }
+
+    async fn part_changes(
+        &self,
+        _: SocketAddr,
+        _: u64,
+        _: Duration,
+    ) -> Result<PartChanges, ControlError> {
+        std::future::pending().await
+    }
+
+    async fn part_listing(&self, _: SocketAddr) -> Result<PartChanges, ControlError> {
+        Ok(PartChanges::default())
+    }
+
+    async fn free_parts(
+        &self,
+        _: SocketAddr,
+        _: CacheEpoch,
+        _: &[(CacheScope, PartId)],
+    ) -> Result<bool, ControlError> {
+        Ok(true)
+    }
+}
+
+struct Fixture {
+    source: Arc<CountingSource>,
+    control: Arc<CountingControl>,
+    objects: Arc<MemoryPlatform>,
+    watcher: Arc<FleetWatcher>,
+    _planner: tokio::task::JoinSet<()>,
+}
+
+/// Starts the planner of `entry-1` in a fleet with one other process, which doesn't respond, and
+/// five runners on weights 1.
+fn start_planner(is_frozen: bool) -> Fixture {
+    let node_state = empty_node_state();
+    let source = Arc::new(CountingSource::default());
+    let control = Arc::new(CountingControl::default());
+    let objects = MemoryPlatform::open(Duration::ZERO, PlatformRates::default());
+    let peer_client = Arc::new(PeerClient::default());
+    peer_client.set_network(Arc::new(DeadNetwork { is_frozen }));
+    let watcher = Arc::new(FleetWatcher {
+        source: source.clone(),
+        records: FleetRecords::open(node_state.clone(), "entry-1"),
+        peer_client,
+    });
+    let topics = [
+        (FleetTopic::Serving, vec![("serving".to_string(), FleetRecord::Serving(serving()))]),
+        (FleetTopic::Targets, (1..=5).map(runner).collect()),
+        (FleetTopic::Weights, vec![weights(1)]),
+        (FleetTopic::Entries, (1..=2).map(entry).collect()),
+    ];
+    for (topic, records) in topics {
+        watcher.records.replace(topic, &update(records, 1));
+    }
+    let mut planner = tokio::task::JoinSet::new();
+    planner.spawn(run_planner(PlannerParts {
+        node_state,
+        objects: objects.clone(),
+        control: control.clone(),
+        clock: Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)),
+        watcher: watcher.clone(),
+        node: "entry-1".to_string(),
+    }));
+    Fixture { source, control, objects, watcher, _planner: planner }
+}
+
+fn update(records: Vec<(String, FleetRecord)>, revision: FleetRevision) -> FleetUpdate {
+    let named = |(name, record)| NamedRecord { name, record: Some(record) };
+    FleetUpdate { records: records.into_iter().map(named).collect(), revision }
+}
+
+fn serving() -> Box<ServingDocument> {
+    let memory = ContextMemory {
+        capacity_tokens: 40_000,
+        token_size_bytes: 18_432,
+        link_megabits_per_second: 1_000.0,
+        first_byte_delay: Duration::ZERO,
+        event_readers_limit: 12,
+    };
+    Box::new(ServingDocument {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([("engines".to_string(), ServiceKind::Engines(memory))]),
+        limits: ClientLimits {
+            head_size_bytes: 16_384,
+            body_size_bytes: 1_048_576,
+            head_timeout: SECOND,
+            idle_timeout: SECOND,
+        },
+        accounts: None,
+    })
+}
+
+fn runner(index: u8) -> (String, FleetRecord) {
+    let id = format!("i-{index}");
+    let registration = RegisteredTarget {
+        id: id.clone(),
+        service: "engines".to_string(),
+        address: ([10, 1, 0, index], 80).into(),
+        data_centre: "mnl-a".to_string(),
+        slots: 6,
+        is_draining: false,
+        weights: BTreeMap::from([("tala".to_string(), 1)]),
+        started_at_ms: 1,
+    };
+    (id, FleetRecord::Target(registration))
+}
+
+fn weights(weight_version: WeightVersion) -> (String, FleetRecord) {
+    let weights = DesiredWeights {
+        model: "tala".to_string(),
+        weight_version,
+        desired_since_ms: BTreeMap::new(),
+    };
+    ("tala".to_string(), FleetRecord::Weights(weights))
+}
+
+fn entry(index: u8) -> (String, FleetRecord) {
+    let entry = RegisteredEntry {
+        name: format!("entry-{index}"),
+        address: ([10, 0, 0, index], 80).into(),
+        data_centre: "mnl-a".to_string(),
+        cpu_percent: 25,
+    };
+    (entry.name.clone(), FleetRecord::Entry(entry))
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_that_never_responds_does_not_delay_orders_of_new_weights() {
+    for is_frozen in [false, true] {
+        let fixture = start_planner(is_frozen);
+        // The lease is held and the health checks have begun.
+        tokio::time::sleep(6 * SECOND).await;
+        assert_eq!(fixture.control.orders.load(Ordering::SeqCst), 0, "frozen: {is_frozen}");
+        fixture.watcher.records.update(FleetTopic::Weights, &update(vec![weights(2)], 2));
+        tokio::time::sleep(SECOND).await;
+        let orders = fixture.control.orders.load(Ordering::SeqCst);
+        assert!(orders > 0, "frozen: {is_frozen}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_registration_is_removed_only_after_checks_in_one_term_of_the_lease() {
+    let fixture = start_planner(false);
+    let unregistered = || fixture.source.unregistered.load(Ordering::SeqCst);
+    tokio::time::sleep(6 * SECOND).await;
+    fixture.objects.set_faults(|faults| faults.unavailable = true);
+    tokio::time::sleep(20 * SECOND).await;
+    assert_eq!(unregistered(), 0, "without the lease");
+    fixture.objects.set_faults(|faults| faults.unavailable = false);
+    tokio::time::sleep(7 * SECOND).await;
+    assert_eq!(unregistered(), 0, "checks of an earlier term don't count");
+    tokio::time::sleep(8 * SECOND).await;
+    assert_eq!(unregistered(), 1, "unresponsive throughout this term");
+}
