Ignore changes that are older than the stored records

What callers saw: nothing so far; found by reading. A target that was known as draining, or gone, could become usable again.

Cause: a complete read that is older than the stored records is ignored, a list of changes was not. Both may come late: the records are also read when a request needs the newest document, and are taken over from other processes, while the answer of a watch is on its way. Class of fault: two sources write, and one of them doesn't compare revisions.

Ruled out: a revision per record. A removal that came with a complete read has no record to compare.

Change: an update with a lower revision than that of the stored records changes nothing. These are complete up to their revision, so it holds nothing new. The watch still goes on from the revision that it has read.

Measured: the test failed before (i-2 back in the list, ["i-1", "i-2"]) and passes now.

Why it works: the platform's revision never goes back, and each way by which records come takes them up to the revision that it sets.

--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -304,11 +304,15 @@
         true
     }
 
-    /// Applies changes of a topic.
+    /// Applies changes of a topic. An update that is older than the stored records changes nothing:
+    /// these were read meanwhile, and contain its changes.
     pub(crate) fn update(&self, topic: FleetTopic, update: &FleetUpdate) {
         let origin = {
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
+            if update.revision < state.revision {
+                return;
+            }
             let is_first_read = state.revision == 0;
             // The last verification may be that of the response with these changes.
             let not_before = state.previously_verified_at.filter(|_| !is_first_read);
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -55,6 +55,18 @@
     NamedRecord { name: id.to_string(), record: Some(FleetRecord::Target(registration)) }
 }
 
+fn draining(id: &str) -> NamedRecord {
+    let mut named = target(id);
+    if let Some(FleetRecord::Target(registration)) = &mut named.record {
+        registration.is_draining = true;
+    }
+    named
+}
+
+fn is_draining(node_state: &NodeState, id: &str) -> bool {
+    node_state.lock().placement.targets()[id].registration.is_draining
+}
+
 fn removed(id: &str) -> NamedRecord {
     NamedRecord { name: id.to_string(), record: None }
 }
@@ -212,6 +224,17 @@
     assert_eq!(target_ids(&node_state), ["i-2"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_older_change_never_replaces_newer_records() {
+    let (node_state, records) = records();
+    let newer = FleetUpdate { records: vec![draining("i-1")], revision: 20 };
+    assert!(records.replace(FleetTopic::Targets, &newer));
+    let older = FleetUpdate { records: vec![target("i-1"), target("i-2")], revision: 19 };
+    records.update(FleetTopic::Targets, &older);
+    assert_eq!(target_ids(&node_state), ["i-1"]);
+    assert!(is_draining(&node_state, "i-1"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_relay_that_loses_the_platform_reports_its_records_as_stale() {
     let (_, relay) = records();
