Order only runners with requests beyond the limit of concurrent loads

Cause: the order to a runner on expired weights has to come at once for the sake of the requests that wait there; one without requests has none to reject, and its load only makes those of the others take longer (the weight store serves a few at full speed, and more at once finish later on the whole).

Change: on expired weights, runners with requests are ordered whatever the limits, the others within them as before. The test's case now has both kinds.

--- a/crates/skylarkpick-schedule/src/rollout/tests.rs
+++ b/crates/skylarkpick-schedule/src/rollout/tests.rs
@@ -131,16 +131,17 @@
         waiting: &[("r3", RolloutWait::LoadsLimit)],
     },
     Case {
-        name: "runners on expired weights are ordered beyond the limit of concurrent loads",
+        name: "runners with requests on expired weights are ordered beyond the limit of loads",
         change: |runners, goal| {
             goal.usable_weight_versions = vec![2];
             goal.expired_weight_versions = vec![1];
-            runners[0].weight_version = Some(2);
-            runners[1].is_loading = true;
+            runners[0].is_loading = true;
+            runners[1].runs = 1;
+            runners[2].runs = 3;
         },
         loads_in_progress: 2,
-        order: &["r2", "r3"],
-        waiting: &[("r1", RolloutWait::Loading)],
+        order: &["r1", "r2"],
+        waiting: &[("r0", RolloutWait::Loading), ("r3", RolloutWait::LoadsLimit)],
     },
     Case {
         name: "runners on the oldest weights first, although they have more runs",
