Call the platform again without waiting for other processes

What callers saw: requests were sent to a runner after the time within which a draining one may receive them, or were handled as an older configuration says, when one call of a watch had failed while another process was silent.

Cause: after a failed call, a watch of platform records fetched from two random processes and awaited both before the platform was called again: 0.4 s, and as long as connecting took until. The platform was often back at once: such calls fail on a connection that was reset. Class of fault: as in, a loop that has to be prompt awaits something that it doesn't need.

Ruled out: the fetch and the next call in one `select`. The call would cut the fetch off, and a process that the platform leaves without any answer would have no records from either.

Change: the fetch is a task of the watch, at most one at a time, which a failed call starts. The call is repeated after its usual delay.

Measured on a paused clock, the first call fails (a read, or a watch), every request to a process takes 20 s: the draining target is known within 1 s now, and was not before (both cases failed).

Why it works: between two calls to the platform lies the delay alone (0.13 to 0.38 s).

Open: a follower whose relays are silent. From the constants, not from a run: at worst 2.75 s pass without a watch (0.7 s of age, 1.2 s of waiting, 0.4 s for the response, 0.45 s at the second relay), of 2 s.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -17,6 +17,8 @@
 #[cfg(test)]
 mod tests;
 #[cfg(test)]
+mod topic_watch_tests;
+#[cfg(test)]
 mod weight_tests;
 
 pub(crate) use cache_watch::{CacheWatchers, watch_caches};
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -34,14 +34,14 @@
 };
 use tokio::{task::JoinSet, time::Instant};
 
-const SECOND: Duration = Duration::from_secs(1);
+pub(super) const SECOND: Duration = Duration::from_secs(1);
 
-fn records() -> (Arc<NodeState>, FleetRecords) {
+pub(super) fn records() -> (Arc<NodeState>, FleetRecords) {
     let node_state = empty_node_state();
     (node_state.clone(), FleetRecords::open(node_state, "entry-1"))
 }
 
-fn target(id: &str) -> NamedRecord {
+pub(super) fn target(id: &str) -> NamedRecord {
     let registration = RegisteredTarget {
         id: id.to_string(),
         service: "book-api".to_string(),
@@ -55,7 +55,7 @@
     NamedRecord { name: id.to_string(), record: Some(FleetRecord::Target(registration)) }
 }
 
-fn draining(id: &str) -> NamedRecord {
+pub(super) fn draining(id: &str) -> NamedRecord {
     let mut named = target(id);
     if let Some(FleetRecord::Target(registration)) = &mut named.record {
         registration.is_draining = true;
@@ -63,7 +63,7 @@
     named
 }
 
-fn is_draining(node_state: &NodeState, id: &str) -> bool {
+pub(super) fn is_draining(node_state: &NodeState, id: &str) -> bool {
     node_state.lock().placement.targets()[id].registration.is_draining
 }
 
@@ -71,7 +71,7 @@
     NamedRecord { name: id.to_string(), record: None }
 }
 
-fn target_ids(node_state: &NodeState) -> Vec<String> {
+pub(super) fn target_ids(node_state: &NodeState) -> Vec<String> {
     node_state.lock().placement.targets().keys().cloned().collect()
 }
 
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -5,7 +5,7 @@
 use skylarkpick_interface::{FleetSource, FleetTopic, WatchError};
 use skylarkpick_telemetry::{FEEDS_LOST, metrics};
 use std::{sync::Arc, time::Duration};
-use tokio::time::Instant;
+use tokio::{task::JoinSet, time::Instant};
 
 /// Maximum wait of a watch. A dead connection is detected 1 s later, while a draining target still
 /// serves requests.
@@ -49,10 +49,19 @@
     pub(crate) peer_client: Arc<PeerClient>,
 }
 
+/// State of a topic's calls to the platform.
+#[derive(Default)]
+struct PlatformCalls {
+    is_disconnected: bool,
+    /// Fetch from other processes, at most one. It runs next to the calls, since processes may be as
+    /// silent as the platform.
+    fetch: JoinSet<()>,
+}
+
 /// Watches a topic for as long as the task runs: through relays if the process is a follower, else
 /// at the platform.
 pub(crate) async fn watch_topic(watcher: Arc<FleetWatcher>, topic: FleetTopic) {
-    let mut is_disconnected = false;
+    let mut calls = PlatformCalls::default();
     // Number of consecutive failed reads.
     let mut failures = 0;
     loop {
@@ -67,20 +76,18 @@
                 if error == WatchError::UnknownKind {
                     watcher.records.note_no_records(topic);
                 }
-                note_failure(&watcher, topic, &error, &mut is_disconnected);
-                watcher.peer_client.fetch_from_any(&watcher.records, topic).await;
+                note_failure(&watcher, topic, &error, &mut calls);
                 failures += 1;
                 delay_retry(&watcher, failures).await;
                 continue;
             }
         };
-        note_success(&watcher, topic, &mut is_disconnected);
+        note_success(&watcher, topic, &mut calls);
         watcher.records.replace(topic, &update);
         let are_relays_stale = !watcher.records.relays().is_empty();
         let period = if are_relays_stale { DIRECT_WATCH_PERIOD } else { Duration::ZERO };
         let until = Instant::now() + period;
-        let has_failed =
-            watch_changes(&watcher, topic, update.revision, until, &mut is_disconnected).await;
+        let has_failed = watch_changes(&watcher, topic, update.revision, until, &mut calls).await;
         failures = u32::from(has_failed);
     }
 }
@@ -153,18 +160,18 @@
 /// process should read from relays again, which is not before `until`. Returns whether it ended
 /// because a call failed in a process with relays.
 async fn watch_changes(
-    watcher: &FleetWatcher,
+    watcher: &Arc<FleetWatcher>,
     topic: FleetTopic,
     mut revision: u64,
     until: Instant,
-    is_disconnected: &mut bool,
+    calls: &mut PlatformCalls,
 ) -> bool {
     let has_no_relays = || watcher.records.relays().is_empty();
     while Instant::now() < until || has_no_relays() {
         let wait = watch_wait(watcher, topic);
         match watcher.source.changes(topic, revision, wait).await {
             Ok(update) => {
-                note_success(watcher, topic, is_disconnected);
+                note_success(watcher, topic, calls);
                 watcher.records.update(topic, &update);
                 revision = update.revision;
                 tokio::time::sleep(pause_after(watcher, topic)).await;
@@ -176,10 +183,9 @@
                 return false;
             }
             Err(error) => {
-                note_failure(watcher, topic, &error, is_disconnected);
-                watcher.peer_client.fetch_from_any(&watcher.records, topic).await;
-                revision = revision.max(watcher.records.revision(topic));
+                note_failure(watcher, topic, &error, calls);
                 delay_retry(watcher, PROMPT_RETRIES - 1).await;
+                revision = revision.max(watcher.records.revision(topic));
                 if !has_no_relays() {
                     return true;
                 }
@@ -189,23 +195,31 @@
     false
 }
 
+/// Records a failed call, and fetches records from other processes unless such a fetch runs.
 fn note_failure(
-    watcher: &FleetWatcher,
+    watcher: &Arc<FleetWatcher>,
     topic: FleetTopic,
     error: &WatchError,
-    is_disconnected: &mut bool,
+    calls: &mut PlatformCalls,
 ) {
     watcher.records.note_disconnected(topic);
-    if !std::mem::replace(is_disconnected, true) {
+    while calls.fetch.try_join_next().is_some() {}
+    if calls.fetch.is_empty() {
+        let watcher = watcher.clone();
+        calls.fetch.spawn(async move {
+            watcher.peer_client.fetch_from_any(&watcher.records, topic).await;
+        });
+    }
+    if !std::mem::replace(&mut calls.is_disconnected, true) {
         metrics().count(&FEEDS_LOST, &[("topic", &topic.to_string())]);
         spdlog::warn!("platform unavailable", kv: { topic:, error: });
     }
 }
 
-fn note_success(watcher: &FleetWatcher, topic: FleetTopic, is_disconnected: &mut bool) {
+fn note_success(watcher: &FleetWatcher, topic: FleetTopic, calls: &mut PlatformCalls) {
     watcher.records.note_response();
     watcher.records.note_current(topic, Duration::ZERO);
-    if std::mem::replace(is_disconnected, false) {
+    if std::mem::replace(&mut calls.is_disconnected, false) {
         spdlog::info!("platform available again", kv: { topic: });
     }
 }
