Order all runners on expired weights at once again

Cause: it ordered only runners with requests beyond the limit of loads, and counted requests by what this process knows: its own, and those of others by the last load report that it received, which fades within 6 s. Once weights have expired the holder of the lease sends nothing there and receives no new report, so the requests of other processes that still wait there count as none, and the order that is to reject them waits for the limit. Found in review, by reading; no run showed it.

The tests of schedule and forward pass.

--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -191,7 +191,6 @@
         name: format!("i-{index}"),
         model: "tala".to_string(),
         weight_version: Some(index),
-        runs: 1,
         slots: 8,
         ..RolloutRunner::default()
     };
--- a/crates/skylarkpick-schedule/src/rollout/plan.rs
+++ b/crates/skylarkpick-schedule/src/rollout/plan.rs
@@ -117,7 +117,7 @@
         if runner.weight_version.is_none() {
             return Some(RolloutWait::Unreachable);
         }
-        if is_expired(runner, goal) && runner.runs > 0 {
+        if is_expired(runner, goal) {
             return None;
         }
         if loads >= goal.loads_limit {
--- a/crates/skylarkpick-schedule/src/rollout/tests.rs
+++ b/crates/skylarkpick-schedule/src/rollout/tests.rs
@@ -131,17 +131,16 @@
         waiting: &[("r3", RolloutWait::LoadsLimit)],
     },
     Case {
-        name: "runners with requests on expired weights are ordered beyond the limit of loads",
+        name: "runners on expired weights are ordered beyond the limit of concurrent loads",
         change: |runners, goal| {
             goal.usable_weight_versions = vec![2];
             goal.expired_weight_versions = vec![1];
-            runners[0].is_loading = true;
-            runners[1].runs = 1;
-            runners[2].runs = 3;
+            runners[0].weight_version = Some(2);
+            runners[1].is_loading = true;
         },
         loads_in_progress: 2,
-        order: &["r1", "r2"],
-        waiting: &[("r0", RolloutWait::Loading), ("r3", RolloutWait::LoadsLimit)],
+        order: &["r2", "r3"],
+        waiting: &[("r1", RolloutWait::Loading)],
     },
     Case {
         name: "runners on the oldest weights first, although they have more runs",
--- a/crates/skylarkpick-schedule/src/rollout/types.rs
+++ b/crates/skylarkpick-schedule/src/rollout/types.rs
@@ -34,8 +34,8 @@
     pub weight_version: WeightVersion,
     /// Weights that new requests may run on, including the desired ones.
     pub usable_weight_versions: Vec<WeightVersion>,
-    /// Weights on which no run may start any more. Runners that serve them and have requests are
-    /// ordered at once, whatever the limits: only an order rejects the requests that still wait there.
+    /// Weights on which no run may start any more. Runners that serve them are ordered at once,
+    /// whatever the limits: only an order rejects the requests that still wait there.
     pub expired_weight_versions: Vec<WeightVersion>,
     /// Concurrent loads that are allowed among all runners that share the weight store.
     pub loads_limit: u32,
