Date what a process has read by the start of its calls

What callers could see: runs on replaced weights after their time, sent by a process that was frozen, or that a slow platform answered late, while newer weights were named.

Cause: a recorded time counts for no earlier than this process's own last read without the version, which keeps a wrong wall clock from expiring weights everywhere. That read was dated by the end of its call. An empty response of a watch that waits in the socket of a frozen process is read after the thaw, so the version seemed not to be named by then, and the correct record was overruled. Class of fault: the age of an observation counts from when it was processed. Found in review, by reading.

Change: the bound is the start of the latest call whose response has been applied; for a relay's response also less the age that the relay reports. The age that decides on serving is as before.

Before: a watch that answers after 5 s without changes, then a version recorded 4 s before: its age is 1 s. After: 5 s, as recorded.

Ruled out: taking the record as it is (one wrong clock would expire the weights at all processes).

--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -54,8 +54,8 @@
     records: BTreeMap<String, StoredRecord>,
     /// Time at which the records were last known to be current.
     verified_at: Option<Duration>,
-    /// The time before that at which they were known to be current.
-    previously_verified_at: Option<Duration>,
+    /// Time at which the latest call began whose response has been applied.
+    complete_at: Option<Duration>,
     /// Whether the last call for the topic failed.
     is_disconnected: bool,
 }
@@ -177,14 +177,25 @@
         let at = self.node_state.now().saturating_sub(age);
         let mut topics = self.topics();
         let state = topics.entry(topic).or_default();
-        if state.verified_at.is_none_or(|known| known < at) {
-            state.previously_verified_at = state.verified_at.replace(at);
-        }
+        state.verified_at = state.verified_at.max(Some(at));
         state.is_disconnected = false;
         drop(topics);
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Records that all changes of a topic up to the node time `at` have been applied. Only the start
+    /// of a call is such a time, since its response may have been delayed.
+    pub(crate) fn note_complete(&self, topic: FleetTopic, at: Duration) {
+        let mut topics = self.topics();
+        let state = topics.entry(topic).or_default();
+        state.complete_at = state.complete_at.max(Some(at));
+    }
+
+    /// Returns the node time.
+    pub(crate) fn now(&self) -> Duration {
+        self.node_state.now()
+    }
+
     /// Returns a receiver that is notified of every change.
     pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
@@ -314,8 +325,7 @@
                 return;
             }
             let is_first_read = state.revision == 0;
-            // The last verification may be that of the response with these changes.
-            let not_before = state.previously_verified_at.filter(|_| !is_first_read);
+            let not_before = state.complete_at.filter(|_| !is_first_read);
             state.update(update);
             RecordOrigin { revision: update.revision, is_first_read, not_before }
         };
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -70,6 +70,7 @@
         if failures == 0 || failures >= PROMPT_RETRIES {
             read_relays(&watcher, topic).await;
         }
+        let began = watcher.records.now();
         let update = match watcher.source.read(topic).await {
             Ok(update) => update,
             Err(error) => {
@@ -84,6 +85,7 @@
         };
         note_success(&watcher, topic, &mut calls);
         watcher.records.replace(topic, &update);
+        watcher.records.note_complete(topic, began);
         let are_relays_stale = !watcher.records.relays().is_empty();
         let period = if are_relays_stale { DIRECT_WATCH_PERIOD } else { Duration::ZERO };
         let until = Instant::now() + period;
@@ -105,9 +107,11 @@
         for relay in relays {
             let records = &watcher.records;
             let wait = relay_wait(known_age, limit);
+            let began = records.now();
             let age = watcher.peer_client.fetch_records(&relay, records, topic, wait).await;
             if let Some(age) = age.filter(|age| *age < limit) {
                 records.note_current(topic, age);
+                records.note_complete(topic, began.saturating_sub(age));
                 records.note_response();
                 known_age = age;
                 last_responder = Some(relay);
@@ -169,10 +173,12 @@
     let has_no_relays = || watcher.records.relays().is_empty();
     while Instant::now() < until || has_no_relays() {
         let wait = watch_wait(watcher, topic);
+        let began = watcher.records.now();
         match watcher.source.changes(topic, revision, wait).await {
             Ok(update) => {
                 note_success(watcher, topic, calls);
                 watcher.records.update(topic, &update);
+                watcher.records.note_complete(topic, began);
                 revision = update.revision;
                 tokio::time::sleep(pause_after(watcher, topic)).await;
             }
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -1,7 +1,9 @@
 //! Tests of since when weights are desired: own observations, records, and recording.
 
 use super::{
-    desired_times::DesiredTimes, records::FleetRecords, topic_watch::FleetWatcher,
+    desired_times::DesiredTimes,
+    records::FleetRecords,
+    topic_watch::{FleetWatcher, watch_topic},
     weight_recorder::record_weights,
 };
 use crate::{node_state::NodeState, peers::PeerClient, test_support::empty_node_state};
@@ -14,7 +16,10 @@
 use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -213,12 +218,12 @@
         tokio::time::sleep(99 * SECOND).await;
         for (index, update) in case.updates.iter().enumerate() {
             tokio::time::sleep(SECOND).await;
-            records.note_current(FleetTopic::Weights, Duration::ZERO);
             if index == 0 {
                 records.replace(FleetTopic::Weights, update);
             } else {
                 records.update(FleetTopic::Weights, update);
             }
+            records.note_complete(FleetTopic::Weights, node_state.now());
         }
         assert_eq!(newer_age(&node_state, 1), Some(case.age), "{}", case.name);
         let named = tokio::time::timeout(SECOND, records.named_weights()).await;
@@ -449,3 +454,66 @@
         assert_eq!(record, FleetRecord::Weights(expected), "{}", case.name);
     }
 }
+
+/// Platform whose first watch has a late response without changes, as after a freeze of this
+/// process, and whose second one returns weights that were named meanwhile.
+#[derive(Default)]
+struct LateSource {
+    watches: AtomicU32,
+}
+
+#[async_trait]
+impl FleetSource for LateSource {
+    async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
+        Ok(named(1, &[], 5))
+    }
+
+    async fn changes(
+        &self,
+        _: FleetTopic,
+        _: FleetRevision,
+        _: Duration,
+    ) -> Result<FleetUpdate, WatchError> {
+        match self.watches.fetch_add(1, Ordering::SeqCst) {
+            0 => {
+                tokio::time::sleep(5 * SECOND).await;
+                Ok(FleetUpdate { records: Vec::new(), revision: 5 })
+            }
+            1 => {
+                tokio::time::sleep(SECOND / 10).await;
+                Ok(named(2, &[(2, SECOND_MS)], 6))
+            }
+            _ => std::future::pending().await,
+        }
+    }
+
+    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    async fn record_desired_since(
+        &self,
+        _: &str,
+        _: WeightVersion,
+        _: u64,
+    ) -> Result<DesiredSinceOutcome, WriteError> {
+        Ok(DesiredSinceOutcome::AlreadyRecorded)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_response_does_not_make_weights_look_younger_than_recorded() {
+    let node_state = empty_node_state();
+    let records = FleetRecords::open(node_state.clone(), "entry-1");
+    let peer_client = Arc::new(PeerClient::default());
+    let source = Arc::new(LateSource::default());
+    let watcher = Arc::new(FleetWatcher { source, records, peer_client });
+    let task = tokio::spawn(watch_topic(watcher, FleetTopic::Weights));
+    tokio::time::sleep(6 * SECOND).await;
+    assert_eq!(newer_age(&node_state, 1), Some(5 * SECOND));
+    task.abort();
+}
