Send due orders to runners at once

What callers could see: runs on replaced weights after their time, at runners whose order came late since others did not respond, as after a cut of a data centre.

Cause: the planner sent due orders one after the other, and each runner that does not respond took 0.3 s for its state and up to 0.4 s more for the order. Since all runners on expired weights may be due together. Class of fault: a loop that has to be prompt awaits what it does not need. Found in review, by reading.

Change: due orders are sent concurrently; each checks the lease right before it is sent, as before.

Measured on a paused clock, four of five runners silent, weights expired: no order to the fifth within 1.3 s of the expiry before, one now.

Ruled out: a shorter timeout for the state (a slow runner would be skipped for good).

--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -2,6 +2,7 @@
 
 use super::{entry_health::check_entries, topic_watch::FleetWatcher};
 use crate::{node_state::NodeState, peers::Notice};
+use futures::future::join_all;
 use skylarkpick_interface::{
     Clock, ModelName, ObjectStore, OrderOutcome, ServiceKind, TargetControl, TargetId, WeightOrder,
     WeightVersion,
@@ -198,20 +199,7 @@
             let state = self.parts.node_state.lock();
             rollout_goal(&state.placement.weights, model, version, &runners, now)
         };
-        let due: Vec<TargetId> = self
-            .announced
-            .iter()
-            .filter(|(target, at)| orders.contains_key(*target) && at.elapsed() >= ORDER_DELAY)
-            .map(|(target, _)| target.clone())
-            .collect();
-        for target in due {
-            self.announced.remove(&target);
-            if let Some(order) = orders.get(&target)
-                && !self.send_order(order).await
-            {
-                return;
-            }
-        }
+        self.send_due_orders(&orders).await;
         let loading = runners.iter().filter(|runner| runner.is_loading).count();
         let plan = plan_rollout(&runners, &goal, u32::try_from(loading).unwrap_or(u32::MAX));
         for target in plan.order {
@@ -219,6 +207,26 @@
         }
     }
 
+    /// Sends the orders whose announcement was long enough ago, all at once, so that a runner that
+    /// doesn't respond delays none of the others.
+    async fn send_due_orders(&mut self, orders: &BTreeMap<TargetId, WeightOrder>) {
+        let is_due = |target: &TargetId| {
+            self.announced.get(target).is_some_and(|at| at.elapsed() >= ORDER_DELAY)
+        };
+        let due: Vec<&WeightOrder> =
+            orders.values().filter(|order| is_due(&order.target)).collect();
+        for order in &due {
+            self.announced.remove(&order.target);
+        }
+        let sent = join_all(due.iter().map(|order| self.send_order(order))).await;
+        for (order, sent_at) in due.iter().zip(sent) {
+            if let Some(sent_at) = sent_at {
+                let sent = SentOrder { weight_version: order.weight_version, sent_at };
+                self.ordered.insert(order.target.clone(), sent);
+            }
+        }
+    }
+
     /// Notifies all processes that a runner is about to swap its weights.
     fn announce(&mut self, target: &str, model: &str, weight_version: WeightVersion) {
         let notice = Notice::Swapping {
@@ -276,35 +284,34 @@
         (runners, orders)
     }
 
-    /// Sends an order if the target still needs it. Returns whether the lease still covers another.
-    async fn send_order(&mut self, order: &WeightOrder) -> bool {
+    /// Sends an order if the target still needs it and the lease covers it. Returns when it was sent.
+    async fn send_order(&self, order: &WeightOrder) -> Option<Instant> {
         let state = match self.parts.control.order_state(order.address, ORDER_STATE_TIMEOUT).await {
             Ok(state) => state,
             Err(error) => {
                 spdlog::info!("order skipped: failed to read the target's order state", kv: {
                     target = order.target.as_str(), error:,
                 });
-                return true;
+                return None;
             }
         };
         if let Some(version) = state.weights.get(&order.model) {
             self.parts.node_state.observe_weights(&order.target, &order.model, *version);
             if state.is_busy || *version >= order.weight_version {
-                return true;
+                return None;
             }
         }
         // The lease is checked last, immediately before the order is sent.
-        let Some(permit) = self.lease.permit() else { return false };
+        let permit = self.lease.permit()?;
         if permit.remaining < ORDER_TIMEOUT {
-            return false;
+            return None;
         }
         let order = WeightOrder {
             fencing_number: permit.fencing_number,
             orders_accepted: state.orders_accepted,
             ..order.clone()
         };
-        let sent = SentOrder { weight_version: order.weight_version, sent_at: Instant::now() };
-        self.ordered.insert(order.target.clone(), sent);
+        let sent_at = Instant::now();
         let result = self.parts.control.order(&order, ORDER_TIMEOUT).await;
         let outcome = match &result {
             Ok(outcome) => format!("{outcome:?}"),
@@ -327,7 +334,7 @@
                 order.weight_version,
             );
         }
-        true
+        Some(sent_at)
     }
 }
 
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -92,15 +92,25 @@
     }
 }
 
-/// Runners that accept every order.
+/// Runners that accept every order, but for the first ones, which never respond.
 #[derive(Default)]
 struct CountingControl {
     orders: AtomicU32,
+    silent_runners: u8,
 }
 
 #[async_trait]
 impl TargetControl for CountingControl {
-    async fn order_state(&self, _: SocketAddr, _: Duration) -> Result<OrderState, ControlError> {
+    async fn order_state(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<OrderState, ControlError> {
+        let is_silent = (1..=self.silent_runners).any(|index| runner_address(index) == address);
+        if is_silent {
+            tokio::time::sleep(timeout).await;
+            return Err(ControlError::NoResponse("timed out".to_string()));
+        }
         Ok(OrderState::default())
     }
 
@@ -145,11 +155,11 @@
 }
 
 /// Starts the planner of `entry-1` in a fleet with one other process, which doesn't respond, and
-/// five runners on weights 1.
-fn start_planner(is_frozen: bool) -> Fixture {
+/// five runners on weights 1, the first of which are silent.
+fn start_planner(is_frozen: bool, silent_runners: u8) -> Fixture {
     let node_state = empty_node_state();
     let source = Arc::new(CountingSource::default());
-    let control = Arc::new(CountingControl::default());
+    let control = Arc::new(CountingControl { silent_runners, ..CountingControl::default() });
     let objects = MemoryPlatform::open(Duration::ZERO, PlatformRates::default());
     let peer_client = Arc::new(PeerClient::default());
     peer_client.set_network(Arc::new(DeadNetwork { is_frozen }));
@@ -206,12 +216,16 @@
     })
 }
 
+fn runner_address(index: u8) -> SocketAddr {
+    ([10, 1, 0, index], 80).into()
+}
+
 fn runner(index: u8) -> (String, FleetRecord) {
     let id = format!("i-{index}");
     let registration = RegisteredTarget {
         id: id.clone(),
         service: "engines".to_string(),
-        address: ([10, 1, 0, index], 80).into(),
+        address: runner_address(index),
         data_centre: "mnl-a".to_string(),
         slots: 6,
         is_draining: false,
@@ -243,7 +257,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_process_that_never_responds_does_not_delay_orders_of_new_weights() {
     for is_frozen in [false, true] {
-        let fixture = start_planner(is_frozen);
+        let fixture = start_planner(is_frozen, 0);
         // The lease is held and the health checks have begun.
         tokio::time::sleep(6 * SECOND).await;
         assert_eq!(fixture.control.orders.load(Ordering::SeqCst), 0, "frozen: {is_frozen}");
@@ -256,7 +270,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_registration_is_removed_only_after_checks_in_one_term_of_the_lease() {
-    let fixture = start_planner(false);
+    let fixture = start_planner(false, 0);
     let unregistered = || fixture.source.unregistered.load(Ordering::SeqCst);
     tokio::time::sleep(6 * SECOND).await;
     fixture.objects.set_faults(|faults| faults.unavailable = true);
@@ -268,3 +282,13 @@
     tokio::time::sleep(8 * SECOND).await;
     assert_eq!(unregistered(), 1, "unresponsive throughout this term");
 }
+
+#[tokio::test(start_paused = true)]
+async fn runners_that_never_respond_do_not_delay_orders_to_others_on_expired_weights() {
+    let fixture = start_planner(false, 4);
+    tokio::time::sleep(6 * SECOND).await;
+    fixture.watcher.records.update(FleetTopic::Weights, &update(vec![weights(2)], 2));
+    // Replaced weights expire after 10.5 s, and orders follow their announcement by 0.45 s.
+    tokio::time::sleep(Duration::from_millis(11_800)).await;
+    assert!(fixture.control.orders.load(Ordering::SeqCst) > 0);
+}
