Record the time of each version without waiting for that of another

Cause: the recorder awaited all attempts for one version, about 16 s while the platform rejects writes, before it took the next one. Class of fault: a loop awaits what it does not need. Found in review, by reading.

Change: each recording is a task of the recorder. The test (three rejected writes, a second version a second later) failed before and passes now; the tests of forward pass (29).

--- a/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
@@ -4,6 +4,7 @@
 use crate::jitter::sleep_with_jitter;
 use skylarkpick_interface::DesiredSinceOutcome;
 use std::{sync::Arc, time::Duration};
+use tokio::task::JoinSet;
 
 /// Maximum delay before the time is recorded. Processes that see the change together mostly find it
 /// recorded by the first of them.
@@ -16,10 +17,14 @@
 
 /// Records the times of weights whose change this process saw, for as long as the task runs.
 pub(crate) async fn record_weights(watcher: Arc<FleetWatcher>) {
+    let mut recordings = JoinSet::new();
     loop {
         let named = watcher.records.named_weights().await;
-        let recordings = named.iter().map(|weights| record(&watcher, weights));
-        futures::future::join_all(recordings).await;
+        while recordings.try_join_next().is_some() {}
+        for weights in named {
+            let watcher = watcher.clone();
+            recordings.spawn(async move { record(&watcher, &weights).await });
+        }
     }
 }
 
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -517,3 +517,21 @@
     assert_eq!(newer_age(&node_state, 1), Some(5 * SECOND));
     task.abort();
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_time_that_cannot_be_written_does_not_delay_that_of_the_next_version() {
+    let errors = vec![WriteError::NotWritten("status 503".to_string()); 3];
+    let source = Arc::new(FailingSource { errors: Mutex::new(errors), ..Default::default() });
+    let records = FleetRecords::open(empty_node_state(), "entry-1");
+    records.replace(FleetTopic::Weights, &named(1, &[], 5));
+    let peer_client = Arc::new(PeerClient::default());
+    let watcher = Arc::new(FleetWatcher { source: source.clone(), records, peer_client });
+    let task = tokio::spawn(record_weights(watcher.clone()));
+    tokio::time::sleep(SECOND).await;
+    watcher.records.update(FleetTopic::Weights, &named(2, &[], 6));
+    tokio::time::sleep(SECOND).await;
+    watcher.records.update(FleetTopic::Weights, &named(3, &[], 7));
+    tokio::time::sleep(SECOND / 2).await;
+    assert!(source.calls.lock().unwrap().contains(&(3, 2 * SECOND_MS)));
+    task.abort();
+}
