Name changes of weights as such, and split what applies their records

Renames and a split only: NamedWeights is WeightsChange (a record with a name is NamedRecord), the age of a log line has one function, and comments say what a value is, not how it was chosen.

--- a/crates/skylarkpick-forward/src/fleet/desired_times.rs
+++ b/crates/skylarkpick-forward/src/fleet/desired_times.rs
@@ -5,8 +5,7 @@
 
 /// Versions remembered for each model. Older ones have long been out of use.
 const VERSIONS_LIMIT: usize = 8;
-/// Assumed difference between the wall clocks of two VMs. Covers clocks that were stepped by two
-/// seconds.
+/// Maximum difference between the wall clocks of two VMs that recorded times allow for.
 const WALL_CLOCK_ERROR: Duration = Duration::from_secs(2);
 
 /// Lower bounds of the times since which versions are desired.
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -4,7 +4,11 @@
 use super::desired_times::DesiredTimes;
 use super::missing_targets::MissingTargets;
 use crate::peers::PeerRecords;
-use crate::{log::request_log, node_state::NodeState, serving_index::ServingIndex};
+use crate::{
+    log::{age_ms, request_log},
+    node_state::NodeState,
+    serving_index::ServingIndex,
+};
 use rand::seq::SliceRandom;
 use skylarkpick_interface::{
     DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, ModelName, NamedRecord,
@@ -23,10 +27,10 @@
     node_state: Arc<NodeState>,
     missing_targets: Mutex<MissingTargets>,
     desired_times: Mutex<DesiredTimes>,
-    /// Weights whose change this process saw and that [`FleetRecords::named_weights`] has not
+    /// Weights whose change this process saw and that [`FleetRecords::weights_changes`] has not
     /// returned yet.
-    named_weights: Mutex<Vec<NamedWeights>>,
-    weights_named: Notify,
+    weights_changes: Mutex<Vec<WeightsChange>>,
+    weights_change_seen: Notify,
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
     /// Name of this process's VM.
     node: String,
@@ -38,7 +42,7 @@
 
 /// Weights that became the desired ones while this process watched.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct NamedWeights {
+pub(super) struct WeightsChange {
     pub(super) model: ModelName,
     pub(super) version: WeightVersion,
     /// Wall-clock time in Unix milliseconds at which the process saw the change.
@@ -113,8 +117,8 @@
             node_state,
             missing_targets: Mutex::default(),
             desired_times: Mutex::default(),
-            named_weights: Mutex::default(),
-            weights_named: Notify::new(),
+            weights_changes: Mutex::default(),
+            weights_change_seen: Notify::new(),
             topics: Mutex::default(),
             node: node.to_string(),
             role: Mutex::new(CacheWatchRole::Direct),
@@ -416,25 +420,19 @@
     }
 
     fn apply_weights(&self, weights: &DesiredWeights, origin: RecordOrigin) {
-        let (now, wall_ms) = (self.node_state.now(), self.node_state.wall_ms());
+        let wall_ms = self.node_state.wall_ms();
         let (model, version) = (weights.model.as_str(), weights.weight_version);
         let known = self.node_state.lock().placement.weights.newest(model);
-        let recorded = weights.desired_since_ms.range(..=version);
-        let mut ages: BTreeMap<WeightVersion, Option<Duration>> = recorded
+        let mut recorded_ages: BTreeMap<WeightVersion, Duration> = weights
+            .desired_since_ms
+            .range(..=version)
             .map(|(version, at)| (*version, Duration::from_millis(wall_ms.saturating_sub(*at))))
-            .map(|(version, age)| (version, Some(age)))
             .collect();
-        let recorded_age = *ages.entry(version).or_default();
-        for (version, age) in ages {
-            let mut times = self.desired_times.lock().unwrap_or_else(PoisonError::into_inner);
-            if let Some(not_before) = origin.not_before
-                && known.is_none_or(|known| known < version)
-            {
-                times.note_not_before(model, version, not_before);
-            }
-            let since = times.since(model, version, age, now);
-            self.node_state.set_desired_weights(model, version, since);
+        let recorded_age = recorded_ages.remove(&version);
+        for (older, age) in recorded_ages {
+            self.set_desired_weights(model, older, Some(age), known, origin);
         }
+        self.set_desired_weights(model, version, recorded_age, known, origin);
         if known.is_some_and(|known| known >= version) {
             return;
         }
@@ -444,33 +442,52 @@
             version,
             revision,
             is_first_read,
-            recorded_age_ms = recorded_age.map_or(-1, |age| age.as_millis() as i64),
+            recorded_age_ms = age_ms(recorded_age),
         });
         if !is_first_read && recorded_age.is_none() {
-            let named = NamedWeights { model: model.to_string(), version, since_ms: wall_ms };
-            self.lock_named_weights().push(named);
-            self.weights_named.notify_one();
+            let change = WeightsChange { model: model.to_string(), version, since_ms: wall_ms };
+            self.lock_weights_changes().push(change);
+            self.weights_change_seen.notify_one();
+        }
+    }
+
+    /// Sets since when a version is desired. `known` is the desired version so far.
+    fn set_desired_weights(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        recorded_age: Option<Duration>,
+        known: Option<WeightVersion>,
+        origin: RecordOrigin,
+    ) {
+        let mut times = self.desired_times.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(not_before) = origin.not_before
+            && known.is_none_or(|known| known < version)
+        {
+            times.note_not_before(model, version, not_before);
         }
+        let since = times.since(model, version, recorded_age, self.node_state.now());
+        self.node_state.set_desired_weights(model, version, since);
     }
 
-    fn lock_named_weights(&self) -> MutexGuard<'_, Vec<NamedWeights>> {
-        self.named_weights.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock_weights_changes(&self) -> MutexGuard<'_, Vec<WeightsChange>> {
+        self.weights_changes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Waits for weights that became the desired ones while this process watched, and whose record
     /// had no time yet. Returns each of them once.
-    pub(super) async fn named_weights(&self) -> Vec<NamedWeights> {
+    pub(super) async fn weights_changes(&self) -> Vec<WeightsChange> {
         loop {
-            let named = std::mem::take(&mut *self.lock_named_weights());
-            if !named.is_empty() {
-                return named;
+            let changes = std::mem::take(&mut *self.lock_weights_changes());
+            if !changes.is_empty() {
+                return changes;
             }
-            self.weights_named.notified().await;
+            self.weights_change_seen.notified().await;
         }
     }
 
     /// Returns whether the record has the time since which these weights are desired.
-    pub(super) fn has_desired_since(&self, weights: &NamedWeights) -> bool {
+    pub(super) fn has_desired_since(&self, weights: &WeightsChange) -> bool {
         let topics = self.topics();
         let records = topics.get(&FleetTopic::Weights).map(|state| &state.records);
         records.into_iter().flat_map(BTreeMap::values).any(|stored| {
--- a/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
@@ -1,6 +1,6 @@
 //! Records at the platform since when new weights are desired, for processes that start later.
 
-use super::{records::NamedWeights, topic_watch::FleetWatcher};
+use super::{records::WeightsChange, topic_watch::FleetWatcher};
 use crate::jitter::sleep_with_jitter;
 use skylarkpick_interface::DesiredSinceOutcome;
 use std::{sync::Arc, time::Duration};
@@ -9,8 +9,8 @@
 /// Maximum delay before the time is recorded. Processes that see the change together mostly find it
 /// recorded by the first of them.
 const RECORD_JITTER: Duration = Duration::from_millis(300);
-/// Number of attempts to record a time. Together with the delays they last about as long as replaced
-/// weights may be used; later the time matters little.
+/// Number of attempts to record a time. With their delays they last about as long as replaced weights
+/// may be used.
 const ATTEMPTS_LIMIT: u32 = 6;
 /// Mean delay after the first failed attempt; doubles with each further one.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -19,26 +19,26 @@
 pub(crate) async fn record_weights(watcher: Arc<FleetWatcher>) {
     let mut recordings = JoinSet::new();
     loop {
-        let named = watcher.records.named_weights().await;
+        let changes = watcher.records.weights_changes().await;
         while recordings.try_join_next().is_some() {}
-        for weights in named {
+        for change in changes {
             let watcher = watcher.clone();
-            recordings.spawn(async move { record(&watcher, &weights).await });
+            recordings.spawn(async move { record(&watcher, &change).await });
         }
     }
 }
 
-async fn record(watcher: &FleetWatcher, weights: &NamedWeights) {
+async fn record(watcher: &FleetWatcher, change: &WeightsChange) {
     // Followers leave it to their relays, which limits the calls to the platform.
     if !watcher.records.relays().is_empty() {
         return;
     }
-    let NamedWeights { model, version, since_ms } = weights;
+    let WeightsChange { model, version, since_ms } = change;
     let (model, version, since_ms) = (model.as_str(), *version, *since_ms);
     tokio::time::sleep(RECORD_JITTER.mul_f64(rand::random::<f64>())).await;
     let mut delay = RETRY_DELAY;
     for attempt in 1..=ATTEMPTS_LIMIT {
-        if watcher.records.has_desired_since(weights) {
+        if watcher.records.has_desired_since(change) {
             return;
         }
         match watcher.source.record_desired_since(model, version, since_ms).await {
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -226,7 +226,7 @@
             records.note_complete(FleetTopic::Weights, node_state.now());
         }
         assert_eq!(newer_age(&node_state, 1), Some(case.age), "{}", case.name);
-        let named = tokio::time::timeout(SECOND, records.named_weights()).await;
+        let named = tokio::time::timeout(SECOND, records.weights_changes()).await;
         let named = named.unwrap_or_default().into_iter().map(|weights| weights.version);
         assert_eq!(named.collect::<Vec<_>>(), case.named, "{}", case.name);
     }
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -35,8 +35,8 @@
     NotRun(ResponseMetadata),
     /// The request may have run, but there is no valid response.
     NoValidResponse(String),
-    /// The run had not started when its weights became too old. The request may have run, since it
-    /// may have started while it was withdrawn.
+    /// The response had not started when the weights became too old. The request may have run, since
+    /// it may have started while it was withdrawn.
     Withdrawn(String),
     /// The request's deadline passed before there was a response.
     TimedOut,
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -8,7 +8,7 @@
 use crate::{
     connection_pool::ConnectionPool,
     fleet::ServingConfirmer,
-    log::request_log,
+    log::{age_ms, request_log},
     node_state::{InFlightGuard, NodeState},
     serving_index::{ServingIndex, pick_destination},
 };
@@ -514,11 +514,6 @@
     });
 }
 
-/// Returns an age for a log line; -1 if there is none.
-fn age_ms(age: Option<Duration>) -> i64 {
-    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
-}
-
 fn rejected(status: StatusCode, closes: bool) -> GatewayError {
     GatewayError::Rejected { status, closes }
 }
--- a/crates/skylarkpick-forward/src/log.rs
+++ b/crates/skylarkpick-forward/src/log.rs
@@ -1,4 +1,4 @@
-//! Rate limit for log lines about requests, records and notices.
+//! Rate limit for log lines about requests, records and notices, and values of their fields.
 
 use std::{
     sync::{Mutex, PoisonError},
@@ -37,6 +37,11 @@
     is_allowed
 }
 
+/// Returns an age for a log line; -1 if there is none.
+pub(crate) fn age_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+}
+
 /// Writes an info line unless the rate limit is reached.
 macro_rules! request_log {
     ($($arguments:tt)*) => {
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -95,7 +95,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the node time: monotonic, including time for which the VM was suspended.
+    /// Returns the node time: monotonic, including time for which the VM was suspended, and a day
+    /// ahead of the time since boot.
     pub(crate) fn now(&self) -> Duration {
         NODE_TIME_AT_BOOT + self.clock.since_boot()
     }
--- a/crates/skylarkpick-schedule/src/placement/weights.rs
+++ b/crates/skylarkpick-schedule/src/placement/weights.rs
@@ -45,8 +45,8 @@
     pub fn set_desired(&mut self, model: &str, version: WeightVersion, since: Duration) -> bool {
         let versions = self.models.entry(model.to_string()).or_default();
         // Versions are named in ascending order, so their times ascend too.
-        let limit = versions.range(version..).next().map(|(_, at)| *at);
-        let since = limit.map_or(since, |limit| limit.min(since));
+        let next_since = versions.range(version..).next().map(|(_, at)| *at);
+        let since = next_since.map_or(since, |next_since| next_since.min(since));
         let mut is_changed = versions.insert(version, since) != Some(since);
         for (_, at) in versions.range_mut(..version).filter(|(_, at)| **at > since) {
             *at = since;
