Wait for the processes of a soak seed to exit before the next one starts

Traced: in each the process was in its first start and logged 'failed to bind an address: Address already in use', then started half a second later and ran to the end.

Cause: a seed killed its processes when it was dropped and did not wait for their exit, while the next seed starts on the same loopback network at once. On a busy machine a killed process still holds its addresses then.

Change: a seed kills its processes and waits for them after the history is taken; no check changes.

--- a/crates/skylarkpick-soak/src/process.rs
+++ b/crates/skylarkpick-soak/src/process.rs
@@ -97,6 +97,15 @@
         lock(&self.state).signal(Signal::CONT);
     }
 
+    /// Kills the process for good and waits until it has exited, so that its addresses are free.
+    pub(crate) async fn end(&self) {
+        self.supervisor.abort();
+        lock(&self.state).signal(Signal::KILL);
+        while lock(&self.state).child.try_wait().is_ok_and(|status| status.is_none()) {
+            tokio::time::sleep(EXIT_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns the exits of the process so far, and the disturbances that they caused.
     pub(crate) fn exits_and_disturbances(&self) -> (Vec<ProcessEnd>, Vec<Disturbance>) {
         let state = lock(&self.state);
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -129,6 +129,9 @@
     sleep_until(stable_since + STABLE_PERIOD).await;
     let calls = clients.stop().await;
     let history = fleet.history(calls, stable_since);
+    for process in &fleet.processes {
+        process.end().await;
+    }
     Ok(SoakReport {
         calls: history.calls.len(),
         served: history.calls.iter().filter(|call| call.response.status == Some(200)).count(),
