Share the platform of tests among the tests of the fleet

Seven stand-ins of the platform's records repeated the calls that their tests don't use. TestSource has them once; each test overrides the rest.

--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -5,14 +5,17 @@
     records::FleetRecords,
     topic_watch::FleetWatcher,
 };
-use crate::{peers::PeerClient, test_support::empty_node_state};
+use crate::{
+    peers::PeerClient,
+    test_support::{TestRecords, TestSource, empty_node_state},
+};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    CacheEpoch, CacheScope, ClientLimits, ContextMemory, ControlError, DesiredSinceOutcome,
-    DesiredWeights, EngineLoad, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
-    NamedRecord, OrderOutcome, OrderState, PartChanges, PartId, PeerError, PeerHandler,
-    PeerNetwork, PlatformError, RegisteredEntry, RegisteredTarget, ServiceKind, ServingDocument,
-    TargetControl, TokioClock, WatchError, WeightOrder, WeightVersion, WriteError,
+    CacheEpoch, CacheScope, ClientLimits, ContextMemory, ControlError, DesiredWeights, EngineLoad,
+    FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, OrderOutcome, OrderState,
+    PartChanges, PartId, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
+    RegisteredTarget, ServiceKind, ServingDocument, TargetControl, TokioClock, WeightOrder,
+    WeightVersion,
 };
 use skylarkpick_standin::{MemoryPlatform, PlatformRates};
 use std::{
@@ -34,37 +37,11 @@
 }
 
 #[async_trait]
-impl FleetSource for CountingSource {
-    async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
-        std::future::pending().await
-    }
-
-    async fn changes(
-        &self,
-        _: FleetTopic,
-        _: FleetRevision,
-        _: Duration,
-    ) -> Result<FleetUpdate, WatchError> {
-        std::future::pending().await
-    }
-
-    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
+impl TestRecords for CountingSource {
     async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
         self.unregistered.fetch_add(1, Ordering::SeqCst);
         Ok(())
     }
-
-    async fn record_desired_since(
-        &self,
-        _: &str,
-        _: WeightVersion,
-        _: u64,
-    ) -> Result<DesiredSinceOutcome, WriteError> {
-        Ok(DesiredSinceOutcome::Recorded)
-    }
 }
 
 /// Network to processes that are frozen (requests never end) or gone (requests fail).
@@ -164,7 +141,7 @@
     let peer_client = Arc::new(PeerClient::default());
     peer_client.set_network(Arc::new(DeadNetwork { is_frozen }));
     let watcher = Arc::new(FleetWatcher {
-        source: source.clone(),
+        source: Arc::new(TestSource(source.clone())),
         records: FleetRecords::open(node_state.clone(), "entry-1"),
         peer_client,
     });
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -11,13 +11,12 @@
 use crate::{
     node_state::NodeState,
     peers::{PeerClient, PeerRecords},
-    test_support::empty_node_state,
+    test_support::{TestRecords, TestSource, empty_node_state},
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
-    NamedRecord, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
-    RegisteredTarget, WatchError, WeightVersion, WriteError,
+    FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, PeerError, PeerHandler,
+    PeerNetwork, PlatformError, RegisteredEntry, RegisteredTarget, WatchError,
 };
 use skylarkpick_schedule::{DesiredWeightsView, RolloutRunner, plan_rollout};
 use skylarkpick_transport::{
@@ -268,7 +267,7 @@
 }
 
 #[async_trait]
-impl FleetSource for ReplacedSource {
+impl TestRecords for ReplacedSource {
     async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
         let left = self.failures_left.load(Ordering::SeqCst);
         if left > 0 {
@@ -277,32 +276,6 @@
         }
         Ok(FleetUpdate { records: vec![target("i-1")], revision: 40 })
     }
-
-    async fn changes(
-        &self,
-        _: FleetTopic,
-        _: FleetRevision,
-        _: Duration,
-    ) -> Result<FleetUpdate, WatchError> {
-        std::future::pending().await
-    }
-
-    async fn record_desired_since(
-        &self,
-        _: &str,
-        _: WeightVersion,
-        _: u64,
-    ) -> Result<DesiredSinceOutcome, WriteError> {
-        Ok(DesiredSinceOutcome::Recorded)
-    }
-
-    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
-        Ok(())
-    }
 }
 
 #[tokio::test(start_paused = true)]
@@ -324,7 +297,11 @@
         let source = ReplacedSource { failures_left: AtomicU32::new(failures) };
         // Without a network, no relay responds.
         let peer_client = Arc::new(PeerClient::default());
-        let follower = Arc::new(FleetWatcher { source: Arc::new(source), records, peer_client });
+        let follower = Arc::new(FleetWatcher {
+            source: Arc::new(TestSource(Arc::new(source))),
+            records,
+            peer_client,
+        });
         let task = tokio::spawn(watch_topic(follower, FleetTopic::Targets));
         tokio::time::sleep(SECOND).await;
         assert_eq!(target_ids(&node_state), ["i-1"], "after {failures} failures");
@@ -339,7 +316,7 @@
 }
 
 #[async_trait]
-impl FleetSource for UnavailableSource {
+impl TestRecords for UnavailableSource {
     async fn read(&self, topic: FleetTopic) -> Result<FleetUpdate, WatchError> {
         self.reads.lock().unwrap().entry(topic).or_default().push(Instant::now());
         Err(PlatformError::Unavailable("connection reset".to_string()).into())
@@ -353,23 +330,6 @@
     ) -> Result<FleetUpdate, WatchError> {
         self.read(topic).await
     }
-
-    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn record_desired_since(
-        &self,
-        _: &str,
-        _: WeightVersion,
-        _: u64,
-    ) -> Result<DesiredSinceOutcome, WriteError> {
-        Ok(DesiredSinceOutcome::AlreadyRecorded)
-    }
 }
 
 #[tokio::test(start_paused = true)]
@@ -400,7 +360,11 @@
     let peer_client = Arc::new(PeerClient::default());
     peer_client.set_network(network.unwrap());
     let source = Arc::new(UnavailableSource::default());
-    let watcher = Arc::new(FleetWatcher { source: source.clone(), records, peer_client });
+    let watcher = Arc::new(FleetWatcher {
+        source: Arc::new(TestSource(source.clone())),
+        records,
+        peer_client,
+    });
     let topics =
         [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
     let mut tasks = JoinSet::new();
@@ -463,7 +427,11 @@
         let peer_client = Arc::new(PeerClient::default());
         peer_client.set_network(Arc::new(SlowPeers { delay, responds }));
         let source = Arc::new(UnavailableSource::default());
-        let watcher = Arc::new(FleetWatcher { source: source.clone(), records, peer_client });
+        let watcher = Arc::new(FleetWatcher {
+            source: Arc::new(TestSource(source.clone())),
+            records,
+            peer_client,
+        });
         let confirmer = ServingConfirmer::open(watcher);
         let mut lookups = JoinSet::new();
         for index in 0..5 {
--- a/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
@@ -4,12 +4,14 @@
     tests::{SECOND, draining, is_draining, records, target, target_ids},
     topic_watch::{FleetWatcher, watch_topic},
 };
-use crate::peers::{PeerClient, PeerRecords, PeerResponse};
+use crate::{
+    peers::{PeerClient, PeerRecords, PeerResponse},
+    test_support::{TestRecords, TestSource},
+};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
-    NamedRecord, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry, WatchError,
-    WeightVersion, WriteError,
+    FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, PeerError, PeerHandler,
+    PeerNetwork, PlatformError, RegisteredEntry, WatchError,
 };
 use std::{
     sync::{
@@ -35,7 +37,7 @@
 }
 
 #[async_trait]
-impl FleetSource for FailingOnceSource {
+impl TestRecords for FailingOnceSource {
     async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
         if self.does_read_fail {
             self.fail()?;
@@ -57,23 +59,6 @@
         }
         Ok(FleetUpdate { records: vec![draining("i-1")], revision: 50 })
     }
-
-    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn record_desired_since(
-        &self,
-        _: &str,
-        _: WeightVersion,
-        _: u64,
-    ) -> Result<DesiredSinceOutcome, WriteError> {
-        Ok(DesiredSinceOutcome::Recorded)
-    }
 }
 
 /// Network on which each request takes `delay`, and fails if there is no response to return.
@@ -125,7 +110,11 @@
         let source = FailingOnceSource { does_read_fail, failures_left: AtomicU32::new(1) };
         let peer_client = Arc::new(PeerClient::default());
         peer_client.set_network(Arc::new(SlowNetwork { delay: 20 * SECOND, response: None }));
-        let watcher = Arc::new(FleetWatcher { source: Arc::new(source), records, peer_client });
+        let watcher = Arc::new(FleetWatcher {
+            source: Arc::new(TestSource(Arc::new(source))),
+            records,
+            peer_client,
+        });
         let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets));
         tokio::time::sleep(SECOND).await;
         let case = if does_read_fail { "read" } else { "changes" };
@@ -141,39 +130,13 @@
 }
 
 #[async_trait]
-impl FleetSource for SilentSource {
+impl TestRecords for SilentSource {
     async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
         if self.has_failed.swap(true, Ordering::SeqCst) {
             std::future::pending().await
         }
         Err(PlatformError::Unavailable("connection reset".to_string()).into())
     }
-
-    async fn changes(
-        &self,
-        _: FleetTopic,
-        _: FleetRevision,
-        _: Duration,
-    ) -> Result<FleetUpdate, WatchError> {
-        std::future::pending().await
-    }
-
-    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn record_desired_since(
-        &self,
-        _: &str,
-        _: WeightVersion,
-        _: u64,
-    ) -> Result<DesiredSinceOutcome, WriteError> {
-        Ok(DesiredSinceOutcome::Recorded)
-    }
 }
 
 #[tokio::test(start_paused = true)]
@@ -190,7 +153,8 @@
     let peer_client = Arc::new(PeerClient::default());
     peer_client.set_network(Arc::new(network));
     let source = Arc::new(SilentSource { has_failed: AtomicBool::new(false) });
-    let watcher = Arc::new(FleetWatcher { source, records, peer_client });
+    let watcher =
+        Arc::new(FleetWatcher { source: Arc::new(TestSource(source)), records, peer_client });
     let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets));
     tokio::time::sleep(3 * SECOND).await;
     assert_eq!(target_ids(&node_state), ["i-1"]);
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -6,12 +6,16 @@
     topic_watch::{FleetWatcher, watch_topic},
     weight_recorder::record_weights,
 };
-use crate::{node_state::NodeState, peers::PeerClient, test_support::empty_node_state};
+use crate::{
+    node_state::NodeState,
+    peers::PeerClient,
+    test_support::{TestRecords, TestSource, empty_node_state},
+};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    ClientLimits, DesiredSinceOutcome, DesiredWeights, FleetRecord, FleetRevision, FleetSource,
-    FleetTopic, FleetUpdate, NamedRecord, PlatformError, RegisteredEntry, RegisteredTarget,
-    ServingDocument, WatchError, WeightVersion, WriteError,
+    ClientLimits, DesiredSinceOutcome, DesiredWeights, FleetRecord, FleetRevision, FleetTopic,
+    FleetUpdate, NamedRecord, RegisteredEntry, RegisteredTarget, ServingDocument, WatchError,
+    WeightVersion, WriteError,
 };
 use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use std::{
@@ -52,20 +56,7 @@
 }
 
 #[async_trait]
-impl FleetSource for FailingSource {
-    async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
-        std::future::pending().await
-    }
-
-    async fn changes(
-        &self,
-        _: FleetTopic,
-        _: FleetRevision,
-        _: Duration,
-    ) -> Result<FleetUpdate, WatchError> {
-        std::future::pending().await
-    }
-
+impl TestRecords for FailingSource {
     async fn record_desired_since(
         &self,
         _: &str,
@@ -75,14 +66,6 @@
         self.calls.lock().unwrap().push((version, since_ms));
         self.errors.lock().unwrap().pop().map_or(Ok(DesiredSinceOutcome::Recorded), Err)
     }
-
-    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
-        Ok(())
-    }
 }
 
 #[test]
@@ -291,7 +274,8 @@
         let source =
             Arc::new(FailingSource { errors: Mutex::new(case.errors), ..Default::default() });
         let peer_client = Arc::new(PeerClient::default());
-        let watcher = FleetWatcher { source: source.clone(), records, peer_client };
+        let watcher =
+            FleetWatcher { source: Arc::new(TestSource(source.clone())), records, peer_client };
         let watcher = Arc::new(watcher);
         let task = tokio::spawn(record_weights(watcher.clone()));
         tokio::time::sleep(9 * SECOND).await;
@@ -463,7 +447,7 @@
 }
 
 #[async_trait]
-impl FleetSource for LateSource {
+impl TestRecords for LateSource {
     async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
         Ok(named(1, &[], 5))
     }
@@ -486,23 +470,6 @@
             _ => std::future::pending().await,
         }
     }
-
-    async fn register(&self, _: &RegisteredEntry) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn unregister(&self, _: &str) -> Result<(), PlatformError> {
-        Ok(())
-    }
-
-    async fn record_desired_since(
-        &self,
-        _: &str,
-        _: WeightVersion,
-        _: u64,
-    ) -> Result<DesiredSinceOutcome, WriteError> {
-        Ok(DesiredSinceOutcome::AlreadyRecorded)
-    }
 }
 
 #[tokio::test(start_paused = true)]
@@ -511,7 +478,8 @@
     let records = FleetRecords::open(node_state.clone(), "entry-1");
     let peer_client = Arc::new(PeerClient::default());
     let source = Arc::new(LateSource::default());
-    let watcher = Arc::new(FleetWatcher { source, records, peer_client });
+    let watcher =
+        Arc::new(FleetWatcher { source: Arc::new(TestSource(source)), records, peer_client });
     let task = tokio::spawn(watch_topic(watcher, FleetTopic::Weights));
     tokio::time::sleep(6 * SECOND).await;
     assert_eq!(newer_age(&node_state, 1), Some(5 * SECOND));
@@ -525,7 +493,11 @@
     let records = FleetRecords::open(empty_node_state(), "entry-1");
     records.replace(FleetTopic::Weights, &named(1, &[], 5));
     let peer_client = Arc::new(PeerClient::default());
-    let watcher = Arc::new(FleetWatcher { source: source.clone(), records, peer_client });
+    let watcher = Arc::new(FleetWatcher {
+        source: Arc::new(TestSource(source.clone())),
+        records,
+        peer_client,
+    });
     let task = tokio::spawn(record_weights(watcher.clone()));
     tokio::time::sleep(SECOND).await;
     watcher.records.update(FleetTopic::Weights, &named(2, &[], 6));
