Share slow peers and the records of entry processes among the tests of the fleet

Two stand-ins of peers that respond or fail after a delay, and three lists of entry processes, said the same. One of each stands in test_support now.

--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -10,13 +10,13 @@
 };
 use crate::{
     node_state::NodeState,
-    peers::{PeerClient, PeerRecords},
-    test_support::{TestRecords, TestSource, empty_node_state},
+    peers::{PeerClient, PeerRecords, PeerResponse},
+    test_support::{SlowNetwork, TestRecords, TestSource, empty_node_state, entry_records},
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, PeerError, PeerHandler,
-    PeerNetwork, PlatformError, RegisteredEntry, RegisteredTarget, WatchError,
+    FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, PlatformError,
+    RegisteredEntry, RegisteredTarget, WatchError,
 };
 use skylarkpick_schedule::{DesiredWeightsView, RolloutRunner, plan_rollout};
 use skylarkpick_transport::{
@@ -26,7 +26,7 @@
     collections::BTreeMap,
     net::UdpSocket,
     sync::{
-        Arc, Mutex, Weak,
+        Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -282,17 +282,7 @@
 async fn a_follower_without_responsive_relays_reads_the_platform_within_a_second() {
     for failures in 0..=2 {
         let (node_state, records) = records();
-        let entries = (0..20_u8).map(|index| {
-            let entry = RegisteredEntry {
-                name: format!("entry-{index}"),
-                address: ([10, 0, 0, index], 80).into(),
-                data_centre: "mnl-a".to_string(),
-                cpu_percent: if index == 1 { 12 } else { 25 },
-            };
-            NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
-        });
-        let entries = FleetUpdate { records: entries.collect(), revision: 3 };
-        records.replace(FleetTopic::Entries, &entries);
+        records.replace(FleetTopic::Entries, &entry_records(20));
         assert!(!records.relays().is_empty(), "entry-1 is a follower");
         let source = ReplacedSource { failures_left: AtomicU32::new(failures) };
         // Without a network, no relay responds.
@@ -381,34 +371,6 @@
     }
 }
 
-/// Peers that respond, or fail, after a delay.
-struct SlowPeers {
-    delay: Duration,
-    responds: bool,
-}
-
-#[async_trait]
-impl PeerNetwork for SlowPeers {
-    fn address(&self) -> String {
-        String::new()
-    }
-
-    fn listen(&self, _: Weak<dyn PeerHandler>) {}
-
-    async fn send(&self, _: &str, _: Vec<u8>) -> Result<(), PeerError> {
-        Ok(())
-    }
-
-    async fn request(&self, _: &str, _: Vec<u8>, _: Duration) -> Result<Vec<u8>, PeerError> {
-        tokio::time::sleep(self.delay).await;
-        if !self.responds {
-            return Err(PeerError::Timeout(self.delay));
-        }
-        let records = PeerRecords { update: FleetUpdate::default(), is_complete: false, age_ms: 0 };
-        Ok(serde_json::to_vec(&serde_json::json!({ "records": records })).unwrap())
-    }
-}
-
 #[tokio::test(start_paused = true)]
 async fn requests_that_need_the_current_document_do_not_wait_for_each_others_lookups() {
     let delay = Duration::from_millis(400);
@@ -425,7 +387,14 @@
         let entries = FleetUpdate { records: vec![entry], revision: 3 };
         records.replace(FleetTopic::Entries, &entries);
         let peer_client = Arc::new(PeerClient::default());
-        peer_client.set_network(Arc::new(SlowPeers { delay, responds }));
+        let response = responds.then(|| {
+            PeerResponse::Records(PeerRecords {
+                update: FleetUpdate::default(),
+                is_complete: false,
+                age_ms: 0,
+            })
+        });
+        peer_client.set_network(Arc::new(SlowNetwork { delay, response }));
         let source = Arc::new(UnavailableSource::default());
         let watcher = Arc::new(FleetWatcher {
             source: Arc::new(TestSource(source.clone())),
--- a/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
@@ -6,16 +6,13 @@
 };
 use crate::{
     peers::{PeerClient, PeerRecords, PeerResponse},
-    test_support::{TestRecords, TestSource},
+    test_support::{SlowNetwork, TestRecords, TestSource, entry_records},
 };
 use async_trait::async_trait;
-use skylarkpick_interface::{
-    FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, PeerError, PeerHandler,
-    PeerNetwork, PlatformError, RegisteredEntry, WatchError,
-};
+use skylarkpick_interface::{FleetRevision, FleetTopic, FleetUpdate, PlatformError, WatchError};
 use std::{
     sync::{
-        Arc, Weak,
+        Arc,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
@@ -61,52 +58,11 @@
     }
 }
 
-/// Network on which each request takes `delay`, and fails if there is no response to return.
-struct SlowNetwork {
-    delay: Duration,
-    response: Option<PeerResponse>,
-}
-
-#[async_trait]
-impl PeerNetwork for SlowNetwork {
-    fn address(&self) -> String {
-        "10.0.0.1:80".to_string()
-    }
-
-    fn listen(&self, _: Weak<dyn PeerHandler>) {}
-
-    async fn send(&self, _: &str, _: Vec<u8>) -> Result<(), PeerError> {
-        Ok(())
-    }
-
-    async fn request(&self, _: &str, _: Vec<u8>, _: Duration) -> Result<Vec<u8>, PeerError> {
-        tokio::time::sleep(self.delay).await;
-        match &self.response {
-            Some(response) => Ok(serde_json::to_vec(response).unwrap()),
-            None => Err(PeerError::Unreachable("no response".to_string())),
-        }
-    }
-}
-
-/// Returns the records of a fleet without relays.
-fn three_entries() -> FleetUpdate {
-    let entries = (1..=3_u8).map(|index| {
-        let entry = RegisteredEntry {
-            name: format!("entry-{index}"),
-            address: ([10, 0, 0, index], 80).into(),
-            data_centre: "mnl-a".to_string(),
-            cpu_percent: 25,
-        };
-        NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
-    });
-    FleetUpdate { records: entries.collect(), revision: 3 }
-}
-
 #[tokio::test(start_paused = true)]
 async fn a_failed_call_to_the_platform_is_repeated_without_waiting_for_slow_processes() {
     for does_read_fail in [true, false] {
         let (node_state, records) = records();
-        records.replace(FleetTopic::Entries, &three_entries());
+        records.replace(FleetTopic::Entries, &entry_records(3));
         let source = FailingOnceSource { does_read_fail, failures_left: AtomicU32::new(1) };
         let peer_client = Arc::new(PeerClient::default());
         peer_client.set_network(Arc::new(SlowNetwork { delay: 20 * SECOND, response: None }));
@@ -142,7 +98,7 @@
 #[tokio::test(start_paused = true)]
 async fn records_of_other_processes_are_applied_while_the_platform_is_silent() {
     let (node_state, records) = records();
-    records.replace(FleetTopic::Entries, &three_entries());
+    records.replace(FleetTopic::Entries, &entry_records(3));
     let response = PeerResponse::Records(PeerRecords {
         update: FleetUpdate { records: vec![draining("i-1")], revision: 50 },
         is_complete: true,
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -9,13 +9,13 @@
 use crate::{
     node_state::NodeState,
     peers::PeerClient,
-    test_support::{TestRecords, TestSource, empty_node_state},
+    test_support::{TestRecords, TestSource, empty_node_state, entry_records},
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
     ClientLimits, DesiredSinceOutcome, DesiredWeights, FleetRecord, FleetRevision, FleetTopic,
-    FleetUpdate, NamedRecord, RegisteredEntry, RegisteredTarget, ServingDocument, WatchError,
-    WeightVersion, WriteError,
+    FleetUpdate, NamedRecord, RegisteredTarget, ServingDocument, WatchError, WeightVersion,
+    WriteError,
 };
 use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use std::{
@@ -259,17 +259,7 @@
     ];
     for case in cases {
         let records = FleetRecords::open(empty_node_state(), "entry-1");
-        let entries = (0..case.entries).map(|index| {
-            let entry = RegisteredEntry {
-                name: format!("entry-{index}"),
-                address: ([10, 0, 0, index], 80).into(),
-                data_centre: "mnl-a".to_string(),
-                cpu_percent: if index == 1 { 12 } else { 25 },
-            };
-            NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
-        });
-        let entries = FleetUpdate { records: entries.collect(), revision: 3 };
-        records.replace(FleetTopic::Entries, &entries);
+        records.replace(FleetTopic::Entries, &entry_records(case.entries));
         records.replace(FleetTopic::Weights, &named(1, &[], 5));
         let source =
             Arc::new(FailingSource { errors: Mutex::new(case.errors), ..Default::default() });
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -1,14 +1,15 @@
-//! Node state and platform records for tests.
+//! Node state, platform records and other entry processes for tests.
 
-use crate::node_state::NodeState;
+use crate::{node_state::NodeState, peers::PeerResponse};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    DesiredSinceOutcome, FleetRevision, FleetSource, FleetTopic, FleetUpdate, NodeLimits,
-    PlatformError, RegisteredEntry, TokioClock, WatchError, WeightVersion, WriteError,
+    DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
+    NamedRecord, NodeLimits, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
+    TokioClock, WatchError, WeightVersion, WriteError,
 };
 use skylarkpick_schedule::PlacementPolicy;
 use std::{
-    sync::Arc,
+    sync::{Arc, Weak},
     time::{Duration, SystemTime},
 };
 
@@ -99,3 +100,44 @@
         self.0.record_desired_since(model, version, since_ms).await
     }
 }
+
+/// Network on which each request takes `delay`, and fails if there is no response to return.
+pub(crate) struct SlowNetwork {
+    pub(crate) delay: Duration,
+    pub(crate) response: Option<PeerResponse>,
+}
+
+#[async_trait]
+impl PeerNetwork for SlowNetwork {
+    fn address(&self) -> String {
+        "10.0.0.1:80".to_string()
+    }
+
+    fn listen(&self, _: Weak<dyn PeerHandler>) {}
+
+    async fn send(&self, _: &str, _: Vec<u8>) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    async fn request(&self, _: &str, _: Vec<u8>, _: Duration) -> Result<Vec<u8>, PeerError> {
+        tokio::time::sleep(self.delay).await;
+        match &self.response {
+            Some(response) => Ok(serde_json::to_vec(response).unwrap()),
+            None => Err(PeerError::Unreachable("no response".to_string())),
+        }
+    }
+}
+
+/// Returns the records of `count` entry processes, of which `entry-1` has the least CPU.
+pub(crate) fn entry_records(count: u8) -> FleetUpdate {
+    let entries = (0..count).map(|index| {
+        let entry = RegisteredEntry {
+            name: format!("entry-{index}"),
+            address: ([10, 0, 0, index], 80).into(),
+            data_centre: "mnl-a".to_string(),
+            cpu_percent: if index == 1 { 12 } else { 25 },
+        };
+        NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
+    });
+    FleetUpdate { records: entries.collect(), revision: 3 }
+}
