Log and count who takes a stream up again, and the software version of its targets

The logs could not tell a stream that goes on within its response from one whose client came back, nor name the software version of a target. Now: the version in the records of targets, in 'request sent to target', 'stream failed' and 'stream resumed'; a line 'client resumes a stream' with the attempt that brought the first event; the event after which a run goes on; a counter of streams taken up again by process or client. No decision changes: an entry whose version has another type counts as unreadable, as for all other fields.

--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -208,6 +208,7 @@
         is_draining: false,
         weights: BTreeMap::from([("tala".to_string(), 1)]),
         started_at_ms: 1,
+        software_version: Some("v1".to_string()),
     };
     (id, FleetRecord::Target(registration))
 }
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -399,6 +399,8 @@
                 service = target.service.as_str(),
                 draining = target.is_draining,
                 weights:? = target.weights,
+                software_version = target.software_version.as_deref().unwrap_or("unknown"),
+                started_at_ms = target.started_at_ms,
                 is_new,
                 revision,
             });
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -50,6 +50,7 @@
         is_draining: false,
         weights: BTreeMap::new(),
         started_at_ms: 1,
+        software_version: Some("v1".to_string()),
     };
     NamedRecord { name: id.to_string(), record: Some(FleetRecord::Target(registration)) }
 }
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -389,6 +389,7 @@
             is_draining: false,
             weights: BTreeMap::new(),
             started_at_ms: 1,
+            software_version: Some("v1".to_string()),
         }),
         _ => return named(1, &[], 5),
     };
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -23,7 +23,9 @@
     ResponseMetadata, ServiceName, ServingAccount, ServingRoute, TargetId,
 };
 use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
-use skylarkpick_telemetry::{REQUESTS_ANSWER_START, REQUESTS_ANSWERED, SENDS_ENDED, metrics};
+use skylarkpick_telemetry::{
+    REQUESTS_ANSWER_START, REQUESTS_ANSWERED, SENDS_ENDED, STREAMS_RESUMED, metrics,
+};
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -265,7 +267,19 @@
     /// Sends the request to targets until one responds, and returns its response to the client.
     async fn forward(self: &Arc<Self>, mut request: ActiveRequest) -> Response<ClientBody> {
         self.node_state.note_first_attempt(&request.placement_request.service);
-        match self.send_with_retries(&mut request, None).await {
+        let is_resumed_by_client = request.is_resumable() && request.head.resume_after.is_some();
+        if is_resumed_by_client {
+            request_log!("client resumes a stream", kv: {
+                request = request.head.attempt_id.as_str(),
+                resumed_attempt = request.head.resumed_attempt.as_deref().unwrap_or("unknown"),
+                after = request.head.resume_after.unwrap_or_default(),
+            });
+        }
+        let result = self.send_with_retries(&mut request, None).await;
+        if is_resumed_by_client {
+            count_resumed("client", matches!(result, SendResult::Streaming(_)));
+        }
+        match result {
             SendResult::Complete(completed) => {
                 count_response(&request.route.name, completed.head.status, request.received);
                 request_log!("response forwarded", kv: {
@@ -327,10 +341,12 @@
             return None;
         }
         request.placement_request.is_continuation = true;
-        match self.send_with_retries(request, after).await {
+        let response = match self.send_with_retries(request, after).await {
             SendResult::Streaming(response) if response.head.status.is_success() => Some(response),
             _ => None,
-        }
+        };
+        count_resumed("entry", response.is_some());
+        response
     }
 
     /// Sends the request to targets until one returns a final response, or no further attempt is
@@ -386,12 +402,14 @@
                 fetches = guard.assignment.fetch.iter().flatten().count(),
                 saves = guard.assignment.save.iter().flatten().count(),
                 weight_version = guard.assignment.weight_version.unwrap_or_default(),
+                software_version = guard.assignment.software_version.as_deref().unwrap_or("unknown"),
                 newer_weights_age_ms = age_ms(guard.assignment.newer_weights_age),
                 load_age_ms = age_ms(guard.assignment.load_age),
                 transfers = guard.assignment.transfers,
                 prefill_tokens = guard.assignment.prefill_tokens,
                 expected_wait_ms = milliseconds(guard.assignment.expected_wait),
                 serving_version = request.serving_version,
+                after = resume_after.or(request.head.resume_after).unwrap_or_default(),
                 waited_ms = milliseconds(request.received.elapsed()),
             });
             request.sends += 1;
@@ -496,6 +514,12 @@
     }
 }
 
+/// Counts a stream that was taken up again by `by`.
+fn count_resumed(by: &str, is_continued: bool) {
+    let end = if is_continued { "continued" } else { "not_continued" };
+    metrics().count(&STREAMS_RESUMED, &[("by", by), ("end", end)]);
+}
+
 fn count_response(route: &str, status: StatusCode, received: Instant) {
     let tags = [("path", route), ("status", status.as_str())];
     metrics().count(&REQUESTS_ANSWERED, &tags);
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -173,13 +173,16 @@
     async fn resume(&mut self, why: &str) -> bool {
         let Some(mut failed) = self.current.take() else { return false };
         failed.guard.outcome = TargetOutcome::Failed;
-        let target = failed.guard.assignment.target.clone();
+        let assignment = &failed.guard.assignment;
+        let (target, software_version) =
+            (assignment.target.clone(), assignment.software_version.clone());
         drop(failed);
         self.splitter = EventSplitter::default();
         let may_repeat = self.request.route.repeatability == Repeatability::Repeatable;
         request_log!("stream failed", kv: {
             request = self.request.head.attempt_id.as_str(),
             target = target.as_str(),
+            software_version = software_version.as_deref().unwrap_or("unknown"),
             why,
             last_event = self.last_event.unwrap_or_default(),
             resumable = may_repeat && self.splits_events,
@@ -191,6 +194,13 @@
         let forwarder = self.forwarder.clone();
         match forwarder.resume(&mut self.request, self.last_event).await {
             Some(mut response) => {
+                let assignment = &response.guard.assignment;
+                request_log!("stream resumed", kv: {
+                    request = self.request.head.attempt_id.as_str(),
+                    target = assignment.target.as_str(),
+                    software_version = assignment.software_version.as_deref().unwrap_or("unknown"),
+                    after = self.last_event.unwrap_or_default(),
+                });
                 let first = response.first.take();
                 self.current = Some(response);
                 if let Some(first) = first {
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -2,7 +2,9 @@
 //! and the other entry processes.
 
 use crate::{
-    ids::{AccountId, DataCentreId, ModelName, ServiceName, TargetId, WeightVersion},
+    ids::{
+        AccountId, DataCentreId, ModelName, ServiceName, SoftwareVersion, TargetId, WeightVersion,
+    },
     platform::{PlatformError, WriteError},
 };
 use async_trait::async_trait;
@@ -32,6 +34,9 @@
     pub weights: BTreeMap<ModelName, WeightVersion>,
     /// Wall-clock time of its start, which distinguishes incarnations of a target of the same name.
     pub started_at_ms: u64,
+    /// Version of its software. `None` in records of entry processes that don't know the field.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// Whether a request may run more than once.
--- a/crates/skylarkpick-interface/src/forward.rs
+++ b/crates/skylarkpick-interface/src/forward.rs
@@ -50,6 +50,8 @@
     pub prompt: Option<PromptDescription>,
     /// Last event of a resumed stream that the client has received.
     pub resume_after: Option<EventId>,
+    /// Attempt that brought the first event of a resumed stream.
+    pub resumed_attempt: Option<ClientAttemptId>,
     /// Headers to forward. They contain neither the key, nor hop-by-hop headers, nor headers that
     /// only the system may set.
     pub headers: HeaderMap,
--- a/crates/skylarkpick-interface/src/ids.rs
+++ b/crates/skylarkpick-interface/src/ids.rs
@@ -31,6 +31,8 @@
 pub type RunnerId = String;
 /// Name of a plain service.
 pub type ServiceName = String;
+/// Version of the software of a target. Versions have no order.
+pub type SoftwareVersion = String;
 /// Name of a store VM.
 pub type StoreId = String;
 /// Name of a target: a runner, a store, or an instance of a plain service.
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -37,7 +37,7 @@
 pub use ids::{
     AccountId, AdapterName, AttemptId, ConfigurationVersion, DataCentreId, EntryId, FencingNumber,
     Generation, IdempotencyKey, ModelName, PrefixKey, RequestId, RunId, RunnerId, ServiceName,
-    StoreId, TargetId, WeightVersion,
+    SoftwareVersion, StoreId, TargetId, WeightVersion,
 };
 pub use node::{NodeLimits, NodeSettings};
 pub use peers::{NoPeers, PeerError, PeerHandler, PeerNetwork};
--- a/crates/skylarkpick-schedule/src/placement/load_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/load_tests.rs
@@ -458,6 +458,7 @@
             is_draining: false,
             weights: BTreeMap::from([(MODEL.to_string(), 1)]),
             started_at_ms: 1,
+            software_version: Some("v1".to_string()),
         });
     }
     let changes = (0..deployment.sessions).map(|session| PartChange {
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -304,6 +304,7 @@
         let mut assignment = Assignment {
             target: target.id.clone(),
             address: target.address,
+            software_version: target.software_version.clone(),
             weight_version: candidate.weight_version,
             cache_scope: candidate.scope,
             fetch: candidate.plan.fetch,
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -47,6 +47,7 @@
         is_draining: false,
         weights: if service == ENGINES { weights } else { BTreeMap::new() },
         started_at_ms: 1,
+        software_version: Some("v1".to_string()),
     }
 }
 
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -1,8 +1,8 @@
 //! Requests to placement and its decisions.
 
 use skylarkpick_interface::{
-    AccountId, CacheScope, DataCentreId, FetchSource, ModelName, PromptPart, ServiceName, TargetId,
-    WeightVersion,
+    AccountId, CacheScope, DataCentreId, FetchSource, ModelName, PromptPart, ServiceName,
+    SoftwareVersion, TargetId, WeightVersion,
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -49,6 +49,8 @@
     pub target: TargetId,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Version of the target's software, if it is known.
+    pub software_version: Option<SoftwareVersion>,
     /// Weights to run the request on; `None` for a plain service.
     pub weight_version: Option<WeightVersion>,
     /// Scope under which the context is cached; `None` for a plain service.
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -130,6 +130,15 @@
     description: "finished streamed responses, by outcome",
 };
 
+/// Streams that were taken up again after their first event, by the entry process within a response
+/// or by a client with a request of its own.
+pub const STREAMS_RESUMED: Metric = Metric {
+    name: "streams.resumed",
+    kind: MetricKind::Counter,
+    tags: &["by", "end"],
+    description: "streams taken up again, by `entry` within a response or by `client`, by outcome",
+};
+
 /// Times that a watch of the platform's records was interrupted.
 pub const FEEDS_LOST: Metric = Metric {
     name: "feeds.lost",
@@ -161,6 +170,7 @@
     RUNNERS_LEAVING,
     SENDS_ENDED,
     REQUESTS_ENDED,
+    STREAMS_RESUMED,
     FEEDS_LOST,
     ORDERS_GIVEN,
 ];
