Go on with a stream only at the software version that began it

Cause: the choice of a target for the rest of a stream used only its service. Class: a condition that belongs to the whole stream was not part of the state that its next step starts from.

Change: placement takes a software version as a condition. A response is bound to the version of its first run, as long as that run's target is certainly of that version (a target may be back under its id at another one). Who began a stream is kept by three other processes in up to three data centres while a service has, or may have, several versions; a client that comes back anywhere is served at that version, or refused at once as not run. With one version nothing is sent.

--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -193,6 +193,10 @@
         let mut topics = self.topics();
         let state = topics.entry(topic).or_default();
         state.complete_at = state.complete_at.max(Some(at));
+        drop(topics);
+        if topic == FleetTopic::Targets {
+            self.node_state.lock().software_versions.note_complete(at);
+        }
     }
 
     /// Returns the node time.
@@ -268,6 +272,9 @@
     pub(crate) fn note_disconnected(&self, topic: FleetTopic) {
         self.topics().entry(topic).or_default().is_disconnected = true;
         self.missing_targets().note_disconnected();
+        if topic == FleetTopic::Targets {
+            self.node_state.lock().software_versions.note_disconnected();
+        }
         self.changes.send_modify(|count| *count += 1);
     }
 
@@ -389,6 +396,7 @@
                 || it.registration.weights != target.weights
         });
         let is_new = state.placement.set_target(target.clone());
+        state.software_versions.set_target(target, self.node_state.now());
         drop(state);
         if is_new {
             self.node_state.caches_changed.notify_waiters();
@@ -416,7 +424,10 @@
     }
 
     fn remove_target(&self, target: &str, why: &str) {
-        self.node_state.lock().placement.remove_target(target);
+        let mut state = self.node_state.lock();
+        state.placement.remove_target(target);
+        state.software_versions.remove_target(target, self.node_state.now());
+        drop(state);
         spdlog::info!("target removed", kv: { target, why });
         self.node_state.caches_changed.notify_waiters();
     }
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -343,6 +343,7 @@
             prompt: case.has_prompt.then_some(prompt),
             rank: 0,
             is_continuation: false,
+            software_version: None,
             avoid: Vec::new(),
             max_wait: SECOND,
         };
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -11,6 +11,7 @@
     log::{age_ms, request_log},
     node_state::{InFlightGuard, NodeState},
     serving_index::{ServingIndex, pick_destination},
+    streams::StreamRegistry,
 };
 use bytes::Bytes;
 use futures::stream;
@@ -19,8 +20,9 @@
 use hyper::body::{Body, Frame, Incoming};
 use skylarkpick_http::{ReadBodyError, read_body};
 use skylarkpick_interface::{
-    DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead, ResponseKind,
-    ResponseMetadata, ServiceName, ServingAccount, ServingRoute, TargetId,
+    ClientAttemptId, DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead,
+    ResponseKind, ResponseMetadata, ServiceName, ServingAccount, ServingRoute, SoftwareVersion,
+    TargetId,
 };
 use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use skylarkpick_telemetry::{
@@ -49,6 +51,7 @@
     pub(crate) pool: Arc<ConnectionPool>,
     pub(crate) confirmer: ServingConfirmer,
     pub(crate) data_centre: DataCentreId,
+    pub(crate) streams: Arc<StreamRegistry>,
 }
 
 /// Accepted request and the state of its attempts.
@@ -96,6 +99,22 @@
             && self.route.repeatability == Repeatability::Repeatable
     }
 
+    /// Returns the attempt that brought the first event of the response stream.
+    pub(crate) fn stream_attempt(&self) -> &ClientAttemptId {
+        let resumed = self.head.resumed_attempt.as_ref();
+        resumed.filter(|_| self.head.resume_after.is_some()).unwrap_or(&self.head.attempt_id)
+    }
+
+    /// Returns the service that the request goes to.
+    pub(crate) fn service(&self) -> &ServiceName {
+        &self.placement_request.service
+    }
+
+    /// Restricts further attempts to targets on a software version.
+    pub(crate) fn bind_to_version(&mut self, version: SoftwareVersion) {
+        self.placement_request.software_version = Some(version);
+    }
+
     /// Excludes a target from further attempts.
     pub(crate) fn avoid(&mut self, target: &TargetId) {
         self.placement_request.avoid.push(target.clone());
@@ -259,6 +278,7 @@
             }),
             rank: account.and_then(|account| account.rank).unwrap_or(route.rank),
             is_continuation: false,
+            software_version: None,
             avoid: Vec::new(),
             max_wait: timeout.min(route.timeout),
         }
@@ -275,7 +295,10 @@
                 after = request.head.resume_after.unwrap_or_default(),
             });
         }
-        let result = self.send_with_retries(&mut request, None).await;
+        let result = match self.bind_resumed_stream(&mut request).await {
+            Ok(()) => self.send_with_retries(&mut request, None).await,
+            Err(result) => result,
+        };
         if is_resumed_by_client {
             count_resumed("client", matches!(result, SendResult::Streaming(_)));
         }
@@ -330,6 +353,23 @@
         }
     }
 
+    /// Restricts a request of a client that resumes a stream to targets on the software version that
+    /// began it. If that can't be found out, the request is rejected: the events of other versions
+    /// don't fit those that the client has.
+    async fn bind_resumed_stream(&self, request: &mut ActiveRequest) -> Result<(), SendResult> {
+        if !request.is_resumable() || request.head.resume_after.is_none() {
+            return Ok(());
+        }
+        let service = &request.placement_request.service;
+        let version = self.streams.find(request.head.resumed_attempt.as_ref(), service).await;
+        request.placement_request.software_version = version;
+        if request.placement_request.software_version.is_none() {
+            let why = "it is not known which software version began the stream".to_string();
+            return Err(SendResult::Failed(GatewayError::RetryLater { wait: UNKNOWN_WAIT }, why));
+        }
+        Ok(())
+    }
+
     /// Resumes a stream at another runner. Returns `None` if no runner continues it.
     pub(crate) async fn resume(
         &self,
@@ -436,7 +476,17 @@
     ) -> Option<SendResult> {
         let end = outcome.name();
         match outcome {
-            AttemptOutcome::Streaming(response) => return Some(SendResult::Streaming(response)),
+            AttemptOutcome::Streaming(response) => {
+                let bound = &request.placement_request.software_version;
+                if bound.as_ref().is_none_or(|it| self.streams.is_on_version(&response.guard, it)) {
+                    return Some(SendResult::Streaming(response));
+                }
+                let why = "the target restarted on another software version".to_string();
+                log_failed_attempt(request, &target, "broken", &why);
+                request.runs += 1;
+                request.avoid(&target);
+                *last = SendResult::Failed(GatewayError::NoResponse, why);
+            }
             AttemptOutcome::Complete(response) => {
                 request.runs += 1;
                 let is_failure = response.head.status.is_server_error();
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -12,7 +12,7 @@
 use crate::log::request_log;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use skylarkpick_interface::{EventId, Repeatability};
+use skylarkpick_interface::{EventId, Repeatability, StreamOrigin};
 use skylarkpick_schedule::TargetOutcome;
 use skylarkpick_telemetry::{REQUESTS_ENDED, metrics};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
@@ -26,6 +26,9 @@
     splitter: EventSplitter,
     /// Bytes that can be forwarded to the client.
     ready: VecDeque<Bytes>,
+    /// Run that writes the current response; `None` if the software version of its target is not
+    /// certain, so that the stream can't be resumed.
+    origin: Option<StreamOrigin>,
     /// ID of the last event that was forwarded or is ready.
     last_event: Option<EventId>,
     forwarded_bytes: u64,
@@ -77,18 +80,29 @@
             forwarder,
             request,
             current: Some(response),
+            origin: None,
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
             forwarded_bytes: 0,
             splits_events,
             end: StreamEnd::ClientLeft,
         };
+        if splits_events {
+            stream.note_run();
+        }
         if let Some(first) = first {
             stream.push(first);
         }
         stream
     }
 
+    /// Records the run that writes the current response.
+    fn note_run(&mut self) {
+        let Some(current) = &self.current else { return };
+        let (attempt, service) = (self.request.stream_attempt(), self.request.service());
+        self.origin = self.forwarder.streams.note_run(attempt, service, &current.guard);
+    }
+
     /// Returns the next bytes for the client, or `None` at the end of the response.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, IncompleteResponse>> {
         loop {
@@ -190,6 +204,14 @@
         if !may_repeat || !self.splits_events {
             return false;
         }
+        let version = self.origin.take().and_then(|it| self.forwarder.streams.version_of(&it));
+        let Some(version) = version else {
+            request_log!("stream not resumed: the target may have restarted on another version", kv: {
+                request = self.request.head.attempt_id.as_str(), target = target.as_str(),
+            });
+            return false;
+        };
+        self.request.bind_to_version(version);
         self.request.avoid(&target);
         let forwarder = self.forwarder.clone();
         match forwarder.resume(&mut self.request, self.last_event).await {
@@ -203,6 +225,7 @@
                 });
                 let first = response.first.take();
                 self.current = Some(response);
+                self.note_run();
                 if let Some(first) = first {
                     self.push(first);
                 }
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod readiness;
 mod serving_index;
+mod streams;
 #[cfg(test)]
 mod test_support;
 
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -12,6 +12,7 @@
     node_state::NodeState,
     peers::{CacheRelay, NetworkParts, PeerClient, PeerMessageHandler, follow_relay, open_network},
     readiness::{MetricsHandler, ReadinessHandler},
+    streams::{StreamRegistry, share_streams},
 };
 use skylarkpick_http::{Server, ServerLimits};
 use skylarkpick_interface::{
@@ -86,12 +87,18 @@
             watcher: watcher.clone(),
             relay: relay.clone(),
         });
+        let streams = Arc::new(StreamRegistry {
+            node_state: node_state.clone(),
+            watcher: watcher.clone(),
+            data_centre: settings.data_centre.clone(),
+        });
         let forwarder = Arc::new(Forwarder {
             node_state: node_state.clone(),
             dialect: parts.dialect.clone(),
             pool: ConnectionPool::open(),
             confirmer: ServingConfirmer::open(watcher.clone()),
             data_centre: settings.data_centre.clone(),
+            streams: streams.clone(),
         });
         let ready = Server::bind(
             &settings.ready_address.to_string(),
@@ -114,6 +121,7 @@
         for topic in topics {
             tasks.spawn(watch_topic(watcher.clone(), topic));
         }
+        tasks.spawn(share_streams(streams));
         tasks.spawn(record_weights(watcher.clone()));
         tasks.spawn(expire_targets(watcher.clone()));
         tasks.spawn(sample_loads(LoadSampler {
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -1,12 +1,14 @@
 //! State shared by all requests of a process: serving document, placement and retry budgets.
 
-use crate::serving_index::ServingIndex;
+use crate::{serving_index::ServingIndex, streams::StreamKnowledge};
 use skylarkpick_interface::{
-    Clock, ModelName, NodeLimits, ReportedLoad, ServiceName, WeightVersion,
+    Clock, ModelName, NodeLimits, ReportedLoad, ServiceName, SoftwareVersion, StreamOrigin,
+    WeightVersion,
 };
 use skylarkpick_schedule::{
     Assignment, MemorySample, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt,
-    PlacementRequest, TargetOutcome, UnplacedReason, WaitingRequests, WindowRetryBudget,
+    PlacementRequest, SoftwareVersions, StreamFingerprint, StreamOrigins, TargetOutcome,
+    UnplacedReason, WaitingRequests, WindowRetryBudget, software_version_of_run,
 };
 use std::{
     collections::BTreeMap,
@@ -62,6 +64,10 @@
     entries: u32,
     /// Requests that wait until a target has capacity.
     waiting: WaitingRequests,
+    /// Software versions of the registered targets.
+    pub(crate) software_versions: SoftwareVersions,
+    /// Runs that began streams at this process, and at others for which it keeps them.
+    stream_origins: StreamOrigins,
 }
 
 impl NodeState {
@@ -78,6 +84,8 @@
                 budgets: BTreeMap::new(),
                 entries: ENTRIES_FLOOR,
                 waiting: WaitingRequests::default(),
+                software_versions: SoftwareVersions::default(),
+                stream_origins: StreamOrigins::default(),
             }),
             clock,
             limits,
@@ -242,6 +250,65 @@
         self.lock().placement.note_swapping(target, model, version, now);
     }
 
+    /// Records the run that began a stream.
+    pub(crate) fn note_stream(
+        &self,
+        stream: StreamFingerprint,
+        origin: StreamOrigin,
+        is_unshared: bool,
+    ) {
+        self.lock().stream_origins.note(stream, origin, is_unshared, self.now());
+    }
+
+    /// Returns what this process knows of the software version that began a stream.
+    pub(crate) fn stream_knowledge(
+        &self,
+        stream: Option<StreamFingerprint>,
+        service: &str,
+    ) -> StreamKnowledge {
+        let state = self.lock();
+        let now = self.now();
+        let origin = stream.and_then(|stream| state.stream_origins.get(stream, now));
+        if let Some(origin) = origin {
+            return StreamKnowledge::Began(origin.clone());
+        }
+        let only_version = state.only_software_version(service, now);
+        only_version.map_or(StreamKnowledge::Nothing, StreamKnowledge::OnlyVersion)
+    }
+
+    /// Returns the software version of a service if it has had no other one for as long as a stream
+    /// may last.
+    pub(crate) fn only_software_version(&self, service: &str) -> Option<SoftwareVersion> {
+        self.lock().only_software_version(service, self.now())
+    }
+
+    /// Returns whether all registered targets of a service run a software version.
+    pub(crate) fn runs_only(&self, service: &str, version: &str) -> bool {
+        let state = self.lock();
+        let targets = state.placement.targets().values().map(|it| &it.registration);
+        let mut targets = targets.filter(|it| it.service == service);
+        targets.all(|it| it.software_version.as_deref() == Some(version))
+    }
+
+    /// Returns the software version at which a run wrote its events, if it is certain.
+    pub(crate) fn software_version_of_run(&self, origin: &StreamOrigin) -> Option<SoftwareVersion> {
+        let state = self.lock();
+        let target = state.placement.targets().get(&origin.target);
+        software_version_of_run(origin, target.map(|it| &it.registration))
+    }
+
+    /// Returns the streams of this process that other processes have to know from now on.
+    pub(crate) fn take_streams_to_share(&self) -> Vec<(StreamFingerprint, StreamOrigin)> {
+        let now = self.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let window = state.stream_window();
+        let versions = &state.software_versions;
+        let must_share =
+            |origin: &StreamOrigin| versions.only_version(&origin.service, window, now).is_none();
+        state.stream_origins.take_unshared(must_share, now)
+    }
+
     pub(crate) fn note_first_attempt(&self, service: &str) {
         let now = self.now();
         let mut state = self.lock();
@@ -392,4 +459,12 @@
     pub(crate) fn serving(&self) -> Option<&Arc<ServingIndex>> {
         self.serving.as_ref()
     }
+
+    fn stream_window(&self) -> Duration {
+        self.serving.as_ref().map_or(Duration::MAX, |serving| serving.stream_window())
+    }
+
+    fn only_software_version(&self, service: &str, now: Duration) -> Option<SoftwareVersion> {
+        self.software_versions.only_version(service, self.stream_window(), now)
+    }
 }
--- a/crates/skylarkpick-forward/src/peers.rs
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -11,9 +11,9 @@
 mod relay;
 
 pub(crate) use handler::PeerMessageHandler;
-#[cfg(test)]
-pub(crate) use messages::PeerResponse;
-pub(crate) use messages::{EngineLoadNotice, Notice, PeerRecords};
+pub(crate) use messages::{
+    EngineLoadNotice, Notice, PeerRecords, PeerRequest, PeerResponse, StreamRecord,
+};
 pub(crate) use network::{NetworkParts, open_network};
 pub(crate) use peer_client::PeerClient;
 pub(crate) use relay::{CacheRelay, follow_relay};
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -1,10 +1,12 @@
 //! Handles messages of other entry processes.
 
 use super::{
-    messages::{Notice, PeerRequest, PeerResponse},
+    messages::{Notice, PeerRequest, PeerResponse, StreamRecord},
     relay::CacheRelay,
 };
-use crate::{fleet::FleetWatcher, log::request_log, node_state::NodeState};
+use crate::{
+    fleet::FleetWatcher, log::request_log, node_state::NodeState, streams::StreamKnowledge,
+};
 use async_trait::async_trait;
 use skylarkpick_interface::PeerHandler;
 use skylarkpick_schedule::MemorySample;
@@ -37,6 +39,11 @@
                     self.node_state.observe_memory(&load.target, sample);
                 }
             }
+            Ok(Notice::StreamsBegan { streams }) => {
+                for StreamRecord { stream, origin } in streams {
+                    self.node_state.note_stream(stream, origin, false);
+                }
+            }
             Err(error) => {
                 spdlog::warn!("invalid notice from another entry process", kv: { error: });
             }
@@ -75,6 +82,15 @@
                 let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
                 PeerResponse::Caches(self.relay.changes(log, since, wait).await)
             }
+            PeerRequest::StreamOrigin { stream, service } => {
+                match self.node_state.stream_knowledge(stream, &service) {
+                    StreamKnowledge::Began(origin) => PeerResponse::StreamBegan(origin),
+                    StreamKnowledge::OnlyVersion(version) => {
+                        PeerResponse::OnlySoftwareVersion(version)
+                    }
+                    StreamKnowledge::Nothing => PeerResponse::Nothing,
+                }
+            }
         }
     }
 }
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -2,8 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{
-    FleetRevision, FleetTopic, FleetUpdate, ModelName, TargetId, WeightVersion,
+    FleetRevision, FleetTopic, FleetUpdate, ModelName, ServiceName, SoftwareVersion, StreamOrigin,
+    TargetId, WeightVersion,
 };
+use skylarkpick_schedule::StreamFingerprint;
 use std::net::SocketAddr;
 
 /// Request of one entry process to another.
@@ -28,6 +30,13 @@
         /// Maximum wait for a change.
         wait_ms: u64,
     },
+    /// Requests what the responder knows of the software version that began a stream.
+    StreamOrigin {
+        /// The stream, if its client named it.
+        stream: Option<StreamFingerprint>,
+        /// Service of the stream.
+        service: ServiceName,
+    },
 }
 
 /// One-way message of an entry process to all others.
@@ -49,6 +58,20 @@
         /// The reported loads.
         loads: Vec<EngineLoadNotice>,
     },
+    /// Streams that began at the sender, for the receiver to keep.
+    StreamsBegan {
+        /// The streams.
+        streams: Vec<StreamRecord>,
+    },
+}
+
+/// A stream and the run that began it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct StreamRecord {
+    /// The stream.
+    pub(crate) stream: StreamFingerprint,
+    /// The run.
+    pub(crate) origin: StreamOrigin,
 }
 
 /// Load that an engine reported to another process.
@@ -72,6 +95,10 @@
     Records(PeerRecords),
     /// Cache changes.
     Caches(CacheUpdate),
+    /// The run that began a stream.
+    StreamBegan(StreamOrigin),
+    /// The service has had only this software version for as long as a stream may last.
+    OnlySoftwareVersion(SoftwareVersion),
 }
 
 /// Records of a topic that are newer than those of the requester.
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -2,7 +2,7 @@
 
 use super::messages::{Notice, PeerRequest, PeerResponse};
 use crate::fleet::FleetRecords;
-use skylarkpick_interface::{FleetTopic, PeerNetwork};
+use skylarkpick_interface::{FleetTopic, PeerNetwork, RegisteredEntry};
 use std::{
     sync::{Arc, OnceLock},
     time::Duration,
@@ -31,10 +31,19 @@
 
     /// Sends a notice to all other entry processes without waiting for its delivery.
     pub(crate) fn broadcast(&self, records: &FleetRecords, notice: &Notice) {
+        self.send_notice(records.other_entries(), notice);
+    }
+
+    /// Sends a notice to entry processes without waiting for its delivery.
+    pub(crate) fn send_notice(
+        &self,
+        receivers: impl IntoIterator<Item = RegisteredEntry>,
+        notice: &Notice,
+    ) {
         let Some(network) = self.network.get() else { return };
         // A notice of strings and numbers always serializes.
         let message = serde_json::to_vec(notice).unwrap_or_default();
-        for entry in records.other_entries() {
+        for entry in receivers {
             let (network, message) = (network.clone(), message.clone());
             tokio::spawn(async move {
                 let address = entry.address.to_string();
@@ -47,6 +56,17 @@
         }
     }
 
+    /// Sends a request to another process and returns the response.
+    pub(crate) async fn ask(
+        &self,
+        address: &str,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerResponse, String> {
+        let network = self.network.get().ok_or("the peer network is not open yet")?;
+        send_request(&**network, address, request, timeout).await
+    }
+
     /// Fetches and applies newer records of a topic from a few random processes. Returns whether
     /// one of them responded.
     pub(crate) async fn fetch_from_any(&self, records: &FleetRecords, topic: FleetTopic) -> bool {
--- a/crates/skylarkpick-forward/src/serving_index.rs
+++ b/crates/skylarkpick-forward/src/serving_index.rs
@@ -4,7 +4,7 @@
 use skylarkpick_interface::{
     ClientLimits, Destination, ServingAccount, ServingDocument, ServingRoute,
 };
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// Serving document with indexes for route and account lookups.
 pub(crate) struct ServingIndex {
@@ -13,8 +13,13 @@
     routes: HashMap<String, Vec<Arc<ServingRoute>>>,
     /// Client accounts by API key.
     accounts: HashMap<String, Arc<ServingAccount>>,
+    /// Longest time from the first event of a stream to the last attempt to resume it.
+    stream_window: Duration,
 }
 
+/// Number of route timeouts that a stream may last: its first attempt and its resumption.
+const STREAM_TIMEOUTS: u32 = 2;
+
 impl ServingIndex {
     pub(crate) fn open(document: ServingDocument) -> ServingIndex {
         let mut routes: HashMap<String, Vec<Arc<ServingRoute>>> = HashMap::new();
@@ -31,13 +36,20 @@
             let keys = account.keys.iter().cloned();
             accounts.extend(keys.map(|key| (key, shared.clone())));
         }
-        ServingIndex { document, routes, accounts }
+        let longest = document.routes.iter().map(|route| route.timeout).max().unwrap_or_default();
+        let stream_window = longest * STREAM_TIMEOUTS;
+        ServingIndex { document, routes, accounts, stream_window }
     }
 
     pub(crate) fn version(&self) -> u64 {
         self.document.version
     }
 
+    /// Returns the longest time from the first event of a stream to the last attempt to resume it.
+    pub(crate) fn stream_window(&self) -> Duration {
+        self.stream_window
+    }
+
     pub(crate) fn limits(&self) -> &ClientLimits {
         &self.document.limits
     }
--- /dev/null
+++ b/crates/skylarkpick-forward/src/streams.rs
@@ -0,0 +1,175 @@
+//! Keeps which software version began each stream, here and at other processes.
+//!
+//! While a service has had one software version for as long as a stream may last, nothing has to be
+//! kept. Otherwise a few processes keep a record of each stream, so that a client can come back at
+//! any process.
+
+use crate::{
+    fleet::FleetWatcher,
+    log::request_log,
+    node_state::{AssignmentGuard, NodeState},
+    peers::{Notice, PeerRequest, PeerResponse, StreamRecord},
+};
+use futures::{StreamExt, stream::FuturesUnordered};
+use skylarkpick_interface::{
+    ClientAttemptId, DataCentreId, RegisteredEntry, ServiceName, SoftwareVersion, StreamOrigin,
+};
+use skylarkpick_schedule::{StreamFingerprint, stream_keepers, stream_keepers_to_ask};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+#[cfg(test)]
+mod tests;
+
+/// Time within which other processes have to tell who began a stream. Between data centres of one
+/// region an answer takes some milliseconds, and the client waits.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval at which records are shared that have become necessary after their stream began.
+const SHARE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What a process knows of the software version that began a stream.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum StreamKnowledge {
+    /// The run that began the stream.
+    Began(StreamOrigin),
+    /// The service has had only this version for as long as a stream may last.
+    OnlyVersion(SoftwareVersion),
+    /// Nothing.
+    Nothing,
+}
+
+/// Keeps and looks up which software version began each stream.
+pub(crate) struct StreamRegistry {
+    pub(crate) node_state: Arc<NodeState>,
+    pub(crate) watcher: Arc<FleetWatcher>,
+    pub(crate) data_centre: DataCentreId,
+}
+
+impl StreamRegistry {
+    /// Records that the run of an assignment begins a stream, or goes on with it. `attempt` brought
+    /// the first event. Returns the run, or `None` if the software version of its target is not
+    /// certain.
+    pub(crate) fn note_run(
+        &self,
+        attempt: &ClientAttemptId,
+        service: &ServiceName,
+        guard: &AssignmentGuard,
+    ) -> Option<StreamOrigin> {
+        let origin = self.origin(service, guard)?;
+        let stream = StreamFingerprint::of(attempt);
+        let is_unshared = self.node_state.only_software_version(service).is_some();
+        self.node_state.note_stream(stream, origin.clone(), is_unshared);
+        if !is_unshared {
+            self.share(vec![StreamRecord { stream, origin: origin.clone() }]);
+        }
+        Some(origin)
+    }
+
+    /// Returns the run of an assignment whose response has just begun, or `None` if the software
+    /// version of its target is not certain.
+    fn origin(&self, service: &ServiceName, guard: &AssignmentGuard) -> Option<StreamOrigin> {
+        let assignment = &guard.assignment;
+        let origin = StreamOrigin {
+            service: service.clone(),
+            target: assignment.target.clone(),
+            started_at_ms: assignment.started_at_ms,
+            software_version: assignment.software_version.clone()?,
+            began_at_ms: self.node_state.wall_ms(),
+        };
+        self.node_state.software_version_of_run(&origin).map(|_| origin)
+    }
+
+    /// Returns whether a response that has just begun is certainly of a target on a software version.
+    pub(crate) fn is_on_version(&self, guard: &AssignmentGuard, version: &str) -> bool {
+        let origin = self.origin(&ServiceName::new(), guard);
+        origin.is_some_and(|origin| origin.software_version == version)
+    }
+
+    /// Returns the software version at which a run wrote its events, if it is certain.
+    pub(crate) fn version_of(&self, origin: &StreamOrigin) -> Option<SoftwareVersion> {
+        self.node_state.software_version_of_run(origin)
+    }
+
+    /// Finds the software version of the stream that `attempt` began, if it is certain. Asks other
+    /// processes if this one doesn't know it.
+    pub(crate) async fn find(
+        &self,
+        attempt: Option<&ClientAttemptId>,
+        service: &ServiceName,
+    ) -> Option<SoftwareVersion> {
+        let stream = attempt.map(|attempt| StreamFingerprint::of(attempt));
+        match self.node_state.stream_knowledge(stream, service) {
+            StreamKnowledge::Began(origin) => return self.version_of(&origin),
+            StreamKnowledge::OnlyVersion(version) => return Some(version),
+            StreamKnowledge::Nothing => {}
+        }
+        let others = self.watcher.records.other_entries();
+        let any_stream = StreamFingerprint::of("");
+        let asked = stream_keepers_to_ask(&others, stream.unwrap_or(any_stream));
+        let request = PeerRequest::StreamOrigin { stream, service: service.clone() };
+        let mut responses: FuturesUnordered<_> =
+            asked.iter().map(|entry| self.ask(entry.address, &request)).collect();
+        let until = Instant::now() + LOOKUP_TIMEOUT;
+        let mut only_version: Option<SoftwareVersion> = None;
+        let mut is_contradictory = false;
+        // A timeout ends the look-up with what is known by then.
+        while let Ok(Some(knowledge)) = tokio::time::timeout_at(until, responses.next()).await {
+            match knowledge {
+                StreamKnowledge::Began(origin) => return self.version_of(&origin),
+                StreamKnowledge::OnlyVersion(version) => {
+                    is_contradictory |= only_version.as_ref().is_some_and(|it| *it != version);
+                    only_version = Some(version);
+                }
+                StreamKnowledge::Nothing => {}
+            }
+        }
+        let runs_now = |version: &SoftwareVersion| self.node_state.runs_only(service, version);
+        only_version.filter(|version| !is_contradictory && runs_now(version))
+    }
+
+    async fn ask(&self, address: SocketAddr, request: &PeerRequest) -> StreamKnowledge {
+        let client = &self.watcher.peer_client;
+        match client.ask(&address.to_string(), request, LOOKUP_TIMEOUT).await {
+            Ok(PeerResponse::StreamBegan(origin)) => StreamKnowledge::Began(origin),
+            Ok(PeerResponse::OnlySoftwareVersion(version)) => StreamKnowledge::OnlyVersion(version),
+            Ok(_) => StreamKnowledge::Nothing,
+            Err(error) => {
+                spdlog::debug!("failed to ask another entry process for a stream", kv: {
+                    address:, error = error.as_str(),
+                });
+                StreamKnowledge::Nothing
+            }
+        }
+    }
+
+    /// Sends records to the processes that keep them, without waiting for the delivery.
+    fn share(&self, records: Vec<StreamRecord>) {
+        let others = self.watcher.records.other_entries();
+        let mut notices: BTreeMap<SocketAddr, (RegisteredEntry, Vec<StreamRecord>)> =
+            BTreeMap::new();
+        for record in records {
+            for keeper in stream_keepers(&others, record.stream, &self.data_centre) {
+                let notice = notices.entry(keeper.address);
+                let (_, streams) = notice.or_insert_with(|| (keeper.clone(), Vec::new()));
+                streams.push(record.clone());
+            }
+        }
+        for (keeper, streams) in notices.into_values() {
+            self.watcher.peer_client.send_notice([keeper], &Notice::StreamsBegan { streams });
+        }
+    }
+}
+
+/// Shares the records of streams once their service may have several software versions.
+pub(crate) async fn share_streams(registry: Arc<StreamRegistry>) {
+    loop {
+        tokio::time::sleep(SHARE_INTERVAL).await;
+        let records = registry.node_state.take_streams_to_share();
+        if !records.is_empty() {
+            request_log!("records of streams shared", kv: { streams = records.len() });
+            let records = records.into_iter();
+            registry
+                .share(records.map(|(stream, origin)| StreamRecord { stream, origin }).collect());
+        }
+    }
+}
--- a/crates/skylarkpick-interface/src/forward.rs
+++ b/crates/skylarkpick-interface/src/forward.rs
@@ -1,7 +1,8 @@
 //! Heads of requests that are forwarded byte for byte, and of their responses.
 
-use crate::ids::{AccountId, ModelName, TargetId, WeightVersion};
+use crate::ids::{AccountId, ModelName, ServiceName, SoftwareVersion, TargetId, WeightVersion};
 use http::{HeaderMap, request, response};
+use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
 /// ID that the client assigns to one attempt of a request; unique to that attempt.
@@ -57,6 +58,21 @@
     pub headers: HeaderMap,
 }
 
+/// Run that wrote the events of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// Service of the stream.
+    pub service: ServiceName,
+    /// Target of the run.
+    pub target: TargetId,
+    /// Start of the target's incarnation, as registered when the run was assigned.
+    pub started_at_ms: u64,
+    /// Software version of the target.
+    pub software_version: SoftwareVersion,
+    /// Wall-clock time in Unix milliseconds at which the first piece of the run's response arrived.
+    pub began_at_ms: u64,
+}
+
 /// Why a request head is invalid.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum HeadError {
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -1,5 +1,6 @@
 //! The decisions of the system: choice of targets, admission and queues, limits, retry budgets,
-//! saving of cached context, transfers, and rollouts of weights.
+//! saving of cached context, transfers, rollouts of weights, and which targets may go on with a
+//! stream.
 //!
 //! Two schedulers choose targets: [`Router`] for `skylarkpick-entry`, and [`Placement`] for the
 //! reverse proxy `skylarkpick-forward`.
@@ -15,6 +16,7 @@
 mod rollout;
 mod route;
 mod saving;
+mod streams;
 mod transfer;
 
 pub use admission::{
@@ -36,6 +38,10 @@
     PrefixView, Route, RouteRequest, Router, RoutingRules, SavedCopy, StoreCandidate,
 };
 pub use saving::{SaveDecision, SavedEntry, SavingPolicy, SavingSettings, StoreCapacity};
+pub use streams::{
+    SoftwareVersions, StreamFingerprint, StreamOrigins, software_version_of_run, stream_keepers,
+    stream_keepers_to_ask,
+};
 pub use transfer::{
     ImportOrdering, NextTransfer, Transfer, TransferId, TransferKind, TransferQueue,
 };
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -24,6 +24,7 @@
 
 pub use memory::MemorySample;
 pub use outdated::{OutdatedPartFinder, OutdatedParts};
+pub(crate) use parts::rendezvous_weight;
 pub use parts::{CacheKind, CacheView, PartDirectory, PartFingerprint, PartKey};
 pub use policy::PlacementPolicy;
 pub use selection::Placement;
--- a/crates/skylarkpick-schedule/src/placement/load_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/load_tests.rs
@@ -299,6 +299,7 @@
             }),
             rank: 0,
             is_continuation: false,
+            software_version: None,
             avoid: Vec::new(),
             max_wait: Duration::from_secs(10),
         }
--- a/crates/skylarkpick-schedule/src/placement/parts.rs
+++ b/crates/skylarkpick-schedule/src/placement/parts.rs
@@ -428,7 +428,7 @@
 
 /// Returns the weight of a candidate for a subject in rendezvous hashing. It is the same in every
 /// process.
-pub(super) fn rendezvous_weight(subject: &str, candidate: &str) -> u64 {
+pub(crate) fn rendezvous_weight(subject: &str, candidate: &str) -> u64 {
     // FNV-1a over both strings, then the SplitMix64 finalizer.
     let bytes = subject.bytes().chain([0]).chain(candidate.bytes());
     let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -69,6 +69,7 @@
     ///     prompt: None,
     ///     rank: 0,
     ///     is_continuation: false,
+    ///     software_version: None,
     ///     avoid: Vec::new(),
     ///     max_wait: Duration::from_secs(1),
     /// };
@@ -189,7 +190,10 @@
         let usable: Vec<&TargetView> = known
             .into_iter()
             .filter(|it| {
-                !it.registration.is_draining && !request.avoid.contains(&it.registration.id)
+                let target = &it.registration;
+                let runs_version = request.software_version.is_none()
+                    || request.software_version == target.software_version;
+                !target.is_draining && runs_version && !request.avoid.contains(&target.id)
             })
             .collect();
         let is_unreachable = |it: &TargetView| {
@@ -304,6 +308,7 @@
         let mut assignment = Assignment {
             target: target.id.clone(),
             address: target.address,
+            started_at_ms: target.started_at_ms,
             software_version: target.software_version.clone(),
             weight_version: candidate.weight_version,
             cache_scope: candidate.scope,
--- a/crates/skylarkpick-schedule/src/placement/target.rs
+++ b/crates/skylarkpick-schedule/src/placement/target.rs
@@ -86,6 +86,7 @@
     pub(super) fn is_other_incarnation(&self, registration: &RegisteredTarget) -> bool {
         self.registration.started_at_ms != registration.started_at_ms
             || self.registration.address != registration.address
+            || self.registration.software_version != registration.software_version
     }
 
     /// Returns the weights that new runs of a model start on: the highest version registered or
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -96,6 +96,7 @@
         prompt: None,
         rank: 0,
         is_continuation: false,
+        software_version: None,
         avoid: Vec::new(),
         max_wait: Duration::from_secs(2),
     }
@@ -585,6 +586,30 @@
     assert_eq!(assigned(&placement, &prompt("s", "o"), Duration::ZERO).held_tokens, 0);
 }
 
+#[test]
+fn a_stream_is_placed_only_on_the_software_version_that_began_it() {
+    let mut placement = fleet();
+    let other = |index| RegisteredTarget {
+        software_version: Some("v1.1".to_string()),
+        ..registered(index, ENGINES, 64, 1)
+    };
+    placement.set_target(other(4));
+    for (version, expected) in [("v1.1", Some("i-4")), ("v1.2", None)] {
+        let request =
+            PlacementRequest { software_version: Some(version.to_string()), ..prompt("s", "o") };
+        match placement.choose(&request, Duration::ZERO) {
+            PlacementDecision::Assigned(assignment) => {
+                assert_eq!(Some(assignment.target.as_str()), expected, "{version}");
+                assert_eq!(assignment.software_version.as_deref(), Some(version));
+            }
+            unplaced => {
+                assert_eq!(unplaced, PlacementDecision::Unplaced(UnplacedReason::NoneUsable));
+                assert_eq!(expected, None, "{version}");
+            }
+        }
+    }
+}
+
 #[test]
 fn does_not_place_a_request_that_would_wait_too_long() {
     let mut placement = fleet();
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -20,6 +20,9 @@
     /// Whether the request continues a run whose target failed. It doesn't wait for capacity, since
     /// its client would see a pause in the response.
     pub is_continuation: bool,
+    /// The only software version whose targets may take the request, if a target on that version has
+    /// begun its stream.
+    pub software_version: Option<SoftwareVersion>,
     /// Targets that already failed this request.
     pub avoid: Vec<TargetId>,
     /// Longest acceptable wait for a slot at a target.
@@ -49,6 +52,8 @@
     pub target: TargetId,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Start of the target's incarnation.
+    pub started_at_ms: u64,
     /// Version of the target's software, if it is known.
     pub software_version: Option<SoftwareVersion>,
     /// Weights to run the request on; `None` for a plain service.
@@ -83,8 +88,8 @@
 pub enum UnplacedReason {
     /// No target of the service is registered.
     NoTarget,
-    /// Every target is draining, has already failed the request, or has no usable weights, or the
-    /// prompt's service is not in the serving document.
+    /// Every target is draining, has already failed the request, or has no usable weights or another
+    /// software version, or the prompt's service is not in the serving document.
     NoneUsable,
     /// No target has capacity for the request, or the cheapest one makes it wait longer than its
     /// maximum wait.
