Learn from other processes which software versions a service has had

Change: a process that starts takes over from others what they have seen, as long as it joins its own reads without a gap; changes that follow a silence leave no gap, only a new read of everything does; the time that has to be covered is that of the request's route.

--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -316,6 +316,8 @@
         }
         let named: BTreeSet<&String> = update.records.iter().map(|record| &record.name).collect();
         if topic == FleetTopic::Targets {
+            let now = self.node_state.now();
+            self.node_state.lock().software_versions.note_read_anew(now);
             let known: Vec<String> =
                 self.node_state.lock().placement.targets().keys().cloned().collect();
             for target in known.iter().filter(|target| !named.contains(target)) {
--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -11,3 +11,4 @@
 
 pub(crate) use forwarder::Forwarder;
 pub(crate) use response::{ClientBody, IncompleteResponse};
+pub(crate) use response_stream::milliseconds;
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -10,7 +10,7 @@
     fleet::ServingConfirmer,
     log::{age_ms, request_log},
     node_state::{InFlightGuard, NodeState},
-    serving_index::{ServingIndex, pick_destination},
+    serving_index::{ServingIndex, pick_destination, stream_window},
     streams::StreamRegistry,
 };
 use bytes::Bytes;
@@ -360,8 +360,8 @@
         if !request.is_resumable() || request.head.resume_after.is_none() {
             return Ok(());
         }
-        let service = &request.placement_request.service;
-        let version = self.streams.find(request.head.resumed_attempt.as_ref(), service).await;
+        let (attempt, service) = (request.head.resumed_attempt.as_ref(), request.service());
+        let version = self.streams.find(attempt, service, stream_window(&request.route)).await;
         request.placement_request.software_version = version;
         if request.placement_request.software_version.is_none() {
             let why = "it is not known which software version began the stream".to_string();
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -12,7 +12,7 @@
     node_state::NodeState,
     peers::{CacheRelay, NetworkParts, PeerClient, PeerMessageHandler, follow_relay, open_network},
     readiness::{MetricsHandler, ReadinessHandler},
-    streams::{StreamRegistry, share_streams},
+    streams::{StreamRegistry, share_streams, take_over_history},
 };
 use skylarkpick_http::{Server, ServerLimits};
 use skylarkpick_interface::{
@@ -121,6 +121,7 @@
         for topic in topics {
             tasks.spawn(watch_topic(watcher.clone(), topic));
         }
+        tasks.spawn(take_over_history(streams.clone()));
         tasks.spawn(share_streams(streams));
         tasks.spawn(record_weights(watcher.clone()));
         tasks.spawn(expire_targets(watcher.clone()));
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -7,8 +7,8 @@
 };
 use skylarkpick_schedule::{
     Assignment, MemorySample, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt,
-    PlacementRequest, SoftwareVersions, StreamFingerprint, StreamOrigins, TargetOutcome,
-    UnplacedReason, WaitingRequests, WindowRetryBudget, software_version_of_run,
+    PlacementRequest, SoftwareHistory, SoftwareVersions, StreamFingerprint, StreamOrigins,
+    TargetOutcome, UnplacedReason, WaitingRequests, WindowRetryBudget, software_version_of_run,
 };
 use std::{
     collections::BTreeMap,
@@ -265,6 +265,7 @@
         &self,
         stream: Option<StreamFingerprint>,
         service: &str,
+        window: Duration,
     ) -> StreamKnowledge {
         let state = self.lock();
         let now = self.now();
@@ -272,14 +273,26 @@
         if let Some(origin) = origin {
             return StreamKnowledge::Began(origin.clone());
         }
-        let only_version = state.only_software_version(service, now);
+        let only_version = state.software_versions.only_version(service, window, now);
         only_version.map_or(StreamKnowledge::Nothing, StreamKnowledge::OnlyVersion)
     }
 
-    /// Returns the software version of a service if it has had no other one for as long as a stream
-    /// may last.
-    pub(crate) fn only_software_version(&self, service: &str) -> Option<SoftwareVersion> {
-        self.lock().only_software_version(service, self.now())
+    /// Adds the software versions that another process has seen. Returns whether what is known now
+    /// reaches back as far as a stream of any route may last.
+    pub(crate) fn extend_software_history(&self, history: &SoftwareHistory) -> bool {
+        let mut state = self.lock();
+        let (now, window) = (self.now(), state.stream_window());
+        state.software_versions.extend_history(history, now);
+        let known = state.software_versions.history(now);
+        known.is_some_and(|known| known.known_for >= window)
+    }
+
+    /// Returns whether a service has had only one software version for as long as a stream of any
+    /// route may last, so that nobody has to keep where its streams began.
+    pub(crate) fn has_only_version(&self, service: &str) -> bool {
+        let state = self.lock();
+        let window = state.stream_window();
+        state.software_versions.only_version(service, window, self.now()).is_some()
     }
 
     /// Returns whether all registered targets of a service run a software version.
@@ -463,8 +476,4 @@
     fn stream_window(&self) -> Duration {
         self.serving.as_ref().map_or(Duration::MAX, |serving| serving.stream_window())
     }
-
-    fn only_software_version(&self, service: &str, now: Duration) -> Option<SoftwareVersion> {
-        self.software_versions.only_version(service, self.stream_window(), now)
-    }
 }
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -82,8 +82,13 @@
                 let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
                 PeerResponse::Caches(self.relay.changes(log, since, wait).await)
             }
-            PeerRequest::StreamOrigin { stream, service } => {
-                match self.node_state.stream_knowledge(stream, &service) {
+            PeerRequest::SoftwareHistory => {
+                let state = self.node_state.lock();
+                let history = state.software_versions.history(self.node_state.now());
+                history.map_or(PeerResponse::Nothing, PeerResponse::SoftwareHistory)
+            }
+            PeerRequest::StreamOrigin { stream, service, window } => {
+                match self.node_state.stream_knowledge(stream, &service, window) {
                     StreamKnowledge::Began(origin) => PeerResponse::StreamBegan(origin),
                     StreamKnowledge::OnlyVersion(version) => {
                         PeerResponse::OnlySoftwareVersion(version)
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -5,8 +5,8 @@
     FleetRevision, FleetTopic, FleetUpdate, ModelName, ServiceName, SoftwareVersion, StreamOrigin,
     TargetId, WeightVersion,
 };
-use skylarkpick_schedule::StreamFingerprint;
-use std::net::SocketAddr;
+use skylarkpick_schedule::{SoftwareHistory, StreamFingerprint};
+use std::{net::SocketAddr, time::Duration};
 
 /// Request of one entry process to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -36,7 +36,11 @@
         stream: Option<StreamFingerprint>,
         /// Service of the stream.
         service: ServiceName,
+        /// Longest time for which a stream of the route may last.
+        window: Duration,
     },
+    /// Requests the software versions that the responder has seen recently.
+    SoftwareHistory,
 }
 
 /// One-way message of an entry process to all others.
@@ -99,6 +103,8 @@
     StreamBegan(StreamOrigin),
     /// The service has had only this software version for as long as a stream may last.
     OnlySoftwareVersion(SoftwareVersion),
+    /// Software versions that the responder has seen recently.
+    SoftwareHistory(SoftwareHistory),
 }
 
 /// Records of a topic that are newer than those of the requester.
--- a/crates/skylarkpick-forward/src/serving_index.rs
+++ b/crates/skylarkpick-forward/src/serving_index.rs
@@ -13,13 +13,18 @@
     routes: HashMap<String, Vec<Arc<ServingRoute>>>,
     /// Client accounts by API key.
     accounts: HashMap<String, Arc<ServingAccount>>,
-    /// Longest time from the first event of a stream to the last attempt to resume it.
+    /// The longest [`stream_window`] of a route.
     stream_window: Duration,
 }
 
 /// Number of route timeouts that a stream may last: its first attempt and its resumption.
 const STREAM_TIMEOUTS: u32 = 2;
 
+/// Returns the longest time from the first event of a stream to the last attempt to resume it.
+pub(crate) fn stream_window(route: &ServingRoute) -> Duration {
+    route.timeout * STREAM_TIMEOUTS
+}
+
 impl ServingIndex {
     pub(crate) fn open(document: ServingDocument) -> ServingIndex {
         let mut routes: HashMap<String, Vec<Arc<ServingRoute>>> = HashMap::new();
@@ -36,8 +41,7 @@
             let keys = account.keys.iter().cloned();
             accounts.extend(keys.map(|key| (key, shared.clone())));
         }
-        let longest = document.routes.iter().map(|route| route.timeout).max().unwrap_or_default();
-        let stream_window = longest * STREAM_TIMEOUTS;
+        let stream_window = document.routes.iter().map(stream_window).max().unwrap_or_default();
         ServingIndex { document, routes, accounts, stream_window }
     }
 
@@ -45,7 +49,7 @@
         self.document.version
     }
 
-    /// Returns the longest time from the first event of a stream to the last attempt to resume it.
+    /// Returns the longest time that a stream of any route may last.
     pub(crate) fn stream_window(&self) -> Duration {
         self.stream_window
     }
--- a/crates/skylarkpick-forward/src/streams.rs
+++ b/crates/skylarkpick-forward/src/streams.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     fleet::FleetWatcher,
+    forwarding::milliseconds,
     log::request_log,
     node_state::{AssignmentGuard, NodeState},
     peers::{Notice, PeerRequest, PeerResponse, StreamRecord},
@@ -27,6 +28,13 @@
 /// Interval at which records are shared that have become necessary after their stream began.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Attempts of a process that has just started to learn which software versions others have seen,
+/// and the pause before each. Its first reads and its peer network take about a second.
+const HISTORY_ATTEMPTS: u32 = 8;
+const HISTORY_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of processes that are asked in an attempt.
+const HISTORY_SOURCES: usize = 3;
+
 /// What a process knows of the software version that began a stream.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum StreamKnowledge {
@@ -57,7 +65,7 @@
     ) -> Option<StreamOrigin> {
         let origin = self.origin(service, guard)?;
         let stream = StreamFingerprint::of(attempt);
-        let is_unshared = self.node_state.only_software_version(service).is_some();
+        let is_unshared = self.node_state.has_only_version(service);
         self.node_state.note_stream(stream, origin.clone(), is_unshared);
         if !is_unshared {
             self.share(vec![StreamRecord { stream, origin: origin.clone() }]);
@@ -90,15 +98,16 @@
         self.node_state.software_version_of_run(origin)
     }
 
-    /// Finds the software version of the stream that `attempt` began, if it is certain. Asks other
-    /// processes if this one doesn't know it.
+    /// Finds the software version of the stream that `attempt` began at most `window` ago, if it is
+    /// certain. Asks other processes if this one doesn't know it.
     pub(crate) async fn find(
         &self,
         attempt: Option<&ClientAttemptId>,
         service: &ServiceName,
+        window: Duration,
     ) -> Option<SoftwareVersion> {
         let stream = attempt.map(|attempt| StreamFingerprint::of(attempt));
-        match self.node_state.stream_knowledge(stream, service) {
+        match self.node_state.stream_knowledge(stream, service, window) {
             StreamKnowledge::Began(origin) => return self.version_of(&origin),
             StreamKnowledge::OnlyVersion(version) => return Some(version),
             StreamKnowledge::Nothing => {}
@@ -106,7 +115,7 @@
         let others = self.watcher.records.other_entries();
         let any_stream = StreamFingerprint::of("");
         let asked = stream_keepers_to_ask(&others, stream.unwrap_or(any_stream));
-        let request = PeerRequest::StreamOrigin { stream, service: service.clone() };
+        let request = PeerRequest::StreamOrigin { stream, service: service.clone(), window };
         let mut responses: FuturesUnordered<_> =
             asked.iter().map(|entry| self.ask(entry.address, &request)).collect();
         let until = Instant::now() + LOOKUP_TIMEOUT;
@@ -160,6 +169,29 @@
     }
 }
 
+/// Takes over from other processes which software versions they have seen, since this process has
+/// seen none before its start. Ends once that reaches back as far as a stream may last.
+pub(crate) async fn take_over_history(registry: Arc<StreamRegistry>) {
+    let client = &registry.watcher.peer_client;
+    for _ in 0..HISTORY_ATTEMPTS {
+        tokio::time::sleep(HISTORY_INTERVAL).await;
+        for address in registry.watcher.records.random_entries(HISTORY_SOURCES) {
+            let response =
+                client.ask(&address, &PeerRequest::SoftwareHistory, LOOKUP_TIMEOUT).await;
+            let Ok(PeerResponse::SoftwareHistory(history)) = response else { continue };
+            if registry.node_state.extend_software_history(&history) {
+                spdlog::info!("software versions taken over from another entry process", kv: {
+                    address = address.as_str(), known_for_ms = milliseconds(history.known_for),
+                });
+                return;
+            }
+        }
+    }
+    spdlog::info!(
+        "no other entry process knows the software versions for as long as a stream lasts"
+    );
+}
+
 /// Shares the records of streams once their service may have several software versions.
 pub(crate) async fn share_streams(registry: Arc<StreamRegistry>) {
     loop {
--- a/crates/skylarkpick-forward/src/streams/tests.rs
+++ b/crates/skylarkpick-forward/src/streams/tests.rs
@@ -89,15 +89,15 @@
         tokio::time::sleep(SECOND).await;
         records.note_complete(FleetTopic::Targets, node_state.now());
     }
-    assert_eq!(node_state.only_software_version(SERVICE).as_deref(), Some("v1"));
+    assert!(node_state.has_only_version(SERVICE));
     let stream = StreamFingerprint::of("a1");
     node_state.note_stream(stream, origin("v1"), true);
     assert_eq!(node_state.take_streams_to_share(), []);
     records.update(FleetTopic::Targets, &targets(&["v1", "v1", "v1.1"], 6));
-    assert_eq!(node_state.only_software_version(SERVICE), None);
+    assert!(!node_state.has_only_version(SERVICE));
     assert_eq!(node_state.take_streams_to_share(), [(stream, origin("v1"))]);
     assert_eq!(node_state.take_streams_to_share(), []);
-    let known = node_state.stream_knowledge(Some(stream), SERVICE);
+    let known = node_state.stream_knowledge(Some(stream), SERVICE, 10 * SECOND);
     assert_eq!(known, StreamKnowledge::Began(origin("v1")));
 }
 
@@ -148,7 +148,7 @@
         let registry = registry(&node_state, case.response);
         registry.watcher.records.update(FleetTopic::Targets, &targets(case.registered, 5));
         let began = Instant::now();
-        let found = registry.find(Some(&"a1".to_string()), &SERVICE.to_string()).await;
+        let found = registry.find(Some(&"a1".to_string()), &SERVICE.to_string(), 10 * SECOND).await;
         assert_eq!(found.as_deref(), case.expected, "{}", case.name);
         assert!(began.elapsed() <= SECOND / 5, "{}", case.name);
     }
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -39,8 +39,8 @@
 };
 pub use saving::{SaveDecision, SavedEntry, SavingPolicy, SavingSettings, StoreCapacity};
 pub use streams::{
-    SoftwareVersions, StreamFingerprint, StreamOrigins, software_version_of_run, stream_keepers,
-    stream_keepers_to_ask,
+    SeenVersion, SoftwareHistory, SoftwareVersions, StreamFingerprint, StreamOrigins,
+    software_version_of_run, stream_keepers, stream_keepers_to_ask,
 };
 pub use transfer::{
     ImportOrdering, NextTransfer, Transfer, TransferId, TransferKind, TransferQueue,
--- a/crates/skylarkpick-schedule/src/streams.rs
+++ b/crates/skylarkpick-schedule/src/streams.rs
@@ -9,4 +9,4 @@
 
 pub use keepers::{stream_keepers, stream_keepers_to_ask};
 pub use origins::{StreamFingerprint, StreamOrigins, software_version_of_run};
-pub use software_versions::SoftwareVersions;
+pub use software_versions::{SeenVersion, SoftwareHistory, SoftwareVersions};
--- a/crates/skylarkpick-schedule/src/streams/software_versions.rs
+++ b/crates/skylarkpick-schedule/src/streams/software_versions.rs
@@ -1,5 +1,6 @@
 //! Software versions of the targets of each service, now and recently.
 
+use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{RegisteredTarget, ServiceName, SoftwareVersion, TargetId};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -22,6 +23,28 @@
     is_disconnected: bool,
 }
 
+/// Software versions that a process has seen recently.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SoftwareHistory {
+    /// Time for which the process has known the registrations without a gap.
+    pub known_for: Duration,
+    /// Age of its registrations.
+    pub age: Duration,
+    /// The versions.
+    pub versions: Vec<SeenVersion>,
+}
+
+/// Software version of a service that a process has seen.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SeenVersion {
+    /// The service.
+    pub service: ServiceName,
+    /// The version; `None` for a target whose version is not known.
+    pub version: Option<SoftwareVersion>,
+    /// Time since a target on this version was last registered.
+    pub seen_before: Duration,
+}
+
 impl SoftwareVersions {
     /// Applies a registration at the time `now`.
     ///
@@ -85,11 +108,52 @@
     /// Records that all registrations up to the time `at` have been applied.
     pub fn note_complete(&mut self, at: Duration) {
         self.is_disconnected = false;
-        self.known = match self.known {
-            // Of targets that came and went in a longer gap nothing may be known.
-            Some((since, until)) if at <= until + CURRENT_AGE_LIMIT => Some((since, until.max(at))),
-            _ => Some((at, at)),
-        };
+        let (since, until) = self.known.unwrap_or((at, at));
+        self.known = Some((since, until.max(at)));
+    }
+
+    /// Records that all registrations are read anew at the time `now`, in place of their changes.
+    /// Targets that came and went in a gap before remain unknown.
+    pub fn note_read_anew(&mut self, now: Duration) {
+        self.known = self.known.filter(|(_, until)| now <= *until + CURRENT_AGE_LIMIT);
+    }
+
+    /// Returns the versions that were seen recently, for another process.
+    pub fn history(&self, now: Duration) -> Option<SoftwareHistory> {
+        let (since, until) = self.known?;
+        let registered = self.targets.values().map(|(service, version)| SeenVersion {
+            service: service.clone(),
+            version: version.clone(),
+            seen_before: Duration::ZERO,
+        });
+        let left = self.left.iter().flat_map(|(service, versions)| {
+            versions.iter().map(|(version, left_at)| SeenVersion {
+                service: service.clone(),
+                version: version.clone(),
+                seen_before: now.saturating_sub(*left_at),
+            })
+        });
+        Some(SoftwareHistory {
+            known_for: now.saturating_sub(since),
+            age: now.saturating_sub(until),
+            versions: registered.chain(left).collect(),
+        })
+    }
+
+    /// Adds the history of another process, received at the time `now`. It counts only if it reaches
+    /// up to the time since which this process knows the registrations itself.
+    pub fn extend_history(&mut self, history: &SoftwareHistory, now: Duration) {
+        let Some((since, until)) = self.known else { return };
+        if now.saturating_sub(history.age) < since {
+            return;
+        }
+        self.known = Some((since.min(now.saturating_sub(history.known_for)), until));
+        for seen in &history.versions {
+            let seen_at = now.saturating_sub(seen.seen_before);
+            let versions = self.left.entry(seen.service.clone()).or_default();
+            let left_at = versions.entry(seen.version.clone()).or_default();
+            *left_at = seen_at.max(*left_at);
+        }
     }
 
     /// Returns the software version of a service if all its targets have run this version for the
@@ -102,7 +166,10 @@
         now: Duration,
     ) -> Option<SoftwareVersion> {
         let (since, until) = self.known?;
-        if self.is_disconnected || now > until + CURRENT_AGE_LIMIT || now < since + window {
+        if window > MEMORY || self.is_disconnected {
+            return None;
+        }
+        if now > until + CURRENT_AGE_LIMIT || now < since + window {
             return None;
         }
         let registered = self.targets.values().filter(|(name, _)| name == service);
--- a/crates/skylarkpick-schedule/src/streams/tests.rs
+++ b/crates/skylarkpick-schedule/src/streams/tests.rs
@@ -68,6 +68,8 @@
         silent_s: std::ops::Range<u32>,
         current_until_s: u32,
         is_disconnected: bool,
+        /// Whether all registrations are read anew after the silence, in place of their changes.
+        reads_anew: bool,
         now_s: u32,
         expected: Option<&'static str>,
     }
@@ -78,6 +80,7 @@
         silent_s: NEVER,
         current_until_s: 30,
         is_disconnected: false,
+        reads_anew: false,
         now_s: 30,
         expected: None,
     };
@@ -130,8 +133,15 @@
             ..first(&[(0, Set("i-1", Some("v1")))])
         },
         Case {
-            name: "a gap within the window",
+            name: "read anew after a gap within the window",
             silent_s: 18..26,
+            reads_anew: true,
+            ..first(&[(0, Set("i-1", Some("v1")))])
+        },
+        Case {
+            name: "changes followed after a silence",
+            silent_s: 18..26,
+            expected: Some("v1"),
             ..first(&[(0, Set("i-1", Some("v1")))])
         },
     ];
@@ -145,9 +155,13 @@
                     Remove(id) => versions.remove_target(id, now),
                 }
             }
-            if !case.silent_s.contains(&second) {
-                versions.note_complete(now);
+            if case.silent_s.contains(&second) {
+                continue;
+            }
+            if second > 0 && case.silent_s.contains(&(second - 1)) && case.reads_anew {
+                versions.note_read_anew(now);
             }
+            versions.note_complete(now);
         }
         if case.is_disconnected {
             versions.note_disconnected();
@@ -157,6 +171,56 @@
     }
 }
 
+#[test]
+fn a_process_that_has_just_started_takes_over_the_history_of_others() {
+    struct Case {
+        name: &'static str,
+        /// Versions that the other process knows, the second being that of a target that has left
+        /// 5 s before the start.
+        versions: &'static [&'static str],
+        /// Age of the other process's registrations at the start.
+        age: Duration,
+        expected: Option<&'static str>,
+    }
+    let cases = [
+        Case { name: "one version", versions: &["v1"], age: Duration::ZERO, expected: Some("v1") },
+        Case {
+            name: "another version until shortly before",
+            versions: &["v1", "v1.1"],
+            age: Duration::ZERO,
+            expected: None,
+        },
+        Case {
+            name: "a history that ends before the own one begins",
+            versions: &["v1"],
+            age: 3 * SECOND,
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let start = 100 * SECOND;
+        let mut other = SoftwareVersions::default();
+        other.note_complete(Duration::ZERO);
+        for (index, version) in case.versions.iter().enumerate() {
+            let id = format!("i-{index}");
+            other.set_target(&target(&id, Some(version), 1), Duration::ZERO);
+            if index > 0 {
+                other.remove_target(&id, start - 5 * SECOND);
+            }
+        }
+        other.note_complete(start - case.age);
+        let mut started = SoftwareVersions::default();
+        started.set_target(&target("i-0", Some("v1"), 1), start);
+        started.note_complete(start);
+        let now = start + SECOND;
+        assert_eq!(started.only_version(SERVICE, 10 * SECOND, now), None, "{}", case.name);
+        let history = other.history(now).unwrap();
+        started.extend_history(&history, now);
+        let only = started.only_version(SERVICE, 10 * SECOND, now);
+        assert_eq!(only.as_deref(), case.expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn the_version_of_a_run_is_unknown_if_its_target_may_have_restarted_before() {
     struct Case {
