Count a stream that begins as a run of its request

Cause: an attempt whose response streams was counted as a run only when the stream was resumed, and then once at most, so each failure after the first left one run over. Ruled out: retries before the response starts, which are counted. The run is now counted when its response begins. Test: three targets that break one after the other; before, three were asked where the route allows two.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -376,7 +376,6 @@
         request: &mut ActiveRequest,
         after: Option<EventId>,
     ) -> Option<Box<StreamingResponse>> {
-        request.runs = request.runs.max(1);
         if !request.may_send_again() {
             return None;
         }
@@ -477,13 +476,13 @@
         let end = outcome.name();
         match outcome {
             AttemptOutcome::Streaming(response) => {
+                request.runs += 1;
                 let bound = &request.placement_request.software_version;
                 if bound.as_ref().is_none_or(|it| self.streams.is_on_version(&response.guard, it)) {
                     return Some(SendResult::Streaming(response));
                 }
                 let why = "the target restarted on another software version".to_string();
                 log_failed_attempt(request, &target, "broken", &why);
-                request.runs += 1;
                 request.avoid(&target);
                 *last = SendResult::Failed(GatewayError::NoResponse, why);
             }
