Play targets of several software versions and streams that clients take up in the soak

Cause: all targets of the soak were of one software version and no client came back for a stream, so that a stream that goes on at another software version passed unseen.

Change: an echo target has a software version, which stands in each event with the client attempt and the event that it went on after; registrations may lack it. Seeds draw two or three versions side by side, releases, restarts under the same id at another version, and entries of another writer without one, from a generator of their own: the other faults of a seed stay as they were. Clients whose stream broke, also those that close the connection, come back at another process with Resumes and Last-Event-Id, up to twice, within the timeout of the route. New rules: all events of a stream, over all tries, are of one software version; they are consecutive; a refused try is refused within a second with 503 and a time to come back; taken-up streams go on at least half as often as new ones begin.

Two bounds are read anew: the response of a call is due within the call's own deadline, which was the route's timeout for all calls so far and is less for a stream that is taken up; and after the recovery time such a stream may be refused, which no other request may.

Evidence: the table of histories has 17 new cases, each rule with one that breaks it and one that does not.

--- a/crates/skylarkpick-command/src/commands/soak.rs
+++ b/crates/skylarkpick-command/src/commands/soak.rs
@@ -145,9 +145,10 @@
 }
 
 fn summary(settings: &SoakSettings, report: &SoakReport) -> String {
-    let SoakReport { calls, served, runs, faults, findings } = report;
+    let SoakReport { calls, served, runs, taken_up, continued, faults, findings } = report;
     let mut text = format!(
-        "seed {}: {calls} calls, {served} served, {runs} runs, {faults} faults, {} findings",
+        "seed {}: {calls} calls, {served} served, {runs} runs, {taken_up} streams taken up, {continued} \
+         of them went on, {faults} faults, {} findings",
         settings.seed,
         findings.len()
     );
--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -1,7 +1,10 @@
 //! Checks the rules that must hold, on what clients received and what targets ran.
 
-use crate::history::{Call, CallKind, History};
-use skylarkpick_platform_standin::{Arrival, STREAM_EVENT_COUNT, stream_event};
+use crate::{
+    history::{Call, CallKind, History},
+    stream_checks::{check_streams, is_stream_correct},
+};
+use skylarkpick_platform_standin::Arrival;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -18,6 +21,9 @@
 pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Tolerance on the timeout of a route, as clients measure it.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
+/// Time within which a stream that is taken up must be refused, if it is: the users' clients give up
+/// on a process that has not read a request after one second.
+const REFUSAL_LIMIT: Duration = Duration::from_secs(1);
 /// Tolerance on the grace period, as the supervisor measures it.
 const EXIT_SLACK: Duration = Duration::from_millis(500);
 
@@ -42,6 +48,7 @@
         let checked = CallCheck { history, call, arrivals: arrivals.map_or(&[], Vec::as_slice) };
         checked.check(&mut findings);
     }
+    check_streams(history, &mut findings);
     check_arrivals(history, &mut findings);
     check_process_exits(history, &mut findings);
     findings
@@ -56,7 +63,7 @@
 
 impl CallCheck<'_> {
     fn check(&self, findings: &mut Vec<Finding>) {
-        let rules: [(&'static str, bool); 9] = [
+        let rules: [(&'static str, bool); 10] = [
             ("a non-idempotent request runs at most once", self.runs_once()),
             ("a request runs at most as often as its route allows", self.respects_attempt_limit()),
             ("a request that is rejected as not run has not run", self.rejection_is_true()),
@@ -72,6 +79,10 @@
                 "planned maintenance loses no response of a request that ran",
                 self.survives_planned_maintenance(),
             ),
+            (
+                "a stream that is taken up is refused at once, with a time to come back",
+                self.is_refused_at_once(),
+            ),
         ];
         let violated = rules.into_iter().filter(|(_, holds)| !holds);
         findings.extend(violated.map(|(rule, _)| Finding { rule, evidence: self.describe() }));
@@ -113,8 +124,7 @@
     }
 
     fn rejection_is_true(&self) -> bool {
-        let is_rejection = matches!(self.call.response.status, Some(408 | 421 | 429 | 503));
-        !is_rejection || self.runs() == 0
+        !self.call.is_rejected() || self.runs() == 0
     }
 
     fn response_is_correct(&self) -> bool {
@@ -122,15 +132,12 @@
         if response.status != Some(200) {
             return true;
         }
-        let id = &self.call.request.attempt_id;
-        let expected: String = match self.call.kind {
-            CallKind::Events => {
-                (1..=STREAM_EVENT_COUNT).map(|index| stream_event(id, index)).collect()
-            }
-            CallKind::Read | CallKind::Write => id.clone(),
-        };
+        if self.call.kind == CallKind::Events {
+            return is_stream_correct(self.call);
+        }
+        let expected = &self.call.request.attempt_id;
         if response.is_complete {
-            response.body == expected
+            response.body == *expected
         } else {
             expected.starts_with(&response.body)
         }
@@ -173,7 +180,7 @@
 
     fn respects_timeout(&self) -> bool {
         let call = self.call;
-        call.ended_at - call.sent_at <= ROUTE_TIMEOUT + TIMEOUT_SLACK
+        call.ended_at - call.sent_at <= call.request.deadline + TIMEOUT_SLACK
             || !self.history.is_process_undisturbed(call.process, call.sent_at, call.ended_at)
     }
 
@@ -185,7 +192,10 @@
                 && key.until.is_none_or(|until| call.ended_at < until)
         });
         let is_stable = self.history.stable_since.is_some_and(|since| call.sent_at > since);
-        !has_valid_key || !is_stable || call.disconnects_early || self.is_served()
+        // A stream that is taken up may be refused; the share that goes on has a rule of its own.
+        let may_be_refused = call.request.resumes.is_some() && call.is_rejected();
+        let is_exempt = call.disconnects_early || may_be_refused;
+        !has_valid_key || !is_stable || is_exempt || call.is_served()
     }
 
     /// A process that shuts down, reloads its settings or applies a configuration completes the
@@ -196,8 +206,15 @@
         !is_lost || !self.history.has_only_planned_restarts(call.sent_at, call.ended_at)
     }
 
-    fn is_served(&self) -> bool {
-        self.call.response.status == Some(200) && self.call.response.is_complete
+    /// The time applies only if the process was in touch.
+    fn is_refused_at_once(&self) -> bool {
+        let call = self.call;
+        if call.request.resumes.is_none() || !call.is_rejected() {
+            return true;
+        }
+        let is_at_once = call.ended_at - call.sent_at <= REFUSAL_LIMIT
+            || !self.history.is_in_touch(call.process, call.sent_at, call.ended_at);
+        call.response.status == Some(503) && call.response.retry_after.is_some() && is_at_once
     }
 }
 
--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -30,6 +30,19 @@
 const EARLY_DISCONNECT_WAIT: Duration = Duration::from_millis(60);
 /// Share of calls whose client disconnects early.
 const EARLY_DISCONNECT_PERCENT: u32 = 4;
+/// Share of streams whose client closes its connection and comes back elsewhere.
+const RECONNECT_PERCENT: u32 = 25;
+/// Upper limit of the random time after which such a client closes its connection.
+const RECONNECT_WAIT_LIMIT: Duration = Duration::from_millis(1_200);
+/// Number of times that a client takes up a stream again.
+const TAKE_UP_LIMIT: usize = 2;
+/// Upper limit of the random pause before a client takes up a stream again.
+const TAKE_UP_PAUSE_LIMIT: Duration = Duration::from_millis(200);
+/// Time that a client must have left to take up a stream again: the users' clients allow a new
+/// connection one second.
+const TAKE_UP_FLOOR: Duration = Duration::from_secs(1);
+/// Share of streams that are long.
+const LONG_STREAM_PERCENT: u32 = 40;
 /// Share of calls with the API key that the operator changed last.
 const CHANGED_KEY_PERCENT: u32 = 15;
 /// Share of calls with an API key that is never configured.
@@ -61,11 +74,11 @@
         let (next_call, is_stopped) = (AtomicU64::new(0), AtomicBool::new(false));
         let shared = Arc::new(SharedClientState { calls, changed_key, next_call, is_stopped });
         let mut clients = JoinSet::new();
-        for (process, address) in addresses.iter().enumerate() {
+        for process in 0..addresses.len() {
             for client in 0..CLIENTS_PER_PROCESS {
                 let number = (process * CLIENTS_PER_PROCESS + client) as u64;
                 let random = StdRng::seed_from_u64(seed ^ (number << 32));
-                clients.spawn(run_client(shared.clone(), process, *address, random));
+                clients.spawn(run_client(shared.clone(), addresses.to_vec(), process, random));
             }
         }
         Clients { shared, clients }
@@ -85,8 +98,12 @@
         *self.changed_key.lock().unwrap_or_else(PoisonError::into_inner) = Some(key.to_string());
     }
 
+    fn next_number(&self) -> u64 {
+        self.next_call.fetch_add(1, Ordering::Relaxed)
+    }
+
     fn request(&self, kind: CallKind, random: &mut StdRng) -> ClientRequest {
-        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let number = self.next_number();
         let changed = self.changed_key.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let key = match random.random_range(0..100) {
             draw if draw < UNKNOWN_KEY_PERCENT => UNKNOWN_KEY.to_string(),
@@ -95,36 +112,119 @@
             }
             _ => MAIN_KEY.to_string(),
         };
+        let is_long = kind == CallKind::Events && random.random_range(0..100) < LONG_STREAM_PERCENT;
+        let length = if is_long { "long/" } else { "" };
         ClientRequest {
             attempt_id: format!("call-{number}"),
-            path: format!("/{}/{number}", kind.route()),
+            path: format!("/{}/{length}{number}", kind.route()),
             key,
             deadline: ROUTE_TIMEOUT,
+            resumes: None,
+            last_event_id: None,
         }
     }
+
+    /// Returns the request with which a client takes up the stream of `first` after an event, or
+    /// `None` if too little time is left.
+    fn take_up(&self, first: &Call, last_event_id: u64) -> Option<ClientRequest> {
+        let deadline = first.request.deadline.checked_sub(first.sent_at.elapsed())?;
+        (deadline >= TAKE_UP_FLOOR).then(|| ClientRequest {
+            attempt_id: format!("call-{}", self.next_number()),
+            deadline,
+            resumes: Some(first.request.attempt_id.clone()),
+            last_event_id: Some(last_event_id),
+            ..first.request.clone()
+        })
+    }
+
+    fn record(&self, call: Call) {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner).push(call);
+    }
 }
 
 async fn run_client(
     shared: Arc<SharedClientState>,
+    addresses: Vec<SocketAddr>,
     process: usize,
-    address: SocketAddr,
     mut random: StdRng,
 ) {
-    let mut client = TestClient::open(address);
+    let mut client = TestClient::open(addresses[process]);
     while !shared.is_stopped.load(Ordering::SeqCst) {
         sleep(PAUSE_LIMIT.mul_f64(random.random())).await;
         let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
         let request = shared.request(kind, &mut random);
-        let disconnects_early = random.random_range(0..100) < EARLY_DISCONNECT_PERCENT;
-        let max_wait = if disconnects_early {
-            EARLY_DISCONNECT_WAIT
-        } else {
-            ROUTE_TIMEOUT + LATE_RESPONSE_WAIT
-        };
-        let sent_at = Instant::now();
-        let response = client.send(&request, max_wait).await;
-        let ended_at = Instant::now();
-        let call = Call { process, kind, request, sent_at, ended_at, response, disconnects_early };
-        shared.calls.lock().unwrap_or_else(PoisonError::into_inner).push(call);
+        let wait = ClientWait::draw(&request, kind, &mut random);
+        let call = send(&mut client, process, kind, request, wait).await;
+        shared.record(call.clone());
+        if wait.comes_back {
+            take_up_stream(&shared, &addresses, &call, &mut random).await;
+        }
+    }
+}
+
+/// Takes up the stream of a call at other processes until it is complete, if it broke after an event.
+async fn take_up_stream(
+    shared: &SharedClientState,
+    addresses: &[SocketAddr],
+    first: &Call,
+    random: &mut StdRng,
+) {
+    let Some(mut last_event_id) = first.last_event_id() else { return };
+    let (mut process, mut is_complete) = (first.process, first.response.is_complete);
+    for _ in 0..TAKE_UP_LIMIT {
+        sleep(TAKE_UP_PAUSE_LIMIT.mul_f64(random.random())).await;
+        let request = shared.take_up(first, last_event_id).filter(|_| !is_complete);
+        let Some(request) = request else { return };
+        if addresses.len() > 1 {
+            process = (process + random.random_range(1..addresses.len())) % addresses.len();
+        }
+        let wait = ClientWait::draw(&request, first.kind, random);
+        let mut client = TestClient::open(addresses[process]);
+        let call = send(&mut client, process, first.kind, request, wait).await;
+        last_event_id = call.last_event_id().unwrap_or(last_event_id);
+        is_complete = call.is_served();
+        shared.record(call);
+        if !wait.comes_back {
+            return;
+        }
+    }
+}
+
+/// How long a client waits for a response.
+#[derive(Clone, Copy)]
+struct ClientWait {
+    max_wait: Duration,
+    disconnects_early: bool,
+    /// Whether the client takes up the stream again if it broke.
+    comes_back: bool,
+}
+
+impl ClientWait {
+    fn draw(request: &ClientRequest, kind: CallKind, random: &mut StdRng) -> ClientWait {
+        let draw = random.random_range(0..100);
+        if draw < EARLY_DISCONNECT_PERCENT {
+            let max_wait = EARLY_DISCONNECT_WAIT;
+            return ClientWait { max_wait, disconnects_early: true, comes_back: false };
+        }
+        if kind == CallKind::Events && draw < EARLY_DISCONNECT_PERCENT + RECONNECT_PERCENT {
+            let max_wait = RECONNECT_WAIT_LIMIT.mul_f64(random.random());
+            return ClientWait { max_wait, disconnects_early: true, comes_back: true };
+        }
+        let max_wait = request.deadline + LATE_RESPONSE_WAIT;
+        ClientWait { max_wait, disconnects_early: false, comes_back: true }
     }
 }
+
+async fn send(
+    client: &mut TestClient,
+    process: usize,
+    kind: CallKind,
+    request: ClientRequest,
+    wait: ClientWait,
+) -> Call {
+    let sent_at = Instant::now();
+    let response = client.send(&request, wait.max_wait).await;
+    let ended_at = Instant::now();
+    let disconnects_early = wait.disconnects_early;
+    Call { process, kind, request, sent_at, ended_at, response, disconnects_early }
+}
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -1,7 +1,9 @@
 //! The history of a soak: client calls, runs of targets, disturbances, and the changes that the
 //! operator made.
 
-use skylarkpick_platform_standin::{Arrival, ClientRequest, ClientResponse};
+use skylarkpick_platform_standin::{
+    Arrival, ClientRequest, ClientResponse, StreamEvent, whole_events,
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -9,6 +11,9 @@
 /// requirements call it the contact window.
 pub(crate) const CONTACT_WINDOW: Duration = Duration::from_secs(4);
 
+/// Software version of a target.
+pub(crate) type SoftwareVersion = &'static str;
+
 /// Kind of a client call, by its route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CallKind {
@@ -54,6 +59,57 @@
     pub(crate) disconnects_early: bool,
 }
 
+impl Call {
+    /// Returns the whole events of a stream that arrived.
+    pub(crate) fn events(&self) -> Vec<StreamEvent> {
+        match self.kind {
+            CallKind::Events => whole_events(&self.response.body).0,
+            CallKind::Read | CallKind::Write => Vec::new(),
+        }
+    }
+
+    /// Returns the number of the last whole event that arrived.
+    pub(crate) fn last_event_id(&self) -> Option<u64> {
+        self.events().last().map(|event| event.index)
+    }
+
+    /// Whether the response arrived completely, with success.
+    pub(crate) fn is_served(&self) -> bool {
+        self.response.status == Some(200) && self.response.is_complete
+    }
+
+    /// Whether the response is a stream that began, or went on.
+    pub(crate) fn is_stream_begun(&self) -> bool {
+        self.response.status == Some(200)
+            && (self.response.is_complete || !self.events().is_empty())
+    }
+
+    /// Whether the status promises that the request has not run.
+    pub(crate) fn is_rejected(&self) -> bool {
+        matches!(self.response.status, Some(408 | 421 | 429 | 503))
+    }
+
+    /// Returns the ID of the client attempt that brought the first event of the stream.
+    pub(crate) fn stream_id(&self) -> &str {
+        self.request.resumes.as_deref().unwrap_or(&self.request.attempt_id)
+    }
+}
+
+/// Time for which a target served at a software version.
+#[derive(Clone, Debug)]
+pub(crate) struct ServingTarget {
+    pub(crate) target: String,
+    pub(crate) version: SoftwareVersion,
+    pub(crate) from: Instant,
+    pub(crate) until: Option<Instant>,
+}
+
+impl ServingTarget {
+    pub(crate) fn from_now(target: &str, version: SoftwareVersion) -> ServingTarget {
+        ServingTarget { target: target.to_string(), version, from: Instant::now(), until: None }
+    }
+}
+
 /// What a disturbance affects.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum DisturbanceScope {
@@ -63,8 +119,10 @@
     PlannedRestart(usize),
     /// The platform, which affects all processes.
     Platform,
-    /// A target, or the links to it.
+    /// A target.
     Target,
+    /// The links from all processes to a target.
+    TargetLink,
 }
 
 /// A disturbance with its start and its end.
@@ -108,6 +166,8 @@
     pub(crate) keys: Vec<ConfiguredKey>,
     /// Targets that are being drained, with the time at which the platform announced it.
     pub(crate) draining: Vec<(String, Instant)>,
+    /// Registered targets, each until it crashes or drains.
+    pub(crate) serving: Vec<ServingTarget>,
     pub(crate) process_ends: Vec<ProcessEnd>,
     /// Time from which all valid calls must be served, since the faults are over.
     pub(crate) stable_since: Option<Instant>,
@@ -123,6 +183,7 @@
             disturbances: Vec::new(),
             keys: Vec::new(),
             draining: Vec::new(),
+            serving: Vec::new(),
             process_ends: Vec::new(),
             stable_since: None,
         }
@@ -141,10 +202,25 @@
                 disturbed == process
             }
             DisturbanceScope::Platform => true,
-            DisturbanceScope::Target => false,
+            DisturbanceScope::Target | DisturbanceScope::TargetLink => false,
         })
     }
 
+    /// Whether a process is in touch with the platform and the targets between two times: neither it
+    /// nor a link was disturbed, nor within the contact window before.
+    pub(crate) fn is_in_touch(&self, process: usize, from: Instant, until: Instant) -> bool {
+        self.is_process_undisturbed(process, from, until)
+            && self.is_undisturbed(from, until, |scope| scope == DisturbanceScope::TargetLink)
+    }
+
+    /// Records that a target crashed or drains.
+    pub(crate) fn stop_serving(&mut self, target: &str) {
+        let now = Instant::now();
+        for serving in self.serving.iter_mut().filter(|it| it.target == target) {
+            serving.until.get_or_insert(now);
+        }
+    }
+
     /// Whether neither a process nor the platform nor a target had a fault between two times, nor
     /// within the contact window before. Planned restarts are not faults.
     pub(crate) fn is_exit_undisturbed(
@@ -155,7 +231,9 @@
     ) -> bool {
         self.is_undisturbed(from, until, |scope| match scope {
             DisturbanceScope::Process(disturbed) => disturbed == process,
-            DisturbanceScope::Platform | DisturbanceScope::Target => true,
+            DisturbanceScope::Platform
+            | DisturbanceScope::Target
+            | DisturbanceScope::TargetLink => true,
             DisturbanceScope::PlannedRestart(_) => false,
         })
     }
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -8,6 +8,8 @@
 mod process;
 mod proxy;
 mod run;
+mod setup;
+mod stream_checks;
 
 pub use checks::Finding;
 pub use run::{SoakReport, SoakSettings, run_seed};
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -3,6 +3,7 @@
 //! The variants and fields of [`PlannedFault`] and of the faults that it contains are written to the
 //! file `faults.txt` under their own names.
 
+use crate::history::SoftwareVersion;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::time::Duration;
 
@@ -17,6 +18,13 @@
 /// Upper limit of the delay of a link.
 const DELAY_LIMIT_MS: u64 = 400;
 
+/// Software versions of the targets; they have no order. Each seed draws two or three of them.
+const SOFTWARE_VERSIONS: [SoftwareVersion; 3] = ["b7", "a2", "c4"];
+/// Upper limit of the random pause between two faults that concern software versions.
+const VERSION_FAULT_GAP_LIMIT: Duration = Duration::from_secs(6);
+/// Distinguishes the generator of what concerns software versions from that of the other faults.
+const VERSION_SEED: u64 = 1 << 63;
+
 /// A fault of a network link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LinkFault {
@@ -62,10 +70,15 @@
     TargetLink { target: usize, fault: LinkFault, span: Duration },
     /// A fault of the object API.
     Store { fault: ObjectApiFault, span: Duration },
-    /// A target crashes, and is restarted under the same name.
-    RestartTarget { target: usize },
-    /// A target is drained and removed, and another one is added.
-    ReplaceTarget { target: usize },
+    /// A target crashes, and is restarted under the same name, perhaps at another software version.
+    RestartTarget { target: usize, version: SoftwareVersion },
+    /// Another target is added in the place of one, which is drained and removed.
+    ReplaceTarget { target: usize, version: SoftwareVersion },
+    /// All targets are replaced by targets of a software version, one after another.
+    Release { version: SoftwareVersion },
+    /// Another writer adds the entry of a target, which names no software version, until the fault
+    /// ends.
+    UnversionedTarget { version: SoftwareVersion, span: Duration },
     /// The operator adds an API key, or revokes the one that was added last.
     ChangeKeys,
 }
@@ -73,6 +86,8 @@
 /// The fault plan of a seed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct FaultPlan {
+    /// Software versions of the targets at the start.
+    pub(crate) software_versions: Vec<SoftwareVersion>,
     /// The faults, each with its start time after the start of the plan.
     pub(crate) faults: Vec<(Duration, PlannedFault)>,
 }
@@ -82,23 +97,76 @@
     /// same plan.
     pub(crate) fn draw(seed: u64, window: Duration, processes: usize, targets: usize) -> FaultPlan {
         let mut random = StdRng::seed_from_u64(seed);
+        let mut versions = VersionDraw::open(seed);
+        let software_versions = (0..targets).map(|_| versions.draw()).collect();
         let gap_limit = GAP_LIMITS[random.random_range(0..GAP_LIMITS.len())];
         let mut faults = Vec::new();
-        let mut at = Duration::ZERO;
-        loop {
+        if processes == 0 || targets == 0 {
+            return FaultPlan { software_versions, faults };
+        }
+        let mut at = gap_limit.mul_f64(random.random());
+        while at < window {
+            faults.push((at, draw_fault(&mut random, &mut versions, processes, targets)));
             at += gap_limit.mul_f64(random.random());
-            if at >= window || processes == 0 || targets == 0 {
-                return FaultPlan { faults };
-            }
-            faults.push((at, draw_fault(&mut random, processes, targets)));
         }
+        let mut at = versions.draw_gap();
+        while at < window {
+            faults.push((at, versions.draw_fault(targets)));
+            at += versions.draw_gap();
+        }
+        faults.sort_by_key(|(at, _)| *at);
+        FaultPlan { software_versions, faults }
     }
 }
 
-fn draw_fault(random: &mut StdRng, processes: usize, targets: usize) -> PlannedFault {
+/// Draws what concerns software versions. Its generator is its own, so that the other faults of a
+/// seed do not depend on it.
+struct VersionDraw {
+    random: StdRng,
+    /// Number of software versions in use.
+    versions: usize,
+}
+
+impl VersionDraw {
+    fn open(seed: u64) -> VersionDraw {
+        let mut random = StdRng::seed_from_u64(seed ^ VERSION_SEED);
+        let versions = random.random_range(2..=SOFTWARE_VERSIONS.len());
+        VersionDraw { random, versions }
+    }
+
+    fn draw(&mut self) -> SoftwareVersion {
+        SOFTWARE_VERSIONS[self.random.random_range(0..self.versions)]
+    }
+
+    fn draw_gap(&mut self) -> Duration {
+        VERSION_FAULT_GAP_LIMIT.mul_f64(self.random.random())
+    }
+
+    fn draw_fault(&mut self, targets: usize) -> PlannedFault {
+        let version = self.draw();
+        let target = self.random.random_range(0..targets);
+        let span = draw_span(&mut self.random);
+        match self.random.random_range(0..3) {
+            0 => PlannedFault::Release { version },
+            1 => PlannedFault::RestartTarget { target, version },
+            _ => PlannedFault::UnversionedTarget { version, span },
+        }
+    }
+}
+
+fn draw_span(random: &mut StdRng) -> Duration {
+    FAULT_FLOOR + (FAULT_LIMIT - FAULT_FLOOR).mul_f64(random.random())
+}
+
+fn draw_fault(
+    random: &mut StdRng,
+    versions: &mut VersionDraw,
+    processes: usize,
+    targets: usize,
+) -> PlannedFault {
     let process = random.random_range(0..processes);
     let target = random.random_range(0..targets);
-    let span = FAULT_FLOOR + (FAULT_LIMIT - FAULT_FLOOR).mul_f64(random.random());
+    let span = draw_span(random);
     let link = draw_link_fault(random);
     match random.random_range(0..13) {
         0 => PlannedFault::Kill { process },
@@ -108,8 +176,8 @@
         5 | 6 => PlannedFault::PlatformLink { process, fault: link, span },
         7 | 8 => PlannedFault::TargetLink { target, fault: link, span },
         9 => PlannedFault::Store { fault: draw_store_fault(random), span },
-        10 => PlannedFault::RestartTarget { target },
-        11 => PlannedFault::ReplaceTarget { target },
+        10 => PlannedFault::RestartTarget { target, version: versions.draw() },
+        11 => PlannedFault::ReplaceTarget { target, version: versions.draw() },
         _ => PlannedFault::ChangeKeys,
     }
 }
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -2,23 +2,25 @@
 //! the outcome.
 
 use crate::{
-    checks::{
-        CONFIGURATION_LIMIT, DRAIN_LIMIT, Finding, GRACE_PERIOD, ROUTE_TIMEOUT, check_history,
-    },
+    checks::{DRAIN_LIMIT, Finding, ROUTE_TIMEOUT, check_history},
     clients::{Clients, MAIN_KEY},
-    history::{Call, CallKind, ConfiguredKey, Disturbance, DisturbanceScope, History},
+    history::{
+        Call, ConfiguredKey, Disturbance, DisturbanceScope, History, ServingTarget, SoftwareVersion,
+    },
     plan::{FaultPlan, LinkFault, ObjectApiFault, PlannedFault},
-    process::{NodeProcess, ProcessSettings},
+    process::NodeProcess,
     proxy::FaultProxy,
+    setup::{key_from_now, routes, start_process},
 };
 use anyhow::Context;
 use serde_json::{Value, json};
 use skylarkpick_platform_standin::{
-    ArrivalLog, ClientRequest, EchoTarget, FaultMode, FleetLimits, NodeLocation, ObjectServer,
-    RouteSpec, TargetState, TestClient, configuration, node_settings, registration,
+    ArrivalLog, ClientRequest, EchoTarget, FaultMode, ObjectServer, TargetState, TestClient,
+    configuration, registration,
 };
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::SocketAddr,
+    ops::Range,
     path::{Path, PathBuf},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -39,13 +41,13 @@
 const STABLE_PERIOD: Duration = Duration::from_secs(4);
 /// Time within which all processes must be ready at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between the replacements of two targets in a release.
+const RELEASE_STEP: Duration = Duration::from_millis(700);
 /// Interval at which the readiness is checked at the start.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a drained target keeps running after the drain limit, so that it records late
 /// requests.
 const REMOVAL_SLACK: Duration = Duration::from_secs(1);
-/// Time limit for new weights in the settings. The soak does not change weights.
-const WEIGHTS_LIMIT: Duration = Duration::from_secs(12);
 
 /// Settings of the run with one seed.
 #[derive(Clone, Debug)]
@@ -74,6 +76,10 @@
     pub served: usize,
     /// Runs of requests on targets.
     pub runs: usize,
+    /// Streams that clients took up again.
+    pub taken_up: usize,
+    /// Streams that clients took up again and that went on.
+    pub continued: usize,
     /// Injected faults.
     pub faults: usize,
     /// Violations of the rules.
@@ -105,7 +111,7 @@
 pub async fn run_seed(settings: SoakSettings) -> anyhow::Result<SoakReport> {
     let targets = settings.processes.max(TARGETS_FLOOR);
     let plan = FaultPlan::draw(settings.seed, settings.fault_window, settings.processes, targets);
-    let fleet = Fleet::start(&settings, targets).await?;
+    let fleet = Fleet::start(&settings, &plan.software_versions).await?;
     fleet.wait_until_ready().await?;
     let clients = Clients::spawn(settings.seed, &fleet.fronts());
     let started_at = Instant::now();
@@ -132,8 +138,11 @@
     for process in &fleet.processes {
         process.end().await;
     }
+    let taken_up = || history.calls.iter().filter(|call| call.request.resumes.is_some());
     Ok(SoakReport {
         calls: history.calls.len(),
+        taken_up: taken_up().count(),
+        continued: taken_up().filter(|call| call.is_stream_begun()).count(),
         served: history.calls.iter().filter(|call| call.response.status == Some(200)).count(),
         runs: history.arrivals.iter().filter(|arrival| arrival.has_run).count(),
         faults: plan.faults.len(),
@@ -157,6 +166,8 @@
     service: EchoTarget,
     /// Start time in the registration; each restart increases it.
     started_at_ms: u64,
+    /// Software version in the registration, if it names one.
+    registered_version: Option<SoftwareVersion>,
 }
 
 /// The processes, targets and platform of a run.
@@ -177,7 +188,11 @@
 }
 
 impl Fleet {
-    async fn start(settings: &SoakSettings, targets: usize) -> anyhow::Result<Arc<Fleet>> {
+    /// Starts the processes, and one target of each of these software versions.
+    async fn start(
+        settings: &SoakSettings,
+        software_versions: &[SoftwareVersion],
+    ) -> anyhow::Result<Arc<Fleet>> {
         std::fs::create_dir_all(&settings.folder)
             .with_context(|| format!("{} cannot be created", settings.folder.display()))?;
         let objects = ObjectServer::start().await?;
@@ -189,9 +204,12 @@
             changes: History::begin(),
         };
         state.change_keys(&objects, |keys| keys.push(key_from_now(MAIN_KEY)));
-        for _ in 0..targets {
+        for version in software_versions {
             state.next_target += 1;
-            state.targets.push(new_target(state.next_target, &objects, &arrivals).await?);
+            let target =
+                start_target(state.next_target, version, Some(*version), &arrivals).await?;
+            state.add_target(&objects, &target, version);
+            state.targets.push(target);
         }
         let (mut platform_links, mut processes) = (Vec::new(), Vec::new());
         for index in 0..settings.processes {
@@ -220,6 +238,8 @@
                 path: "/read/start".to_string(),
                 key: MAIN_KEY.to_string(),
                 deadline: ROUTE_TIMEOUT,
+                resumes: None,
+                last_event_id: None,
             };
             while TestClient::open(address).send(&request, ROUTE_TIMEOUT).await.status != Some(200)
             {
@@ -250,18 +270,27 @@
             PlannedFault::TargetLink { target, fault, span } => {
                 let link = self.lock().targets[target].proxy.clone();
                 inject_link_fault(&link, fault, span).await;
-                self.record_disturbance(DisturbanceScope::Target, from);
+                self.record_disturbance(DisturbanceScope::TargetLink, from);
             }
             PlannedFault::Store { fault, span } => {
                 self.inject_object_api_fault(fault, span).await;
                 self.record_disturbance(DisturbanceScope::Platform, from);
             }
-            PlannedFault::RestartTarget { target } => {
-                self.restart_target(target).await?;
+            PlannedFault::RestartTarget { target, version } => {
+                self.restart_target(target, version).await?;
                 self.record_disturbance(DisturbanceScope::Target, from);
             }
-            PlannedFault::ReplaceTarget { target } => {
-                self.replace_target(target).await?;
+            PlannedFault::ReplaceTarget { target, version } => {
+                self.replace_targets(target..target + 1, version).await?;
+                self.record_disturbance(DisturbanceScope::Target, from);
+            }
+            PlannedFault::Release { version } => {
+                let targets = 0..self.lock().targets.len();
+                self.replace_targets(targets, version).await?;
+                self.record_disturbance(DisturbanceScope::Target, from);
+            }
+            PlannedFault::UnversionedTarget { version, span } => {
+                self.run_unversioned_target(version, span).await?;
                 self.record_disturbance(DisturbanceScope::Target, from);
             }
             PlannedFault::ChangeKeys => return Ok(Some(self.change_keys())),
@@ -292,11 +321,12 @@
     }
 
     /// Replaces a target by a new instance with the same name, without draining it.
-    async fn restart_target(&self, index: usize) -> anyhow::Result<()> {
+    async fn restart_target(&self, index: usize, version: SoftwareVersion) -> anyhow::Result<()> {
         let name = self.lock().targets[index].name.clone();
-        let service = EchoTarget::start(&name, TARGET_SLOTS, self.arrivals.clone()).await?;
+        let service = start_service(&name, version, &self.arrivals).await?;
         let mut state = self.lock();
-        let target = &mut state.targets[index];
+        let FleetState { targets, changes, .. } = &mut *state;
+        let target = &mut targets[index];
         if target.name != name {
             // Another fault replaced the target meanwhile.
             return Ok(());
@@ -304,32 +334,66 @@
         target.proxy.set_upstream(service.address);
         target.service = service;
         target.started_at_ms += 1;
+        target.registered_version = Some(version);
+        changes.stop_serving(&name);
         let record = target.registration(TargetState::Ready);
         self.objects.state.put("servers", &name, record);
+        changes.serving.push(ServingTarget::from_now(&name, version));
         Ok(())
     }
 
-    /// Drains and removes a target, and adds another one in its place.
-    async fn replace_target(&self, index: usize) -> anyhow::Result<()> {
-        let number = {
-            let mut state = self.lock();
-            state.next_target += 1;
-            state.next_target
-        };
-        let new = new_target(number, &self.objects, &self.arrivals).await?;
-        let old = {
+    /// Replaces targets by new ones of a software version, one after another. Each old one drains once
+    /// the new one is registered, and is removed at the end.
+    async fn replace_targets(
+        &self,
+        indexes: Range<usize>,
+        version: SoftwareVersion,
+    ) -> anyhow::Result<()> {
+        let mut replaced = Vec::new();
+        for index in indexes {
+            if !replaced.is_empty() {
+                sleep(RELEASE_STEP).await;
+            }
+            let new =
+                start_target(self.next_target(), version, Some(version), &self.arrivals).await?;
             let mut state = self.lock();
+            state.add_target(&self.objects, &new, version);
             let old = std::mem::replace(&mut state.targets[index], new);
-            let record = old.registration(TargetState::Draining);
-            self.objects.state.put("servers", &old.name, record);
-            state.changes.draining.push((old.name.clone(), Instant::now()));
-            old
-        };
-        sleep(DRAIN_LIMIT + REMOVAL_SLACK).await;
-        self.objects.state.remove("servers", &old.name);
+            state.drain_target(&self.objects, &old);
+            replaced.push(old);
+        }
+        self.remove_drained(replaced).await;
         Ok(())
     }
 
+    /// Runs a target for some time whose entry, by another writer, names no software version.
+    async fn run_unversioned_target(
+        &self,
+        version: SoftwareVersion,
+        span: Duration,
+    ) -> anyhow::Result<()> {
+        let target = start_target(self.next_target(), version, None, &self.arrivals).await?;
+        let record = target.registration(TargetState::Ready);
+        self.objects.state.put("servers", &target.name, record);
+        sleep(span).await;
+        self.lock().drain_target(&self.objects, &target);
+        self.remove_drained(vec![target]).await;
+        Ok(())
+    }
+
+    async fn remove_drained(&self, targets: Vec<Target>) {
+        sleep(DRAIN_LIMIT + REMOVAL_SLACK).await;
+        for target in targets {
+            self.objects.state.remove("servers", &target.name);
+        }
+    }
+
+    fn next_target(&self) -> u64 {
+        let mut state = self.lock();
+        state.next_target += 1;
+        state.next_target
+    }
+
     /// Adds an API key, or revokes the one that was added last. Returns the key.
     fn change_keys(&self) -> String {
         let mut state = self.lock();
@@ -365,11 +429,22 @@
 
 impl Target {
     fn registration(&self, state: TargetState) -> Value {
-        registration(self.proxy.address, state, self.started_at_ms)
+        registration(self.proxy.address, state, self.started_at_ms, self.registered_version)
     }
 }
 
 impl FleetState {
+    fn add_target(&mut self, objects: &ObjectServer, target: &Target, version: SoftwareVersion) {
+        objects.state.put("servers", &target.name, target.registration(TargetState::Ready));
+        self.changes.serving.push(ServingTarget::from_now(&target.name, version));
+    }
+
+    fn drain_target(&mut self, objects: &ObjectServer, target: &Target) {
+        self.changes.stop_serving(&target.name);
+        objects.state.put("servers", &target.name, target.registration(TargetState::Draining));
+        self.changes.draining.push((target.name.clone(), Instant::now()));
+    }
+
     /// Changes the API keys and writes them to the platform as a new configuration.
     fn change_keys(
         &mut self,
@@ -388,17 +463,25 @@
     }
 }
 
-async fn new_target(
+async fn start_service(
+    name: &str,
+    version: SoftwareVersion,
+    arrivals: &ArrivalLog,
+) -> std::io::Result<EchoTarget> {
+    EchoTarget::start(name, version, TARGET_SLOTS, arrivals.clone()).await
+}
+
+/// Starts a target behind a proxy, without registering it.
+async fn start_target(
     number: u64,
-    objects: &ObjectServer,
+    version: SoftwareVersion,
+    registered_version: Option<SoftwareVersion>,
     arrivals: &ArrivalLog,
-) -> anyhow::Result<Target> {
+) -> std::io::Result<Target> {
     let name = format!("i-{number}");
-    let service = EchoTarget::start(&name, TARGET_SLOTS, arrivals.clone()).await?;
+    let service = start_service(&name, version, arrivals).await?;
     let proxy = Arc::new(FaultProxy::bind(service.address).await?);
-    let target = Target { name, proxy, service, started_at_ms: 1 };
-    objects.state.put("servers", &target.name, target.registration(TargetState::Ready));
-    Ok(target)
+    Ok(Target { name, proxy, service, started_at_ms: 1, registered_version })
 }
 
 async fn inject_link_fault(link: &FaultProxy, fault: LinkFault, span: Duration) {
@@ -407,57 +490,3 @@
     // This also ends other faults of the link that began meanwhile.
     link.set_fault(None);
 }
-
-fn start_process(
-    settings: &SoakSettings,
-    index: usize,
-    platform: SocketAddr,
-) -> anyhow::Result<NodeProcess> {
-    let number = u8::try_from(index + 1).context("at most 255 processes")?;
-    let name = format!("entry-{number}");
-    let location = NodeLocation {
-        name: name.clone(),
-        data_centre: "mnl-a".to_string(),
-        address: IpAddr::V4(Ipv4Addr::new(127, settings.loopback_network, 1, number)),
-        platform,
-    };
-    let file = |ending: &str| -> PathBuf { settings.folder.join(format!("{name}.{ending}")) };
-    let path = file("conf");
-    std::fs::write(&path, node_settings(&location, &limits()))
-        .with_context(|| format!("{} cannot be written", path.display()))?;
-    NodeProcess::spawn(ProcessSettings {
-        index,
-        program: settings.program.clone(),
-        location,
-        settings_file: path,
-        log_file: file("log"),
-    })
-}
-
-fn limits() -> FleetLimits {
-    FleetLimits {
-        drain: DRAIN_LIMIT,
-        grace: GRACE_PERIOD,
-        configuration: CONFIGURATION_LIMIT,
-        weights: WEIGHTS_LIMIT,
-    }
-}
-
-fn routes() -> Vec<RouteSpec> {
-    let route = |kind: CallKind| RouteSpec {
-        name: kind.route(),
-        kind: match kind {
-            CallKind::Read => "idempotent",
-            CallKind::Write => "non_idempotent",
-            CallKind::Events => "streaming",
-        },
-        attempts: kind.attempts(),
-        is_resumable: kind == CallKind::Events,
-        timeout: ROUTE_TIMEOUT,
-    };
-    CallKind::ALL.into_iter().map(route).collect()
-}
-
-fn key_from_now(key: &str) -> ConfiguredKey {
-    ConfiguredKey { key: key.to_string(), from: Instant::now(), until: None }
-}
--- /dev/null
+++ b/crates/skylarkpick-soak/src/setup.rs
@@ -0,0 +1,73 @@
+//! What the fleet of a run is set up with: routes, limits, API keys and processes.
+
+use crate::{
+    checks::{CONFIGURATION_LIMIT, DRAIN_LIMIT, GRACE_PERIOD, ROUTE_TIMEOUT},
+    history::{CallKind, ConfiguredKey},
+    process::{NodeProcess, ProcessSettings},
+    run::SoakSettings,
+};
+use anyhow::Context;
+use skylarkpick_platform_standin::{FleetLimits, NodeLocation, RouteSpec, node_settings};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Time limit for new weights in the settings. The soak does not change weights.
+const WEIGHTS_LIMIT: Duration = Duration::from_secs(12);
+
+pub(crate) fn start_process(
+    settings: &SoakSettings,
+    index: usize,
+    platform: SocketAddr,
+) -> anyhow::Result<NodeProcess> {
+    let number = u8::try_from(index + 1).context("at most 255 processes")?;
+    let name = format!("entry-{number}");
+    let location = NodeLocation {
+        name: name.clone(),
+        data_centre: "mnl-a".to_string(),
+        address: IpAddr::V4(Ipv4Addr::new(127, settings.loopback_network, 1, number)),
+        platform,
+    };
+    let file = |ending: &str| -> PathBuf { settings.folder.join(format!("{name}.{ending}")) };
+    let path = file("conf");
+    std::fs::write(&path, node_settings(&location, &limits()))
+        .with_context(|| format!("{} cannot be written", path.display()))?;
+    NodeProcess::spawn(ProcessSettings {
+        index,
+        program: settings.program.clone(),
+        location,
+        settings_file: path,
+        log_file: file("log"),
+    })
+}
+
+fn limits() -> FleetLimits {
+    FleetLimits {
+        drain: DRAIN_LIMIT,
+        grace: GRACE_PERIOD,
+        configuration: CONFIGURATION_LIMIT,
+        weights: WEIGHTS_LIMIT,
+    }
+}
+
+pub(crate) fn routes() -> Vec<RouteSpec> {
+    let route = |kind: CallKind| RouteSpec {
+        name: kind.route(),
+        kind: match kind {
+            CallKind::Read => "idempotent",
+            CallKind::Write => "non_idempotent",
+            CallKind::Events => "streaming",
+        },
+        attempts: kind.attempts(),
+        is_resumable: kind == CallKind::Events,
+        timeout: ROUTE_TIMEOUT,
+    };
+    CallKind::ALL.into_iter().map(route).collect()
+}
+
+pub(crate) fn key_from_now(key: &str) -> ConfiguredKey {
+    ConfiguredKey { key: key.to_string(), from: Instant::now(), until: None }
+}
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -4,11 +4,13 @@
 use crate::{
     checks::check_history,
     clients::MAIN_KEY,
-    history::{Call, CallKind, ConfiguredKey, Disturbance, DisturbanceScope, History},
+    history::{
+        Call, CallKind, ConfiguredKey, Disturbance, DisturbanceScope, History, ServingTarget,
+    },
     plan::{FaultPlan, LinkFault},
     proxy::FaultProxy,
 };
-use skylarkpick_platform_standin::{Arrival, ClientRequest, ClientResponse, stream_event};
+use skylarkpick_platform_standin::{Arrival, ClientRequest, ClientResponse, StreamEvent};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -25,11 +27,17 @@
     assert!(FaultPlan::draw(3, Duration::from_secs(30), 0, 4).faults.is_empty());
 }
 
+/// Returns an event of the stream of a client attempt.
+fn event(software_version: &str, attempt_id: &str, after: u64, index: u64) -> String {
+    let (software_version, attempt_id) = (software_version.to_string(), attempt_id.to_string());
+    StreamEvent { software_version, attempt_id, after, index }.text()
+}
+
 /// Returns a history with one call, which ran on one target and got a response.
 fn valid_history(kind: CallKind) -> History {
     let now = Instant::now();
     let body = match kind {
-        CallKind::Events => (1..=8).map(|index| stream_event("a", index)).collect(),
+        CallKind::Events => (1..=8).map(|index| event("b7", "a", 0, index)).collect(),
         CallKind::Read | CallKind::Write => "a".to_string(),
     };
     let request = ClientRequest {
@@ -37,8 +45,10 @@
         path: format!("/{}/1", kind.route()),
         key: MAIN_KEY.to_string(),
         deadline: Duration::from_secs(5),
+        resumes: None,
+        last_event_id: None,
     };
-    let response = ClientResponse { status: Some(200), body, is_complete: true };
+    let response = ClientResponse { status: Some(200), body, is_complete: true, retry_after: None };
     let sent_at = now + Duration::from_secs(20);
     let ended_at = sent_at + Duration::from_millis(30);
     History {
@@ -54,6 +64,8 @@
         arrivals: vec![Arrival {
             attempt_id: "a".to_string(),
             target: "i-1".to_string(),
+            software_version: "b7".to_string(),
+            last_event_id: None,
             account: Some("acme".to_string()),
             at: sent_at,
             has_run: true,
@@ -63,6 +75,60 @@
     }
 }
 
+/// Makes the stream of a history break after three events and lets the client take it up: the call
+/// `b` goes on with events 4 to 8 of this software version.
+fn take_up(history: &mut History, software_version: &str) {
+    history.calls[0].response.body = (1..=3).map(|index| event("b7", "a", 0, index)).collect();
+    history.calls[0].response.is_complete = false;
+    let mut call = history.calls[0].clone();
+    call.process = 1;
+    call.request.attempt_id = "b".to_string();
+    call.request.resumes = Some("a".to_string());
+    call.request.last_event_id = Some(3);
+    call.sent_at = call.ended_at;
+    call.ended_at += Duration::from_millis(200);
+    call.response.body = (4..=8).map(|index| event(software_version, "b", 3, index)).collect();
+    call.response.is_complete = true;
+    history.calls.push(call);
+}
+
+/// Makes the response to the last call a refusal.
+fn refuse(history: &mut History, status: u16, retry_after: Option<Duration>, took: Duration) {
+    let call = history.calls.last_mut().unwrap();
+    call.response = ClientResponse {
+        status: Some(status),
+        body: String::new(),
+        is_complete: true,
+        retry_after,
+    };
+    call.ended_at = call.sent_at + took;
+}
+
+/// Makes the client take up 12 streams, of which the first `continued` go on, while two targets of
+/// their software version serve.
+fn take_up_many(history: &mut History, continued: usize) {
+    take_up(history, "b7");
+    let calls = std::mem::take(&mut history.calls);
+    for number in 0..12 {
+        let rename = |text: &str| text.replace("/a/", &format!("/a{number}/"));
+        let (mut first, mut second) = (calls[0].clone(), calls[1].clone());
+        first.request.attempt_id = format!("a{number}");
+        first.response.body = rename(&first.response.body);
+        second.request.attempt_id = format!("b{number}");
+        second.request.resumes = Some(format!("a{number}"));
+        second.response.body = second.response.body.replace("/b/", &format!("/b{number}/"));
+        history.calls.extend([first, second]);
+        if number >= continued {
+            refuse(history, 503, Some(Duration::from_millis(400)), Duration::ZERO);
+        }
+    }
+    history.arrivals.clear();
+    for target in ["i-1", "i-2"] {
+        let from = calls[0].sent_at - Duration::from_secs(3);
+        history.serving.push(ServingTarget { from, ..ServingTarget::from_now(target, "b7") });
+    }
+}
+
 #[test]
 fn reports_each_rule_violation_and_nothing_else() {
     struct Case {
@@ -107,18 +173,182 @@
         Case {
             name: "a truncated stream that looks complete",
             kind: CallKind::Events,
-            change: |history| history.calls[0].response.body = stream_event("a", 1),
+            change: |history| history.calls[0].response.body = event("b7", "a", 0, 1),
             rules: &["a response belongs to its request, in order and complete"],
         },
         Case {
             name: "a stream that broke",
             kind: CallKind::Events,
             change: |history| {
-                history.calls[0].response.body = stream_event("a", 1);
+                history.calls[0].response.body = event("b7", "a", 0, 1);
                 history.calls[0].response.is_complete = false;
             },
             rules: &[],
         },
+        Case {
+            name: "a stream that misses an event",
+            kind: CallKind::Events,
+            change: |history| {
+                let body: Vec<String> =
+                    (1..=8).filter(|it| *it != 4).map(|it| event("b7", "a", 0, it)).collect();
+                history.calls[0].response.body = body.concat();
+            },
+            rules: &[
+                "a response belongs to its request, in order and complete",
+                "a stream that is taken up goes on after its last event",
+            ],
+        },
+        Case {
+            name: "a stream that went on at another target after its last event",
+            kind: CallKind::Events,
+            change: |history| {
+                let after = |index| if index > 4 { 4 } else { 0 };
+                history.calls[0].response.body =
+                    (1..=8).map(|index| event("b7", "a", after(index), index)).collect();
+            },
+            rules: &[],
+        },
+        Case {
+            name: "a stream that a target went on with after another event than the last one",
+            kind: CallKind::Events,
+            change: |history| {
+                let after = |index| if index > 4 { 2 } else { 0 };
+                history.calls[0].response.body =
+                    (1..=8).map(|index| event("b7", "a", after(index), index)).collect();
+            },
+            rules: &["a response belongs to its request, in order and complete"],
+        },
+        Case {
+            name: "a stream that went on at another software version in one response",
+            kind: CallKind::Events,
+            change: |history| {
+                history.calls[0].response.body = (1..=8)
+                    .map(|index| match index {
+                        ..=4 => event("b7", "a", 0, index),
+                        _ => event("a2", "a", 4, index),
+                    })
+                    .collect();
+            },
+            rules: &["all events of a stream are of one software version"],
+        },
+        Case {
+            name: "a stream that was taken up",
+            kind: CallKind::Events,
+            change: |history| take_up(history, "b7"),
+            rules: &[],
+        },
+        Case {
+            name: "a stream that was taken up at another software version",
+            kind: CallKind::Events,
+            change: |history| take_up(history, "a2"),
+            rules: &["all events of a stream are of one software version"],
+        },
+        Case {
+            name: "a stream that was taken up from its start",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up(history, "b7");
+                history.calls[1].response.body =
+                    (1..=8).map(|index| event("b7", "b", 0, index)).collect();
+            },
+            rules: &[
+                "a response belongs to its request, in order and complete",
+                "a stream that is taken up goes on after its last event",
+            ],
+        },
+        Case {
+            name: "a taken-up stream that is refused at once",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up(history, "b7");
+                refuse(history, 503, Some(Duration::from_millis(400)), Duration::from_millis(20));
+                history.stable_since = Some(history.calls[0].sent_at - Duration::from_secs(1));
+                history.calls[0].disconnects_early = true;
+            },
+            rules: &[],
+        },
+        Case {
+            name: "a taken-up stream that is refused without a time to come back",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up(history, "b7");
+                refuse(history, 503, None, Duration::from_millis(20));
+            },
+            rules: &["a stream that is taken up is refused at once, with a time to come back"],
+        },
+        Case {
+            name: "a taken-up stream that is refused late",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up(history, "b7");
+                refuse(history, 503, Some(Duration::ZERO), Duration::from_millis(1_200));
+            },
+            rules: &["a stream that is taken up is refused at once, with a time to come back"],
+        },
+        Case {
+            name: "a taken-up stream that is refused late over a link with a fault",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up(history, "b7");
+                refuse(history, 503, Some(Duration::ZERO), Duration::from_millis(1_200));
+                let from = history.calls[0].sent_at;
+                let scope = DisturbanceScope::TargetLink;
+                history.disturbances.push(Disturbance { scope, from, until: from });
+            },
+            rules: &[],
+        },
+        Case {
+            name: "a taken-up stream that is refused with a status of other refusals",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up(history, "b7");
+                refuse(history, 429, Some(Duration::ZERO), Duration::from_millis(20));
+            },
+            rules: &["a stream that is taken up is refused at once, with a time to come back"],
+        },
+        Case {
+            name: "a taken-up stream that is refused and ran",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up(history, "b7");
+                refuse(history, 503, Some(Duration::ZERO), Duration::from_millis(20));
+                let arrival = history.arrivals[0].clone();
+                history.arrivals.push(Arrival { attempt_id: "b".to_string(), ..arrival });
+            },
+            rules: &["a request that is rejected as not run has not run"],
+        },
+        Case {
+            name: "half of the taken-up streams go on",
+            kind: CallKind::Events,
+            change: |history| take_up_many(history, 6),
+            rules: &[],
+        },
+        Case {
+            name: "fewer than half of the taken-up streams go on",
+            kind: CallKind::Events,
+            change: |history| take_up_many(history, 5),
+            rules: &["streams that are taken up go on at least half as often as new ones begin"],
+        },
+        Case {
+            name: "fewer than half of the taken-up streams go on, while one target serves",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up_many(history, 5);
+                history.serving.pop();
+            },
+            rules: &[],
+        },
+        Case {
+            name: "fewer than half of the taken-up streams go on, at a disturbed process",
+            kind: CallKind::Events,
+            change: |history| {
+                take_up_many(history, 5);
+                let from = history.calls[0].sent_at;
+                let scope = DisturbanceScope::Process(1);
+                history.disturbances.push(Disturbance { scope, from, until: from });
+            },
+            rules: &[],
+        },
         Case {
             name: "a target that began to drain long ago",
             kind: CallKind::Read,
