Handle SIGTERM and SIGHUP before a node reads its settings

Ruled out: the supervisor of the soak, which signals only a process whose exit it has not collected.

Change: the runtime is started and the signals are handled first. A signal that comes before it is waited for is kept.

Evidence: a test sends each signal while the node waits for its settings, at a pipe. Before: exit code None for SIGHUP (2 expected, for empty settings); after: 2 for both.

Conclusion: narrowed.

--- a/crates/skylarkpick-command/src/commands/node.rs
+++ b/crates/skylarkpick-command/src/commands/node.rs
@@ -18,7 +18,7 @@
     Exposition, Level, LevelFilter, Metrics, install_metrics, open_stdout_logs,
 };
 use std::sync::Arc;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Runs the node process on a VM of the platform.
 pub(crate) struct NodeCommand;
@@ -59,15 +59,17 @@
     }
 
     fn run(&self, matches: &Matches, _: &mut Console) -> anyhow::Result<Exit> {
-        let settings = read_node_settings().map_err(|error| UsageError(error.to_string()))?;
-        let policy = read_policy(matches.opt_str("policy"))?;
-        open_stdout_logs(LevelFilter::MoreSevereEqual(Level::Info))?;
         // A VM has less than one core, so more threads would only add context switches.
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .context("failed to start the async runtime")?;
-        runtime.block_on(serve(settings, policy))
+        // Comes before anything that takes time.
+        let signals = runtime.block_on(async { NodeSignals::open() })?;
+        let settings = read_node_settings().map_err(|error| UsageError(error.to_string()))?;
+        let policy = read_policy(matches.opt_str("policy"))?;
+        open_stdout_logs(LevelFilter::MoreSevereEqual(Level::Info))?;
+        runtime.block_on(serve(settings, policy, signals))
     }
 }
 
@@ -81,9 +83,26 @@
     Ok(policy)
 }
 
-async fn serve(settings: NodeSettings, policy: PlacementPolicy) -> anyhow::Result<Exit> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
+/// The signals of the platform. One that arrives before it is waited for is kept.
+struct NodeSignals {
+    terminate: Signal,
+    reload: Signal,
+}
+
+impl NodeSignals {
+    /// Replaces the default action of the signals, which ends the process.
+    fn open() -> anyhow::Result<NodeSignals> {
+        let open = |kind| signal(kind).context("failed to handle a signal");
+        let (terminate, reload) = (open(SignalKind::terminate())?, open(SignalKind::hangup())?);
+        Ok(NodeSignals { terminate, reload })
+    }
+}
+
+async fn serve(
+    settings: NodeSettings,
+    policy: PlacementPolicy,
+    mut signals: NodeSignals,
+) -> anyhow::Result<Exit> {
     let client = ObjectClient::open(settings.platform_address);
     spdlog::info!("starting", kv: {
         node = settings.node.as_str(),
@@ -106,8 +125,8 @@
     .context("failed to bind an address")?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => check_settings(),
+            _ = signals.terminate.recv() => break,
+            _ = signals.reload.recv() => check_settings(),
         }
     }
     let drained = node.shutdown().await;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -3,9 +3,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a helper of a test fails the test")]
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::{
+    fs::{CWD, FileType, Mode, mknodat},
+    process::{Pid, Signal, kill_process},
+};
 use serde_json::{Value, json};
 use std::{
+    fs::File,
     io::{BufRead, BufReader, Read, Write},
     net::TcpStream,
     path::PathBuf,
@@ -299,3 +303,33 @@
     assert_eq!(run["finished"], "cancelled", "{runs}");
     assert_eq!(run["account"], "cubesat", "{runs}");
 }
+
+#[test]
+fn a_signal_before_the_settings_are_read_does_not_end_a_node() {
+    struct Case {
+        name: &'static str,
+        signal: Signal,
+    }
+    let cases = [
+        Case { name: "reload", signal: Signal::HUP },
+        Case { name: "terminate", signal: Signal::TERM },
+    ];
+    for case in cases {
+        let folder = std::env::temp_dir();
+        let path = folder.join(format!("skylarkpick-{}-{}", std::process::id(), case.name));
+        mknodat(CWD, &path, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_skylarkpick"))
+            .arg("node")
+            .env("SKYLARKPICK_CONFIG", &path)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        // Opens once the process opens the file to read its settings; it then waits for them.
+        let settings = File::options().write(true).open(&path).unwrap();
+        kill_process(Pid::from_child(&child), case.signal).unwrap();
+        drop(settings);
+        // Empty settings are a usage error.
+        assert_eq!(child.wait().unwrap().code(), Some(2), "{}", case.name);
+        std::fs::remove_file(&path).unwrap();
+    }
+}
