Let a roll-out go on soon after all planners were killed

Cause: after the loss of all processes 6.5 s passed without an order to a runner: 1.5 s before the lease was first read, 1.9 s until it was free, 2.4 s of pause counted from its acquisition, 0.45 s of notice. A kill within that time began all of it anew.

Change: the lease keeps the orders of two machines apart itself. Each record names its holder's machine and how long the holder sends no order. A process on the holder's own machine takes over after the order timeout, since its predecessor has ended and both count as one holder; another one counts its gap from the first sight of the record, which it reads at its start, and announces swaps within the gap.

Evidence: a_rollout_goes_on_soon_after_all_planners_were_killed (virtual time) failed before: "all start again at once: no order after the kill at 1000 ms", "... at 6500 ms", "6 of 9 runners outdated", the same for "the holder starts again after the others", and "the holder's VM is gone: 3 of 9 runners outdated"; it passes, with orders of two machines at least 3 s apart and no lower fencing number.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -12,6 +12,8 @@
 mod topic_watch;
 mod weight_recorder;
 
+#[cfg(test)]
+mod planner_restart_tests;
 #[cfg(test)]
 mod planner_tests;
 #[cfg(test)]
--- a/crates/skylarkpick-forward/src/fleet/entry_health.rs
+++ b/crates/skylarkpick-forward/src/fleet/entry_health.rs
@@ -36,7 +36,7 @@
 }
 
 async fn wait_until_lease_is(held: bool, lease: &Lease) {
-    while lease.permit().is_some() != held {
+    while lease.tenure().is_some() != held {
         tokio::time::sleep(PASS_INTERVAL).await;
     }
 }
--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -37,15 +37,13 @@
 /// Time between the notice of a weight swap and the order, in which requests queued at the runner
 /// can start: on the order, the runner rejects those that have not started.
 const ORDER_DELAY: Duration = Duration::from_millis(450);
-/// Minimum time between the last order of a previous lease holder and the next holder's term. A
-/// holder sends orders only while its term still covers their timeout, and its successor waits for
-/// another such timeout after the term.
-const LEASE_GAP: Duration = ORDER_TIMEOUT.saturating_mul(2);
-/// Safety margin subtracted from that gap.
-const LEASE_GAP_MARGIN: Duration = Duration::from_millis(200);
+/// Time added to the platform's bound between orders of two machines, for clocks that run at
+/// different speeds.
+const MACHINE_GAP_MARGIN: Duration = Duration::from_millis(200);
 /// Time after which an order whose effect has not been observed is sent again.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(3_500);
-/// Delay after the process start, in which the other processes register.
+/// Delay after the process start, in which the other processes register, until it competes for a
+/// lease that another machine held last.
 const START_DELAY: Duration = Duration::from_millis(1_500);
 /// Interval at which a process checks whether it may compete for the lease.
 const CANDIDATE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -65,14 +63,15 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) watcher: Arc<FleetWatcher>,
     pub(crate) node: String,
+    /// Name of the VM that differs from those of all others, also of later ones.
+    pub(crate) machine: String,
 }
 
 struct Planner {
     parts: PlannerParts,
     lease: Arc<Lease>,
     holder: String,
-    /// Time since which this process has held the lease.
-    held_since: Option<Instant>,
+    holds_lease: bool,
     /// Last order to each target.
     ordered: BTreeMap<TargetId, SentOrder>,
     /// Targets whose swap has been announced but not ordered yet.
@@ -88,14 +87,12 @@
 /// Runs the planner for as long as the task runs. In a large fleet, only relays compete for the
 /// lease, which limits the calls to the platform.
 pub(crate) async fn run_planner(parts: PlannerParts) {
-    tokio::time::sleep(START_DELAY).await;
-    while !parts.watcher.records.relays().is_empty() || !parts.watcher.records.is_registered() {
-        tokio::time::sleep(CANDIDATE_CHECK_INTERVAL).await;
-    }
     let holder = format!("{}-{:08x}", parts.node, rand::random::<u32>());
     let settings = LeaseSettings {
         key: LEASE_KEY.to_string(),
         holder: holder.clone(),
+        machine: Some(parts.machine.clone()),
+        machine_gap: parts.node_state.limits().lease + MACHINE_GAP_MARGIN,
         term: LEASE_TERM,
         order_timeout: ORDER_TIMEOUT,
         renewal_interval: LEASE_RENEWAL,
@@ -103,18 +100,28 @@
         call_timeout: LEASE_CALL_TIMEOUT,
     };
     let (objects, clock) = (parts.objects.clone(), parts.clock.clone());
-    let lease = Arc::new(Lease::spawn(objects, clock, settings, rand::random()));
+    let lease = Arc::new(Lease::spawn_standing_by(objects, clock, settings, rand::random()));
+    let competition = compete(parts.watcher.clone(), lease.clone());
     let checks = check_entries(parts.watcher.clone(), lease.clone());
     let mut planner = Planner {
         outdated: OutdatedPartFinder::default(),
         parts,
         lease,
         holder,
-        held_since: None,
+        holds_lease: false,
         ordered: BTreeMap::new(),
         announced: BTreeMap::new(),
     };
-    tokio::join!(planner.run(), checks);
+    tokio::join!(planner.run(), competition, checks);
+}
+
+/// Lets the process compete for the lease once the fleet is known and it follows no relay.
+async fn compete(watcher: Arc<FleetWatcher>, lease: Arc<Lease>) {
+    tokio::time::sleep(START_DELAY).await;
+    while !watcher.records.relays().is_empty() || !watcher.records.is_registered() {
+        tokio::time::sleep(CANDIDATE_CHECK_INTERVAL).await;
+    }
+    lease.compete();
 }
 
 impl Planner {
@@ -127,29 +134,23 @@
     }
 
     async fn reconcile(&mut self) {
-        let Some(permit) = self.lease.permit() else {
-            if self.held_since.take().is_some() {
+        let Some(tenure) = self.lease.tenure() else {
+            if std::mem::take(&mut self.holds_lease) {
                 spdlog::info!("planner lease lost");
                 self.ordered.clear();
                 self.announced.clear();
             }
             return;
         };
-        let since = match self.held_since {
-            Some(since) => since,
-            None => {
-                let since = Instant::now();
-                spdlog::info!("planner lease acquired", kv: {
-                    fencing_number = permit.fencing_number,
-                });
-                self.held_since = Some(since);
-                since
-            }
-        };
-        // The previous holder may have sent orders until `LEASE_GAP` before its successor's term.
-        let pause =
-            self.parts.node_state.limits().lease.saturating_sub(LEASE_GAP - LEASE_GAP_MARGIN);
-        if since.elapsed() < pause {
+        if !self.holds_lease {
+            spdlog::info!("planner lease acquired", kv: {
+                fencing_number = tenure.fencing_number,
+                order_pause_ms = tenure.order_pause.as_millis() as u64,
+            });
+            self.holds_lease = true;
+        }
+        // Swaps may be announced before orders may be sent.
+        if tenure.order_pause > ORDER_DELAY {
             return;
         }
         let models: Vec<(ModelName, WeightVersion)> = {
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -45,8 +45,8 @@
 }
 
 /// Network to processes that are frozen (requests never end) or gone (requests fail).
-struct DeadNetwork {
-    is_frozen: bool,
+pub(super) struct DeadNetwork {
+    pub(super) is_frozen: bool,
 }
 
 #[async_trait]
@@ -162,16 +162,17 @@
         clock: Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)),
         watcher: watcher.clone(),
         node: "entry-1".to_string(),
+        machine: "entry-1 10.0.0.1:80".to_string(),
     }));
     Fixture { source, control, objects, watcher, _planner: planner }
 }
 
-fn update(records: Vec<(String, FleetRecord)>, revision: FleetRevision) -> FleetUpdate {
+pub(super) fn update(records: Vec<(String, FleetRecord)>, revision: FleetRevision) -> FleetUpdate {
     let named = |(name, record)| NamedRecord { name, record: Some(record) };
     FleetUpdate { records: records.into_iter().map(named).collect(), revision }
 }
 
-fn serving() -> Box<ServingDocument> {
+pub(super) fn serving() -> Box<ServingDocument> {
     let memory = ContextMemory {
         capacity_tokens: 40_000,
         token_size_bytes: 18_432,
@@ -193,11 +194,11 @@
     })
 }
 
-fn runner_address(index: u8) -> SocketAddr {
+pub(super) fn runner_address(index: u8) -> SocketAddr {
     ([10, 1, 0, index], 80).into()
 }
 
-fn runner(index: u8) -> (String, FleetRecord) {
+pub(super) fn runner(index: u8) -> (String, FleetRecord) {
     let id = format!("i-{index}");
     let registration = RegisteredTarget {
         id: id.clone(),
@@ -212,7 +213,7 @@
     (id, FleetRecord::Target(registration))
 }
 
-fn weights(weight_version: WeightVersion) -> (String, FleetRecord) {
+pub(super) fn weights(weight_version: WeightVersion) -> (String, FleetRecord) {
     let weights = DesiredWeights {
         model: "tala".to_string(),
         weight_version,
@@ -221,7 +222,7 @@
     ("tala".to_string(), FleetRecord::Weights(weights))
 }
 
-fn entry(index: u8) -> (String, FleetRecord) {
+pub(super) fn entry(index: u8) -> (String, FleetRecord) {
     let entry = RegisteredEntry {
         name: format!("entry-{index}"),
         address: ([10, 0, 0, index], 80).into(),
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -147,6 +147,8 @@
             clock: parts.clock.clone(),
             watcher,
             node: settings.node.clone(),
+            // Names and addresses are each used again for later VMs.
+            machine: format!("{} {}", settings.node, settings.peer_address),
         }));
         Ok(Node { node_state, listener, _handler: handler, ready, metrics, _tasks: tasks })
     }
--- a/crates/skylarkpick-lease/src/lease.rs
+++ b/crates/skylarkpick-lease/src/lease.rs
@@ -3,7 +3,7 @@
 use crate::{
     record::LeaseRecord,
     settings::LeaseSettings,
-    state_machine::{Action, LeaseStateMachine, Permit, WriteOutcome},
+    state_machine::{Action, LeaseStateMachine, Permit, Tenure, WriteOutcome},
 };
 use rand::{RngCore, SeedableRng, rngs::StdRng};
 use skylarkpick_interface::{Clock, FencingNumber, ObjectStore, ObjectVersion, WriteError};
@@ -12,7 +12,7 @@
     time::{Duration, SystemTime},
 };
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{Notify, mpsc, oneshot},
     task::JoinHandle,
     time::timeout,
 };
@@ -59,6 +59,7 @@
     platform: Arc<dyn ObjectStore>,
     clock: Arc<dyn Clock>,
     settings: LeaseSettings,
+    competes: Notify,
 }
 
 impl Lease {
@@ -68,17 +69,81 @@
         clock: Arc<dyn Clock>,
         settings: LeaseSettings,
         seed: u64,
+    ) -> Lease {
+        Lease::start(platform, clock, settings, seed, |state_machine| state_machine)
+    }
+
+    /// Starts a candidate that reads the lease once and then waits for [`Lease::compete`], unless
+    /// its own machine held the lease last. `seed` must differ between starts of a process.
+    ///
+    /// ```
+    /// # use skylarkpick_interface::TokioClock;
+    /// # use skylarkpick_lease::{Lease, LeaseSettings};
+    /// # use skylarkpick_standin::{MemoryPlatform, PlatformRates};
+    /// # use std::{sync::Arc, time::{Duration, SystemTime}};
+    /// # tokio::runtime::Builder::new_current_thread()
+    /// #     .enable_time().start_paused(true).build().unwrap().block_on(async {
+    /// # let platform = MemoryPlatform::open(Duration::ZERO, PlatformRates::default());
+    /// # let clock = Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH));
+    /// let machine_gap = Duration::from_secs(3);
+    /// let settings = LeaseSettings {
+    ///     machine: Some("vm-1".to_string()),
+    ///     machine_gap,
+    ///     ..LeaseSettings::new("leases/planner/mnl-a", "entry-1")
+    /// };
+    /// let lease = Lease::spawn_standing_by(platform, clock, settings, 1);
+    /// tokio::time::sleep(Duration::from_secs(60)).await;
+    /// assert!(lease.tenure().is_none());
+    /// lease.compete();
+    /// tokio::time::sleep(Duration::from_millis(10)).await;
+    /// // There may have been another holder before the object was first written.
+    /// assert!(lease.tenure().is_some() && lease.permit().is_none());
+    /// tokio::time::sleep(machine_gap).await;
+    /// assert!(lease.permit().is_some());
+    /// # });
+    /// ```
+    pub fn spawn_standing_by(
+        platform: Arc<dyn ObjectStore>,
+        clock: Arc<dyn Clock>,
+        settings: LeaseSettings,
+        seed: u64,
+    ) -> Lease {
+        Lease::start(platform, clock, settings, seed, LeaseStateMachine::standing_by)
+    }
+
+    fn start(
+        platform: Arc<dyn ObjectStore>,
+        clock: Arc<dyn Clock>,
+        settings: LeaseSettings,
+        seed: u64,
+        prepare: fn(LeaseStateMachine) -> LeaseStateMachine,
     ) -> Lease {
         let nonce_prefix = nonce_prefix(&settings.holder, &*clock, seed);
-        let state_machine = Mutex::new(LeaseStateMachine::open(settings.clone(), &nonce_prefix));
-        let shared = Arc::new(Shared { state_machine, platform, clock, settings });
+        let state_machine = prepare(LeaseStateMachine::open(settings.clone(), &nonce_prefix));
+        let state_machine = Mutex::new(state_machine);
+        let competes = Notify::new();
+        let shared = Arc::new(Shared { state_machine, platform, clock, settings, competes });
         let (release_requests, receiver) = mpsc::channel(1);
         let task = tokio::spawn(run(shared.clone(), receiver));
         Lease { shared, release_requests, task }
     }
 
-    /// Returns a permit to send one order now, or `None` if this process doesn't hold the lease or
-    /// the remaining term is too short. Each order needs a permit of its own.
+    /// Lets a candidate that stands by compete for the lease. The time since it read the lease
+    /// counts towards its wait.
+    pub fn compete(&self) {
+        self.shared.lock().compete();
+        self.shared.competes.notify_one();
+    }
+
+    /// Returns the lease while this process holds it, also before it may send orders.
+    pub fn tenure(&self) -> Option<Tenure> {
+        let now = self.shared.clock.since_boot();
+        self.shared.lock().tenure(now)
+    }
+
+    /// Returns a permit to send one order now, or `None` if this process doesn't hold the lease, the
+    /// remaining term is too short, or another machine may have sent orders too recently. Each order
+    /// needs a permit of its own.
     pub fn permit(&self) -> Option<Permit> {
         let now = self.shared.clock.since_boot();
         self.shared.lock().permit(now)
@@ -158,6 +223,7 @@
                 let pause = tokio::time::sleep(due.saturating_sub(now));
                 tokio::select! {
                     () = pause => {}
+                    () = shared.competes.notified() => {}
                     request = release_requests.recv() => {
                         release(&shared, request).await;
                         return;
--- a/crates/skylarkpick-lease/src/lib.rs
+++ b/crates/skylarkpick-lease/src/lib.rs
@@ -10,7 +10,10 @@
 //! - [`Lease::permit`] allows one order at a time, and only while the remaining term covers the
 //!   order's full timeout.
 //! - A successor waits for the full term from when it first saw the current version, plus the order
-//!   timeout, and then writes conditionally on that version.
+//!   timeout, and then writes conditionally on that version. A successor on the holder's own machine
+//!   waits for the order timeout only.
+//! - The orders of two machines stay [`LeaseSettings::machine_gap`] apart: each record tells for how
+//!   long its holder sends none.
 
 mod lease;
 mod record;
@@ -20,4 +23,4 @@
 pub use lease::{Lease, LeaseStatus};
 pub use record::LeaseRecord;
 pub use settings::LeaseSettings;
-pub use state_machine::{Action, LeaseStateMachine, Permit, WriteOutcome};
+pub use state_machine::{Action, LeaseStateMachine, Permit, Tenure, WriteOutcome};
--- a/crates/skylarkpick-lease/src/record.rs
+++ b/crates/skylarkpick-lease/src/record.rs
@@ -17,16 +17,31 @@
     pub order_timeout_ms: u64,
     /// Whether the holder released the lease, with no order in flight.
     pub released: bool,
+    /// Name of the holder's machine.
+    #[serde(default)]
+    pub machine: Option<String>,
+    /// Time from the write in which the holder sends no order, since another machine may have sent
+    /// some before.
+    #[serde(default)]
+    pub order_pause_ms: u64,
 }
 
 impl LeaseRecord {
-    pub(crate) fn new(settings: &LeaseSettings, nonce: &str, released: bool) -> LeaseRecord {
+    pub(crate) fn new(
+        settings: &LeaseSettings,
+        nonce: &str,
+        released: bool,
+        order_pause: Duration,
+    ) -> LeaseRecord {
         LeaseRecord {
             holder: settings.holder.clone(),
             nonce: nonce.to_string(),
             term_ms: milliseconds(settings.term()),
             order_timeout_ms: milliseconds(settings.order_timeout),
             released,
+            machine: settings.machine.clone(),
+            // Rounded up: a successor relies on the whole pause.
+            order_pause_ms: milliseconds(order_pause + Duration::from_micros(999)),
         }
     }
 
@@ -45,6 +60,8 @@
             term_ms: milliseconds(TERM_LIMIT),
             order_timeout_ms: 0,
             released: false,
+            machine: None,
+            order_pause_ms: 0,
         })
     }
 
@@ -53,16 +70,37 @@
         serde_json::to_vec(self).unwrap_or_default()
     }
 
-    /// Returns how long a successor waits after it first saw the record.
+    /// Returns how long a successor waits after it first saw the record. A successor on the same
+    /// machine waits for an order in flight only, since it runs after the holder has ended.
     pub(crate) fn takeover_delay(&self, own: &LeaseSettings) -> Duration {
         if self.released {
             return Duration::ZERO;
         }
-        let term = Duration::from_millis(self.term_ms).min(TERM_LIMIT);
         // A holder whose order timeout exceeds its term gets no permit, so the limit bounds both.
         let recorded = Duration::from_millis(self.order_timeout_ms).min(TERM_LIMIT);
         let order_timeout = recorded.max(own.order_timeout);
-        term + order_timeout
+        if self.is_of_machine(own) { order_timeout } else { self.term() + order_timeout }
+    }
+
+    /// Returns how long a successor sends no order after it first saw the record, so that orders of
+    /// two machines stay apart. Orders of the record's holder arrive within its term.
+    pub(crate) fn order_pause(&self, own: &LeaseSettings) -> Duration {
+        let recorded = Duration::from_millis(self.order_pause_ms).min(TERM_LIMIT);
+        // Such a holder sent no order.
+        let is_unused = recorded > self.term() || (self.released && !recorded.is_zero());
+        if is_unused || self.is_of_machine(own) {
+            return recorded;
+        }
+        let last_order = if self.released { Duration::ZERO } else { self.term() };
+        last_order + own.machine_gap
+    }
+
+    pub(crate) fn is_of_machine(&self, own: &LeaseSettings) -> bool {
+        self.machine.is_some() && self.machine == own.machine
+    }
+
+    fn term(&self) -> Duration {
+        Duration::from_millis(self.term_ms).min(TERM_LIMIT)
     }
 }
 
--- a/crates/skylarkpick-lease/src/settings.rs
+++ b/crates/skylarkpick-lease/src/settings.rs
@@ -12,6 +12,11 @@
     pub key: String,
     /// Name of this candidate, unique for each start of its process.
     pub holder: String,
+    /// Name of the machine, if the lease tells machines apart: the same at each start of a process
+    /// on one machine, and different on all others. A process must not run beside its predecessor.
+    pub machine: Option<String>,
+    /// Minimum time between the last order of one machine and the first order of another.
+    pub machine_gap: Duration,
     /// Time for which a write grants the lease, at most five minutes.
     pub term: Duration,
     /// Maximum time that one order may take.
@@ -25,7 +30,8 @@
 }
 
 impl LeaseSettings {
-    /// Returns settings with a term of 6 s and an order timeout of 2 s.
+    /// Returns settings with a term of 6 s and an order timeout of 2 s, which don't tell machines
+    /// apart.
     ///
     /// ```
     /// use skylarkpick_lease::LeaseSettings;
@@ -36,6 +42,8 @@
         LeaseSettings {
             key: key.to_string(),
             holder: holder.to_string(),
+            machine: None,
+            machine_gap: Duration::ZERO,
             term: Duration::from_secs(6),
             order_timeout: Duration::from_secs(2),
             renewal_interval: Duration::from_secs(1),
--- a/crates/skylarkpick-lease/src/state_machine.rs
+++ b/crates/skylarkpick-lease/src/state_machine.rs
@@ -35,6 +35,17 @@
     Unknown,
 }
 
+/// A held lease, whether or not orders may be sent already.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Tenure {
+    /// Fencing number of the lease.
+    pub fencing_number: FencingNumber,
+    /// Remaining term.
+    pub remaining: Duration,
+    /// Time until orders may be sent; zero if they may be sent now.
+    pub order_pause: Duration,
+}
+
 /// Permission to send one order now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Permit {
@@ -59,6 +70,9 @@
     next_write_at: Duration,
     /// Whether the next action must be a read.
     must_read: bool,
+    /// Whether this candidate leaves the lease to others, unless its own machine held it last.
+    is_standing_by: bool,
+    has_read: bool,
     released: bool,
 }
 
@@ -66,12 +80,15 @@
 struct SentWrite {
     nonce: String,
     sent_at: Duration,
+    orders_from: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct HeldLease {
     version: ObjectVersion,
     term_started_at: Duration,
+    /// Time from which orders are far enough from those of other machines.
+    orders_from: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -109,10 +126,25 @@
             next_read_at: Duration::ZERO,
             next_write_at: Duration::ZERO,
             must_read: true,
+            is_standing_by: false,
+            has_read: false,
             released: false,
         }
     }
 
+    /// Makes this candidate read the object once and then wait for [`LeaseStateMachine::compete`].
+    /// It competes by itself if its own machine held the lease last.
+    #[must_use]
+    pub fn standing_by(mut self) -> LeaseStateMachine {
+        self.is_standing_by = true;
+        self
+    }
+
+    /// Lets a candidate that stands by compete for the lease. What it has read counts.
+    pub fn compete(&mut self) {
+        self.is_standing_by = false;
+    }
+
     /// Returns the next action. A returned write counts as sent at `now`, which is when its term
     /// starts.
     pub fn next_action(&mut self, now: Duration) -> Action {
@@ -125,6 +157,9 @@
             }
             return self.write(now, Some(held.version), false);
         }
+        if self.is_standing_by && self.has_read && !self.succeeds_own_machine() {
+            return Action::WaitUntil(now + self.settings.poll_interval);
+        }
         if now >= self.next_read_at {
             return self.read(now);
         }
@@ -148,13 +183,15 @@
     /// doesn't exist.
     pub fn observe_read(&mut self, now: Duration, found: Option<(ObjectVersion, LeaseRecord)>) {
         self.next_read_at = now + self.settings.poll_interval;
+        self.has_read = true;
         let Some((version, record)) = found else {
             self.held = None;
             self.observed = None;
             return;
         };
         if let Some(own) = self.unresolved_writes.iter().find(|sent| sent.nonce == record.nonce) {
-            self.acquire(version, own.sent_at);
+            let own = own.clone();
+            self.acquire(version, &own);
             return;
         }
         if self.held.is_some_and(|held| held.version != version) {
@@ -170,7 +207,7 @@
         match outcome {
             WriteOutcome::Written(version) => {
                 let Some(sent) = self.unresolved_writes.pop() else { return };
-                self.acquire(version, sent.sent_at);
+                self.acquire(version, &sent);
             }
             WriteOutcome::NotWritten => {
                 self.unresolved_writes.pop();
@@ -185,22 +222,35 @@
         }
     }
 
-    /// Returns a permit for one order at `now` if this candidate holds the lease and the
-    /// remaining term covers the order timeout.
-    pub fn permit(&self, now: Duration) -> Option<Permit> {
+    /// Returns the lease if this candidate holds it at `now` and the remaining term covers the order
+    /// timeout.
+    pub fn tenure(&self, now: Duration) -> Option<Tenure> {
         let held = self.held.filter(|_| !self.released)?;
         let ends_at = held.term_started_at + self.settings.term();
         let remaining = ends_at.checked_sub(now)?;
         let covered = remaining >= self.settings.order_timeout;
-        covered.then_some(Permit { fencing_number: held.version, remaining })
+        covered.then_some(Tenure {
+            fencing_number: held.version,
+            remaining,
+            order_pause: held.orders_from.saturating_sub(now),
+        })
+    }
+
+    /// Returns a permit for one order at `now` if this candidate holds the lease, the remaining term
+    /// covers the order timeout, and the orders of other machines are long enough ago.
+    pub fn permit(&self, now: Duration) -> Option<Permit> {
+        let tenure = self.tenure(now).filter(|tenure| tenure.order_pause.is_zero())?;
+        Some(Permit { fencing_number: tenure.fencing_number, remaining: tenure.remaining })
     }
 
     /// Releases the lease and returns the write to send, if the lease was held. The caller must
     /// have no order in flight.
     pub fn release(&mut self, now: Duration) -> Option<Action> {
         self.released = true;
-        let held = self.held.take()?;
-        Some(self.write(now, Some(held.version), true))
+        let version = self.held?.version;
+        let action = self.write(now, Some(version), true);
+        self.held = None;
+        Some(action)
     }
 
     /// Returns the holder according to the last read or write, or `None` if there is none.
@@ -223,14 +273,34 @@
         }
     }
 
-    fn acquire(&mut self, version: ObjectVersion, term_started_at: Duration) {
+    fn succeeds_own_machine(&self) -> bool {
+        let observed = self.observed.as_ref();
+        observed.is_some_and(|observed| observed.record.is_of_machine(&self.settings))
+    }
+
+    /// Returns the time from which orders may be sent under a write at `now`.
+    fn orders_from(&self, now: Duration) -> Duration {
+        match (&self.held, &self.observed) {
+            (Some(held), _) => held.orders_from,
+            (None, Some(observed)) => {
+                observed.first_seen_at + observed.record.order_pause(&self.settings)
+            }
+            (None, None) => now + self.settings.machine_gap,
+        }
+    }
+
+    fn acquire(&mut self, version: ObjectVersion, sent: &SentWrite) {
         self.unresolved_writes.clear();
         self.observed = None;
         if self.released {
             return;
         }
-        self.held = Some(HeldLease { version, term_started_at });
-        self.next_write_at = term_started_at + self.settings.renewal_interval;
+        self.held = Some(HeldLease {
+            version,
+            term_started_at: sent.sent_at,
+            orders_from: sent.orders_from,
+        });
+        self.next_write_at = sent.sent_at + self.settings.renewal_interval;
     }
 
     fn read(&mut self, now: Duration) -> Action {
@@ -243,10 +313,12 @@
         self.write_count += 1;
         let nonce = format!("{}-{}", self.nonce_prefix, self.write_count);
         self.next_write_at = now + self.settings.poll_interval;
-        let record = LeaseRecord::new(&self.settings, &nonce, released);
+        let orders_from = self.orders_from(now);
+        let order_pause = orders_from.saturating_sub(now);
+        let record = LeaseRecord::new(&self.settings, &nonce, released, order_pause);
         let term = self.settings.term();
         self.unresolved_writes.retain(|sent| now < sent.sent_at + term);
-        self.unresolved_writes.push(SentWrite { nonce, sent_at: now });
+        self.unresolved_writes.push(SentWrite { nonce, sent_at: now, orders_from });
         Action::Write { expected, record }
     }
 }
--- a/crates/skylarkpick-lease/tests/state_machine.rs
+++ b/crates/skylarkpick-lease/tests/state_machine.rs
@@ -1,6 +1,6 @@
-//! Property tests of the lease protocol with three candidates that are paused, partitioned from the
-//! platform, or get no response to writes that take effect at once or later. At no time may two
-//! candidates be allowed to send orders.
+//! Property tests of the lease protocol with three candidates that are paused, started again,
+//! partitioned from the platform, or get no response to writes that take effect at once or later. At
+//! no time may two candidates be allowed to send orders, and those of two machines stay apart.
 
 use proptest::{
     prelude::*,
@@ -19,8 +19,12 @@
     Normal,
     /// The process doesn't run.
     Paused,
+    /// The process is killed, and started again in the next tick.
+    Restarted,
     /// The platform is unreachable: reads fail and nothing is written.
     Partitioned,
+    /// The platform is unreachable, and the candidate sends an order if it may.
+    PartitionedOrder,
     /// A write is lost before it takes effect, and gets no response.
     LostRequest,
     /// A write takes effect; its candidate gets no response, which it learns
@@ -38,7 +42,9 @@
     prop_oneof![
         12 => Just(TickEvent::Normal),
         2 => Just(TickEvent::Paused),
+        2 => Just(TickEvent::Restarted),
         3 => Just(TickEvent::Partitioned),
+        2 => Just(TickEvent::PartitionedOrder),
         1 => Just(TickEvent::LostRequest),
         2 => Just(TickEvent::LostResponse),
         1 => Just(TickEvent::DelayedWrite),
@@ -54,8 +60,13 @@
         periods
             .into_iter()
             .flat_map(|(event, ticks)| {
-                let long =
-                    matches!(event, TickEvent::Paused | TickEvent::Partitioned | TickEvent::Normal);
+                let long = matches!(
+                    event,
+                    TickEvent::Normal
+                        | TickEvent::Partitioned
+                        | TickEvent::PartitionedOrder
+                        | TickEvent::Paused
+                );
                 std::iter::repeat_n(event, if long { ticks } else { 1 })
             })
             .collect()
@@ -101,20 +112,49 @@
 
 /// An order that may take effect until `ends_at`.
 struct SentOrder {
-    sender: usize,
+    sender: Sender,
     fencing_number: u64,
     ends_at: Duration,
 }
 
-fn candidate(index: usize) -> Candidate {
-    let settings = LeaseSettings::new("leases/test", &format!("entry-{index}"));
-    let state_machine = LeaseStateMachine::open(settings, &format!("entry-{index}"));
+/// A start of the process on a machine.
+#[derive(Clone, Copy, PartialEq)]
+struct Sender {
+    machine: usize,
+    start: usize,
+}
+
+/// Which orders the lease keeps apart, and for how long.
+struct Separation {
+    tells_machines_apart: bool,
+    machine_gap: Duration,
+}
+
+const SEPARATIONS: [Separation; 4] = [
+    Separation { tells_machines_apart: false, machine_gap: Duration::ZERO },
+    Separation { tells_machines_apart: true, machine_gap: Duration::ZERO },
+    Separation { tells_machines_apart: true, machine_gap: Duration::from_secs(3) },
+    // So long that processes are killed while they wait for its end.
+    Separation { tells_machines_apart: true, machine_gap: Duration::from_secs(10) },
+];
+
+fn candidate(sender: Sender, separation: &Separation) -> Candidate {
+    let name = format!("entry-{}", sender.machine);
+    let machine = separation.tells_machines_apart.then(|| name.clone());
+    let machine_gap = separation.machine_gap;
+    let settings =
+        LeaseSettings { machine, machine_gap, ..LeaseSettings::new("leases/test", &name) };
+    let nonce_prefix = format!("{name}-{}", sender.start);
+    let state_machine = LeaseStateMachine::open(settings, &nonce_prefix);
     Candidate { state_machine, pending: None }
 }
 
-/// Runs one candidate per schedule and returns the number of orders sent.
-fn run(schedules: &[Vec<TickEvent>]) -> Result<usize, TestCaseError> {
-    let mut candidates: Vec<_> = (0..schedules.len()).map(candidate).collect();
+/// Runs one machine per schedule and returns the number of orders sent.
+fn run(schedules: &[Vec<TickEvent>], separation: &Separation) -> Result<usize, TestCaseError> {
+    let mut senders: Vec<Sender> =
+        (0..schedules.len()).map(|machine| Sender { machine, start: 0 }).collect();
+    let mut candidates: Vec<_> =
+        senders.iter().map(|sender| candidate(*sender, separation)).collect();
     let (mut object, mut delayed, mut orders) = (Object::default(), Vec::new(), Vec::new());
     let ticks = schedules.iter().map(Vec::len).max().unwrap_or_default();
     for tick in 0..ticks {
@@ -122,13 +162,19 @@
         apply_due_writes(&mut delayed, tick, &mut object);
         for (index, schedule) in schedules.iter().enumerate() {
             let event = schedule.get(tick).copied().unwrap_or(TickEvent::Normal);
-            // Each candidate's clock started at another time.
+            // Each machine's clock started at another time.
             let local = now + Duration::from_secs(1_000 * index as u64);
-            if event != TickEvent::Paused {
-                advance(&mut candidates[index], local, event, tick, &mut object, &mut delayed);
+            match event {
+                TickEvent::Paused => {}
+                TickEvent::Restarted => {
+                    senders[index].start += 1;
+                    candidates[index] = candidate(senders[index], separation);
+                }
+                _ => advance(&mut candidates[index], local, event, tick, &mut object, &mut delayed),
             }
-            if event == TickEvent::Order {
-                send_order(&candidates[index].state_machine, index, now, local, &mut orders)?;
+            if matches!(event, TickEvent::Order | TickEvent::PartitionedOrder) {
+                let state_machine = &candidates[index].state_machine;
+                send_order(state_machine, senders[index], separation, now, local, &mut orders)?;
             }
         }
         let holders = (0..candidates.len()).filter(|index| {
@@ -149,6 +195,10 @@
     }
 }
 
+fn is_partitioned(event: TickEvent) -> bool {
+    matches!(event, TickEvent::Partitioned | TickEvent::PartitionedOrder)
+}
+
 fn advance(
     candidate: &mut Candidate,
     now: Duration,
@@ -167,9 +217,7 @@
     for _ in 0..3 {
         match state_machine.next_action(now) {
             Action::WaitUntil(_) => return,
-            Action::Read if matches!(event, TickEvent::Partitioned) => {
-                state_machine.observe_read_failure(now)
-            }
+            Action::Read if is_partitioned(event) => state_machine.observe_read_failure(now),
             Action::Read => {
                 let found = object.record.clone().map(|record| (object.version, record));
                 state_machine.observe_read(now, found);
@@ -183,7 +231,7 @@
                     return;
                 }
                 let outcome = match event {
-                    TickEvent::Partitioned => WriteOutcome::NotWritten,
+                    event if is_partitioned(event) => WriteOutcome::NotWritten,
                     TickEvent::LostRequest => WriteOutcome::Unknown,
                     TickEvent::DelayedWrite => {
                         delayed.push(DelayedWrite { due_tick: tick + 30, expected, record });
@@ -200,14 +248,20 @@
 /// Sends an order if the candidate has a permit, and checks it against the orders of the others.
 fn send_order(
     state_machine: &LeaseStateMachine,
-    sender: usize,
+    sender: Sender,
+    separation: &Separation,
     now: Duration,
     local: Duration,
     orders: &mut Vec<SentOrder>,
 ) -> Result<(), TestCaseError> {
     let Some(permit) = state_machine.permit(local) else { return Ok(()) };
     for other in orders.iter().filter(|other| other.sender != sender) {
-        prop_assert!(other.ends_at <= now, "an order of another holder may still take effect");
+        let is_other_machine = other.sender.machine != sender.machine;
+        let gap = if is_other_machine { separation.machine_gap } else { Duration::ZERO };
+        prop_assert!(
+            other.ends_at + gap <= now,
+            "an order of another holder may still take effect, or is too recent"
+        );
         prop_assert!(
             other.fencing_number < permit.fencing_number,
             "the fencing number did not grow"
@@ -220,21 +274,24 @@
 
 #[test]
 fn never_permits_orders_of_two_candidates_at_once() {
-    let config = Config {
-        cases: 2_000,
-        failure_persistence: None,
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(SEED),
-        ..Config::default()
-    };
-    let mut orders = 0;
-    TestRunner::new(config)
-        .run(&prop::collection::vec(schedule(), 3), |schedules| run(&schedules).map(|_| ()))
-        .unwrap();
-    // Without faults the lease is held, and its holder sends orders.
-    let fault_free = vec![vec![TickEvent::Order; 200]; 2];
-    orders += run(&fault_free).unwrap();
-    assert!(orders > 150, "{orders} orders in 200 ticks");
+    for separation in &SEPARATIONS {
+        let config = Config {
+            cases: 2_000,
+            failure_persistence: None,
+            rng_algorithm: RngAlgorithm::ChaCha,
+            rng_seed: RngSeed::Fixed(SEED),
+            ..Config::default()
+        };
+        let schedules = prop::collection::vec(schedule(), 3);
+        TestRunner::new(config)
+            .run(&schedules, |schedules| run(&schedules, separation).map(|_| ()))
+            .unwrap();
+        // Without faults the lease is held, and its holder sends orders.
+        let gap_ticks = separation.machine_gap.as_millis() / TICK.as_millis();
+        let fault_free = vec![vec![TickEvent::Order; 200 + gap_ticks as usize]; 2];
+        let orders = run(&fault_free, separation).unwrap();
+        assert!(orders > 150, "{orders} orders in 200 ticks after the gap");
+    }
 }
 
 #[test]
@@ -256,7 +313,8 @@
     let content = prop_oneof![record, prop::collection::vec(any::<u8>(), 0..200)];
     TestRunner::new(config)
         .run(&content, |content| {
-            let mut state_machine = candidate(0).state_machine;
+            let sender = Sender { machine: 0, start: 0 };
+            let mut state_machine = candidate(sender, &SEPARATIONS[0]).state_machine;
             let now = Duration::from_secs(100);
             state_machine.observe_read(now, Some((1, LeaseRecord::decode(&content))));
             // The longest wait is five minutes for the term and five minutes for an order.
