Test that a lost order on expired weights is repeated in time (fails)

Cause: Planner::runners counts a runner as loading for 3.5 s after any order, also one that got no response (planner.rs, ORDER_RETRY_DELAY), and Capacity::check (rollout/plan.rs) answers 'loading' before it asks whether the weights have expired. A lost order at the end of the use of replaced weights is therefore repeated 4.2 s later, after versionMs. Runners that ignore a closed connection rely on that order: it alone rejects what waits there.

Ruled out: the runners answer the read of their order state, so they are not the silent runners of runners_that_never_respond_do_not_delay_orders_to_others_on_expired_weights. A repeated order is safe, since each carries the count of accepted orders.

Evidence (virtual time, from the naming): orders at 11.2 to 11.3 s, then none until 15.4 to 15.5 s; runners that were ordered without effect at 9.1 s are ordered next at 13.2 to 13.3 s. No fix in this commit; fails with

i-3: {"i-1": 3, "i-2": 3, "i-3": 1, "i-4": 1, "i-5": 1} after {"i-1": 3, "i-2": 3}

Conclusion: open; the lead decides.

--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -14,16 +14,16 @@
     CacheEpoch, CacheScope, ClientLimits, ContextMemory, ControlError, DesiredWeights, EngineLoad,
     FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, OrderOutcome, OrderState,
     PartChanges, PartId, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
-    RegisteredTarget, ServiceKind, ServingDocument, TargetControl, TokioClock, WeightOrder,
-    WeightVersion,
+    RegisteredTarget, ServiceKind, ServingDocument, TargetControl, TargetId, TokioClock,
+    WeightOrder, WeightVersion,
 };
 use skylarkpick_standin::{MemoryPlatform, PlatformRates};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Arc, Weak,
-        atomic::{AtomicU32, Ordering},
+        Arc, Mutex, Weak,
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, SystemTime},
 };
@@ -74,6 +74,10 @@
 struct CountingControl {
     orders: AtomicU32,
     silent_runners: u8,
+    /// Whether runners leave orders without a response and without effect.
+    loses_orders: AtomicBool,
+    /// Orders by target.
+    orders_by_target: Mutex<BTreeMap<TargetId, u32>>,
 }
 
 #[async_trait]
@@ -95,8 +99,17 @@
         Ok(EngineLoad::default())
     }
 
-    async fn order(&self, _: &WeightOrder, _: Duration) -> Result<OrderOutcome, ControlError> {
+    async fn order(
+        &self,
+        order: &WeightOrder,
+        timeout: Duration,
+    ) -> Result<OrderOutcome, ControlError> {
         self.orders.fetch_add(1, Ordering::SeqCst);
+        *self.orders_by_target.lock().unwrap().entry(order.target.clone()).or_default() += 1;
+        if self.loses_orders.load(Ordering::SeqCst) {
+            tokio::time::sleep(timeout).await;
+            return Err(ControlError::NoResponse("timed out".to_string()));
+        }
         Ok(OrderOutcome::Accepted)
     }
 
@@ -269,3 +282,20 @@
     tokio::time::sleep(Duration::from_millis(11_800)).await;
     assert!(fixture.control.orders.load(Ordering::SeqCst) > 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_order_to_a_runner_on_expired_weights_is_repeated_before_the_limit() {
+    let fixture = start_planner(false, 0);
+    tokio::time::sleep(6 * SECOND).await;
+    fixture.watcher.records.update(FleetTopic::Weights, &update(vec![weights(2)], 2));
+    // Until the weights expire, the limits of the rollout keep some runners waiting.
+    tokio::time::sleep(Duration::from_millis(10_400)).await;
+    let ordered = || fixture.control.orders_by_target.lock().unwrap().clone();
+    let before = ordered();
+    assert!(before.len() < 5, "no runner waits: {before:?}");
+    fixture.control.loses_orders.store(true, Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    for id in (1..=5).map(|index| format!("i-{index}")).filter(|id| !before.contains_key(id)) {
+        assert!(ordered().get(&id) > Some(&1), "{id}: {:?} after {before:?}", ordered());
+    }
+}
