Test that a suspended process withdraws its attempts in time (fails)

Cause: NodeState::wait_for_expiry (node_state.rs) takes the remaining time from the node time, which counts suspension, and sleeps it on tokio's timer, which doesn't. It looks at the node time again only when that timer ends or desired weights change, so an attempt that waits over a suspension of the VM is withdrawn later by the length of the suspension.

Ruled out: placement, which reads the node time at each choice; attempts that are sent after the suspension.

Evidence: virtual time; suspended for the 1.5 s up to the limit.

It needs a request that waits at its runner over a short suspension within the last two seconds of the period, so it is rare.

--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -12,6 +12,8 @@
 mod log;
 mod node;
 mod node_state;
+#[cfg(test)]
+mod node_state_tests;
 mod peers;
 mod readiness;
 mod serving_index;
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -3,7 +3,7 @@
 use crate::{node_state::NodeState, peers::PeerResponse};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
+    Clock, DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
     NamedRecord, NodeLimits, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
     TokioClock, WatchError, WeightVersion, WriteError,
 };
@@ -17,6 +17,11 @@
 
 /// Returns an empty node state on tokio's clock.
 pub(crate) fn empty_node_state() -> Arc<NodeState> {
+    node_state_on(Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)))
+}
+
+/// Returns an empty node state on a clock.
+pub(crate) fn node_state_on(clock: Arc<dyn Clock>) -> Arc<NodeState> {
     let limits = NodeLimits {
         drain: 2 * SECOND,
         grace: 8 * SECOND,
@@ -27,11 +32,7 @@
         lease: 3 * SECOND,
         weights: 12 * SECOND,
     };
-    NodeState::open(
-        Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)),
-        limits,
-        PlacementPolicy::default(),
-    )
+    NodeState::open(clock, limits, PlacementPolicy::default())
 }
 
 /// Records of a platform in a test. Reads and watches never return and writes succeed, unless a test
