Test replaced weights after a kill right after a naming (fails)

Cause: the time of a naming is written up to 0.3 s after it was seen (weight_recorder.rs, RECORD_JITTER). If every process is killed before, none is recorded, and a process that starts takes its first read for the naming (DesiredTimes::since, 'no record': now), so its limits lie later by the time from the naming to that read: 0.2 s and 1.3 s until the start here, which the margin of 0.5 s doesn't cover. Documented as open in docs/design/platform.md; shown here with the figures of a kill of all processes.

Ruled out: a kill after the record was written; the process adds two seconds to a recorded age.

Evidence: virtual time. The first read is at 1.5 s, the withdrawal at 13.0 s, versionMs is 12 s. The case 'read at the start without a time' in weight_tests.rs states the present age of zero, and would have to change with a fix. No fix in this commit; fails with

assertion `left == right` failed: a run may start later than 12 s after the naming left: Err(Elapsed(()))

Conclusion: open; the lead decides.

--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -15,8 +15,8 @@
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, PlatformError,
-    RegisteredEntry, RegisteredTarget, WatchError,
+    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord,
+    PlatformError, RegisteredEntry, RegisteredTarget, WatchError,
 };
 use skylarkpick_schedule::{DesiredWeightsView, RolloutRunner, plan_rollout};
 use skylarkpick_transport::{
@@ -419,3 +419,21 @@
         assert_eq!(reads, 1, "peers respond: {responds}");
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn processes_killed_before_a_time_is_recorded_do_not_prolong_the_use_of_replaced_weights() {
+    let (node_state, records) = records();
+    let weights = DesiredWeights {
+        model: "tala".to_string(),
+        weight_version: 2,
+        desired_since_ms: BTreeMap::new(),
+    };
+    let record = Some(FleetRecord::Weights(weights));
+    let named = NamedRecord { name: "tala".to_string(), record };
+    // All processes are killed 0.2 s after the naming, and start again 1.3 s later.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    records.replace(FleetTopic::Weights, &FleetUpdate { records: vec![named], revision: 5 });
+    let limit = Duration::from_millis(10_500);
+    let withdrawal = tokio::time::timeout(limit, node_state.wait_for_expiry("tala", 1)).await;
+    assert_eq!(withdrawal, Ok(()), "a run may start later than 12 s after the naming");
+}
