Record a time for weights that a start finds without one

Cause: only a process that sees a version change records its time.

Ruled out: recording what every start finds, which costs two calls a model on each first start of a fleet, and records times that no process needs; reading the record again, which stays without a time.

Change: a process that finds a version without a time at its start writes the time that it counts from (3 s before its first read) once it knows a runner on an older version. It waits 0.3 s longer than a process that saw the change, and followers leave it to their relays, whose role is known by then. Processes that saw the change don't go below their own reads, so they keep the later time; those that start later take the earlier one, which is the safe side.

Conclusion: a second start counts from the first one's time, less the 2 s for wall clocks. A fleet with one version everywhere makes no call more than before.

--- a/crates/skylarkpick-forward/src/fleet/desired_times.rs
+++ b/crates/skylarkpick-forward/src/fleet/desired_times.rs
@@ -9,7 +9,19 @@
 const WALL_CLOCK_ERROR: Duration = Duration::from_secs(2);
 /// Age of weights without a recorded time that a process finds at its start. Processes that see a naming
 /// record it within 0.5 s, so they ended before that; a restart (1.5 s) and a first read (1 s) followed.
-const UNRECORDED_AGE: Duration = Duration::from_secs(3);
+pub(super) const UNRECORDED_AGE: Duration = Duration::from_secs(3);
+
+/// Desired weights whose record has no time yet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct WeightsChange {
+    pub(super) model: ModelName,
+    pub(super) version: WeightVersion,
+    /// Wall-clock time in Unix milliseconds since which they are desired: when the process saw the
+    /// change, or the earliest time that it allows for if it found them at its start.
+    pub(super) since_ms: u64,
+    /// Whether the process found them at its start.
+    pub(super) is_first_read: bool,
+}
 
 /// Lower bounds of the times since which versions are desired.
 ///
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -1,7 +1,7 @@
 //! Stores the platform's records and applies them to the node state.
 
 use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler};
-use super::desired_times::DesiredTimes;
+use super::desired_times::{DesiredTimes, UNRECORDED_AGE, WeightsChange};
 use super::missing_targets::MissingTargets;
 use crate::peers::PeerRecords;
 use crate::{
@@ -11,7 +11,7 @@
 };
 use rand::seq::SliceRandom;
 use skylarkpick_interface::{
-    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, ModelName, NamedRecord,
+    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord,
     RegisteredEntry, RegisteredTarget, ServingDocument, WeightVersion,
 };
 use std::{
@@ -27,8 +27,7 @@
     node_state: Arc<NodeState>,
     missing_targets: Mutex<MissingTargets>,
     desired_times: Mutex<DesiredTimes>,
-    /// Weights whose change this process saw and that [`FleetRecords::weights_changes`] has not
-    /// returned yet.
+    /// Weights without a recorded time that [`FleetRecords::weights_changes`] has not returned yet.
     weights_changes: Mutex<Vec<WeightsChange>>,
     weights_change_seen: Notify,
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
@@ -40,15 +39,6 @@
     changes: watch::Sender<u64>,
 }
 
-/// Weights that became the desired ones while this process watched.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct WeightsChange {
-    pub(super) model: ModelName,
-    pub(super) version: WeightVersion,
-    /// Wall-clock time in Unix milliseconds at which the process saw the change.
-    pub(super) since_ms: u64,
-}
-
 /// Latest records of a topic.
 #[derive(Default)]
 struct TopicState {
@@ -336,8 +326,10 @@
         for record in &update.records {
             self.apply(topic, record, origin);
         }
-        if topic == FleetTopic::Weights {
-            self.node_state.note_weights_read();
+        match topic {
+            FleetTopic::Weights => self.node_state.note_weights_read(),
+            FleetTopic::Targets => self.weights_change_seen.notify_one(),
+            _ => {}
         }
         self.changes.send_modify(|count| *count += 1);
         if topic == FleetTopic::Entries {
@@ -444,8 +436,11 @@
             is_first_read,
             recorded_age_ms = age_ms(recorded_age),
         });
-        if !is_first_read && recorded_age.is_none() {
-            let change = WeightsChange { model: model.to_string(), version, since_ms: wall_ms };
+        if recorded_age.is_none() {
+            let age = if is_first_read { UNRECORDED_AGE } else { Duration::ZERO };
+            let since_ms = wall_ms.saturating_sub(age.as_millis() as u64);
+            let model = model.to_string();
+            let change = WeightsChange { model, version, since_ms, is_first_read };
             self.lock_weights_changes().push(change);
             self.weights_change_seen.notify_one();
         }
@@ -475,11 +470,13 @@
         self.weights_changes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits for weights that became the desired ones while this process watched, and whose record
-    /// had no time yet. Returns each of them once.
+    /// Waits for desired weights whose record had no time yet: those that became the desired ones while
+    /// this process watched, and those that it found at its start while some target serves older ones.
+    /// Returns each of them once.
     pub(super) async fn weights_changes(&self) -> Vec<WeightsChange> {
         loop {
-            let changes = std::mem::take(&mut *self.lock_weights_changes());
+            let due = |it: &mut WeightsChange| !it.is_first_read || self.is_older_served(it);
+            let changes: Vec<_> = self.lock_weights_changes().extract_if(.., due).collect();
             if !changes.is_empty() {
                 return changes;
             }
@@ -487,6 +484,13 @@
         }
     }
 
+    fn is_older_served(&self, weights: &WeightsChange) -> bool {
+        let state = self.node_state.lock();
+        let mut served =
+            state.placement.targets().values().filter_map(|it| it.weight_version(&weights.model));
+        served.any(|served| served < weights.version)
+    }
+
     /// Returns whether the record has the time since which these weights are desired.
     pub(super) fn has_desired_since(&self, weights: &WeightsChange) -> bool {
         let topics = self.topics();
--- a/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
@@ -1,6 +1,6 @@
 //! Records at the platform since when new weights are desired, for processes that start later.
 
-use super::{records::WeightsChange, topic_watch::FleetWatcher};
+use super::{desired_times::WeightsChange, topic_watch::FleetWatcher};
 use crate::jitter::sleep_with_jitter;
 use skylarkpick_interface::DesiredSinceOutcome;
 use std::{sync::Arc, time::Duration};
@@ -15,7 +15,7 @@
 /// Mean delay after the first failed attempt; doubles with each further one.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Records the times of weights whose change this process saw, for as long as the task runs.
+/// Records the times of weights that have none in their record, for as long as the task runs.
 pub(crate) async fn record_weights(watcher: Arc<FleetWatcher>) {
     let mut recordings = JoinSet::new();
     loop {
@@ -29,11 +29,15 @@
 }
 
 async fn record(watcher: &FleetWatcher, change: &WeightsChange) {
+    if change.is_first_read {
+        // Processes that saw the change know its time better.
+        tokio::time::sleep(RECORD_JITTER).await;
+    }
     // Followers leave it to their relays, which limits the calls to the platform.
     if !watcher.records.relays().is_empty() {
         return;
     }
-    let WeightsChange { model, version, since_ms } = change;
+    let WeightsChange { model, version, since_ms, .. } = change;
     let (model, version, since_ms) = (model.as_str(), *version, *since_ms);
     tokio::time::sleep(RECORD_JITTER.mul_f64(rand::random::<f64>())).await;
     let mut delay = RETRY_DELAY;
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -53,10 +53,10 @@
 
 /// Platform whose first writes fail.
 #[derive(Default)]
-struct FailingSource {
+pub(super) struct FailingSource {
     errors: Mutex<Vec<WriteError>>,
     /// Versions and times that were to be recorded, failed calls included.
-    calls: Mutex<Vec<(WeightVersion, u64)>>,
+    pub(super) calls: Mutex<Vec<(WeightVersion, u64)>>,
 }
 
 #[async_trait]
@@ -391,7 +391,7 @@
     }
 }
 
-fn first_update(topic: FleetTopic) -> FleetUpdate {
+pub(super) fn first_update(topic: FleetTopic) -> FleetUpdate {
     let record = match topic {
         FleetTopic::Serving => FleetRecord::Serving(Box::new(ServingDocument {
             version: 3,
