Date the reads of followers by the start of their relay's call

Cause: a relay's records count as current from the arrival of a response, and a follower took that for the time up to which all changes are known.

Ruled out: dating the relay's age_ms by the start of its calls too, which would send followers to the platform for a watch that waits for 2.5 s.

Change: a relay sends the age of the start of the latest call whose response it has applied, next to age_ms; a follower counts from the start of its own call, less that. A process that sends no such age (an older one) proves nothing, so the earlier time stays.

Conclusion: fixed for one hop, which is all there is. Followers know the time before which a version was not named by up to a watch and a wait (3.7 s) less closely, which only widens the bound on wrong wall clocks.

--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -143,9 +143,16 @@
         // After a failed call the age is unlimited, so that followers read from another relay or
         // from the platform immediately.
         let verified_at = state.verified_at.filter(|_| !state.is_disconnected);
-        let age = verified_at.map(|at| self.node_state.now().saturating_sub(at));
-        let age_ms = age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
-        Some(PeerRecords { update, is_complete, age_ms })
+        let now = self.node_state.now();
+        let age_ms =
+            |at: Duration| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
+        Some(PeerRecords {
+            update,
+            is_complete,
+            age_ms: verified_at.map_or(u64::MAX, age_ms),
+            // Rounded up, since the time must not be later than it was.
+            complete_age_ms: state.complete_at.map(|at| age_ms(at).saturating_add(1)),
+        })
     }
 
     /// Applies records of another entry process. Returns whether they were newer.
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -392,6 +392,7 @@
                 update: FleetUpdate::default(),
                 is_complete: false,
                 age_ms: 0,
+                complete_age_ms: Some(0),
             })
         });
         peer_client.set_network(Arc::new(SlowNetwork { delay, response }));
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -109,11 +109,13 @@
             let wait = relay_wait(known_age, limit);
             let began = records.now();
             let age = watcher.peer_client.fetch_records(&relay, records, topic, wait).await;
-            if let Some(age) = age.filter(|age| *age < limit) {
-                records.note_current(topic, age);
-                records.note_complete(topic, began.saturating_sub(age));
+            if let Some(age) = age.filter(|age| age.verified < limit) {
+                records.note_current(topic, age.verified);
+                if let Some(complete) = age.complete {
+                    records.note_complete(topic, began.saturating_sub(complete));
+                }
                 records.note_response();
-                known_age = age;
+                known_age = age.verified;
                 last_responder = Some(relay);
                 is_fresh = true;
                 break;
--- a/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
@@ -1,18 +1,23 @@
 //! Tests of how a topic is watched while the platform or other processes don't respond.
 
 use super::{
+    records::FleetRecords,
     tests::{SECOND, draining, is_draining, records, target, target_ids},
     topic_watch::{FleetWatcher, watch_topic},
+    weight_tests::{named, newer_age},
 };
 use crate::{
     peers::{PeerClient, PeerRecords, PeerResponse},
     test_support::{SlowNetwork, TestRecords, TestSource, entry_records},
 };
 use async_trait::async_trait;
-use skylarkpick_interface::{FleetRevision, FleetTopic, FleetUpdate, PlatformError, WatchError};
+use skylarkpick_interface::{
+    FleetRevision, FleetTopic, FleetUpdate, PeerError, PeerHandler, PeerNetwork, PlatformError,
+    WatchError,
+};
 use std::{
     sync::{
-        Arc,
+        Arc, Weak,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
@@ -103,6 +108,7 @@
         update: FleetUpdate { records: vec![draining("i-1")], revision: 50 },
         is_complete: true,
         age_ms: 0,
+        complete_age_ms: Some(0),
     });
     // Longer than the delay before the second call to the platform.
     let network = SlowNetwork { delay: 2 * SECOND, response: Some(response) };
@@ -116,3 +122,78 @@
     assert_eq!(target_ids(&node_state), ["i-1"]);
     task.abort();
 }
+
+/// Network on which every process responds with the weights of one relay.
+struct RelayNetwork {
+    relay: Arc<FleetRecords>,
+}
+
+#[async_trait]
+impl PeerNetwork for RelayNetwork {
+    fn address(&self) -> String {
+        "10.0.0.1:80".to_string()
+    }
+
+    fn listen(&self, _: Weak<dyn PeerHandler>) {}
+
+    async fn send(&self, _: &str, _: Vec<u8>) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    async fn request(&self, _: &str, message: Vec<u8>, _: Duration) -> Result<Vec<u8>, PeerError> {
+        let request: serde_json::Value = serde_json::from_slice(&message).unwrap();
+        let since = request["records"]["since"].as_u64().unwrap();
+        let wait = Duration::from_millis(request["records"]["wait_ms"].as_u64().unwrap());
+        let topic = FleetTopic::Weights;
+        let mut changes = self.relay.subscribe();
+        let is_newer = |_: &u64| self.relay.revision(topic) > since;
+        let _ = tokio::time::timeout(wait, changes.wait_for(is_newer)).await;
+        let response = self.relay.records_since(topic, since);
+        let response = response.map_or(PeerResponse::Nothing, PeerResponse::Records);
+        Ok(serde_json::to_vec(&response).unwrap())
+    }
+}
+
+/// Platform that never responds.
+struct UnreachableSource;
+
+#[async_trait]
+impl TestRecords for UnreachableSource {}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_response_to_a_relay_does_not_make_weights_look_younger_to_its_followers() {
+    let topic = FleetTopic::Weights;
+    let (relay_state, relay) = records();
+    let relay = Arc::new(relay);
+    relay.replace(topic, &named(1, &[], 5));
+    relay.note_current(topic, Duration::ZERO);
+    relay.note_complete(topic, relay_state.now());
+    let (node_state, records) = records();
+    records.replace(FleetTopic::Entries, &entry_records(20));
+    let peer_client = Arc::new(PeerClient::default());
+    peer_client.set_network(Arc::new(RelayNetwork { relay: relay.clone() }));
+    let source = Arc::new(TestSource(Arc::new(UnreachableSource)));
+    let watcher = Arc::new(FleetWatcher { source, records, peer_client });
+    let task = tokio::spawn(watch_topic(watcher, topic));
+    // The response of a watch that began before version 2 was named, at 1 s, arrives at 3 s.
+    tokio::time::sleep(3 * SECOND).await;
+    relay.note_current(topic, Duration::ZERO);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    relay.update(topic, &named(2, &[(2, 1_000)], 6));
+    tokio::time::sleep(SECOND / 2).await;
+    assert_eq!(newer_age(&node_state, 1), Some(4 * SECOND));
+    task.abort();
+}
+
+#[test]
+fn records_of_processes_that_name_no_age_of_their_calls_are_understood() {
+    let records = PeerRecords {
+        update: FleetUpdate { records: vec![target("i-1")], revision: 50 },
+        is_complete: true,
+        age_ms: 20,
+        complete_age_ms: None,
+    };
+    let mut message = serde_json::to_value(&records).unwrap();
+    message.as_object_mut().unwrap().remove("complete_age_ms");
+    assert_eq!(serde_json::from_value::<PeerRecords>(message).unwrap(), records);
+}
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -46,7 +46,7 @@
     FleetUpdate { records: vec![NamedRecord { name: MODEL.to_string(), record }], revision }
 }
 
-fn newer_age(node_state: &NodeState, version: WeightVersion) -> Option<Duration> {
+pub(super) fn newer_age(node_state: &NodeState, version: WeightVersion) -> Option<Duration> {
     let now = node_state.now();
     node_state.lock().placement.weights.age_of_newer(MODEL, version, now)
 }
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -85,6 +85,10 @@
     pub(crate) is_complete: bool,
     /// Time since the responder last knew its records to be current.
     pub(crate) age_ms: u64,
+    /// Time since the responder began the latest call whose response it has applied. The response may
+    /// have been delayed, so later changes may be missing.
+    #[serde(default)]
+    pub(crate) complete_age_ms: Option<u64>,
 }
 
 /// Cache changes since a position in the responder's change log.
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -13,6 +13,15 @@
 /// Number of processes from which records are fetched at the same time.
 const PEERS_PER_FETCH: usize = 2;
 
+/// How old the records of another process were when it responded.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FetchedAge {
+    /// Time since it last knew them to be current.
+    pub(crate) verified: Duration,
+    /// Time since it began the latest call whose response it had applied, if it said so.
+    pub(crate) complete: Option<Duration>,
+}
+
 /// Client for other entry processes. Every call fails until the network is set.
 #[derive(Default)]
 pub(crate) struct PeerClient {
@@ -58,22 +67,25 @@
     }
 
     /// Fetches and applies newer records of a topic from one process, which may wait for some up to
-    /// `wait`. Returns the time since that process last knew its records to be current.
+    /// `wait`. Returns how old the records of that process were.
     pub(crate) async fn fetch_records(
         &self,
         address: &str,
         records: &FleetRecords,
         topic: FleetTopic,
         wait: Duration,
-    ) -> Option<Duration> {
+    ) -> Option<FetchedAge> {
         let network = self.network.get()?;
         let since = records.revision(topic);
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let request = PeerRequest::Records { topic, since, wait_ms };
         match send_request(&**network, address, &request, wait + REQUEST_TIMEOUT).await {
             Ok(PeerResponse::Records(fetched)) => {
-                let (revision, age) =
-                    (fetched.update.revision, Duration::from_millis(fetched.age_ms));
+                let revision = fetched.update.revision;
+                let age = FetchedAge {
+                    verified: Duration::from_millis(fetched.age_ms),
+                    complete: fetched.complete_age_ms.map(Duration::from_millis),
+                };
                 let has_records = !fetched.update.records.is_empty();
                 if records.apply_peer_records(topic, &fetched) && has_records {
                     spdlog::info!("applied records of another entry process", kv: {
