Announce swaps of runners on expired weights before these expire

Cause: the planner looked for expired weights at the moment of its look, announced the swap, and sent the order 0.45 s and up to two passes later: at 11.2 to 11.3 s of 12, though the weights expire at 10.5 s. A pass that waits for a silent process or store (0.7 s) was enough to be late, and a lost order left time for one repeat only.

Ruled out: ordering without a notice, which turns away what the other processes have just sent; a margin above 1.5 s, which shortens the use of older weights everywhere.

Change: the goal of a roll-out is that of the time at which an order would leave. Runners that are on expired weights then are announced 0.45 s before, so placement avoids them that much earlier.

--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -213,9 +213,10 @@
     async fn plan(&mut self, model: &str, version: WeightVersion) {
         let (runners, orders) = self.runners(model, version);
         let goal = {
-            let now = self.parts.node_state.now();
+            // An order follows its notice, and is due when the weights expire.
+            let ordered_at = self.parts.node_state.now() + ORDER_DELAY;
             let state = self.parts.node_state.lock();
-            rollout_goal(&state.placement.weights, model, version, &runners, now)
+            rollout_goal(&state.placement.weights, model, version, &runners, ordered_at)
         };
         self.send_due_orders(&orders, &self.repeats(&runners, &goal)).await;
         let loading = runners.iter().filter(|runner| runner.is_loading).count();
@@ -386,7 +387,7 @@
     }
 }
 
-/// Returns the goal of a model's rollout. Placement uses the same weights.
+/// Returns the goal of a model's rollout for orders sent at `now`. Placement uses the same weights then.
 pub(super) fn rollout_goal(
     weights: &DesiredWeightsView,
     model: &str,
