Order runners whose registration ended once their weights expire

Cause: a runner that leaves the list, for one since it lost the platform for 3.6 s, leaves the planner too, but not the requests that wait there. Nothing but a close of the connection kept the limit there, which some runners ignore.

Ruled out: keeping such runners in placement, which sends to targets that may be gone; orders at once when a registration ends, since most such runners are gone.

Change: the planner keeps the runners that it saw registered within versionMs. When the weights of one that is no longer registered expire, it gets an order, once, without a notice, since no process places there. Swaps are now announced before due orders are sent, so that a runner that is gone doesn't delay the notices of the others by the 0.3 s of its timeout.

Conclusion: fixed for one order, which may be lost, and for a planner that held the lease before the registration ended. Runners that report that they leave are still not ordered.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -4,6 +4,7 @@
 mod cache_watch;
 mod desired_times;
 mod entry_health;
+mod lapsed_runners;
 mod load_sampler;
 mod missing_targets;
 mod planner;
--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -1,6 +1,8 @@
 //! Rolls out the desired weights to runners while this process holds the planner lease.
 
-use super::{entry_health::check_entries, topic_watch::FleetWatcher};
+use super::{
+    entry_health::check_entries, lapsed_runners::LapsedRunners, topic_watch::FleetWatcher,
+};
 use crate::{node_state::NodeState, peers::Notice};
 use futures::future::join_all;
 use skylarkpick_interface::{
@@ -80,6 +82,7 @@
     ordered: BTreeMap<TargetId, SentOrder>,
     /// Targets whose swap has been announced but not ordered yet.
     announced: BTreeMap<TargetId, Instant>,
+    lapsed: LapsedRunners,
     outdated: OutdatedPartFinder,
 }
 
@@ -131,6 +134,7 @@
         held_since: None,
         ordered: BTreeMap::new(),
         announced: BTreeMap::new(),
+        lapsed: LapsedRunners::default(),
     };
     tokio::join!(planner.run(), checks);
 }
@@ -150,6 +154,7 @@
                 spdlog::info!("planner lease lost");
                 self.ordered.clear();
                 self.announced.clear();
+                self.lapsed.clear();
             }
             return;
         };
@@ -211,19 +216,28 @@
     }
 
     async fn plan(&mut self, model: &str, version: WeightVersion) {
+        let began = Instant::now();
         let (runners, orders) = self.runners(model, version);
-        let goal = {
+        let (goal, lapsed) = {
             // An order follows its notice, and is due when the weights expire.
             let ordered_at = self.parts.node_state.now() + ORDER_DELAY;
             let state = self.parts.node_state.lock();
-            rollout_goal(&state.placement.weights, model, version, &runners, ordered_at)
+            let weights = &state.placement.weights;
+            let is_expired = |served| !weights.is_usable(model, served, ordered_at);
+            let limit = self.parts.node_state.limits().weights;
+            let lapsed = self.lapsed.take_expired(model, began, limit, is_expired);
+            (rollout_goal(weights, model, version, &runners, ordered_at), lapsed)
         };
-        self.send_due_orders(&orders, &self.repeats(&runners, &goal)).await;
+        let lapsed = lapsed.into_iter().map(|it| WeightOrder { weight_version: version, ..it });
+        let lapsed: Vec<WeightOrder> = lapsed.collect();
+        let repeats = self.repeats(&runners, &goal);
         let loading = runners.iter().filter(|runner| runner.is_loading).count();
         let plan = plan_rollout(&runners, &goal, u32::try_from(loading).unwrap_or(u32::MAX));
         for target in plan.order {
             self.announce(&target, model, version);
         }
+        // Last, since runners may not respond.
+        self.send_due_orders(&orders, &repeats, &lapsed).await;
     }
 
     /// Returns the runners on expired weights whose last order is repeated now.
@@ -240,19 +254,20 @@
         runners.iter().filter(is_repeated).map(|it| it.name.clone()).collect()
     }
 
-    /// Sends the orders whose announcement was long enough ago, and `repeats`, all at once, so that a
-    /// runner that doesn't respond delays none of the others.
+    /// Sends the orders whose announcement was long enough ago, `repeats`, and those to `lapsed`
+    /// runners, all at once, so that a runner that doesn't respond delays none of the others.
     async fn send_due_orders(
         &mut self,
         orders: &BTreeMap<TargetId, WeightOrder>,
         repeats: &BTreeSet<TargetId>,
+        lapsed: &[WeightOrder],
     ) {
         let is_due = |target: &TargetId| {
             self.announced.get(target).is_some_and(|at| at.elapsed() >= ORDER_DELAY)
                 || repeats.contains(target)
         };
         let due: Vec<&WeightOrder> =
-            orders.values().filter(|order| is_due(&order.target)).collect();
+            orders.values().filter(|order| is_due(&order.target)).chain(lapsed).collect();
         for order in &due {
             self.announced.remove(&order.target);
         }
@@ -312,18 +327,17 @@
                 slots: target.slots(),
                 hot_blocks: 0,
             });
-            orders.insert(
-                id.clone(),
-                WeightOrder {
-                    target: id.clone(),
-                    address: target.registration.address,
-                    model: model.to_string(),
-                    weight_version: version,
-                    holder: self.holder.clone(),
-                    fencing_number: 0,
-                    orders_accepted: 0,
-                },
-            );
+            let order = WeightOrder {
+                target: id.clone(),
+                address: target.registration.address,
+                model: model.to_string(),
+                weight_version: version,
+                holder: self.holder.clone(),
+                fencing_number: 0,
+                orders_accepted: 0,
+            };
+            self.lapsed.note_registered(&order, served);
+            orders.insert(id.clone(), order);
         }
         (runners, orders)
     }
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -360,3 +360,64 @@
     tokio::time::sleep(Duration::from_millis(410)).await;
     assert_eq!(ordered(), 5);
 }
+
+#[tokio::test(start_paused = true)]
+async fn runners_whose_registration_ended_are_ordered_once_their_weights_expire() {
+    struct Case {
+        name: &'static str,
+        /// Time from the naming of the new weights at which the registration ends, in milliseconds.
+        ended_at_ms: u64,
+        returns_newer: bool,
+        orders: u32,
+    }
+    let cases = [
+        Case { name: "in the rollout", ended_at_ms: 9_000, returns_newer: false, orders: 1 },
+        Case { name: "just before", ended_at_ms: 10_000, returns_newer: false, orders: 1 },
+        Case { name: "back on new weights", ended_at_ms: 9_000, returns_newer: true, orders: 0 },
+        Case { name: "long before", ended_at_ms: 0, returns_newer: false, orders: 0 },
+    ];
+    for case in cases {
+        let fixture = start_planner(false, 0);
+        let records = &fixture.watcher.records;
+        tokio::time::sleep(6 * SECOND).await;
+        let ended = || {
+            let gone = NamedRecord { name: "i-5".to_string(), record: None };
+            records.update(FleetTopic::Targets, &FleetUpdate { records: vec![gone], revision: 3 });
+        };
+        if case.ended_at_ms == 0 {
+            ended();
+            tokio::time::sleep(3 * SECOND).await;
+        }
+        records.update(FleetTopic::Weights, &update(vec![weights(2)], 2));
+        tokio::time::sleep(Duration::from_millis(case.ended_at_ms)).await;
+        if case.ended_at_ms > 0 {
+            ended();
+        }
+        if case.returns_newer {
+            let (id, mut record) = runner(5);
+            if let FleetRecord::Target(target) = &mut record {
+                target.weights.insert("tala".to_string(), 2);
+            }
+            records.update(FleetTopic::Targets, &update(vec![(id, record)], 4));
+        }
+        let limit = Duration::from_millis(11_500 - case.ended_at_ms);
+        tokio::time::sleep(limit).await;
+        let orders = || fixture.control.orders_by_target.lock().unwrap().get("i-5").copied();
+        assert_eq!(orders().unwrap_or_default(), case.orders, "{}", case.name);
+        tokio::time::sleep(20 * SECOND).await;
+        assert_eq!(orders().unwrap_or_default(), case.orders, "{}, later", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_is_gone_does_not_delay_orders_to_others_on_expired_weights() {
+    let fixture = start_planner(false, 1);
+    let records = &fixture.watcher.records;
+    tokio::time::sleep(6 * SECOND).await;
+    records.update(FleetTopic::Weights, &update(vec![weights(2)], 2));
+    tokio::time::sleep(10 * SECOND).await;
+    let gone = NamedRecord { name: "i-1".to_string(), record: None };
+    records.update(FleetTopic::Targets, &FleetUpdate { records: vec![gone], revision: 3 });
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(fixture.control.orders_by_target.lock().unwrap().len(), 4);
+}
