--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -4,6 +4,7 @@
 mod cache_watch;
 mod desired_times;
 mod entry_health;
+mod lapsed_runners;
 mod load_sampler;
 mod missing_targets;
 mod planner;
@@ -21,6 +22,8 @@
 #[cfg(test)]
 mod topic_watch_tests;
 #[cfg(test)]
+mod weight_start_tests;
+#[cfg(test)]
 mod weight_tests;
 
 pub(crate) use cache_watch::{CacheWatchers, watch_caches};
--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -1,6 +1,8 @@
 //! Rolls out the desired weights to runners while this process holds the planner lease.
 
-use super::{entry_health::check_entries, topic_watch::FleetWatcher};
+use super::{
+    entry_health::check_entries, lapsed_runners::LapsedRunners, topic_watch::FleetWatcher,
+};
 use crate::{node_state::NodeState, peers::Notice};
 use futures::future::join_all;
 use skylarkpick_interface::{
@@ -42,6 +44,9 @@
 const MACHINE_GAP_MARGIN: Duration = Duration::from_millis(200);
 /// Time after which an order whose effect has not been observed is sent again.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(3_500);
+/// Number of times that an order without a response is repeated within that time to a runner on expired
+/// weights. Each takes about 0.6 s, and 1.5 s are left until no run may start on them.
+const EXPIRED_REPEATS_LIMIT: u32 = 3;
 /// Delay after the process start, in which the other processes register, until it competes for a
 /// lease that another machine held last.
 const START_DELAY: Duration = Duration::from_millis(1_500);
@@ -76,12 +81,28 @@
     ordered: BTreeMap<TargetId, SentOrder>,
     /// Targets whose swap has been announced but not ordered yet.
     announced: BTreeMap<TargetId, Instant>,
+    lapsed: LapsedRunners,
     outdated: OutdatedPartFinder,
 }
 
 struct SentOrder {
     weight_version: WeightVersion,
     sent_at: Instant,
+    /// Whether the runner may not have taken it: it didn't respond, or it was at another count of orders.
+    is_uncertain: bool,
+    /// Number of times that it was repeated without a new notice.
+    repeats: u32,
+}
+
+impl SentOrder {
+    /// Returns whether the order may be repeated to a runner on expired weights. The notice that preceded it
+    /// still holds.
+    fn is_repeatable(&self, version: WeightVersion) -> bool {
+        self.is_uncertain
+            && self.weight_version == version
+            && self.repeats < EXPIRED_REPEATS_LIMIT
+            && (ORDER_TIMEOUT..ORDER_RETRY_DELAY).contains(&self.sent_at.elapsed())
+    }
 }
 
 /// Runs the planner for as long as the task runs. In a large fleet, only relays compete for the
@@ -111,6 +132,7 @@
         holds_lease: false,
         ordered: BTreeMap::new(),
         announced: BTreeMap::new(),
+        lapsed: LapsedRunners::default(),
     };
     tokio::join!(planner.run(), competition, checks);
 }
@@ -139,6 +161,7 @@
                 spdlog::info!("planner lease lost");
                 self.ordered.clear();
                 self.announced.clear();
+                self.lapsed.clear();
             }
             return;
         };
@@ -194,36 +217,72 @@
     }
 
     async fn plan(&mut self, model: &str, version: WeightVersion) {
+        let began = Instant::now();
         let (runners, orders) = self.runners(model, version);
-        let goal = {
-            let now = self.parts.node_state.now();
+        let (goal, lapsed) = {
+            // An order follows its notice, and is due when the weights expire.
+            let ordered_at = self.parts.node_state.now() + ORDER_DELAY;
             let state = self.parts.node_state.lock();
-            rollout_goal(&state.placement.weights, model, version, &runners, now)
+            let weights = &state.placement.weights;
+            let is_expired = |served| !weights.is_usable(model, served, ordered_at);
+            let limit = self.parts.node_state.limits().weights;
+            let lapsed = self.lapsed.take_expired(model, began, limit, is_expired);
+            (rollout_goal(weights, model, version, &runners, ordered_at), lapsed)
         };
-        self.send_due_orders(&orders).await;
+        let lapsed = lapsed.into_iter().map(|it| WeightOrder { weight_version: version, ..it });
+        let lapsed: Vec<WeightOrder> = lapsed.collect();
+        let repeats = self.repeats(&runners, &goal);
         let loading = runners.iter().filter(|runner| runner.is_loading).count();
         let plan = plan_rollout(&runners, &goal, u32::try_from(loading).unwrap_or(u32::MAX));
         for target in plan.order {
             self.announce(&target, model, version);
         }
+        // Last, since runners may not respond.
+        self.send_due_orders(&orders, &repeats, &lapsed).await;
     }
 
-    /// Sends the orders whose announcement was long enough ago, all at once, so that a runner that
-    /// doesn't respond delays none of the others.
-    async fn send_due_orders(&mut self, orders: &BTreeMap<TargetId, WeightOrder>) {
+    /// Returns the runners on expired weights whose last order is repeated now.
+    fn repeats(&self, runners: &[RolloutRunner], goal: &RolloutGoal) -> BTreeSet<TargetId> {
+        let is_expired = |it: &RolloutRunner| {
+            it.weight_version.is_some_and(|served| goal.expired_weight_versions.contains(&served))
+        };
+        let is_repeated = |it: &&RolloutRunner| {
+            let ordered = self.ordered.get(&it.name);
+            !it.is_leaving
+                && is_expired(it)
+                && ordered.is_some_and(|ordered| ordered.is_repeatable(goal.weight_version))
+        };
+        runners.iter().filter(is_repeated).map(|it| it.name.clone()).collect()
+    }
+
+    /// Sends the orders whose announcement was long enough ago, `repeats`, and those to `lapsed`
+    /// runners, all at once, so that a runner that doesn't respond delays none of the others.
+    async fn send_due_orders(
+        &mut self,
+        orders: &BTreeMap<TargetId, WeightOrder>,
+        repeats: &BTreeSet<TargetId>,
+        lapsed: &[WeightOrder],
+    ) {
         let is_due = |target: &TargetId| {
             self.announced.get(target).is_some_and(|at| at.elapsed() >= ORDER_DELAY)
+                || repeats.contains(target)
         };
         let due: Vec<&WeightOrder> =
-            orders.values().filter(|order| is_due(&order.target)).collect();
+            orders.values().filter(|order| is_due(&order.target)).chain(lapsed).collect();
         for order in &due {
             self.announced.remove(&order.target);
         }
         let sent = join_all(due.iter().map(|order| self.send_order(order))).await;
-        for (order, sent_at) in due.iter().zip(sent) {
-            if let Some(sent_at) = sent_at {
-                let sent = SentOrder { weight_version: order.weight_version, sent_at };
-                self.ordered.insert(order.target.clone(), sent);
+        for (order, sent) in due.iter().zip(sent) {
+            let is_repeat = repeats.contains(&order.target);
+            let known = self.ordered.get_mut(&order.target).filter(|_| is_repeat);
+            // A repeat that sends nothing counts too: the runner is busy, or doesn't respond.
+            let repeats = known.map_or(0, |known| {
+                known.repeats += 1;
+                known.repeats
+            });
+            if let Some(sent) = sent {
+                self.ordered.insert(order.target.clone(), SentOrder { repeats, ..sent });
             }
         }
     }
@@ -269,24 +328,23 @@
                 slots: target.slots(),
                 hot_blocks: 0,
             });
-            orders.insert(
-                id.clone(),
-                WeightOrder {
-                    target: id.clone(),
-                    address: target.registration.address,
-                    model: model.to_string(),
-                    weight_version: version,
-                    holder: self.holder.clone(),
-                    fencing_number: 0,
-                    orders_accepted: 0,
-                },
-            );
+            let order = WeightOrder {
+                target: id.clone(),
+                address: target.registration.address,
+                model: model.to_string(),
+                weight_version: version,
+                holder: self.holder.clone(),
+                fencing_number: 0,
+                orders_accepted: 0,
+            };
+            self.lapsed.note_registered(&order, served);
+            orders.insert(id.clone(), order);
         }
         (runners, orders)
     }
 
-    /// Sends an order if the target still needs it and the lease covers it. Returns when it was sent.
-    async fn send_order(&self, order: &WeightOrder) -> Option<Instant> {
+    /// Sends an order if the target still needs it and the lease covers it. Returns what was sent.
+    async fn send_order(&self, order: &WeightOrder) -> Option<SentOrder> {
         let state = match self.parts.control.order_state(order.address, ORDER_STATE_TIMEOUT).await {
             Ok(state) => state,
             Err(error) => {
@@ -335,11 +393,16 @@
                 order.weight_version,
             );
         }
-        Some(sent_at)
+        Some(SentOrder {
+            weight_version: order.weight_version,
+            sent_at,
+            is_uncertain: matches!(result, Err(_) | Ok(OrderOutcome::Conflict)),
+            repeats: 0,
+        })
     }
 }
 
-/// Returns the goal of a model's rollout. Placement uses the same weights.
+/// Returns the goal of a model's rollout for orders sent at `now`. Placement uses the same weights then.
 pub(super) fn rollout_goal(
     weights: &DesiredWeightsView,
     model: &str,
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -1,7 +1,7 @@
 //! Stores the platform's records and applies them to the node state.
 
 use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler};
-use super::desired_times::DesiredTimes;
+use super::desired_times::{DesiredTimes, UNRECORDED_AGE, WeightsChange};
 use super::missing_targets::MissingTargets;
 use crate::peers::PeerRecords;
 use crate::{
@@ -11,7 +11,7 @@
 };
 use rand::seq::SliceRandom;
 use skylarkpick_interface::{
-    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, ModelName, NamedRecord,
+    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord,
     RegisteredEntry, RegisteredTarget, ServingDocument, WeightVersion,
 };
 use std::{
@@ -27,8 +27,7 @@
     node_state: Arc<NodeState>,
     missing_targets: Mutex<MissingTargets>,
     desired_times: Mutex<DesiredTimes>,
-    /// Weights whose change this process saw and that [`FleetRecords::weights_changes`] has not
-    /// returned yet.
+    /// Weights without a recorded time that [`FleetRecords::weights_changes`] has not returned yet.
     weights_changes: Mutex<Vec<WeightsChange>>,
     weights_change_seen: Notify,
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
@@ -40,15 +39,6 @@
     changes: watch::Sender<u64>,
 }
 
-/// Weights that became the desired ones while this process watched.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct WeightsChange {
-    pub(super) model: ModelName,
-    pub(super) version: WeightVersion,
-    /// Wall-clock time in Unix milliseconds at which the process saw the change.
-    pub(super) since_ms: u64,
-}
-
 /// Latest records of a topic.
 #[derive(Default)]
 struct TopicState {
@@ -153,9 +143,16 @@
         // After a failed call the age is unlimited, so that followers read from another relay or
         // from the platform immediately.
         let verified_at = state.verified_at.filter(|_| !state.is_disconnected);
-        let age = verified_at.map(|at| self.node_state.now().saturating_sub(at));
-        let age_ms = age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
-        Some(PeerRecords { update, is_complete, age_ms })
+        let now = self.node_state.now();
+        let age_ms =
+            |at: Duration| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
+        Some(PeerRecords {
+            update,
+            is_complete,
+            age_ms: verified_at.map_or(u64::MAX, age_ms),
+            // Rounded up, since the time must not be later than it was.
+            complete_age_ms: state.complete_at.map(|at| age_ms(at).saturating_add(1)),
+        })
     }
 
     /// Applies records of another entry process. Returns whether they were newer.
@@ -345,8 +342,10 @@
         for record in &update.records {
             self.apply(topic, record, origin);
         }
-        if topic == FleetTopic::Weights {
-            self.node_state.note_weights_read();
+        match topic {
+            FleetTopic::Weights => self.node_state.note_weights_read(),
+            FleetTopic::Targets => self.weights_change_seen.notify_one(),
+            _ => {}
         }
         self.changes.send_modify(|count| *count += 1);
         if topic == FleetTopic::Entries {
@@ -459,8 +458,11 @@
             is_first_read,
             recorded_age_ms = age_ms(recorded_age),
         });
-        if !is_first_read && recorded_age.is_none() {
-            let change = WeightsChange { model: model.to_string(), version, since_ms: wall_ms };
+        if recorded_age.is_none() {
+            let age = if is_first_read { UNRECORDED_AGE } else { Duration::ZERO };
+            let since_ms = wall_ms.saturating_sub(age.as_millis() as u64);
+            let model = model.to_string();
+            let change = WeightsChange { model, version, since_ms, is_first_read };
             self.lock_weights_changes().push(change);
             self.weights_change_seen.notify_one();
         }
@@ -481,7 +483,8 @@
         {
             times.note_not_before(model, version, not_before);
         }
-        let since = times.since(model, version, recorded_age, self.node_state.now());
+        let since =
+            times.since(model, version, recorded_age, self.node_state.now(), origin.is_first_read);
         self.node_state.set_desired_weights(model, version, since);
     }
 
@@ -489,11 +492,13 @@
         self.weights_changes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits for weights that became the desired ones while this process watched, and whose record
-    /// had no time yet. Returns each of them once.
+    /// Waits for desired weights whose record had no time yet: those that became the desired ones while
+    /// this process watched, and those that it found at its start while some target serves older ones.
+    /// Returns each of them once.
     pub(super) async fn weights_changes(&self) -> Vec<WeightsChange> {
         loop {
-            let changes = std::mem::take(&mut *self.lock_weights_changes());
+            let due = |it: &mut WeightsChange| !it.is_first_read || self.is_older_served(it);
+            let changes: Vec<_> = self.lock_weights_changes().extract_if(.., due).collect();
             if !changes.is_empty() {
                 return changes;
             }
@@ -501,6 +506,13 @@
         }
     }
 
+    fn is_older_served(&self, weights: &WeightsChange) -> bool {
+        let state = self.node_state.lock();
+        let mut served =
+            state.placement.targets().values().filter_map(|it| it.weight_version(&weights.model));
+        served.any(|served| served < weights.version)
+    }
+
     /// Returns whether the record has the time since which these weights are desired.
     pub(super) fn has_desired_since(&self, weights: &WeightsChange) -> bool {
         let topics = self.topics();
