Bound what a connection reads without a part of a response

Cause: hyper skips informational heads, digits of a chunk size and the like without a limit of bytes, so a target that repeats them holds its request, a core and its connection. For zeros as a chunk's size its decoder does not even give up after the reader is gone: 10.5 s on a connection of the pool, without end on one of a control call.

Ruled out: counting informational heads by hyper's callback, which cannot stop the connection; a shorter timeout, which bounds no bytes.

Change: the sockets of targets, stores and the platform count the bytes that they read and fail at 512 KB without a head or a part of a body; read buffers shrink from 408 KB to 64 KB (360 of them: 24 MB, before 147 MB). The reason of a failed call names its causes.

Conclusion: such a request fails with 502 within milliseconds, and may be repeated where its route allows.

--- a/crates/skylarkpick-command/src/demo/completions.rs
+++ b/crates/skylarkpick-command/src/demo/completions.rs
@@ -5,9 +5,8 @@
 use futures::StreamExt;
 use http::{Request, Response};
 use http_body_util::{BodyExt, BodyStream, Full};
-use hyper::body::Incoming;
 use serde_json::{Value, json};
-use skylarkpick_http::{HttpClient, LineSplitter};
+use skylarkpick_http::{HttpClient, LineSplitter, MeteredBody};
 use skylarkpick_standin::expected_token;
 use std::time::{Duration, Instant};
 
@@ -53,7 +52,7 @@
 }
 
 /// Reads an error response; its `ran` field reports whether the request ran.
-async fn read_error(response: Response<Incoming>) -> CompletionOutcome {
+async fn read_error(response: Response<MeteredBody>) -> CompletionOutcome {
     let content = response.into_body().collect().await.map(|body| body.to_bytes());
     let value: Value = serde_json::from_slice(&content.unwrap_or_default()).unwrap_or_default();
     let message = value["error"]["message"].as_str().unwrap_or("no message").to_string();
@@ -66,7 +65,7 @@
 /// Reads a stream of events and compares each token with the one that the stand-in generates for
 /// this prompt and weight version.
 async fn read_stream(
-    response: Response<Incoming>,
+    response: Response<MeteredBody>,
     sent_at: Instant,
     prompt: &str,
     response_tokens: u64,
--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -3,11 +3,11 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use skylarkpick_http::{
+    MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter, describe,
+};
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     collections::HashMap,
@@ -54,14 +54,20 @@
 }
 
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    channel: Channel,
     since: Instant,
     limit: Duration,
 }
 
+/// Way to send requests on a connection, and the meter of its responses.
+struct Channel {
+    sender: SendRequest<Full<Bytes>>,
+    meter: Arc<ResponseMeter>,
+}
+
 /// Connection in use by one request.
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    channel: Channel,
     address: SocketAddr,
     pub(crate) is_reused: bool,
 }
@@ -77,34 +83,30 @@
         address: SocketAddr,
         idle_limit: Duration,
     ) -> Result<Connection, SendError> {
-        if let Some(sender) = self.take_idle(address, idle_limit) {
-            return Ok(Connection { sender, address, is_reused: true });
+        if let Some(channel) = self.take_idle(address, idle_limit) {
+            return Ok(Connection { channel, address, is_reused: true });
         }
-        let sender = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(address))
+        let channel = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(address))
             .await
             .unwrap_or_else(|_| Err(SendError::NotConnected("timed out".to_string())))?;
-        Ok(Connection { sender, address, is_reused: false })
+        Ok(Connection { channel, address, is_reused: false })
     }
 
-    fn take_idle(
-        &self,
-        address: SocketAddr,
-        idle_limit: Duration,
-    ) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr, idle_limit: Duration) -> Option<Channel> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
-        connections.retain(|it| !it.sender.is_closed() && now < it.since + it.limit);
-        let newest = connections
-            .iter()
-            .rposition(|it| it.sender.is_ready() && now.duration_since(it.since) <= idle_limit)?;
-        Some(connections.remove(newest).sender)
+        connections.retain(|it| !it.channel.sender.is_closed() && now < it.since + it.limit);
+        let newest = connections.iter().rposition(|it| {
+            it.channel.sender.is_ready() && now.duration_since(it.since) <= idle_limit
+        })?;
+        Some(connections.remove(newest).channel)
     }
 
     /// Returns a connection to the pool after its response was read to the end.
     pub(crate) fn release(&self, connection: Connection, reported_limit: Option<Duration>) {
         let limit = reported_limit.map_or(IDLE_LIMIT, |limit| limit.saturating_sub(IDLE_MARGIN));
-        if connection.sender.is_closed() || limit.is_zero() {
+        if connection.channel.sender.is_closed() || limit.is_zero() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -112,7 +114,7 @@
         if connections.len() >= IDLE_COUNT_LIMIT {
             connections.remove(0);
         }
-        connections.push(Idle { sender: connection.sender, since: Instant::now(), limit });
+        connections.push(Idle { channel: connection.channel, since: Instant::now(), limit });
     }
 
     /// Closes the idle connections to a target.
@@ -126,28 +128,35 @@
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            let text = error.error().to_string();
+    ) -> Result<Response<MeteredBody>, SendError> {
+        let Channel { sender, meter } = &mut self.channel;
+        let response = sender.try_send_request(request).await.map_err(|mut error| {
+            let text = describe(error.error());
             match error.take_message() {
                 Some(_) => SendError::NotSent(text),
                 None => SendError::Broken(text),
             }
-        })
+        })?;
+        Ok(response.map(|body| MeteredBody::open(body, meter.clone())))
     }
 }
 
-async fn open_connection(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
+async fn open_connection(address: SocketAddr) -> Result<Channel, SendError> {
     let failed = |error: &dyn std::fmt::Display| SendError::NotConnected(error.to_string());
     let stream = TcpStream::connect(address).await.map_err(|error| failed(&error))?;
     set_socket_options(&stream, UNACKNOWLEDGED_LIMIT);
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|error| failed(&error))?;
+    let stream = MeteredStream::open(stream);
+    let meter = stream.meter();
+    let (sender, connection) = Builder::new()
+        .max_buf_size(READ_BUFFER_LIMIT_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(&error))?;
     tokio::spawn(async move {
         // A failure also reaches the caller that waits for the response.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Channel { sender, meter })
 }
 
 /// Sets the socket options for low latency and for detection of dead peers. Failures are only
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use http::{Request, StatusCode, Uri, response::Parts};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
+use skylarkpick_http::MeteredBody;
 use skylarkpick_interface::{
     EventId, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata,
 };
@@ -74,7 +75,7 @@
     /// First part of the body. It is read before the response to the client begins, so that an
     /// earlier failure can still be retried.
     pub(crate) first: Option<Bytes>,
-    pub(crate) body: Incoming,
+    pub(crate) body: MeteredBody,
     pub(crate) connection: Connection,
     pub(crate) guard: AssignmentGuard,
 }
@@ -123,7 +124,7 @@
         }
     }
 
-    async fn send(&self) -> Result<(Connection, Parts, Incoming), SendError> {
+    async fn send(&self) -> Result<(Connection, Parts, MeteredBody), SendError> {
         let assignment = &self.guard.assignment;
         let idle_limit = match self.request.route.repeatability {
             Repeatability::Once => ONCE_IDLE_LIMIT,
@@ -209,7 +210,7 @@
     async fn handle_rejection(
         mut self,
         connection: Connection,
-        body: Incoming,
+        body: MeteredBody,
         metadata: ResponseMetadata,
     ) -> AttemptOutcome {
         let is_other_target =
@@ -230,7 +231,7 @@
     }
 
     /// Reads a body to its end. Returns `None` if it is too large to be buffered.
-    async fn read_body(&self, body: Incoming, until: Instant) -> Result<Option<Bytes>, String> {
+    async fn read_body(&self, body: MeteredBody, until: Instant) -> Result<Option<Bytes>, String> {
         if body.size_hint().lower() > BUFFERED_BODY_LIMIT_BYTES as u64 {
             return Ok(None);
         }
@@ -247,7 +248,7 @@
         connection: Connection,
         head: Parts,
         metadata: ResponseMetadata,
-        body: Incoming,
+        body: MeteredBody,
     ) -> AttemptOutcome {
         if body.size_hint().lower() > BUFFERED_BODY_LIMIT_BYTES as u64 {
             let guard = self.guard;
@@ -277,7 +278,7 @@
         connection: Connection,
         head: Parts,
         metadata: ResponseMetadata,
-        mut body: Incoming,
+        mut body: MeteredBody,
     ) -> AttemptOutcome {
         let first = match self.before_start(body.frame()).await {
             Err(outcome) => return outcome,
--- a/crates/skylarkpick-http/src/client.rs
+++ b/crates/skylarkpick-http/src/client.rs
@@ -1,17 +1,22 @@
 //! A pooled HTTP client whose errors distinguish requests that were never sent from requests that
 //! the server may have received.
 
+use crate::response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter};
 use bytes::{Bytes, BytesMut};
-use futures::{Stream, StreamExt};
-use http::{Request, Response, StatusCode};
+use futures::{Stream, StreamExt, future::BoxFuture};
+use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+    rt::{TokioExecutor, TokioIo, TokioTimer},
 };
 use serde::{Serialize, de::DeserializeOwned};
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tower_service::Service;
 
 /// Size limit of a buffered response body.
 const RESPONSE_SIZE_LIMIT_BYTES: usize = 64 * 1_048_576;
@@ -47,7 +52,28 @@
 /// A pooled HTTP client.
 #[derive(Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<MeteredConnector, Full<Bytes>>,
+}
+
+/// Opens connections whose reads are metered.
+#[derive(Clone)]
+struct MeteredConnector(HttpConnector);
+
+impl Service<Uri> for MeteredConnector {
+    type Response = TokioIo<MeteredStream>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(context)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let connecting = self.0.call(uri);
+        Box::pin(
+            async move { Ok(TokioIo::new(MeteredStream::open(connecting.await?.into_inner()))) },
+        )
+    }
 }
 
 impl Default for HttpClient {
@@ -65,7 +91,8 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
+            .http1_max_buf_size(READ_BUFFER_LIMIT_BYTES)
+            .build(MeteredConnector(connector));
         HttpClient { client }
     }
 
@@ -77,15 +104,17 @@
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, CallError> {
-        self.client.request(request).await.map_err(|error| {
+    ) -> Result<Response<MeteredBody>, CallError> {
+        let response = self.client.request(request).await.map_err(|error| {
             let text = describe(&error);
             if error.is_connect() {
                 CallError::NotConnected(text)
             } else {
                 CallError::NoResponse(text)
             }
-        })
+        })?;
+        let meter = response.extensions().get::<Arc<ResponseMeter>>().cloned().unwrap_or_default();
+        Ok(response.map(|body| MeteredBody::open(body, meter)))
     }
 
     /// Sends a request and reads the complete response within `timeout`.
@@ -158,7 +187,13 @@
     CallError::Status { status: status.as_u16(), message }
 }
 
-fn describe(error: &dyn std::error::Error) -> String {
+/// Returns the texts of an error and of its causes.
+///
+/// ```
+/// let error = std::io::Error::other("no room");
+/// assert_eq!(skylarkpick_http::describe(&error), "no room");
+/// ```
+pub fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
@@ -170,7 +205,7 @@
 
 /// Decodes a body with one JSON value per line (NDJSON) as it arrives.
 pub fn ndjson<T: DeserializeOwned + Send + 'static>(
-    body: Incoming,
+    body: MeteredBody,
 ) -> impl Stream<Item = Result<T, CallError>> + Send + 'static {
     let lines = LineSplitter::default();
     futures::stream::unfold((body, lines, false), |(mut body, mut lines, ended)| async move {
--- a/crates/skylarkpick-http/src/lib.rs
+++ b/crates/skylarkpick-http/src/lib.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connector;
 mod platform_client;
+mod response_meter;
 mod runner_client;
 mod server;
 mod service_client;
@@ -16,9 +17,10 @@
     ReadBodyError, ResponseBody, empty_response, full_body, json_response, ndjson_body, read_body,
     stream_body,
 };
-pub use client::{CallError, HttpClient, LineSplitter, ndjson};
+pub use client::{CallError, HttpClient, LineSplitter, describe, ndjson};
 pub use connector::HttpConnector;
 pub use platform_client::{HttpPlatform, OBJECT_VERSION_HEADER};
+pub use response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter};
 pub use runner_client::HttpRunner;
 pub use server::{Handler, Server, ServerLimits};
 pub use service_client::{ACCOUNT_HEADER, HttpService, NOT_STARTED_HEADER, REQUEST_ID_HEADER};
--- /dev/null
+++ b/crates/skylarkpick-http/src/response_meter.rs
@@ -0,0 +1,165 @@
+//! Bounds what a connection reads without a response head or a part of a body coming out of it.
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper_util::client::legacy::connect::{Connected, Connection};
+use std::{
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Size limit of a connection's read buffer, and thus of a response head, in bytes. Request heads
+/// are limited to a quarter of it; 360 full buffers take 24 MB.
+pub const READ_BUFFER_LIMIT_BYTES: usize = 65_536;
+/// Bytes that a connection may read without a response head or a part of a body coming out of them:
+/// eight read buffers, since up to three are filled ahead of the reader of a body.
+const UNPRODUCTIVE_LIMIT_BYTES: u64 = 8 * READ_BUFFER_LIMIT_BYTES as u64;
+
+/// Counts what a connection reads for nothing, such as informational heads or digits of a chunk
+/// size.
+#[derive(Debug, Default)]
+pub struct ResponseMeter {
+    unproductive_bytes: AtomicU64,
+}
+
+impl ResponseMeter {
+    /// Starts the count again, since a response head or a part of a body has come out.
+    fn note_progress(&self) {
+        self.unproductive_bytes.store(0, Ordering::Relaxed);
+    }
+}
+
+/// Socket of a client connection that fails when it reads too much for nothing.
+#[derive(Debug)]
+pub struct MeteredStream {
+    stream: TcpStream,
+    meter: Arc<ResponseMeter>,
+}
+
+impl MeteredStream {
+    /// Wraps the socket of a new connection.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    /// let socket = tokio::net::TcpStream::connect(listener.local_addr()?).await?;
+    /// let stream = skylarkpick_http::MeteredStream::open(socket);
+    /// let _meter = stream.meter();
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn open(stream: TcpStream) -> MeteredStream {
+        MeteredStream { stream, meter: Arc::default() }
+    }
+
+    /// Returns the meter, for the bodies of the connection's responses.
+    pub fn meter(&self) -> Arc<ResponseMeter> {
+        self.meter.clone()
+    }
+}
+
+impl Connection for MeteredStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.meter())
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let read = (buffer.filled().len() - before) as u64;
+        let unproductive = self.meter.unproductive_bytes.fetch_add(read, Ordering::Relaxed) + read;
+        if unproductive > UNPRODUCTIVE_LIMIT_BYTES {
+            let why = format!("{unproductive} bytes without a part of a response");
+            return Poll::Ready(Err(std::io::Error::other(why)));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Body of a response, each part of which starts the count of its connection's meter again.
+#[derive(Debug)]
+pub struct MeteredBody {
+    body: Incoming,
+    meter: Arc<ResponseMeter>,
+}
+
+impl MeteredBody {
+    /// Wraps the body of a response whose head has just arrived on the connection with this meter.
+    pub fn open(body: Incoming, meter: Arc<ResponseMeter>) -> MeteredBody {
+        meter.note_progress();
+        MeteredBody { body, meter }
+    }
+}
+
+impl Body for MeteredBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        self.meter.note_progress();
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
