Buffer at most 1 MB of a response body whatever length it announces

Cause: the limit of a buffered body was compared with its announced length only. A body in chunks or to the end of the connection was collected until the request's deadline, the body of a rejection for 50 ms. An error response on a resumable event route that was not buffered would have been split into events.

Ruled out: failing such a body at the limit, since a large honest response may come without a length.

Change: a body is read up to 1 MB and from there on forwarded while it arrives, with the part that was read, until the deadline. All bodies that are buffered at once hold at most 16 MB together, also while their clients read them; one that finds no room is forwarded. Of a rejection's body 16 KB are read.

Conclusion: a body of more than 1 MB that breaks ends its response broken, also on a repeatable route; smaller ones are repeated as before.

--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -9,5 +9,5 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use forwarder::Forwarder;
+pub(crate) use forwarder::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder};
 pub(crate) use response::{ClientBody, IncompleteResponse};
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -9,16 +9,17 @@
 use http::{Request, StatusCode, Uri, response::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
-use skylarkpick_http::MeteredBody;
+use skylarkpick_http::{BodyStart, MeteredBody, describe, read_body_start};
 use skylarkpick_interface::{
     EventId, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata,
 };
 use skylarkpick_schedule::TargetOutcome;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, error::Elapsed};
 
-/// Content length above which a response body is forwarded while it arrives. All other bodies,
-/// including those without a content length, are buffered completely before they are forwarded.
+/// Size above which a response body is forwarded while it arrives: at once by its content length, or
+/// after as many bytes without one. All other bodies are buffered completely before they are
+/// forwarded.
 const BUFFERED_BODY_LIMIT_BYTES: usize = 1_048_576;
 /// Maximum idle time of a connection for a request that may run only once. If the target had closed
 /// the connection in the meantime, it would be unknown whether the request ran.
@@ -27,6 +28,9 @@
 const REPEATABLE_IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Longest wait for the body of a rejection, without which its connection is not reused.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+/// Size limit of the body of a rejection, beyond which its connection is not reused. A rejection
+/// carries at most a short text.
+const REJECTION_BODY_LIMIT_BYTES: usize = 16_384;
 
 /// Outcome of an attempt.
 pub(crate) enum AttemptOutcome {
@@ -210,7 +214,7 @@
     async fn handle_rejection(
         mut self,
         connection: Connection,
-        body: MeteredBody,
+        mut body: MeteredBody,
         metadata: ResponseMetadata,
     ) -> AttemptOutcome {
         let is_other_target =
@@ -222,7 +226,9 @@
             _ => TargetOutcome::Unknown,
         };
         // The connection is reused only if the rest of the response arrives almost immediately.
-        if let Ok(Some(_)) = self.read_body(body, Instant::now() + REJECTION_BODY_TIMEOUT).await
+        let until = Instant::now() + REJECTION_BODY_TIMEOUT;
+        if let Ok(Ok(start)) = self.read_start(&mut body, REJECTION_BODY_LIMIT_BYTES, until).await
+            && start.is_complete
             && !metadata.closes
         {
             self.forwarder.pool.release(connection, metadata.idle_limit);
@@ -230,17 +236,17 @@
         AttemptOutcome::NotRun(metadata)
     }
 
-    /// Reads a body to its end. Returns `None` if it is too large to be buffered.
-    async fn read_body(&self, body: MeteredBody, until: Instant) -> Result<Option<Bytes>, String> {
-        if body.size_hint().lower() > BUFFERED_BODY_LIMIT_BYTES as u64 {
-            return Ok(None);
-        }
-        let collected = tokio::time::timeout_at(until, body.collect()).await;
-        match collected {
-            Err(_) => Err("the deadline has passed".to_string()),
-            Ok(Err(error)) => Err(error.to_string()),
-            Ok(Ok(body)) => Ok(Some(body.to_bytes())),
-        }
+    /// Reads a body to its end or until it is too large to be buffered.
+    async fn read_start(
+        &self,
+        body: &mut MeteredBody,
+        size_limit_bytes: usize,
+        until: Instant,
+    ) -> Result<Result<BodyStart, hyper::Error>, Elapsed> {
+        let mut share = self.forwarder.buffers.share();
+        let reading = read_body_start(body, size_limit_bytes, &mut share);
+        let start = tokio::time::timeout_at(until, reading).await?;
+        Ok(start.map(|it| BodyStart { content: share.hold(it.content), ..it }))
     }
 
     async fn read_complete(
@@ -248,29 +254,31 @@
         connection: Connection,
         head: Parts,
         metadata: ResponseMetadata,
-        body: MeteredBody,
+        mut body: MeteredBody,
     ) -> AttemptOutcome {
-        if body.size_hint().lower() > BUFFERED_BODY_LIMIT_BYTES as u64 {
-            let guard = self.guard;
-            let response =
-                StreamingResponse { head, metadata, first: None, body, connection, guard };
-            return AttemptOutcome::Streaming(Box::new(response));
-        }
-        match self.read_body(body, self.request.deadline).await {
-            Ok(Some(content)) => {
-                self.guard.outcome = target_outcome(head.status);
-                if !metadata.closes {
-                    self.forwarder.pool.release(connection, metadata.idle_limit);
+        let first = if body.size_hint().lower() > BUFFERED_BODY_LIMIT_BYTES as u64 {
+            None
+        } else {
+            let deadline = self.request.deadline;
+            match self.read_start(&mut body, BUFFERED_BODY_LIMIT_BYTES, deadline).await {
+                Ok(Ok(BodyStart { content, is_complete: true })) => {
+                    self.guard.outcome = target_outcome(head.status);
+                    if !metadata.closes {
+                        self.forwarder.pool.release(connection, metadata.idle_limit);
+                    }
+                    return AttemptOutcome::Complete(CompleteResponse { head, content });
                 }
-                AttemptOutcome::Complete(CompleteResponse { head, content })
-            }
-            Ok(None) => AttemptOutcome::NoValidResponse("the response is too large".to_string()),
-            Err(_) if Instant::now() >= self.request.deadline => AttemptOutcome::TimedOut,
-            Err(why) => {
-                self.guard.outcome = TargetOutcome::Failed;
-                AttemptOutcome::NoValidResponse(why)
+                Ok(Ok(start)) => Some(start.content),
+                Ok(Err(error)) => {
+                    self.guard.outcome = TargetOutcome::Failed;
+                    return AttemptOutcome::NoValidResponse(describe(&error));
+                }
+                Err(_) => return AttemptOutcome::TimedOut,
             }
-        }
+        };
+        let guard = self.guard;
+        let response = StreamingResponse { head, metadata, first, body, connection, guard };
+        AttemptOutcome::Streaming(Box::new(response))
     }
 
     async fn begin_event_stream(
@@ -286,7 +294,7 @@
             Ok(None) => None,
             Ok(Some(Err(error))) => {
                 self.guard.outcome = TargetOutcome::Failed;
-                return AttemptOutcome::NoValidResponse(error.to_string());
+                return AttemptOutcome::NoValidResponse(describe(&error));
             }
         };
         self.guard.note_first_response();
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -12,6 +12,7 @@
 use crate::log::request_log;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use skylarkpick_http::describe;
 use skylarkpick_interface::{EventId, Repeatability};
 use skylarkpick_schedule::TargetOutcome;
 use skylarkpick_telemetry::{REQUESTS_ENDED, metrics};
@@ -69,8 +70,8 @@
         request: ActiveRequest,
         mut response: Box<StreamingResponse>,
     ) -> ResponseStream {
-        // Only a resumable stream needs to be split into events.
-        let splits_events = request.is_resumable();
+        // Only a resumable stream needs to be split into events; an error response is none.
+        let splits_events = request.is_resumable() && response.head.status.is_success();
         let first = response.first.take();
         let mut stream = ResponseStream {
             last_event: request.head.resume_after,
@@ -123,7 +124,7 @@
         match tokio::time::timeout_at(self.request.deadline, current.body.frame()).await {
             Err(_) => ReadResult::TimedOut,
             Ok(None) => ReadResult::End,
-            Ok(Some(Err(error))) => ReadResult::Failed(error.to_string()),
+            Ok(Some(Err(error))) => ReadResult::Failed(describe(&error)),
             Ok(Some(Ok(frame))) => ReadResult::Data(frame.into_data().unwrap_or_default()),
         }
     }
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -7,13 +7,13 @@
         CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer,
         record_weights, run_planner, sample_loads, watch_caches, watch_topic,
     },
-    forwarding::Forwarder,
+    forwarding::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder},
     jitter::sleep_with_jitter,
     node_state::NodeState,
     peers::{CacheRelay, NetworkParts, PeerClient, PeerMessageHandler, follow_relay, open_network},
     readiness::{MetricsHandler, ReadinessHandler},
 };
-use skylarkpick_http::{Server, ServerLimits};
+use skylarkpick_http::{BufferBudget, Server, ServerLimits};
 use skylarkpick_interface::{
     Clock, Dialect, FleetSource, FleetTopic, NodeSettings, ObjectStore, RegisteredEntry,
     TargetControl,
@@ -90,6 +90,7 @@
             node_state: node_state.clone(),
             dialect: parts.dialect.clone(),
             pool: ConnectionPool::open(),
+            buffers: BufferBudget::open(BUFFERED_TOTAL_LIMIT_BYTES),
             confirmer: ServingConfirmer::open(watcher.clone()),
             data_centre: settings.data_centre.clone(),
         });
--- a/crates/skylarkpick-http/src/body.rs
+++ b/crates/skylarkpick-http/src/body.rs
@@ -1,5 +1,6 @@
 //! Builds response bodies and reads request and response bodies.
 
+use crate::buffer_budget::{BufferBudget, BufferShare};
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt};
 use http::{Response, StatusCode, header::CONTENT_TYPE};
@@ -93,15 +94,57 @@
 where
     B: Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
+{
+    let mut share = BufferBudget::open(size_limit_bytes).share();
+    let start = read_body_start(&mut body, size_limit_bytes, &mut share)
+        .await
+        .map_err(|error| ReadBodyError::Broken(error.to_string()))?;
+    if !start.is_complete {
+        return Err(ReadBodyError::TooLarge(size_limit_bytes));
+    }
+    Ok(start.content)
+}
+
+/// Start of a body that may be longer than what is buffered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BodyStart {
+    /// Bytes that have been read.
+    pub content: Bytes,
+    /// Whether they are the whole body.
+    pub is_complete: bool,
+}
+
+/// Reads a body to its end, or until it holds more than `size_limit_bytes` or than `share` can take;
+/// then at most one further part of the body is read.
+///
+/// # Errors
+/// Returns an error if the connection fails.
+///
+/// ```
+/// # tokio::runtime::Runtime::new()?.block_on(async {
+/// let mut share = skylarkpick_http::BufferBudget::open(100).share();
+/// let mut body = http_body_util::Full::new(bytes::Bytes::from("text"));
+/// let start = skylarkpick_http::read_body_start(&mut body, 10, &mut share).await?;
+/// assert!(start.is_complete);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// # })?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+pub async fn read_body_start<B>(
+    body: &mut B,
+    size_limit_bytes: usize,
+    share: &mut BufferShare,
+) -> Result<BodyStart, B::Error>
+where
+    B: Body<Data = Bytes> + Unpin,
 {
     let mut content = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| ReadBodyError::Broken(error.to_string()))?;
-        let Ok(chunk) = frame.into_data() else { continue };
-        if content.len() + chunk.len() > size_limit_bytes {
-            return Err(ReadBodyError::TooLarge(size_limit_bytes));
-        }
+        let Ok(chunk) = frame?.into_data() else { continue };
         content.extend_from_slice(&chunk);
+        if content.len() > size_limit_bytes || !share.grow(chunk.len()) {
+            return Ok(BodyStart { content: content.freeze(), is_complete: false });
+        }
     }
-    Ok(content.freeze())
+    Ok(BodyStart { content: content.freeze(), is_complete: true })
 }
--- a/crates/skylarkpick-http/src/lib.rs
+++ b/crates/skylarkpick-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP servers and clients on hyper, and clients of the platform, runners, stores and services.
 
 mod body;
+mod buffer_budget;
 mod client;
 mod connector;
 mod platform_client;
@@ -14,9 +15,10 @@
 pub mod store_messages;
 
 pub use body::{
-    ReadBodyError, ResponseBody, empty_response, full_body, json_response, ndjson_body, read_body,
-    stream_body,
+    BodyStart, ReadBodyError, ResponseBody, empty_response, full_body, json_response, ndjson_body,
+    read_body, read_body_start, stream_body,
 };
+pub use buffer_budget::{BufferBudget, BufferShare};
 pub use client::{CallError, HttpClient, LineSplitter, describe, ndjson};
 pub use connector::HttpConnector;
 pub use platform_client::{HttpPlatform, OBJECT_VERSION_HEADER};
