End a stream at an event without end instead of leaving a hole in it

Cause: past its size limit an event was no longer collected; what had been collected was never forwarded and what followed was. Events that the client already had were skipped until the deadline without a limit.

Ruled out: forwarding the collected bytes too, after which the stream could be resumed nowhere.

Change: an event of more than 32 KB, or 1 MB of repeated events, fails its target; nothing of it is forwarded, and the stream is resumed at another target or ends broken.

Streams that can't be resumed are not split and are bounded by their deadline.

--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -5,28 +5,36 @@
 
 use super::{
     attempt::StreamingResponse,
-    event_splitter::EventSplitter,
+    event_splitter::{Event, EventSplitter},
     forwarder::{ActiveRequest, Forwarder},
     response::IncompleteResponse,
 };
 use crate::log::request_log;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use skylarkpick_http::describe;
 use skylarkpick_interface::{EventId, Repeatability};
 use skylarkpick_schedule::TargetOutcome;
 use skylarkpick_telemetry::{REQUESTS_ENDED, metrics};
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
+/// Bytes of repeated events after which a target counts as failed: four times a stream of 4,096 events
+/// of 64 bytes, which a target that ignores the last event's ID repeats once.
+const REPEATED_EVENTS_LIMIT_BYTES: usize = 1_048_576;
+
 /// Forwards a streamed response to the client.
 pub(crate) struct ResponseStream {
     forwarder: Arc<Forwarder>,
     request: ActiveRequest,
     current: Option<Box<StreamingResponse>>,
     splitter: EventSplitter,
-    /// Bytes that can be forwarded to the client.
-    ready: VecDeque<Bytes>,
+    /// Bytes that can be forwarded to the client. If there are none, it is empty.
+    ready: Bytes,
+    /// Why the stream of the current target can't be continued after the bytes that are ready.
+    failure: Option<String>,
+    /// Bytes of events that the client already has, since the last new event.
+    repeated_bytes: usize,
     /// ID of the last event that was forwarded or is ready.
     last_event: Option<EventId>,
     forwarded_bytes: u64,
@@ -79,7 +87,9 @@
             request,
             current: Some(response),
             splitter: EventSplitter::default(),
-            ready: VecDeque::new(),
+            ready: Bytes::new(),
+            failure: None,
+            repeated_bytes: 0,
             forwarded_bytes: 0,
             splits_events,
             end: StreamEnd::ClientLeft,
@@ -93,11 +103,18 @@
     /// Returns the next bytes for the client, or `None` at the end of the response.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, IncompleteResponse>> {
         loop {
-            if let Some(bytes) = self.ready.pop_front() {
+            if !self.ready.is_empty() {
+                let bytes = std::mem::take(&mut self.ready);
                 self.forwarded_bytes += bytes.len() as u64;
                 return Some(Ok(bytes));
             }
             self.current.as_ref()?;
+            if let Some(why) = self.failure.take() {
+                if !self.resume(&why).await {
+                    return Some(Err(self.abort(StreamEnd::Failed)));
+                }
+                continue;
+            }
             match self.read().await {
                 ReadResult::Data(bytes) => self.push(bytes),
                 ReadResult::End if self.splitter.is_empty() => {
@@ -129,27 +146,39 @@
         }
     }
 
+    /// Makes bytes of the current target ready: all of them, or the complete events that the client
+    /// doesn't have yet.
     fn push(&mut self, bytes: Bytes) {
         if !self.splits_events {
-            self.ready.push_back(bytes);
+            self.ready = bytes;
             return;
         }
-        if !self.splitter.push(&bytes) {
-            // From here on, bytes are forwarded as they arrive and the stream can't be resumed.
-            spdlog::warn!("event exceeds the size limit; the stream can no longer be resumed");
-            self.splits_events = false;
-        }
-        while let Some(event) = self.splitter.next_event() {
-            let is_duplicate = match (event.id, self.last_event) {
-                (Some(id), Some(last)) => id <= last,
-                _ => false,
-            };
-            if is_duplicate {
-                continue;
+        self.splitter.push(&bytes);
+        let mut ready = BytesMut::new();
+        loop {
+            match self.splitter.next_event() {
+                Ok(Some(event)) => self.take_event(&event, &mut ready),
+                Ok(None) => break,
+                Err(error) => {
+                    self.failure = Some(error.to_string());
+                    break;
+                }
             }
-            self.last_event = event.id.or(self.last_event);
-            self.ready.push_back(event.bytes);
         }
+        if self.repeated_bytes > REPEATED_EVENTS_LIMIT_BYTES {
+            self.failure = Some("the target repeats events without end".to_string());
+        }
+        self.ready = ready.freeze();
+    }
+
+    fn take_event(&mut self, event: &Event, ready: &mut BytesMut) {
+        if event.id.is_some_and(|id| self.last_event.is_some_and(|last| id <= last)) {
+            self.repeated_bytes += event.bytes.len();
+            return;
+        }
+        self.repeated_bytes = 0;
+        self.last_event = event.id.or(self.last_event);
+        ready.extend_from_slice(&event.bytes);
     }
 
     fn finish(&mut self) {
@@ -177,6 +206,7 @@
         let target = failed.guard.assignment.target.clone();
         drop(failed);
         self.splitter = EventSplitter::default();
+        self.repeated_bytes = 0;
         let may_repeat = self.request.route.repeatability == Repeatability::Repeatable;
         request_log!("stream failed", kv: {
             request = self.request.head.attempt_id.as_str(),
--- a/crates/skylarkpick-forward/src/forwarding/tests.rs
+++ b/crates/skylarkpick-forward/src/forwarding/tests.rs
@@ -70,8 +70,8 @@
         let mut splitter = EventSplitter::default();
         let mut events = Vec::new();
         for piece in case.pieces {
-            assert!(splitter.push(piece.as_bytes()));
-            while let Some(event) = splitter.next_event() {
+            splitter.push(piece.as_bytes());
+            while let Some(event) = splitter.next_event().unwrap() {
                 events.push((event.id, String::from_utf8(event.bytes.to_vec()).unwrap()));
             }
         }
@@ -82,6 +82,55 @@
     }
 }
 
+#[test]
+fn an_event_that_is_too_long_is_an_error_whether_it_is_complete_or_not() {
+    struct Case {
+        name: &'static str,
+        piece: &'static str,
+        repeats: usize,
+        end: &'static str,
+        is_error: bool,
+    }
+    let cases = [
+        Case {
+            name: "at the limit",
+            piece: "data:\r\n",
+            repeats: 4_680,
+            end: "\r\n",
+            is_error: false,
+        },
+        Case { name: "no end", piece: "data:\r\n", repeats: 4_682, end: "", is_error: true },
+        Case { name: "with an end", piece: "data:\r\n", repeats: 4_682, end: "\n", is_error: true },
+        Case { name: "one line", piece: "a", repeats: 32_769, end: "", is_error: true },
+        Case { name: "comments", piece: ":\n", repeats: 16_385, end: "", is_error: true },
+        Case { name: "short events", piece: "id: 1\n\n", repeats: 9_000, end: "", is_error: false },
+    ];
+    for case in cases {
+        let text = format!("{}{}", case.piece.repeat(case.repeats), case.end);
+        // In one piece and byte by byte.
+        for step in [text.len(), 1] {
+            let mut splitter = EventSplitter::default();
+            let mut is_error = false;
+            let mut length = 0;
+            for piece in text.as_bytes().chunks(step) {
+                splitter.push(piece);
+                loop {
+                    match splitter.next_event() {
+                        Ok(Some(event)) => length += event.bytes.len(),
+                        Ok(None) => break,
+                        Err(_) => {
+                            is_error = true;
+                            break;
+                        }
+                    }
+                }
+            }
+            assert_eq!(is_error, case.is_error, "{}, step {step}", case.name);
+            assert!(is_error || length == text.len(), "{}, step {step}", case.name);
+        }
+    }
+}
+
 #[test]
 fn rejected_clients_retry_after_the_expected_wait_plus_jitter() {
     struct Case {
