--- a/crates/skylarkpick-http/src/buffer_budget.rs
+++ b/crates/skylarkpick-http/src/buffer_budget.rs
@@ -16,6 +16,8 @@
 #[derive(Debug)]
 pub struct BufferShare {
     budget: BufferBudget,
+    /// Bytes that the share may still take without the budget.
+    allowance_bytes: usize,
     held_bytes: usize,
 }
 
@@ -33,19 +35,33 @@
 
     /// Returns a share that holds nothing yet.
     pub fn share(&self) -> BufferShare {
-        BufferShare { budget: self.clone(), held_bytes: 0 }
+        self.share_after(0)
+    }
+
+    /// Returns a share whose first bytes don't count, so that short bodies always find room.
+    ///
+    /// ```
+    /// let budget = skylarkpick_http::BufferBudget::open(0);
+    /// let mut share = budget.share_after(10);
+    /// assert!(share.grow(10));
+    /// assert!(!share.grow(1));
+    /// ```
+    pub fn share_after(&self, allowance_bytes: usize) -> BufferShare {
+        BufferShare { budget: self.clone(), allowance_bytes, held_bytes: 0 }
     }
 }
 
 impl BufferShare {
     /// Takes more bytes from the budget. Returns false if they aren't free; then nothing changes.
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let taken =
-            self.budget
-                .free_bytes
-                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| free.checked_sub(bytes));
+        let free_of_charge = bytes.min(self.allowance_bytes);
+        let charged = bytes - free_of_charge;
+        let free_bytes = &self.budget.free_bytes;
+        let taken = free_bytes
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| free.checked_sub(charged));
         if taken.is_ok() {
-            self.held_bytes += bytes;
+            self.allowance_bytes -= free_of_charge;
+            self.held_bytes += charged;
         }
         taken.is_ok()
     }
--- a/crates/skylarkpick-http/src/client.rs
+++ b/crates/skylarkpick-http/src/client.rs
@@ -1,7 +1,11 @@
 //! A pooled HTTP client whose errors distinguish requests that were never sent from requests that
 //! the server may have received.
 
-use crate::response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter};
+use crate::{
+    body::read_body_start,
+    buffer_budget::BufferBudget,
+    response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter},
+};
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt, future::BoxFuture};
 use http::{Request, Response, StatusCode, Uri};
@@ -18,8 +22,9 @@
 };
 use tower_service::Service;
 
-/// Size limit of a buffered response body.
-const RESPONSE_SIZE_LIMIT_BYTES: usize = 64 * 1_048_576;
+/// Bytes of a buffered response that don't count against the limit of all responses together, so
+/// that a few long ones can't fail the many short ones: as many as a read buffer.
+const SHORT_RESPONSE_BYTES: usize = READ_BUFFER_LIMIT_BYTES;
 /// Size limit of a line in a streamed response.
 const LINE_SIZE_LIMIT_BYTES: usize = 1_048_576;
 /// Time limit for opening a connection.
@@ -49,10 +54,30 @@
     InvalidResponse(String),
 }
 
+/// Limits on the response bodies that a client buffers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ResponseLimits {
+    /// Size limit of one body, in bytes.
+    pub body_size_bytes: usize,
+    /// Size limit of all bodies that are buffered at once, in bytes. The first 64 KB of each body
+    /// don't count.
+    pub total_size_bytes: usize,
+}
+
+impl Default for ResponseLimits {
+    /// Returns limits for the responses of plain services and stores, which have no limit of their
+    /// own: a small machine's memory has room for one of the longest.
+    fn default() -> ResponseLimits {
+        ResponseLimits { body_size_bytes: 64 * 1_048_576, total_size_bytes: 64 * 1_048_576 }
+    }
+}
+
 /// A pooled HTTP client.
 #[derive(Clone)]
 pub struct HttpClient {
     client: Client<MeteredConnector, Full<Bytes>>,
+    body_size_bytes: usize,
+    buffers: BufferBudget,
 }
 
 /// Opens connections whose reads are metered.
@@ -83,8 +108,20 @@
 }
 
 impl HttpClient {
-    /// Opens a client with an empty connection pool.
+    /// Opens a client with an empty connection pool and the default limits.
     pub fn open() -> HttpClient {
+        HttpClient::with_limits(ResponseLimits::default())
+    }
+
+    /// Opens a client with an empty connection pool and these limits on the responses that it
+    /// buffers. Clones share them.
+    ///
+    /// ```
+    /// use skylarkpick_http::{HttpClient, ResponseLimits};
+    /// let limits = ResponseLimits { body_size_bytes: 1_000, total_size_bytes: 10_000 };
+    /// let _client = HttpClient::with_limits(limits);
+    /// ```
+    pub fn with_limits(limits: ResponseLimits) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -93,7 +130,11 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .http1_max_buf_size(READ_BUFFER_LIMIT_BYTES)
             .build(MeteredConnector(connector));
-        HttpClient { client }
+        HttpClient {
+            client,
+            body_size_bytes: limits.body_size_bytes,
+            buffers: BufferBudget::open(limits.total_size_bytes),
+        }
     }
 
     /// Sends a request and returns the response as soon as its headers are received.
@@ -120,17 +161,24 @@
     /// Sends a request and reads the complete response within `timeout`.
     ///
     /// # Errors
-    /// As [`HttpClient::send`], and [`CallError::NoResponse`] if the timeout expires.
+    /// As [`HttpClient::send`], and [`CallError::NoResponse`] if the timeout expires or the response
+    /// exceeds the limits.
     pub async fn send_buffered(
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, CallError> {
         let exchange = async {
-            let (head, body) = self.send(request).await?.into_parts();
-            let content = crate::body::read_body(body, RESPONSE_SIZE_LIMIT_BYTES, timeout)
+            let (head, mut body) = self.send(request).await?.into_parts();
+            let mut share = self.buffers.share_after(SHORT_RESPONSE_BYTES);
+            let start = read_body_start(&mut body, self.body_size_bytes, &mut share)
                 .await
-                .map_err(|error| CallError::NoResponse(error.to_string()))?;
+                .map_err(|error| CallError::NoResponse(describe(&error)))?;
+            if !start.is_complete {
+                let why = format!("there is no room for more than {} bytes", start.content.len());
+                return Err(CallError::NoResponse(why));
+            }
+            let content = share.hold(start.content);
             Ok(Response::from_parts(head, content))
         };
         tokio::time::timeout(timeout, exchange)
--- a/crates/skylarkpick-http/src/lib.rs
+++ b/crates/skylarkpick-http/src/lib.rs
@@ -19,7 +19,7 @@
     read_body, read_body_start, stream_body,
 };
 pub use buffer_budget::{BufferBudget, BufferShare};
-pub use client::{CallError, HttpClient, LineSplitter, describe, ndjson};
+pub use client::{CallError, HttpClient, LineSplitter, ResponseLimits, describe, ndjson};
 pub use connector::HttpConnector;
 pub use platform_client::{HttpPlatform, OBJECT_VERSION_HEADER};
 pub use response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter};
--- a/crates/skylarkpick-http/tests/buffered_bodies.rs
+++ b/crates/skylarkpick-http/tests/buffered_bodies.rs
@@ -84,3 +84,16 @@
     drop(copy);
     assert!(second.grow(6));
 }
+
+#[test]
+fn the_allowance_of_a_body_does_not_count() {
+    let budget = BufferBudget::open(10);
+    let mut greedy = budget.share();
+    assert!(greedy.grow(10));
+    let mut short = budget.share_after(5);
+    assert!(short.grow(3));
+    assert!(!short.grow(3), "only two bytes of the allowance are left");
+    assert!(short.grow(2));
+    drop((short, greedy));
+    assert!(budget.share().grow(10));
+}
