Read at most 64 KB and two seconds of the response to a run that did not start

Cause: the body of an error was collected without a limit of bytes or time.

Change: it is read like other bodies; an error that can't be read says why in its message.

Conclusion: a run that is refused without end fails at once.

--- a/crates/skylarkpick-http/src/runner_client.rs
+++ b/crates/skylarkpick-http/src/runner_client.rs
@@ -11,11 +11,14 @@
 //!
 //! A rejection is status 409 with the error as JSON.
 
-use crate::client::{CallError, HttpClient, json_request, ndjson, status_error};
+use crate::{
+    body::read_body,
+    client::{CallError, HttpClient, json_request, ndjson, status_error},
+};
 use async_trait::async_trait;
 use futures::StreamExt;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use serde::{Serialize, de::DeserializeOwned};
 use skylarkpick_interface::{
     CacheEventBatch, ExportOrder, ExportReceipt, FrameStream, ImportOrder, ImportReceipt,
@@ -28,6 +31,8 @@
 const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit for a runner to accept or reject a run.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Size limit of the response to a run that did not start. It carries an error as JSON.
+const ERROR_SIZE_LIMIT_BYTES: usize = 65_536;
 /// Timeout of transfers and orders.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -67,8 +72,12 @@
             .map_err(start_error)?;
         let status = response.status();
         if !status.is_success() {
-            let content = response.into_body().collect().await.map(|body| body.to_bytes());
-            return Err(start_error(status_error(status, &content.unwrap_or_default())));
+            let body = response.into_body();
+            let error = match read_body(body, ERROR_SIZE_LIMIT_BYTES, QUERY_TIMEOUT).await {
+                Ok(content) => status_error(status, &content),
+                Err(error) => status_error(status, error.to_string().as_bytes()),
+            };
+            return Err(start_error(error));
         }
         let frames = ndjson::<RunFrame>(response.into_body());
         Ok(frames.map(|frame| frame.map_err(|error| StartError::Broken(error.to_string()))).boxed())
