Search each byte of a streamed line for its end once

Cause: each chunk searched the incomplete line from its start again, so that a line of 1 MB in chunks of 16 bytes cost a core for longer than any caller waits.

Change: the splitter goes on where it stopped.

Evidence: red before, 'line in small chunks: left: None, right: Some((true, true))', which is no result within 6 s; green after, in 1.2 s with the table's other cases.

Conclusion: the time for a line grows with its length, not with its square.

--- a/crates/skylarkpick-http/src/client.rs
+++ b/crates/skylarkpick-http/src/client.rs
@@ -287,6 +287,8 @@
 #[derive(Default)]
 pub struct LineSplitter {
     buffer: BytesMut,
+    /// Bytes of the buffer that contain no end of a line.
+    scanned_bytes: usize,
 }
 
 impl LineSplitter {
@@ -300,7 +302,14 @@
     /// ```
     pub fn push(&mut self, chunk: &[u8]) -> bool {
         self.buffer.extend_from_slice(chunk);
-        self.buffer.len() <= LINE_SIZE_LIMIT_BYTES || self.buffer.contains(&b'\n')
+        self.buffer.len() <= LINE_SIZE_LIMIT_BYTES || self.line_end().is_some()
+    }
+
+    fn line_end(&mut self) -> Option<usize> {
+        let unscanned = &self.buffer[self.scanned_bytes..];
+        let end = unscanned.iter().position(|byte| *byte == b'\n');
+        self.scanned_bytes += end.unwrap_or(unscanned.len());
+        end.map(|_| self.scanned_bytes)
     }
 }
 
@@ -308,8 +317,9 @@
     type Item = Bytes;
 
     fn next(&mut self) -> Option<Bytes> {
-        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let end = self.line_end()?;
         let mut line = self.buffer.split_to(end + 1);
+        self.scanned_bytes = 0;
         line.truncate(end);
         Some(line.freeze())
     }
