Choose the limits of responses so that 360 endless ones fit into 88 MB

Change: read buffers of 32 KB instead of 64 KB, 8 MB instead of 16 MB for the bodies that are buffered at once, counted by what their buffers take; 16 KB of each body always find room, so that short bodies stay repeatable beside a lying target. Comments of the limits name the products.

--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request at one target.
 
-use super::forwarder::{ActiveRequest, Forwarder};
+use super::forwarder::{ActiveRequest, Forwarder, SHORT_BODY_BYTES};
 use crate::{
     connection_pool::{Connection, SendError},
     node_state::AssignmentGuard,
@@ -243,7 +243,7 @@
         size_limit_bytes: usize,
         until: Instant,
     ) -> Result<Result<BodyStart, hyper::Error>, Elapsed> {
-        let mut share = self.forwarder.buffers.share();
+        let mut share = self.forwarder.buffers.share_after(SHORT_BODY_BYTES);
         let reading = read_body_start(body, size_limit_bytes, &mut share);
         let start = tokio::time::timeout_at(until, reading).await?;
         Ok(start.map(|it| BodyStart { content: share.hold(it.content), ..it }))
--- a/crates/skylarkpick-forward/src/forwarding/event_splitter.rs
+++ b/crates/skylarkpick-forward/src/forwarding/event_splitter.rs
@@ -4,7 +4,7 @@
 use skylarkpick_interface::EventId;
 
 /// Maximum size of an event. Events carry a few tokens; with a read buffer each, the incomplete events
-/// of 360 connections take at most 35 MB.
+/// of 360 connections take at most 24 MB.
 const EVENT_SIZE_LIMIT_BYTES: usize = 32_768;
 
 /// An event exceeds the size limit.
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -17,7 +17,7 @@
 use http::{Method, Request, Response, StatusCode, request::Parts};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use skylarkpick_http::{BufferBudget, ReadBodyError, read_body};
+use skylarkpick_http::{BufferBudget, READ_BUFFER_LIMIT_BYTES, ReadBodyError, read_body};
 use skylarkpick_interface::{
     DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead, ResponseKind,
     ResponseMetadata, ServiceName, ServingAccount, ServingRoute, TargetId,
@@ -31,10 +31,12 @@
 const BODY_LIMIT_BYTES: usize = 4 * 1_048_576;
 /// Timeout for receiving a body. Clients on the platform's links need far less.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Bytes of response bodies that are buffered at once. With the read buffers of 360 connections, the
-/// most that a target accepts, it leaves half of a machine with 88 MB. A body that finds no room is
-/// forwarded while it arrives.
-pub(crate) const BUFFERED_TOTAL_LIMIT_BYTES: usize = 16 * 1_048_576;
+/// Bytes of response bodies that are buffered at once. With all else that the 360 connections hold
+/// that a target accepts, they fit into a machine with 88 MB. A body that finds no room is forwarded
+/// while it arrives.
+pub(crate) const BUFFERED_TOTAL_LIMIT_BYTES: usize = 8 * 1_048_576;
+/// Bytes of each body for which there is always room: half a read buffer, 6 MB for 360 connections.
+pub(crate) const SHORT_BODY_BYTES: usize = READ_BUFFER_LIMIT_BYTES / 2;
 /// Maximum number of attempts of a request beyond the runs that its route allows. Rejected attempts
 /// are not runs, but each of them costs a round trip.
 const EXTRA_ATTEMPTS_LIMIT: u32 = 2;
--- a/crates/skylarkpick-http/src/body.rs
+++ b/crates/skylarkpick-http/src/body.rs
@@ -95,7 +95,7 @@
     B: Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    let mut share = BufferBudget::open(size_limit_bytes).share();
+    let mut share = BufferBudget::open(usize::MAX).share();
     let start = read_body_start(&mut body, size_limit_bytes, &mut share)
         .await
         .map_err(|error| ReadBodyError::Broken(error.to_string()))?;
@@ -122,7 +122,7 @@
 ///
 /// ```
 /// # tokio::runtime::Runtime::new()?.block_on(async {
-/// let mut share = skylarkpick_http::BufferBudget::open(100).share();
+/// let mut share = skylarkpick_http::BufferBudget::open(1_000).share();
 /// let mut body = http_body_util::Full::new(bytes::Bytes::from("text"));
 /// let start = skylarkpick_http::read_body_start(&mut body, 10, &mut share).await?;
 /// assert!(start.is_complete);
@@ -141,8 +141,9 @@
     let mut content = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame?.into_data() else { continue };
+        let capacity = content.capacity();
         content.extend_from_slice(&chunk);
-        if content.len() > size_limit_bytes || !share.grow(chunk.len()) {
+        if content.len() > size_limit_bytes || !share.grow(content.capacity() - capacity) {
             return Ok(BodyStart { content: content.freeze(), is_complete: false });
         }
     }
--- a/crates/skylarkpick-http/src/client.rs
+++ b/crates/skylarkpick-http/src/client.rs
@@ -59,7 +59,7 @@
 pub struct ResponseLimits {
     /// Size limit of one body, in bytes.
     pub body_size_bytes: usize,
-    /// Size limit of all bodies that are buffered at once, in bytes. The first 64 KB of each body
+    /// Size limit of all bodies that are buffered at once, in bytes. The first 32 KB of each body
     /// don't count.
     pub total_size_bytes: usize,
 }
--- a/crates/skylarkpick-http/src/response_meter.rs
+++ b/crates/skylarkpick-http/src/response_meter.rs
@@ -17,8 +17,8 @@
 };
 
 /// Size limit of a connection's read buffer, and thus of a response head, in bytes. Request heads
-/// are limited to a quarter of it; 360 full buffers take 24 MB.
-pub const READ_BUFFER_LIMIT_BYTES: usize = 65_536;
+/// are limited to half of it; 360 full buffers take 12 MB.
+pub const READ_BUFFER_LIMIT_BYTES: usize = 32_768;
 /// Bytes that a connection may read without a response head or a part of a body coming out of them:
 /// eight read buffers, since up to three are filled ahead of the reader of a body.
 const UNPRODUCTIVE_LIMIT_BYTES: u64 = 8 * READ_BUFFER_LIMIT_BYTES as u64;
