--- a/crates/skylarkpick-http/src/client.rs
+++ b/crates/skylarkpick-http/src/client.rs
@@ -1,20 +1,30 @@
 //! A pooled HTTP client whose errors distinguish requests that were never sent from requests that
 //! the server may have received.
 
+use crate::{
+    body::read_body_start,
+    buffer_budget::BufferBudget,
+    response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter},
+};
 use bytes::{Bytes, BytesMut};
-use futures::{Stream, StreamExt};
-use http::{Request, Response, StatusCode};
+use futures::{Stream, StreamExt, future::BoxFuture};
+use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+    rt::{TokioExecutor, TokioIo, TokioTimer},
 };
 use serde::{Serialize, de::DeserializeOwned};
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tower_service::Service;
 
-/// Size limit of a buffered response body.
-const RESPONSE_SIZE_LIMIT_BYTES: usize = 64 * 1_048_576;
+/// Bytes of a buffered response that don't count against the limit of all responses together, so
+/// that a few long ones can't fail the many short ones: as many as a read buffer.
+const SHORT_RESPONSE_BYTES: usize = READ_BUFFER_LIMIT_BYTES;
 /// Size limit of a line in a streamed response.
 const LINE_SIZE_LIMIT_BYTES: usize = 1_048_576;
 /// Time limit for opening a connection.
@@ -44,10 +54,51 @@
     InvalidResponse(String),
 }
 
+/// Limits on the response bodies that a client buffers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ResponseLimits {
+    /// Size limit of one body, in bytes.
+    pub body_size_bytes: usize,
+    /// Size limit of all bodies that are buffered at once, in bytes. The first 32 KB of each body
+    /// don't count.
+    pub total_size_bytes: usize,
+}
+
+impl Default for ResponseLimits {
+    /// Returns limits for the responses of plain services and stores, which have no limit of their
+    /// own: a small machine's memory has room for one of the longest.
+    fn default() -> ResponseLimits {
+        ResponseLimits { body_size_bytes: 64 * 1_048_576, total_size_bytes: 64 * 1_048_576 }
+    }
+}
+
 /// A pooled HTTP client.
 #[derive(Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<MeteredConnector, Full<Bytes>>,
+    body_size_bytes: usize,
+    buffers: BufferBudget,
+}
+
+/// Opens connections whose reads are metered.
+#[derive(Clone)]
+struct MeteredConnector(HttpConnector);
+
+impl Service<Uri> for MeteredConnector {
+    type Response = TokioIo<MeteredStream>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(context)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let connecting = self.0.call(uri);
+        Box::pin(
+            async move { Ok(TokioIo::new(MeteredStream::open(connecting.await?.into_inner()))) },
+        )
+    }
 }
 
 impl Default for HttpClient {
@@ -57,16 +108,33 @@
 }
 
 impl HttpClient {
-    /// Opens a client with an empty connection pool.
+    /// Opens a client with an empty connection pool and the default limits.
     pub fn open() -> HttpClient {
+        HttpClient::with_limits(ResponseLimits::default())
+    }
+
+    /// Opens a client with an empty connection pool and these limits on the responses that it
+    /// buffers. Clones share them.
+    ///
+    /// ```
+    /// use skylarkpick_http::{HttpClient, ResponseLimits};
+    /// let limits = ResponseLimits { body_size_bytes: 1_000, total_size_bytes: 10_000 };
+    /// let _client = HttpClient::with_limits(limits);
+    /// ```
+    pub fn with_limits(limits: ResponseLimits) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
-        HttpClient { client }
+            .http1_max_buf_size(READ_BUFFER_LIMIT_BYTES)
+            .build(MeteredConnector(connector));
+        HttpClient {
+            client,
+            body_size_bytes: limits.body_size_bytes,
+            buffers: BufferBudget::open(limits.total_size_bytes),
+        }
     }
 
     /// Sends a request and returns the response as soon as its headers are received.
@@ -77,31 +145,40 @@
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, CallError> {
-        self.client.request(request).await.map_err(|error| {
+    ) -> Result<Response<MeteredBody>, CallError> {
+        let response = self.client.request(request).await.map_err(|error| {
             let text = describe(&error);
             if error.is_connect() {
                 CallError::NotConnected(text)
             } else {
                 CallError::NoResponse(text)
             }
-        })
+        })?;
+        let meter = response.extensions().get::<Arc<ResponseMeter>>().cloned().unwrap_or_default();
+        Ok(response.map(|body| MeteredBody::open(body, meter)))
     }
 
     /// Sends a request and reads the complete response within `timeout`.
     ///
     /// # Errors
-    /// As [`HttpClient::send`], and [`CallError::NoResponse`] if the timeout expires.
+    /// As [`HttpClient::send`], and [`CallError::NoResponse`] if the timeout expires or the response
+    /// exceeds the limits.
     pub async fn send_buffered(
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, CallError> {
         let exchange = async {
-            let (head, body) = self.send(request).await?.into_parts();
-            let content = crate::body::read_body(body, RESPONSE_SIZE_LIMIT_BYTES, timeout)
+            let (head, mut body) = self.send(request).await?.into_parts();
+            let mut share = self.buffers.share_after(SHORT_RESPONSE_BYTES);
+            let start = read_body_start(&mut body, self.body_size_bytes, &mut share)
                 .await
-                .map_err(|error| CallError::NoResponse(error.to_string()))?;
+                .map_err(|error| CallError::NoResponse(describe(&error)))?;
+            if !start.is_complete {
+                let why = format!("there is no room for more than {} bytes", start.content.len());
+                return Err(CallError::NoResponse(why));
+            }
+            let content = share.hold(start.content);
             Ok(Response::from_parts(head, content))
         };
         tokio::time::timeout(timeout, exchange)
@@ -158,7 +235,13 @@
     CallError::Status { status: status.as_u16(), message }
 }
 
-fn describe(error: &dyn std::error::Error) -> String {
+/// Returns the texts of an error and of its causes.
+///
+/// ```
+/// let error = std::io::Error::other("no room");
+/// assert_eq!(skylarkpick_http::describe(&error), "no room");
+/// ```
+pub fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
@@ -170,7 +253,7 @@
 
 /// Decodes a body with one JSON value per line (NDJSON) as it arrives.
 pub fn ndjson<T: DeserializeOwned + Send + 'static>(
-    body: Incoming,
+    body: MeteredBody,
 ) -> impl Stream<Item = Result<T, CallError>> + Send + 'static {
     let lines = LineSplitter::default();
     futures::stream::unfold((body, lines, false), |(mut body, mut lines, ended)| async move {
@@ -204,6 +287,8 @@
 #[derive(Default)]
 pub struct LineSplitter {
     buffer: BytesMut,
+    /// Bytes of the buffer that contain no end of a line.
+    scanned_bytes: usize,
 }
 
 impl LineSplitter {
@@ -217,7 +302,14 @@
     /// ```
     pub fn push(&mut self, chunk: &[u8]) -> bool {
         self.buffer.extend_from_slice(chunk);
-        self.buffer.len() <= LINE_SIZE_LIMIT_BYTES || self.buffer.contains(&b'\n')
+        self.buffer.len() <= LINE_SIZE_LIMIT_BYTES || self.line_end().is_some()
+    }
+
+    fn line_end(&mut self) -> Option<usize> {
+        let unscanned = &self.buffer[self.scanned_bytes..];
+        let end = unscanned.iter().position(|byte| *byte == b'\n');
+        self.scanned_bytes += end.unwrap_or(unscanned.len());
+        end.map(|_| self.scanned_bytes)
     }
 }
 
@@ -225,8 +317,9 @@
     type Item = Bytes;
 
     fn next(&mut self) -> Option<Bytes> {
-        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let end = self.line_end()?;
         let mut line = self.buffer.split_to(end + 1);
+        self.scanned_bytes = 0;
         line.truncate(end);
         Some(line.freeze())
     }
--- a/crates/skylarkpick-http/src/lib.rs
+++ b/crates/skylarkpick-http/src/lib.rs
@@ -1,9 +1,11 @@
 //! HTTP servers and clients on hyper, and clients of the platform, runners, stores and services.
 
 mod body;
+mod buffer_budget;
 mod client;
 mod connector;
 mod platform_client;
+mod response_meter;
 mod runner_client;
 mod server;
 mod service_client;
@@ -13,12 +15,14 @@
 pub mod store_messages;
 
 pub use body::{
-    ReadBodyError, ResponseBody, empty_response, full_body, json_response, ndjson_body, read_body,
-    stream_body,
+    BodyStart, ReadBodyError, ResponseBody, empty_response, full_body, json_response, ndjson_body,
+    read_body, read_body_start, stream_body,
 };
-pub use client::{CallError, HttpClient, LineSplitter, ndjson};
+pub use buffer_budget::{BufferBudget, BufferShare};
+pub use client::{CallError, HttpClient, LineSplitter, ResponseLimits, describe, ndjson};
 pub use connector::HttpConnector;
 pub use platform_client::{HttpPlatform, OBJECT_VERSION_HEADER};
+pub use response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter};
 pub use runner_client::HttpRunner;
 pub use server::{Handler, Server, ServerLimits};
 pub use service_client::{ACCOUNT_HEADER, HttpService, NOT_STARTED_HEADER, REQUEST_ID_HEADER};
