Close a streamed response at its deadline also if its client does not read

Cause: the body of a streamed response checks its deadline when it is polled, and it is not polled while the client takes nothing, so a target's connection and slot stayed taken until the client's connection was given up.

Ruled out: a task for each stream, which would outlive its connection.

Change: a streamed response tells its client's connection the deadline, and 100 ms after it the connection is closed if the body has not ended itself.

Conclusion: no streamed response holds its target beyond the request's deadline.

--- a/crates/skylarkpick-forward/src/client/activity.rs
+++ b/crates/skylarkpick-forward/src/client/activity.rs
@@ -2,13 +2,14 @@
 
 use std::{
     pin::Pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
     time::Duration,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    sync::Notify,
     time::Instant,
 };
 
@@ -23,38 +24,70 @@
     Busy,
 }
 
+/// Time that a response may take beyond its deadline to end itself, which a client that reads does
+/// not notice.
+const RESPONSE_GRACE: Duration = Duration::from_millis(100);
+
 /// Current phase of a connection and the time at which it began.
 #[derive(Debug)]
-pub(super) struct Activity(Mutex<(Phase, Instant)>);
+pub(super) struct Activity {
+    state: Mutex<State>,
+    response_begun: Notify,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct State {
+    phase: Phase,
+    since: Instant,
+    /// Deadline of the response that is being sent, if it is forwarded while it arrives.
+    response_deadline: Option<Instant>,
+}
 
 impl Activity {
     pub(super) fn open() -> Arc<Activity> {
-        Arc::new(Activity(Mutex::new((Phase::Idle, Instant::now()))))
+        let state = State { phase: Phase::Idle, since: Instant::now(), response_deadline: None };
+        Arc::new(Activity { state: Mutex::new(state), response_begun: Notify::new() })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn get(&self) -> (Phase, Instant) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(super) fn phase(&self) -> Phase {
+        self.lock().phase
     }
 
     pub(super) fn set(&self, phase: Phase) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = (phase, Instant::now());
+        *self.lock() = State { phase, since: Instant::now(), response_deadline: None };
+    }
+
+    /// Sets the deadline of the response that is being sent.
+    pub(super) fn set_response_deadline(&self, deadline: Instant) {
+        self.lock().response_deadline = Some(deadline);
+        self.response_begun.notify_one();
+    }
+
+    /// Waits until a response with a deadline has begun.
+    pub(super) async fn wait_for_response(&self) {
+        self.response_begun.notified().await;
     }
 
     fn note_read(&self) {
-        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if state.0 == Phase::Idle {
-            *state = (Phase::Head, Instant::now());
+        let mut state = self.lock();
+        if state.phase == Phase::Idle {
+            *state = State { phase: Phase::Head, since: Instant::now(), ..*state };
         }
     }
 
     /// Returns the time at which the current phase exceeds its timeout.
     pub(super) fn deadline(&self, head_timeout: Duration, idle_timeout: Duration) -> Instant {
-        let (phase, since) = self.get();
-        match phase {
-            Phase::Idle => since + idle_timeout,
-            Phase::Head => since + head_timeout,
+        let State { phase, since, response_deadline } = *self.lock();
+        match (phase, response_deadline) {
+            (Phase::Idle, _) => since + idle_timeout,
+            (Phase::Head, _) => since + head_timeout,
+            (Phase::Busy, Some(deadline)) => deadline + RESPONSE_GRACE,
             // A request has a deadline of its own; the caller checks again later.
-            Phase::Busy => Instant::now() + idle_timeout,
+            (Phase::Busy, None) => Instant::now() + idle_timeout,
         }
     }
 }
--- a/crates/skylarkpick-forward/src/client/connection.rs
+++ b/crates/skylarkpick-forward/src/client/connection.rs
@@ -1,7 +1,7 @@
 //! Serves HTTP on one client connection.
 
 use super::activity::{Activity, ActivityStream, Phase};
-use crate::forwarding::{ClientBody, Forwarder, IncompleteResponse};
+use crate::forwarding::{ClientBody, Forwarder, IncompleteResponse, ResponseDeadline};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
@@ -47,6 +47,9 @@
             activity.set(Phase::Busy);
             async move {
                 let response = forwarder.handle(request).await;
+                if let Some(deadline) = response.extensions().get::<ResponseDeadline>() {
+                    activity.set_response_deadline(deadline.0);
+                }
                 Ok::<_, Infallible>(response.map(|body| track_activity(body, activity)))
             }
         })
@@ -63,14 +66,19 @@
         tokio::select! {
             // A connection error needs no handling: it cancelled the connection's request as well.
             _ = connection.as_mut() => return,
+            () = activity.wait_for_response() => {}
             () = tokio::time::sleep_until(due) => {
-                let (phase, _) = activity.get();
-                if phase == Phase::Head && activity.deadline(head_timeout, idle_timeout) <= due {
-                    return;
+                if activity.deadline(head_timeout, idle_timeout) > due {
+                    continue;
                 }
-                if phase == Phase::Idle && activity.deadline(head_timeout, idle_timeout) <= due {
-                    connection.as_mut().graceful_shutdown();
-                    is_stopping = true;
+                match activity.phase() {
+                    // A response that is past its deadline has not ended itself: its client does not
+                    // read it.
+                    Phase::Head | Phase::Busy => return,
+                    Phase::Idle => {
+                        connection.as_mut().graceful_shutdown();
+                        is_stopping = true;
+                    }
                 }
             }
             _ = stopped.wait_for(|stopped| *stopped), if !is_stopping => {
--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -10,4 +10,4 @@
 mod tests;
 
 pub(crate) use forwarder::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder};
-pub(crate) use response::{ClientBody, IncompleteResponse};
+pub(crate) use response::{ClientBody, IncompleteResponse, ResponseDeadline};
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::{Attempt, AttemptOutcome, CompleteResponse, StreamingResponse},
-    response::{ClientBody, GatewayError, close_connection, full_body},
+    response::{ClientBody, GatewayError, ResponseDeadline, close_connection, full_body},
     response_stream::{ResponseStream, milliseconds},
 };
 use crate::{
@@ -297,6 +297,7 @@
                     took_ms = milliseconds(request.received.elapsed()),
                 });
                 let (status, headers) = (streaming.head.status, streaming.head.headers.clone());
+                let deadline = ResponseDeadline(request.deadline);
                 let source = ResponseStream::open(self.clone(), request, streaming);
                 let frames = stream::unfold(source, |mut source| async move {
                     let bytes = source.next().await?;
@@ -305,6 +306,7 @@
                 let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
                 *response.status_mut() = status;
                 *response.headers_mut() = self.dialect.response_headers(&headers);
+                response.extensions_mut().insert(deadline);
                 response
             }
             SendResult::Failed(error, why) => {
--- a/crates/skylarkpick-forward/src/forwarding/response.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response.rs
@@ -5,6 +5,7 @@
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use skylarkpick_interface::Dialect;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Body of a response to a client.
 pub(crate) type ClientBody = UnsyncBoxBody<Bytes, IncompleteResponse>;
@@ -15,6 +16,11 @@
 #[error("the response is incomplete")]
 pub(crate) struct IncompleteResponse;
 
+/// Deadline of a response that is forwarded while it arrives, as an extension of the response. The body
+/// ends itself at its deadline only while the client reads it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResponseDeadline(pub(crate) Instant);
+
 /// Minimum retry delay that is sent to a rejected client.
 const RETRY_FLOOR: Duration = Duration::from_millis(150);
 /// Maximum retry delay for an expected wait of zero.
