Reserve the loopback network of a soak, so that two soaks do not share one

Cause: a soak took its loopback network from its process id, of 255, and two that ran side by side could take the same one. Processes of both then listened at the same addresses, and the clients and targets of one met those of the other.

Ruled out: a fault of the product.

Change: a soak listens at an address of the network, which no process has, for as long as it runs, and passes over networks where another does.

Evidence: a test reserves twice from the same start.

--- a/crates/skylarkpick-command/src/commands/soak.rs
+++ b/crates/skylarkpick-command/src/commands/soak.rs
@@ -6,7 +6,7 @@
 };
 use anyhow::Context;
 use getopts::{Matches, Options};
-use skylarkpick_soak::{SoakReport, SoakSettings, run_seed};
+use skylarkpick_soak::{LoopbackNetwork, SoakReport, SoakSettings, run_seed};
 use std::{path::PathBuf, time::Duration};
 use tokio::task::JoinSet;
 
@@ -105,7 +105,8 @@
     console: &mut Console,
 ) -> anyhow::Result<Exit> {
     let mut exit = Exit::Success;
-    let mut free_networks: Vec<u8> = loopback_networks(jobs);
+    let networks = reserve_networks(jobs)?;
+    let mut free_networks: Vec<u8> = networks.iter().map(|network| network.number).collect();
     let mut running = JoinSet::new();
     loop {
         while let Some(network) = free_networks.pop() {
@@ -132,12 +133,13 @@
     }
 }
 
-/// Returns the second octets of the loopback networks for `jobs` concurrent seeds. They depend on
-/// the process id, so that soak runs of other processes are unlikely to use the same ones.
-fn loopback_networks(jobs: usize) -> Vec<u8> {
-    let first = usize::try_from(std::process::id()).unwrap_or_default() * JOBS_LIMIT;
-    // 127.0 is left to other programs.
-    (0..jobs).filter_map(|job| u8::try_from(1 + (first + job) % 255).ok()).collect()
+/// Reserves the loopback networks for `jobs` concurrent seeds.
+fn reserve_networks(jobs: usize) -> anyhow::Result<Vec<LoopbackNetwork>> {
+    // Soaks that start together begin their search at different networks.
+    let start = usize::try_from(std::process::id()).unwrap_or_default() * JOBS_LIMIT;
+    (0..jobs)
+        .map(|_| LoopbackNetwork::reserve(start).context("no loopback network is free"))
+        .collect()
 }
 
 fn temporary_folder() -> PathBuf {
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod clients;
 mod history;
+mod network;
 mod plan;
 mod process;
 mod proxy;
@@ -12,6 +13,7 @@
 mod stream_checks;
 
 pub use checks::Finding;
+pub use network::LoopbackNetwork;
 pub use run::{SoakReport, SoakSettings, run_seed};
 
 #[cfg(test)]
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -63,7 +63,7 @@
     /// Folder for the fault plan, settings and logs; created if it does not exist.
     pub folder: PathBuf,
     /// Second octet N of the loopback addresses `127.N.1.x` of the processes. Soaks that run
-    /// concurrently need different ones.
+    /// concurrently need different ones; see [`crate::LoopbackNetwork`].
     pub loopback_network: u8,
 }
 
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests that fault plans are reproducible, and that the checks report violations and nothing else.
 
 use crate::{
+    LoopbackNetwork,
     checks::check_history,
     clients::MAIN_KEY,
     history::{
@@ -21,6 +22,13 @@
     assert!(FaultPlan::draw(3, Duration::from_secs(30), 0, 4).faults.is_empty());
 }
 
+#[test]
+fn soaks_side_by_side_do_not_use_the_same_network() {
+    let first = LoopbackNetwork::reserve(9).unwrap();
+    let second = LoopbackNetwork::reserve(9).unwrap();
+    assert_ne!(first.number, second.number);
+}
+
 /// Returns an event of the stream of a client attempt.
 fn event(software_version: &str, attempt_id: &str, after: u64, index: u64) -> String {
     let (software_version, attempt_id) = (software_version.to_string(), attempt_id.to_string());
