--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -90,6 +90,17 @@
         }
     }
 
+    /// Returns whether an update removes a record that was never known, so that it was added and
+    /// removed unseen: other processes send only the last state of each record.
+    fn lacks_changes(&self, update: &FleetUpdate) -> bool {
+        let mut added: BTreeSet<&String> = BTreeSet::new();
+        update.records.iter().any(|named| {
+            let is_known = self.records.contains_key(&named.name) || added.contains(&named.name);
+            added.insert(&named.name);
+            named.record.is_none() && !is_known
+        })
+    }
+
     fn update(&mut self, update: &FleetUpdate) {
         self.revision = self.revision.max(update.revision);
         for named in &update.records {
@@ -336,6 +347,10 @@
             }
             let is_first_read = state.revision == 0;
             let not_before = state.complete_at.filter(|_| !is_first_read);
+            if topic == FleetTopic::Targets && state.lacks_changes(update) {
+                let now = self.node_state.now();
+                self.node_state.lock().software_versions.note_gap(now);
+            }
             state.update(update);
             RecordOrigin { revision: update.revision, is_first_read, not_before }
         };
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -11,7 +11,7 @@
     log::{age_ms, request_log},
     node_state::{InFlightGuard, NodeState},
     serving_index::{ServingIndex, pick_destination, stream_window},
-    streams::StreamRegistry,
+    streams::{StreamRegistry, StreamVersion},
 };
 use bytes::Bytes;
 use futures::stream;
@@ -117,6 +117,26 @@
         &self.placement_request.service
     }
 
+    /// Returns whether requests of the route go to no other service.
+    pub(crate) fn has_only_service(&self) -> bool {
+        self.route.destinations.len() == 1
+    }
+
+    /// Restricts the request to what may go on with its stream. Returns false if the route doesn't
+    /// lead there, or may not.
+    fn bind_to_stream(&mut self, found: &StreamVersion) -> bool {
+        let destinations = &self.route.destinations;
+        match &found.service {
+            Some(service) if destinations.iter().any(|it| it.service == *service) => {
+                self.placement_request.service = service.clone();
+            }
+            None if self.has_only_service() => {}
+            _ => return false,
+        }
+        self.bind_to_version(found.version.clone());
+        true
+    }
+
     /// Restricts further attempts to targets on a software version.
     pub(crate) fn bind_to_version(&mut self, version: SoftwareVersion) {
         self.placement_request.software_version = Some(version);
@@ -370,13 +390,16 @@
             return Ok(());
         }
         let (attempt, service) = (request.head.resumed_attempt.as_ref(), request.service());
-        let version = self.streams.find(attempt, service, stream_window(&request.route)).await;
-        request.placement_request.software_version = version;
-        if request.placement_request.software_version.is_none() {
-            let why = "it is not known which software version began the stream".to_string();
-            return Err(SendResult::Failed(GatewayError::RetryLater { wait: UNKNOWN_WAIT }, why));
-        }
-        Ok(())
+        let found = self.streams.find(attempt, service, stream_window(&request.route)).await;
+        let why = match found {
+            Some(found) if request.bind_to_stream(&found) => return Ok(()),
+            Some(_) => {
+                "the service that began the stream is not known, or not a destination any more"
+            }
+            None => "it is not known which software version began the stream",
+        };
+        let error = GatewayError::RetryLater { wait: UNKNOWN_WAIT };
+        Err(SendResult::Failed(error, why.to_string()))
     }
 
     /// Resumes a stream at another runner. Returns `None` if no runner continues it.
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -110,8 +110,11 @@
     /// Records the run that writes the current response.
     fn note_run(&mut self) {
         let Some(current) = &self.current else { return };
-        let (attempt, service) = (self.request.stream_attempt(), self.request.service());
-        self.origin = self.forwarder.streams.note_run(attempt, service, &current.guard);
+        let request = &self.request;
+        let (attempt, service) = (request.stream_attempt(), request.service());
+        let is_only_service = request.has_only_service();
+        let streams = &self.forwarder.streams;
+        self.origin = streams.note_run(attempt, service, is_only_service, &current.guard);
     }
 
     /// Returns the next bytes for the client, or `None` at the end of the response.
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -276,8 +276,12 @@
         if let Some(origin) = origin {
             return StreamKnowledge::Began(origin.clone());
         }
-        let only_version = state.software_versions.only_version(service, window, now);
-        only_version.map_or(StreamKnowledge::Nothing, StreamKnowledge::OnlyVersion)
+        let versions = &state.software_versions;
+        match versions.only_version(service, window, now) {
+            Some(version) => StreamKnowledge::OnlyVersion(version),
+            None if versions.has_several(service, window, now) => StreamKnowledge::SeveralVersions,
+            None => StreamKnowledge::Nothing,
+        }
     }
 
     /// Adds the software versions that another process has seen. Returns whether what is known now
@@ -298,12 +302,16 @@
         state.software_versions.only_version(service, window, self.now()).is_some()
     }
 
-    /// Returns whether all registered targets of a service run a software version.
-    pub(crate) fn runs_only(&self, service: &str, version: &str) -> bool {
+    /// Returns whether a target of a service has run another software version within the time
+    /// `window`, as far as this process knows.
+    pub(crate) fn has_seen_other_version(
+        &self,
+        service: &str,
+        version: &str,
+        window: Duration,
+    ) -> bool {
         let state = self.lock();
-        let targets = state.placement.targets().values().map(|it| &it.registration);
-        let mut targets = targets.filter(|it| it.service == service);
-        targets.all(|it| it.software_version.as_deref() == Some(version))
+        state.software_versions.has_seen_other(service, version, window, self.now())
     }
 
     /// Returns the software version at which a run wrote its events, if it is certain.
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -93,6 +93,7 @@
                     StreamKnowledge::OnlyVersion(version) => {
                         PeerResponse::OnlySoftwareVersion(version)
                     }
+                    StreamKnowledge::SeveralVersions => PeerResponse::SeveralSoftwareVersions,
                     StreamKnowledge::Nothing => PeerResponse::Nothing,
                 }
             }
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -103,6 +103,8 @@
     StreamBegan(StreamOrigin),
     /// The service has had only this software version for as long as a stream may last.
     OnlySoftwareVersion(SoftwareVersion),
+    /// The service may have had several software versions.
+    SeveralSoftwareVersions,
     /// Software versions that the responder has seen recently.
     SoftwareHistory(SoftwareHistory),
 }
--- a/crates/skylarkpick-forward/src/streams.rs
+++ b/crates/skylarkpick-forward/src/streams.rs
@@ -42,10 +42,21 @@
     Began(StreamOrigin),
     /// The service has had only this version for as long as a stream may last.
     OnlyVersion(SoftwareVersion),
+    /// The service has had several versions within that time.
+    SeveralVersions,
     /// Nothing.
     Nothing,
 }
 
+/// Software version that may go on with a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct StreamVersion {
+    /// Service that began the stream; `None` if only its version is known.
+    pub(crate) service: Option<ServiceName>,
+    /// The version.
+    pub(crate) version: SoftwareVersion,
+}
+
 /// Keeps and looks up which software version began each stream.
 pub(crate) struct StreamRegistry {
     pub(crate) node_state: Arc<NodeState>,
@@ -55,17 +66,18 @@
 
 impl StreamRegistry {
     /// Records that the run of an assignment begins a stream, or goes on with it. `attempt` brought
-    /// the first event. Returns the run, or `None` if the software version of its target is not
+    /// the first event; `is_only_service` tells whether its route has no other service. Returns the run, or `None` if the software version of its target is not
     /// certain.
     pub(crate) fn note_run(
         &self,
         attempt: &ClientAttemptId,
         service: &ServiceName,
+        is_only_service: bool,
         guard: &AssignmentGuard,
     ) -> Option<StreamOrigin> {
         let origin = self.origin(service, guard)?;
         let stream = StreamFingerprint::of(attempt);
-        let is_unshared = self.node_state.has_only_version(service);
+        let is_unshared = is_only_service && self.node_state.has_only_version(service);
         self.node_state.note_stream(stream, origin.clone(), is_unshared);
         if !is_unshared {
             self.share(vec![StreamRecord { stream, origin: origin.clone() }]);
@@ -99,18 +111,21 @@
     }
 
     /// Finds the software version of the stream that `attempt` began at most `window` ago, if it is
-    /// certain. Asks other processes if this one doesn't know it.
+    /// certain. `service` is taken for the one that began it if there is no record. Asks other
+    /// processes if this one doesn't know it.
     pub(crate) async fn find(
         &self,
         attempt: Option<&ClientAttemptId>,
         service: &ServiceName,
         window: Duration,
-    ) -> Option<SoftwareVersion> {
+    ) -> Option<StreamVersion> {
         let stream = attempt.map(|attempt| StreamFingerprint::of(attempt));
         match self.node_state.stream_knowledge(stream, service, window) {
-            StreamKnowledge::Began(origin) => return self.version_of(&origin),
-            StreamKnowledge::OnlyVersion(version) => return Some(version),
-            StreamKnowledge::Nothing => {}
+            StreamKnowledge::Began(origin) => return self.recorded(origin),
+            StreamKnowledge::OnlyVersion(version) => {
+                return Some(StreamVersion { service: None, version });
+            }
+            StreamKnowledge::SeveralVersions | StreamKnowledge::Nothing => {}
         }
         let others = self.watcher.records.other_entries();
         let any_stream = StreamFingerprint::of("");
@@ -124,16 +139,24 @@
         // A timeout ends the look-up with what is known by then.
         while let Ok(Some(knowledge)) = tokio::time::timeout_at(until, responses.next()).await {
             match knowledge {
-                StreamKnowledge::Began(origin) => return self.version_of(&origin),
+                StreamKnowledge::Began(origin) => return self.recorded(origin),
                 StreamKnowledge::OnlyVersion(version) => {
                     is_contradictory |= only_version.as_ref().is_some_and(|it| *it != version);
                     only_version = Some(version);
                 }
+                StreamKnowledge::SeveralVersions => is_contradictory = true,
                 StreamKnowledge::Nothing => {}
             }
         }
-        let runs_now = |version: &SoftwareVersion| self.node_state.runs_only(service, version);
-        only_version.filter(|version| !is_contradictory && runs_now(version))
+        let has_seen_other =
+            |version: &str| self.node_state.has_seen_other_version(service, version, window);
+        let version = only_version.filter(|it| !is_contradictory && !has_seen_other(it))?;
+        Some(StreamVersion { service: None, version })
+    }
+
+    fn recorded(&self, origin: StreamOrigin) -> Option<StreamVersion> {
+        let version = self.version_of(&origin)?;
+        Some(StreamVersion { service: Some(origin.service), version })
     }
 
     async fn ask(&self, address: SocketAddr, request: &PeerRequest) -> StreamKnowledge {
@@ -141,6 +164,7 @@
         match client.ask(&address.to_string(), request, LOOKUP_TIMEOUT).await {
             Ok(PeerResponse::StreamBegan(origin)) => StreamKnowledge::Began(origin),
             Ok(PeerResponse::OnlySoftwareVersion(version)) => StreamKnowledge::OnlyVersion(version),
+            Ok(PeerResponse::SeveralSoftwareVersions) => StreamKnowledge::SeveralVersions,
             Ok(_) => StreamKnowledge::Nothing,
             Err(error) => {
                 spdlog::debug!("failed to ask another entry process for a stream", kv: {
--- a/crates/skylarkpick-schedule/src/streams/software_versions.rs
+++ b/crates/skylarkpick-schedule/src/streams/software_versions.rs
@@ -118,6 +118,44 @@
         self.known = self.known.filter(|(_, until)| now <= *until + CURRENT_AGE_LIMIT);
     }
 
+    /// Records that targets may have come and gone unseen until the time `now`.
+    pub fn note_gap(&mut self, now: Duration) {
+        self.known = self.known.map(|(_, until)| (now, until.max(now)));
+    }
+
+    /// Returns whether a target of a service has run another software version within the time
+    /// `window`, as far as is known.
+    pub fn has_seen_other(
+        &self,
+        service: &str,
+        version: &str,
+        window: Duration,
+        now: Duration,
+    ) -> bool {
+        self.versions(service, window, now).any(|it| it.as_deref() != Some(version))
+    }
+
+    /// Returns whether the targets of a service have run several software versions within the time
+    /// `window`.
+    pub fn has_several(&self, service: &str, window: Duration, now: Duration) -> bool {
+        let mut versions = self.versions(service, window, now);
+        let first = versions.next();
+        first.is_some_and(|first| versions.any(|version| version != first))
+    }
+
+    /// Returns the versions of the targets of a service now and within the time `window`.
+    fn versions(
+        &self,
+        service: &str,
+        window: Duration,
+        now: Duration,
+    ) -> impl Iterator<Item = &Option<SoftwareVersion>> {
+        let registered = self.targets.values().filter(move |(name, _)| name == service);
+        let left = self.left.get(service).into_iter().flatten();
+        let left = left.filter(move |(_, left_at)| now < **left_at + window);
+        registered.map(|(_, version)| version).chain(left.map(|(version, _)| version))
+    }
+
     /// Returns the versions that were seen recently, for another process.
     pub fn history(&self, now: Duration) -> Option<SoftwareHistory> {
         let (since, until) = self.known?;
@@ -172,11 +210,7 @@
         if now > until + CURRENT_AGE_LIMIT || now < since + window {
             return None;
         }
-        let registered = self.targets.values().filter(|(name, _)| name == service);
-        let left = self.left.get(service).into_iter().flatten();
-        let left = left.filter(|(_, left_at)| now < **left_at + window);
-        let mut versions =
-            registered.map(|(_, version)| version).chain(left.map(|(version, _)| version));
+        let mut versions = self.versions(service, window, now);
         let first = versions.next()?.clone()?;
         versions.all(|version| version.as_ref() == Some(&first)).then_some(first)
     }
