Ask a target for its start before a stream goes on there, and before one begins while restarts may be missed

Cause: the registration says which incarnation runs, and is acted on while it may be old. Ruled out: the records of streams, which were right by what their process knew.

The binding of streams and the process's own knowledge stand in files of their own.

--- a/crates/skylarkpick-forward/src/fleet/planner_restart_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_restart_tests.rs
@@ -96,6 +96,7 @@
             orders_accepted: runner.orders_accepted,
             is_busy: runner.load.is_some(),
             weights: BTreeMap::from([("tala".to_string(), runner.weight_version)]),
+            started_at_ms: None,
         })
     }
 
--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -5,6 +5,7 @@
 mod forwarder;
 mod response;
 mod response_stream;
+mod stream_binding;
 
 #[cfg(test)]
 mod tests;
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -10,8 +10,8 @@
     fleet::ServingConfirmer,
     log::{age_ms, request_log},
     node_state::{InFlightGuard, NodeState},
-    serving_index::{ServingIndex, pick_destination, stream_window},
-    streams::{StreamRegistry, StreamVersion},
+    serving_index::{ServingIndex, pick_destination},
+    streams::StreamRegistry,
 };
 use bytes::Bytes;
 use futures::stream;
@@ -22,7 +22,7 @@
 use skylarkpick_interface::{
     ClientAttemptId, DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead,
     ResponseKind, ResponseMetadata, ServiceName, ServingAccount, ServingRoute, SoftwareVersion,
-    TargetId,
+    TargetControl, TargetId,
 };
 use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use skylarkpick_telemetry::{
@@ -48,7 +48,7 @@
 /// and capacity may become free earlier.
 const CAPACITY_WAIT_STEP: Duration = Duration::from_millis(50);
 /// Expected wait if there is no estimate.
-const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
+pub(super) const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
 /// Forwards the requests of a process.
 pub(crate) struct Forwarder {
@@ -59,6 +59,7 @@
     pub(crate) confirmer: ServingConfirmer,
     pub(crate) data_centre: DataCentreId,
     pub(crate) streams: Arc<StreamRegistry>,
+    pub(crate) control: Arc<dyn TargetControl>,
 }
 
 /// Accepted request and the state of its attempts.
@@ -72,7 +73,7 @@
     pub(crate) route: Arc<ServingRoute>,
     pub(crate) account: Option<Arc<ServingAccount>>,
     pub(crate) deadline: Instant,
-    placement_request: PlacementRequest,
+    pub(super) placement_request: PlacementRequest,
     /// Share of the latency objective for which the request may wait for capacity.
     capacity_wait_share: f64,
     /// Whether the request has waited for capacity.
@@ -87,7 +88,7 @@
 }
 
 /// Result of sending a request with retries.
-enum SendResult {
+pub(super) enum SendResult {
     Complete(CompleteResponse),
     Streaming(Box<StreamingResponse>),
     /// There is no response of a target, for the reason given in the text.
@@ -122,21 +123,6 @@
         self.route.destinations.len() == 1
     }
 
-    /// Restricts the request to what may go on with its stream. Returns false if the route doesn't
-    /// lead there, or may not.
-    fn bind_to_stream(&mut self, found: &StreamVersion) -> bool {
-        let destinations = &self.route.destinations;
-        match &found.service {
-            Some(service) if destinations.iter().any(|it| it.service == *service) => {
-                self.placement_request.service = service.clone();
-            }
-            None if self.has_only_service() => {}
-            _ => return false,
-        }
-        self.bind_to_version(found.version.clone());
-        true
-    }
-
     /// Restricts further attempts to targets on a software version.
     pub(crate) fn bind_to_version(&mut self, version: SoftwareVersion) {
         self.placement_request.software_version = Some(version);
@@ -382,26 +368,6 @@
         }
     }
 
-    /// Restricts a request of a client that resumes a stream to targets on the software version that
-    /// began it. If that can't be found out, the request is rejected: the events of other versions
-    /// don't fit those that the client has.
-    async fn bind_resumed_stream(&self, request: &mut ActiveRequest) -> Result<(), SendResult> {
-        if !request.is_resumable() || request.head.resume_after.is_none() {
-            return Ok(());
-        }
-        let (attempt, service) = (request.head.resumed_attempt.as_ref(), request.service());
-        let found = self.streams.find(attempt, service, stream_window(&request.route)).await;
-        let why = match found {
-            Some(found) if request.bind_to_stream(&found) => return Ok(()),
-            Some(_) => {
-                "the service that began the stream is not known, or not a destination any more"
-            }
-            None => "it is not known which software version began the stream",
-        };
-        let error = GatewayError::RetryLater { wait: UNKNOWN_WAIT };
-        Err(SendResult::Failed(error, why.to_string()))
-    }
-
     /// Resumes a stream at another runner. Returns `None` if no runner continues it.
     pub(crate) async fn resume(
         &self,
@@ -463,6 +429,12 @@
                 return last;
             }
             let target = assignment.target.clone();
+            if self.needs_incarnation(request)
+                && !self.is_registered_incarnation(request, &assignment).await
+            {
+                request.avoid(&target);
+                continue;
+            }
             let guard =
                 self.node_state.begin(*assignment, request.placement_request.prompt.as_ref());
             request_log!("request sent to target", kv: {
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -100,6 +100,7 @@
             confirmer: ServingConfirmer::open(watcher.clone()),
             data_centre: settings.data_centre.clone(),
             streams: streams.clone(),
+            control: parts.control.clone(),
         });
         let ready = Server::bind(
             &settings.ready_address.to_string(),
--- a/crates/skylarkpick-forward/src/streams.rs
+++ b/crates/skylarkpick-forward/src/streams.rs
@@ -4,6 +4,10 @@
 //! kept. Otherwise a few processes keep a record of each stream, so that a client can come back at
 //! any process.
 
+mod knowledge;
+#[cfg(test)]
+mod tests;
+
 use crate::{
     fleet::FleetWatcher,
     forwarding::milliseconds,
@@ -19,12 +23,12 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-#[cfg(test)]
-mod tests;
-
 /// Time within which other processes have to tell who began a stream. Between data centres of one
 /// region an answer takes some milliseconds, and the client waits.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout of a request to another process. A request that times out closes the connection, on which
+/// others may wait, so it is longer than [`LOOKUP_TIMEOUT`].
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which records are shared that have become necessary after their stream began.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -77,7 +81,8 @@
     ) -> Option<StreamOrigin> {
         let origin = self.origin(service, guard)?;
         let stream = StreamFingerprint::of(attempt);
-        let is_unshared = is_only_service && self.node_state.has_only_version(service);
+        let must_share = !is_only_service || !self.node_state.has_only_version(service);
+        let is_unshared = !must_share || !self.can_share();
         self.node_state.note_stream(stream, origin.clone(), is_unshared);
         if !is_unshared {
             self.share(vec![StreamRecord { stream, origin: origin.clone() }]);
@@ -161,7 +166,7 @@
 
     async fn ask(&self, address: SocketAddr, request: &PeerRequest) -> StreamKnowledge {
         let client = &self.watcher.peer_client;
-        match client.ask(&address.to_string(), request, LOOKUP_TIMEOUT).await {
+        match client.ask(&address.to_string(), request, PEER_TIMEOUT).await {
             Ok(PeerResponse::StreamBegan(origin)) => StreamKnowledge::Began(origin),
             Ok(PeerResponse::OnlySoftwareVersion(version)) => StreamKnowledge::OnlyVersion(version),
             Ok(PeerResponse::SeveralSoftwareVersions) => StreamKnowledge::SeveralVersions,
@@ -175,6 +180,12 @@
         }
     }
 
+    /// Returns whether other processes can be told.
+    fn can_share(&self) -> bool {
+        let has_network = self.watcher.peer_client.network().is_some();
+        has_network && !self.watcher.records.other_entries().is_empty()
+    }
+
     /// Sends records to the processes that keep them, without waiting for the delivery.
     fn share(&self, records: Vec<StreamRecord>) {
         let others = self.watcher.records.other_entries();
@@ -200,8 +211,7 @@
     for _ in 0..HISTORY_ATTEMPTS {
         tokio::time::sleep(HISTORY_INTERVAL).await;
         for address in registry.watcher.records.random_entries(HISTORY_SOURCES) {
-            let response =
-                client.ask(&address, &PeerRequest::SoftwareHistory, LOOKUP_TIMEOUT).await;
+            let response = client.ask(&address, &PeerRequest::SoftwareHistory, PEER_TIMEOUT).await;
             let Ok(PeerResponse::SoftwareHistory(history)) = response else { continue };
             if registry.node_state.extend_software_history(&history) {
                 spdlog::info!("software versions taken over from another entry process", kv: {
@@ -220,6 +230,9 @@
 pub(crate) async fn share_streams(registry: Arc<StreamRegistry>) {
     loop {
         tokio::time::sleep(SHARE_INTERVAL).await;
+        if !registry.can_share() {
+            continue;
+        }
         let records = registry.node_state.take_streams_to_share();
         if !records.is_empty() {
             request_log!("records of streams shared", kv: { streams = records.len() });
--- a/crates/skylarkpick-interface/src/control.rs
+++ b/crates/skylarkpick-interface/src/control.rs
@@ -95,6 +95,8 @@
     pub is_busy: bool,
     /// Weight version of each model that it serves.
     pub weights: BTreeMap<ModelName, WeightVersion>,
+    /// Wall-clock time of its start, as in its registration; `None` if it doesn't report one.
+    pub started_at_ms: Option<u64>,
 }
 
 /// Load of an engine and its memory, as it reported them.
--- a/crates/skylarkpick-schedule/src/streams/software_versions.rs
+++ b/crates/skylarkpick-schedule/src/streams/software_versions.rs
@@ -123,6 +123,12 @@
         self.known = self.known.map(|(_, until)| (now, until.max(now)));
     }
 
+    /// Returns whether the registrations are known up to now.
+    pub fn is_current(&self, now: Duration) -> bool {
+        let is_recent = self.known.is_some_and(|(_, until)| now <= until + CURRENT_AGE_LIMIT);
+        is_recent && !self.is_disconnected
+    }
+
     /// Returns whether a target of a service has run another software version within the time
     /// `window`, as far as is known.
     pub fn has_seen_other(
@@ -203,11 +209,8 @@
         window: Duration,
         now: Duration,
     ) -> Option<SoftwareVersion> {
-        let (since, until) = self.known?;
-        if window > MEMORY || self.is_disconnected {
-            return None;
-        }
-        if now > until + CURRENT_AGE_LIMIT || now < since + window {
+        let (since, _) = self.known?;
+        if window > MEMORY || now < since + window || !self.is_current(now) {
             return None;
         }
         let mut versions = self.versions(service, window, now);
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -23,7 +23,7 @@
     ops::Range,
     path::{Path, PathBuf},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, SystemTime},
+    time::Duration,
 };
 use tokio::{
     task::JoinSet,
@@ -164,8 +164,6 @@
     name: String,
     proxy: Arc<FaultProxy>,
     service: EchoTarget,
-    /// Start time in the registration; each restart increases it.
-    started_at_ms: u64,
     /// Software version in the registration, if it names one.
     registered_version: Option<SoftwareVersion>,
 }
@@ -337,7 +335,6 @@
         }
         target.proxy.set_upstream(service.address);
         target.service = service;
-        target.started_at_ms = unix_time_ms();
         target.registered_version = Some(version);
         changes.stop_serving(&name);
         let record = target.registration(TargetState::Ready);
@@ -433,7 +430,7 @@
 
 impl Target {
     fn registration(&self, state: TargetState) -> Value {
-        registration(self.proxy.address, state, self.started_at_ms, self.registered_version)
+        registration(self.proxy.address, state, self.service.started_at_ms, self.registered_version)
     }
 }
 
@@ -485,13 +482,7 @@
     let name = format!("i-{number}");
     let service = start_service(&name, version, arrivals).await?;
     let proxy = Arc::new(FaultProxy::bind(service.address).await?);
-    let started_at_ms = unix_time_ms();
-    Ok(Target { name, proxy, service, started_at_ms, registered_version })
-}
-
-fn unix_time_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    Ok(Target { name, proxy, service, registered_version })
 }
 
 async fn inject_link_fault(link: &FaultProxy, fault: LinkFault, span: Duration) {
