Add a failing test of a peer that missed a software version

Cause: StreamRegistry::find compares the word of a peer that there was only one version with the targets registered now (NodeState::runs_only), not with the versions that left within the window, which this process knows. A peer that answers Nothing because it knows of several versions does not contradict either.

Sequence: v1 and v1.1 serve; the target on v1.1 leaves; a client whose stream began there comes back, its record is lost, and one peer has missed v1.1 (silent watch, registrations read anew after up to 6 s). It is served at v1.

Evidence: left: Some("v1"), right: None. No fix in this commit.

--- a/crates/skylarkpick-forward/src/streams/tests.rs
+++ b/crates/skylarkpick-forward/src/streams/tests.rs
@@ -153,3 +153,21 @@
         assert!(began.elapsed() <= SECOND / 5, "{}", case.name);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_missed_a_software_version_does_not_outweigh_the_own_recent_registrations() {
+    let node_state = empty_node_state();
+    let response = PeerResponse::OnlySoftwareVersion("v1".to_string());
+    let registry = registry(&node_state, Some(response));
+    let records = &registry.watcher.records;
+    records.update(FleetTopic::Targets, &targets(&["v1", "v1.1"], 5));
+    for _ in 0..30 {
+        tokio::time::sleep(SECOND).await;
+        records.note_complete(FleetTopic::Targets, node_state.now());
+    }
+    // The target on v1.1 has left, so that v1 is the only version registered now.
+    let left = NamedRecord { name: "i-2".to_string(), record: None };
+    records.update(FleetTopic::Targets, &FleetUpdate { records: vec![left], revision: 6 });
+    let found = registry.find(Some(&"a1".to_string()), &SERVICE.to_string(), 10 * SECOND).await;
+    assert_eq!(found, None);
+}
