Add a failing test of a target that came and went unseen

Cause: other processes send the last state of each record, so a target that was added and removed between two reads arrives as a removal of an unknown name. SoftwareVersions::remove_target ignores it, and no gap is noted, since the update is not a complete one. The service counts as one of a single version for the whole window.

Sequence: a follower, or a process whose call to the platform failed (note_failure fetches from peers and goes on from their revision), misses a target of another version; streams that began there go on at any target.

Evidence: left: OnlyVersion("v1"), right: Nothing. No fix in this commit.

--- a/crates/skylarkpick-forward/src/streams/tests.rs
+++ b/crates/skylarkpick-forward/src/streams/tests.rs
@@ -171,3 +171,23 @@
     let found = registry.find(Some(&"a1".to_string()), &SERVICE.to_string(), 10 * SECOND).await;
     assert_eq!(found, None);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_came_and_went_unseen_is_a_gap_in_the_history_of_software_versions() {
+    let node_state = empty_node_state();
+    let registry = registry(&node_state, None);
+    let records = &registry.watcher.records;
+    records.update(FleetTopic::Targets, &targets(&["v1", "v1"], 5));
+    for second in 0..30 {
+        if second == 28 {
+            // Another process sends only the last state of each record: `i-3` was added and removed.
+            let removed = NamedRecord { name: "i-3".to_string(), record: None };
+            let update = FleetUpdate { records: vec![removed], revision: 7 };
+            records.update(FleetTopic::Targets, &update);
+        }
+        tokio::time::sleep(SECOND).await;
+        records.note_complete(FleetTopic::Targets, node_state.now());
+    }
+    let knowledge = node_state.stream_knowledge(None, SERVICE, 10 * SECOND);
+    assert_eq!(knowledge, StreamKnowledge::Nothing);
+}
