Record the time of weights that were named while no process watched

Cause: only a process that saw the naming records its time. If all of these end first, or none ran, every process that starts later counts the age of replaced weights from its own start, anew at each restart, and sends runs to them for too long. Ruled out: taking the time from the platform's object (it has the time of the first version only), and a record by each process at its first read (a write a model at each start of a fleet, and it could come before the true time).

Change: a process that finds weights without a time at its first read records that read 0.5 s later, if no other has by then and a target still serves older ones.

The registration of a runner stands once for both test files; the queue of changes moved out of records.rs.

Conclusion: later starts no longer count anew. The first start after the naming still counts from itself, since nothing says when it was.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -11,6 +11,7 @@
 mod serving_confirmer;
 mod topic_watch;
 mod weight_recorder;
+mod weights_changes;
 
 #[cfg(test)]
 mod planner_restart_tests;
@@ -21,6 +22,8 @@
 #[cfg(test)]
 mod topic_watch_tests;
 #[cfg(test)]
+mod weight_start_tests;
+#[cfg(test)]
 mod weight_tests;
 
 pub(crate) use cache_watch::{CacheWatchers, watch_caches};
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -3,6 +3,7 @@
 use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler};
 use super::desired_times::DesiredTimes;
 use super::missing_targets::MissingTargets;
+use super::weights_changes::{WeightsChange, WeightsChanges};
 use crate::peers::PeerRecords;
 use crate::{
     log::{age_ms, request_log},
@@ -11,7 +12,7 @@
 };
 use rand::seq::SliceRandom;
 use skylarkpick_interface::{
-    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, ModelName, NamedRecord,
+    DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord,
     RegisteredEntry, RegisteredTarget, ServingDocument, WeightVersion,
 };
 use std::{
@@ -19,7 +20,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 /// Latest platform records by topic. Applies them to the node state, and serves them to other entry
 /// processes.
@@ -27,10 +28,10 @@
     node_state: Arc<NodeState>,
     missing_targets: Mutex<MissingTargets>,
     desired_times: Mutex<DesiredTimes>,
-    /// Weights whose change this process saw and that [`FleetRecords::weights_changes`] has not
-    /// returned yet.
-    weights_changes: Mutex<Vec<WeightsChange>>,
-    weights_change_seen: Notify,
+    /// Weights without a recorded time that were named while this process watched.
+    named_weights: WeightsChanges,
+    /// Weights without a recorded time that this process found at its first read.
+    found_weights: WeightsChanges,
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
     /// Name of this process's VM.
     node: String,
@@ -40,15 +41,6 @@
     changes: watch::Sender<u64>,
 }
 
-/// Weights that became the desired ones while this process watched.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct WeightsChange {
-    pub(super) model: ModelName,
-    pub(super) version: WeightVersion,
-    /// Wall-clock time in Unix milliseconds at which the process saw the change.
-    pub(super) since_ms: u64,
-}
-
 /// Latest records of a topic.
 #[derive(Default)]
 struct TopicState {
@@ -117,8 +109,8 @@
             node_state,
             missing_targets: Mutex::default(),
             desired_times: Mutex::default(),
-            weights_changes: Mutex::default(),
-            weights_change_seen: Notify::new(),
+            named_weights: WeightsChanges::default(),
+            found_weights: WeightsChanges::default(),
             topics: Mutex::default(),
             node: node.to_string(),
             role: Mutex::new(CacheWatchRole::Direct),
@@ -444,10 +436,9 @@
             is_first_read,
             recorded_age_ms = age_ms(recorded_age),
         });
-        if !is_first_read && recorded_age.is_none() {
-            let change = WeightsChange { model: model.to_string(), version, since_ms: wall_ms };
-            self.lock_weights_changes().push(change);
-            self.weights_change_seen.notify_one();
+        if recorded_age.is_none() {
+            let queue = if is_first_read { &self.found_weights } else { &self.named_weights };
+            queue.push(WeightsChange { model: model.to_string(), version, since_ms: wall_ms });
         }
     }
 
@@ -470,20 +461,24 @@
         self.node_state.set_desired_weights(model, version, since);
     }
 
-    fn lock_weights_changes(&self) -> MutexGuard<'_, Vec<WeightsChange>> {
-        self.weights_changes.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Waits for weights that became the desired ones while this process watched, and whose record
     /// had no time yet. Returns each of them once.
     pub(super) async fn weights_changes(&self) -> Vec<WeightsChange> {
-        loop {
-            let changes = std::mem::take(&mut *self.lock_weights_changes());
-            if !changes.is_empty() {
-                return changes;
-            }
-            self.weights_change_seen.notified().await;
-        }
+        self.named_weights.take().await
+    }
+
+    /// Waits for weights that this process found at its first read, and whose record had no time.
+    /// Returns each of them once.
+    pub(super) async fn weights_found(&self) -> Vec<WeightsChange> {
+        self.found_weights.take().await
+    }
+
+    /// Returns whether a target serves older weights of the model.
+    pub(super) fn is_older_served(&self, weights: &WeightsChange) -> bool {
+        let state = self.node_state.lock();
+        let mut served =
+            state.placement.targets().values().map(|it| it.weight_version(&weights.model));
+        served.any(|version| version.is_some_and(|version| version < weights.version))
     }
 
     /// Returns whether the record has the time since which these weights are desired.
--- a/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_recorder.rs
@@ -1,6 +1,6 @@
 //! Records at the platform since when new weights are desired, for processes that start later.
 
-use super::{records::WeightsChange, topic_watch::FleetWatcher};
+use super::{topic_watch::FleetWatcher, weights_changes::WeightsChange};
 use crate::jitter::sleep_with_jitter;
 use skylarkpick_interface::DesiredSinceOutcome;
 use std::{sync::Arc, time::Duration};
@@ -15,15 +15,28 @@
 /// Mean delay after the first failed attempt; doubles with each further one.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Records the times of weights whose change this process saw, for as long as the task runs.
+/// Time in which a process that saw a change records it, before one that found the weights at its
+/// start does: longer than the jitter and a call to the platform together.
+const FOUND_DELAY: Duration = Duration::from_millis(500);
+
+/// Records the times of weights whose change this process saw, or which it found at its start
+/// without a time while others are still served, for as long as the task runs.
 pub(crate) async fn record_weights(watcher: Arc<FleetWatcher>) {
     let mut recordings = JoinSet::new();
     loop {
-        let changes = watcher.records.weights_changes().await;
+        let (changes, delay) = tokio::select! {
+            changes = watcher.records.weights_changes() => (changes, Duration::ZERO),
+            found = watcher.records.weights_found() => (found, FOUND_DELAY),
+        };
         while recordings.try_join_next().is_some() {}
         for change in changes {
             let watcher = watcher.clone();
-            recordings.spawn(async move { record(&watcher, &change).await });
+            recordings.spawn(async move {
+                tokio::time::sleep(delay).await;
+                if delay.is_zero() || watcher.records.is_older_served(&change) {
+                    record(&watcher, &change).await;
+                }
+            });
         }
     }
 }
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -5,6 +5,7 @@
     records::FleetRecords,
     topic_watch::{FleetWatcher, watch_topic},
     weight_recorder::record_weights,
+    weight_start_tests::runner_on,
 };
 use crate::{
     node_state::NodeState,
@@ -14,8 +15,7 @@
 use async_trait::async_trait;
 use skylarkpick_interface::{
     ClientLimits, DesiredSinceOutcome, DesiredWeights, FleetRecord, FleetRevision, FleetTopic,
-    FleetUpdate, NamedRecord, RegisteredTarget, ServingDocument, WatchError, WeightVersion,
-    WriteError,
+    FleetUpdate, NamedRecord, ServingDocument, WatchError, WeightVersion, WriteError,
 };
 use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use std::{
@@ -27,12 +27,16 @@
     time::Duration,
 };
 
-const MODEL: &str = "tala";
-const SECOND: Duration = Duration::from_secs(1);
-const SECOND_MS: u64 = 1_000;
+pub(super) const MODEL: &str = "tala";
+pub(super) const SECOND: Duration = Duration::from_secs(1);
+pub(super) const SECOND_MS: u64 = 1_000;
 
 /// Returns an update that names a version, with the recorded times of versions.
-fn named(version: WeightVersion, since_ms: &[(WeightVersion, u64)], revision: u64) -> FleetUpdate {
+pub(super) fn named(
+    version: WeightVersion,
+    since_ms: &[(WeightVersion, u64)],
+    revision: u64,
+) -> FleetUpdate {
     let weights = DesiredWeights {
         model: MODEL.to_string(),
         weight_version: version,
@@ -49,10 +53,10 @@
 
 /// Platform whose first writes fail.
 #[derive(Default)]
-struct FailingSource {
+pub(super) struct FailingSource {
     errors: Mutex<Vec<WriteError>>,
     /// Versions and times that were to be recorded, failed calls included.
-    calls: Mutex<Vec<(WeightVersion, u64)>>,
+    pub(super) calls: Mutex<Vec<(WeightVersion, u64)>>,
 }
 
 #[async_trait]
@@ -380,16 +384,7 @@
             },
             accounts: None,
         })),
-        FleetTopic::Targets => FleetRecord::Target(RegisteredTarget {
-            id: "i-1".to_string(),
-            service: "tala-llm".to_string(),
-            address: ([10, 1, 0, 1], 80).into(),
-            data_centre: "mnl-a".to_string(),
-            slots: 6,
-            is_draining: false,
-            weights: BTreeMap::new(),
-            started_at_ms: 1,
-        }),
+        FleetTopic::Targets => return runner_on(1),
         _ => return named(1, &[], 5),
     };
     FleetUpdate {
