--- a/crates/skylarkpick-schedule/src/streams/tests.rs
+++ b/crates/skylarkpick-schedule/src/streams/tests.rs
@@ -292,7 +292,7 @@
 }
 
 #[test]
-fn the_keepers_of_a_record_are_found_after_the_loss_of_a_data_centre_or_two_processes() {
+fn the_processes_that_keep_a_record_are_among_those_that_are_asked_for_it() {
     struct Case {
         name: &'static str,
         fleet: &'static [(&'static str, u8)],
