Ask in one place whether a client resumes a stream

Found when the change was read again: the condition stood twice, in the log line and in the binding of the request. No behaviour changes.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -107,6 +107,11 @@
             && self.route.repeatability == Repeatability::Repeatable
     }
 
+    /// Returns whether the client came back for the rest of a stream that may be resumed.
+    pub(super) fn is_resumed_by_client(&self) -> bool {
+        self.is_resumable() && self.head.resume_after.is_some()
+    }
+
     /// Returns the attempt that brought the first event of the response stream.
     pub(crate) fn stream_attempt(&self) -> &ClientAttemptId {
         let resumed = self.head.resumed_attempt.as_ref();
@@ -300,7 +305,7 @@
     /// Sends the request to targets until one responds, and returns its response to the client.
     async fn forward(self: &Arc<Self>, mut request: ActiveRequest) -> Response<ClientBody> {
         self.node_state.note_first_attempt(&request.placement_request.service);
-        let is_resumed_by_client = request.is_resumable() && request.head.resume_after.is_some();
+        let is_resumed_by_client = request.is_resumed_by_client();
         if is_resumed_by_client {
             request_log!("client resumes a stream", kv: {
                 request = request.head.attempt_id.as_str(),
--- a/crates/skylarkpick-forward/src/forwarding/stream_binding.rs
+++ b/crates/skylarkpick-forward/src/forwarding/stream_binding.rs
@@ -11,6 +11,7 @@
 
 /// Timeout for a target's report before a stream goes on there, as for a report before an order.
 const INCARNATION_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl ActiveRequest {
     /// Restricts the request to what may go on with its stream. Returns false if the route doesn't
     /// lead there, or may not.
@@ -36,7 +37,7 @@
         &self,
         request: &mut ActiveRequest,
     ) -> Result<(), SendResult> {
-        if !request.is_resumable() || request.head.resume_after.is_none() {
+        if !request.is_resumed_by_client() {
             return Ok(());
         }
         let (attempt, service) = (request.head.resumed_attempt.as_ref(), request.service());
--- a/crates/skylarkpick-forward/src/streams.rs
+++ b/crates/skylarkpick-forward/src/streams.rs
@@ -70,8 +70,8 @@
 
 impl StreamRegistry {
     /// Records that the run of an assignment begins a stream, or goes on with it. `attempt` brought
-    /// the first event; `is_only_service` tells whether its route has no other service. Returns the run, or `None` if the software version of its target is not
-    /// certain.
+    /// the first event; `is_only_service` tells whether its route has no other service. Returns the
+    /// run, or `None` if the software version of its target is not certain.
     pub(crate) fn note_run(
         &self,
         attempt: &ClientAttemptId,
