Log whether a target marks the end of a body, and whether a stream stops within an event

No line named how a body is delimited.

Change: BodyEnd, read from the head of a response (a length or a last chunk proves the end; anything else ends with the connection), and EventScanner, which finds the ends of events for the splitter as well. `response forwarded` and `response started` carry `body_end`, `response ended` carries `within_event`. Nothing decides by them yet.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -6,7 +6,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use skylarkpick_http::{
-    MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter, describe,
+    BodyEnd, MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter, describe,
 };
 use socket2::{SockRef, TcpKeepalive};
 use std::{
@@ -130,6 +130,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<MeteredBody>, SendError> {
         let Channel { sender, meter } = &mut self.channel;
+        let method = request.method().clone();
         let response = sender.try_send_request(request).await.map_err(|mut error| {
             let text = describe(error.error());
             match error.take_message() {
@@ -137,7 +138,8 @@
                 None => SendError::Broken(text),
             }
         })?;
-        Ok(response.map(|body| MeteredBody::open(body, meter.clone())))
+        let end = BodyEnd::of_response(&method, response.status(), response.headers());
+        Ok(response.map(|body| MeteredBody::open(body, meter.clone(), end)))
     }
 }
 
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -9,7 +9,7 @@
 use http::{Request, StatusCode, Uri, response::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
-use skylarkpick_http::{BodyStart, MeteredBody, describe, read_body_start};
+use skylarkpick_http::{BodyEnd, BodyStart, MeteredBody, describe, read_body_start};
 use skylarkpick_interface::{
     EventId, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata,
 };
@@ -70,6 +70,7 @@
 pub(crate) struct CompleteResponse {
     pub(crate) head: Parts,
     pub(crate) content: Bytes,
+    pub(crate) end: BodyEnd,
 }
 
 /// Response of a target whose body is forwarded while it arrives.
@@ -266,7 +267,8 @@
                     if !metadata.closes {
                         self.forwarder.pool.release(connection, metadata.idle_limit);
                     }
-                    return AttemptOutcome::Complete(CompleteResponse { head, content });
+                    let end = body.end();
+                    return AttemptOutcome::Complete(CompleteResponse { head, content, end });
                 }
                 Ok(Ok(start)) => Some(start.content),
                 Ok(Err(error)) => {
--- a/crates/skylarkpick-forward/src/forwarding/event_splitter.rs
+++ b/crates/skylarkpick-forward/src/forwarding/event_splitter.rs
@@ -19,14 +19,61 @@
     pub(crate) bytes: Bytes,
 }
 
+/// Finds the ends of events in the bytes of an event stream.
+#[derive(Debug, Default)]
+pub(crate) struct EventScanner {
+    line: Line,
+    is_within_event: bool,
+}
+
+/// What the current line holds so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Line {
+    #[default]
+    Nothing,
+    CarriageReturn,
+    Text,
+}
+
+impl EventScanner {
+    /// Reads bytes up to the end of the next event. Returns their number, or `None` if all of them
+    /// were read without such an end.
+    pub(crate) fn next_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        let end = bytes.iter().position(|byte| self.is_event_end(*byte))?;
+        Some(end + 1)
+    }
+
+    /// Reads all bytes.
+    pub(crate) fn read(&mut self, mut bytes: &[u8]) {
+        while let Some(length) = self.next_end(bytes) {
+            bytes = &bytes[length..];
+        }
+    }
+
+    /// Returns whether the bytes read so far stop within an event.
+    pub(crate) fn is_within_event(&self) -> bool {
+        self.is_within_event
+    }
+
+    fn is_event_end(&mut self, byte: u8) -> bool {
+        let is_end = byte == b'\n' && self.line != Line::Text;
+        self.line = match (byte, self.line) {
+            (b'\n', _) => Line::Nothing,
+            (b'\r', Line::Nothing) => Line::CarriageReturn,
+            _ => Line::Text,
+        };
+        self.is_within_event = !is_end;
+        is_end
+    }
+}
+
 /// Splits the bytes of an event stream into events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     buffer: BytesMut,
     /// Bytes of the buffer that contain no end of an event.
     scanned_bytes: usize,
-    /// Start of the line at which scanning stopped.
-    line_start: usize,
+    scanner: EventScanner,
 }
 
 impl EventSplitter {
@@ -46,7 +93,7 @@
         }
         let Some(length) = length else { return Ok(None) };
         let bytes = self.buffer.split_to(length).freeze();
-        (self.scanned_bytes, self.line_start) = (0, 0);
+        self.scanned_bytes = 0;
         Ok(Some(Event { id: event_id(&bytes), bytes }))
     }
 
@@ -57,24 +104,13 @@
 
     /// Returns the length of the first event, including the empty line at its end.
     fn event_length(&mut self) -> Option<usize> {
-        while let Some(offset) = self.buffer[self.scanned_bytes..].iter().position(is_line_end) {
-            let line_end = self.scanned_bytes + offset;
-            let line = &self.buffer[self.line_start..line_end];
-            self.scanned_bytes = line_end + 1;
-            if line.is_empty() || line == b"\r" {
-                return Some(self.scanned_bytes);
-            }
-            self.line_start = self.scanned_bytes;
-        }
-        self.scanned_bytes = self.buffer.len();
-        None
+        let unscanned = &self.buffer[self.scanned_bytes..];
+        let length = self.scanner.next_end(unscanned);
+        self.scanned_bytes += length.unwrap_or(unscanned.len());
+        length.map(|_| self.scanned_bytes)
     }
 }
 
-fn is_line_end(byte: &u8) -> bool {
-    *byte == b'\n'
-}
-
 fn event_id(event: &[u8]) -> Option<EventId> {
     let text = std::str::from_utf8(event).ok()?;
     let line = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -326,6 +326,7 @@
                 request_log!("response forwarded", kv: {
                     request = request.head.attempt_id.as_str(),
                     status = completed.head.status.as_u16(),
+                    body_end = completed.end.name(),
                     sends = request.sends,
                     took_ms = milliseconds(request.received.elapsed()),
                 });
@@ -339,6 +340,7 @@
                 request_log!("response started", kv: {
                     request = request.head.attempt_id.as_str(),
                     status = streaming.head.status.as_u16(),
+                    body_end = streaming.body.end().name(),
                     sends = request.sends,
                     weight_version = streaming.guard.assignment.weight_version.unwrap_or_default(),
                     newer_weights_age_ms = age_ms(streaming.guard.newer_weights_age()),
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -5,7 +5,7 @@
 
 use super::{
     attempt::StreamingResponse,
-    event_splitter::{Event, EventSplitter},
+    event_splitter::{Event, EventScanner, EventSplitter},
     forwarder::{ActiveRequest, Forwarder},
     response::IncompleteResponse,
 };
@@ -13,7 +13,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use skylarkpick_http::describe;
-use skylarkpick_interface::{EventId, Repeatability, StreamOrigin};
+use skylarkpick_interface::{EventId, Repeatability, ResponseKind, StreamOrigin};
 use skylarkpick_schedule::TargetOutcome;
 use skylarkpick_telemetry::{REQUESTS_ENDED, metrics};
 use std::{sync::Arc, time::Duration};
@@ -43,6 +43,8 @@
     forwarded_bytes: u64,
     /// Whether the stream is split into events, which is necessary for resuming it.
     splits_events: bool,
+    /// Where the bytes for the client stop, if they are events.
+    scanner: Option<EventScanner>,
     end: StreamEnd,
 }
 
@@ -82,7 +84,9 @@
         mut response: Box<StreamingResponse>,
     ) -> ResponseStream {
         // Only a resumable stream needs to be split into events; an error response is none.
-        let splits_events = request.is_resumable() && response.head.status.is_success();
+        let is_success = response.head.status.is_success();
+        let splits_events = request.is_resumable() && is_success;
+        let has_events = request.route.shape == ResponseKind::Events && is_success;
         let first = response.first.take();
         let mut stream = ResponseStream {
             last_event: request.head.resume_after,
@@ -96,6 +100,7 @@
             repeated_bytes: 0,
             forwarded_bytes: 0,
             splits_events,
+            scanner: has_events.then(EventScanner::default),
             end: StreamEnd::ClientLeft,
         };
         if splits_events {
@@ -123,6 +128,9 @@
             if !self.ready.is_empty() {
                 let bytes = std::mem::take(&mut self.ready);
                 self.forwarded_bytes += bytes.len() as u64;
+                if let Some(scanner) = &mut self.scanner {
+                    scanner.read(&bytes);
+                }
                 return Some(Ok(bytes));
             }
             self.current.as_ref()?;
@@ -278,6 +286,7 @@
             request = self.request.head.attempt_id.as_str(),
             end = self.end.name(),
             last_event = self.last_event.unwrap_or_default(),
+            within_event = self.scanner.as_ref().is_some_and(EventScanner::is_within_event),
             bytes = self.forwarded_bytes,
             took_ms,
             late = Instant::now() > self.request.received + self.request.route.timeout,
--- a/crates/skylarkpick-http/src/client.rs
+++ b/crates/skylarkpick-http/src/client.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     body::read_body_start,
+    body_end::BodyEnd,
     buffer_budget::BufferBudget,
     response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter},
 };
@@ -146,6 +147,7 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<MeteredBody>, CallError> {
+        let method = request.method().clone();
         let response = self.client.request(request).await.map_err(|error| {
             let text = describe(&error);
             if error.is_connect() {
@@ -155,7 +157,8 @@
             }
         })?;
         let meter = response.extensions().get::<Arc<ResponseMeter>>().cloned().unwrap_or_default();
-        Ok(response.map(|body| MeteredBody::open(body, meter)))
+        let end = BodyEnd::of_response(&method, response.status(), response.headers());
+        Ok(response.map(|body| MeteredBody::open(body, meter, end)))
     }
 
     /// Sends a request and reads the complete response within `timeout`.
--- a/crates/skylarkpick-http/src/lib.rs
+++ b/crates/skylarkpick-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP servers and clients on hyper, and clients of the platform, runners, stores and services.
 
 mod body;
+mod body_end;
 mod buffer_budget;
 mod client;
 mod connector;
@@ -18,6 +19,7 @@
     BodyStart, ReadBodyError, ResponseBody, empty_response, full_body, json_response, ndjson_body,
     read_body, read_body_start, stream_body,
 };
+pub use body_end::BodyEnd;
 pub use buffer_budget::{BufferBudget, BufferShare};
 pub use client::{CallError, HttpClient, LineSplitter, ResponseLimits, describe, ndjson};
 pub use connector::HttpConnector;
--- a/crates/skylarkpick-http/src/response_meter.rs
+++ b/crates/skylarkpick-http/src/response_meter.rs
@@ -1,5 +1,6 @@
 //! Bounds what a connection reads without a response head or a part of a body coming out of it.
 
+use crate::body_end::BodyEnd;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper_util::client::legacy::connect::{Connected, Connection};
@@ -132,13 +133,19 @@
 pub struct MeteredBody {
     body: Incoming,
     meter: Arc<ResponseMeter>,
+    end: BodyEnd,
 }
 
 impl MeteredBody {
     /// Wraps the body of a response whose head has just arrived on the connection with this meter.
-    pub fn open(body: Incoming, meter: Arc<ResponseMeter>) -> MeteredBody {
+    pub fn open(body: Incoming, meter: Arc<ResponseMeter>, end: BodyEnd) -> MeteredBody {
         meter.note_progress();
-        MeteredBody { body, meter }
+        MeteredBody { body, meter, end }
+    }
+
+    /// Returns whether the end of the body will show that it is complete.
+    pub fn end(&self) -> BodyEnd {
+        self.end
     }
 }
 
