Forward only as much of a response's end as its target has marked

Cause: a body with neither length nor chunks ends with its connection. That end was read like a marked one, and hyper then wrote a length or a last chunk for the client: the proof was ours, not the target's. Class: an end of input taken for the end of the message. For streams that aren't split into events nothing looked at where they stop.

Ruled out: an error of a read that was lost.

Change: a response whose end its target did not mark ends with the connection to the client too, without length or chunks, and its connection is reset unless the body ends as the target's did; that also covers deadlines, abandoned responses and the end of the process. A successful event stream that stops within an event is broken, in any framing. A resumed run without a marked end does not complete a response in chunks. A repeatable stream that is closed before its first event begins again. Connections are kept only after marked ends.

--- a/crates/skylarkpick-forward/src/client/activity.rs
+++ b/crates/skylarkpick-forward/src/client/activity.rs
@@ -1,5 +1,6 @@
 //! Tracks the phase of a client connection for its idle and head timeouts.
 
+use socket2::SockRef;
 use std::{
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -28,6 +29,15 @@
 /// not notice.
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 
+/// How the connection shows its client the end of the response that is being sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResponseEnd {
+    /// By the content length or the last chunk.
+    Marked,
+    /// By closing the connection. Until the body has been sent, only a reset may close it.
+    WithConnection { is_reached: bool },
+}
+
 /// Current phase of a connection and the time at which it began.
 #[derive(Debug)]
 pub(super) struct Activity {
@@ -41,11 +51,17 @@
     since: Instant,
     /// Deadline of the response that is being sent, if it is forwarded while it arrives.
     response_deadline: Option<Instant>,
+    response_end: ResponseEnd,
 }
 
 impl Activity {
     pub(super) fn open() -> Arc<Activity> {
-        let state = State { phase: Phase::Idle, since: Instant::now(), response_deadline: None };
+        let state = State {
+            phase: Phase::Idle,
+            since: Instant::now(),
+            response_deadline: None,
+            response_end: ResponseEnd::Marked,
+        };
         Arc::new(Activity { state: Mutex::new(state), response_begun: Notify::new() })
     }
 
@@ -58,7 +74,24 @@
     }
 
     pub(super) fn set(&self, phase: Phase) {
-        *self.lock() = State { phase, since: Instant::now(), response_deadline: None };
+        let mut state = self.lock();
+        *state = State { phase, since: Instant::now(), response_deadline: None, ..*state };
+    }
+
+    /// Notes that the response that is about to be sent may end with the connection.
+    pub(super) fn end_with_connection(&self) {
+        self.lock().response_end = ResponseEnd::WithConnection { is_reached: false };
+    }
+
+    /// Notes that the body of the response is complete.
+    pub(super) fn note_body_end(&self) {
+        if let ResponseEnd::WithConnection { is_reached } = &mut self.lock().response_end {
+            *is_reached = true;
+        }
+    }
+
+    fn response_end(&self) -> ResponseEnd {
+        self.lock().response_end
     }
 
     /// Sets the deadline of the response that is being sent.
@@ -81,7 +114,7 @@
 
     /// Returns the time at which the current phase exceeds its timeout.
     pub(super) fn deadline(&self, head_timeout: Duration, idle_timeout: Duration) -> Instant {
-        let State { phase, since, response_deadline } = *self.lock();
+        let State { phase, since, response_deadline, .. } = *self.lock();
         match (phase, response_deadline) {
             (Phase::Idle, _) => since + idle_timeout,
             (Phase::Head, _) => since + head_timeout,
@@ -92,15 +125,28 @@
     }
 }
 
-/// Client socket that records the arrival of a new request.
+/// Client socket that records the arrival of a new request. While it sends a response that ends with
+/// the connection, whatever closes it before that end resets it, the end of the process too.
 pub(super) struct ActivityStream {
     stream: TcpStream,
     activity: Arc<Activity>,
+    /// Whether closing the socket resets the connection.
+    resets: bool,
 }
 
 impl ActivityStream {
     pub(super) fn open(stream: TcpStream, activity: Arc<Activity>) -> ActivityStream {
-        ActivityStream { stream, activity }
+        ActivityStream { stream, activity, resets: false }
+    }
+
+    /// Lets the connection be reset when it closes, if only that keeps its client from taking a part
+    /// of the response for the whole.
+    fn prepare_write(&mut self) -> std::io::Result<()> {
+        if !self.resets && self.activity.response_end() != ResponseEnd::Marked {
+            self.stream.set_zero_linger()?;
+            self.resets = true;
+        }
+        Ok(())
     }
 }
 
@@ -125,6 +171,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        self.prepare_write()?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -133,6 +180,7 @@
         context: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
+        self.prepare_write()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
@@ -151,6 +199,15 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
+        match self.activity.response_end() {
+            ResponseEnd::WithConnection { is_reached: false } => return Poll::Ready(Ok(())),
+            ResponseEnd::WithConnection { is_reached: true } if self.resets => {
+                // All bytes have been handed over to the system, which sends them before the end.
+                SockRef::from(&self.stream).set_linger(None)?;
+                self.resets = false;
+            }
+            _ => {}
+        }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/skylarkpick-forward/src/client/connection.rs
+++ b/crates/skylarkpick-forward/src/client/connection.rs
@@ -1,7 +1,9 @@
 //! Serves HTTP on one client connection.
 
 use super::activity::{Activity, ActivityStream, Phase};
-use crate::forwarding::{ClientBody, Forwarder, IncompleteResponse, ResponseDeadline};
+use crate::forwarding::{
+    ClientBody, Forwarder, IncompleteResponse, ResponseDeadline, may_end_with_connection,
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
@@ -14,7 +16,7 @@
     convert::Infallible,
     pin::{Pin, pin},
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 use tokio::{net::TcpStream, sync::watch};
@@ -46,7 +48,11 @@
             let (forwarder, activity) = (forwarder.clone(), activity.clone());
             activity.set(Phase::Busy);
             async move {
+                let version = request.version();
                 let response = forwarder.handle(request).await;
+                if may_end_with_connection(version, response.version()) {
+                    activity.end_with_connection();
+                }
                 if let Some(deadline) = response.extensions().get::<ResponseDeadline>() {
                     activity.set_response_deadline(deadline.0);
                 }
@@ -107,7 +113,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if frame.is_none() {
+            self.activity.note_body_end();
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -121,6 +131,9 @@
 
 impl Drop for ActivityBody {
     fn drop(&mut self) {
+        if self.body.is_end_stream() {
+            self.activity.note_body_end();
+        }
         self.activity.set(Phase::Idle);
     }
 }
--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -11,5 +11,7 @@
 mod tests;
 
 pub(crate) use forwarder::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder};
-pub(crate) use response::{ClientBody, IncompleteResponse, ResponseDeadline};
+pub(crate) use response::{
+    ClientBody, IncompleteResponse, ResponseDeadline, may_end_with_connection,
+};
 pub(crate) use response_stream::milliseconds;
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -230,6 +230,7 @@
         let until = Instant::now() + REJECTION_BODY_TIMEOUT;
         if let Ok(Ok(start)) = self.read_start(&mut body, REJECTION_BODY_LIMIT_BYTES, until).await
             && start.is_complete
+            && body.end() == BodyEnd::Proven
             && !metadata.closes
         {
             self.forwarder.pool.release(connection, metadata.idle_limit);
@@ -264,10 +265,10 @@
             match self.read_start(&mut body, BUFFERED_BODY_LIMIT_BYTES, deadline).await {
                 Ok(Ok(BodyStart { content, is_complete: true })) => {
                     self.guard.outcome = target_outcome(head.status);
-                    if !metadata.closes {
+                    let end = body.end();
+                    if !metadata.closes && end == BodyEnd::Proven {
                         self.forwarder.pool.release(connection, metadata.idle_limit);
                     }
-                    let end = body.end();
                     return AttemptOutcome::Complete(CompleteResponse { head, content, end });
                 }
                 Ok(Ok(start)) => Some(start.content),
@@ -293,6 +294,11 @@
         let first = match self.before_start(body.frame()).await {
             Err(outcome) => return outcome,
             Ok(Some(Ok(frame))) => frame.into_data().ok(),
+            Ok(None) if body.end() == BodyEnd::Unproven && self.begins_repeatable_stream() => {
+                self.guard.outcome = TargetOutcome::Failed;
+                let why = "the connection was closed before the first event".to_string();
+                return AttemptOutcome::NoValidResponse(why);
+            }
             Ok(None) => None,
             Ok(Some(Err(error))) => {
                 self.guard.outcome = TargetOutcome::Failed;
@@ -312,6 +318,14 @@
     }
 }
 
+impl Attempt<'_> {
+    /// Returns whether the response has to hold the first event of a stream that may be begun again.
+    fn begins_repeatable_stream(&self) -> bool {
+        let is_begun = self.resume_after.or(self.request.head.resume_after).is_some();
+        self.request.is_resumable() && !is_begun
+    }
+}
+
 /// Returns what a complete response means for the health of its target.
 fn target_outcome(status: StatusCode) -> TargetOutcome {
     if status.is_server_error() { TargetOutcome::Failed } else { TargetOutcome::Served }
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -2,7 +2,10 @@
 
 use super::{
     attempt::{Attempt, AttemptOutcome, CompleteResponse, StreamingResponse},
-    response::{ClientBody, GatewayError, ResponseDeadline, close_connection, full_body},
+    response::{
+        ClientBody, GatewayError, ResponseDeadline, close_connection, end_with_connection,
+        full_body, unsized_body,
+    },
     response_stream::{ResponseStream, milliseconds},
 };
 use crate::{
@@ -15,10 +18,10 @@
 };
 use bytes::Bytes;
 use futures::stream;
-use http::{Method, Request, Response, StatusCode, request::Parts};
+use http::{Method, Request, Response, StatusCode, request::Parts, response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use skylarkpick_http::{BufferBudget, READ_BUFFER_LIMIT_BYTES, ReadBodyError, read_body};
+use skylarkpick_http::{BodyEnd, BufferBudget, READ_BUFFER_LIMIT_BYTES, ReadBodyError, read_body};
 use skylarkpick_interface::{
     ClientAttemptId, DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead,
     ResponseKind, ResponseMetadata, ServiceName, ServingAccount, ServingRoute, SoftwareVersion,
@@ -330,10 +333,11 @@
                     sends = request.sends,
                     took_ms = milliseconds(request.received.elapsed()),
                 });
-                let mut response = Response::new(full_body(completed.content));
-                *response.status_mut() = completed.head.status;
-                *response.headers_mut() = self.dialect.response_headers(&completed.head.headers);
-                response
+                let body = match completed.end {
+                    BodyEnd::Proven => full_body(completed.content),
+                    BodyEnd::Unproven => unsized_body(completed.content),
+                };
+                self.client_response(&completed.head, body, completed.end)
             }
             SendResult::Streaming(streaming) => {
                 count_response(&request.route.name, streaming.head.status, request.received);
@@ -346,16 +350,15 @@
                     newer_weights_age_ms = age_ms(streaming.guard.newer_weights_age()),
                     took_ms = milliseconds(request.received.elapsed()),
                 });
-                let (status, headers) = (streaming.head.status, streaming.head.headers.clone());
+                let (head, end) = (streaming.head.clone(), streaming.body.end());
                 let deadline = ResponseDeadline(request.deadline);
                 let source = ResponseStream::open(self.clone(), request, streaming);
                 let frames = stream::unfold(source, |mut source| async move {
                     let bytes = source.next().await?;
                     Some((bytes.map(Frame::data), source))
                 });
-                let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
-                *response.status_mut() = status;
-                *response.headers_mut() = self.dialect.response_headers(&headers);
+                let body = BodyExt::boxed_unsync(StreamBody::new(frames));
+                let mut response = self.client_response(&head, body, end);
                 response.extensions_mut().insert(deadline);
                 response
             }
@@ -375,6 +378,23 @@
         }
     }
 
+    /// Returns a response with the head of a target's response. A body whose end is not proven ends
+    /// with the connection to the client too.
+    fn client_response(
+        &self,
+        head: &response::Parts,
+        body: ClientBody,
+        end: BodyEnd,
+    ) -> Response<ClientBody> {
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.dialect.response_headers(&head.headers);
+        if end == BodyEnd::Unproven {
+            end_with_connection(&mut response);
+        }
+        response
+    }
+
     /// Resumes a stream at another runner. Returns `None` if no runner continues it.
     pub(crate) async fn resume(
         &self,
--- a/crates/skylarkpick-forward/src/forwarding/response.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response.rs
@@ -1,8 +1,10 @@
 //! Error responses that this process generates itself, and the body type of all responses.
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use futures::stream;
+use http::{HeaderMap, Response, StatusCode, Version, header};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::Frame;
 use skylarkpick_interface::Dialect;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -21,6 +23,20 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ResponseDeadline(pub(crate) Instant);
 
+/// Lets a response end with its connection, so that its client learns no more from the end than the
+/// target said. The body must not know its size.
+pub(crate) fn end_with_connection<B>(response: &mut Response<B>) {
+    // Only responses of this version are sent without chunks.
+    *response.version_mut() = Version::HTTP_10;
+    close_connection(response.headers_mut());
+}
+
+/// Returns whether a response of this version to a request of that version may end with its
+/// connection.
+pub(crate) fn may_end_with_connection(request: Version, response: Version) -> bool {
+    request == Version::HTTP_10 || response == Version::HTTP_10
+}
+
 /// Minimum retry delay that is sent to a rejected client.
 const RETRY_FLOOR: Duration = Duration::from_millis(150);
 /// Maximum retry delay for an expected wait of zero.
@@ -53,6 +69,12 @@
     Full::new(content).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Returns a body with this content that does not know its size.
+pub(crate) fn unsized_body(content: Bytes) -> ClientBody {
+    let frame = Ok(Frame::data(content));
+    BodyExt::boxed_unsync(StreamBody::new(stream::iter([frame])))
+}
+
 impl GatewayError {
     /// Returns the status of the error response.
     pub(crate) fn status(&self) -> StatusCode {
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -12,7 +12,7 @@
 use crate::log::request_log;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use skylarkpick_http::describe;
+use skylarkpick_http::{BodyEnd, describe};
 use skylarkpick_interface::{EventId, Repeatability, ResponseKind, StreamOrigin};
 use skylarkpick_schedule::TargetOutcome;
 use skylarkpick_telemetry::{REQUESTS_ENDED, metrics};
@@ -45,6 +45,8 @@
     splits_events: bool,
     /// Where the bytes for the client stop, if they are events.
     scanner: Option<EventScanner>,
+    /// Whether the end of the response will show its client that it is complete.
+    client_end: BodyEnd,
     end: StreamEnd,
 }
 
@@ -55,6 +57,8 @@
     Complete,
     Failed,
     TimedOut,
+    /// The connection to the target was closed where the response may be complete.
+    Unproven,
 }
 
 impl StreamEnd {
@@ -65,6 +69,7 @@
             StreamEnd::Complete => "whole",
             StreamEnd::Failed => "broken",
             StreamEnd::TimedOut => "timed_out",
+            StreamEnd::Unproven => "unproven",
         }
     }
 }
@@ -87,6 +92,7 @@
         let is_success = response.head.status.is_success();
         let splits_events = request.is_resumable() && is_success;
         let has_events = request.route.shape == ResponseKind::Events && is_success;
+        let client_end = response.body.end();
         let first = response.first.take();
         let mut stream = ResponseStream {
             last_event: request.head.resume_after,
@@ -101,6 +107,7 @@
             forwarded_bytes: 0,
             splits_events,
             scanner: has_events.then(EventScanner::default),
+            client_end,
             end: StreamEnd::ClientLeft,
         };
         if splits_events {
@@ -142,15 +149,17 @@
             }
             match self.read().await {
                 ReadResult::Data(bytes) => self.push(bytes),
-                ReadResult::End if self.splitter.is_empty() => {
-                    self.finish();
-                    return None;
-                }
-                ReadResult::End => {
-                    if !self.resume("the stream ended within an event").await {
-                        return Some(Err(self.abort(StreamEnd::Failed)));
+                ReadResult::End => match self.cut_reason() {
+                    None => {
+                        self.finish();
+                        return None;
                     }
-                }
+                    Some(why) => {
+                        if !self.resume(why).await {
+                            return Some(Err(self.abort(StreamEnd::Failed)));
+                        }
+                    }
+                },
                 ReadResult::Failed(why) => {
                     if !self.resume(&why).await {
                         return Some(Err(self.abort(StreamEnd::Failed)));
@@ -206,11 +215,26 @@
         ready.extend_from_slice(&event.bytes);
     }
 
+    /// Returns whether the end of the current response ends the response to the client, or else why
+    /// not.
+    fn cut_reason(&self) -> Option<&'static str> {
+        let is_within_event = !self.splitter.is_empty()
+            || self.scanner.as_ref().is_some_and(EventScanner::is_within_event);
+        if is_within_event {
+            return Some("the stream ended within an event");
+        }
+        let end = self.current.as_ref().map(|current| current.body.end());
+        let is_overstated = self.client_end == BodyEnd::Proven && end == Some(BodyEnd::Unproven);
+        is_overstated.then_some("the end of the resumed stream is not proven")
+    }
+
     fn finish(&mut self) {
         self.end = StreamEnd::Complete;
         if let Some(mut current) = self.current.take() {
             current.guard.outcome = TargetOutcome::Served;
-            if !current.metadata.closes {
+            if current.body.end() == BodyEnd::Unproven {
+                self.end = StreamEnd::Unproven;
+            } else if !current.metadata.closes {
                 self.forwarder.pool.release(current.connection, current.metadata.idle_limit);
             }
         }
