Accept JSON and service replies of the product's own clients only with a marked end

An empty body stands for `null`, so a response that was cut off before its body, without a length, answered calls to a store that return nothing (seal, unpin, retire) with success. A reply of a plain service that was cut off was kept as the result of its claim and given again to later callers of its key.

Ruled out by the same test file: reports, cache events, listings and objects are JSON objects, which fail to parse wherever they are cut (each length was tried).

Change: an empty JSON body needs a marked end; a service reply without one is an unknown result, as for a broken connection. The product's protocol asks services for a length or chunks.

--- a/crates/skylarkpick-http/src/body_end.rs
+++ b/crates/skylarkpick-http/src/body_end.rs
@@ -1,7 +1,7 @@
 //! How a response body ends, by the head of its response.
 
 use http::{
-    HeaderMap, Method, StatusCode,
+    HeaderMap, Method, Response, StatusCode,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
@@ -34,6 +34,18 @@
         if is_without_body || is_delimited { BodyEnd::Proven } else { BodyEnd::Unproven }
     }
 
+    /// Returns how the body of a response ended that was read to its end. Not for responses to HEAD.
+    ///
+    /// ```
+    /// use skylarkpick_http::BodyEnd;
+    /// let response = http::Response::builder().header("content-length", 4).body("text")?;
+    /// assert_eq!(BodyEnd::of_buffered(&response), BodyEnd::Proven);
+    /// # Ok::<(), http::Error>(())
+    /// ```
+    pub fn of_buffered<B>(response: &Response<B>) -> BodyEnd {
+        BodyEnd::of_response(&Method::GET, response.status(), response.headers())
+    }
+
     /// Returns the value for logs.
     ///
     /// ```
--- a/crates/skylarkpick-http/src/client.rs
+++ b/crates/skylarkpick-http/src/client.rs
@@ -207,6 +207,9 @@
         if !response.status().is_success() {
             return Err(status_error(response.status(), content));
         }
+        if content.is_empty() && BodyEnd::of_buffered(&response) == BodyEnd::Unproven {
+            return Err(CallError::NoResponse("the connection was closed before a body".into()));
+        }
         let content: &[u8] = if content.is_empty() { b"null" } else { content };
         serde_json::from_slice(content)
             .map_err(|error| CallError::InvalidResponse(error.to_string()))
--- a/crates/skylarkpick-http/src/service_client.rs
+++ b/crates/skylarkpick-http/src/service_client.rs
@@ -1,6 +1,9 @@
 //! Client of a plain service over HTTP.
 
-use crate::client::{CallError, HttpClient};
+use crate::{
+    body_end::BodyEnd,
+    client::{CallError, HttpClient},
+};
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{Request, header::CONTENT_TYPE};
@@ -50,6 +53,10 @@
         if response.headers().contains_key(NOT_STARTED_HEADER) {
             return Err(ServiceError::Refused("the service did not start the call".to_string()));
         }
+        if BodyEnd::of_buffered(&response) == BodyEnd::Unproven {
+            let why = "the response has neither a length nor chunks, so it may be cut off";
+            return Err(ServiceError::Unknown(why.to_string()));
+        }
         let content_type = response.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
         Ok(ServiceReply {
