Soak: answers without a marked end, and answers that targets break off at any byte

The stand-ins always marked ends and broke off only with a crash, so neither tests nor soak could meet the first matter. The client tells marked ends apart; the checks allow a short response only if neither the target nor the response marks the end and the target closed it there; whole answers stay whole, and a reset, or a process that ends, never looks like an end. Clients take up streams that ended unmarked before their last event.

--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -4,7 +4,7 @@
     history::{Call, CallKind, History},
     stream_checks::{check_streams, is_stream_correct},
 };
-use skylarkpick_platform_standin::Arrival;
+use skylarkpick_platform_standin::{AnswerEnd, Arrival};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -95,17 +95,21 @@
         let targets: Vec<String> = self
             .arrivals
             .iter()
-            .map(|it| format!("{}{}", it.target, if it.has_run { "" } else { " (not run)" }))
+            .map(|it| match it.has_run {
+                true => format!("{} ({:?}, end marked {})", it.target, it.end, it.marks_end),
+                false => format!("{} (not run)", it.target),
+            })
             .collect();
         format!(
-            "{} {} at process {process}, from {:.3} to {:.3} s, status {:?}, complete {}, {} bytes, \
-             at targets {targets:?}",
+            "{} {} at process {process}, from {:.3} to {:.3} s, status {:?}, complete {}, end marked \
+             {}, {} bytes, at targets {targets:?}",
             request.attempt_id,
             request.path,
             seconds(self.call.sent_at),
             seconds(self.call.ended_at),
             response.status,
             response.is_complete,
+            response.is_end_marked,
             response.body.len(),
         )
     }
@@ -133,16 +137,26 @@
             return true;
         }
         if self.call.kind == CallKind::Events {
-            return is_stream_correct(self.call);
+            return is_stream_correct(self.call, self.is_cut_by_target());
         }
         let expected = &self.call.request.attempt_id;
-        if response.is_complete {
+        if response.is_complete && !self.is_cut_by_target() {
             response.body == *expected
         } else {
             expected.starts_with(&response.body)
         }
     }
 
+    /// Whether the response may be a part of its target's answer, although it ended like a whole one:
+    /// neither of the two marked the end, and the target closed the connection before it.
+    fn is_cut_by_target(&self) -> bool {
+        let ran = self.arrivals.iter().rfind(|arrival| arrival.has_run);
+        let is_cut = ran.is_some_and(|ran| {
+            !ran.marks_end && matches!(ran.end, AnswerEnd::Closed | AnswerEnd::Unfinished)
+        });
+        is_cut && !self.call.response.is_end_marked
+    }
+
     /// Applies only if the process was undisturbed since the target began to drain. A request that
     /// was sent in time may arrive late over a link with a fault.
     fn respects_draining(&self) -> bool {
--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -170,7 +170,7 @@
     random: &mut StdRng,
 ) {
     let Some(mut last_event_id) = first.last_event_id() else { return };
-    let (mut process, mut is_complete) = (first.process, first.response.is_complete);
+    let (mut process, mut is_complete) = (first.process, first.is_stream_whole());
     for _ in 0..TAKE_UP_LIMIT {
         sleep(TAKE_UP_PAUSE_LIMIT.mul_f64(random.random())).await;
         let request = shared.take_up(first, last_event_id).filter(|_| !is_complete);
@@ -182,7 +182,7 @@
         let mut client = TestClient::open(addresses[process]);
         let call = send(&mut client, process, first.kind, request, wait).await;
         last_event_id = call.last_event_id().unwrap_or(last_event_id);
-        is_complete = call.is_served();
+        is_complete = call.is_stream_whole();
         shared.record(call);
         if !wait.comes_back {
             return;
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -2,7 +2,7 @@
 //! operator made.
 
 use skylarkpick_platform_standin::{
-    Arrival, ClientRequest, ClientResponse, StreamEvent, whole_events,
+    Arrival, ClientRequest, ClientResponse, StreamEvent, stream_event_count, whole_events,
 };
 use std::time::Duration;
 use tokio::time::Instant;
@@ -78,6 +78,12 @@
         self.response.status == Some(200) && self.response.is_complete
     }
 
+    /// Whether all of a stream has arrived, and its end.
+    pub(crate) fn is_stream_whole(&self) -> bool {
+        let is_last = self.last_event_id() == Some(stream_event_count(&self.request.path));
+        self.is_served() && (self.response.is_end_marked || is_last)
+    }
+
     /// Whether the response is a stream that began, or went on.
     pub(crate) fn is_stream_begun(&self) -> bool {
         self.response.status == Some(200)
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -24,6 +24,10 @@
 const VERSION_FAULT_GAP_LIMIT: Duration = Duration::from_secs(6);
 /// Distinguishes the generator of what concerns software versions from that of the other faults.
 const VERSION_SEED: u64 = 1 << 63;
+/// Upper limit of the random pause between two faults of the answers of targets.
+const ANSWER_FAULT_GAP_LIMIT: Duration = Duration::from_secs(5);
+/// Distinguishes the generator of the faults of answers from those of the other faults.
+const ANSWER_SEED: u64 = 1 << 62;
 
 /// A fault of a network link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -79,6 +83,8 @@
     /// Another writer adds the entry of a target, which names no software version, until the fault
     /// ends.
     UnversionedTarget { version: SoftwareVersion, span: Duration },
+    /// A target breaks off answers, at any byte and in any way, until the fault ends.
+    CutAnswers { target: usize, span: Duration },
     /// The operator adds an API key, or revokes the one that was added last.
     ChangeKeys,
 }
@@ -114,6 +120,13 @@
             faults.push((at, versions.draw_fault(targets)));
             at += versions.draw_gap();
         }
+        let mut random = StdRng::seed_from_u64(seed ^ ANSWER_SEED);
+        let mut at = ANSWER_FAULT_GAP_LIMIT.mul_f64(random.random());
+        while at < window {
+            let (target, span) = (random.random_range(0..targets), draw_span(&mut random));
+            faults.push((at, PlannedFault::CutAnswers { target, span }));
+            at += ANSWER_FAULT_GAP_LIMIT.mul_f64(random.random());
+        }
         faults.sort_by_key(|(at, _)| *at);
         FaultPlan { software_versions, faults }
     }
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -295,6 +295,10 @@
                 self.run_unversioned_target(version, span).await?;
                 self.record_disturbance(DisturbanceScope::Target, from);
             }
+            PlannedFault::CutAnswers { target, span } => {
+                self.cut_answers(target, span).await;
+                self.record_disturbance(DisturbanceScope::Target, from);
+            }
             PlannedFault::ChangeKeys => return Ok(Some(self.change_keys())),
         }
         Ok(None)
@@ -382,6 +386,20 @@
         Ok(())
     }
 
+    /// Lets a target break off answers for some time, unless it is replaced meanwhile.
+    async fn cut_answers(&self, index: usize, span: Duration) {
+        let started_at_ms = {
+            let target = &self.lock().targets[index];
+            target.service.set_cuts_answers(true);
+            target.service.started_at_ms
+        };
+        sleep(span).await;
+        let service = &self.lock().targets[index].service;
+        if service.started_at_ms == started_at_ms {
+            service.set_cuts_answers(false);
+        }
+    }
+
     async fn remove_drained(&self, targets: Vec<Target>) {
         sleep(DRAIN_LIMIT + REMOVAL_SLACK).await;
         for target in targets {
--- a/crates/skylarkpick-soak/src/stream_checks.rs
+++ b/crates/skylarkpick-soak/src/stream_checks.rs
@@ -22,8 +22,9 @@
 const TARGET_LEARNED_LIMIT: Duration = DRAIN_LIMIT;
 
 /// Whether the response to a call on a stream is what targets wrote for it: consecutive events after
-/// the last one that the client named, up to the end if it is complete.
-pub(crate) fn is_stream_correct(call: &Call) -> bool {
+/// the last one that the client named, up to the end if it is complete, or up to the end of any event
+/// if the target may have closed the connection there.
+pub(crate) fn is_stream_correct(call: &Call, is_cut_by_target: bool) -> bool {
     let (events, rest) = whole_events(&call.response.body);
     let start = call.request.last_event_id.unwrap_or(0);
     let mut previous: Option<&StreamEvent> = None;
@@ -40,7 +41,8 @@
     }
     let last = previous.map_or(start, |event| event.index);
     if call.response.is_complete {
-        return rest.is_empty() && last == stream_event_count(&call.request.path);
+        let is_whole = last == stream_event_count(&call.request.path);
+        return rest.is_empty() && (is_whole || is_cut_by_target);
     }
     let next = format!("id: {}\ndata: ", last + 1);
     next.starts_with(rest) || (rest.starts_with(&next) && !rest.contains("\n\n"))
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -9,7 +9,9 @@
     },
     plan::FaultPlan,
 };
-use skylarkpick_platform_standin::{Arrival, ClientRequest, ClientResponse, StreamEvent};
+use skylarkpick_platform_standin::{
+    AnswerEnd, Arrival, ClientRequest, ClientResponse, StreamEvent,
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -50,7 +52,13 @@
         resumes: None,
         last_event_id: None,
     };
-    let response = ClientResponse { status: Some(200), body, is_complete: true, retry_after: None };
+    let response = ClientResponse {
+        status: Some(200),
+        body,
+        is_complete: true,
+        is_end_marked: true,
+        retry_after: None,
+    };
     let sent_at = now + Duration::from_secs(20);
     let ended_at = sent_at + Duration::from_millis(30);
     History {
@@ -71,6 +79,8 @@
             account: Some("acme".to_string()),
             at: sent_at,
             has_run: true,
+            marks_end: true,
+            end: AnswerEnd::Whole,
         }],
         keys: vec![ConfiguredKey { key: MAIN_KEY.to_string(), from: now, until: None }],
         ..History::begin()
@@ -94,6 +104,14 @@
     history.calls.push(call);
 }
 
+/// Makes the target of the first call close the connection after these bytes, without a marked end.
+fn close_early(history: &mut History, body: String) {
+    history.arrivals[0].marks_end = false;
+    history.arrivals[0].end = AnswerEnd::Closed;
+    history.calls[0].response.is_end_marked = false;
+    history.calls[0].response.body = body;
+}
+
 /// Makes the response to the last call a refusal.
 fn refuse(history: &mut History, status: u16, retry_after: Option<Duration>, took: Duration) {
     let call = history.calls.last_mut().unwrap();
@@ -101,6 +119,7 @@
         status: Some(status),
         body: String::new(),
         is_complete: true,
+        is_end_marked: true,
         retry_after,
     };
     call.ended_at = call.sent_at + took;
@@ -199,6 +218,45 @@
             },
             rules: &[],
         },
+        Case {
+            name: "a stream that its target closed between events, without a marked end",
+            kind: CallKind::Events,
+            change: |history| close_early(history, event("b7", "a", 0, 1)),
+            rules: &[],
+        },
+        Case {
+            name: "a stream that its target closed within an event, without a marked end",
+            kind: CallKind::Events,
+            change: |history| close_early(history, "id: 1\nda".to_string()),
+            rules: &["a response belongs to its request, in order and complete"],
+        },
+        Case {
+            name: "a stream that its target closed early, with a marked end for the client",
+            kind: CallKind::Events,
+            change: |history| {
+                close_early(history, event("b7", "a", 0, 1));
+                history.calls[0].response.is_end_marked = true;
+            },
+            rules: &["a response belongs to its request, in order and complete"],
+        },
+        Case {
+            name: "an answer that its target reset, closed for the client",
+            kind: CallKind::Write,
+            change: |history| {
+                close_early(history, String::new());
+                history.arrivals[0].end = AnswerEnd::Reset;
+            },
+            rules: &["a response belongs to its request, in order and complete"],
+        },
+        Case {
+            name: "a whole answer without a marked end that only the process cut off",
+            kind: CallKind::Write,
+            change: |history| {
+                close_early(history, String::new());
+                history.arrivals[0].end = AnswerEnd::Whole;
+            },
+            rules: &["a response belongs to its request, in order and complete"],
+        },
         Case {
             name: "a stream that misses an event",
             kind: CallKind::Events,
