Log what targets ask for in their responses: a pause, or that they leave

Cause: the logs could not tell whether a process read the time that a target asks for and lost it, or never read it: no line has the header.

Valid responses of the assigned target are logged. Nothing decides by them yet.

--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -1,8 +1,12 @@
 //! One attempt to run a request at one target.
 
-use super::forwarder::{ActiveRequest, Forwarder, SHORT_BODY_BYTES};
+use super::{
+    forwarder::{ActiveRequest, Forwarder, SHORT_BODY_BYTES},
+    response_stream::milliseconds,
+};
 use crate::{
     connection_pool::{Connection, SendError},
+    log::request_log,
     node_state::AssignmentGuard,
 };
 use bytes::Bytes;
@@ -11,7 +15,7 @@
 use hyper::body::Body;
 use skylarkpick_http::{BodyEnd, BodyStart, MeteredBody, describe, read_body_start};
 use skylarkpick_interface::{
-    EventId, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata,
+    EventId, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata, TargetSignals,
 };
 use skylarkpick_schedule::TargetOutcome;
 use std::time::Duration;
@@ -192,6 +196,9 @@
 
     fn observe(&self, metadata: &ResponseMetadata) {
         let target = &self.guard.assignment.target;
+        if metadata.target.as_ref().is_none_or(|responder| responder == target) {
+            log_signals(target, &self.request.head.attempt_id, &metadata.signals);
+        }
         if let Some(load) = metadata.load {
             self.forwarder.node_state.observe_load(target, load);
         }
@@ -326,6 +333,23 @@
     }
 }
 
+/// Logs what a target asks of this process in the response to a request.
+fn log_signals(target: &str, attempt_id: &str, signals: &TargetSignals) {
+    if let Some(pause) = signals.pause {
+        request_log!("target asks for a pause", kv: {
+            target, request = attempt_id, pause_ms = milliseconds(pause),
+        });
+    }
+    if signals.is_leaving {
+        request_log!("target says that it leaves", kv: { target, request = attempt_id });
+    }
+    if let Some(header) = &signals.unreadable {
+        request_log!("header of a target is unreadable", kv: {
+            target, request = attempt_id, header = header.as_str(),
+        });
+    }
+}
+
 /// Returns what a complete response means for the health of its target.
 fn target_outcome(status: StatusCode) -> TargetOutcome {
     if status.is_server_error() { TargetOutcome::Failed } else { TargetOutcome::Served }
--- a/crates/skylarkpick-interface/src/forward.rs
+++ b/crates/skylarkpick-interface/src/forward.rs
@@ -125,6 +125,17 @@
     pub slots: u32,
 }
 
+/// What a target asks of this process in the head of a response.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct TargetSignals {
+    /// Whether the target is about to leave.
+    pub is_leaving: bool,
+    /// Time for which the target wants no calls from this process, since it turned one away.
+    pub pause: Option<Duration>,
+    /// Start of a header that can't be decoded, with its name; it counts as absent.
+    pub unreadable: Option<String>,
+}
+
 /// Metadata from the head of a target's response.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ResponseMetadata {
@@ -144,6 +155,8 @@
     pub idle_limit: Option<Duration>,
     /// Whether the target closes the connection.
     pub closes: bool,
+    /// What the target asks of this process.
+    pub signals: TargetSignals,
 }
 
 /// Decodes and encodes request and response heads in the platform's header format.
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -32,7 +32,7 @@
 pub use forward::{
     CacheScope, ClientAttemptId, Dialect, EventId, FetchSource, HeadError, PartId,
     PromptDescription, PromptPart, ReportedLoad, RequestHead, RequestMetadata, ResponseMetadata,
-    StreamOrigin,
+    StreamOrigin, TargetSignals,
 };
 pub use hexadecimal::{format_prefix_key, parse_prefix_key};
 pub use ids::{
