Keep to the pauses that targets ask for

Cause: nothing read `Retry-After` of a target. After any rejection a process comes back when its own cooldown ends, 0.3 or 1.5 s later, and sooner if no other target is left. Class: a signal of overload that is answered with a guess of one's own.

Ruled out: a value that was read and lost. The record shows sends 1.5 s after each of five rejections in a row, and no record of the target before the reported ones.

Change: the pause is kept by address and incarnation, apart from the target's record, and ends with its time or a new start. Placement leaves such targets out, also as the last resort, for retries, resumed streams and requests that wait; an attempt looks again before it writes; control calls keep to it and begin one. If all targets pause, the request is refused at once with the rest of the shortest pause. At most ten minutes are kept; unreadable values are logged. Other processes are not told, since the target asked this one: docs/design/pauses.md.

New tables of placement (13 cases) and of the six control calls, pure and without network.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -42,6 +42,9 @@
     /// The connection was closed before any byte of the request was sent.
     #[error("closed before the request was sent: {0}")]
     NotSent(String),
+    /// The target asked for a pause before the request was sent.
+    #[error("the target asked for a pause")]
+    Paused,
     /// No response was received. The target may have received the request.
     #[error("the connection failed: {0}")]
     Broken(String),
--- a/crates/skylarkpick-forward/src/fleet/cache_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/cache_watch.rs
@@ -13,6 +13,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay after the cache rejected a call because it has too many readers.
 const TOO_MANY_READERS_DELAY: Duration = Duration::from_secs(2);
+/// Longest time after which a cache that asked for a pause is looked at again: it may have restarted.
+const PAUSE_STEP: Duration = Duration::from_millis(300);
 /// Pause between two calls for a runner's events, in which events accumulate. A prompt that arrives
 /// in the meantime is placed by the hash of its longest shared part.
 const RUNNER_PAUSE: Duration = Duration::from_millis(100);
@@ -109,6 +111,8 @@
                     tokio::time::sleep(watchers.runner_pause()).await;
                 }
             }
+            // What the cache holds is still valid.
+            Err(ControlError::Paused(rest)) => tokio::time::sleep(rest.min(PAUSE_STEP)).await,
             Err(ControlError::TooMany) => tokio::time::sleep(TOO_MANY_READERS_DELAY).await,
             Err(error) => {
                 if !std::mem::replace(&mut is_disconnected, true) {
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -1,12 +1,8 @@
 //! One attempt to run a request at one target.
 
-use super::{
-    forwarder::{ActiveRequest, Forwarder, SHORT_BODY_BYTES},
-    response_stream::milliseconds,
-};
+use super::forwarder::{ActiveRequest, Forwarder, SHORT_BODY_BYTES};
 use crate::{
     connection_pool::{Connection, SendError},
-    log::request_log,
     node_state::AssignmentGuard,
 };
 use bytes::Bytes;
@@ -15,7 +11,7 @@
 use hyper::body::Body;
 use skylarkpick_http::{BodyEnd, BodyStart, MeteredBody, describe, read_body_start};
 use skylarkpick_interface::{
-    EventId, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata, TargetSignals,
+    EventId, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata,
 };
 use skylarkpick_schedule::TargetOutcome;
 use std::time::Duration;
@@ -106,6 +102,7 @@
             Err(outcome) => return outcome,
         };
         let metadata = self.forwarder.dialect.read_response(&head);
+        self.note_signals(&metadata);
         if let Err(why) = self.validate(&head, &metadata) {
             self.guard.outcome = TargetOutcome::Failed;
             return AttemptOutcome::NoValidResponse(why);
@@ -134,18 +131,16 @@
     }
 
     async fn send(&self) -> Result<(Connection, Parts, MeteredBody), SendError> {
-        let assignment = &self.guard.assignment;
         let idle_limit = match self.request.route.repeatability {
             Repeatability::Once => ONCE_IDLE_LIMIT,
             Repeatability::Repeatable => REPEATABLE_IDLE_LIMIT,
         };
-        let mut connection = self.forwarder.pool.connect(assignment.address, idle_limit).await?;
+        let mut connection = self.connect(idle_limit).await?;
         let http_request = self.http_request()?;
         let response = match connection.send(http_request).await {
             Err(SendError::NotSent(_)) if connection.is_reused => {
                 // The target closed the idle connection; try a new one.
-                connection =
-                    self.forwarder.pool.connect(assignment.address, Duration::ZERO).await?;
+                connection = self.connect(Duration::ZERO).await?;
                 connection.send(self.http_request()?).await?
             }
             response => response?,
@@ -154,6 +149,17 @@
         Ok((connection, head, body))
     }
 
+    /// Returns a connection to the target, unless it has asked for a pause since it was chosen.
+    async fn connect(&self, idle_limit: Duration) -> Result<Connection, SendError> {
+        let (pool, address) = (&self.forwarder.pool, self.guard.assignment.address);
+        let connection = pool.connect(address, idle_limit).await?;
+        if self.forwarder.node_state.pause_rest(&address).is_some() {
+            pool.release(connection, None);
+            return Err(SendError::Paused);
+        }
+        Ok(connection)
+    }
+
     fn http_request(&self) -> Result<Request<Full<Bytes>>, SendError> {
         let (request, assignment) = (self.request, &self.guard.assignment);
         let metadata = RequestMetadata {
@@ -194,11 +200,17 @@
         Ok(())
     }
 
+    /// Applies what the target asks for. That holds also if the response belongs to another request.
+    fn note_signals(&self, metadata: &ResponseMetadata) {
+        let assignment = &self.guard.assignment;
+        if metadata.target.as_ref().is_none_or(|responder| *responder == assignment.target) {
+            let request = &self.request.head.attempt_id;
+            self.forwarder.node_state.note_signals(assignment, request, &metadata.signals);
+        }
+    }
+
     fn observe(&self, metadata: &ResponseMetadata) {
         let target = &self.guard.assignment.target;
-        if metadata.target.as_ref().is_none_or(|responder| responder == target) {
-            log_signals(target, &self.request.head.attempt_id, &metadata.signals);
-        }
         if let Some(load) = metadata.load {
             self.forwarder.node_state.observe_load(target, load);
         }
@@ -209,8 +221,12 @@
     }
 
     fn handle_send_error(&mut self, error: SendError) -> AttemptOutcome {
-        self.guard.outcome = TargetOutcome::Unreachable;
+        self.guard.outcome = match error {
+            SendError::Paused => TargetOutcome::Unknown,
+            _ => TargetOutcome::Unreachable,
+        };
         match error {
+            SendError::Paused => AttemptOutcome::NotSent(error.to_string()),
             SendError::NotConnected(why) | SendError::NotSent(why) => {
                 self.forwarder.pool.close(&self.guard.assignment.address);
                 AttemptOutcome::NotSent(why)
@@ -333,23 +349,6 @@
     }
 }
 
-/// Logs what a target asks of this process in the response to a request.
-fn log_signals(target: &str, attempt_id: &str, signals: &TargetSignals) {
-    if let Some(pause) = signals.pause {
-        request_log!("target asks for a pause", kv: {
-            target, request = attempt_id, pause_ms = milliseconds(pause),
-        });
-    }
-    if signals.is_leaving {
-        request_log!("target says that it leaves", kv: { target, request = attempt_id });
-    }
-    if let Some(header) = &signals.unreadable {
-        request_log!("header of a target is unreadable", kv: {
-            target, request = attempt_id, header = header.as_str(),
-        });
-    }
-}
-
 /// Returns what a complete response means for the health of its target.
 fn target_outcome(status: StatusCode) -> TargetOutcome {
     if status.is_server_error() { TargetOutcome::Failed } else { TargetOutcome::Served }
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -583,12 +583,13 @@
         why: UnplacedReason,
         last: SendResult,
     ) -> SendResult {
-        if request.sends > 0 || request.runs > 0 {
+        let is_paused = matches!(why, UnplacedReason::Paused { .. });
+        if request.runs > 0 || (request.sends > 0 && !is_paused) {
             return last;
         }
         let wait = match why {
-            UnplacedReason::Full { wait } => wait,
-            _ => UNKNOWN_WAIT,
+            UnplacedReason::Full { wait } | UnplacedReason::Paused { wait } => wait,
+            UnplacedReason::NoTarget | UnplacedReason::NoneUsable => UNKNOWN_WAIT,
         };
         SendResult::Failed(GatewayError::RetryLater { wait }, format!("{why:?}"))
     }
--- a/crates/skylarkpick-forward/src/forwarding/stream_binding.rs
+++ b/crates/skylarkpick-forward/src/forwarding/stream_binding.rs
@@ -76,6 +76,7 @@
                 _ => return true,
             },
             Err(ControlError::NoResponse(why)) => why,
+            Err(error @ ControlError::Paused(_)) => error.to_string(),
             Err(ControlError::TooMany | ControlError::Unreadable(_)) => return true,
         };
         request_log!("target not used for a stream", kv: {
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -14,6 +14,9 @@
 mod node_state;
 #[cfg(test)]
 mod node_state_tests;
+mod pauses;
+#[cfg(test)]
+mod pauses_tests;
 mod peers;
 mod readiness;
 mod serving_index;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -10,6 +10,7 @@
     forwarding::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder},
     jitter::sleep_with_jitter,
     node_state::NodeState,
+    pauses::PausingControl,
     peers::{CacheRelay, NetworkParts, PeerClient, PeerMessageHandler, follow_relay, open_network},
     readiness::{MetricsHandler, ReadinessHandler},
     streams::{StreamRegistry, share_streams, take_over_history},
@@ -75,6 +76,7 @@
     pub async fn spawn(parts: NodeParts) -> std::io::Result<Node> {
         let settings = &parts.settings;
         let node_state = NodeState::open(parts.clock.clone(), settings.bounds, parts.policy);
+        let control = PausingControl::open(parts.control.clone(), node_state.clone());
         let peer_client = Arc::new(PeerClient::default());
         let watcher = Arc::new(FleetWatcher {
             source: parts.fleet.clone(),
@@ -100,7 +102,7 @@
             confirmer: ServingConfirmer::open(watcher.clone()),
             data_centre: settings.data_centre.clone(),
             streams: streams.clone(),
-            control: parts.control.clone(),
+            control: control.clone(),
         });
         let ready = Server::bind(
             &settings.ready_address.to_string(),
@@ -129,13 +131,13 @@
         tasks.spawn(expire_targets(watcher.clone()));
         tasks.spawn(sample_loads(LoadSampler {
             node_state: node_state.clone(),
-            control: parts.control.clone(),
+            control: control.clone(),
             watcher: watcher.clone(),
             data_centre: settings.data_centre.clone(),
         }));
         tasks.spawn(watch_caches(Arc::new(CacheWatchers {
             node_state: node_state.clone(),
-            control: parts.control.clone(),
+            control: control.clone(),
             watcher: watcher.clone(),
             relay,
         })));
@@ -154,7 +156,7 @@
         tasks.spawn(run_planner(PlannerParts {
             node_state: node_state.clone(),
             objects: parts.objects.clone(),
-            control: parts.control.clone(),
+            control,
             clock: parts.clock.clone(),
             watcher,
             node: settings.node.clone(),
--- a/crates/skylarkpick-interface/src/control.rs
+++ b/crates/skylarkpick-interface/src/control.rs
@@ -1,11 +1,11 @@
 //! Control calls to targets and stores: weight orders, cache events and freeing of stored parts.
 
 use crate::{
-    forward::{CacheScope, PartId},
+    forward::{CacheScope, PartId, TargetSignals},
     ids::{FencingNumber, ModelName, TargetId, WeightVersion},
 };
 use async_trait::async_trait;
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 /// Identifies an incarnation of a target's or store's cache. When it changes, everything that was
 /// cached before is lost.
@@ -57,11 +57,20 @@
     /// The target already serves its maximum number of such calls.
     #[error("too many concurrent calls")]
     TooMany,
+    /// The target asked for a pause, of which this time is left.
+    #[error("the target asked for a pause, of which {0:?} is left")]
+    Paused(Duration),
     /// The response cannot be decoded.
     #[error("invalid response: {0}")]
     Unreadable(String),
 }
 
+/// Receives what targets and stores ask for in their responses to control calls.
+pub trait SignalObserver: Send + Sync {
+    /// Takes the signals of a response from an address.
+    fn observe_signals(&self, address: SocketAddr, signals: &TargetSignals);
+}
+
 /// Change of one cached prompt part.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PartChange {
@@ -111,6 +120,9 @@
 /// Client for control calls to targets and stores.
 #[async_trait]
 pub trait TargetControl: Send + Sync {
+    /// Sets who receives the signals of responses. A client that decodes none ignores it.
+    fn set_signal_observer(&self, _observer: Arc<dyn SignalObserver>) {}
+
     /// Reads the order state of a target.
     ///
     /// # Errors
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -21,7 +21,7 @@
 pub use clock::{BootClock, Clock, TokioClock};
 pub use control::{
     CacheEpoch, ControlError, EngineLoad, OrderOutcome, OrderState, PartChange, PartChanges,
-    TargetControl, WeightOrder,
+    SignalObserver, TargetControl, WeightOrder,
 };
 pub use fleet::{
     ClientLimits, ContextMemory, DesiredSinceOutcome, DesiredWeights, Destination, FleetRecord,
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -11,6 +11,9 @@
 mod memory;
 mod outdated;
 mod parts;
+#[cfg(test)]
+mod pause_tests;
+mod pauses;
 mod policy;
 mod reachability;
 mod selection;
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -4,6 +4,7 @@
     cost::{self, AffinityRanking, Cost, EngineRequest, PartHolders, TransferCosts},
     memory::MemorySample,
     parts::{CacheKind, PartDirectory, PartFingerprint},
+    pauses::{Incarnation, Pauses},
     policy::PlacementPolicy,
     reachability::DataCentreReachability,
     target::{TargetOutcome, TargetView},
@@ -30,6 +31,7 @@
     targets: BTreeMap<TargetId, TargetView>,
     services: BTreeMap<ServiceName, ServiceKind>,
     reachability: DataCentreReachability,
+    pauses: Pauses,
     timings: BTreeMap<ServiceName, ServiceTiming>,
     policy: PlacementPolicy,
     /// Which caches hold which parts.
@@ -98,6 +100,7 @@
             targets: BTreeMap::new(),
             services: BTreeMap::new(),
             reachability: DataCentreReachability::default(),
+            pauses: Pauses::default(),
             timings: BTreeMap::new(),
             parts: PartDirectory::default(),
             weights: DesiredWeightsView::open(old_weights_usable_for),
@@ -187,7 +190,7 @@
             .map(|prompt| AffinityRanking::open(prompt, known.iter().copied()))
             .unwrap_or_default();
         let mut lookup = Lookup { ranking, holders: BTreeMap::new() };
-        let usable: Vec<&TargetView> = known
+        let mut usable: Vec<&TargetView> = known
             .into_iter()
             .filter(|it| {
                 let target = &it.registration;
@@ -196,6 +199,15 @@
                 !target.is_draining && runs_version && !request.avoid.contains(&target.id)
             })
             .collect();
+        let mut shortest_pause: Option<Duration> = None;
+        usable.retain(|it| {
+            let Some(rest) = self.pauses.rest_of(&it.registration, now) else { return true };
+            shortest_pause = Some(shortest_pause.map_or(rest, |shortest| shortest.min(rest)));
+            false
+        });
+        if let (true, Some(wait)) = (usable.is_empty(), shortest_pause) {
+            return PlacementDecision::Unplaced(UnplacedReason::Paused { wait });
+        }
         let is_unreachable = |it: &TargetView| {
             let data_centre = &it.registration.data_centre;
             self.reachability.is_unreachable(data_centre, &request.data_centre, now)
@@ -461,6 +473,59 @@
         }
     }
 
+    /// Records that the target of an assignment asked for a pause. Returns the length that is kept.
+    pub fn note_pause(
+        &mut self,
+        assignment: &Assignment,
+        pause: Duration,
+        now: Duration,
+    ) -> Duration {
+        let incarnation = Incarnation::open(&assignment.target, assignment.started_at_ms);
+        self.pauses.note(assignment.address, Some(incarnation), pause, now)
+    }
+
+    /// Records that whoever has an address asked for a pause, in its response to a call. Returns the
+    /// length that is kept.
+    pub fn note_pause_at(
+        &mut self,
+        address: SocketAddr,
+        pause: Duration,
+        now: Duration,
+    ) -> Duration {
+        let target = self.registered_at(&address);
+        let incarnation = target.map(|it| Incarnation::open(&it.id, it.started_at_ms));
+        self.pauses.note(address, incarnation, pause, now)
+    }
+
+    /// Returns the rest of the pause that whoever has an address asked for.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::Placement;
+    /// use std::time::Duration;
+    /// let mut placement = Placement::open(Duration::from_secs(10));
+    /// let address = "10.1.0.1:80".parse()?;
+    /// placement.note_pause_at(address, Duration::from_secs(3), Duration::from_secs(1));
+    /// let rest = placement.pause_rest(&address, Duration::from_secs(2));
+    /// assert_eq!(rest, Some(Duration::from_secs(2)));
+    /// assert_eq!(placement.pause_rest(&address, Duration::from_secs(4)), None);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn pause_rest(&self, address: &SocketAddr, now: Duration) -> Option<Duration> {
+        // Few addresses have a pause, so the targets are rarely searched.
+        if !self.pauses.is_known(address) {
+            return None;
+        }
+        match self.registered_at(address) {
+            Some(target) => self.pauses.rest_of(target, now),
+            None => self.pauses.rest_at(address, now),
+        }
+    }
+
+    fn registered_at(&self, address: &SocketAddr) -> Option<&RegisteredTarget> {
+        let mut targets = self.targets.values().map(|state| &state.registration);
+        targets.find(|target| target.address == *address)
+    }
+
     /// Applies a load report of a target.
     pub fn observe_load(&mut self, target: &str, load: ReportedLoad, now: Duration) {
         if let Some(state) = self.targets.get_mut(target) {
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -91,6 +91,11 @@
     /// Every target is draining, has already failed the request, or has no usable weights or another
     /// software version, or the prompt's service is not in the serving document.
     NoneUsable,
+    /// Every target that could take the request has asked this process for a pause.
+    Paused {
+        /// Time until the first pause ends.
+        wait: Duration,
+    },
     /// No target has capacity for the request, or the cheapest one makes it wait longer than its
     /// maximum wait.
     Full {
