Send no further requests to targets that say in a response that they leave

A target that answered with `Server-Leaving: 1` went on getting requests until its record said so, which may be seconds later, or not while the platform is away.

Cause: nothing read the header. Class: as for pauses, a target's own word that is not heard.

Change: departures are kept by target and start, apart from the record; they count like a record that is draining, for placement and roll-outs, and end with a new start. Calls bring them too. Other processes are not told: docs/design/pauses.md.

--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -323,7 +323,7 @@
                 weight_version: Some(served),
                 is_loading: served < version
                     && (ordered.is_some() || self.announced.contains_key(id)),
-                is_leaving: target.registration.is_draining,
+                is_leaving: state.placement.is_leaving(&target.registration),
                 runs: target.requests(now).round() as u32,
                 slots: target.slots(),
                 hot_blocks: 0,
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -6,7 +6,7 @@
 };
 use skylarkpick_schedule::{
     Assignment, MemorySample, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt,
-    PlacementRequest, SoftwareVersions, StreamOrigins, TargetOutcome, UnplacedReason,
+    PlacementRequest, SoftwareVersions, StreamOrigins, TargetOutcome, TargetView, UnplacedReason,
     WaitingRequests, WindowRetryBudget,
 };
 use std::{
@@ -294,7 +294,8 @@
     pub(crate) fn count_targets(&self) -> (u64, u64) {
         let state = self.lock();
         let targets = state.placement.targets();
-        let draining = targets.values().filter(|it| it.registration.is_draining).count();
+        let is_leaving = |it: &&TargetView| state.placement.is_leaving(&it.registration);
+        let draining = targets.values().filter(is_leaving).count();
         ((targets.len() - draining) as u64, draining as u64)
     }
 
--- a/crates/skylarkpick-forward/src/pauses.rs
+++ b/crates/skylarkpick-forward/src/pauses.rs
@@ -1,4 +1,4 @@
-//! Keeps to the pauses that targets and stores ask for.
+//! Keeps to what targets and stores ask for: pauses, and no requests once they leave.
 
 use crate::{forwarding::milliseconds, log::request_log, node_state::NodeState};
 use async_trait::async_trait;
@@ -24,7 +24,7 @@
                 target, request, asked_ms = milliseconds(pause), kept_ms = milliseconds(kept),
             });
         }
-        if signals.is_leaving {
+        if signals.is_leaving && self.lock().placement.note_leaving(assignment) {
             request_log!("target says that it leaves", kv: { target, request });
         }
         if let Some(header) = &signals.unreadable {
@@ -48,6 +48,12 @@
                 address:, asked_ms = milliseconds(pause), kept_ms = milliseconds(kept),
             });
         }
+        let is_new = |address| self.lock().placement.note_leaving_at(address);
+        if let Some(target) = signals.is_leaving.then_some(address).and_then(is_new) {
+            request_log!("target says that it leaves, in its response to a call", kv: {
+                target = target.as_str(),
+            });
+        }
         if let Some(header) = &signals.unreadable {
             request_log!("header of a target is unreadable", kv: {
                 address:, header = header.as_str(),
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -5,6 +5,7 @@
 //! lengths do.
 
 mod cost;
+mod departures;
 mod estimate;
 #[cfg(test)]
 mod load_tests;
--- a/crates/skylarkpick-schedule/src/placement/pause_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/pause_tests.rs
@@ -1,4 +1,4 @@
-//! Tests of placement while targets pause.
+//! Tests of placement while targets pause or leave by their own word.
 
 use super::{Assignment, Placement, PlacementDecision, PlacementRequest, UnplacedReason};
 use skylarkpick_interface::{RegisteredTarget, ServiceKind, TargetId};
@@ -231,3 +231,58 @@
         assert_eq!(chosen, case.chosen, "{}", case.name);
     }
 }
+
+#[test]
+fn a_target_that_said_that_it_leaves_is_not_chosen_again_before_it_restarts() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Placement),
+        chosen: Option<&'static str>,
+    }
+    fn leave(placement: &mut Placement) {
+        let assignment = assignment(placement, 1);
+        assert!(placement.note_leaving(&assignment));
+        assert!(!placement.note_leaving(&assignment), "it is known already");
+    }
+    let cases = [
+        Case { name: "in the response to a request", change: leave, chosen: None },
+        Case {
+            name: "in the response to a call",
+            change: |placement| {
+                assert_eq!(placement.note_leaving_at(address(1)).as_deref(), Some("i-1"));
+            },
+            chosen: None,
+        },
+        Case {
+            name: "in the response to a call from an address without a target",
+            change: |placement| assert_eq!(placement.note_leaving_at(address(9)), None),
+            chosen: Some("i-1"),
+        },
+        Case {
+            name: "removed and registered again",
+            change: |placement| {
+                leave(placement);
+                placement.remove_target("i-1");
+                placement.set_target(registered(1, 1));
+            },
+            chosen: None,
+        },
+        Case {
+            name: "restarted",
+            change: |placement| {
+                leave(placement);
+                placement.set_target(registered(1, 2));
+            },
+            chosen: Some("i-1"),
+        },
+    ];
+    for case in cases {
+        let mut placement = fleet(1);
+        (case.change)(&mut placement);
+        let chosen = match choose(&placement, &[], ASKED_AT) {
+            PlacementDecision::Assigned(assignment) => Some(assignment.target),
+            PlacementDecision::Unplaced(_) => None,
+        };
+        assert_eq!(chosen.as_deref(), case.chosen, "{}", case.name);
+    }
+}
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -2,6 +2,7 @@
 
 use super::{
     cost::{self, AffinityRanking, Cost, EngineRequest, PartHolders, TransferCosts},
+    departures::Departures,
     memory::MemorySample,
     parts::{CacheKind, PartDirectory, PartFingerprint},
     pauses::{Incarnation, Pauses},
@@ -32,6 +33,7 @@
     services: BTreeMap<ServiceName, ServiceKind>,
     reachability: DataCentreReachability,
     pauses: Pauses,
+    departures: Departures,
     timings: BTreeMap<ServiceName, ServiceTiming>,
     policy: PlacementPolicy,
     /// Which caches hold which parts.
@@ -101,6 +103,7 @@
             services: BTreeMap::new(),
             reachability: DataCentreReachability::default(),
             pauses: Pauses::default(),
+            departures: Departures::default(),
             timings: BTreeMap::new(),
             parts: PartDirectory::default(),
             weights: DesiredWeightsView::open(old_weights_usable_for),
@@ -196,7 +199,7 @@
                 let target = &it.registration;
                 let runs_version = request.software_version.is_none()
                     || request.software_version == target.software_version;
-                !target.is_draining && runs_version && !request.avoid.contains(&target.id)
+                !self.is_leaving(target) && runs_version && !request.avoid.contains(&target.id)
             })
             .collect();
         let mut shortest_pause: Option<Duration> = None;
@@ -497,6 +500,25 @@
         self.pauses.note(address, incarnation, pause, now)
     }
 
+    /// Records that the target of an assignment said that it leaves. Returns whether that was not
+    /// known yet.
+    pub fn note_leaving(&mut self, assignment: &Assignment) -> bool {
+        self.departures.note(&assignment.target, assignment.started_at_ms)
+    }
+
+    /// Records that whoever has an address said that it leaves, in its response to a call. Returns the
+    /// target if that was not known yet.
+    pub fn note_leaving_at(&mut self, address: SocketAddr) -> Option<TargetId> {
+        let target = self.registered_at(&address)?;
+        let (id, started_at_ms) = (target.id.clone(), target.started_at_ms);
+        self.departures.note(&id, started_at_ms).then_some(id)
+    }
+
+    /// Returns whether a target takes no new requests, by its registration or by its own word.
+    pub fn is_leaving(&self, target: &RegisteredTarget) -> bool {
+        target.is_draining || self.departures.contains(target)
+    }
+
     /// Returns the rest of the pause that whoever has an address asked for.
     ///
     /// ```
