Soak: targets that ask for a pause, and targets that say that they leave

By new faults of the plan an echo target rejects requests and asks for a pause of up to 3 s, or says in all responses that it leaves 3.5 s before its record does and it is replaced. The checks follow each process and each start of a target: at most two requests between half a second after the rejection and the end of the pause, and none that a client sent later than the drain limit after an answer with a departure. A restart or suspension of the process, or a fault of its own links, excuses it; an outage of the platform does not.

--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     history::{Call, CallKind, History},
+    signal_checks::check_signals,
     stream_checks::{check_streams, is_stream_correct},
 };
 use skylarkpick_platform_standin::{AnswerEnd, Arrival};
@@ -49,6 +50,7 @@
         checked.check(&mut findings);
     }
     check_streams(history, &mut findings);
+    check_signals(history, &mut findings);
     check_arrivals(history, &mut findings);
     check_process_exits(history, &mut findings);
     findings
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -222,6 +222,18 @@
             && self.is_undisturbed(from, until, |scope| scope == DisturbanceScope::TargetLink)
     }
 
+    /// Whether a process ran between two times, without a start, and without having been suspended.
+    pub(crate) fn keeps_state(&self, process: usize, from: Instant, until: Instant) -> bool {
+        !self.disturbances.iter().any(|it| {
+            let is_own = match it.scope {
+                DisturbanceScope::Process(disturbed)
+                | DisturbanceScope::PlannedRestart(disturbed) => disturbed == process,
+                _ => false,
+            };
+            is_own && it.from <= until && it.until >= from
+        })
+    }
+
     /// Whether the link to a target had a fault, which may hold data, at some time between two times.
     pub(crate) fn has_link_fault(&self, target: &str, from: Instant, until: Instant) -> bool {
         let mut faults = self.link_faults.iter().filter(|(faulty, ..)| faulty == target);
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -10,6 +10,9 @@
 mod proxy;
 mod run;
 mod setup;
+mod signal_checks;
+#[cfg(test)]
+mod signal_tests;
 mod stream_checks;
 
 pub use checks::Finding;
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -25,7 +25,9 @@
 /// Distinguishes the generator of what concerns software versions from that of the other faults.
 const VERSION_SEED: u64 = 1 << 63;
 /// Upper limit of the random pause between two faults of the answers of targets.
-const ANSWER_FAULT_GAP_LIMIT: Duration = Duration::from_secs(5);
+const ANSWER_FAULT_GAP_LIMIT: Duration = Duration::from_secs(4);
+/// Upper limit of the pause that a target asks for; the users' targets ask for as long.
+const PAUSE_LIMIT: Duration = Duration::from_secs(3);
 /// Distinguishes the generator of the faults of answers from those of the other faults.
 const ANSWER_SEED: u64 = 1 << 62;
 
@@ -85,6 +87,10 @@
     UnversionedTarget { version: SoftwareVersion, span: Duration },
     /// A target breaks off answers, at any byte and in any way, until the fault ends.
     CutAnswers { target: usize, span: Duration },
+    /// A target rejects requests and asks for a pause, until the fault ends.
+    TargetPauses { target: usize, pause: Duration, span: Duration },
+    /// A target says that it leaves, and is then replaced.
+    TargetLeaves { target: usize, version: SoftwareVersion },
     /// The operator adds an API key, or revokes the one that was added last.
     ChangeKeys,
 }
@@ -123,8 +129,7 @@
         let mut random = StdRng::seed_from_u64(seed ^ ANSWER_SEED);
         let mut at = ANSWER_FAULT_GAP_LIMIT.mul_f64(random.random());
         while at < window {
-            let (target, span) = (random.random_range(0..targets), draw_span(&mut random));
-            faults.push((at, PlannedFault::CutAnswers { target, span }));
+            faults.push((at, draw_answer_fault(&mut random, &mut versions, targets)));
             at += ANSWER_FAULT_GAP_LIMIT.mul_f64(random.random());
         }
         faults.sort_by_key(|(at, _)| *at);
@@ -167,6 +172,21 @@
     }
 }
 
+fn draw_answer_fault(
+    random: &mut StdRng,
+    versions: &mut VersionDraw,
+    targets: usize,
+) -> PlannedFault {
+    let (target, span) = (random.random_range(0..targets), draw_span(random));
+    match random.random_range(0..4) {
+        0 => {
+            PlannedFault::TargetPauses { target, pause: PAUSE_LIMIT.mul_f64(random.random()), span }
+        }
+        1 => PlannedFault::TargetLeaves { target, version: versions.draw() },
+        _ => PlannedFault::CutAnswers { target, span },
+    }
+}
+
 fn draw_span(random: &mut StdRng) -> Duration {
     FAULT_FLOOR + (FAULT_LIMIT - FAULT_FLOOR).mul_f64(random.random())
 }
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -43,6 +43,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between the replacements of two targets in a release.
 const RELEASE_STEP: Duration = Duration::from_millis(700);
+/// Time for which a target says that it leaves before its record does; longer than the drain limit.
+const LEAVING_NOTICE: Duration = Duration::from_millis(3_500);
 /// Interval at which the readiness is checked at the start.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a drained target keeps running after the drain limit, so that it records late
@@ -296,7 +298,20 @@
                 self.record_disturbance(DisturbanceScope::Target, from);
             }
             PlannedFault::CutAnswers { target, span } => {
-                self.cut_answers(target, span).await;
+                self.change_answers(target, span, EchoTarget::set_cuts_answers).await;
+                self.record_disturbance(DisturbanceScope::Target, from);
+            }
+            PlannedFault::TargetPauses { target, pause, span } => {
+                let change = |service: &EchoTarget, is_on: bool| {
+                    service.set_pause(is_on.then_some(pause));
+                };
+                self.change_answers(target, span, change).await;
+                self.record_disturbance(DisturbanceScope::Target, from);
+            }
+            PlannedFault::TargetLeaves { target, version } => {
+                self.lock().targets[target].service.leave();
+                sleep(LEAVING_NOTICE).await;
+                self.replace_targets(target..target + 1, version).await?;
                 self.record_disturbance(DisturbanceScope::Target, from);
             }
             PlannedFault::ChangeKeys => return Ok(Some(self.change_keys())),
@@ -386,17 +401,22 @@
         Ok(())
     }
 
-    /// Lets a target break off answers for some time, unless it is replaced meanwhile.
-    async fn cut_answers(&self, index: usize, span: Duration) {
+    /// Changes how a target answers for some time, unless it is replaced meanwhile.
+    async fn change_answers(
+        &self,
+        index: usize,
+        span: Duration,
+        change: impl Fn(&EchoTarget, bool),
+    ) {
         let started_at_ms = {
             let target = &self.lock().targets[index];
-            target.service.set_cuts_answers(true);
+            change(&target.service, true);
             target.service.started_at_ms
         };
         sleep(span).await;
         let service = &self.lock().targets[index].service;
         if service.started_at_ms == started_at_ms {
-            service.set_cuts_answers(false);
+            change(service, false);
         }
     }
 
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -81,6 +81,9 @@
             has_run: true,
             marks_end: true,
             end: AnswerEnd::Whole,
+            started_at_ms: 1,
+            pause: None,
+            is_leaving: false,
         }],
         keys: vec![ConfiguredKey { key: MAIN_KEY.to_string(), from: now, until: None }],
         ..History::begin()
