Do not extend the idle time of a connection that is not used because of a pause

Cause: found by reading. An attempt that stops before it writes, since its target has asked for a pause meanwhile, gave its connection back to the pool as if a response had just been read. For a reused connection that began its idle time anew, so that a once-only request could later be written to one that the target had closed.

Change: only a new connection is kept.

--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -154,7 +154,10 @@
         let (pool, address) = (&self.forwarder.pool, self.guard.assignment.address);
         let connection = pool.connect(address, idle_limit).await?;
         if self.forwarder.node_state.pause_rest(&address).is_some() {
-            pool.release(connection, None);
+            // The time for which a reused connection may be idle has begun before.
+            if !connection.is_reused {
+                pool.release(connection, None);
+            }
             return Err(SendError::Paused);
         }
         Ok(connection)
