--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -18,6 +18,7 @@
 mod policy;
 mod reachability;
 mod selection;
+mod signals;
 mod target;
 #[cfg(test)]
 mod tests;
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -14,6 +14,7 @@
 #[cfg(test)]
 mod signal_tests;
 mod stream_checks;
+mod target;
 
 pub use checks::Finding;
 pub use network::LoopbackNetwork;
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -7,16 +7,17 @@
     history::{
         Call, ConfiguredKey, Disturbance, DisturbanceScope, History, ServingTarget, SoftwareVersion,
     },
-    plan::{FaultPlan, LinkFault, ObjectApiFault, PlannedFault},
+    plan::{FaultPlan, ObjectApiFault, PlannedFault},
     process::NodeProcess,
     proxy::FaultProxy,
     setup::{key_from_now, routes, start_process},
+    target::{Target, inject_link_fault, start_service, start_target},
 };
 use anyhow::Context;
-use serde_json::{Value, json};
+use serde_json::json;
 use skylarkpick_platform_standin::{
     ArrivalLog, ClientRequest, EchoTarget, FaultMode, ObjectServer, TargetState, TestClient,
-    configuration, registration,
+    configuration,
 };
 use std::{
     net::SocketAddr,
@@ -32,8 +33,6 @@
 
 /// Minimum number of targets; a fleet with more processes has one target for each process.
 const TARGETS_FLOOR: usize = 4;
-/// Requests that a target runs concurrently.
-const TARGET_SLOTS: usize = 6;
 /// Time after the last fault within which all valid requests must be served again, as the users
 /// require.
 const RECOVERY_TIME: Duration = Duration::from_secs(15);
@@ -161,15 +160,6 @@
         .with_context(|| format!("{} cannot be written", path.display()))
 }
 
-/// A target with the proxy in front of it.
-struct Target {
-    name: String,
-    proxy: Arc<FaultProxy>,
-    service: EchoTarget,
-    /// Software version in the registration, if it names one.
-    registered_version: Option<SoftwareVersion>,
-}
-
 /// The processes, targets and platform of a run.
 struct Fleet {
     objects: ObjectServer,
@@ -466,12 +456,6 @@
     }
 }
 
-impl Target {
-    fn registration(&self, state: TargetState) -> Value {
-        registration(self.proxy.address, state, self.service.started_at_ms, self.registered_version)
-    }
-}
-
 impl FleetState {
     fn add_target(&mut self, objects: &ObjectServer, target: &Target, version: SoftwareVersion) {
         objects.state.put("servers", &target.name, target.registration(TargetState::Ready));
@@ -501,31 +485,3 @@
         );
     }
 }
-
-async fn start_service(
-    name: &str,
-    version: SoftwareVersion,
-    arrivals: &ArrivalLog,
-) -> std::io::Result<EchoTarget> {
-    EchoTarget::start(name, version, TARGET_SLOTS, arrivals.clone()).await
-}
-
-/// Starts a target behind a proxy, without registering it.
-async fn start_target(
-    number: u64,
-    version: SoftwareVersion,
-    registered_version: Option<SoftwareVersion>,
-    arrivals: &ArrivalLog,
-) -> std::io::Result<Target> {
-    let name = format!("i-{number}");
-    let service = start_service(&name, version, arrivals).await?;
-    let proxy = Arc::new(FaultProxy::bind(service.address).await?);
-    Ok(Target { name, proxy, service, registered_version })
-}
-
-async fn inject_link_fault(link: &FaultProxy, fault: LinkFault, span: Duration) {
-    link.set_fault(Some(fault));
-    sleep(span).await;
-    // This also ends other faults of the link that began meanwhile.
-    link.set_fault(None);
-}
