Soak: a link that is removed resets its connections

Cause, by the logs: the link to i-15 held answers (HoldAnswers, 18.196 to 22.407 s) when the target was replaced; the end of the fault dropped the last handle of the proxy, which closed the connection in an orderly way without the data that it held, at 22.410 s. The process forwarded what it got: an unmarked end. A link closes no connection by itself; the check was right to report an end that the target had not made, and stays as it is.

Change: the proxy's sockets reset unless both directions have ended in an orderly way. A test of the proxy, red before (Some("x") of None), green now.

--- a/crates/skylarkpick-soak/src/proxy.rs
+++ b/crates/skylarkpick-soak/src/proxy.rs
@@ -2,6 +2,7 @@
 //! both directions.
 
 use crate::plan::LinkFault;
+use rustix::net::sockopt::set_socket_linger;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
@@ -13,7 +14,7 @@
 /// Data that is forwarded at a time.
 const BUFFER_SIZE_BYTES: usize = 16_384;
 
-/// A running proxy. Dropping it closes all of its connections.
+/// A running proxy. Dropping it resets all of its connections: a link does not close any by itself.
 pub(crate) struct FaultProxy {
     pub(crate) address: SocketAddr,
     fault: Arc<watch::Sender<Option<LinkFault>>>,
@@ -75,6 +76,8 @@
         reset(&client);
         return;
     };
+    reset(&client);
+    reset(&server);
     let is_orderly = {
         let (mut from_client, mut to_client) = client.split();
         let (mut from_server, mut to_server) = server.split();
@@ -85,9 +88,9 @@
             ended = async { tokio::try_join!(up, down) } => ended.is_ok(),
         }
     };
-    if !is_orderly {
-        reset(&client);
-        reset(&server);
+    if is_orderly {
+        close_orderly(&client);
+        close_orderly(&server);
     }
 }
 
@@ -124,7 +127,14 @@
     }
 }
 
+/// Lets a connection be reset once its socket is dropped.
 fn reset(stream: &TcpStream) {
     // Errors are ignored: the peer then sees an orderly close in place of a reset.
     let _ = stream.set_zero_linger();
 }
+
+/// Lets a connection be closed once its socket is dropped, after the data that was written to it.
+fn close_orderly(stream: &TcpStream) {
+    // Errors are ignored: the peer then sees a reset in place of an orderly close.
+    let _ = set_socket_linger(stream, None);
+}
--- a/crates/skylarkpick-soak/src/proxy_tests.rs
+++ b/crates/skylarkpick-soak/src/proxy_tests.rs
@@ -64,3 +64,45 @@
         }
     }
 }
+
+#[tokio::test]
+async fn a_dropped_proxy_does_not_end_an_answer_that_it_holds_like_a_whole_one() {
+    struct Case {
+        name: &'static str,
+        fault: Option<LinkFault>,
+        is_dropped: bool,
+        /// What the client reads until the end, or `None` if that is a reset.
+        received: Option<&'static str>,
+    }
+    let cases = [
+        Case { name: "no fault", fault: None, is_dropped: false, received: Some("xy") },
+        Case {
+            name: "dropped while it holds the rest",
+            fault: Some(LinkFault::HoldAnswers),
+            is_dropped: true,
+            received: None,
+        },
+    ];
+    for case in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let proxy = FaultProxy::bind(listener.local_addr().unwrap()).await.unwrap();
+        let mut client = TcpStream::connect(proxy.address).await.unwrap();
+        let (mut server, _) = listener.accept().await.unwrap();
+        server.write_all(b"x").await.unwrap();
+        let mut text = String::new();
+        let mut byte = [0];
+        client.read_exact(&mut byte).await.unwrap();
+        text.push('x');
+        proxy.set_fault(case.fault);
+        server.write_all(b"y").await.unwrap();
+        drop(server);
+        // The proxy has to read the rest and the end before it is dropped.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        client.shutdown().await.unwrap();
+        if case.is_dropped {
+            drop(proxy);
+        }
+        let received = client.read_to_string(&mut text).await.ok().map(|_| text.as_str());
+        assert_eq!(received, case.received, "{}", case.name);
+    }
+}
