Scan the events of a stream that is split only once

The scanner for the ends of events also read the bytes of streams that the splitter had scanned before, on the path of every event.

Change: only streams that are not split have the scanner of their own. Split ones are forwarded in complete events, so that it never found them within one; the log field within_event stays false for them. No behaviour changes.

Tests: clippy of the crate, its 48 unit tests, body_ends, end_to_end and software_versions pass as they are.

--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -43,7 +43,7 @@
     forwarded_bytes: u64,
     /// Whether the stream is split into events, which is necessary for resuming it.
     splits_events: bool,
-    /// Where the bytes for the client stop, if they are events.
+    /// Where the bytes for the client stop, if they are events that aren't split.
     scanner: Option<EventScanner>,
     /// Whether the end of the response will show its client that it is complete.
     client_end: BodyEnd,
@@ -106,7 +106,7 @@
             repeated_bytes: 0,
             forwarded_bytes: 0,
             splits_events,
-            scanner: has_events.then(EventScanner::default),
+            scanner: (has_events && !splits_events).then(EventScanner::default),
             client_end,
             end: StreamEnd::ClientLeft,
         };
