--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -50,6 +50,8 @@
 /// Longest expected wait that is compared with the time left: estimates of longer waits are rough,
 /// and capacity may become free earlier.
 const CAPACITY_WAIT_STEP: Duration = Duration::from_millis(50);
+/// Part of the list of a prompt's parts that is logged.
+const LOGGED_PARTS_CHARACTERS: usize = 120;
 /// Expected wait if there is no estimate.
 pub(super) const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
@@ -141,6 +143,14 @@
         self.placement_request.avoid.push(target.clone());
     }
 
+    /// Returns the start of the list of the prompt's parts, without the one that is the request's own.
+    pub(super) fn logged_parts(&self) -> String {
+        let parts = self.head.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let ids: Vec<&str> = shared.iter().map(|part| part.id.as_str()).collect();
+        ids.join(",").chars().take(LOGGED_PARTS_CHARACTERS).collect()
+    }
+
     /// Returns the time up to which the request may wait for a target with capacity. A later start
     /// would miss the latency objective.
     fn waits_until(&self) -> Instant {
@@ -614,6 +624,7 @@
         target,
         end,
         why,
+        parts = request.logged_parts().as_str(),
         sends = request.sends,
         took_ms = milliseconds(request.received.elapsed()),
     });
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -9,7 +9,7 @@
     forwarder::{ActiveRequest, Forwarder},
     response::IncompleteResponse,
 };
-use crate::log::request_log;
+use crate::log::{age_ms, request_log};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use skylarkpick_http::{BodyEnd, describe};
@@ -252,6 +252,7 @@
     async fn resume(&mut self, why: &str) -> bool {
         let Some(mut failed) = self.current.take() else { return false };
         failed.guard.outcome = TargetOutcome::Failed;
+        let since_first_piece = failed.guard.since_first_response();
         let assignment = &failed.guard.assignment;
         let (target, software_version) =
             (assignment.target.clone(), assignment.software_version.clone());
@@ -264,6 +265,8 @@
             target = target.as_str(),
             software_version = software_version.as_deref().unwrap_or("unknown"),
             why,
+            parts = self.request.logged_parts().as_str(),
+            since_first_piece_ms = age_ms(since_first_piece),
             last_event = self.last_event.unwrap_or_default(),
             resumable = may_repeat && self.splits_events,
         });
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -194,7 +194,7 @@
             model: prompt.map(|prompt| prompt.model.clone()),
             sent_at: now,
             outcome: TargetOutcome::Unknown,
-            has_responded: false,
+            first_response_at: None,
         }
     }
 
@@ -354,10 +354,16 @@
     model: Option<ModelName>,
     pub(crate) outcome: TargetOutcome,
     sent_at: Duration,
-    has_responded: bool,
+    /// Node time at which the first part of the response arrived.
+    first_response_at: Option<Duration>,
 }
 
 impl AssignmentGuard {
+    /// Returns the time since the first part of the response arrived, if it has.
+    pub(crate) fn since_first_response(&self) -> Option<Duration> {
+        self.first_response_at.map(|at| self.node_state.now().saturating_sub(at))
+    }
+
     /// Returns the time since weights newer than those of the attempt became the desired ones, if
     /// there are newer ones.
     pub(crate) fn newer_weights_age(&self) -> Option<Duration> {
@@ -376,8 +382,9 @@
 
     /// Records that the first part of the response has arrived.
     pub(crate) fn note_first_response(&mut self) {
-        if !std::mem::replace(&mut self.has_responded, true) {
+        if self.first_response_at.is_none() {
             let now = self.node_state.now();
+            self.first_response_at = Some(now);
             let elapsed = now.saturating_sub(self.sent_at);
             let mut state = self.node_state.lock();
             state.placement.note_first_response(&self.assignment, elapsed);
@@ -390,7 +397,7 @@
         let now = self.node_state.now();
         let elapsed = now.saturating_sub(self.sent_at);
         let mut state = self.node_state.lock();
-        if !self.has_responded {
+        if self.first_response_at.is_none() {
             state.placement.end_prefill(&self.assignment);
         }
         state.placement.end(&self.assignment, self.outcome, elapsed, now);
