--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -121,6 +121,7 @@
             deadline: ROUTE_TIMEOUT,
             resumes: None,
             last_event_id: None,
+            parts: Vec::new(),
         }
     }
 
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -230,6 +230,7 @@
                 deadline: ROUTE_TIMEOUT,
                 resumes: None,
                 last_event_id: None,
+                parts: Vec::new(),
             };
             while TestClient::open(address).send(&request, ROUTE_TIMEOUT).await.status != Some(200)
             {
--- a/crates/skylarkpick-soak/src/signal_tests.rs
+++ b/crates/skylarkpick-soak/src/signal_tests.rs
@@ -44,6 +44,7 @@
                 deadline: PAUSE,
                 resumes: None,
                 last_event_id: None,
+                parts: Vec::new(),
             },
             sent_at: at(it.after_ms),
             ended_at: at(it.after_ms),
@@ -55,6 +56,7 @@
             target: it.target.to_string(),
             software_version: "b7".to_string(),
             last_event_id: None,
+            parts: Vec::new(),
             account: None,
             at: at(it.after_ms),
             has_run: true,
@@ -63,6 +65,8 @@
             started_at_ms: it.started_at_ms,
             pause: None,
             is_leaving: false,
+            parts: Vec::new(),
+            has_crashed: false,
         });
     }
     asks(&mut arrivals[0]);
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -51,6 +51,7 @@
         deadline: Duration::from_secs(5),
         resumes: None,
         last_event_id: None,
+        parts: Vec::new(),
     };
     let response = ClientResponse {
         status: Some(200),
@@ -76,6 +77,7 @@
             target: "i-1".to_string(),
             software_version: "b7".to_string(),
             last_event_id: None,
+            parts: Vec::new(),
             account: Some("acme".to_string()),
             at: sent_at,
             has_run: true,
@@ -84,6 +86,8 @@
             started_at_ms: 1,
             pause: None,
             is_leaving: false,
+            parts: Vec::new(),
+            has_crashed: false,
         }],
         keys: vec![ConfiguredKey { key: MAIN_KEY.to_string(), from: now, until: None }],
         ..History::begin()
