--- a/crates/skylarkpick-soak/src/signal_tests.rs
+++ b/crates/skylarkpick-soak/src/signal_tests.rs
@@ -56,7 +56,6 @@
             target: it.target.to_string(),
             software_version: "b7".to_string(),
             last_event_id: None,
-            parts: Vec::new(),
             account: None,
             at: at(it.after_ms),
             has_run: true,
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -77,7 +77,6 @@
             target: "i-1".to_string(),
             software_version: "b7".to_string(),
             last_event_id: None,
-            parts: Vec::new(),
             account: Some("acme".to_string()),
             at: sent_at,
             has_run: true,
