--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -11,6 +11,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -26,6 +27,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which a connection counts as dead.
 const KEEPALIVE_PROBES_LIMIT: u32 = 2;
+/// Time within which an address refuses a connection, if nobody listens there.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Idle timeout of connections to targets that don't report one.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// How long before the target's reported idle timeout a connection is discarded.
@@ -45,6 +48,9 @@
     /// The target asked for a pause before the request was sent.
     #[error("the target asked for a pause")]
     Paused,
+    /// A part of the prompt was blamed before the request was sent.
+    #[error("a part of its prompt ends targets")]
+    Withheld,
     /// No response was received. The target may have received the request.
     #[error("the connection failed: {0}")]
     Broken(String),
@@ -120,6 +126,15 @@
         connections.push(Idle { channel: connection.channel, since: Instant::now(), limit });
     }
 
+    /// Returns whether an address refuses connections, since no process listens there. Silence is no
+    /// refusal.
+    pub(crate) async fn is_refused(&self, address: SocketAddr) -> bool {
+        match tokio::time::timeout(REFUSAL_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     /// Closes the idle connections to a target.
     pub(crate) fn close(&self, address: &SocketAddr) {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(address);
--- /dev/null
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -0,0 +1,381 @@
+//! Relates ends of targets to the parts of prompts that they were about to answer, and withholds
+//! requests with parts that end targets.
+//!
+//! Each process sees only a few of the ends, so the evidence is sent to all processes, and kept in the
+//! registration of the process that saw it, which also reaches processes that are cut from it.
+
+use crate::{
+    connection_pool::ConnectionPool,
+    fleet::FleetWatcher,
+    forwarding::{ActiveRequest, milliseconds},
+    jitter::sleep_with_jitter,
+    log::request_log,
+    node_state::NodeState,
+    peers::Notice,
+};
+use skylarkpick_interface::{CrashReport, PartNumber, TargetId};
+use skylarkpick_schedule::{Assignment, CrashEvidence, PartVerdict, trial_order};
+use skylarkpick_telemetry::{REQUESTS_WITHHELD, metrics};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, OnceCell},
+    time::Instant,
+};
+
+/// Time after the first piece of a response from which its target's end has other reasons.
+const BEGINNING: Duration = Duration::from_secs(1);
+/// Time after which a client may come back with a part that is under suspicion: the request with it
+/// that is under way has mostly ended by then.
+const SUSPECT_WAIT: Duration = Duration::from_secs(1);
+/// Pause after which no further trial is made of a part, if the outcome of one stays unknown.
+const TRIAL_PAUSE: Duration = Duration::from_secs(60);
+/// Time in which responses of one target that break off together are collected.
+const COLLECTION_TIME: Duration = Duration::from_millis(20);
+/// Upper limit of the random delay before others are told that a part was answered.
+const CLEARING_DELAY_LIMIT: Duration = Duration::from_millis(300);
+/// Mean delay before the evidence is written to the platform. Many processes see the same end.
+const STORE_DELAY: Duration = Duration::from_millis(200);
+/// Mean delay before a failed write is repeated; doubles with each further one, up to the limit.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
+const STORE_RETRY_LIMIT: Duration = Duration::from_secs(8);
+/// Time for which the result of a look at a target is used again.
+const PROBE_LIFETIME: Duration = Duration::from_millis(200);
+/// Processes that keep the evidence against a blamed part, besides those that saw it.
+const KEEPERS: usize = 2;
+
+/// The start of a target that an attempt was sent to.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct AttemptTarget {
+    target: TargetId,
+    started_at_ms: u64,
+    address: SocketAddr,
+}
+
+impl AttemptTarget {
+    pub(crate) fn of(assignment: &Assignment) -> AttemptTarget {
+        let Assignment { target, started_at_ms, address, .. } = assignment;
+        AttemptTarget { target: target.clone(), started_at_ms: *started_at_ms, address: *address }
+    }
+}
+
+/// Why a request is not sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Withheld {
+    /// Time after which its client may come back.
+    pub(crate) wait: Duration,
+}
+
+/// Right to send the only request with a part at a time. Given back when dropped.
+pub(crate) struct PartPermit {
+    node_state: Arc<NodeState>,
+    part: PartNumber,
+    /// Whether the request tries a blamed part.
+    is_trial: bool,
+}
+
+impl Drop for PartPermit {
+    fn drop(&mut self) {
+        self.node_state.lock().permitted_parts.remove(&self.part);
+    }
+}
+
+/// Collects and shares the evidence of a process.
+pub(crate) struct CrashWatch {
+    node_state: Arc<NodeState>,
+    pool: Arc<ConnectionPool>,
+    watcher: Arc<FleetWatcher>,
+    /// Looks at targets whose responses broke off.
+    probes: Mutex<BTreeMap<AttemptTarget, Probe>>,
+    /// Wakes the task that tells other processes of ends.
+    crashes_seen: Notify,
+    /// Wakes the task that tells other processes of parts that were answered since.
+    parts_cleared: Notify,
+}
+
+struct Probe {
+    began_at: Instant,
+    has_ended: Arc<OnceCell<bool>>,
+}
+
+impl CrashWatch {
+    pub(crate) fn open(
+        node_state: Arc<NodeState>,
+        pool: Arc<ConnectionPool>,
+        watcher: Arc<FleetWatcher>,
+    ) -> Arc<CrashWatch> {
+        let (crashes_seen, parts_cleared) = (Notify::new(), Notify::new());
+        let probes = Mutex::default();
+        Arc::new(CrashWatch { node_state, pool, watcher, probes, crashes_seen, parts_cleared })
+    }
+
+    /// Decides whether a request may be sent now, by the parts of its prompt. Requests with suspected
+    /// parts go one at a time.
+    pub(crate) fn admit(&self, request: &mut ActiveRequest) -> Result<(), Withheld> {
+        if request.shared_parts.is_empty() {
+            return Ok(());
+        }
+        if !self.node_state.knows_evidence() {
+            return Err(Withheld { wait: SUSPECT_WAIT });
+        }
+        let has_run = request.has_run();
+        let verdict = self.node_state.part_verdict(&request.shared_parts);
+        let (part, wait, is_trial) = match verdict {
+            PartVerdict::Free => return Ok(()),
+            PartVerdict::Suspect(part) => (part, SUSPECT_WAIT, false),
+            PartVerdict::Blamed { part, until_trial } => {
+                (part, until_trial.max(SUSPECT_WAIT), true)
+            }
+        };
+        let holds_permit = request
+            .part_permit
+            .as_ref()
+            .is_some_and(|it| it.part == part && it.is_trial >= is_trial);
+        if holds_permit && !has_run {
+            return Ok(());
+        }
+        let is_due = !is_trial || (wait == SUSPECT_WAIT && self.tries(part));
+        let permit = (is_due && !has_run).then(|| self.take_permit(part, is_trial)).flatten();
+        let is_permitted = permit.is_some();
+        request_log!("request has a part that may end targets", kv: {
+            request = request.head.attempt_id.as_str(),
+            part = part_name(part).as_str(),
+            is_blamed = is_trial,
+            is_permitted,
+            has_run,
+            wait_ms = milliseconds(wait),
+        });
+        if !is_permitted {
+            metrics().count(&REQUESTS_WITHHELD, &[]);
+            return Err(Withheld { wait });
+        }
+        request.part_permit = permit;
+        Ok(())
+    }
+
+    fn take_permit(&self, part: PartNumber, is_trial: bool) -> Option<PartPermit> {
+        let now_ms = self.node_state.wall_ms();
+        let mut state = self.node_state.lock();
+        if !state.permitted_parts.insert(part) {
+            return None;
+        }
+        if is_trial {
+            state.crash_evidence.note_trial(part, TRIAL_PAUSE, now_ms);
+        }
+        Some(PartPermit { node_state: self.node_state.clone(), part, is_trial })
+    }
+
+    /// Returns whether this process is the one to try a blamed part.
+    fn tries(&self, part: PartNumber) -> bool {
+        let entries = self.watcher.records.entries();
+        trial_order(part, &entries).first() == Some(&self.watcher.records.node())
+    }
+
+    /// Returns whether a part of a request was blamed since it was admitted.
+    pub(crate) fn is_withheld(&self, request: &ActiveRequest) -> bool {
+        let is_trial = request.part_permit.as_ref().is_some_and(|permit| permit.is_trial);
+        let parts = &request.shared_parts;
+        !is_trial && matches!(self.node_state.part_verdict(parts), PartVerdict::Blamed { .. })
+    }
+
+    /// Waits until a part of a request is blamed, which may never be the case.
+    pub(crate) async fn wait_until_withheld(&self, request: &ActiveRequest) {
+        if request.shared_parts.is_empty() {
+            return std::future::pending().await;
+        }
+        loop {
+            let changed = self.node_state.blame_changed.notified();
+            if self.is_withheld(request) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Records that a response broke off, `since_first_piece` after its first piece, if its target has
+    /// ended and had just begun to answer.
+    pub(crate) async fn note_broken(
+        &self,
+        place: &AttemptTarget,
+        request: &ActiveRequest,
+        since_first_piece: Option<Duration>,
+    ) {
+        let had_begun = since_first_piece.is_some_and(|since| since >= BEGINNING);
+        if request.shared_parts.is_empty() || had_begun || !self.is_in_service(place) {
+            return;
+        }
+        if !self.has_ended(place).await {
+            return;
+        }
+        request_log!("target has ended", kv: {
+            target = place.target.as_str(),
+            request = request.head.attempt_id.as_str(),
+            parts = request.logged_parts().as_str(),
+            has_first_piece = since_first_piece.is_some(),
+        });
+        let parts = request.shared_parts.iter().copied().zip(0..).collect();
+        let now_ms = self.node_state.wall_ms();
+        let is_new = self.node_state.change_evidence(|evidence| {
+            evidence.note_crash(&place.target, place.started_at_ms, now_ms, &parts)
+        });
+        if is_new {
+            self.crashes_seen.notify_one();
+        }
+    }
+
+    /// Records a whole response to a request.
+    pub(crate) fn note_answer(&self, request: &ActiveRequest) {
+        if request.shared_parts.is_empty() {
+            return;
+        }
+        let now_ms = self.node_state.wall_ms();
+        let parts = &request.shared_parts;
+        if self.node_state.change_evidence(|evidence| evidence.note_answer(parts, now_ms)) {
+            self.parts_cleared.notify_one();
+        }
+    }
+
+    /// Returns whether a target is registered and not about to leave, so that its end is unexpected.
+    fn is_in_service(&self, place: &AttemptTarget) -> bool {
+        let state = self.node_state.lock();
+        let target = state.placement.targets().get(&place.target).map(|it| &it.registration);
+        target.is_some_and(|target| {
+            target.started_at_ms == place.started_at_ms && !state.placement.is_leaving(target)
+        })
+    }
+
+    /// Returns whether a target refuses connections. A cut link doesn't, nor a target that only closed
+    /// some.
+    async fn has_ended(&self, place: &AttemptTarget) -> bool {
+        let cell = {
+            let mut probes = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+            let now = Instant::now();
+            probes.retain(|_, probe| now < probe.began_at + PROBE_LIFETIME);
+            let new = || Probe { began_at: now, has_ended: Arc::default() };
+            probes.entry(place.clone()).or_insert_with(new).has_ended.clone()
+        };
+        *cell.get_or_init(|| self.pool.is_refused(place.address)).await
+    }
+
+    fn send(&self, report: CrashReport) {
+        let notice = Notice::Crashes { report };
+        self.watcher.peer_client.broadcast(&self.watcher.records, &notice);
+    }
+
+    fn report(&self) -> CrashReport {
+        let entries = self.watcher.records.entries();
+        let node = self.watcher.records.node();
+        let keeps = |part| trial_order(part, &entries).iter().take(KEEPERS).any(|it| *it == node);
+        self.node_state.lock().crash_evidence.report(keeps)
+    }
+}
+
+impl NodeState {
+    fn part_verdict(&self, parts: &[PartNumber]) -> PartVerdict {
+        let now_ms = self.wall_ms();
+        self.lock().crash_evidence.verdict(parts, now_ms)
+    }
+
+    /// Returns the number of parts that are blamed for ends of targets.
+    pub(crate) fn count_blamed_parts(&self) -> u64 {
+        self.lock().crash_evidence.blamed().count() as u64
+    }
+
+    /// Adds what another process tells about ends of targets, or this one before its last start.
+    pub(crate) fn merge_crashes(&self, report: &CrashReport, from: &str, is_own: bool) {
+        if report.is_empty() {
+            return;
+        }
+        let now_ms = self.wall_ms();
+        if self.change_evidence(|evidence| evidence.merge(report, is_own, now_ms)) {
+            request_log!("evidence of ended targets applied", kv: {
+                from, crashes = report.crashes.len(), answered = report.answered_at_ms.len(),
+            });
+        }
+    }
+
+    /// Changes the evidence, and logs which parts are blamed since, and which no more.
+    fn change_evidence(&self, change: impl FnOnce(&mut CrashEvidence) -> bool) -> bool {
+        let mut state = self.lock();
+        let before: BTreeSet<PartNumber> = state.crash_evidence.blamed().collect();
+        let result = change(&mut state.crash_evidence);
+        let after: BTreeSet<PartNumber> = state.crash_evidence.blamed().collect();
+        drop(state);
+        if before != after {
+            for part in after.difference(&before) {
+                spdlog::warn!("part of prompts blamed for ends of targets", kv: {
+                    part = part_name(*part).as_str(),
+                });
+            }
+            for part in before.difference(&after) {
+                spdlog::info!("part of prompts no longer blamed", kv: {
+                    part = part_name(*part).as_str(),
+                });
+            }
+            self.blame_changed.notify_waiters();
+        }
+        if result {
+            self.evidence_changed.notify_one();
+        }
+        result
+    }
+}
+
+fn part_name(part: PartNumber) -> String {
+    format!("{part:016x}")
+}
+
+/// Tells other processes which ends this one has seen, for as long as the task runs.
+pub(crate) async fn send_crashes(watch: Arc<CrashWatch>) {
+    loop {
+        watch.crashes_seen.notified().await;
+        tokio::time::sleep(COLLECTION_TIME).await;
+        watch.send(watch.report());
+    }
+}
+
+/// Tells other processes which parts were answered since they counted as evidence, for as long as the
+/// task runs. Many processes answer a part that many prompts share, so each waits for a random time
+/// and is silent if another one was first.
+pub(crate) async fn send_cleared_parts(watch: Arc<CrashWatch>) {
+    loop {
+        watch.parts_cleared.notified().await;
+        tokio::time::sleep(CLEARING_DELAY_LIMIT.mul_f64(rand::random())).await;
+        let report = watch.report();
+        if !report.answered_at_ms.is_empty() {
+            watch.send(report);
+        }
+    }
+}
+
+/// Writes the evidence of this process to the platform whenever it changes, for as long as the task
+/// runs.
+pub(crate) async fn store_crashes(watch: Arc<CrashWatch>) {
+    let mut stored = CrashReport::default();
+    let mut delay = STORE_RETRY_DELAY;
+    loop {
+        watch.node_state.evidence_changed.notified().await;
+        loop {
+            sleep_with_jitter(STORE_DELAY).await;
+            let report = watch.report();
+            if report == stored {
+                break;
+            }
+            let node = watch.watcher.records.node();
+            match watch.watcher.source.record_crashes(node, &report).await {
+                Ok(()) => {
+                    (stored, delay) = (report, STORE_RETRY_DELAY);
+                }
+                Err(error) => {
+                    spdlog::warn!("failed to record the evidence of ended targets", kv: { error: });
+                    sleep_with_jitter(delay).await;
+                    delay = (delay * 2).min(STORE_RETRY_LIMIT);
+                }
+            }
+        }
+    }
+}
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -217,8 +217,13 @@
         self.changes.subscribe()
     }
 
+    /// Returns the name of this process.
+    pub(crate) fn node(&self) -> &str {
+        &self.node
+    }
+
     /// Returns the registered entry processes.
-    fn entries(&self) -> Vec<RegisteredEntry> {
+    pub(crate) fn entries(&self) -> Vec<RegisteredEntry> {
         let topics = self.topics();
         let records = topics.get(&FleetTopic::Entries).map(|state| &state.records);
         let entries = records.into_iter().flat_map(BTreeMap::values);
@@ -288,8 +293,10 @@
 
     /// Records that the platform has no records of a topic.
     pub(crate) fn note_no_records(&self, topic: FleetTopic) {
-        if topic == FleetTopic::Weights {
-            self.node_state.note_weights_read();
+        match topic {
+            FleetTopic::Weights => self.node_state.note_weights_read(),
+            FleetTopic::Entries => self.node_state.note_entries_read(),
+            FleetTopic::Serving | FleetTopic::Targets => {}
         }
     }
 
@@ -369,6 +376,7 @@
     }
 
     fn entries_changed(&self) {
+        self.node_state.note_entries_read();
         let entries = self.entries();
         let role = cache_watch_role(&entries, &self.node);
         *self.role.lock().unwrap_or_else(PoisonError::into_inner) = role;
@@ -382,7 +390,10 @@
             Some(FleetRecord::Serving(document)) => self.apply_serving(document, revision),
             Some(FleetRecord::Target(target)) => self.apply_target(target, revision),
             Some(FleetRecord::Weights(weights)) => self.apply_weights(weights, origin),
-            Some(FleetRecord::Entry(_)) => {}
+            Some(FleetRecord::Entry(entry)) => {
+                let is_own = entry.name == self.node;
+                self.node_state.merge_crashes(&entry.crashes, &entry.name, is_own);
+            }
             Some(FleetRecord::Unreadable(why)) => {
                 request_log!("invalid platform record", kv: {
                     name = named.name.as_str(), why = why.as_str(), revision,
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -378,8 +378,9 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_process_is_ready_once_it_knows_document_targets_and_weights() {
-    let topics = [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights];
+async fn a_process_is_ready_once_it_knows_document_targets_weights_and_evidence_of_others() {
+    let topics =
+        [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
     for missing in topics {
         let node_state = empty_node_state();
         let records = FleetRecords::open(node_state.clone(), "entry-1");
@@ -417,7 +418,8 @@
             started_at_ms: 1,
             software_version: Some("v1".to_string()),
         }),
-        _ => return named(1, &[], 5),
+        FleetTopic::Weights => return named(1, &[], 5),
+        FleetTopic::Entries => return entry_records(2),
     };
     FleetUpdate {
         records: vec![NamedRecord { name: "i-1".to_string(), record: Some(record) }],
--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -10,7 +10,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use forwarder::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder};
+pub(crate) use forwarder::{ActiveRequest, BUFFERED_TOTAL_LIMIT_BYTES, Forwarder};
 pub(crate) use response::{
     ClientBody, IncompleteResponse, ResponseDeadline, may_end_with_connection,
 };
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -73,6 +73,13 @@
     pub(crate) end: BodyEnd,
 }
 
+impl CompleteResponse {
+    /// Returns whether the target answered, and marked the end of its answer.
+    pub(crate) fn is_whole_answer(&self) -> bool {
+        self.head.status.is_success() && self.end == BodyEnd::Proven
+    }
+}
+
 /// Response of a target whose body is forwarded while it arrives.
 pub(crate) struct StreamingResponse {
     pub(crate) head: Parts,
@@ -127,6 +134,9 @@
             () = self.guard.wait_for_expiry() => {
                 Err(AttemptOutcome::Withdrawn("its weights became too old".to_string()))
             }
+            () = self.forwarder.crashes.wait_until_withheld(self.request) => {
+                Err(AttemptOutcome::Withdrawn("a part of its prompt ends targets".to_string()))
+            }
         }
     }
 
@@ -149,18 +159,23 @@
         Ok((connection, head, body))
     }
 
-    /// Returns a connection to the target, unless it has asked for a pause since it was chosen.
+    /// Returns a connection to the target, unless since it was chosen it has asked for a pause, or a
+    /// part of the prompt was blamed.
     async fn connect(&self, idle_limit: Duration) -> Result<Connection, SendError> {
         let (pool, address) = (&self.forwarder.pool, self.guard.assignment.address);
         let connection = pool.connect(address, idle_limit).await?;
-        if self.forwarder.node_state.pause_rest(&address).is_some() {
-            // The time for which a reused connection may be idle has begun before.
-            if !connection.is_reused {
-                pool.release(connection, None);
-            }
-            return Err(SendError::Paused);
+        let error = if self.forwarder.node_state.pause_rest(&address).is_some() {
+            SendError::Paused
+        } else if self.forwarder.crashes.is_withheld(self.request) {
+            SendError::Withheld
+        } else {
+            return Ok(connection);
+        };
+        // The time for which a reused connection may be idle has begun before.
+        if !connection.is_reused {
+            pool.release(connection, None);
         }
-        Ok(connection)
+        Err(error)
     }
 
     fn http_request(&self) -> Result<Request<Full<Bytes>>, SendError> {
@@ -225,11 +240,11 @@
 
     fn handle_send_error(&mut self, error: SendError) -> AttemptOutcome {
         self.guard.outcome = match error {
-            SendError::Paused => TargetOutcome::Unknown,
+            SendError::Paused | SendError::Withheld => TargetOutcome::Unknown,
             _ => TargetOutcome::Unreachable,
         };
         match error {
-            SendError::Paused => AttemptOutcome::NotSent(error.to_string()),
+            SendError::Paused | SendError::Withheld => AttemptOutcome::NotSent(error.to_string()),
             SendError::NotConnected(why) | SendError::NotSent(why) => {
                 self.forwarder.pool.close(&self.guard.assignment.address);
                 AttemptOutcome::NotSent(why)
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -10,6 +10,7 @@
 };
 use crate::{
     connection_pool::ConnectionPool,
+    crashes::{AttemptTarget, CrashWatch, PartPermit, Withheld},
     fleet::ServingConfirmer,
     log::{age_ms, request_log},
     node_state::{InFlightGuard, NodeState},
@@ -23,11 +24,13 @@
 use hyper::body::{Body, Frame, Incoming};
 use skylarkpick_http::{BodyEnd, BufferBudget, READ_BUFFER_LIMIT_BYTES, ReadBodyError, read_body};
 use skylarkpick_interface::{
-    ClientAttemptId, DataCentreId, Dialect, EventId, HeadError, Repeatability, RequestHead,
-    ResponseKind, ResponseMetadata, ServiceName, ServingAccount, ServingRoute, SoftwareVersion,
-    TargetControl, TargetId,
+    ClientAttemptId, DataCentreId, Dialect, EventId, HeadError, PartNumber, Repeatability,
+    RequestHead, ResponseKind, ResponseMetadata, ServiceName, ServingAccount, ServingRoute,
+    SoftwareVersion, TargetControl, TargetId,
+};
+use skylarkpick_schedule::{
+    PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason, part_number,
 };
-use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
 use skylarkpick_telemetry::{
     REQUESTS_ANSWER_START, REQUESTS_ANSWERED, SENDS_ENDED, STREAMS_RESUMED, metrics,
 };
@@ -60,6 +63,7 @@
     pub(crate) node_state: Arc<NodeState>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) pool: Arc<ConnectionPool>,
+    pub(crate) crashes: Arc<CrashWatch>,
     pub(crate) buffers: BufferBudget,
     pub(crate) confirmer: ServingConfirmer,
     pub(crate) data_centre: DataCentreId,
@@ -79,6 +83,10 @@
     pub(crate) account: Option<Arc<ServingAccount>>,
     pub(crate) deadline: Instant,
     pub(super) placement_request: PlacementRequest,
+    /// Parts of the prompt that are not the request's own.
+    pub(crate) shared_parts: Vec<PartNumber>,
+    /// Right to send it, if one of its parts may end targets.
+    pub(crate) part_permit: Option<PartPermit>,
     /// Share of the latency objective for which the request may wait for capacity.
     capacity_wait_share: f64,
     /// Whether the request has waited for capacity.
@@ -133,6 +141,11 @@
         self.route.destinations.len() == 1
     }
 
+    /// Returns whether an attempt may have run.
+    pub(crate) fn has_run(&self) -> bool {
+        self.runs > 0
+    }
+
     /// Restricts further attempts to targets on a software version.
     pub(crate) fn bind_to_version(&mut self, version: SoftwareVersion) {
         self.placement_request.software_version = Some(version);
@@ -144,7 +157,7 @@
     }
 
     /// Returns the start of the list of the prompt's parts, without the one that is the request's own.
-    pub(super) fn logged_parts(&self) -> String {
+    pub(crate) fn logged_parts(&self) -> String {
         let parts = self.head.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
         let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let ids: Vec<&str> = shared.iter().map(|part| part.id.as_str()).collect();
@@ -239,6 +252,9 @@
             .unwrap_or_default();
         let placement_request =
             self.placement_request(&head, &route, account.as_deref(), service, timeout);
+        let prompt_parts = head.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
+        let shared = prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared_parts = shared.iter().map(|part| part_number(&part.id)).collect();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
         Ok(ActiveRequest {
             received,
@@ -249,6 +265,8 @@
             account,
             deadline: received + timeout,
             placement_request,
+            shared_parts,
+            part_permit: None,
             capacity_wait_share: self.node_state.lock().placement.policy().capacity_wait_share,
             serving_version: serving.version(),
             has_waited: false,
@@ -435,6 +453,13 @@
             "no target was tried".to_string(),
         );
         loop {
+            if let Err(Withheld { wait }) = self.crashes.admit(request) {
+                if request.has_run() {
+                    return last;
+                }
+                let why = "a part of its prompt may end targets".to_string();
+                return SendResult::Failed(GatewayError::RetryLater { wait }, why);
+            }
             let assignment = match self.node_state.choose(&request.placement_request) {
                 PlacementDecision::Assigned(assignment) => assignment,
                 PlacementDecision::Unplaced(UnplacedReason::Full { wait })
@@ -493,8 +518,18 @@
                 waited_ms = milliseconds(request.received.elapsed()),
             });
             request.sends += 1;
+            let place = AttemptTarget::of(&guard.assignment);
             let attempt = Attempt { forwarder: self, request, guard, resume_after };
             let outcome = attempt.run().await;
+            match &outcome {
+                AttemptOutcome::NoValidResponse(_) => {
+                    self.crashes.note_broken(&place, request, None).await;
+                }
+                AttemptOutcome::Complete(response) if response.is_whole_answer() => {
+                    self.crashes.note_answer(request);
+                }
+                _ => {}
+            }
             metrics().count(&SENDS_ENDED, &[("end", outcome.name())]);
             if let Some(result) = self.handle_outcome(request, target, outcome, &mut last) {
                 return result;
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -9,7 +9,10 @@
     forwarder::{ActiveRequest, Forwarder},
     response::IncompleteResponse,
 };
-use crate::log::{age_ms, request_log};
+use crate::{
+    crashes::AttemptTarget,
+    log::{age_ms, request_log},
+};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use skylarkpick_http::{BodyEnd, describe};
@@ -151,7 +154,7 @@
                 ReadResult::Data(bytes) => self.push(bytes),
                 ReadResult::End => match self.cut_reason() {
                     None => {
-                        self.finish();
+                        self.finish().await;
                         return None;
                     }
                     Some(why) => {
@@ -228,15 +231,23 @@
         is_overstated.then_some("the end of the resumed stream is not proven")
     }
 
-    fn finish(&mut self) {
+    async fn finish(&mut self) {
         self.end = StreamEnd::Complete;
-        if let Some(mut current) = self.current.take() {
-            current.guard.outcome = TargetOutcome::Served;
-            if current.body.end() == BodyEnd::Unproven {
-                self.end = StreamEnd::Unproven;
-            } else if !current.metadata.closes {
-                self.forwarder.pool.release(current.connection, current.metadata.idle_limit);
-            }
+        let Some(mut current) = self.current.take() else { return };
+        current.guard.outcome = TargetOutcome::Served;
+        if current.body.end() == BodyEnd::Unproven {
+            self.end = StreamEnd::Unproven;
+            // The end of a target looks the same.
+            let place = AttemptTarget::of(&current.guard.assignment);
+            let since_first_piece = current.guard.since_first_response();
+            self.forwarder.crashes.note_broken(&place, &self.request, since_first_piece).await;
+            return;
+        }
+        if current.head.status.is_success() {
+            self.forwarder.crashes.note_answer(&self.request);
+        }
+        if !current.metadata.closes {
+            self.forwarder.pool.release(current.connection, current.metadata.idle_limit);
         }
     }
 
@@ -254,6 +265,7 @@
         failed.guard.outcome = TargetOutcome::Failed;
         let since_first_piece = failed.guard.since_first_response();
         let assignment = &failed.guard.assignment;
+        let place = AttemptTarget::of(assignment);
         let (target, software_version) =
             (assignment.target.clone(), assignment.software_version.clone());
         drop(failed);
@@ -270,6 +282,7 @@
             last_event = self.last_event.unwrap_or_default(),
             resumable = may_repeat && self.splits_events,
         });
+        self.forwarder.crashes.note_broken(&place, &self.request, since_first_piece).await;
         if !may_repeat || !self.splits_events {
             return false;
         }
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod connection_pool;
+mod crashes;
 mod fleet;
 mod forwarding;
 mod jitter;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -3,6 +3,7 @@
 use crate::{
     client::ClientListener,
     connection_pool::ConnectionPool,
+    crashes::{CrashWatch, send_cleared_parts, send_crashes, store_crashes},
     fleet::{
         CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer,
         record_weights, run_planner, sample_loads, watch_caches, watch_topic,
@@ -17,8 +18,8 @@
 };
 use skylarkpick_http::{BufferBudget, Server, ServerLimits};
 use skylarkpick_interface::{
-    Clock, Dialect, FleetSource, FleetTopic, NodeSettings, ObjectStore, RegisteredEntry,
-    TargetControl,
+    Clock, CrashReport, Dialect, FleetSource, FleetTopic, NodeSettings, ObjectStore,
+    RegisteredEntry, TargetControl,
 };
 use skylarkpick_schedule::PlacementPolicy;
 use skylarkpick_telemetry::Exposition;
@@ -94,10 +95,13 @@
             watcher: watcher.clone(),
             data_centre: settings.data_centre.clone(),
         });
+        let pool = ConnectionPool::open();
+        let crashes = CrashWatch::open(node_state.clone(), pool.clone(), watcher.clone());
         let forwarder = Arc::new(Forwarder {
             node_state: node_state.clone(),
             dialect: parts.dialect.clone(),
-            pool: ConnectionPool::open(),
+            pool,
+            crashes: crashes.clone(),
             buffers: BufferBudget::open(BUFFERED_TOTAL_LIMIT_BYTES),
             confirmer: ServingConfirmer::open(watcher.clone()),
             data_centre: settings.data_centre.clone(),
@@ -127,6 +131,9 @@
         }
         tasks.spawn(take_over_history(streams.clone()));
         tasks.spawn(share_streams(streams));
+        tasks.spawn(send_crashes(crashes.clone()));
+        tasks.spawn(send_cleared_parts(crashes.clone()));
+        tasks.spawn(store_crashes(crashes));
         tasks.spawn(record_weights(watcher.clone()));
         tasks.spawn(expire_targets(watcher.clone()));
         tasks.spawn(sample_loads(LoadSampler {
@@ -210,6 +217,7 @@
         address: settings.peer_address,
         data_centre: settings.data_centre.clone(),
         cpu_percent: settings.cpu_percent,
+        crashes: CrashReport::default(),
     }
 }
 
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -2,15 +2,15 @@
 
 use crate::serving_index::ServingIndex;
 use skylarkpick_interface::{
-    Clock, ModelName, NodeLimits, ReportedLoad, ServiceName, WeightVersion,
+    Clock, ModelName, NodeLimits, PartNumber, ReportedLoad, ServiceName, WeightVersion,
 };
 use skylarkpick_schedule::{
-    Assignment, MemorySample, Placement, PlacementDecision, PlacementPolicy, PlacementPrompt,
-    PlacementRequest, SoftwareVersions, StreamOrigins, TargetOutcome, TargetView, UnplacedReason,
-    WaitingRequests, WindowRetryBudget,
+    Assignment, CrashEvidence, MemorySample, Placement, PlacementDecision, PlacementPolicy,
+    PlacementPrompt, PlacementRequest, SoftwareVersions, StreamOrigins, TargetOutcome, TargetView,
+    UnplacedReason, WaitingRequests, WindowRetryBudget,
 };
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -50,8 +50,14 @@
     desired_weights_changed: Notify,
     /// Wakes the requests that wait for capacity when some may have become free.
     capacity_changed: Notify,
+    /// Wakes the attempts that have not started when parts of prompts are blamed.
+    pub(crate) blame_changed: Notify,
+    /// Wakes the task that writes the evidence of ended targets to the platform.
+    pub(crate) evidence_changed: Notify,
     /// Whether the desired weights have been read since the start.
     knows_weights: AtomicBool,
+    /// Whether the entry processes have been read since the start, with their evidence.
+    knows_evidence: AtomicBool,
     draining: AtomicBool,
     in_flight: AtomicU64,
 }
@@ -70,6 +76,10 @@
     pub(crate) software_versions: SoftwareVersions,
     /// Runs that began streams at this process, and at others for which it keeps them.
     pub(crate) stream_origins: StreamOrigins,
+    /// Ends of targets, and the parts of prompts that may be why.
+    pub(crate) crash_evidence: CrashEvidence,
+    /// Suspected and tried parts with a request under way.
+    pub(crate) permitted_parts: BTreeSet<PartNumber>,
 }
 
 impl NodeState {
@@ -88,6 +98,8 @@
                 waiting: WaitingRequests::default(),
                 software_versions: SoftwareVersions::default(),
                 stream_origins: StreamOrigins::default(),
+                crash_evidence: CrashEvidence::default(),
+                permitted_parts: BTreeSet::new(),
             }),
             clock,
             limits,
@@ -95,7 +107,10 @@
             weights_changed: Notify::new(),
             desired_weights_changed: Notify::new(),
             capacity_changed: Notify::new(),
+            blame_changed: Notify::new(),
+            evidence_changed: Notify::new(),
             knows_weights: AtomicBool::new(false),
+            knows_evidence: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
         })
@@ -246,6 +261,16 @@
         }
     }
 
+    /// Records that the entry processes have been read.
+    pub(crate) fn note_entries_read(&self) {
+        self.knows_evidence.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the evidence that outlasted the start of this process is known.
+    pub(crate) fn knows_evidence(&self) -> bool {
+        self.knows_evidence.load(Ordering::SeqCst)
+    }
+
     /// Records that a target is about to swap its weights.
     pub(crate) fn note_swapping(&self, target: &str, model: &str, version: WeightVersion) {
         let now = self.now();
@@ -287,7 +312,8 @@
         let state = self.lock();
         let knows_targets = !state.placement.targets().is_empty();
         let knows_weights = self.knows_weights.load(Ordering::SeqCst);
-        state.serving.is_some() && knows_targets && knows_weights && !self.is_draining()
+        let knows_rest = knows_weights && self.knows_evidence();
+        state.serving.is_some() && knows_targets && knows_rest && !self.is_draining()
     }
 
     /// Returns the number of targets that accept new requests, and of those that are draining.
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -44,6 +44,9 @@
                     self.node_state.note_stream(stream, origin, false);
                 }
             }
+            Ok(Notice::Crashes { report }) => {
+                self.node_state.merge_crashes(&report, "another entry process", false);
+            }
             Err(error) => {
                 spdlog::warn!("invalid notice from another entry process", kv: { error: });
             }
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{
-    FleetRevision, FleetTopic, FleetUpdate, ModelName, ServiceName, SoftwareVersion, StreamOrigin,
-    TargetId, WeightVersion,
+    CrashReport, FleetRevision, FleetTopic, FleetUpdate, ModelName, ServiceName, SoftwareVersion,
+    StreamOrigin, TargetId, WeightVersion,
 };
 use skylarkpick_schedule::{SoftwareHistory, StreamFingerprint};
 use std::{net::SocketAddr, time::Duration};
@@ -67,6 +67,11 @@
         /// The streams.
         streams: Vec<StreamRecord>,
     },
+    /// What the sender tells about ends of targets.
+    Crashes {
+        /// The ends, and the parts of prompts answered since.
+        report: CrashReport,
+    },
 }
 
 /// A stream and the run that began it.
--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -6,8 +6,8 @@
 use hyper::body::Incoming;
 use skylarkpick_http::{Handler, ResponseBody, empty_response, full_body};
 use skylarkpick_telemetry::{
-    CONFIGURATION_VERSION, ENGINES_MEMORY_PERCENT, Exposition, READY, REQUESTS_UNDER_WAY,
-    REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING, metrics,
+    CONFIGURATION_VERSION, ENGINES_MEMORY_PERCENT, Exposition, PARTS_BLAMED, READY,
+    REQUESTS_UNDER_WAY, REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING, metrics,
 };
 use std::sync::Arc;
 
@@ -50,6 +50,7 @@
         let (serving, leaving) = self.node_state.count_targets();
         metrics.set(&RUNNERS_SERVING, serving, &[]);
         metrics.set(&RUNNERS_LEAVING, leaving, &[]);
+        metrics.set(&PARTS_BLAMED, self.node_state.count_blamed_parts(), &[]);
         Response::new(full_body(self.exposition.text()))
     }
 }
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -3,9 +3,9 @@
 use crate::{node_state::NodeState, peers::PeerResponse};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    Clock, DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic, FleetUpdate,
-    NamedRecord, NodeLimits, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
-    TokioClock, WatchError, WeightVersion, WriteError,
+    Clock, CrashReport, DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic,
+    FleetUpdate, NamedRecord, NodeLimits, PeerError, PeerHandler, PeerNetwork, PlatformError,
+    RegisteredEntry, TokioClock, WatchError, WeightVersion, WriteError,
 };
 use skylarkpick_schedule::PlacementPolicy;
 use std::{
@@ -56,6 +56,10 @@
         Ok(())
     }
 
+    async fn record_crashes(&self, _: &str, _: &CrashReport) -> Result<(), WriteError> {
+        Ok(())
+    }
+
     async fn record_desired_since(
         &self,
         _: &str,
@@ -92,6 +96,10 @@
         self.0.unregister(name).await
     }
 
+    async fn record_crashes(&self, name: &str, report: &CrashReport) -> Result<(), WriteError> {
+        self.0.record_crashes(name, report).await
+    }
+
     async fn record_desired_since(
         &self,
         model: &str,
@@ -137,6 +145,7 @@
             address: ([10, 0, 0, index], 80).into(),
             data_centre: "mnl-a".to_string(),
             cpu_percent: if index == 1 { 12 } else { 25 },
+            crashes: Default::default(),
         };
         NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
     });
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -2,6 +2,7 @@
 //! and the other entry processes.
 
 use crate::{
+    crash::CrashReport,
     ids::{
         AccountId, DataCentreId, ModelName, ServiceName, SoftwareVersion, TargetId, WeightVersion,
     },
@@ -195,6 +196,9 @@
     pub data_centre: DataCentreId,
     /// CPU share of the VM, in hundredths of a core.
     pub cpu_percent: u32,
+    /// What it tells about ends of targets. Outlasts the process, until its VM is removed.
+    #[serde(default)]
+    pub crashes: CrashReport,
 }
 
 /// Kind of platform records; each kind has a watch of its own.
@@ -319,6 +323,13 @@
     /// Returns an error if the platform is unavailable; the registration may have taken effect.
     async fn register(&self, entry: &RegisteredEntry) -> Result<(), PlatformError>;
 
+    /// Replaces what the registration of a process tells about ends of targets.
+    ///
+    /// # Errors
+    /// Returns an error if the platform is unavailable, the process is not registered, or another
+    /// process wrote the registration at the same time.
+    async fn record_crashes(&self, name: &str, report: &CrashReport) -> Result<(), WriteError>;
+
     /// Removes the registration of a process that no longer runs.
     ///
     /// # Errors
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod clock;
 mod control;
+mod crash;
 mod fleet;
 mod forward;
 mod hexadecimal;
@@ -23,6 +24,7 @@
     CacheEpoch, ControlError, EngineLoad, OrderOutcome, OrderState, PartChange, PartChanges,
     SignalObserver, TargetControl, WeightOrder,
 };
+pub use crash::{CrashReport, PartDepth, PartNumber, TargetCrash};
 pub use fleet::{
     ClientLimits, ContextMemory, DesiredSinceOutcome, DesiredWeights, Destination, FleetRecord,
     FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry,
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/crashes.rs
@@ -0,0 +1,10 @@
+//! Which parts of prompts may be why targets end.
+
+mod answered;
+mod evidence;
+#[cfg(test)]
+mod tests;
+mod verdict;
+
+pub use evidence::CrashEvidence;
+pub use verdict::{PartVerdict, part_number, trial_order};
--- /dev/null
+++ b/crates/skylarkpick-schedule/src/crashes/tests.rs
@@ -0,0 +1,376 @@
+use super::{CrashEvidence, PartVerdict, trial_order};
+use skylarkpick_interface::{CrashReport, PartDepth, PartNumber, RegisteredEntry};
+use std::{collections::BTreeMap, time::Duration};
+
+const SYSTEM: PartNumber = 1;
+const BAD: PartNumber = 2;
+const RARE: PartNumber = 3;
+const SECOND_MS: u64 = 1_000;
+/// A wall-clock time.
+const START_MS: u64 = 1_700_000_000_000;
+
+/// Something that a process sees, at a time in milliseconds after the start.
+#[derive(Clone, Copy, Debug)]
+enum Seen {
+    /// A target ended while it began to answer requests with these parts.
+    End(&'static str, u64, &'static [PartNumber]),
+    /// A whole answer to a request with these parts.
+    Answer(u64, &'static [PartNumber]),
+}
+
+/// Returns parts with their places in a prompt.
+fn prompt(parts: &[PartNumber]) -> BTreeMap<PartNumber, PartDepth> {
+    parts.iter().copied().zip(0..).collect()
+}
+
+fn play(evidence: &mut CrashEvidence, seen: &[Seen]) {
+    for event in seen {
+        match *event {
+            Seen::End(target, at_ms, parts) => {
+                evidence.note_crash(target, 0, START_MS + at_ms, &prompt(parts));
+            }
+            Seen::Answer(at_ms, parts) => {
+                evidence.note_answer(parts, START_MS + at_ms);
+            }
+        }
+    }
+}
+
+/// Returns the blamed parts.
+fn blamed(evidence: &CrashEvidence) -> Vec<PartNumber> {
+    evidence.blamed().collect()
+}
+
+#[test]
+fn parts_are_judged_by_the_ends_of_targets() {
+    struct Case {
+        name: &'static str,
+        seen: &'static [Seen],
+        blamed: &'static [PartNumber],
+        suspected: &'static [PartNumber],
+    }
+    use Seen::{Answer, End};
+    let cases = [
+        Case {
+            name: "one end says nothing",
+            seen: &[End("i-1", 0, &[SYSTEM, BAD])],
+            blamed: &[],
+            suspected: &[],
+        },
+        Case {
+            name: "two ends make a suspect of what was never answered",
+            seen: &[
+                Answer(0, &[SYSTEM]),
+                End("i-1", 100, &[SYSTEM, BAD]),
+                End("i-2", 900, &[SYSTEM, BAD]),
+            ],
+            blamed: &[],
+            suspected: &[BAD],
+        },
+        Case {
+            name: "three ends at three moments",
+            seen: &[
+                Answer(0, &[SYSTEM, RARE]),
+                End("i-1", 100, &[SYSTEM, BAD]),
+                End("i-2", 900, &[SYSTEM, BAD]),
+                End("i-3", 1_900, &[SYSTEM, BAD]),
+            ],
+            blamed: &[BAD],
+            suspected: &[],
+        },
+        Case {
+            name: "the same target again is one end",
+            seen: &[End("i-1", 0, &[BAD]), End("i-1", 1_000, &[BAD]), End("i-1", 2_000, &[BAD])],
+            blamed: &[],
+            suspected: &[],
+        },
+        Case {
+            name: "targets that end together are one moment",
+            seen: &[
+                End("i-1", 0, &[RARE]),
+                End("i-2", 40, &[RARE]),
+                End("i-3", 80, &[RARE]),
+                End("i-4", 120, &[RARE]),
+                End("i-5", 200, &[RARE]),
+            ],
+            blamed: &[],
+            suspected: &[RARE],
+        },
+        Case {
+            name: "a part that was answered since is cleared",
+            seen: &[
+                End("i-1", 0, &[SYSTEM, BAD]),
+                End("i-2", 1_000, &[SYSTEM, BAD]),
+                Answer(1_500, &[SYSTEM, BAD]),
+                End("i-3", 2_000, &[SYSTEM, BAD]),
+            ],
+            blamed: &[],
+            suspected: &[],
+        },
+        Case {
+            name: "of two parts that explain the same ends, the one that was never answered",
+            seen: &[
+                Answer(0, &[SYSTEM]),
+                End("i-1", 100, &[SYSTEM, BAD]),
+                End("i-2", 1_000, &[SYSTEM, BAD]),
+                End("i-3", 2_000, &[SYSTEM, BAD]),
+                End("i-4", 3_000, &[SYSTEM, BAD]),
+            ],
+            blamed: &[BAD],
+            suspected: &[],
+        },
+        Case {
+            name: "of two parts that were never answered, the one that fewer prompts share",
+            seen: &[
+                End("i-1", 100, &[SYSTEM, BAD]),
+                End("i-2", 1_000, &[SYSTEM, BAD]),
+                End("i-3", 2_000, &[SYSTEM, BAD]),
+            ],
+            blamed: &[BAD],
+            suspected: &[],
+        },
+        Case {
+            name: "the first part of prompts that have nothing else in common",
+            seen: &[
+                End("i-1", 100, &[SYSTEM, BAD]),
+                End("i-2", 1_000, &[SYSTEM, RARE]),
+                End("i-3", 2_000, &[SYSTEM]),
+            ],
+            blamed: &[SYSTEM],
+            suspected: &[],
+        },
+        Case {
+            name: "a suspect explains what its prompts share",
+            seen: &[End("i-1", 100, &[SYSTEM, BAD]), End("i-2", 1_000, &[SYSTEM, BAD])],
+            blamed: &[],
+            suspected: &[BAD],
+        },
+        Case {
+            name: "a bystander is explained by the blamed part, also in more ends",
+            seen: &[
+                Answer(0, &[SYSTEM]),
+                End("i-1", 100, &[SYSTEM, BAD, RARE]),
+                End("i-2", 1_000, &[SYSTEM, BAD, RARE]),
+                End("i-3", 2_000, &[SYSTEM, BAD]),
+                End("i-4", 3_000, &[SYSTEM, BAD, RARE]),
+            ],
+            blamed: &[BAD],
+            suspected: &[],
+        },
+        Case {
+            name: "a part that turned bad after answers",
+            seen: &[
+                Answer(0, &[SYSTEM, BAD]),
+                End("i-1", 100, &[SYSTEM, BAD]),
+                Answer(500, &[SYSTEM]),
+                End("i-2", 1_000, &[SYSTEM, BAD]),
+                Answer(1_500, &[SYSTEM]),
+                End("i-3", 2_000, &[SYSTEM, BAD]),
+                Answer(2_500, &[SYSTEM]),
+                End("i-4", 3_000, &[SYSTEM, BAD]),
+            ],
+            blamed: &[BAD],
+            suspected: &[],
+        },
+        Case {
+            name: "two parts, each with ends of its own",
+            seen: &[
+                End("i-1", 0, &[BAD]),
+                End("i-2", 1_000, &[RARE]),
+                End("i-3", 2_000, &[BAD]),
+                End("i-4", 3_000, &[RARE]),
+                End("i-5", 4_000, &[BAD]),
+                End("i-6", 5_000, &[RARE]),
+            ],
+            blamed: &[BAD, RARE],
+            suspected: &[],
+        },
+    ];
+    for Case { name, seen, blamed: expected, suspected } in cases {
+        let mut evidence = CrashEvidence::default();
+        play(&mut evidence, seen);
+        assert_eq!(blamed(&evidence), expected, "{name}");
+        for part in [SYSTEM, BAD, RARE] {
+            let verdict = evidence.verdict(&[part], START_MS + 10 * SECOND_MS);
+            let is_suspect = verdict == PartVerdict::Suspect(part);
+            assert_eq!(is_suspect, suspected.contains(&part), "{name}: {part} {verdict:?}");
+        }
+    }
+}
+
+/// Four processes that see one end each, or answers.
+fn separate_processes() -> Vec<CrashEvidence> {
+    let seen: [&[Seen]; 4] = [
+        &[Seen::Answer(0, &[SYSTEM]), Seen::End("i-1", 100, &[SYSTEM, BAD])],
+        &[Seen::Answer(0, &[SYSTEM]), Seen::End("i-2", 1_000, &[SYSTEM, BAD, RARE])],
+        &[Seen::Answer(0, &[SYSTEM]), Seen::End("i-3", 2_000, &[SYSTEM, BAD, RARE])],
+        &[Seen::Answer(2_500, &[SYSTEM])],
+    ];
+    let processes = seen.into_iter().map(|seen| {
+        let mut evidence = CrashEvidence::default();
+        play(&mut evidence, seen);
+        evidence
+    });
+    processes.collect()
+}
+
+#[test]
+fn reports_of_several_processes_blame_a_part_in_any_order_and_repeated() {
+    let reports: Vec<CrashReport> =
+        separate_processes().iter().map(|it| it.report(|_| false)).collect();
+    let orders = [[0, 1, 2, 3], [3, 2, 1, 0], [2, 0, 3, 1]];
+    for order in orders {
+        for (index, mut evidence) in separate_processes().into_iter().enumerate() {
+            assert!(blamed(&evidence).is_empty(), "no process alone saw enough");
+            for report in order.into_iter().chain(order) {
+                evidence.merge(&reports[report], false, START_MS + 3 * SECOND_MS);
+            }
+            assert_eq!(blamed(&evidence), [BAD], "process {index}, {order:?}");
+            let again = evidence.merge(&reports[0], false, START_MS + 4 * SECOND_MS);
+            assert!(!again, "process {index}: a report that was merged is not new");
+        }
+    }
+}
+
+#[test]
+fn a_whole_answer_elsewhere_clears_a_part_everywhere_and_old_reports_do_not_undo_it() {
+    let mut first = CrashEvidence::default();
+    let ends = [
+        Seen::End("i-1", 0, &[RARE]),
+        Seen::End("i-2", 1_000, &[RARE]),
+        Seen::End("i-3", 2_000, &[RARE]),
+    ];
+    play(&mut first, &ends);
+    let stale = first.report(|_| false);
+    let mut second = CrashEvidence::default();
+    second.merge(&stale, false, START_MS + 2_100);
+    assert_eq!(blamed(&second), [RARE]);
+    assert!(second.note_answer(&[RARE], START_MS + 3_000), "others are told");
+    assert!(blamed(&second).is_empty());
+    first.merge(&second.report(|_| false), false, START_MS + 3_100);
+    assert!(blamed(&first).is_empty());
+    for evidence in [&mut first, &mut second] {
+        assert!(!evidence.merge(&stale, false, START_MS + 3_200));
+        assert!(blamed(evidence).is_empty());
+    }
+}
+
+#[test]
+fn a_process_keeps_reporting_what_it_saw_before_its_restart() {
+    let mut before = CrashEvidence::default();
+    play(&mut before, &[Seen::End("i-1", 0, &[BAD])]);
+    let report = before.report(|_| false);
+    let mut after = CrashEvidence::default();
+    after.merge(&report, true, START_MS + SECOND_MS);
+    assert_eq!(after.report(|_| false), report);
+    let mut other = CrashEvidence::default();
+    other.merge(&report, false, START_MS + SECOND_MS);
+    assert!(other.report(|_| false).is_empty(), "others report only what they saw");
+}
+
+#[test]
+fn evidence_against_a_blamed_part_is_kept_by_others_too() {
+    let mut seer = CrashEvidence::default();
+    let ends = [
+        Seen::End("i-1", 0, &[BAD]),
+        Seen::End("i-2", 1_000, &[BAD]),
+        Seen::End("i-3", 2_000, &[BAD]),
+    ];
+    play(&mut seer, &ends);
+    let mut keeper = CrashEvidence::default();
+    keeper.merge(&seer.report(|_| false), false, START_MS + 2_100);
+    assert_eq!(keeper.report(|part| part == BAD).crashes.len(), 3);
+    assert_eq!(keeper.report(|part| part != BAD).crashes.len(), 0);
+}
+
+#[test]
+fn a_blamed_part_is_tried_again_ever_more_rarely() {
+    let mut evidence = CrashEvidence::default();
+    let mut now_ms = START_MS;
+    for number in 0..3 {
+        evidence.note_crash(&format!("i-{number}"), 0, now_ms, &prompt(&[BAD]));
+        now_ms += SECOND_MS;
+    }
+    now_ms -= SECOND_MS;
+    for (number, wait_s) in [60, 120, 240, 480, 900, 900, 900, 900].into_iter().enumerate() {
+        let wait = Duration::from_secs(wait_s);
+        let verdict = evidence.verdict(&[BAD], now_ms);
+        assert_eq!(verdict, PartVerdict::Blamed { part: BAD, until_trial: wait }, "{number}");
+        now_ms += wait_s * SECOND_MS;
+        let due = PartVerdict::Blamed { part: BAD, until_trial: Duration::ZERO };
+        assert_eq!(evidence.verdict(&[BAD], now_ms), due, "{number}");
+        evidence.note_trial(BAD, Duration::from_secs(60), now_ms);
+        assert_ne!(evidence.verdict(&[BAD], now_ms), due, "one at a time");
+        evidence.note_crash(&format!("i-trial-{number}"), 0, now_ms, &prompt(&[BAD]));
+    }
+}
+
+#[test]
+fn a_trial_that_is_answered_returns_the_part() {
+    let mut evidence = CrashEvidence::default();
+    let ends = [
+        Seen::End("i-1", 0, &[BAD]),
+        Seen::End("i-2", 1_000, &[BAD]),
+        Seen::End("i-3", 2_000, &[BAD]),
+    ];
+    play(&mut evidence, &ends);
+    evidence.note_trial(BAD, Duration::from_secs(60), START_MS + 62 * SECOND_MS);
+    play(&mut evidence, &[Seen::Answer(63 * SECOND_MS, &[BAD])]);
+    assert_eq!(evidence.verdict(&[BAD], START_MS + 64 * SECOND_MS), PartVerdict::Free);
+}
+
+#[test]
+fn evidence_is_bounded_and_what_blames_a_part_is_dropped_last() {
+    let mut evidence = CrashEvidence::default();
+    let ends = [
+        Seen::End("i-1", 0, &[BAD]),
+        Seen::End("i-2", 1_000, &[BAD]),
+        Seen::End("i-3", 2_000, &[BAD]),
+    ];
+    play(&mut evidence, &ends);
+    for number in 0..320 {
+        let at_ms = START_MS + 3_000 + number;
+        evidence.note_crash(
+            &format!("j-{number}"),
+            0,
+            at_ms,
+            &(200 * number + 1_000..200 * number + 1_080).map(|part| (part, 0)).collect(),
+        );
+    }
+    assert!(blamed(&evidence).contains(&BAD));
+    let report = evidence.report(|_| true);
+    assert_eq!(report.crashes.len(), 32);
+    assert!(report.crashes.iter().all(|crash| crash.parts.len() <= 64));
+    let later_ms = START_MS + 3_600 * SECOND_MS + 10 * SECOND_MS;
+    evidence.note_crash("k-1", 0, later_ms, &prompt(&[RARE]));
+    assert_eq!(evidence.verdict(&[BAD], later_ms), PartVerdict::Free, "forgotten after an hour");
+}
+
+#[test]
+fn a_clock_that_is_ahead_does_not_make_evidence_outlast_answers() {
+    let mut fast = CrashEvidence::default();
+    let hour_ms = 3_600 * SECOND_MS;
+    for (number, at_ms) in [(1, 0), (2, 1_000), (3, 2_000)] {
+        fast.note_crash(&format!("i-{number}"), 0, START_MS + hour_ms + at_ms, &prompt(&[RARE]));
+    }
+    let mut evidence = CrashEvidence::default();
+    evidence.merge(&fast.report(|_| false), false, START_MS);
+    evidence.note_answer(&[RARE], START_MS + 10);
+    assert_eq!(evidence.verdict(&[RARE], START_MS + 20), PartVerdict::Free);
+}
+
+#[test]
+fn processes_agree_on_who_tries_a_part() {
+    let entries: Vec<RegisteredEntry> = (0..7)
+        .map(|index| RegisteredEntry {
+            name: format!("entry-{index}"),
+            address: ([10, 0, 0, index], 80).into(),
+            data_centre: "mnl-a".to_string(),
+            cpu_percent: 25,
+            crashes: CrashReport::default(),
+        })
+        .collect();
+    let reversed: Vec<RegisteredEntry> = entries.iter().rev().cloned().collect();
+    assert_eq!(trial_order(BAD, &entries), trial_order(BAD, &reversed));
+    assert_ne!(trial_order(BAD, &entries), trial_order(RARE, &entries));
+}
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -1,6 +1,6 @@
 //! The decisions of the system: choice of targets, admission and queues, limits, retry budgets,
-//! saving of cached context, transfers, rollouts of weights, and which targets may go on with a
-//! stream.
+//! saving of cached context, transfers, rollouts of weights, which targets may go on with a stream,
+//! and which parts of prompts may be why targets end.
 //!
 //! Two schedulers choose targets: [`Router`] for `skylarkpick-entry`, and [`Placement`] for the
 //! reverse proxy `skylarkpick-forward`.
@@ -8,6 +8,7 @@
 //! All of it is free of I/O: the caller passes in the time and the observations.
 
 mod admission;
+mod crashes;
 mod health;
 mod limit;
 mod placement;
@@ -22,6 +23,7 @@
 pub use admission::{
     Admission, AdmissionDecision, AdmissionRequest, QueueDecision, Refusal, RefusalReason,
 };
+pub use crashes::{CrashEvidence, PartVerdict, part_number, trial_order};
 pub use health::{Ejection, TargetHealth, TargetState};
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use placement::{
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -155,6 +155,22 @@
     description: "orders that the planner sent to targets, by outcome",
 };
 
+/// Requests that were not sent because of a part of their prompts, which may end targets.
+pub const REQUESTS_WITHHELD: Metric = Metric {
+    name: "requests.withheld",
+    kind: MetricKind::Counter,
+    tags: &[],
+    description: "requests not sent, since a part of their prompts may end targets",
+};
+
+/// Parts of prompts that are blamed for ends of targets.
+pub const PARTS_BLAMED: Metric = Metric {
+    name: "parts.blamed",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "parts of prompts that are blamed for ends of targets",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -173,4 +189,6 @@
     STREAMS_RESUMED,
     FEEDS_LOST,
     ORDERS_GIVEN,
+    REQUESTS_WITHHELD,
+    PARTS_BLAMED,
 ];
