Soak: targets that end by a part of a prompt, or all together, and processes cut from each other

Change: clients send prompts; while a part ends targets, a tenth of the calls have it. All targets end together at times; three seeds in ten cut the processes from each other for the whole run. Checks: at most three requests later than 3 s after the fifth end, from processes that were not disturbed; at least half of the sound prompts served from 6 s on while the part still comes.

--- a/crates/skylarkpick-schedule/src/crashes/evidence.rs
+++ b/crates/skylarkpick-schedule/src/crashes/evidence.rs
@@ -216,10 +216,13 @@
 
     /// Removes a part from the ends up to a time. Returns whether it counted against any.
     fn clear(&mut self, part: PartNumber, at_ms: u64) -> bool {
-        let earlier = self.crashes.values_mut().filter(|it| it.crash.ended_at_ms <= at_ms);
-        earlier.fold(false, |is_cleared, known| {
-            known.crash.parts.remove(&part).is_some() || is_cleared
-        })
+        let mut is_cleared = false;
+        for KnownCrash { crash, .. } in self.crashes.values_mut() {
+            if crash.ended_at_ms <= at_ms {
+                is_cleared |= crash.parts.remove(&part).is_some();
+            }
+        }
+        is_cleared
     }
 
     fn judge(&mut self, now_ms: u64) {
--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     history::{Call, CallKind, History},
+    part_checks::check_parts,
     signal_checks::check_signals,
     stream_checks::{check_streams, is_stream_correct},
 };
@@ -51,6 +52,7 @@
     }
     check_streams(history, &mut findings);
     check_signals(history, &mut findings);
+    check_parts(history, &mut findings);
     check_arrivals(history, &mut findings);
     check_process_exits(history, &mut findings);
     findings
@@ -206,11 +208,7 @@
 
     fn is_served_when_stable(&self) -> bool {
         let call = self.call;
-        let has_valid_key = self.history.keys.iter().any(|key| {
-            key.key == call.request.key
-                && key.from + CONFIGURATION_LIMIT < call.sent_at
-                && key.until.is_none_or(|until| call.ended_at < until)
-        });
+        let has_valid_key = self.history.has_valid_key(call);
         let is_stable = self.history.stable_since.is_some_and(|since| call.sent_at > since);
         // A stream that is taken up may be refused; the share that goes on has a rule of its own.
         let may_be_refused = call.request.resumes.is_some() && call.is_rejected();
--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::{
     checks::ROUTE_TIMEOUT,
     history::{Call, CallKind},
+    plan::CrashingPart,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use skylarkpick_platform_standin::{ClientRequest, TestClient};
@@ -48,6 +49,15 @@
 /// Share of calls with an API key that is never configured.
 const UNKNOWN_KEY_PERCENT: u32 = 3;
 
+/// Share of calls without a prompt.
+const NO_PROMPT_PERCENT: u32 = 20;
+/// Share of calls with a part that ends targets, while there is one.
+const CRASHING_PERCENT: u32 = 10;
+/// First part of all prompts.
+const SYSTEM_PART: &str = "system";
+/// Parts that sound prompts share.
+const DOCUMENTS: [&str; 4] = ["document-1", "document-2", "document-3", "document-4"];
+
 /// API key that is always configured.
 pub(crate) const MAIN_KEY: &str = "key-main";
 const UNKNOWN_KEY: &str = "key-unheld";
@@ -57,6 +67,8 @@
     calls: Mutex<Vec<Call>>,
     /// API key that the operator added or revoked last.
     changed_key: Mutex<Option<String>>,
+    /// Part of a prompt that ends targets, while one does.
+    crashing_part: Mutex<Option<CrashingPart>>,
     next_call: AtomicU64,
     is_stopped: AtomicBool,
 }
@@ -71,8 +83,15 @@
     /// Starts the clients of the processes at these addresses.
     pub(crate) fn spawn(seed: u64, addresses: &[SocketAddr]) -> Clients {
         let (calls, changed_key) = (Mutex::default(), Mutex::default());
+        let crashing_part = Mutex::default();
         let (next_call, is_stopped) = (AtomicU64::new(0), AtomicBool::new(false));
-        let shared = Arc::new(SharedClientState { calls, changed_key, next_call, is_stopped });
+        let shared = Arc::new(SharedClientState {
+            calls,
+            changed_key,
+            crashing_part,
+            next_call,
+            is_stopped,
+        });
         let mut clients = JoinSet::new();
         for process in 0..addresses.len() {
             for client in 0..CLIENTS_PER_PROCESS {
@@ -98,6 +117,24 @@
         *self.changed_key.lock().unwrap_or_else(PoisonError::into_inner) = Some(key.to_string());
     }
 
+    /// Makes clients use a part of a prompt that ends targets, or stop using any.
+    pub(crate) fn set_crashing_part(&self, part: Option<CrashingPart>) {
+        *self.crashing_part.lock().unwrap_or_else(PoisonError::into_inner) = part;
+    }
+
+    /// Draws the parts of a prompt, the request's own one last; most requests have a prompt.
+    fn draw_parts(&self, number: u64, random: &mut StdRng) -> Vec<String> {
+        let crashing = *self.crashing_part.lock().unwrap_or_else(PoisonError::into_inner);
+        let document = DOCUMENTS[random.random_range(0..DOCUMENTS.len())];
+        let draw = random.random_range(0..100);
+        let shared = match crashing {
+            _ if draw < NO_PROMPT_PERCENT => return Vec::new(),
+            Some(part) if draw < NO_PROMPT_PERCENT + CRASHING_PERCENT => part,
+            _ => document,
+        };
+        vec![SYSTEM_PART.to_string(), shared.to_string(), format!("own-{number}")]
+    }
+
     fn next_number(&self) -> u64 {
         self.next_call.fetch_add(1, Ordering::Relaxed)
     }
@@ -121,7 +158,7 @@
             deadline: ROUTE_TIMEOUT,
             resumes: None,
             last_event_id: None,
-            parts: Vec::new(),
+            parts: self.draw_parts(number, random),
         }
     }
 
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -1,6 +1,7 @@
 //! The history of a soak: client calls, runs of targets, disturbances, and the changes that the
 //! operator made.
 
+use crate::checks::CONFIGURATION_LIMIT;
 use skylarkpick_platform_standin::{
     Arrival, ClientRequest, ClientResponse, StreamEvent, stream_event_count, whole_events,
 };
@@ -198,6 +199,15 @@
         }
     }
 
+    /// Whether the API key of a call was in force from its start to its end.
+    pub(crate) fn has_valid_key(&self, call: &Call) -> bool {
+        self.keys.iter().any(|key| {
+            key.key == call.request.key
+                && key.from + CONFIGURATION_LIMIT < call.sent_at
+                && key.until.is_none_or(|until| call.ended_at < until)
+        })
+    }
+
     /// Whether neither a process nor the platform was disturbed between two times, nor within the
     /// contact window before.
     pub(crate) fn is_process_undisturbed(
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod checks;
 mod clients;
+mod ended_targets;
 mod history;
 mod network;
+mod part_checks;
 mod plan;
 mod process;
 mod proxy;
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -30,6 +30,21 @@
 const PAUSE_LIMIT: Duration = Duration::from_secs(3);
 /// Distinguishes the generator of the faults of answers from those of the other faults.
 const ANSWER_SEED: u64 = 1 << 62;
+/// Upper limit of the random pause between two faults that end targets.
+const END_FAULT_GAP_LIMIT: Duration = Duration::from_secs(8);
+/// Shortest and longest time for which a part ends targets. The users' rule allows for three seconds
+/// after the fifth end.
+const CRASHING_SPANS: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(10));
+/// Share of seeds whose processes are cut from each other, but not from the platform.
+const NO_PEER_LINKS_PERCENT: u32 = 30;
+/// Distinguishes the generator of the ends of targets from those of the other faults.
+const END_SEED: u64 = 1 << 61;
+
+/// Part of a prompt that ends targets.
+pub(crate) type CrashingPart = &'static str;
+
+/// The parts that end targets; no sound prompt has one of them.
+pub(crate) const CRASHING_PARTS: [CrashingPart; 2] = ["bad-1", "bad-2"];
 
 /// A fault of a network link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -91,6 +106,11 @@
     TargetPauses { target: usize, pause: Duration, span: Duration },
     /// A target says that it leaves, and is then replaced.
     TargetLeaves { target: usize, version: SoftwareVersion },
+    /// Requests with one part of a prompt end each target that begins to answer them, until the fault
+    /// ends.
+    CrashingPart { part: CrashingPart, span: Duration },
+    /// All targets end at the same moment.
+    EndTargets,
     /// The operator adds an API key, or revokes the one that was added last.
     ChangeKeys,
 }
@@ -100,6 +120,8 @@
 pub(crate) struct FaultPlan {
     /// Software versions of the targets at the start.
     pub(crate) software_versions: Vec<SoftwareVersion>,
+    /// Whether the processes can send messages to each other.
+    pub(crate) has_peer_links: bool,
     /// The faults, each with its start time after the start of the plan.
     pub(crate) faults: Vec<(Duration, PlannedFault)>,
 }
@@ -114,7 +136,7 @@
         let gap_limit = GAP_LIMITS[random.random_range(0..GAP_LIMITS.len())];
         let mut faults = Vec::new();
         if processes == 0 || targets == 0 {
-            return FaultPlan { software_versions, faults };
+            return FaultPlan { software_versions, has_peer_links: true, faults };
         }
         let mut at = gap_limit.mul_f64(random.random());
         while at < window {
@@ -132,8 +154,15 @@
             faults.push((at, draw_answer_fault(&mut random, &mut versions, targets)));
             at += ANSWER_FAULT_GAP_LIMIT.mul_f64(random.random());
         }
+        let mut random = StdRng::seed_from_u64(seed ^ END_SEED);
+        let has_peer_links = random.random_range(0..100) >= NO_PEER_LINKS_PERCENT;
+        let mut at = END_FAULT_GAP_LIMIT.mul_f64(random.random());
+        while at < window {
+            faults.push((at, draw_end_fault(&mut random)));
+            at += END_FAULT_GAP_LIMIT.mul_f64(random.random());
+        }
         faults.sort_by_key(|(at, _)| *at);
-        FaultPlan { software_versions, faults }
+        FaultPlan { software_versions, has_peer_links, faults }
     }
 }
 
@@ -187,6 +216,16 @@
     }
 }
 
+fn draw_end_fault(random: &mut StdRng) -> PlannedFault {
+    let part = CRASHING_PARTS[random.random_range(0..CRASHING_PARTS.len())];
+    let (shortest, longest) = CRASHING_SPANS;
+    let span = shortest + (longest - shortest).mul_f64(random.random());
+    match random.random_range(0..3) {
+        0 => PlannedFault::EndTargets,
+        _ => PlannedFault::CrashingPart { part, span },
+    }
+}
+
 fn draw_span(random: &mut StdRng) -> Duration {
     FAULT_FLOOR + (FAULT_LIMIT - FAULT_FLOOR).mul_f64(random.random())
 }
--- a/crates/skylarkpick-soak/src/proxy.rs
+++ b/crates/skylarkpick-soak/src/proxy.rs
@@ -17,11 +17,31 @@
 /// A running proxy. Dropping it resets all of its connections: a link does not close any by itself.
 pub(crate) struct FaultProxy {
     pub(crate) address: SocketAddr,
-    fault: Arc<watch::Sender<Option<LinkFault>>>,
-    upstream: Arc<watch::Sender<SocketAddr>>,
+    link: Arc<Link>,
     accepting: JoinHandle<()>,
 }
 
+/// State that the connections of a proxy share.
+struct Link {
+    fault: watch::Sender<Option<LinkFault>>,
+    upstream: watch::Sender<SocketAddr>,
+    /// Whether the upstream process has ended, so that the proxy refuses connections like it.
+    has_ended: watch::Sender<bool>,
+    is_listening: watch::Sender<bool>,
+}
+
+impl Link {
+    /// Makes the proxy refuse connections, if the upstream does.
+    async fn end_with_upstream(&self) {
+        let upstream = *self.upstream.borrow();
+        if TcpStream::connect(upstream).await.is_err() {
+            self.has_ended.send_replace(true);
+            // The sender lives as long as this value.
+            let _ = self.is_listening.subscribe().wait_for(|is_listening| !is_listening).await;
+        }
+    }
+}
+
 /// Direction of the data.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Direction {
@@ -34,29 +54,42 @@
     pub(crate) async fn bind(upstream: SocketAddr) -> std::io::Result<FaultProxy> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let fault = Arc::new(watch::channel(None).0);
-        let upstream = Arc::new(watch::channel(upstream).0);
-        let (faults, upstreams) = (fault.clone(), upstream.clone());
+        let link = Arc::new(Link {
+            fault: watch::Sender::new(None),
+            upstream: watch::Sender::new(upstream),
+            has_ended: watch::Sender::new(false),
+            is_listening: watch::Sender::new(true),
+        });
+        let shared = link.clone();
         let accepting = tokio::spawn(async move {
+            let mut ended = shared.has_ended.subscribe();
             // Dropped when the task is aborted, which closes the connections.
             let mut connections = JoinSet::new();
-            while let Ok((client, _)) = listener.accept().await {
-                let upstream = *upstreams.borrow();
-                connections.spawn(forward_connection(client, upstream, faults.subscribe()));
-                while connections.try_join_next().is_some() {}
+            let accept = async {
+                while let Ok((client, _)) = listener.accept().await {
+                    connections.spawn(forward_connection(client, shared.clone()));
+                    while connections.try_join_next().is_some() {}
+                }
+            };
+            tokio::select! {
+                () = accept => {}
+                _ = ended.wait_for(|ended| *ended) => {}
             }
+            drop(listener);
+            shared.is_listening.send_replace(false);
+            while connections.join_next().await.is_some() {}
         });
-        Ok(FaultProxy { address, fault, upstream, accepting })
+        Ok(FaultProxy { address, link, accepting })
     }
 
     /// Starts a fault, or ends it with `None`.
     pub(crate) fn set_fault(&self, fault: Option<LinkFault>) {
-        self.fault.send_replace(fault);
+        self.link.fault.send_replace(fault);
     }
 
     /// Changes the upstream of new connections.
     pub(crate) fn set_upstream(&self, upstream: SocketAddr) {
-        self.upstream.send_replace(upstream);
+        self.link.upstream.send_replace(upstream);
     }
 }
 
@@ -66,14 +99,15 @@
     }
 }
 
-async fn forward_connection(
-    mut client: TcpStream,
-    upstream: SocketAddr,
-    mut fault: watch::Receiver<Option<LinkFault>>,
-) {
+async fn forward_connection(mut client: TcpStream, link: Arc<Link>) {
+    let mut fault = link.fault.subscribe();
     let is_reset = *fault.borrow() == Some(LinkFault::Reset);
+    let upstream = *link.upstream.borrow();
     let Some(mut server) = TcpStream::connect(upstream).await.ok().filter(|_| !is_reset) else {
         reset(&client);
+        if !is_reset {
+            link.end_with_upstream().await;
+        }
         return;
     };
     reset(&client);
@@ -81,8 +115,8 @@
     let is_orderly = {
         let (mut from_client, mut to_client) = client.split();
         let (mut from_server, mut to_server) = server.split();
-        let up = forward(&mut from_client, &mut to_server, fault.clone(), Direction::ToUpstream);
-        let down = forward(&mut from_server, &mut to_client, fault.clone(), Direction::ToClient);
+        let up = forward(&mut from_client, &mut to_server, &link, Direction::ToUpstream);
+        let down = forward(&mut from_server, &mut to_client, &link, Direction::ToClient);
         tokio::select! {
             _ = fault.wait_for(|fault| *fault == Some(LinkFault::Reset)) => false,
             ended = async { tokio::try_join!(up, down) } => ended.is_ok(),
@@ -97,12 +131,18 @@
 async fn forward(
     from: &mut (impl AsyncRead + Unpin),
     to: &mut (impl AsyncWrite + Unpin),
-    mut fault: watch::Receiver<Option<LinkFault>>,
+    link: &Link,
     direction: Direction,
 ) -> std::io::Result<()> {
+    let mut fault = link.fault.subscribe();
     let mut buffer = vec![0; BUFFER_SIZE_BYTES];
     loop {
-        let length = from.read(&mut buffer).await?;
+        let read = from.read(&mut buffer).await;
+        if direction == Direction::ToClient && !matches!(read, Ok(1..)) {
+            // The client must not see the end of a process that still seems to listen.
+            link.end_with_upstream().await;
+        }
+        let length = read?;
         let delay = match *fault.borrow() {
             Some(LinkFault::Delay(delay)) => delay,
             _ => Duration::ZERO,
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -3,11 +3,11 @@
 
 use crate::{
     checks::{DRAIN_LIMIT, Finding, ROUTE_TIMEOUT, check_history},
-    clients::{Clients, MAIN_KEY},
+    clients::{Clients, MAIN_KEY, SharedClientState},
     history::{
         Call, ConfiguredKey, Disturbance, DisturbanceScope, History, ServingTarget, SoftwareVersion,
     },
-    plan::{FaultPlan, ObjectApiFault, PlannedFault},
+    plan::{CrashingPart, FaultPlan, ObjectApiFault, PlannedFault},
     process::NodeProcess,
     proxy::FaultProxy,
     setup::{key_from_now, routes, start_process},
@@ -112,21 +112,20 @@
 pub async fn run_seed(settings: SoakSettings) -> anyhow::Result<SoakReport> {
     let targets = settings.processes.max(TARGETS_FLOOR);
     let plan = FaultPlan::draw(settings.seed, settings.fault_window, settings.processes, targets);
-    let fleet = Fleet::start(&settings, &plan.software_versions).await?;
+    let fleet = Fleet::start(&settings, &plan).await?;
     fleet.wait_until_ready().await?;
     let clients = Clients::spawn(settings.seed, &fleet.fronts());
     let started_at = Instant::now();
     fleet.lock().changes.started_at = started_at;
     write_plan(&settings.folder, &plan)?;
+    let mut supervisor = JoinSet::new();
+    supervisor.spawn(fleet.clone().replace_ended_targets());
     let mut injections = JoinSet::new();
     for (at, fault) in plan.faults.clone() {
         let (fleet, shared) = (fleet.clone(), clients.shared.clone());
         injections.spawn(async move {
             sleep_until(started_at + at).await;
-            if let Some(key) = fleet.inject(fault).await? {
-                shared.set_changed_key(&key);
-            }
-            anyhow::Ok(())
+            fleet.inject(fault, &shared).await
         });
     }
     while let Some(injection) = injections.join_next().await {
@@ -161,28 +160,27 @@
 }
 
 /// The processes, targets and platform of a run.
-struct Fleet {
-    objects: ObjectServer,
+pub(crate) struct Fleet {
+    pub(crate) objects: ObjectServer,
     platform_links: Vec<FaultProxy>,
     processes: Vec<NodeProcess>,
-    arrivals: ArrivalLog,
+    pub(crate) arrivals: ArrivalLog,
     state: Mutex<FleetState>,
 }
 
-struct FleetState {
-    targets: Vec<Target>,
+pub(crate) struct FleetState {
+    pub(crate) targets: Vec<Target>,
     next_target: u64,
     configuration_version: u64,
+    /// Part of a prompt that ends targets, while one does.
+    pub(crate) crashing_part: Option<CrashingPart>,
     /// The part of the history that the fleet records itself: disturbances and changes.
-    changes: History,
+    pub(crate) changes: History,
 }
 
 impl Fleet {
-    /// Starts the processes, and one target of each of these software versions.
-    async fn start(
-        settings: &SoakSettings,
-        software_versions: &[SoftwareVersion],
-    ) -> anyhow::Result<Arc<Fleet>> {
+    /// Starts the processes, and one target of each of the plan's software versions.
+    async fn start(settings: &SoakSettings, plan: &FaultPlan) -> anyhow::Result<Arc<Fleet>> {
         std::fs::create_dir_all(&settings.folder)
             .with_context(|| format!("{} cannot be created", settings.folder.display()))?;
         let objects = ObjectServer::start().await?;
@@ -191,10 +189,11 @@
             targets: Vec::new(),
             next_target: 0,
             configuration_version: 0,
+            crashing_part: None,
             changes: History::begin(),
         };
         state.change_keys(&objects, |keys| keys.push(key_from_now(MAIN_KEY)));
-        for version in software_versions {
+        for version in &plan.software_versions {
             state.next_target += 1;
             let target =
                 start_target(state.next_target, version, Some(*version), &arrivals).await?;
@@ -204,14 +203,14 @@
         let (mut platform_links, mut processes) = (Vec::new(), Vec::new());
         for index in 0..settings.processes {
             let link = FaultProxy::bind(objects.address()).await?;
-            processes.push(start_process(settings, index, link.address)?);
+            processes.push(start_process(settings, index, link.address, plan.has_peer_links)?);
             platform_links.push(link);
         }
         let state = Mutex::new(state);
         Ok(Arc::new(Fleet { objects, platform_links, processes, arrivals, state }))
     }
 
-    fn lock(&self) -> MutexGuard<'_, FleetState> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, FleetState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -241,8 +240,8 @@
         Ok(())
     }
 
-    /// Injects a fault and waits for its end. Returns the API key that it added or revoked, if any.
-    async fn inject(&self, fault: PlannedFault) -> anyhow::Result<Option<String>> {
+    /// Injects a fault and waits for its end.
+    async fn inject(&self, fault: PlannedFault, clients: &SharedClientState) -> anyhow::Result<()> {
         let from = Instant::now();
         match fault {
             PlannedFault::Kill { process } => self.processes[process].kill(),
@@ -305,12 +304,19 @@
                 self.replace_targets(target..target + 1, version).await?;
                 self.record_disturbance(DisturbanceScope::Target, from);
             }
-            PlannedFault::ChangeKeys => return Ok(Some(self.change_keys())),
+            PlannedFault::EndTargets => {
+                self.lock().targets.iter().for_each(|target| target.service.end());
+            }
+            PlannedFault::CrashingPart { part, span } => {
+                self.inject_crashing_part(clients, part, span).await;
+                self.record_disturbance(DisturbanceScope::Target, from);
+            }
+            PlannedFault::ChangeKeys => clients.set_changed_key(&self.change_keys()),
         }
-        Ok(None)
+        Ok(())
     }
 
-    fn record_disturbance(&self, scope: DisturbanceScope, from: Instant) {
+    pub(crate) fn record_disturbance(&self, scope: DisturbanceScope, from: Instant) {
         let until = Instant::now();
         self.lock().changes.disturbances.push(Disturbance { scope, from, until });
     }
@@ -345,6 +351,8 @@
         }
         target.proxy.set_upstream(service.address);
         target.service = service;
+        target.is_end_seen = false;
+        target.version = version;
         target.registered_version = Some(version);
         changes.stop_serving(&name);
         let record = target.registration(TargetState::Ready);
@@ -418,7 +426,7 @@
         }
     }
 
-    fn next_target(&self) -> u64 {
+    pub(crate) fn next_target(&self) -> u64 {
         let mut state = self.lock();
         state.next_target += 1;
         state.next_target
@@ -458,7 +466,12 @@
 }
 
 impl FleetState {
-    fn add_target(&mut self, objects: &ObjectServer, target: &Target, version: SoftwareVersion) {
+    pub(crate) fn add_target(
+        &mut self,
+        objects: &ObjectServer,
+        target: &Target,
+        version: SoftwareVersion,
+    ) {
         objects.state.put("servers", &target.name, target.registration(TargetState::Ready));
         self.changes.serving.push(ServingTarget::from_now(&target.name, version));
     }
--- a/crates/skylarkpick-soak/src/setup.rs
+++ b/crates/skylarkpick-soak/src/setup.rs
@@ -22,6 +22,7 @@
     settings: &SoakSettings,
     index: usize,
     platform: SocketAddr,
+    has_peer_links: bool,
 ) -> anyhow::Result<NodeProcess> {
     let number = u8::try_from(index + 1).context("at most 255 processes")?;
     let name = format!("entry-{number}");
@@ -30,6 +31,7 @@
         data_centre: "mnl-a".to_string(),
         address: IpAddr::V4(Ipv4Addr::new(127, settings.loopback_network, 1, number)),
         platform,
+        has_peer_links,
     };
     let file = |ending: &str| -> PathBuf { settings.folder.join(format!("{name}.{ending}")) };
     let path = file("conf");
--- a/crates/skylarkpick-soak/src/target.rs
+++ b/crates/skylarkpick-soak/src/target.rs
@@ -13,8 +13,12 @@
     pub(crate) name: String,
     pub(crate) proxy: Arc<FaultProxy>,
     pub(crate) service: EchoTarget,
+    /// Software version of the service.
+    pub(crate) version: SoftwareVersion,
     /// Software version in the registration, if it names one.
     pub(crate) registered_version: Option<SoftwareVersion>,
+    /// Whether the end of the service has been seen.
+    pub(crate) is_end_seen: bool,
 }
 
 impl Target {
@@ -42,7 +46,7 @@
     let name = format!("i-{number}");
     let service = start_service(&name, version, arrivals).await?;
     let proxy = Arc::new(FaultProxy::bind(service.address).await?);
-    Ok(Target { name, proxy, service, registered_version })
+    Ok(Target { name, proxy, service, version, registered_version, is_end_seen: false })
 }
 
 pub(crate) async fn inject_link_fault(link: &FaultProxy, fault: LinkFault, span: Duration) {
