--- a/crates/skylarkpick-forward/src/pauses.rs
+++ b/crates/skylarkpick-forward/src/pauses.rs
@@ -3,8 +3,8 @@
 use crate::{forwarding::milliseconds, log::request_log, node_state::NodeState};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    CacheEpoch, CacheScope, ControlError, EngineLoad, OrderOutcome, OrderState, PartChanges,
-    PartId, SignalObserver, TargetControl, TargetSignals, WeightOrder,
+    CacheEpoch, CacheScope, ControlError, EngineLoad, LimitSignal, OrderOutcome, OrderState,
+    PartChanges, PartId, SignalObserver, TargetControl, TargetSignals, WeightOrder,
 };
 use skylarkpick_schedule::Assignment;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -27,6 +27,11 @@
         if signals.is_leaving && self.lock().placement.note_leaving(assignment) {
             request_log!("target says that it leaves", kv: { target, request });
         }
+        if let LimitSignal::Named(limit) = signals.limit {
+            request_log!("target limits its requests", kv: {
+                target, request, requests_per_second = limit.requests_per_second(),
+            });
+        }
         if let Some(header) = &signals.unreadable {
             request_log!("header of a target is unreadable", kv: {
                 target, request, header = header.as_str(),
--- a/crates/skylarkpick-interface/src/forward.rs
+++ b/crates/skylarkpick-interface/src/forward.rs
@@ -125,6 +125,37 @@
     pub slots: u32,
 }
 
+/// Requests that a target takes from all processes together.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RequestLimit {
+    /// Thousandths of a request per second.
+    pub milli_requests_per_second: u64,
+}
+
+impl RequestLimit {
+    /// Returns the limit in requests per second.
+    ///
+    /// ```
+    /// let limit = skylarkpick_interface::RequestLimit { milli_requests_per_second: 1_500 };
+    /// assert_eq!(limit.requests_per_second(), 1.5);
+    /// ```
+    pub fn requests_per_second(&self) -> f64 {
+        self.milli_requests_per_second as f64 / 1_000.0
+    }
+}
+
+/// What the head of a response says about a limit of its target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LimitSignal {
+    /// It names no limit, so that one that was named before has ended.
+    #[default]
+    None,
+    /// It names this limit.
+    Named(RequestLimit),
+    /// It names one that can't be decoded; what was named before stays.
+    Unreadable,
+}
+
 /// What a target asks of this process in the head of a response.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct TargetSignals {
@@ -132,7 +163,9 @@
     pub is_leaving: bool,
     /// Time for which the target wants no calls from this process, since it turned one away.
     pub pause: Option<Duration>,
-    /// Start of a header that can't be decoded, with its name; it counts as absent.
+    /// Requests that the target takes, if it limits them.
+    pub limit: LimitSignal,
+    /// Start of a header that can't be decoded, with its name.
     pub unreadable: Option<String>,
 }
 
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -32,9 +32,9 @@
     ServingRoute, WatchError,
 };
 pub use forward::{
-    CacheScope, ClientAttemptId, Dialect, EventId, FetchSource, HeadError, PartId,
-    PromptDescription, PromptPart, ReportedLoad, RequestHead, RequestMetadata, ResponseMetadata,
-    StreamOrigin, TargetSignals,
+    CacheScope, ClientAttemptId, Dialect, EventId, FetchSource, HeadError, LimitSignal, PartId,
+    PromptDescription, PromptPart, ReportedLoad, RequestHead, RequestLimit, RequestMetadata,
+    ResponseMetadata, StreamOrigin, TargetSignals,
 };
 pub use hexadecimal::{format_prefix_key, parse_prefix_key};
 pub use ids::{
