--- a/crates/skylarkpick-soak/src/signal_tests.rs
+++ b/crates/skylarkpick-soak/src/signal_tests.rs
@@ -66,6 +66,7 @@
             is_leaving: false,
             parts: Vec::new(),
             has_crashed: false,
+            limit: None,
         });
     }
     asks(&mut arrivals[0]);
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -87,6 +87,7 @@
             is_leaving: false,
             parts: Vec::new(),
             has_crashed: false,
+            limit: None,
         }],
         keys: vec![ConfiguredKey { key: MAIN_KEY.to_string(), from: now, until: None }],
         ..History::begin()
