Keep to the limits that targets name for all entry processes together

Cause: nothing read Server-Limit; placement chose such targets like any other. Ruled out: processes that keep to the limit one by one (two sends of one process within 0.15 s), and requests that were under way.

Change: each process derives a share from the limit and the registered processes: few have one in a low limit, by rendezvous hashing, together four fifths of it, in buckets that begin empty. Placement leaves out targets without room, the request is taken from the share immediately before it is written, else it goes elsewhere or is refused at once with the time until there is room. A limit ends by a later response without one, another start, another process's word or ten minutes of silence. Pauses, departures and limits are one table now (HeardSignals; the two former ones are gone).

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -51,11 +51,21 @@
     /// A part of the prompt was blamed before the request was sent.
     #[error("a part of its prompt ends targets")]
     Withheld,
+    /// The share of this process in the target's limit had no room before the request was sent.
+    #[error("the target limits its requests")]
+    Limited,
     /// No response was received. The target may have received the request.
     #[error("the connection failed: {0}")]
     Broken(String),
 }
 
+impl SendError {
+    /// Returns whether the request was held back, whatever the state of the target.
+    pub(crate) fn is_held_back(&self) -> bool {
+        matches!(self, SendError::Paused | SendError::Withheld | SendError::Limited)
+    }
+}
+
 /// Pool of idle connections to targets.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
--- a/crates/skylarkpick-forward/src/fleet/load_sampler.rs
+++ b/crates/skylarkpick-forward/src/fleet/load_sampler.rs
@@ -68,6 +68,8 @@
         targets
             .filter(|target| target.data_centre == self.data_centre && is_engine(&target.service))
             .filter(|target| includes_all || is_well_used(&target.id))
+            // A target in need is spared, and its limit keeps requests few.
+            .filter(|target| !state.placement.is_limited(target, now))
             .map(|target| (target.id.clone(), target.address))
             .collect()
     }
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -380,7 +380,8 @@
         let entries = self.entries();
         let role = cache_watch_role(&entries, &self.node);
         *self.role.lock().unwrap_or_else(PoisonError::into_inner) = role;
-        self.node_state.set_entries(entries.len());
+        let names = entries.into_iter().map(|entry| entry.name).collect();
+        self.node_state.set_entries(&self.node, names);
         self.node_state.caches_changed.notify_waiters();
     }
 
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -11,7 +11,7 @@
 use hyper::body::Body;
 use skylarkpick_http::{BodyEnd, BodyStart, MeteredBody, describe, read_body_start};
 use skylarkpick_interface::{
-    EventId, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata,
+    EventId, LimitSignal, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata,
 };
 use skylarkpick_schedule::TargetOutcome;
 use std::time::Duration;
@@ -36,6 +36,8 @@
 pub(crate) enum AttemptOutcome {
     /// No byte of the request left this process.
     NotSent(String),
+    /// The same, since the target or the parts of the prompt no longer allowed it.
+    HeldBack(String),
     /// The target reported that it did not run the request.
     NotRun(ResponseMetadata),
     /// The request may have run, but there is no valid response.
@@ -56,6 +58,7 @@
     pub(crate) fn name(&self) -> &'static str {
         match self {
             AttemptOutcome::NotSent(_) => "not_sent",
+            AttemptOutcome::HeldBack(_) => "held_back",
             AttemptOutcome::NotRun(_) => "not_run",
             AttemptOutcome::NoValidResponse(_) => "broken",
             AttemptOutcome::Withdrawn(_) => "withdrawn",
@@ -159,8 +162,8 @@
         Ok((connection, head, body))
     }
 
-    /// Returns a connection to the target, unless since it was chosen it has asked for a pause, or a
-    /// part of the prompt was blamed.
+    /// Returns a connection to the target, unless since it was chosen it has asked for a pause, a part
+    /// of the prompt was blamed, or the share in its limit has no room.
     async fn connect(&self, idle_limit: Duration) -> Result<Connection, SendError> {
         let (pool, address) = (&self.forwarder.pool, self.guard.assignment.address);
         let connection = pool.connect(address, idle_limit).await?;
@@ -168,6 +171,8 @@
             SendError::Paused
         } else if self.forwarder.crashes.is_withheld(self.request) {
             SendError::Withheld
+        } else if !self.forwarder.node_state.take_share(&self.guard.assignment) {
+            SendError::Limited
         } else {
             return Ok(connection);
         };
@@ -223,7 +228,13 @@
         let assignment = &self.guard.assignment;
         if metadata.target.as_ref().is_none_or(|responder| *responder == assignment.target) {
             let request = &self.request.head.attempt_id;
-            self.forwarder.node_state.note_signals(assignment, request, &metadata.signals);
+            let node_state = &self.forwarder.node_state;
+            node_state.note_signals(assignment, request, &metadata.signals);
+            if metadata.signals.limit == LimitSignal::None
+                && metadata.attempt_id.as_ref() == Some(request)
+            {
+                node_state.note_no_limit(assignment, self.guard.sent_at());
+            }
         }
     }
 
@@ -240,11 +251,13 @@
 
     fn handle_send_error(&mut self, error: SendError) -> AttemptOutcome {
         self.guard.outcome = match error {
-            SendError::Paused | SendError::Withheld => TargetOutcome::Unknown,
+            _ if error.is_held_back() => TargetOutcome::Unknown,
             _ => TargetOutcome::Unreachable,
         };
         match error {
-            SendError::Paused | SendError::Withheld => AttemptOutcome::NotSent(error.to_string()),
+            SendError::Paused | SendError::Withheld | SendError::Limited => {
+                AttemptOutcome::HeldBack(error.to_string())
+            }
             SendError::NotConnected(why) | SendError::NotSent(why) => {
                 self.forwarder.pool.close(&self.guard.assignment.address);
                 AttemptOutcome::NotSent(why)
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -582,6 +582,11 @@
                     *last = SendResult::Failed(GatewayError::RetryLater { wait }, why);
                 }
             }
+            AttemptOutcome::HeldBack(why) => {
+                log_failed_attempt(request, &target, end, &why);
+                // Placement does not choose the target again as long as the reason lasts.
+                request.sends -= 1;
+            }
             AttemptOutcome::NotRun(metadata) => {
                 self.handle_rejection(request, target, &metadata, last);
             }
@@ -628,12 +633,12 @@
         why: UnplacedReason,
         last: SendResult,
     ) -> SendResult {
-        let is_paused = matches!(why, UnplacedReason::Paused { .. });
-        if request.runs > 0 || (request.sends > 0 && !is_paused) {
+        let is_held_off = matches!(why, UnplacedReason::HeldOff { .. });
+        if request.runs > 0 || (request.sends > 0 && !is_held_off) {
             return last;
         }
         let wait = match why {
-            UnplacedReason::Full { wait } | UnplacedReason::Paused { wait } => wait,
+            UnplacedReason::Full { wait } | UnplacedReason::HeldOff { wait } => wait,
             UnplacedReason::NoTarget | UnplacedReason::NoneUsable => UNKNOWN_WAIT,
         };
         SendResult::Failed(GatewayError::RetryLater { wait }, format!("{why:?}"))
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -11,7 +11,7 @@
     forwarding::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder},
     jitter::sleep_with_jitter,
     node_state::NodeState,
-    pauses::PausingControl,
+    pauses::{PausingControl, send_limits},
     peers::{CacheRelay, NetworkParts, PeerClient, PeerMessageHandler, follow_relay, open_network},
     readiness::{MetricsHandler, ReadinessHandler},
     streams::{StreamRegistry, share_streams, take_over_history},
@@ -136,6 +136,7 @@
         }
         tasks.spawn(take_over_history(streams.clone()));
         tasks.spawn(share_streams(streams));
+        tasks.spawn(send_limits(node_state.clone(), watcher.clone()));
         tasks.spawn(send_crashes(crashes.clone()));
         tasks.spawn(send_cleared_parts(crashes.clone()));
         tasks.spawn(store_crashes(crashes));
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -1,8 +1,9 @@
 //! State shared by all requests of a process: serving document, placement and retry budgets.
 
-use crate::serving_index::ServingIndex;
+use crate::{peers::LimitNotice, serving_index::ServingIndex};
 use skylarkpick_interface::{
-    Clock, ModelName, NodeLimits, PartNumber, ReportedLoad, ServiceName, WeightVersion,
+    Clock, EntryId, ModelName, NodeLimits, PartNumber, ReportedLoad, ServiceName, TargetId,
+    WeightVersion,
 };
 use skylarkpick_schedule::{
     Assignment, CrashEvidence, MemorySample, Placement, PlacementDecision, PlacementPolicy,
@@ -54,6 +55,8 @@
     pub(crate) blame_changed: Notify,
     /// Wakes the task that writes the evidence of ended targets to the platform.
     pub(crate) evidence_changed: Notify,
+    /// Wakes the task that tells other processes the limits of targets.
+    pub(crate) limits_changed: Notify,
     /// Whether the desired weights have been read since the start.
     knows_weights: AtomicBool,
     /// Whether the entry processes have been read since the start, with their evidence.
@@ -80,6 +83,8 @@
     pub(crate) crash_evidence: CrashEvidence,
     /// Suspected and tried parts with a request under way.
     pub(crate) permitted_parts: BTreeSet<PartNumber>,
+    /// Changed limits of targets that other processes are to be told.
+    pub(crate) untold_limits: BTreeMap<TargetId, LimitNotice>,
 }
 
 impl NodeState {
@@ -100,6 +105,7 @@
                 stream_origins: StreamOrigins::default(),
                 crash_evidence: CrashEvidence::default(),
                 permitted_parts: BTreeSet::new(),
+                untold_limits: BTreeMap::new(),
             }),
             clock,
             limits,
@@ -109,6 +115,7 @@
             capacity_changed: Notify::new(),
             blame_changed: Notify::new(),
             evidence_changed: Notify::new(),
+            limits_changed: Notify::new(),
             knows_weights: AtomicBool::new(false),
             knows_evidence: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -154,9 +161,12 @@
         true
     }
 
-    /// Sets the number of entry processes that share the additional retries.
-    pub(crate) fn set_entries(&self, count: usize) {
-        self.lock().entries = u32::try_from(count).unwrap_or(u32::MAX).max(ENTRIES_FLOOR);
+    /// Sets the entry processes that share the additional retries and the limits of targets.
+    pub(crate) fn set_entries(&self, own: &str, names: Vec<EntryId>) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.entries = u32::try_from(names.len()).unwrap_or(u32::MAX).max(ENTRIES_FLOOR);
+        state.placement.set_entries(own, names, now);
     }
 
     /// Chooses a target. No target is chosen while more urgent requests wait for the service, and
@@ -385,6 +395,11 @@
 }
 
 impl AssignmentGuard {
+    /// Returns the node time at which the attempt began.
+    pub(crate) fn sent_at(&self) -> Duration {
+        self.sent_at
+    }
+
     /// Returns the time since the first part of the response arrived, if it has.
     pub(crate) fn since_first_response(&self) -> Option<Duration> {
         self.first_response_at.map(|at| self.node_state.now().saturating_sub(at))
--- a/crates/skylarkpick-forward/src/pauses.rs
+++ b/crates/skylarkpick-forward/src/pauses.rs
@@ -1,14 +1,25 @@
-//! Keeps to what targets and stores ask for: pauses, and no requests once they leave.
+//! Keeps to what targets and stores ask for: pauses, limits, and no requests once they leave.
 
-use crate::{forwarding::milliseconds, log::request_log, node_state::NodeState};
+use crate::{
+    fleet::FleetWatcher,
+    forwarding::milliseconds,
+    log::request_log,
+    node_state::NodeState,
+    peers::{LimitNotice, Notice},
+};
 use async_trait::async_trait;
 use skylarkpick_interface::{
     CacheEpoch, CacheScope, ControlError, EngineLoad, LimitSignal, OrderOutcome, OrderState,
     PartChanges, PartId, SignalObserver, TargetControl, TargetSignals, WeightOrder,
 };
-use skylarkpick_schedule::Assignment;
+use skylarkpick_schedule::{Assignment, LimitChange};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+/// Time in which changed limits are collected before other processes are told.
+const LIMIT_COLLECTION_TIME: Duration = Duration::from_millis(20);
+/// Pause between two notices of limits: a target may name another one in each answer.
+const LIMIT_NOTICE_PAUSE: Duration = Duration::from_millis(500);
+
 impl NodeState {
     /// Applies the signals in a response to a request.
     pub(crate) fn note_signals(
@@ -24,13 +35,13 @@
                 target, request, asked_ms = milliseconds(pause), kept_ms = milliseconds(kept),
             });
         }
-        if signals.is_leaving && self.lock().placement.note_leaving(assignment) {
+        let now = self.now();
+        if signals.is_leaving && self.lock().placement.note_leaving(assignment, now) {
             request_log!("target says that it leaves", kv: { target, request });
         }
         if let LimitSignal::Named(limit) = signals.limit {
-            request_log!("target limits its requests", kv: {
-                target, request, requests_per_second = limit.requests_per_second(),
-            });
+            let change = self.lock().placement.note_limit(assignment, limit, now);
+            self.note_limit_change(target, assignment.started_at_ms, change, "its response");
         }
         if let Some(header) = &signals.unreadable {
             request_log!("header of a target is unreadable", kv: {
@@ -39,12 +50,78 @@
         }
     }
 
+    /// Records that a target named no limit in its response to a request that was sent at `sent_at`.
+    pub(crate) fn note_no_limit(&self, assignment: &Assignment, sent_at: Duration) {
+        let change = self.lock().placement.note_no_limit(assignment, sent_at);
+        let Assignment { target, started_at_ms, .. } = assignment;
+        self.note_limit_change(target, *started_at_ms, change, "its response");
+    }
+
+    /// Applies what another process says of a limit.
+    pub(crate) fn merge_limit(&self, notice: &LimitNotice) {
+        let now = self.now();
+        let LimitNotice { target, started_at_ms, limit } = notice;
+        let change = self.lock().placement.merge_limit(target, *started_at_ms, *limit, now);
+        log_limit_change(target, change, "another entry process");
+    }
+
+    /// Takes a request to the target of an assignment from the share in its limit. Returns whether it
+    /// may be written.
+    pub(crate) fn take_share(&self, assignment: &Assignment) -> bool {
+        let now = self.now();
+        self.lock().placement.take_share(assignment, now).is_ok()
+    }
+
+    /// Logs a change, and has other processes told.
+    fn note_limit_change(
+        &self,
+        target: &str,
+        started_at_ms: u64,
+        change: LimitChange,
+        from: &'static str,
+    ) {
+        log_limit_change(target, change, from);
+        let limit = match change {
+            LimitChange::None => return,
+            LimitChange::Kept(limit) => Some(limit),
+            LimitChange::Ended => None,
+        };
+        let notice = LimitNotice { target: target.to_string(), started_at_ms, limit };
+        self.lock().untold_limits.insert(target.to_string(), notice);
+        self.limits_changed.notify_one();
+    }
+
     /// Returns the rest of the pause that whoever has an address asked for.
     pub(crate) fn pause_rest(&self, address: &SocketAddr) -> Option<Duration> {
         self.lock().placement.pause_rest(address, self.now())
     }
 }
 
+fn log_limit_change(target: &str, change: LimitChange, from: &'static str) {
+    match change {
+        LimitChange::None => {}
+        LimitChange::Kept(limit) => request_log!("target limits its requests", kv: {
+            target, requests_per_second = limit.requests_per_second(), from,
+        }),
+        LimitChange::Ended => {
+            request_log!("target no longer limits its requests", kv: { target, from });
+        }
+    }
+}
+
+/// Tells other processes the limits that targets name or no longer name, for as long as the task runs.
+/// Their shares don't depend on it, but they learn of a limit before their first request, and of its
+/// end although they may not send any.
+pub(crate) async fn send_limits(node_state: Arc<NodeState>, watcher: Arc<FleetWatcher>) {
+    loop {
+        node_state.limits_changed.notified().await;
+        tokio::time::sleep(LIMIT_COLLECTION_TIME).await;
+        let limits = std::mem::take(&mut node_state.lock().untold_limits).into_values().collect();
+        watcher.peer_client.broadcast(&watcher.records, &Notice::Limits { limits });
+        tokio::time::sleep(LIMIT_NOTICE_PAUSE).await;
+    }
+}
+
 impl SignalObserver for NodeState {
     fn observe_signals(&self, address: SocketAddr, signals: &TargetSignals) {
         if let Some(pause) = signals.pause {
@@ -53,7 +130,13 @@
                 address:, asked_ms = milliseconds(pause), kept_ms = milliseconds(kept),
             });
         }
-        let is_new = |address| self.lock().placement.note_leaving_at(address);
+        let now = self.now();
+        if let LimitSignal::Named(limit) = signals.limit {
+            // Only responses to requests say that a limit has ended, and tell others of it.
+            let change = self.lock().placement.note_limit_at(address, limit, now);
+            log_limit_change(&address.to_string(), change, "its response to a call");
+        }
+        let is_new = |address| self.lock().placement.note_leaving_at(address, now);
         if let Some(target) = signals.is_leaving.then_some(address).and_then(is_new) {
             request_log!("target says that it leaves, in its response to a call", kv: {
                 target = target.as_str(),
--- a/crates/skylarkpick-forward/src/peers.rs
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -12,7 +12,7 @@
 
 pub(crate) use handler::PeerMessageHandler;
 pub(crate) use messages::{
-    EngineLoadNotice, Notice, PeerRecords, PeerRequest, PeerResponse, StreamRecord,
+    EngineLoadNotice, LimitNotice, Notice, PeerRecords, PeerRequest, PeerResponse, StreamRecord,
 };
 pub(crate) use network::{NetworkParts, open_network};
 pub(crate) use peer_client::PeerClient;
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -44,6 +44,9 @@
                     self.node_state.note_stream(stream, origin, false);
                 }
             }
+            Ok(Notice::Limits { limits }) => {
+                limits.iter().for_each(|limit| self.node_state.merge_limit(limit));
+            }
             Ok(Notice::Crashes { report }) => {
                 self.node_state.merge_crashes(&report, "another entry process", false);
             }
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{
-    CrashReport, FleetRevision, FleetTopic, FleetUpdate, ModelName, ServiceName, SoftwareVersion,
-    StreamOrigin, TargetId, WeightVersion,
+    CrashReport, FleetRevision, FleetTopic, FleetUpdate, ModelName, RequestLimit, ServiceName,
+    SoftwareVersion, StreamOrigin, TargetId, WeightVersion,
 };
 use skylarkpick_schedule::{SoftwareHistory, StreamFingerprint};
 use std::{net::SocketAddr, time::Duration};
@@ -67,6 +67,11 @@
         /// The streams.
         streams: Vec<StreamRecord>,
     },
+    /// Limits that targets have named, or no longer name, in responses to the sender.
+    Limits {
+        /// The limits.
+        limits: Vec<LimitNotice>,
+    },
     /// What the sender tells about ends of targets.
     Crashes {
         /// The ends, and the parts of prompts answered since.
@@ -83,6 +88,17 @@
     pub(crate) origin: StreamOrigin,
 }
 
+/// Limit that a target has named in a response to another process.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct LimitNotice {
+    /// Name of the target.
+    pub(crate) target: TargetId,
+    /// Start of the target's incarnation.
+    pub(crate) started_at_ms: u64,
+    /// Requests that it takes from all processes; `None` if it names no limit any more.
+    pub(crate) limit: Option<RequestLimit>,
+}
+
 /// Load that an engine reported to another process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct EngineLoadNotice {
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -27,10 +27,10 @@
 pub use health::{Ejection, TargetHealth, TargetState};
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use placement::{
-    Assignment, CacheKind, CacheView, DesiredWeightsView, MemorySample, OutdatedPartFinder,
-    OutdatedParts, PartDirectory, PartFingerprint, PartKey, Placement, PlacementDecision,
-    PlacementPolicy, PlacementPrompt, PlacementRequest, TargetOutcome, TargetView, UnplacedReason,
-    WaitingRequests,
+    Assignment, CacheKind, CacheView, DesiredWeightsView, LimitChange, MemorySample,
+    OutdatedPartFinder, OutdatedParts, PartDirectory, PartFingerprint, PartKey, Placement,
+    PlacementDecision, PlacementPolicy, PlacementPrompt, PlacementRequest, TargetOutcome,
+    TargetView, UnplacedReason, WaitingRequests,
 };
 pub use queue::{FairQueue, QueuedId, QueuedRequest};
 pub use retry::{RetryBudget, WindowRetryBudget};
--- a/crates/skylarkpick-schedule/src/limit/token_bucket.rs
+++ b/crates/skylarkpick-schedule/src/limit/token_bucket.rs
@@ -40,18 +40,42 @@
     /// Returns the time to wait if the level is too low.
     pub fn take(&mut self, amount: f64, now: Duration) -> Result<(), Duration> {
         self.refill(now);
+        match self.wait(amount, now) {
+            None => {
+                self.level -= amount;
+                Ok(())
+            }
+            Some(wait) => Err(wait),
+        }
+    }
+
+    /// Returns the time until an amount can be taken, if it can't be now.
+    ///
+    /// ```
+    /// use skylarkpick_schedule::TokenBucket;
+    /// use std::time::Duration;
+    /// let mut bucket = TokenBucket::open(2.0, 1.0, Duration::ZERO);
+    /// assert_eq!(bucket.wait(1.0, Duration::ZERO), None);
+    /// assert!(bucket.take(1.0, Duration::ZERO).is_ok());
+    /// assert_eq!(bucket.wait(1.0, Duration::ZERO), Some(Duration::from_millis(500)));
+    /// ```
+    pub fn wait(&self, amount: f64, now: Duration) -> Option<Duration> {
         let needed = amount.min(self.burst);
-        if self.level + f64::EPSILON >= needed {
-            self.level -= amount;
-            return Ok(());
+        let level = self.level_at(now);
+        if level + f64::EPSILON >= needed {
+            return None;
         }
-        let seconds = (needed - self.level) / self.rate_per_second.max(f64::MIN_POSITIVE);
-        Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+        let seconds = (needed - level) / self.rate_per_second.max(f64::MIN_POSITIVE);
+        Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
     }
 
     fn refill(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.refilled_at);
+        self.level = self.level_at(now);
         self.refilled_at = self.refilled_at.max(now);
-        self.level = (self.level + self.rate_per_second * passed.as_secs_f64()).min(self.burst);
+    }
+
+    fn level_at(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.refilled_at);
+        (self.level + self.rate_per_second * passed.as_secs_f64()).min(self.burst)
     }
 }
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -5,8 +5,11 @@
 //! lengths do.
 
 mod cost;
-mod departures;
 mod estimate;
+mod heard;
+#[cfg(test)]
+mod limit_tests;
+mod limits;
 #[cfg(test)]
 mod load_tests;
 mod memory;
@@ -14,7 +17,6 @@
 mod parts;
 #[cfg(test)]
 mod pause_tests;
-mod pauses;
 mod policy;
 mod reachability;
 mod selection;
@@ -27,6 +29,7 @@
 mod waiting;
 mod weights;
 
+pub use heard::LimitChange;
 pub use memory::MemorySample;
 pub use outdated::{OutdatedPartFinder, OutdatedParts};
 pub(crate) use parts::rendezvous_weight;
--- a/crates/skylarkpick-schedule/src/placement/pause_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/pause_tests.rs
@@ -223,7 +223,7 @@
         (case.change)(&mut placement);
         let chosen = match choose(&placement, case.avoid, ASKED_AT + case.after) {
             PlacementDecision::Assigned(assignment) => Chosen::Target(assignment.target),
-            PlacementDecision::Unplaced(UnplacedReason::Paused { wait }) => {
+            PlacementDecision::Unplaced(UnplacedReason::HeldOff { wait }) => {
                 Chosen::Paused { wait_ms: wait.as_millis() }
             }
             PlacementDecision::Unplaced(_) => Chosen::NoneUsable,
@@ -241,21 +241,21 @@
     }
     fn leave(placement: &mut Placement) {
         let assignment = assignment(placement, 1);
-        assert!(placement.note_leaving(&assignment));
-        assert!(!placement.note_leaving(&assignment), "it is known already");
+        assert!(placement.note_leaving(&assignment, ASKED_AT));
+        assert!(!placement.note_leaving(&assignment, ASKED_AT), "it is known already");
     }
     let cases = [
         Case { name: "in the response to a request", change: leave, chosen: None },
         Case {
             name: "in the response to a call",
             change: |placement| {
-                assert_eq!(placement.note_leaving_at(address(1)).as_deref(), Some("i-1"));
+                assert_eq!(placement.note_leaving_at(address(1), ASKED_AT).as_deref(), Some("i-1"));
             },
             chosen: None,
         },
         Case {
             name: "in the response to a call from an address without a target",
-            change: |placement| assert_eq!(placement.note_leaving_at(address(9)), None),
+            change: |placement| assert_eq!(placement.note_leaving_at(address(9), ASKED_AT), None),
             chosen: Some("i-1"),
         },
         Case {
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -2,10 +2,9 @@
 
 use super::{
     cost::{self, AffinityRanking, Cost, EngineRequest, PartHolders, TransferCosts},
-    departures::Departures,
+    heard::HeardSignals,
     memory::MemorySample,
     parts::{CacheKind, PartDirectory, PartFingerprint},
-    pauses::Pauses,
     policy::PlacementPolicy,
     reachability::DataCentreReachability,
     target::{TargetOutcome, TargetView},
@@ -32,8 +31,7 @@
     pub(super) targets: BTreeMap<TargetId, TargetView>,
     services: BTreeMap<ServiceName, ServiceKind>,
     reachability: DataCentreReachability,
-    pub(super) pauses: Pauses,
-    pub(super) departures: Departures,
+    pub(super) heard: HeardSignals,
     timings: BTreeMap<ServiceName, ServiceTiming>,
     policy: PlacementPolicy,
     /// Which caches hold which parts.
@@ -102,8 +100,7 @@
             targets: BTreeMap::new(),
             services: BTreeMap::new(),
             reachability: DataCentreReachability::default(),
-            pauses: Pauses::default(),
-            departures: Departures::default(),
+            heard: HeardSignals::default(),
             timings: BTreeMap::new(),
             parts: PartDirectory::default(),
             weights: DesiredWeightsView::open(old_weights_usable_for),
@@ -202,14 +199,14 @@
                 !self.is_leaving(target) && runs_version && !request.avoid.contains(&target.id)
             })
             .collect();
-        let mut shortest_pause: Option<Duration> = None;
+        let mut shortest_wait: Option<Duration> = None;
         usable.retain(|it| {
-            let Some(rest) = self.pauses.rest_of(&it.registration, now) else { return true };
-            shortest_pause = Some(shortest_pause.map_or(rest, |shortest| shortest.min(rest)));
+            let Some(wait) = self.heard.wait(&it.registration, now) else { return true };
+            shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
             false
         });
-        if let (true, Some(wait)) = (usable.is_empty(), shortest_pause) {
-            return PlacementDecision::Unplaced(UnplacedReason::Paused { wait });
+        if let (true, Some(wait)) = (usable.is_empty(), shortest_wait) {
+            return PlacementDecision::Unplaced(UnplacedReason::HeldOff { wait });
         }
         let is_unreachable = |it: &TargetView| {
             let data_centre = &it.registration.data_centre;
--- a/crates/skylarkpick-schedule/src/placement/signals.rs
+++ b/crates/skylarkpick-schedule/src/placement/signals.rs
@@ -1,7 +1,12 @@
-//! What targets ask for in their responses: pauses, and no requests once they leave.
+//! What targets ask for in their responses: pauses, fewer requests, and none once they leave.
 
-use super::{pauses::Incarnation, selection::Placement, types::Assignment};
-use skylarkpick_interface::{RegisteredTarget, TargetId};
+use super::{
+    heard::{Incarnation, LimitChange},
+    limits::EntryList,
+    selection::Placement,
+    types::Assignment,
+};
+use skylarkpick_interface::{EntryId, RegisteredTarget, RequestLimit, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
 impl Placement {
@@ -12,8 +17,8 @@
         pause: Duration,
         now: Duration,
     ) -> Duration {
-        let incarnation = Incarnation::open(&assignment.target, assignment.started_at_ms);
-        self.pauses.note(assignment.address, Some(incarnation), pause, now)
+        let incarnation = Some(incarnation_of(assignment));
+        self.heard.note_pause(assignment.address, incarnation, pause, now)
     }
 
     /// Records that whoever has an address asked for a pause, in its response to a call. Returns the
@@ -24,28 +29,94 @@
         pause: Duration,
         now: Duration,
     ) -> Duration {
-        let target = self.registered_at(&address);
-        let incarnation = target.map(|it| Incarnation::open(&it.id, it.started_at_ms));
-        self.pauses.note(address, incarnation, pause, now)
+        let incarnation = self.incarnation_at(&address);
+        self.heard.note_pause(address, incarnation, pause, now)
     }
 
     /// Records that the target of an assignment said that it leaves. Returns whether that was not
     /// known yet.
-    pub fn note_leaving(&mut self, assignment: &Assignment) -> bool {
-        self.departures.note(&assignment.target, assignment.started_at_ms)
+    pub fn note_leaving(&mut self, assignment: &Assignment, now: Duration) -> bool {
+        self.heard.note_leaving(assignment.address, incarnation_of(assignment), now)
     }
 
     /// Records that whoever has an address said that it leaves, in its response to a call. Returns the
     /// target if that was not known yet.
-    pub fn note_leaving_at(&mut self, address: SocketAddr) -> Option<TargetId> {
+    pub fn note_leaving_at(&mut self, address: SocketAddr, now: Duration) -> Option<TargetId> {
         let target = self.registered_at(&address)?;
         let (id, started_at_ms) = (target.id.clone(), target.started_at_ms);
-        self.departures.note(&id, started_at_ms).then_some(id)
+        self.heard.note_leaving(address, Incarnation::open(&id, started_at_ms), now).then_some(id)
+    }
+
+    /// Records that the target of an assignment named a limit for the requests of all processes.
+    pub fn note_limit(
+        &mut self,
+        assignment: &Assignment,
+        limit: RequestLimit,
+        now: Duration,
+    ) -> LimitChange {
+        let incarnation = Some(incarnation_of(assignment));
+        self.heard.note_limit(assignment.address, incarnation, limit, now)
+    }
+
+    /// Records that whoever has an address named a limit, in its response to a call.
+    pub fn note_limit_at(
+        &mut self,
+        address: SocketAddr,
+        limit: RequestLimit,
+        now: Duration,
+    ) -> LimitChange {
+        let incarnation = self.incarnation_at(&address);
+        self.heard.note_limit(address, incarnation, limit, now)
+    }
+
+    /// Records that the target of an assignment named no limit in its response to a request that was
+    /// sent at `sent_at`.
+    pub fn note_no_limit(&mut self, assignment: &Assignment, sent_at: Duration) -> LimitChange {
+        self.heard.note_no_limit(assignment.address, &incarnation_of(assignment), sent_at)
+    }
+
+    /// Applies what another process says of the limit of a target since a start. Without a limit, it
+    /// has ended.
+    pub fn merge_limit(
+        &mut self,
+        target: &str,
+        started_at_ms: u64,
+        limit: Option<RequestLimit>,
+        now: Duration,
+    ) -> LimitChange {
+        let registered = self.targets.get(target).map(|state| &state.registration);
+        let Some(registered) = registered.filter(|it| it.started_at_ms == started_at_ms) else {
+            return LimitChange::None;
+        };
+        let incarnation = Some(Incarnation::open(target, started_at_ms));
+        match limit {
+            Some(limit) => self.heard.note_limit(registered.address, incarnation, limit, now),
+            None => self.heard.end_limit(registered, now),
+        }
+    }
+
+    /// Sets the registered entry processes, among which limits are shared.
+    pub fn set_entries(&mut self, own: &str, names: Vec<EntryId>, now: Duration) {
+        self.heard.set_entries(EntryList::open(own, names), now);
+    }
+
+    /// Takes a request to the target of an assignment from this process's share in its limit, if it
+    /// names one. To be called immediately before the request is written.
+    ///
+    /// # Errors
+    /// Returns the time to wait if there is no room.
+    pub fn take_share(&mut self, assignment: &Assignment, now: Duration) -> Result<(), Duration> {
+        self.heard.take_share(assignment.address, &incarnation_of(assignment), now)
+    }
+
+    /// Returns whether a target limits its requests.
+    pub fn is_limited(&self, target: &RegisteredTarget, now: Duration) -> bool {
+        self.heard.is_limited(target, now)
     }
 
     /// Returns whether a target takes no new requests, by its registration or by its own word.
     pub fn is_leaving(&self, target: &RegisteredTarget) -> bool {
-        target.is_draining || self.departures.contains(target)
+        target.is_draining || self.heard.is_leaving(target)
     }
 
     /// Returns the rest of the pause that whoever has an address asked for.
@@ -62,18 +133,27 @@
     /// # Ok::<(), std::net::AddrParseError>(())
     /// ```
     pub fn pause_rest(&self, address: &SocketAddr, now: Duration) -> Option<Duration> {
-        // Few addresses have a pause, so the targets are rarely searched.
-        if !self.pauses.is_known(address) {
+        // Few addresses are known, so the targets are rarely searched.
+        if !self.heard.is_known(address) {
             return None;
         }
         match self.registered_at(address) {
-            Some(target) => self.pauses.rest_of(target, now),
-            None => self.pauses.rest_at(address, now),
+            Some(target) => self.heard.pause_rest(target, now),
+            None => self.heard.pause_rest_at(address, now),
         }
     }
 
+    fn incarnation_at(&self, address: &SocketAddr) -> Option<Incarnation> {
+        let target = self.registered_at(address)?;
+        Some(Incarnation::open(&target.id, target.started_at_ms))
+    }
+
     fn registered_at(&self, address: &SocketAddr) -> Option<&RegisteredTarget> {
         let mut targets = self.targets.values().map(|state| &state.registration);
         targets.find(|target| target.address == *address)
     }
 }
+
+fn incarnation_of(assignment: &Assignment) -> Incarnation {
+    Incarnation::open(&assignment.target, assignment.started_at_ms)
+}
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -91,9 +91,10 @@
     /// Every target is draining, has already failed the request, or has no usable weights or another
     /// software version, or the prompt's service is not in the serving document.
     NoneUsable,
-    /// Every target that could take the request has asked this process for a pause.
-    Paused {
-        /// Time until the first pause ends.
+    /// Every target that could take the request has asked this process for a pause, or limits its
+    /// requests and this process's share has no room.
+    HeldOff {
+        /// Time until the first of them takes a request.
         wait: Duration,
     },
     /// No target has capacity for the request, or the cheapest one makes it wait longer than its
