--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -10,7 +10,7 @@
 
 /// Time after the end of a disturbance until the time limits hold for a process again. The
 /// requirements call it the contact window.
-pub(crate) const CONTACT_WINDOW: Duration = Duration::from_secs(4);
+const CONTACT_WINDOW: Duration = Duration::from_secs(4);
 
 /// Software version of a target.
 pub(crate) type SoftwareVersion = &'static str;
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod ended_targets;
 mod history;
+mod limit_checks;
 mod network;
 mod part_checks;
 mod plan;
--- a/crates/skylarkpick-soak/src/part_checks.rs
+++ b/crates/skylarkpick-soak/src/part_checks.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     checks::Finding,
-    history::{CONTACT_WINDOW, Call, History},
+    history::{Call, History},
     plan::CRASHING_PARTS,
 };
 use skylarkpick_platform_standin::Arrival;
@@ -47,9 +47,7 @@
     let is_late = |it: &&&Arrival| {
         let call = calls.get(it.attempt_id.as_str());
         it.at > fifth + EVIDENCE_WINDOW
-            && call.is_some_and(|call| {
-                history.is_process_undisturbed(call.process, it.at - CONTACT_WINDOW, it.at)
-            })
+            && call.is_some_and(|call| history.is_process_undisturbed(call.process, it.at, it.at))
     };
     let late: Vec<String> =
         arrivals.iter().filter(is_late).map(|it| describe(history, it)).collect();
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -31,12 +31,17 @@
 /// Distinguishes the generator of the faults of answers from those of the other faults.
 const ANSWER_SEED: u64 = 1 << 62;
 /// Upper limit of the random pause between two faults that end targets.
-const END_FAULT_GAP_LIMIT: Duration = Duration::from_secs(8);
+const END_FAULT_GAP_LIMIT: Duration = Duration::from_secs(6);
 /// Shortest and longest time for which a part ends targets. The users' rule allows for three seconds
 /// after the fifth end.
 const CRASHING_SPANS: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(10));
 /// Share of seeds whose processes are cut from each other, but not from the platform.
 const NO_PEER_LINKS_PERCENT: u32 = 10;
+/// Share of seeds with faults of targets only: the users' rules on parts and limits hold for processes
+/// that have not been disturbed for some seconds.
+const NO_PROCESS_FAULTS_PERCENT: u32 = 40;
+/// Least time for which a target names a limit; each of two is counted from three seconds on.
+const LIMIT_SPAN: Duration = Duration::from_secs(8);
 /// Distinguishes the generator of the ends of targets from those of the other faults.
 const END_SEED: u64 = 1 << 61;
 
@@ -46,6 +51,12 @@
 /// The parts that end targets; no sound prompt has one of them.
 pub(crate) const CRASHING_PARTS: [CrashingPart; 2] = ["bad-1", "bad-2"];
 
+/// Requests per second that a target says it takes from all processes together.
+pub(crate) type NamedLimit = &'static str;
+
+/// Limits that targets name; the last ones can't be kept as they stand.
+const NAMED_LIMITS: [NamedLimit; 8] = ["0.3", "0.7", "1.5", "4", "12", "50", "0", "NaN"];
+
 /// A fault of a network link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LinkFault {
@@ -111,10 +122,29 @@
     CrashingPart { part: CrashingPart, span: Duration },
     /// All targets end at the same moment.
     EndTargets,
+    /// A target names a limit of requests per second in its answers, and another one from the middle
+    /// of the fault on.
+    LimitRequests { target: usize, limits: [NamedLimit; 2], span: Duration },
     /// The operator adds an API key, or revokes the one that was added last.
     ChangeKeys,
 }
 
+impl PlannedFault {
+    /// Returns whether the fault disturbs targets only, not processes or the platform.
+    fn is_of_targets(&self) -> bool {
+        !matches!(
+            self,
+            PlannedFault::Kill { .. }
+                | PlannedFault::Terminate { .. }
+                | PlannedFault::Reload { .. }
+                | PlannedFault::Pause { .. }
+                | PlannedFault::PlatformLink { .. }
+                | PlannedFault::TargetLink { .. }
+                | PlannedFault::Store { .. }
+        )
+    }
+}
+
 /// The fault plan of a seed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct FaultPlan {
@@ -122,6 +152,8 @@
     pub(crate) software_versions: Vec<SoftwareVersion>,
     /// Whether the processes can send messages to each other.
     pub(crate) has_peer_links: bool,
+    /// Whether the processes, their links and the platform have faults too.
+    pub(crate) has_process_faults: bool,
     /// The faults, each with its start time after the start of the plan.
     pub(crate) faults: Vec<(Duration, PlannedFault)>,
 }
@@ -136,7 +168,8 @@
         let gap_limit = GAP_LIMITS[random.random_range(0..GAP_LIMITS.len())];
         let mut faults = Vec::new();
         if processes == 0 || targets == 0 {
-            return FaultPlan { software_versions, has_peer_links: true, faults };
+            let (has_peer_links, has_process_faults) = (true, false);
+            return FaultPlan { software_versions, has_peer_links, has_process_faults, faults };
         }
         let mut at = gap_limit.mul_f64(random.random());
         while at < window {
@@ -156,13 +189,17 @@
         }
         let mut random = StdRng::seed_from_u64(seed ^ END_SEED);
         let has_peer_links = random.random_range(0..100) >= NO_PEER_LINKS_PERCENT;
+        let has_process_faults = random.random_range(0..100) >= NO_PROCESS_FAULTS_PERCENT;
+        if !has_process_faults {
+            faults.retain(|(_, fault)| fault.is_of_targets());
+        }
         let mut at = END_FAULT_GAP_LIMIT.mul_f64(random.random());
         while at < window {
-            faults.push((at, draw_end_fault(&mut random)));
+            faults.push((at, draw_end_fault(&mut random, targets)));
             at += END_FAULT_GAP_LIMIT.mul_f64(random.random());
         }
         faults.sort_by_key(|(at, _)| *at);
-        FaultPlan { software_versions, has_peer_links, faults }
+        FaultPlan { software_versions, has_peer_links, has_process_faults, faults }
     }
 }
 
@@ -216,12 +253,16 @@
     }
 }
 
-fn draw_end_fault(random: &mut StdRng) -> PlannedFault {
+fn draw_end_fault(random: &mut StdRng, targets: usize) -> PlannedFault {
     let part = CRASHING_PARTS[random.random_range(0..CRASHING_PARTS.len())];
     let (shortest, longest) = CRASHING_SPANS;
     let span = shortest + (longest - shortest).mul_f64(random.random());
-    match random.random_range(0..3) {
+    let target = random.random_range(0..targets);
+    let mut limit = || NAMED_LIMITS[random.random_range(0..NAMED_LIMITS.len())];
+    let limits = [limit(), limit()];
+    match random.random_range(0..5) {
         0 => PlannedFault::EndTargets,
+        1 | 2 => PlannedFault::LimitRequests { target, limits, span: span + LIMIT_SPAN },
         _ => PlannedFault::CrashingPart { part, span },
     }
 }
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -308,6 +308,15 @@
             PlannedFault::EndTargets => {
                 self.lock().targets.iter().for_each(|target| target.service.end());
             }
+            PlannedFault::LimitRequests { target, limits, span } => {
+                for limit in limits {
+                    let change = |service: &EchoTarget, is_on: bool| {
+                        service.set_limit(is_on.then_some(limit));
+                    };
+                    self.change_answers(target, span / 2, change).await;
+                }
+                self.record_disturbance(DisturbanceScope::Target, from);
+            }
             PlannedFault::CrashingPart { part, span } => {
                 self.inject_crashing_part(clients, part, span).await;
                 self.record_disturbance(DisturbanceScope::Target, from);
