Soak: the seeds of regressions keep the faults of processes

Cause: the draw that leaves processes undisturbed in two seeds of five took them from seed 8, a regression of a signal to a process that had just exited, which then tested nothing (found by printing its plan).

--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -44,6 +44,8 @@
 const LIMIT_SPAN: Duration = Duration::from_secs(8);
 /// Distinguishes the generator of the ends of targets from those of the other faults.
 const END_SEED: u64 = 1 << 61;
+/// The same for whether processes have faults.
+const PROCESS_FAULTS_SEED: u64 = 1 << 47;
 
 /// Part of a prompt that ends targets.
 pub(crate) type CrashingPart = &'static str;
@@ -189,7 +191,9 @@
         }
         let mut random = StdRng::seed_from_u64(seed ^ END_SEED);
         let has_peer_links = random.random_range(0..100) >= NO_PEER_LINKS_PERCENT;
-        let has_process_faults = random.random_range(0..100) >= NO_PROCESS_FAULTS_PERCENT;
+        let has_process_faults = StdRng::seed_from_u64(seed ^ PROCESS_FAULTS_SEED)
+            .random_range(0..100)
+            >= NO_PROCESS_FAULTS_PERCENT;
         if !has_process_faults {
             faults.retain(|(_, fault)| fault.is_of_targets());
         }
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -529,3 +529,11 @@
         assert_eq!(found, case.rules, "{}", case.name);
     }
 }
+
+#[test]
+fn the_seeds_of_regressions_disturb_processes_and_leave_their_links_to_each_other() {
+    for seed in [4, 8, 101] {
+        let plan = FaultPlan::draw(seed, Duration::from_secs(10), 3, 4);
+        assert!(plan.has_process_faults && plan.has_peer_links, "{seed}: {plan:?}");
+    }
+}
