Write evidence to the platform only where it is needed

Change: into its registration a process writes what not all other processes have taken within 0.4 s, and what speaks against a suspected or blamed part; cleared parts only if the platform may have what they clear. At most one write a second, none while the platform is away.

--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -14,8 +14,12 @@
     peers::Notice,
 };
 use serde::{Deserialize, Serialize};
-use skylarkpick_interface::{CrashReport, ObjectStore, PartNumber, TargetId, WriteError};
-use skylarkpick_schedule::{Assignment, CrashEvidence, PartVerdict, evidence_keepers};
+use skylarkpick_interface::{
+    CrashReport, FleetTopic, ObjectStore, PartNumber, TargetId, WriteError,
+};
+use skylarkpick_schedule::{
+    Assignment, CrashEvidence, PartVerdict, ReportSource, evidence_keepers,
+};
 use skylarkpick_telemetry::{REQUESTS_WITHHELD, metrics};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -39,10 +43,14 @@
 const COLLECTION_TIME: Duration = Duration::from_millis(20);
 /// Upper limit of the random delay before others are told that a part was answered.
 const CLEARING_DELAY_LIMIT: Duration = Duration::from_millis(300);
+/// Time within which a process has to take a message. Between data centres it takes some milliseconds.
+const DELIVERY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Mean delay before the evidence is written to the platform. Many processes see the same end.
-const STORE_DELAY: Duration = Duration::from_millis(200);
+const STORE_DELAY: Duration = Duration::from_millis(400);
+/// Least time between two writes.
+const STORE_PAUSE: Duration = Duration::from_secs(1);
 /// Mean delay before a failed write is repeated; doubles with each further one, up to the limit.
-const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
+const STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
 const STORE_RETRY_LIMIT: Duration = Duration::from_secs(8);
 /// Time for which the result of a look at a target is used again.
 const PROBE_LIFETIME: Duration = Duration::from_millis(200);
@@ -285,17 +293,26 @@
         *cell.get_or_init(|| self.pool.is_refused(place.address)).await
     }
 
-    fn send(&self, report: CrashReport) {
+    /// Tells all other processes. What does not reach one of them, the platform has to keep.
+    async fn send(&self, report: CrashReport) {
+        let others = self.watcher.records.other_entries();
         let notice = Notice::Crashes { report };
-        self.watcher.peer_client.broadcast(&self.watcher.records, &notice);
+        if !self.watcher.peer_client.deliver(others, &notice, DELIVERY_TIMEOUT).await {
+            self.node_state.lock().crash_evidence.note_untold();
+            self.node_state.evidence_changed.notify_one();
+        }
     }
 
     fn report(&self) -> CrashReport {
+        self.node_state.lock().crash_evidence.report()
+    }
+
+    fn record(&self) -> CrashReport {
         let entries = self.watcher.records.entries();
         let node = self.watcher.records.node();
-        let keeps =
+        let is_keeper =
             |part| evidence_keepers(part, &entries).iter().take(KEEPERS).any(|it| *it == node);
-        self.node_state.lock().crash_evidence.report(keeps)
+        self.node_state.lock().crash_evidence.record(is_keeper)
     }
 }
 
@@ -311,12 +328,12 @@
     }
 
     /// Adds what another process tells about ends of targets, or this one before its last start.
-    pub(crate) fn merge_crashes(&self, report: &CrashReport, from: &str, is_own: bool) {
+    pub(crate) fn merge_crashes(&self, report: &CrashReport, from: &str, source: ReportSource) {
         if report.is_empty() {
             return;
         }
         let now_ms = self.wall_ms();
-        if self.change_evidence(|evidence| evidence.merge(report, is_own, now_ms)) {
+        if self.change_evidence(|evidence| evidence.merge(report, source, now_ms)) {
             request_log!("evidence of ended targets applied", kv: {
                 from, crashes = report.crashes.len(), answered = report.answered_at_ms.len(),
             });
@@ -391,7 +408,7 @@
     loop {
         watch.crashes_seen.notified().await;
         tokio::time::sleep(COLLECTION_TIME).await;
-        watch.send(watch.report());
+        watch.send(watch.report()).await;
     }
 }
 
@@ -404,7 +421,7 @@
         tokio::time::sleep(CLEARING_DELAY_LIMIT.mul_f64(rand::random())).await;
         let report = watch.report();
         if !report.answered_at_ms.is_empty() {
-            watch.send(report);
+            watch.send(report).await;
         }
     }
 }
@@ -418,14 +435,18 @@
         watch.node_state.evidence_changed.notified().await;
         loop {
             sleep_with_jitter(STORE_DELAY).await;
-            let report = watch.report();
+            let report = watch.record();
             if report == stored {
                 break;
             }
+            if watch.watcher.records.is_disconnected(FleetTopic::Entries) {
+                continue;
+            }
             let node = watch.watcher.records.node();
             match watch.watcher.source.record_crashes(node, &report).await {
                 Ok(()) => {
                     (stored, delay) = (report, STORE_RETRY_DELAY);
+                    tokio::time::sleep(STORE_PAUSE).await;
                 }
                 Err(error) => {
                     spdlog::warn!("failed to record the evidence of ended targets", kv: { error: });
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -14,6 +14,7 @@
     DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord,
     RegisteredEntry, RegisteredTarget, ServingDocument, WeightVersion,
 };
+use skylarkpick_schedule::ReportSource;
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -392,8 +393,11 @@
             Some(FleetRecord::Target(target)) => self.apply_target(target, revision),
             Some(FleetRecord::Weights(weights)) => self.apply_weights(weights, origin),
             Some(FleetRecord::Entry(entry)) => {
-                let is_own = entry.name == self.node;
-                self.node_state.merge_crashes(&entry.crashes, &entry.name, is_own);
+                let source = match entry.name == self.node {
+                    true => ReportSource::OwnRegistration,
+                    false => ReportSource::Registration,
+                };
+                self.node_state.merge_crashes(&entry.crashes, &entry.name, source);
             }
             Some(FleetRecord::Unreadable(why)) => {
                 request_log!("invalid platform record", kv: {
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -9,7 +9,7 @@
 };
 use async_trait::async_trait;
 use skylarkpick_interface::PeerHandler;
-use skylarkpick_schedule::MemorySample;
+use skylarkpick_schedule::{MemorySample, ReportSource};
 use std::{sync::Arc, time::Duration};
 
 /// Upper limit of the wait that a request specifies.
@@ -48,7 +48,8 @@
                 limits.iter().for_each(|limit| self.node_state.merge_limit(limit));
             }
             Ok(Notice::Crashes { report }) => {
-                self.node_state.merge_crashes(&report, "another entry process", false);
+                let source = ReportSource::Process;
+                self.node_state.merge_crashes(&report, "another entry process", source);
             }
             Err(error) => {
                 spdlog::warn!("invalid notice from another entry process", kv: { error: });
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -65,6 +65,27 @@
         }
     }
 
+    /// Sends a notice to entry processes. Returns whether all have taken it within `timeout`.
+    pub(crate) async fn deliver(
+        &self,
+        receivers: Vec<RegisteredEntry>,
+        notice: &Notice,
+        timeout: Duration,
+    ) -> bool {
+        let Some(network) = self.network.get() else { return false };
+        // A notice of strings and numbers always serializes.
+        let message = serde_json::to_vec(notice).unwrap_or_default();
+        let sends = receivers.into_iter().map(|entry| {
+            let (network, message) = (network.clone(), message.clone());
+            async move {
+                let address = entry.address.to_string();
+                let sent = tokio::time::timeout(timeout, network.send(&address, message)).await;
+                matches!(sent, Ok(Ok(())))
+            }
+        });
+        futures::future::join_all(sends).await.into_iter().all(|is_sent| is_sent)
+    }
+
     /// Sends a request to another process and returns the response.
     pub(crate) async fn ask(
         &self,
--- a/crates/skylarkpick-schedule/src/crashes.rs
+++ b/crates/skylarkpick-schedule/src/crashes.rs
@@ -6,5 +6,5 @@
 mod tests;
 mod verdict;
 
-pub use evidence::CrashEvidence;
+pub use evidence::{CrashEvidence, ReportSource};
 pub use verdict::{PartVerdict, evidence_keepers, part_number};
--- a/crates/skylarkpick-schedule/src/crashes/evidence.rs
+++ b/crates/skylarkpick-schedule/src/crashes/evidence.rs
@@ -44,12 +44,27 @@
     crash: TargetCrash,
     /// Whether this process has seen it.
     is_own: bool,
+    /// Whether some process could not be told of it directly, or the platform has it.
+    is_recorded: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Cleared {
     at_ms: u64,
     is_own: bool,
+    /// Whether it cleared ends that the platform may have.
+    is_recorded: bool,
+}
+
+/// Where a report comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportSource {
+    /// A message of another process.
+    Process,
+    /// The registration of another process.
+    Registration,
+    /// The registration of this process, from before its last start.
+    OwnRegistration,
 }
 
 impl CrashEvidence {
@@ -80,7 +95,7 @@
             ended_at_ms: now_ms,
             parts: parts.clone(),
         };
-        let is_new = self.add(&crash, true, now_ms);
+        let is_new = self.add(&crash, true, false, now_ms);
         self.judge(now_ms);
         is_new
     }
@@ -91,9 +106,10 @@
         let mut is_cleared = false;
         for part in parts {
             self.answered.note(*part, now_ms);
-            if self.clear(*part, now_ms) {
+            if let Some(is_recorded) = self.clear(*part, now_ms) {
                 is_cleared = true;
-                self.cleared.insert(*part, Cleared { at_ms: now_ms, is_own: true });
+                let cleared = Cleared { at_ms: now_ms, is_own: true, is_recorded };
+                self.cleared.insert(*part, cleared);
             }
         }
         if is_cleared {
@@ -102,16 +118,17 @@
         is_cleared
     }
 
-    /// Adds what a process tells. `is_own` marks what this process itself told before its last start.
-    /// Returns whether anything was new.
-    pub fn merge(&mut self, report: &CrashReport, is_own: bool, now_ms: u64) -> bool {
+    /// Adds what a process tells. Returns whether anything was new.
+    pub fn merge(&mut self, report: &CrashReport, source: ReportSource, now_ms: u64) -> bool {
+        let is_own = source == ReportSource::OwnRegistration;
+        let is_recorded = source != ReportSource::Process;
         let mut is_changed = false;
         for (part, at_ms) in report.answered_at_ms.iter().take(REPORT_LIMIT) {
             let at_ms = (*at_ms).min(now_ms);
-            let new = Cleared { at_ms: 0, is_own };
+            let new = Cleared { at_ms: 0, is_own, is_recorded };
             let known = self.cleared.entry(*part).or_insert(new);
             if known.at_ms < at_ms {
-                *known = Cleared { at_ms, is_own };
+                *known = Cleared { at_ms, is_own, is_recorded };
                 self.answered.note(*part, at_ms);
                 self.clear(*part, at_ms);
                 is_changed = true;
@@ -120,7 +137,7 @@
             }
         }
         for crash in report.crashes.iter().take(REPORT_LIMIT) {
-            is_changed |= self.add(crash, is_own, now_ms);
+            is_changed |= self.add(crash, is_own, is_recorded, now_ms);
         }
         if is_changed {
             self.judge(now_ms);
@@ -128,22 +145,36 @@
         is_changed
     }
 
-    /// Returns what this process tells others: what it has seen, and what counts against blamed parts
-    /// that it keeps the evidence of.
-    pub fn report(&self, keeps: impl Fn(PartNumber) -> bool) -> CrashReport {
+    /// Returns what this process tells others: what it has seen.
+    pub fn report(&self) -> CrashReport {
+        let crashes = self.crashes.values().filter(|known| known.is_own);
+        let cleared = self.cleared.iter().filter(|(_, cleared)| cleared.is_own);
+        self.bounded_report(crashes, cleared)
+    }
+
+    /// Returns what this process has the platform keep: what it has seen of suspected and blamed parts, or
+    /// could not tell others directly, and what counts against blamed parts that it keeps the
+    /// evidence of.
+    pub fn record(&self, keeps: impl Fn(PartNumber) -> bool) -> CrashReport {
         let is_kept = |known: &&KnownCrash| {
-            let mut blamed = known.crash.parts.keys().filter(|it| self.is_blamed(**it));
-            known.is_own || blamed.any(|part| keeps(*part))
+            let mut parts = known.crash.parts.keys();
+            known.is_own && (known.is_recorded || self.is_basis(&known.crash))
+                || parts.any(|part| self.is_blamed(*part) && keeps(*part))
         };
-        let told = self.crashes.values().filter(is_kept);
-        let mut crashes: Vec<&TargetCrash> = told.map(|known| &known.crash).collect();
+        let crashes = self.crashes.values().filter(is_kept);
+        let is_needed = |(_, it): &(&PartNumber, &Cleared)| it.is_own && it.is_recorded;
+        self.bounded_report(crashes, self.cleared.iter().filter(is_needed))
+    }
+
+    fn bounded_report<'a>(
+        &self,
+        crashes: impl Iterator<Item = &'a KnownCrash>,
+        cleared: impl Iterator<Item = (&'a PartNumber, &'a Cleared)>,
+    ) -> CrashReport {
+        let mut crashes: Vec<&TargetCrash> = crashes.map(|known| &known.crash).collect();
         crashes.sort_by_key(|crash| std::cmp::Reverse((self.is_basis(crash), crash.ended_at_ms)));
-        let mut answered: Vec<(PartNumber, u64)> = self
-            .cleared
-            .iter()
-            .filter(|(_, cleared)| cleared.is_own)
-            .map(|(part, cleared)| (*part, cleared.at_ms))
-            .collect();
+        let mut answered: Vec<(PartNumber, u64)> =
+            cleared.map(|(part, cleared)| (*part, cleared.at_ms)).collect();
         answered.sort_by_key(|(_, at_ms)| std::cmp::Reverse(*at_ms));
         CrashReport {
             crashes: crashes.into_iter().take(REPORT_LIMIT).cloned().collect(),
@@ -151,6 +182,15 @@
         }
     }
 
+    /// Records that some process could not be told directly what this one has seen, so that the platform
+    /// has to keep it.
+    pub fn note_untold(&mut self) {
+        let own = self.crashes.values_mut().filter(|known| known.is_own);
+        own.for_each(|known| known.is_recorded = true);
+        let own = self.cleared.values_mut().filter(|cleared| cleared.is_own);
+        own.for_each(|cleared| cleared.is_recorded = true);
+    }
+
     /// Judges a request by the shared parts of its prompt.
     pub fn verdict(&self, parts: &[PartNumber], now_ms: u64) -> PartVerdict {
         let blamed = parts.iter().filter_map(|part| {
@@ -181,13 +221,14 @@
         self.verdicts.blamed.contains_key(&part)
     }
 
-    /// Returns whether an end counts against a blamed part.
+    /// Returns whether an end counts against a suspected or blamed part.
     fn is_basis(&self, crash: &TargetCrash) -> bool {
-        crash.parts.keys().any(|part| self.is_blamed(*part))
+        let is_named = |part| self.is_blamed(part) || self.verdicts.suspects.contains(&part);
+        crash.parts.keys().any(|part| is_named(*part))
     }
 
     /// Adds an end, without the parts that were answered since. Returns whether anything was new.
-    fn add(&mut self, crash: &TargetCrash, is_own: bool, now_ms: u64) -> bool {
+    fn add(&mut self, crash: &TargetCrash, is_own: bool, is_recorded: bool, now_ms: u64) -> bool {
         // A clock that is ahead must not outlast the answers that clear its evidence.
         let ended_at_ms = crash.ended_at_ms.min(now_ms);
         let is_open = |(part, _): &(&PartNumber, &PartDepth)| {
@@ -203,7 +244,9 @@
         let known = self.crashes.entry(key).or_insert_with(|| KnownCrash {
             crash: TargetCrash { ended_at_ms, parts: BTreeMap::new(), ..crash.clone() },
             is_own,
+            is_recorded,
         });
+        known.is_recorded |= is_recorded;
         let mut is_new = is_own && !known.is_own;
         known.is_own |= is_own;
         for (part, depth) in parts {
@@ -214,15 +257,16 @@
         is_new
     }
 
-    /// Removes a part from the ends up to a time. Returns whether it counted against any.
-    fn clear(&mut self, part: PartNumber, at_ms: u64) -> bool {
-        let mut is_cleared = false;
-        for KnownCrash { crash, .. } in self.crashes.values_mut() {
-            if crash.ended_at_ms <= at_ms {
-                is_cleared |= crash.parts.remove(&part).is_some();
+    /// Removes a part from the ends up to a time. Returns `None` if it counted against none, else whether
+    /// the platform may have some of them.
+    fn clear(&mut self, part: PartNumber, at_ms: u64) -> Option<bool> {
+        let mut cleared = None;
+        for KnownCrash { crash, is_recorded, .. } in self.crashes.values_mut() {
+            if crash.ended_at_ms <= at_ms && crash.parts.remove(&part).is_some() {
+                cleared = Some(cleared.unwrap_or(false) || *is_recorded);
             }
         }
-        is_cleared
+        cleared
     }
 
     fn judge(&mut self, now_ms: u64) {
--- a/crates/skylarkpick-schedule/src/crashes/tests.rs
+++ b/crates/skylarkpick-schedule/src/crashes/tests.rs
@@ -1,4 +1,4 @@
-use super::{CrashEvidence, PartVerdict, evidence_keepers};
+use super::{CrashEvidence, PartVerdict, ReportSource, evidence_keepers};
 use skylarkpick_interface::{CrashReport, PartDepth, PartNumber, RegisteredEntry};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -229,17 +229,17 @@
 
 #[test]
 fn reports_of_several_processes_blame_a_part_in_any_order_and_repeated() {
-    let reports: Vec<CrashReport> =
-        separate_processes().iter().map(|it| it.report(|_| false)).collect();
+    let reports: Vec<CrashReport> = separate_processes().iter().map(|it| it.report()).collect();
     let orders = [[0, 1, 2, 3], [3, 2, 1, 0], [2, 0, 3, 1]];
     for order in orders {
         for (index, mut evidence) in separate_processes().into_iter().enumerate() {
             assert!(blamed(&evidence).is_empty(), "no process alone saw enough");
             for report in order.into_iter().chain(order) {
-                evidence.merge(&reports[report], false, START_MS + 3 * SECOND_MS);
+                evidence.merge(&reports[report], ReportSource::Process, START_MS + 3 * SECOND_MS);
             }
             assert_eq!(blamed(&evidence), [BAD], "process {index}, {order:?}");
-            let again = evidence.merge(&reports[0], false, START_MS + 4 * SECOND_MS);
+            let again =
+                evidence.merge(&reports[0], ReportSource::Process, START_MS + 4 * SECOND_MS);
             assert!(!again, "process {index}: a report that was merged is not new");
         }
     }
@@ -254,16 +254,16 @@
         Seen::End("i-3", 2_000, &[RARE]),
     ];
     play(&mut first, &ends);
-    let stale = first.report(|_| false);
+    let stale = first.report();
     let mut second = CrashEvidence::default();
-    second.merge(&stale, false, START_MS + 2_100);
+    second.merge(&stale, ReportSource::Process, START_MS + 2_100);
     assert_eq!(blamed(&second), [RARE]);
     assert!(second.note_answer(&[RARE], START_MS + 3_000), "others are told");
     assert!(blamed(&second).is_empty());
-    first.merge(&second.report(|_| false), false, START_MS + 3_100);
+    first.merge(&second.report(), ReportSource::Process, START_MS + 3_100);
     assert!(blamed(&first).is_empty());
     for evidence in [&mut first, &mut second] {
-        assert!(!evidence.merge(&stale, false, START_MS + 3_200));
+        assert!(!evidence.merge(&stale, ReportSource::Process, START_MS + 3_200));
         assert!(blamed(evidence).is_empty());
     }
 }
@@ -272,13 +272,13 @@
 fn a_process_keeps_reporting_what_it_saw_before_its_restart() {
     let mut before = CrashEvidence::default();
     play(&mut before, &[Seen::End("i-1", 0, &[BAD])]);
-    let report = before.report(|_| false);
+    let report = before.report();
     let mut after = CrashEvidence::default();
-    after.merge(&report, true, START_MS + SECOND_MS);
-    assert_eq!(after.report(|_| false), report);
+    after.merge(&report, ReportSource::OwnRegistration, START_MS + SECOND_MS);
+    assert_eq!(after.report(), report);
     let mut other = CrashEvidence::default();
-    other.merge(&report, false, START_MS + SECOND_MS);
-    assert!(other.report(|_| false).is_empty(), "others report only what they saw");
+    other.merge(&report, ReportSource::Process, START_MS + SECOND_MS);
+    assert!(other.report().is_empty(), "others report only what they saw");
 }
 
 #[test]
@@ -291,9 +291,9 @@
     ];
     play(&mut seer, &ends);
     let mut keeper = CrashEvidence::default();
-    keeper.merge(&seer.report(|_| false), false, START_MS + 2_100);
-    assert_eq!(keeper.report(|part| part == BAD).crashes.len(), 3);
-    assert_eq!(keeper.report(|part| part != BAD).crashes.len(), 0);
+    keeper.merge(&seer.report(), ReportSource::Process, START_MS + 2_100);
+    assert_eq!(keeper.record(|part| part == BAD).crashes.len(), 3);
+    assert_eq!(keeper.record(|part| part != BAD).crashes.len(), 0);
 }
 
 #[test]
@@ -350,7 +350,7 @@
         );
     }
     assert!(blamed(&evidence).contains(&BAD));
-    let report = evidence.report(|_| true);
+    let report = evidence.report();
     assert_eq!(report.crashes.len(), 32);
     assert!(report.crashes.iter().all(|crash| crash.parts.len() <= 64));
     let later_ms = START_MS + 3_600 * SECOND_MS + 10 * SECOND_MS;
@@ -366,7 +366,7 @@
         fast.note_crash(&format!("i-{number}"), 0, START_MS + hour_ms + at_ms, &prompt(&[RARE]));
     }
     let mut evidence = CrashEvidence::default();
-    evidence.merge(&fast.report(|_| false), false, START_MS);
+    evidence.merge(&fast.report(), ReportSource::Process, START_MS);
     evidence.note_answer(&[RARE], START_MS + 10);
     assert_eq!(evidence.verdict(&[RARE], START_MS + 20), PartVerdict::Free);
 }
@@ -386,3 +386,51 @@
     assert_eq!(evidence_keepers(BAD, &entries), evidence_keepers(BAD, &reversed));
     assert_ne!(evidence_keepers(BAD, &entries), evidence_keepers(RARE, &entries));
 }
+
+#[test]
+fn the_platform_keeps_only_what_others_lack_or_what_speaks_against_a_part() {
+    struct Case {
+        name: &'static str,
+        seen: &'static [Seen],
+        is_untold: bool,
+        recorded: usize,
+    }
+    let cases = [
+        Case {
+            name: "an end of which all were told",
+            seen: &[Seen::Answer(0, &[SYSTEM]), Seen::End("i-1", 100, &[SYSTEM, BAD])],
+            is_untold: false,
+            recorded: 0,
+        },
+        Case {
+            name: "an end of which somebody could not be told",
+            seen: &[Seen::Answer(0, &[SYSTEM]), Seen::End("i-1", 100, &[SYSTEM, BAD])],
+            is_untold: true,
+            recorded: 1,
+        },
+        Case {
+            name: "two ends that make a suspect",
+            seen: &[Seen::End("i-1", 100, &[BAD]), Seen::End("i-2", 900, &[BAD])],
+            is_untold: false,
+            recorded: 2,
+        },
+        Case {
+            name: "ends of a part that was answered since",
+            seen: &[
+                Seen::End("i-1", 100, &[BAD]),
+                Seen::End("i-2", 900, &[BAD]),
+                Seen::Answer(1_000, &[BAD]),
+            ],
+            is_untold: true,
+            recorded: 0,
+        },
+    ];
+    for Case { name, seen, is_untold, recorded } in cases {
+        let mut evidence = CrashEvidence::default();
+        play(&mut evidence, seen);
+        if is_untold {
+            evidence.note_untold();
+        }
+        assert_eq!(evidence.record(|_| false).crashes.len(), recorded, "{name}");
+    }
+}
