Judge the first 64 shared parts of a prompt

Cause: found by reading. The place of a part in its prompt has 8 bits, and a request's head has room for thousands of parts: a response that broke off at an ended target overflowed the count, which ends the request's task in a debug build and gives wrong places in a release build.

Change: only the first 64 shared parts are judged, as many as an end keeps anyway. Other prompts are not affected.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -53,6 +53,9 @@
 /// Longest expected wait that is compared with the time left: estimates of longer waits are rough,
 /// and capacity may become free earlier.
 const CAPACITY_WAIT_STEP: Duration = Duration::from_millis(50);
+/// Shared parts of a prompt that are judged. Prompts have a few; the head of a request has room for
+/// thousands.
+const SHARED_PARTS_LIMIT: usize = 64;
 /// Part of the list of a prompt's parts that is logged.
 const LOGGED_PARTS_CHARACTERS: usize = 120;
 /// Expected wait if there is no estimate.
@@ -254,7 +257,8 @@
             self.placement_request(&head, &route, account.as_deref(), service, timeout);
         let prompt_parts = head.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
         let shared = prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let shared_parts = shared.iter().map(|part| part_number(&part.id)).collect();
+        let shared = shared.iter().take(SHARED_PARTS_LIMIT);
+        let shared_parts = shared.map(|part| part_number(&part.id)).collect();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
         Ok(ActiveRequest {
             received,
