Record ends at the platform only if they speak against a part that was never answered

Change: what others can't be told is recorded only if a part without any whole response stands in it. The futures of rare steps (a trial, a broken response) are boxed, so that those of all requests are smaller.

--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -162,7 +162,8 @@
         let is_due = !has_run && (!is_trial || until_trial.is_zero());
         let mut permit = is_due.then(|| self.take_permit(part, trial_pause)).flatten();
         if let (Some(pause), true) = (trial_pause, permit.is_some())
-            && !self.claim_trial(part, pause).await
+            // Boxed, so that the futures of all requests don't have room for it.
+            && !Box::pin(self.claim_trial(part, pause)).await
         {
             permit = None;
         }
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -527,7 +527,7 @@
             let outcome = attempt.run().await;
             match &outcome {
                 AttemptOutcome::NoValidResponse(_) => {
-                    self.crashes.note_broken(&place, request, None).await;
+                    Box::pin(self.crashes.note_broken(&place, request, None)).await;
                 }
                 AttemptOutcome::Complete(response) if response.is_whole_answer() => {
                     self.crashes.note_answer(request);
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -240,7 +240,8 @@
             // The end of a target looks the same.
             let place = AttemptTarget::of(&current.guard.assignment);
             let since_first_piece = current.guard.since_first_response();
-            self.forwarder.crashes.note_broken(&place, &self.request, since_first_piece).await;
+            let crashes = &self.forwarder.crashes;
+            Box::pin(crashes.note_broken(&place, &self.request, since_first_piece)).await;
             return;
         }
         if current.head.status.is_success() {
@@ -282,7 +283,8 @@
             last_event = self.last_event.unwrap_or_default(),
             resumable = may_repeat && self.splits_events,
         });
-        self.forwarder.crashes.note_broken(&place, &self.request, since_first_piece).await;
+        let crashes = &self.forwarder.crashes;
+        Box::pin(crashes.note_broken(&place, &self.request, since_first_piece)).await;
         if !may_repeat || !self.splits_events {
             return false;
         }
--- a/crates/skylarkpick-schedule/src/crashes/evidence.rs
+++ b/crates/skylarkpick-schedule/src/crashes/evidence.rs
@@ -183,12 +183,13 @@
     }
 
     /// Records that some process could not be told directly what this one has seen, so that the platform
-    /// has to keep it.
+    /// has to keep the ends that speak against a part without any whole response.
     pub fn note_untold(&mut self) {
-        let own = self.crashes.values_mut().filter(|known| known.is_own);
-        own.for_each(|known| known.is_recorded = true);
-        let own = self.cleared.values_mut().filter(|cleared| cleared.is_own);
-        own.for_each(|cleared| cleared.is_recorded = true);
+        let answered = &self.answered;
+        for known in self.crashes.values_mut().filter(|known| known.is_own) {
+            let mut parts = known.crash.parts.keys();
+            known.is_recorded |= parts.any(|part| answered.last_ms(*part).is_none());
+        }
     }
 
     /// Judges a request by the shared parts of its prompt.
--- a/crates/skylarkpick-schedule/src/crashes/tests.rs
+++ b/crates/skylarkpick-schedule/src/crashes/tests.rs
@@ -408,6 +408,12 @@
             is_untold: true,
             recorded: 1,
         },
+        Case {
+            name: "an end beside parts that were all answered before",
+            seen: &[Seen::Answer(0, &[SYSTEM, RARE]), Seen::End("i-1", 100, &[SYSTEM, RARE])],
+            is_untold: true,
+            recorded: 0,
+        },
         Case {
             name: "two ends that make a suspect",
             seen: &[Seen::End("i-1", 100, &[BAD]), Seen::End("i-2", 900, &[BAD])],
