Share the fleet of the placement tests on pauses and on limits

Cause: the tests of limits wrote the targets, the placement and the request of the tests of pauses again.

Change: both use test_fleet.rs.

--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -23,6 +23,8 @@
 mod signals;
 mod target;
 #[cfg(test)]
+mod test_fleet;
+#[cfg(test)]
 mod tests;
 mod timing;
 mod types;
--- a/crates/skylarkpick-schedule/src/placement/limit_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/limit_tests.rs
@@ -1,17 +1,13 @@
 //! Tests of limits that targets name for all entry processes together.
 
 use super::{
-    Assignment, LimitChange, Placement, PlacementDecision, PlacementRequest, UnplacedReason,
+    Assignment, LimitChange, Placement, PlacementDecision, UnplacedReason,
+    test_fleet::{address, choose, fleet, registered},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use skylarkpick_interface::{EntryId, RegisteredTarget, RequestLimit, ServiceKind};
-use std::{
-    collections::{BTreeMap, VecDeque},
-    net::SocketAddr,
-    time::Duration,
-};
+use skylarkpick_interface::{EntryId, RequestLimit};
+use std::{collections::VecDeque, time::Duration};
 
-const SERVICE: &str = "tala-llm";
 const SECOND: Duration = Duration::from_secs(1);
 /// Time at which the target names its limit.
 const NAMED_AT: Duration = Duration::from_secs(100);
@@ -23,53 +19,19 @@
     RequestLimit { milli_requests_per_second: (requests_per_second * 1_000.0) as u64 }
 }
 
-fn address(index: u8) -> SocketAddr {
-    SocketAddr::from(([10, 1, 0, index], 80))
-}
-
-fn registered(index: u8, started_at_ms: u64) -> RegisteredTarget {
-    RegisteredTarget {
-        id: format!("i-{index}"),
-        service: SERVICE.to_string(),
-        address: address(index),
-        data_centre: "mnl-a".to_string(),
-        slots: 64,
-        is_draining: false,
-        weights: BTreeMap::new(),
-        started_at_ms,
-        software_version: None,
-    }
-}
-
 fn names(numbers: impl IntoIterator<Item = usize>) -> Vec<EntryId> {
     numbers.into_iter().map(|number| format!("entry-{number}")).collect()
 }
 
 /// Returns the placement of a process that knows these processes, and targets.
 fn process(number: usize, known: Vec<EntryId>, targets: u8) -> Placement {
-    let mut placement = Placement::open(Duration::from_secs(10));
-    placement.set_services(&BTreeMap::from([(SERVICE.to_string(), ServiceKind::Plain)]));
-    (1..=targets).for_each(|index| _ = placement.set_target(registered(index, 1)));
+    let mut placement = fleet(targets);
     placement.set_entries(&format!("entry-{number}"), known, Duration::ZERO);
     placement
 }
 
-fn choose(placement: &Placement, now: Duration) -> PlacementDecision {
-    let request = PlacementRequest {
-        service: SERVICE.to_string(),
-        data_centre: "mnl-a".to_string(),
-        prompt: None,
-        rank: 0,
-        is_continuation: false,
-        software_version: None,
-        avoid: Vec::new(),
-        max_wait: SECOND,
-    };
-    placement.choose(&request, now)
-}
-
 fn assignment(placement: &Placement, now: Duration) -> Option<Assignment> {
-    match choose(placement, now) {
+    match choose(placement, &[], now) {
         PlacementDecision::Assigned(assignment) => Some(*assignment),
         PlacementDecision::Unplaced(_) => None,
     }
@@ -244,7 +206,7 @@
     placement.note_limit_at(address(1), limit(1.0), NAMED_AT);
     placement.note_limit_at(address(2), limit(4.0), NAMED_AT);
     let PlacementDecision::Unplaced(UnplacedReason::HeldOff { wait }) =
-        choose(&placement, NAMED_AT)
+        choose(&placement, &[], NAMED_AT)
     else {
         panic!("the request is refused");
     };
--- a/crates/skylarkpick-schedule/src/placement/pause_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/pause_tests.rs
@@ -1,55 +1,15 @@
 //! Tests of placement while targets pause or leave by their own word.
 
-use super::{Assignment, Placement, PlacementDecision, PlacementRequest, UnplacedReason};
-use skylarkpick_interface::{RegisteredTarget, ServiceKind, TargetId};
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use super::{
+    Assignment, Placement, PlacementDecision, UnplacedReason,
+    test_fleet::{address, choose, fleet, registered},
+};
+use skylarkpick_interface::{RegisteredTarget, TargetId};
+use std::time::Duration;
 
-const SERVICE: &str = "book-api";
 const ASKED_AT: Duration = Duration::from_secs(100);
 const PAUSE: Duration = Duration::from_secs(3);
 
-fn address(index: u8) -> SocketAddr {
-    SocketAddr::from(([10, 1, 0, index], 80))
-}
-
-fn registered(index: u8, started_at_ms: u64) -> RegisteredTarget {
-    RegisteredTarget {
-        id: format!("i-{index}"),
-        service: SERVICE.to_string(),
-        address: address(index),
-        data_centre: "mnl-a".to_string(),
-        slots: 6,
-        is_draining: false,
-        weights: BTreeMap::new(),
-        started_at_ms,
-        software_version: Some("v1".to_string()),
-    }
-}
-
-/// Returns a placement with this many targets.
-fn fleet(targets: u8) -> Placement {
-    let mut placement = Placement::open(Duration::from_secs(10));
-    placement.set_services(&BTreeMap::from([(SERVICE.to_string(), ServiceKind::Plain)]));
-    for index in 1..=targets {
-        placement.set_target(registered(index, 1));
-    }
-    placement
-}
-
-fn choose(placement: &Placement, avoid: &[u8], now: Duration) -> PlacementDecision {
-    let request = PlacementRequest {
-        service: SERVICE.to_string(),
-        data_centre: "mnl-a".to_string(),
-        prompt: None,
-        rank: 0,
-        is_continuation: false,
-        software_version: None,
-        avoid: avoid.iter().map(|index| format!("i-{index}")).collect(),
-        max_wait: Duration::from_secs(1),
-    };
-    placement.choose(&request, now)
-}
-
 fn assignment(placement: &Placement, index: u8) -> Assignment {
     let others: Vec<u8> = (1..=9).filter(|other| *other != index).collect();
     match choose(placement, &others, ASKED_AT) {
