--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -48,7 +48,7 @@
 /// Mean delay before the evidence is written to the platform. Many processes see the same end.
 const STORE_DELAY: Duration = Duration::from_millis(400);
 /// Least time between two writes.
-const STORE_PAUSE: Duration = Duration::from_secs(1);
+const STORE_PAUSE: Duration = Duration::from_millis(400);
 /// Mean delay before a failed write is repeated; doubles with each further one, up to the limit.
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
 const STORE_RETRY_LIMIT: Duration = Duration::from_secs(8);
