--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -15,6 +15,7 @@
     RegisteredEntry, RegisteredTarget, ServingDocument, WeightVersion,
 };
 use skylarkpick_schedule::ReportSource;
+use skylarkpick_telemetry::{RECORDS_OLDER, metrics};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -326,6 +327,7 @@
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
             if update.revision < state.revision {
+                note_older(topic, update, state.revision);
                 return false;
             }
             state.remove_missing(update);
@@ -351,6 +353,7 @@
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
             if update.revision < state.revision {
+                note_older(topic, update, state.revision);
                 return;
             }
             let is_first_read = state.revision == 0;
@@ -554,3 +557,14 @@
         })
     }
 }
+
+/// Logs an update of a topic that is ignored, since it is older than the stored records.
+fn note_older(topic: FleetTopic, update: &FleetUpdate, known: FleetRevision) {
+    metrics().count(&RECORDS_OLDER, &[("topic", &topic.to_string())]);
+    request_log!("older platform records ignored", kv: {
+        topic:,
+        revision: = update.revision,
+        known_revision: = known,
+        records = update.records.len(),
+    });
+}
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -17,6 +17,7 @@
 mod platform;
 mod runner;
 mod store;
+mod store_revision;
 mod targets;
 
 pub use clock::{BootClock, Clock, TokioClock};
@@ -57,4 +58,5 @@
 pub use store::{
     Manifest, ManifestState, PinId, SavedPrefix, Store, StoreError, StoreStatus, StoreTier,
 };
+pub use store_revision::{StoreEra, StoreRevision};
 pub use targets::TargetConnector;
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -171,6 +171,30 @@
     description: "parts of prompts that are blamed for ends of targets",
 };
 
+/// Era that the platform's store names: the number of its returns from an older copy.
+pub const STORE_ERA: Metric = Metric {
+    name: "store.era",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "number of returns of the platform's store from an older copy, as it says",
+};
+
+/// Responses of the platform's store whose era is unreadable.
+pub const STORE_ERAS_UNREADABLE: Metric = Metric {
+    name: "store.eras_unreadable",
+    kind: MetricKind::Counter,
+    tags: &[],
+    description: "responses of the platform's store that name an era which is unreadable",
+};
+
+/// Platform records that were older than those in memory, and ignored.
+pub const RECORDS_OLDER: Metric = Metric {
+    name: "records.older",
+    kind: MetricKind::Counter,
+    tags: &["topic"],
+    description: "updates of the platform's records that were ignored, since newer ones are known",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -191,4 +215,7 @@
     ORDERS_GIVEN,
     REQUESTS_WITHHELD,
     PARTS_BLAMED,
+    STORE_ERA,
+    STORE_ERAS_UNREADABLE,
+    RECORDS_OLDER,
 ];
