--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -153,12 +153,14 @@
         let length = if is_long { "long/" } else { "" };
         ClientRequest {
             attempt_id: format!("call-{number}"),
+            method: "POST".to_string(),
             path: format!("/{}/{length}{number}", kind.route()),
             key,
             deadline: ROUTE_TIMEOUT,
             resumes: None,
             last_event_id: None,
             parts: self.draw_parts(number, random),
+            body: "body".to_string(),
         }
     }
 
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -225,12 +225,14 @@
         for (index, address) in self.fronts().into_iter().enumerate() {
             let request = ClientRequest {
                 attempt_id: format!("start-{index}"),
+                method: "POST".to_string(),
                 path: "/read/start".to_string(),
                 key: MAIN_KEY.to_string(),
                 deadline: ROUTE_TIMEOUT,
                 resumes: None,
                 last_event_id: None,
                 parts: Vec::new(),
+                body: "body".to_string(),
             };
             while TestClient::open(address).send(&request, ROUTE_TIMEOUT).await.status != Some(200)
             {
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -46,12 +46,14 @@
     };
     let request = ClientRequest {
         attempt_id: "a".to_string(),
+        method: "POST".to_string(),
         path: format!("/{}/1", kind.route()),
         key: MAIN_KEY.to_string(),
         deadline: Duration::from_secs(5),
         resumes: None,
         last_event_id: None,
         parts: Vec::new(),
+        body: "body".to_string(),
     };
     let response = ClientResponse {
         status: Some(200),
@@ -85,6 +87,9 @@
             started_at_ms: 1,
             pause: None,
             is_leaving: false,
+            method: "POST".to_string(),
+            path: format!("/{}/1", kind.route()),
+            body_digest: 0,
             parts: Vec::new(),
             has_crashed: false,
             limit: None,
