--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -1,5 +1,6 @@
 //! Forwards a client request to targets, from its head to the end of the response.
 
+mod active_request;
 mod attempt;
 mod event_splitter;
 mod forwarder;
@@ -10,7 +11,8 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use forwarder::{ActiveRequest, BUFFERED_TOTAL_LIMIT_BYTES, Forwarder};
+pub(crate) use active_request::ActiveRequest;
+pub(crate) use forwarder::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder};
 pub(crate) use response::{
     ClientBody, IncompleteResponse, ResponseDeadline, may_end_with_connection,
 };
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt to run a request at one target.
 
-use super::forwarder::{ActiveRequest, Forwarder, SHORT_BODY_BYTES};
+use super::{
+    active_request::ActiveRequest,
+    forwarder::{Forwarder, SHORT_BODY_BYTES},
+};
 use crate::{
     connection_pool::{Connection, SendError},
     node_state::AssignmentGuard,
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -4,9 +4,10 @@
 //! continues after the last event that was forwarded, within the same response to the client.
 
 use super::{
+    active_request::ActiveRequest,
     attempt::StreamingResponse,
     event_splitter::{Event, EventScanner, EventSplitter},
-    forwarder::{ActiveRequest, Forwarder},
+    forwarder::Forwarder,
     response::IncompleteResponse,
 };
 use crate::{
--- a/crates/skylarkpick-forward/src/forwarding/stream_binding.rs
+++ b/crates/skylarkpick-forward/src/forwarding/stream_binding.rs
@@ -1,7 +1,8 @@
 //! Sends streams only to targets on the software version that began them.
 
 use super::{
-    forwarder::{ActiveRequest, Forwarder, SendResult, UNKNOWN_WAIT},
+    active_request::ActiveRequest,
+    forwarder::{Forwarder, SendResult, UNKNOWN_WAIT},
     response::GatewayError,
 };
 use crate::{log::request_log, serving_index::stream_window, streams::StreamVersion};
