Name the number of a request where its attempts fail

The caller is the account, else the key, else none.

Not part of it: the attempt's ID, the deadline and the event that a stream resumes after, which a repeat may change; and the description of the prompt. The users identify the request by path, caller and body, the body holds the text that the description is about, and the last part of the description is made anew for each attempt.

Nothing else changes.

--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -247,6 +247,7 @@
         request_log!("target has ended", kv: {
             target = place.target.as_str(),
             request = request.head.attempt_id.as_str(),
+            number = request.logged_number().as_str(),
             parts = request.logged_parts().as_str(),
             has_first_piece = since_first_piece.is_some(),
         });
--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -4,10 +4,13 @@
 mod attempt;
 mod event_splitter;
 mod forwarder;
+mod request_identity;
 mod response;
 mod response_stream;
 mod stream_binding;
 
+#[cfg(test)]
+mod request_identity_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/skylarkpick-forward/src/forwarding/active_request.rs
+++ b/crates/skylarkpick-forward/src/forwarding/active_request.rs
@@ -4,8 +4,8 @@
 use bytes::Bytes;
 use http::Method;
 use skylarkpick_interface::{
-    ClientAttemptId, PartNumber, Repeatability, RequestHead, ResponseKind, ServiceName,
-    ServingAccount, ServingRoute, SoftwareVersion, TargetId,
+    ClientAttemptId, PartNumber, Repeatability, RequestHead, RequestNumber, ResponseKind,
+    ServiceName, ServingAccount, ServingRoute, SoftwareVersion, TargetId,
 };
 use skylarkpick_schedule::PlacementRequest;
 use std::{sync::Arc, time::Duration};
@@ -32,6 +32,8 @@
     pub(crate) account: Option<Arc<ServingAccount>>,
     pub(crate) deadline: Instant,
     pub(super) placement_request: PlacementRequest,
+    /// Number that its repeats have too.
+    pub(crate) number: RequestNumber,
     /// Parts of the prompt that are not the request's own.
     pub(crate) shared_parts: Vec<PartNumber>,
     /// Right to send it, if one of its parts may end targets.
@@ -97,6 +99,11 @@
         self.placement_request.avoid.push(target.clone());
     }
 
+    /// Returns its number as logs have it.
+    pub(crate) fn logged_number(&self) -> String {
+        format!("{:016x}", self.number)
+    }
+
     /// Returns the start of the list of the prompt's parts, without the one that is the request's own.
     pub(crate) fn logged_parts(&self) -> String {
         let parts = self.head.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -3,6 +3,7 @@
 use super::{
     active_request::ActiveRequest,
     attempt::{Attempt, AttemptOutcome, CompleteResponse, StreamingResponse},
+    request_identity::{Caller, request_number},
     response::{
         ClientBody, GatewayError, ResponseDeadline, close_connection, end_with_connection,
         full_body, unsized_body,
@@ -144,8 +145,15 @@
         let shared = shared.iter().take(SHARED_PARTS_LIMIT);
         let shared_parts = shared.map(|part| part_number(&part.id)).collect();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
+        let caller = match (&account, &head.key) {
+            (Some(account), _) => Caller::Account(&account.account),
+            (None, Some(key)) => Caller::Key(key),
+            (None, None) => Caller::Unknown,
+        };
+        let number = request_number(&parts.method, &path, caller, &body);
         Ok(ActiveRequest {
             received,
+            number,
             method: parts.method.clone(),
             path,
             body,
@@ -552,6 +560,7 @@
         target,
         end,
         why,
+        number = request.logged_number().as_str(),
         parts = request.logged_parts().as_str(),
         sends = request.sends,
         took_ms = milliseconds(request.received.elapsed()),
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -279,6 +279,7 @@
             target = target.as_str(),
             software_version = software_version.as_deref().unwrap_or("unknown"),
             why,
+            number = self.request.logged_number().as_str(),
             parts = self.request.logged_parts().as_str(),
             since_first_piece_ms = age_ms(since_first_piece),
             last_event = self.last_event.unwrap_or_default(),
--- a/crates/skylarkpick-interface/src/crash.rs
+++ b/crates/skylarkpick-interface/src/crash.rs
@@ -7,6 +7,9 @@
 /// Number that stands for a part of a prompt in every process, whatever model or account uses it.
 pub type PartNumber = u64;
 
+/// Number that stands for a request and its repeats in every process.
+pub type RequestNumber = u64;
+
 /// Number of parts before a part of a prompt. Parts at a lower depth are shared by more prompts.
 pub type PartDepth = u8;
 
