Withhold requests that end each target that runs them

What callers saw: one request (same path, caller and body, a new attempt ID each time, at any process) ended every target of its service, again and again; all other callers of the service got 502 and 503.

Cause: evidence from ends of targets spoke of parts of prompts only, so a request without a prompt was judged by nothing.

Change: the evidence speaks of causes, which are a part or a request by its number; there is still one evidence, one verdict and one spread (notices, status of registrations, keepers, trials). - A request is blamed from three ends, as a part is, and is a suspect from two unless it was answered: it goes one at a time at each process and is not repeated. A repeat after one end stays allowed. - Ends of one moment count once, as before, since they say little: a fault that ends many targets at once ends all that ran there. But it ends none that runs what was sent after it. Each end therefore says before when its request was not sent: the time of the last end that its sender knew, or 0.1 s before the send for the sake of clocks. With a send after the first end of a moment, and an end 20 ms later than it or more, each end of the moment counts. This is not so for requests that were answered before, like equal polls. - Trials: claimed in the platform's objects as before, and counted there by request: three while the evidence lasts, each one send; none while the platform is away. After an hour without an end the request is free again, as a part is. - Answered requests have memories of their own: one for those answered once, one for those that come again, so that unique requests push out neither polls nor parts. An answer is told to others only if the request comes again, or is a suspect. - Of a part and a request that explain the same ends the request is blamed, and the part if it explains more.

Tests that changed, by names of types only: crates/skylarkpick-schedule/src/crashes/tests.rs (the calls take causes instead of parts; no value and no bound changed). crashing_parts.rs is untouched.

Cost: a request without a prompt takes the lock of the evidence three times, as one with a prompt did. Judging sorts what up to 256 ends have, up to 64 parts and 64 requests each. Memory of answers grows by up to 0.5 MB.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -48,8 +48,8 @@
     /// The target asked for a pause before the request was sent.
     #[error("the target asked for a pause")]
     Paused,
-    /// A part of the prompt was blamed before the request was sent.
-    #[error("a part of its prompt ends targets")]
+    /// The request, or a part of its prompt, was blamed before it was sent.
+    #[error("it ends targets")]
     Withheld,
     /// The share of this process in the target's limit had no room before the request was sent.
     #[error("the target limits its requests")]
--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -1,9 +1,15 @@
-//! Relates ends of targets to the parts of prompts that they were about to answer, and withholds
-//! requests with parts that end targets.
+//! Relates ends of targets to the requests that they were about to answer and to the parts of their
+//! prompts, and withholds requests that end targets.
 //!
 //! Each process sees only a few of the ends, so the evidence is sent to all processes, and kept in the
 //! registration of the process that saw it, which also reaches processes that are cut from it.
 
+#[cfg(test)]
+mod notice_tests;
+mod trials;
+#[cfg(test)]
+mod trials_tests;
+
 use crate::{
     connection_pool::ConnectionPool,
     fleet::FleetWatcher,
@@ -13,12 +19,11 @@
     node_state::NodeState,
     peers::Notice,
 };
-use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{
-    CrashReport, FleetTopic, ObjectStore, PartNumber, TargetId, WriteError,
+    CrashCause, CrashReport, FleetTopic, ObjectStore, TargetCrash, TargetId,
 };
 use skylarkpick_schedule::{
-    Assignment, CrashEvidence, PartVerdict, ReportSource, evidence_keepers,
+    Assignment, CrashEvidence, CrashVerdict, EVIDENCE_LIFETIME, ReportSource, evidence_keepers,
 };
 use skylarkpick_telemetry::{REQUESTS_WITHHELD, metrics};
 use std::{
@@ -31,17 +36,16 @@
     sync::{Notify, OnceCell},
     time::Instant,
 };
+use trials::{Trial, TrialClaim, claim_trial};
 
 /// Time after the first piece of a response from which its target's end has other reasons.
 const BEGINNING: Duration = Duration::from_secs(1);
-/// Time after which a client may come back with a part that is under suspicion: the request with it
-/// that is under way has mostly ended by then.
+/// Time after which a client may come back with a request that is under suspicion: the one that is
+/// under way has mostly ended by then.
 const SUSPECT_WAIT: Duration = Duration::from_secs(1);
-/// Objects in which trials are claimed. Parts that share one only try less often.
-const TRIAL_SLOTS: u64 = 16;
 /// Time in which responses of one target that break off together are collected.
 const COLLECTION_TIME: Duration = Duration::from_millis(20);
-/// Upper limit of the random delay before others are told that a part was answered.
+/// Upper limit of the random delay before others are told of an answer.
 const CLEARING_DELAY_LIMIT: Duration = Duration::from_millis(300);
 /// Time within which a process has to take a message. Between data centres it takes some milliseconds.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(400);
@@ -54,7 +58,7 @@
 const STORE_RETRY_LIMIT: Duration = Duration::from_secs(8);
 /// Time for which the result of a look at a target is used again.
 const PROBE_LIFETIME: Duration = Duration::from_millis(200);
-/// Processes that keep the evidence against a blamed part, besides those that saw it.
+/// Processes that keep the evidence against a blamed cause, besides those that saw it.
 const KEEPERS: usize = 2;
 
 /// The start of a target that an attempt was sent to.
@@ -79,17 +83,17 @@
     pub(crate) wait: Duration,
 }
 
-/// Right to send the only request with a part at a time. Given back when dropped.
-pub(crate) struct PartPermit {
+/// Right to send the only request with a cause at a time. Given back when dropped.
+pub(crate) struct CausePermit {
     node_state: Arc<NodeState>,
-    part: PartNumber,
-    /// Whether the request tries a blamed part.
+    cause: CrashCause,
+    /// Whether the request tries a blamed cause.
     is_trial: bool,
 }
 
-impl Drop for PartPermit {
+impl Drop for CausePermit {
     fn drop(&mut self) {
-        self.node_state.lock().permitted_parts.remove(&self.part);
+        self.node_state.lock().permitted_causes.remove(&self.cause);
     }
 }
 
@@ -103,8 +107,8 @@
     probes: Mutex<BTreeMap<AttemptTarget, Probe>>,
     /// Wakes the task that tells other processes of ends.
     crashes_seen: Notify,
-    /// Wakes the task that tells other processes of parts that were answered since.
-    parts_cleared: Notify,
+    /// Wakes the task that tells other processes of answers since.
+    causes_cleared: Notify,
 }
 
 struct Probe {
@@ -119,7 +123,7 @@
         watcher: Arc<FleetWatcher>,
         objects: Arc<dyn ObjectStore>,
     ) -> Arc<CrashWatch> {
-        let (crashes_seen, parts_cleared) = (Notify::new(), Notify::new());
+        let (crashes_seen, causes_cleared) = (Notify::new(), Notify::new());
         let probes = Mutex::default();
         Arc::new(CrashWatch {
             node_state,
@@ -128,49 +132,49 @@
             objects,
             probes,
             crashes_seen,
-            parts_cleared,
+            causes_cleared,
         })
     }
 
-    /// Decides whether a request may be sent now, by the parts of its prompt. Requests with suspected
-    /// parts go one at a time.
+    /// Decides whether a request may be sent now, by what may be the reason why it ends targets.
+    /// Suspected requests go one at a time.
     pub(crate) async fn admit(&self, request: &mut ActiveRequest) -> Result<(), Withheld> {
-        if request.shared_parts.is_empty() {
-            return Ok(());
-        }
         if !self.node_state.knows_evidence() {
             return Err(Withheld { wait: SUSPECT_WAIT });
         }
         let has_run = request.has_run();
-        let verdict = self.node_state.part_verdict(&request.shared_parts);
-        let (part, until_trial, trial_pause) = match verdict {
-            PartVerdict::Free => return Ok(()),
-            PartVerdict::Suspect(part) => (part, Duration::ZERO, None),
-            PartVerdict::Blamed { part, until_trial, trial_pause } => {
-                (part, until_trial, Some(trial_pause))
+        let verdict = self.node_state.crash_verdict(&request.causes);
+        let (cause, until_trial, trial_pause) = match verdict {
+            CrashVerdict::Free => return Ok(()),
+            CrashVerdict::Suspect(cause) => (cause, Duration::ZERO, None),
+            CrashVerdict::Blamed { cause, until_trial, trial_pause } => {
+                (cause, until_trial, Some(trial_pause))
             }
         };
         let is_trial = trial_pause.is_some();
         let wait = until_trial.max(SUSPECT_WAIT);
+        // The trial of a request is one send.
+        let is_spent =
+            has_run || (is_trial && matches!(cause, CrashCause::Request(_)) && request.is_sent());
         let holds_permit = request
-            .part_permit
+            .cause_permit
             .as_ref()
-            .is_some_and(|it| it.part == part && it.is_trial >= is_trial);
-        if holds_permit && !has_run {
+            .is_some_and(|it| it.cause == cause && it.is_trial >= is_trial);
+        if holds_permit && !is_spent {
             return Ok(());
         }
-        let is_due = !has_run && (!is_trial || until_trial.is_zero());
-        let mut permit = is_due.then(|| self.take_permit(part, trial_pause)).flatten();
+        let is_due = !is_spent && (!is_trial || until_trial.is_zero());
+        let mut permit = is_due.then(|| self.take_permit(cause, trial_pause)).flatten();
         if let (Some(pause), true) = (trial_pause, permit.is_some())
             // Boxed, so that the futures of all requests don't have room for it.
-            && !Box::pin(self.claim_trial(part, pause)).await
+            && !Box::pin(self.claim_trial(cause, pause)).await
         {
             permit = None;
         }
         let is_permitted = permit.is_some();
-        request_log!("request has a part that may end targets", kv: {
+        request_log!("request may end targets", kv: {
             request = request.head.attempt_id.as_str(),
-            part = part_name(part).as_str(),
+            cause = cause.to_string().as_str(),
             is_blamed = is_trial,
             is_permitted,
             has_run,
@@ -180,46 +184,46 @@
             metrics().count(&REQUESTS_WITHHELD, &[]);
             return Err(Withheld { wait });
         }
-        request.part_permit = permit;
+        request.cause_permit = permit;
         Ok(())
     }
 
-    fn take_permit(&self, part: PartNumber, trial_pause: Option<Duration>) -> Option<PartPermit> {
+    fn take_permit(&self, cause: CrashCause, trial_pause: Option<Duration>) -> Option<CausePermit> {
         let now_ms = self.node_state.wall_ms();
         let mut state = self.node_state.lock();
-        if !state.permitted_parts.insert(part) {
+        if !state.permitted_causes.insert(cause) {
             return None;
         }
         if let Some(pause) = trial_pause {
-            state.crash_evidence.note_trial(part, pause, now_ms);
+            state.crash_evidence.note_trial(cause, pause, now_ms);
         }
         let is_trial = trial_pause.is_some();
-        Some(PartPermit { node_state: self.node_state.clone(), part, is_trial })
+        Some(CausePermit { node_state: self.node_state.clone(), cause, is_trial })
     }
 
-    /// Returns whether this process may try a blamed part: no other one does, in the whole fleet.
-    async fn claim_trial(&self, part: PartNumber, pause: Duration) -> bool {
-        let key = format!("trials/{}", part % TRIAL_SLOTS);
+    /// Returns whether this process may try a blamed cause: no other one does, in the whole fleet.
+    async fn claim_trial(&self, cause: CrashCause, pause: Duration) -> bool {
         let now_ms = self.node_state.wall_ms();
-        let claimed = claim_trial(&*self.objects, &key, part, pause, now_ms).await;
-        request_log!("trial of a blamed part", kv: {
-            part = part_name(part).as_str(), is_claimed:? = claimed,
-        });
-        claimed.unwrap_or(false)
+        let first_end_ms = self.node_state.lock().crash_evidence.first_end_ms(cause);
+        let trial = Trial { cause, pause, first_end_ms: first_end_ms.unwrap_or(now_ms) };
+        let claim = claim_trial(&*self.objects, &trial, now_ms).await;
+        request_log!("trial of a blamed cause", kv: { cause = cause.to_string().as_str(), claim:? });
+        if claim == Ok(TrialClaim::UsedUp) {
+            let mut state = self.node_state.lock();
+            state.crash_evidence.note_trial(cause, EVIDENCE_LIFETIME, now_ms);
+        }
+        claim == Ok(TrialClaim::Claimed)
     }
 
-    /// Returns whether a part of a request was blamed since it was admitted.
+    /// Returns whether a request, or a part of its prompt, was blamed since it was admitted.
     pub(crate) fn is_withheld(&self, request: &ActiveRequest) -> bool {
-        let is_trial = request.part_permit.as_ref().is_some_and(|permit| permit.is_trial);
-        let parts = &request.shared_parts;
-        !is_trial && matches!(self.node_state.part_verdict(parts), PartVerdict::Blamed { .. })
+        let is_trial = request.cause_permit.as_ref().is_some_and(|permit| permit.is_trial);
+        let causes = &request.causes;
+        !is_trial && matches!(self.node_state.crash_verdict(causes), CrashVerdict::Blamed { .. })
     }
 
-    /// Waits until a part of a request is blamed, which may never be the case.
+    /// Waits until a request is blamed, which may never be the case.
     pub(crate) async fn wait_until_withheld(&self, request: &ActiveRequest) {
-        if request.shared_parts.is_empty() {
-            return std::future::pending().await;
-        }
         loop {
             let changed = self.node_state.blame_changed.notified();
             if self.is_withheld(request) {
@@ -229,6 +233,12 @@
         }
     }
 
+    /// Returns a time before which a request that is sent now was not sent, for the end of its target.
+    pub(crate) fn sent_after_ms(&self, request: &ActiveRequest) -> u64 {
+        let now_ms = self.node_state.wall_ms();
+        self.node_state.lock().crash_evidence.sent_after_ms(request.number, now_ms)
+    }
+
     /// Records that a response broke off, `since_first_piece` after its first piece, if its target has
     /// ended and had just begun to answer.
     pub(crate) async fn note_broken(
@@ -238,7 +248,7 @@
         since_first_piece: Option<Duration>,
     ) {
         let had_begun = since_first_piece.is_some_and(|since| since >= BEGINNING);
-        if request.shared_parts.is_empty() || had_begun || !self.is_in_service(place) {
+        if had_begun || !self.is_in_service(place) {
             return;
         }
         if !self.has_ended(place).await {
@@ -251,11 +261,14 @@
             parts = request.logged_parts().as_str(),
             has_first_piece = since_first_piece.is_some(),
         });
-        let parts = request.shared_parts.iter().copied().zip(0..).collect();
-        let now_ms = self.node_state.wall_ms();
-        let is_new = self.node_state.change_evidence(|evidence| {
-            evidence.note_crash(&place.target, place.started_at_ms, now_ms, &parts)
-        });
+        let crash = TargetCrash {
+            target: place.target.clone(),
+            started_at_ms: place.started_at_ms,
+            ended_at_ms: self.node_state.wall_ms(),
+            parts: request.shared_parts().zip(0..).collect(),
+            requests: [(request.number, request.sent_after_ms)].into(),
+        };
+        let is_new = self.node_state.change_evidence(|evidence| evidence.note_crash(&crash));
         if is_new {
             self.crashes_seen.notify_one();
         }
@@ -263,13 +276,10 @@
 
     /// Records a whole response to a request.
     pub(crate) fn note_answer(&self, request: &ActiveRequest) {
-        if request.shared_parts.is_empty() {
-            return;
-        }
         let now_ms = self.node_state.wall_ms();
-        let parts = &request.shared_parts;
-        if self.node_state.change_evidence(|evidence| evidence.note_answer(parts, now_ms)) {
-            self.parts_cleared.notify_one();
+        let causes = &request.causes;
+        if self.node_state.change_evidence(|evidence| evidence.note_answer(causes, now_ms)) {
+            self.causes_cleared.notify_one();
         }
     }
 
@@ -313,20 +323,23 @@
         let entries = self.watcher.records.entries();
         let node = self.watcher.records.node();
         let is_keeper =
-            |part| evidence_keepers(part, &entries).iter().take(KEEPERS).any(|it| *it == node);
+            |cause| evidence_keepers(cause, &entries).iter().take(KEEPERS).any(|it| *it == node);
         self.node_state.lock().crash_evidence.record(is_keeper)
     }
 }
 
 impl NodeState {
-    fn part_verdict(&self, parts: &[PartNumber]) -> PartVerdict {
+    fn crash_verdict(&self, causes: &[CrashCause]) -> CrashVerdict {
         let now_ms = self.wall_ms();
-        self.lock().crash_evidence.verdict(parts, now_ms)
+        self.lock().crash_evidence.verdict(causes, now_ms)
     }
 
-    /// Returns the number of parts that are blamed for ends of targets.
-    pub(crate) fn count_blamed_parts(&self) -> u64 {
-        self.lock().crash_evidence.blamed().count() as u64
+    /// Returns the numbers of parts and of requests that are blamed for ends of targets.
+    pub(crate) fn count_blamed(&self) -> (u64, u64) {
+        let state = self.lock();
+        let is_part = |cause: &CrashCause| matches!(cause, CrashCause::Part(_));
+        let (parts, requests): (Vec<_>, Vec<_>) = state.crash_evidence.blamed().partition(is_part);
+        (parts.len() as u64, requests.len() as u64)
     }
 
     /// Adds what another process tells about ends of targets, or this one before its last start.
@@ -337,28 +350,26 @@
         let now_ms = self.wall_ms();
         if self.change_evidence(|evidence| evidence.merge(report, source, now_ms)) {
             request_log!("evidence of ended targets applied", kv: {
-                from, crashes = report.crashes.len(), answered = report.answered_at_ms.len(),
+                from,
+                crashes = report.crashes.len(),
+                answered = report.answered_at_ms.len() + report.answered_requests_at_ms.len(),
             });
         }
     }
 
-    /// Changes the evidence, and logs which parts are blamed since, and which no more.
+    /// Changes the evidence, and logs what is blamed since, and what no more.
     fn change_evidence(&self, change: impl FnOnce(&mut CrashEvidence) -> bool) -> bool {
         let mut state = self.lock();
-        let before: BTreeSet<PartNumber> = state.crash_evidence.blamed().collect();
+        let before: BTreeSet<CrashCause> = state.crash_evidence.blamed().collect();
         let result = change(&mut state.crash_evidence);
-        let after: BTreeSet<PartNumber> = state.crash_evidence.blamed().collect();
+        let after: BTreeSet<CrashCause> = state.crash_evidence.blamed().collect();
         drop(state);
         if before != after {
-            for part in after.difference(&before) {
-                spdlog::warn!("part of prompts blamed for ends of targets", kv: {
-                    part = part_name(*part).as_str(),
-                });
+            for cause in after.difference(&before) {
+                spdlog::warn!("blamed for ends of targets", kv: { cause = cause.to_string().as_str() });
             }
-            for part in before.difference(&after) {
-                spdlog::info!("part of prompts no longer blamed", kv: {
-                    part = part_name(*part).as_str(),
-                });
+            for cause in before.difference(&after) {
+                spdlog::info!("no longer blamed for ends of targets", kv: { cause = cause.to_string().as_str() });
             }
             self.blame_changed.notify_waiters();
         }
@@ -369,42 +380,6 @@
     }
 }
 
-/// Last trial of a part, as the platform keeps it.
-#[derive(Deserialize, Serialize)]
-struct TrialRecord {
-    part: String,
-    began_at_ms: u64,
-}
-
-/// Claims a trial in an object of the platform, unless another process has recently claimed one of
-/// the same part.
-async fn claim_trial(
-    objects: &dyn ObjectStore,
-    key: &str,
-    part: PartNumber,
-    pause: Duration,
-    now_ms: u64,
-) -> Result<bool, String> {
-    let found = objects.get(key).await.map_err(|error| error.to_string())?;
-    let last = found.as_ref().and_then(|it| serde_json::from_slice::<TrialRecord>(&it.value).ok());
-    let part = part_name(part);
-    let is_recent = |last: &TrialRecord| now_ms < last.began_at_ms + milliseconds(pause);
-    if last.is_some_and(|last| last.part == part && is_recent(&last)) {
-        return Ok(false);
-    }
-    let record = TrialRecord { part, began_at_ms: now_ms };
-    let value = serde_json::to_vec(&record).map_err(|error| error.to_string())?;
-    match objects.put(key, found.map(|it| it.version), value).await {
-        Ok(_) => Ok(true),
-        Err(WriteError::Conflict { .. }) => Ok(false),
-        Err(error) => Err(error.to_string()),
-    }
-}
-
-fn part_name(part: PartNumber) -> String {
-    format!("{part:016x}")
-}
-
 /// Tells other processes which ends this one has seen, for as long as the task runs.
 pub(crate) async fn send_crashes(watch: Arc<CrashWatch>) {
     loop {
@@ -414,15 +389,15 @@
     }
 }
 
-/// Tells other processes which parts were answered since they counted as evidence, for as long as the
-/// task runs. Many processes answer a part that many prompts share, so each waits for a random time
-/// and is silent if another one was first.
-pub(crate) async fn send_cleared_parts(watch: Arc<CrashWatch>) {
+/// Tells other processes what was answered since it counted as a cause, for as long as the task runs.
+/// Many processes answer a part that many prompts share, so each waits for a random time and is silent
+/// if another one was first.
+pub(crate) async fn send_cleared_causes(watch: Arc<CrashWatch>) {
     loop {
-        watch.parts_cleared.notified().await;
+        watch.causes_cleared.notified().await;
         tokio::time::sleep(CLEARING_DELAY_LIMIT.mul_f64(rand::random())).await;
         let report = watch.report();
-        if !report.answered_at_ms.is_empty() {
+        if report.has_answers() {
             watch.send(report).await;
         }
     }
--- a/crates/skylarkpick-forward/src/forwarding/active_request.rs
+++ b/crates/skylarkpick-forward/src/forwarding/active_request.rs
@@ -1,11 +1,11 @@
 //! A request of a client while it is forwarded.
 
-use crate::{crashes::PartPermit, node_state::InFlightGuard};
+use crate::{crashes::CausePermit, node_state::InFlightGuard};
 use bytes::Bytes;
 use http::Method;
 use skylarkpick_interface::{
-    ClientAttemptId, PartNumber, Repeatability, RequestHead, RequestNumber, ResponseKind,
-    ServiceName, ServingAccount, ServingRoute, SoftwareVersion, TargetId,
+    ClientAttemptId, CrashCause, PartNumber, Repeatability, RequestHead, RequestNumber,
+    ResponseKind, ServiceName, ServingAccount, ServingRoute, SoftwareVersion, TargetId,
 };
 use skylarkpick_schedule::PlacementRequest;
 use std::{sync::Arc, time::Duration};
@@ -34,10 +34,13 @@
     pub(super) placement_request: PlacementRequest,
     /// Number that its repeats have too.
     pub(crate) number: RequestNumber,
-    /// Parts of the prompt that are not the request's own.
-    pub(crate) shared_parts: Vec<PartNumber>,
-    /// Right to send it, if one of its parts may end targets.
-    pub(crate) part_permit: Option<PartPermit>,
+    /// What may be the reason if it ends targets: itself, and the parts of its prompt in order, without
+    /// the one that is its own.
+    pub(crate) causes: Vec<CrashCause>,
+    /// Right to send it, if it may end targets.
+    pub(crate) cause_permit: Option<CausePermit>,
+    /// Wall-clock time in Unix milliseconds before which its last attempt was not sent.
+    pub(crate) sent_after_ms: u64,
     /// Share of the latency objective for which the request may wait for capacity.
     pub(super) capacity_wait_share: f64,
     /// Whether the request has waited for capacity.
@@ -89,6 +92,19 @@
         self.runs > 0
     }
 
+    /// Returns whether an attempt may have reached a target.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.sends > 0
+    }
+
+    /// Returns the parts of the prompt in order, without the one that is the request's own.
+    pub(crate) fn shared_parts(&self) -> impl Iterator<Item = PartNumber> + '_ {
+        self.causes.iter().filter_map(|cause| match cause {
+            CrashCause::Part(part) => Some(*part),
+            CrashCause::Request(_) => None,
+        })
+    }
+
     /// Restricts further attempts to targets on a software version.
     pub(crate) fn bind_to_version(&mut self, version: SoftwareVersion) {
         self.placement_request.software_version = Some(version);
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -39,7 +39,7 @@
 pub(crate) enum AttemptOutcome {
     /// No byte of the request left this process.
     NotSent(String),
-    /// The same, since the target or the parts of the prompt no longer allowed it.
+    /// The same, since the target or the evidence against the request no longer allowed it.
     HeldBack(String),
     /// The target reported that it did not run the request.
     NotRun(ResponseMetadata),
@@ -141,7 +141,7 @@
                 Err(AttemptOutcome::Withdrawn("its weights became too old".to_string()))
             }
             () = self.forwarder.crashes.wait_until_withheld(self.request) => {
-                Err(AttemptOutcome::Withdrawn("a part of its prompt ends targets".to_string()))
+                Err(AttemptOutcome::Withdrawn("it ends targets".to_string()))
             }
         }
     }
@@ -165,8 +165,8 @@
         Ok((connection, head, body))
     }
 
-    /// Returns a connection to the target, unless since it was chosen it has asked for a pause, a part
-    /// of the prompt was blamed, or the share in its limit has no room.
+    /// Returns a connection to the target, unless since it was chosen it has asked for a pause, the
+    /// request was blamed, or the share in its limit has no room.
     async fn connect(&self, idle_limit: Duration) -> Result<Connection, SendError> {
         let (pool, address) = (&self.forwarder.pool, self.guard.assignment.address);
         let connection = pool.connect(address, idle_limit).await?;
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -25,8 +25,8 @@
 use hyper::body::{Body, Frame, Incoming};
 use skylarkpick_http::{BodyEnd, BufferBudget, READ_BUFFER_LIMIT_BYTES, ReadBodyError, read_body};
 use skylarkpick_interface::{
-    DataCentreId, Dialect, EventId, HeadError, RequestHead, ResponseMetadata, ServiceName,
-    ServingAccount, ServingRoute, TargetControl, TargetId,
+    CrashCause, DataCentreId, Dialect, EventId, HeadError, RequestHead, ResponseMetadata,
+    ServiceName, ServingAccount, ServingRoute, TargetControl, TargetId,
 };
 use skylarkpick_schedule::{
     PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason, part_number,
@@ -143,7 +143,7 @@
         let prompt_parts = head.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
         let shared = prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared = shared.iter().take(SHARED_PARTS_LIMIT);
-        let shared_parts = shared.map(|part| part_number(&part.id)).collect();
+        let shared_parts = shared.map(|part| CrashCause::Part(part_number(&part.id)));
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
         let caller = match (&account, &head.key) {
             (Some(account), _) => Caller::Account(&account.account),
@@ -151,6 +151,7 @@
             (None, None) => Caller::Unknown,
         };
         let number = request_number(&parts.method, &path, caller, &body);
+        let causes = std::iter::once(CrashCause::Request(number)).chain(shared_parts).collect();
         Ok(ActiveRequest {
             received,
             number,
@@ -161,8 +162,9 @@
             account,
             deadline: received + timeout,
             placement_request,
-            shared_parts,
-            part_permit: None,
+            causes,
+            cause_permit: None,
+            sent_after_ms: 0,
             capacity_wait_share: self.node_state.lock().placement.policy().capacity_wait_share,
             serving_version: serving.version(),
             has_waited: false,
@@ -353,7 +355,7 @@
                 if request.has_run() {
                     return last;
                 }
-                let why = "a part of its prompt may end targets".to_string();
+                let why = "it may end targets".to_string();
                 return SendResult::Failed(GatewayError::RetryLater { wait }, why);
             }
             let assignment = match self.node_state.choose(&request.placement_request) {
@@ -414,6 +416,7 @@
                 waited_ms = milliseconds(request.received.elapsed()),
             });
             request.sends += 1;
+            request.sent_after_ms = self.crashes.sent_after_ms(request);
             let place = AttemptTarget::of(&guard.assignment);
             let attempt = Attempt { forwarder: self, request, guard, resume_after };
             let outcome = attempt.run().await;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -3,7 +3,7 @@
 use crate::{
     client::ClientListener,
     connection_pool::ConnectionPool,
-    crashes::{CrashWatch, send_cleared_parts, send_crashes, store_crashes},
+    crashes::{CrashWatch, send_cleared_causes, send_crashes, store_crashes},
     fleet::{
         CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer,
         record_weights, run_planner, sample_loads, watch_caches, watch_topic,
@@ -138,7 +138,7 @@
         tasks.spawn(share_streams(streams));
         tasks.spawn(send_limits(node_state.clone(), watcher.clone()));
         tasks.spawn(send_crashes(crashes.clone()));
-        tasks.spawn(send_cleared_parts(crashes.clone()));
+        tasks.spawn(send_cleared_causes(crashes.clone()));
         tasks.spawn(store_crashes(crashes));
         tasks.spawn(record_weights(watcher.clone()));
         tasks.spawn(expire_targets(watcher.clone()));
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -2,7 +2,7 @@
 
 use crate::{peers::LimitNotice, serving_index::ServingIndex};
 use skylarkpick_interface::{
-    Clock, EntryId, ModelName, NodeLimits, PartNumber, ReportedLoad, ServiceName, TargetId,
+    Clock, CrashCause, EntryId, ModelName, NodeLimits, ReportedLoad, ServiceName, TargetId,
     WeightVersion,
 };
 use skylarkpick_schedule::{
@@ -51,7 +51,7 @@
     desired_weights_changed: Notify,
     /// Wakes the requests that wait for capacity when some may have become free.
     capacity_changed: Notify,
-    /// Wakes the attempts that have not started when parts of prompts are blamed.
+    /// Wakes the attempts that have not started when the causes that are blamed change.
     pub(crate) blame_changed: Notify,
     /// Wakes the task that writes the evidence of ended targets to the platform.
     pub(crate) evidence_changed: Notify,
@@ -79,10 +79,10 @@
     pub(crate) software_versions: SoftwareVersions,
     /// Runs that began streams at this process, and at others for which it keeps them.
     pub(crate) stream_origins: StreamOrigins,
-    /// Ends of targets, and the parts of prompts that may be why.
+    /// Ends of targets, and the parts of prompts and requests that may be why.
     pub(crate) crash_evidence: CrashEvidence,
-    /// Suspected and tried parts with a request under way.
-    pub(crate) permitted_parts: BTreeSet<PartNumber>,
+    /// Suspected and tried causes with a request under way.
+    pub(crate) permitted_causes: BTreeSet<CrashCause>,
     /// Changed limits of targets that other processes are to be told.
     pub(crate) untold_limits: BTreeMap<TargetId, LimitNotice>,
 }
@@ -104,7 +104,7 @@
                 software_versions: SoftwareVersions::default(),
                 stream_origins: StreamOrigins::default(),
                 crash_evidence: CrashEvidence::default(),
-                permitted_parts: BTreeSet::new(),
+                permitted_causes: BTreeSet::new(),
                 untold_limits: BTreeMap::new(),
             }),
             clock,
--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -7,7 +7,8 @@
 use skylarkpick_http::{Handler, ResponseBody, empty_response, full_body};
 use skylarkpick_telemetry::{
     CONFIGURATION_VERSION, ENGINES_MEMORY_PERCENT, Exposition, PARTS_BLAMED, READY,
-    REQUESTS_UNDER_WAY, REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING, metrics,
+    REQUESTS_BLAMED, REQUESTS_UNDER_WAY, REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING,
+    metrics,
 };
 use std::sync::Arc;
 
@@ -50,7 +51,9 @@
         let (serving, leaving) = self.node_state.count_targets();
         metrics.set(&RUNNERS_SERVING, serving, &[]);
         metrics.set(&RUNNERS_LEAVING, leaving, &[]);
-        metrics.set(&PARTS_BLAMED, self.node_state.count_blamed_parts(), &[]);
+        let (parts, requests) = self.node_state.count_blamed();
+        metrics.set(&PARTS_BLAMED, parts, &[]);
+        metrics.set(&REQUESTS_BLAMED, requests, &[]);
         Response::new(full_body(self.exposition.text()))
     }
 }
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -25,7 +25,7 @@
     CacheEpoch, ControlError, EngineLoad, OrderOutcome, OrderState, PartChange, PartChanges,
     SignalObserver, TargetControl, WeightOrder,
 };
-pub use crash::{CrashReport, PartDepth, PartNumber, RequestNumber, TargetCrash};
+pub use crash::{CrashCause, CrashReport, PartDepth, PartNumber, RequestNumber, TargetCrash};
 pub use fleet::{
     ClientLimits, ContextMemory, DesiredSinceOutcome, DesiredWeights, Destination, FleetRecord,
     FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry,
--- a/crates/skylarkpick-schedule/src/crashes.rs
+++ b/crates/skylarkpick-schedule/src/crashes.rs
@@ -1,10 +1,12 @@
-//! Which parts of prompts may be why targets end.
+//! Which parts of prompts and which requests may be why targets end.
 
 mod answered;
 mod evidence;
 #[cfg(test)]
+mod request_tests;
+#[cfg(test)]
 mod tests;
 mod verdict;
 
-pub use evidence::{CrashEvidence, ReportSource};
-pub use verdict::{PartVerdict, evidence_keepers, part_number};
+pub use evidence::{CrashEvidence, EVIDENCE_LIFETIME, ReportSource};
+pub use verdict::{CrashVerdict, evidence_keepers, part_number};
--- a/crates/skylarkpick-schedule/src/crashes/tests.rs
+++ b/crates/skylarkpick-schedule/src/crashes/tests.rs
@@ -1,5 +1,7 @@
-use super::{CrashEvidence, PartVerdict, ReportSource, evidence_keepers};
-use skylarkpick_interface::{CrashReport, PartDepth, PartNumber, RegisteredEntry};
+use super::{CrashEvidence, CrashVerdict, ReportSource, evidence_keepers};
+use skylarkpick_interface::{
+    CrashCause, CrashReport, PartDepth, PartNumber, RegisteredEntry, TargetCrash,
+};
 use std::{collections::BTreeMap, time::Duration};
 
 const SYSTEM: PartNumber = 1;
@@ -24,14 +26,28 @@
     parts.iter().copied().zip(0..).collect()
 }
 
+/// Returns the end of a target that had begun to answer requests with these parts.
+fn end(target: &str, ended_at_ms: u64, parts: BTreeMap<PartNumber, PartDepth>) -> TargetCrash {
+    let (target, requests) = (target.to_string(), BTreeMap::new());
+    TargetCrash { target, started_at_ms: 0, ended_at_ms, parts, requests }
+}
+
+fn causes(parts: &[PartNumber]) -> Vec<CrashCause> {
+    parts.iter().copied().map(CrashCause::Part).collect()
+}
+
+fn verdict(evidence: &CrashEvidence, part: PartNumber, now_ms: u64) -> CrashVerdict {
+    evidence.verdict(&causes(&[part]), now_ms)
+}
+
 fn play(evidence: &mut CrashEvidence, seen: &[Seen]) {
     for event in seen {
         match *event {
             Seen::End(target, at_ms, parts) => {
-                evidence.note_crash(target, 0, START_MS + at_ms, &prompt(parts));
+                evidence.note_crash(&end(target, START_MS + at_ms, prompt(parts)));
             }
             Seen::Answer(at_ms, parts) => {
-                evidence.note_answer(parts, START_MS + at_ms);
+                evidence.note_answer(&causes(parts), START_MS + at_ms);
             }
         }
     }
@@ -39,7 +55,7 @@
 
 /// Returns the blamed parts.
 fn blamed(evidence: &CrashEvidence) -> Vec<PartNumber> {
-    evidence.blamed().collect()
+    evidence.blamed().map(CrashCause::number).collect()
 }
 
 #[test]
@@ -204,8 +220,8 @@
         play(&mut evidence, seen);
         assert_eq!(blamed(&evidence), expected, "{name}");
         for part in [SYSTEM, BAD, RARE] {
-            let verdict = evidence.verdict(&[part], START_MS + 10 * SECOND_MS);
-            let is_suspect = verdict == PartVerdict::Suspect(part);
+            let verdict = verdict(&evidence, part, START_MS + 10 * SECOND_MS);
+            let is_suspect = verdict == CrashVerdict::Suspect(CrashCause::Part(part));
             assert_eq!(is_suspect, suspected.contains(&part), "{name}: {part} {verdict:?}");
         }
     }
@@ -258,7 +274,7 @@
     let mut second = CrashEvidence::default();
     second.merge(&stale, ReportSource::Process, START_MS + 2_100);
     assert_eq!(blamed(&second), [RARE]);
-    assert!(second.note_answer(&[RARE], START_MS + 3_000), "others are told");
+    assert!(second.note_answer(&causes(&[RARE]), START_MS + 3_000), "others are told");
     assert!(blamed(&second).is_empty());
     first.merge(&second.report(), ReportSource::Process, START_MS + 3_100);
     assert!(blamed(&first).is_empty());
@@ -292,8 +308,8 @@
     play(&mut seer, &ends);
     let mut keeper = CrashEvidence::default();
     keeper.merge(&seer.report(), ReportSource::Process, START_MS + 2_100);
-    assert_eq!(keeper.record(|part| part == BAD).crashes.len(), 3);
-    assert_eq!(keeper.record(|part| part != BAD).crashes.len(), 0);
+    assert_eq!(keeper.record(|cause| cause == CrashCause::Part(BAD)).crashes.len(), 3);
+    assert_eq!(keeper.record(|cause| cause != CrashCause::Part(BAD)).crashes.len(), 0);
 }
 
 #[test]
@@ -301,19 +317,20 @@
     let mut evidence = CrashEvidence::default();
     let mut now_ms = START_MS;
     for number in 0..3 {
-        evidence.note_crash(&format!("i-{number}"), 0, now_ms, &prompt(&[BAD]));
+        evidence.note_crash(&end(&format!("i-{number}"), now_ms, prompt(&[BAD])));
         now_ms += SECOND_MS;
     }
     now_ms -= SECOND_MS;
     for (number, wait_s) in [5, 5, 240, 480, 900, 900, 900, 900].into_iter().enumerate() {
         let wait = Duration::from_secs(wait_s);
-        let after = |until_trial| PartVerdict::Blamed { part: BAD, until_trial, trial_pause: wait };
-        assert_eq!(evidence.verdict(&[BAD], now_ms), after(wait), "{number}");
+        let cause = CrashCause::Part(BAD);
+        let after = |until_trial| CrashVerdict::Blamed { cause, until_trial, trial_pause: wait };
+        assert_eq!(verdict(&evidence, BAD, now_ms), after(wait), "{number}");
         now_ms += wait_s * SECOND_MS;
-        assert_eq!(evidence.verdict(&[BAD], now_ms), after(Duration::ZERO), "{number}");
-        evidence.note_trial(BAD, wait, now_ms);
-        assert_eq!(evidence.verdict(&[BAD], now_ms), after(wait), "one at a time");
-        evidence.note_crash(&format!("i-trial-{number}"), 0, now_ms, &prompt(&[BAD]));
+        assert_eq!(verdict(&evidence, BAD, now_ms), after(Duration::ZERO), "{number}");
+        evidence.note_trial(cause, wait, now_ms);
+        assert_eq!(verdict(&evidence, BAD, now_ms), after(wait), "one at a time");
+        evidence.note_crash(&end(&format!("i-trial-{number}"), now_ms, prompt(&[BAD])));
     }
 }
 
@@ -326,9 +343,9 @@
         Seen::End("i-3", 2_000, &[BAD]),
     ];
     play(&mut evidence, &ends);
-    evidence.note_trial(BAD, Duration::from_secs(60), START_MS + 62 * SECOND_MS);
+    evidence.note_trial(CrashCause::Part(BAD), Duration::from_secs(60), START_MS + 62 * SECOND_MS);
     play(&mut evidence, &[Seen::Answer(63 * SECOND_MS, &[BAD])]);
-    assert_eq!(evidence.verdict(&[BAD], START_MS + 64 * SECOND_MS), PartVerdict::Free);
+    assert_eq!(verdict(&evidence, BAD, START_MS + 64 * SECOND_MS), CrashVerdict::Free);
 }
 
 #[test]
@@ -342,20 +359,16 @@
     play(&mut evidence, &ends);
     for number in 0..320 {
         let at_ms = START_MS + 3_000 + number;
-        evidence.note_crash(
-            &format!("j-{number}"),
-            0,
-            at_ms,
-            &(200 * number + 1_000..200 * number + 1_080).map(|part| (part, 0)).collect(),
-        );
+        let parts = (200 * number + 1_000..200 * number + 1_080).map(|part| (part, 0)).collect();
+        evidence.note_crash(&end(&format!("j-{number}"), at_ms, parts));
     }
     assert!(blamed(&evidence).contains(&BAD));
     let report = evidence.report();
     assert_eq!(report.crashes.len(), 32);
     assert!(report.crashes.iter().all(|crash| crash.parts.len() <= 64));
     let later_ms = START_MS + 3_600 * SECOND_MS + 10 * SECOND_MS;
-    evidence.note_crash("k-1", 0, later_ms, &prompt(&[RARE]));
-    assert_eq!(evidence.verdict(&[BAD], later_ms), PartVerdict::Free, "forgotten after an hour");
+    evidence.note_crash(&end("k-1", later_ms, prompt(&[RARE])));
+    assert_eq!(verdict(&evidence, BAD, later_ms), CrashVerdict::Free, "forgotten after an hour");
 }
 
 #[test]
@@ -363,12 +376,12 @@
     let mut fast = CrashEvidence::default();
     let hour_ms = 3_600 * SECOND_MS;
     for (number, at_ms) in [(1, 0), (2, 1_000), (3, 2_000)] {
-        fast.note_crash(&format!("i-{number}"), 0, START_MS + hour_ms + at_ms, &prompt(&[RARE]));
+        fast.note_crash(&end(&format!("i-{number}"), START_MS + hour_ms + at_ms, prompt(&[RARE])));
     }
     let mut evidence = CrashEvidence::default();
     evidence.merge(&fast.report(), ReportSource::Process, START_MS);
-    evidence.note_answer(&[RARE], START_MS + 10);
-    assert_eq!(evidence.verdict(&[RARE], START_MS + 20), PartVerdict::Free);
+    evidence.note_answer(&causes(&[RARE]), START_MS + 10);
+    assert_eq!(verdict(&evidence, RARE, START_MS + 20), CrashVerdict::Free);
 }
 
 #[test]
@@ -383,8 +396,14 @@
         })
         .collect();
     let reversed: Vec<RegisteredEntry> = entries.iter().rev().cloned().collect();
-    assert_eq!(evidence_keepers(BAD, &entries), evidence_keepers(BAD, &reversed));
-    assert_ne!(evidence_keepers(BAD, &entries), evidence_keepers(RARE, &entries));
+    assert_eq!(
+        evidence_keepers(CrashCause::Part(BAD), &entries),
+        evidence_keepers(CrashCause::Part(BAD), &reversed)
+    );
+    assert_ne!(
+        evidence_keepers(CrashCause::Part(BAD), &entries),
+        evidence_keepers(CrashCause::Part(RARE), &entries)
+    );
 }
 
 #[test]
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -23,7 +23,9 @@
 pub use admission::{
     Admission, AdmissionDecision, AdmissionRequest, QueueDecision, Refusal, RefusalReason,
 };
-pub use crashes::{CrashEvidence, PartVerdict, ReportSource, evidence_keepers, part_number};
+pub use crashes::{
+    CrashEvidence, CrashVerdict, EVIDENCE_LIFETIME, ReportSource, evidence_keepers, part_number,
+};
 pub use health::{Ejection, TargetHealth, TargetState};
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use placement::{
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -155,12 +155,12 @@
     description: "orders that the planner sent to targets, by outcome",
 };
 
-/// Requests that were not sent because of a part of their prompts, which may end targets.
+/// Requests that were not sent since they may end targets.
 pub const REQUESTS_WITHHELD: Metric = Metric {
     name: "requests.withheld",
     kind: MetricKind::Counter,
     tags: &[],
-    description: "requests not sent, since a part of their prompts may end targets",
+    description: "requests not sent, since they or a part of their prompts may end targets",
 };
 
 /// Parts of prompts that are blamed for ends of targets.
@@ -171,6 +171,14 @@
     description: "parts of prompts that are blamed for ends of targets",
 };
 
+/// Requests that are blamed for ends of targets.
+pub const REQUESTS_BLAMED: Metric = Metric {
+    name: "requests.blamed",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "requests, each with its repeats, that are blamed for ends of targets",
+};
+
 /// Era that the platform's store names: the number of its returns from an older copy.
 pub const STORE_ERA: Metric = Metric {
     name: "store.era",
@@ -215,6 +223,7 @@
     ORDERS_GIVEN,
     REQUESTS_WITHHELD,
     PARTS_BLAMED,
+    REQUESTS_BLAMED,
     STORE_ERA,
     STORE_ERAS_UNREADABLE,
     RECORDS_OLDER,
