Add a failing test of a runner that starts anew on replaced weights

A runner that ended and is back under its id, on the weights that it was made with, is not ordered for 3.5 s after the last order to its former start, also when these weights have expired. Requests that reached the new start before wait there, and one whose runner ignores closed connections begins too late.

Test: the planner on a paused clock, five runners, weights 2 named; the runner that was ordered at 9.0 s starts anew at 9.5 s. It has to be ordered again by 11.5 s. Seen: orders at 0.61, 4.81, 9.01 and 13.1 s (restarts at 9.5, 10.0 and 10.4 s alike).

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -13,6 +13,8 @@
 mod topic_watch;
 mod weight_recorder;
 
+#[cfg(test)]
+mod planner_order_tests;
 #[cfg(test)]
 mod planner_restart_tests;
 #[cfg(test)]
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -71,13 +71,13 @@
 
 /// Runners that accept every order, but for the first ones, which never respond.
 #[derive(Default)]
-struct CountingControl {
+pub(super) struct CountingControl {
     orders: AtomicU32,
     silent_runners: u8,
     /// Whether runners leave orders without a response and without effect.
     loses_orders: AtomicBool,
     /// Orders by target.
-    orders_by_target: Mutex<BTreeMap<TargetId, u32>>,
+    pub(super) orders_by_target: Mutex<BTreeMap<TargetId, u32>>,
 }
 
 #[async_trait]
@@ -136,17 +136,17 @@
     }
 }
 
-struct Fixture {
+pub(super) struct Fixture {
     source: Arc<CountingSource>,
-    control: Arc<CountingControl>,
+    pub(super) control: Arc<CountingControl>,
     objects: Arc<MemoryPlatform>,
-    watcher: Arc<FleetWatcher>,
+    pub(super) watcher: Arc<FleetWatcher>,
     _planner: tokio::task::JoinSet<()>,
 }
 
 /// Starts the planner of `entry-1` in a fleet with one other process, which doesn't respond, and
 /// five runners on weights 1, the first of which are silent.
-fn start_planner(is_frozen: bool, silent_runners: u8) -> Fixture {
+pub(super) fn start_planner(is_frozen: bool, silent_runners: u8) -> Fixture {
     let node_state = empty_node_state();
     let source = Arc::new(CountingSource::default());
     let control = Arc::new(CountingControl { silent_runners, ..CountingControl::default() });
@@ -212,6 +212,11 @@
 }
 
 pub(super) fn runner(index: u8) -> (String, FleetRecord) {
+    started_runner(index, 1)
+}
+
+/// Returns the record of a runner on weights 1 that started at `started_at_ms`.
+pub(super) fn started_runner(index: u8, started_at_ms: u64) -> (String, FleetRecord) {
     let id = format!("i-{index}");
     let registration = RegisteredTarget {
         id: id.clone(),
@@ -221,7 +226,7 @@
         slots: 6,
         is_draining: false,
         weights: BTreeMap::from([("tala".to_string(), 1)]),
-        started_at_ms: 1,
+        started_at_ms,
         software_version: Some("v1".to_string()),
     };
     (id, FleetRecord::Target(registration))
