Add a failing test of runners on expired weights that asked for a pause

From 1.5 s before it on, an order is what rejects the requests that wait at a runner, and a pause that the runner asked for in answer to a request holds back the order and the report before it.

Test: the planner on a paused clock, five runners that asked its process for a pause of ten minutes, weights 2 named; the fifth is registered all the while, or its registration ends after 9 s. It must get no order before the weights expire, and one by 11.5 s. Listed in KNOWN-RED.txt, entry 14. The planner's tests make their calls through the layer that keeps to pauses, as the process does; their assertions are as they were.

--- a/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
@@ -1,7 +1,9 @@
 //! Tests of orders to runners that can't be ordered at once in a rollout.
 
-use super::planner_tests::{Fixture, start_planner, started_runner, update, weights};
-use skylarkpick_interface::FleetTopic;
+use super::planner_tests::{
+    Fixture, runner_address, start_planner, started_runner, update, weights,
+};
+use skylarkpick_interface::{FleetTopic, FleetUpdate, NamedRecord};
 use std::time::Duration;
 
 /// Time in which the planner acquires the lease.
@@ -9,6 +11,11 @@
 /// Time after the naming of newer weights by which runners on replaced ones have to be ordered.
 const ORDERED_BY: Duration = Duration::from_millis(11_500);
 
+/// Time after the naming at which the replaced weights have not expired, and no order to it is due.
+const BEFORE_EXPIRY: Duration = Duration::from_secs(10);
+/// Pause that outlasts the roll-out.
+const LONG_PAUSE: Duration = Duration::from_secs(600);
+
 /// Starts a planner and names weights 2.
 async fn start_rollout(silent_runners: u8) -> Fixture {
     let fixture = start_planner(false, silent_runners);
@@ -17,6 +24,12 @@
     fixture
 }
 
+/// Lets a runner ask this process for a pause.
+fn pause(fixture: &Fixture, index: u8, pause: Duration) {
+    let now = fixture.node_state.now();
+    fixture.node_state.lock().placement.note_pause_at(runner_address(index), pause, now);
+}
+
 fn orders(fixture: &Fixture, index: u8) -> u32 {
     let orders = fixture.control.orders_by_target.lock().unwrap();
     orders.get(&format!("i-{index}")).copied().unwrap_or_default()
@@ -34,3 +47,32 @@
     tokio::time::sleep(ORDERED_BY - restart).await;
     assert!(orders(&fixture, 1) > before);
 }
+
+#[tokio::test(start_paused = true)]
+#[ignore = "known red: KNOWN-RED.txt, entry 14"]
+async fn a_pause_does_not_keep_a_runner_on_expired_weights_from_being_ordered() {
+    struct Case {
+        name: &'static str,
+        /// Time from the naming of the new weights at which the registration ends.
+        ended_at: Option<Duration>,
+    }
+    let cases = [
+        Case { name: "registered", ended_at: None },
+        Case { name: "registration ended", ended_at: Some(Duration::from_secs(9)) },
+    ];
+    for case in cases {
+        let fixture = start_rollout(0).await;
+        (1..=5).for_each(|index| pause(&fixture, index, LONG_PAUSE));
+        let ended_at = case.ended_at.unwrap_or_default();
+        tokio::time::sleep(ended_at).await;
+        if case.ended_at.is_some() {
+            let gone = NamedRecord { name: "i-5".to_string(), record: None };
+            let ended = FleetUpdate { records: vec![gone], revision: 3 };
+            fixture.watcher.records.update(FleetTopic::Targets, &ended);
+        }
+        tokio::time::sleep(BEFORE_EXPIRY - ended_at).await;
+        assert_eq!(orders(&fixture, 5), 0, "{}: before the weights expire", case.name);
+        tokio::time::sleep(ORDERED_BY - BEFORE_EXPIRY).await;
+        assert_eq!(orders(&fixture, 5), 1, "{}", case.name);
+    }
+}
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -6,6 +6,8 @@
     topic_watch::FleetWatcher,
 };
 use crate::{
+    node_state::NodeState,
+    pauses::PausingControl,
     peers::PeerClient,
     test_support::{TestRecords, TestSource, empty_node_state},
 };
@@ -141,6 +143,7 @@
     pub(super) control: Arc<CountingControl>,
     objects: Arc<MemoryPlatform>,
     pub(super) watcher: Arc<FleetWatcher>,
+    pub(super) node_state: Arc<NodeState>,
     _planner: tokio::task::JoinSet<()>,
 }
 
@@ -169,15 +172,15 @@
     }
     let mut planner = tokio::task::JoinSet::new();
     planner.spawn(run_planner(PlannerParts {
-        node_state,
+        node_state: node_state.clone(),
         objects: objects.clone(),
-        control: control.clone(),
+        control: PausingControl::open(control.clone(), node_state.clone()),
         clock: Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)),
         watcher: watcher.clone(),
         node: "entry-1".to_string(),
         machine: "entry-1 10.0.0.1:80".to_string(),
     }));
-    Fixture { source, control, objects, watcher, _planner: planner }
+    Fixture { source, control, objects, watcher, node_state, _planner: planner }
 }
 
 pub(super) fn update(records: Vec<(String, FleetRecord)>, revision: FleetRevision) -> FleetUpdate {
