Add a failing test of runners that take no order in a roll-out

Test: the planner on a paused clock, five runners, two loads at once; the first two take no order. The next two have to be ordered within 3 s. Listed in KNOWN-RED.txt, entry 14.

--- a/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
@@ -75,3 +75,24 @@
         assert_eq!(orders(&fixture, 5), 1, "{}", case.name);
     }
 }
+
+#[tokio::test(start_paused = true)]
+#[ignore = "known red: KNOWN-RED.txt, entry 14"]
+async fn runners_that_take_no_order_leave_their_places_among_the_loads_to_others() {
+    struct Case {
+        name: &'static str,
+        silent_runners: u8,
+        pausing_runners: u8,
+    }
+    let cases = [
+        Case { name: "no response", silent_runners: 2, pausing_runners: 0 },
+        Case { name: "pauses", silent_runners: 0, pausing_runners: 2 },
+    ];
+    for case in cases {
+        let fixture = start_rollout(case.silent_runners).await;
+        (1..=case.pausing_runners).for_each(|index| pause(&fixture, index, LONG_PAUSE));
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let ordered = [3, 4].map(|index| orders(&fixture, index));
+        assert_eq!(ordered, [1, 1], "{}", case.name);
+    }
+}
