Add a failing test of a leaving runner whose weights expire

A runner that reports that it leaves goes on for some seconds, at times many, and is never ordered: requests that wait there are only withdrawn, and a runner that ignores closed connections begins them.

Test: the planner on a paused clock; one of five runners leaves as weights 2 are named. It must be ordered once the old ones have expired, by 11.5 s, and not before. Listed in KNOWN-RED.txt, entry 14.

--- a/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
@@ -3,7 +3,7 @@
 use super::planner_tests::{
     Fixture, runner_address, start_planner, started_runner, update, weights,
 };
-use skylarkpick_interface::{FleetTopic, FleetUpdate, NamedRecord};
+use skylarkpick_interface::{FleetRecord, FleetTopic, FleetUpdate, NamedRecord};
 use std::time::Duration;
 
 /// Time in which the planner acquires the lease.
@@ -95,3 +95,18 @@
         assert_eq!(ordered, [1, 1], "{}", case.name);
     }
 }
+
+#[tokio::test(start_paused = true)]
+#[ignore = "known red: KNOWN-RED.txt, entry 14"]
+async fn a_leaving_runner_is_ordered_once_its_weights_expire() {
+    let fixture = start_rollout(0).await;
+    let (id, mut record) = started_runner(5, 1);
+    if let FleetRecord::Target(target) = &mut record {
+        target.is_draining = true;
+    }
+    fixture.watcher.records.update(FleetTopic::Targets, &update(vec![(id, record)], 3));
+    tokio::time::sleep(BEFORE_EXPIRY).await;
+    assert_eq!(orders(&fixture, 5), 0, "before the weights expire");
+    tokio::time::sleep(ORDERED_BY - BEFORE_EXPIRY).await;
+    assert_eq!(orders(&fixture, 5), 1);
+}
