Order leaving runners once their weights have expired

Cause: the plan leaves out runners that leave, since loading weights there is of no use. From 1.5 s before the limit on the order has another purpose: it rejects the requests that wait. Class: a rule for capacity applied to an order that is there for the limit, like the limits of a roll-out and pauses before it.

A new case in the table of the plan: of four leaving runners on versions 1 to 3 only that on expired weights is ordered.

Change: leaving runners are ordered if their weights have expired, with the same repeats as others. They count neither towards the share that serves nor before that moment. The price is a load at a runner that is about to go.

--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -259,8 +259,7 @@
     fn repeats(&self, runners: &[RolloutRunner], goal: &RolloutGoal) -> BTreeSet<TargetId> {
         let is_repeated = |it: &&RolloutRunner| {
             let ordered = self.ordered.get(&it.name);
-            !it.is_leaving
-                && is_expired(it, goal)
+            is_expired(it, goal)
                 && ordered.is_some_and(|ordered| ordered.is_repeatable(goal.weight_version))
         };
         runners.iter().filter(is_repeated).map(|it| it.name.clone()).collect()
--- a/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
@@ -97,7 +97,6 @@
 }
 
 #[tokio::test(start_paused = true)]
-#[ignore = "known red: KNOWN-RED.txt, entry 14"]
 async fn a_leaving_runner_is_ordered_once_its_weights_expire() {
     let fixture = start_rollout(0).await;
     let (id, mut record) = started_runner(5, 1);
--- a/crates/skylarkpick-schedule/src/rollout/plan.rs
+++ b/crates/skylarkpick-schedule/src/rollout/plan.rs
@@ -39,8 +39,10 @@
 ) -> RolloutPlan {
     let mut plan = RolloutPlan::default();
     let staying: Vec<&RolloutRunner> = runners.iter().filter(|it| !it.is_leaving).collect();
-    let mut pending: Vec<&RolloutRunner> =
-        staying.iter().copied().filter(|runner| !is_up_to_date(runner, goal)).collect();
+    // Requests may wait at a runner that leaves, too.
+    let is_pending =
+        |it: &&RolloutRunner| !is_up_to_date(it, goal) && (!it.is_leaving || is_expired(it, goal));
+    let mut pending: Vec<&RolloutRunner> = runners.iter().filter(is_pending).collect();
     pending.sort_by(|a, b| order_key(a, goal).cmp(&order_key(b, goal)));
     let mut capacity = Capacity::of(&staying, goal);
     let mut loads = loads_in_progress;
--- a/crates/skylarkpick-schedule/src/rollout/tests.rs
+++ b/crates/skylarkpick-schedule/src/rollout/tests.rs
@@ -126,6 +126,21 @@
         order: &["r0", "r1", "r2", "r3"],
         waiting: &[],
     },
+    Case {
+        name: "a leaving runner is ordered only if its weights have expired",
+        change: |runners, goal| {
+            goal.weight_version = 3;
+            goal.usable_weight_versions = vec![3, 2];
+            goal.expired_weight_versions = vec![1];
+            runners.iter_mut().for_each(|runner| runner.is_leaving = true);
+            runners[1].weight_version = Some(2);
+            runners[2].weight_version = Some(2);
+            runners[3].weight_version = Some(3);
+        },
+        loads_in_progress: 0,
+        order: &["r0"],
+        waiting: &[],
+    },
     Case {
         name: "leaving runners do not count towards the share, unreachable ones do",
         change: |runners, _| {
--- a/crates/skylarkpick-schedule/src/rollout/types.rs
+++ b/crates/skylarkpick-schedule/src/rollout/types.rs
@@ -18,7 +18,8 @@
     /// Whether orders don't reach the runner at the moment: it did not respond to the last one, or asked
     /// for a pause. It leaves its place among the loads to others.
     pub is_unavailable: bool,
-    /// Whether the runner is leaving. Such runners are neither ordered nor counted.
+    /// Whether the runner is leaving. Such runners are not counted, and ordered only if their weights have
+    /// expired.
     pub is_leaving: bool,
     /// Runs at the runner, including those that wait.
     pub runs: u32,
