Add a failing test of a late report of a runner's former start

What callers may get (VERSION, requests turned away with 421): a runner that is back under its id on replaced weights and is never brought to the newer ones.

Test: the planner on a paused clock; a runner starts anew on weights 1 while a report of its former start, on weights 2, is on its way to the planner, which then takes the new start for one on weights 2. It has to be ordered within 11.5 s of the naming. Seen: no order. Listed in KNOWN-RED.txt, entry 14.

--- a/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
@@ -4,7 +4,7 @@
     Fixture, runner_address, start_planner, started_runner, update, weights,
 };
 use skylarkpick_interface::{FleetRecord, FleetTopic, FleetUpdate, NamedRecord};
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 /// Time in which the planner acquires the lease.
 const LEASE_TIME: Duration = Duration::from_secs(6);
@@ -109,3 +109,19 @@
     tokio::time::sleep(ORDERED_BY - BEFORE_EXPIRY).await;
     assert_eq!(orders(&fixture, 5), 1);
 }
+
+#[tokio::test(start_paused = true)]
+#[ignore = "known red: KNOWN-RED.txt, entry 14"]
+async fn a_report_of_the_former_start_of_a_runner_does_not_stand_for_the_weights_of_the_next_one() {
+    let fixture = start_rollout(0).await;
+    let address = runner_address(1);
+    fixture.control.reported_weights.lock().unwrap().insert(address, 2);
+    while fixture.control.reports.load(Ordering::SeqCst) == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let restarted = update(vec![started_runner(1, 2)], 3);
+    fixture.watcher.records.update(FleetTopic::Targets, &restarted);
+    fixture.control.reported_weights.lock().unwrap().remove(&address);
+    tokio::time::sleep(ORDERED_BY).await;
+    assert!(orders(&fixture, 1) > 0);
+}
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -32,6 +32,9 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Time that runners take to report their weights.
+const REPORT_DELAY: Duration = Duration::from_millis(250);
+
 /// Platform whose records the tests set directly.
 #[derive(Default)]
 struct CountingSource {
@@ -76,6 +79,10 @@
 pub(super) struct CountingControl {
     orders: AtomicU32,
     silent_runners: u8,
+    /// Weights that runners report, after `REPORT_DELAY`.
+    pub(super) reported_weights: Mutex<BTreeMap<SocketAddr, WeightVersion>>,
+    /// Number of such reports that were asked for.
+    pub(super) reports: AtomicU32,
     /// Whether runners leave orders without a response and without effect.
     loses_orders: AtomicBool,
     /// Orders by target.
@@ -94,7 +101,12 @@
             tokio::time::sleep(timeout).await;
             return Err(ControlError::NoResponse("timed out".to_string()));
         }
-        Ok(OrderState::default())
+        let reported = self.reported_weights.lock().unwrap().get(&address).copied();
+        let Some(version) = reported else { return Ok(OrderState::default()) };
+        self.reports.fetch_add(1, Ordering::SeqCst);
+        tokio::time::sleep(REPORT_DELAY).await;
+        let weights = BTreeMap::from([("tala".to_string(), version)]);
+        Ok(OrderState { weights, ..OrderState::default() })
     }
 
     async fn engine_load(&self, _: SocketAddr, _: Duration) -> Result<EngineLoad, ControlError> {
