Don't send a request again to a runner on older weights than it names

What callers get: 503, although another runner on the right weights is free, and retries that a service's budget pays for.

Cause: a runner that turns a request away and names other weights is tried again, since it has just been brought to newer ones and the next attempt names these. One that names older weights, because it started anew and its new record has not been read, turns the next attempt away as well, until the attempts are spent; it gets no cooldown, and with no requests it is the cheapest choice for the next request. Class: weights of a target are taken to only rise.

Change: such a runner is left out for the rest of the request, and gets the cooldown of a rejection. One that names the same or newer weights is treated as before.

--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -42,7 +42,12 @@
     /// The same, since the target or the evidence against the request no longer allowed it.
     HeldBack(String),
     /// The target reported that it did not run the request.
-    NotRun(ResponseMetadata),
+    NotRun {
+        metadata: ResponseMetadata,
+        /// Whether the request may be sent there again: the target named its weights, and those are not
+        /// older than the request's.
+        may_run_there: bool,
+    },
     /// The request may have run, but there is no valid response.
     NoValidResponse(String),
     /// The response had not started when the weights became too old. The request may have run, since
@@ -62,7 +67,7 @@
         match self {
             AttemptOutcome::NotSent(_) => "not_sent",
             AttemptOutcome::HeldBack(_) => "held_back",
-            AttemptOutcome::NotRun(_) => "not_run",
+            AttemptOutcome::NotRun { .. } => "not_run",
             AttemptOutcome::NoValidResponse(_) => "broken",
             AttemptOutcome::Withdrawn(_) => "withdrawn",
             AttemptOutcome::TimedOut => "timed_out",
@@ -282,11 +287,12 @@
     ) -> AttemptOutcome {
         let is_other_target =
             metadata.target.as_ref().is_some_and(|target| *target != self.guard.assignment.target);
-        let is_full = !is_other_target && metadata.weight_version.is_none();
-        self.guard.outcome = match (is_other_target, is_full) {
+        let may_run_there = metadata.weight_version.is_some()
+            && metadata.weight_version >= self.guard.assignment.weight_version;
+        self.guard.outcome = match (is_other_target, may_run_there) {
             (true, _) => TargetOutcome::Unreachable,
-            (_, true) => TargetOutcome::Rejected,
-            _ => TargetOutcome::Unknown,
+            (_, true) => TargetOutcome::Unknown,
+            _ => TargetOutcome::Rejected,
         };
         // The connection is reused only if the rest of the response arrives almost immediately.
         let until = Instant::now() + REJECTION_BODY_TIMEOUT;
@@ -297,7 +303,7 @@
         {
             self.forwarder.pool.release(connection, metadata.idle_limit);
         }
-        AttemptOutcome::NotRun(metadata)
+        AttemptOutcome::NotRun { metadata, may_run_there }
     }
 
     /// Reads a body to its end or until it is too large to be buffered.
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -486,7 +486,10 @@
                 // Placement does not choose the target again as long as the reason lasts.
                 request.sends -= 1;
             }
-            AttemptOutcome::NotRun(metadata) => {
+            AttemptOutcome::NotRun { metadata, may_run_there } => {
+                if !may_run_there {
+                    request.avoid(&target);
+                }
                 self.handle_rejection(request, target, &metadata, last);
             }
             AttemptOutcome::NoValidResponse(why) | AttemptOutcome::Withdrawn(why) => {
@@ -510,16 +513,12 @@
         metadata: &ResponseMetadata,
         last: &mut SendResult,
     ) {
-        let has_other_weights = metadata.weight_version.is_some();
         let load = metadata.load.unwrap_or_default();
         let why = format!(
             "weights {:?}, {} running and {} waiting of {}",
             metadata.weight_version, load.running, load.waiting, load.slots
         );
         log_failed_attempt(request, &target, "not_run", &why);
-        if !has_other_weights {
-            request.avoid(&target);
-        }
         if request.runs == 0 {
             let why = format!("{target} rejected the request");
             *last = SendResult::Failed(GatewayError::RetryLater { wait: UNKNOWN_WAIT }, why);
