Follow the platform's store into another era

What callers saw: after the platform's store had come back from a copy some seconds old, a change that it confirmed was not in force in any process: an added route was answered with 404, and runs started on weights that were replaced longer ago than allowed.

Cause: all code took a revision for a number that never goes back. A list of a lower revision than the highest one seen was dropped as older, and then the watch went on from that list's revision, so that a change was never found whose revision had been issued again. The state of a topic, the relays' completeness, records of other processes and the first-read mark rested on the same.

Evidence: the log line "older platform records ignored" for each topic in the failing tests; the watches had ended as they should, so it is not they that lost the changes. Ruled out: links between the processes (connected and cut fail alike) and the time away (0 and 300 ms fail alike).

Change: - `FleetRevision` gives way to `StoreRevision`, a pair of era and number; a bare number no longer compares. The first list of a later era is taken as it is though its number is lower, and what a follower of an earlier era is sent is a whole list. Changes of another era are no continuation. - A configuration or weights version never goes back: what is newer than the store's record, or missing from it, stays in force from memory, is passed on to followers and other processes, and gives way only to a version at least as new. Each process asks three others at its start and after a return, four times within about 1.2 s, for weights and a newer document; readiness doesn't wait for it. - Known times of desired weights outlast the return, and are recorded again if the record lacks them. - A return counts as a return of the platform for missing targets, without a failed call. A target whose record shows an earlier start or older weights keeps its state until it had the same 2.2 s to write it again. A start that drains never serves again. - Processes tell the era with their revisions. A relay of an earlier era is not current; a process that hears of a later era reads anew at once. Messages stay readable both ways: the number keeps its field, a request without an era is compared by number, records without one are of era 0. - A process registers again as soon as a list lacks its registration as it is now, after 0.2 to 0.6 s, and not up to 6 s later. - One log line for each topic: both revisions, from whom it was learned, records dropped and retained.

Tests of skylarkpick-forward, -interface and -platform pass. An expectation changed in form only: revisions in tests are built with `at`, since they are no numbers any more.

Tried and dropped: keeping every known time of a version beside the record's own. A recorded time of a version that is not named yet would have counted; an existing test showed it.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -7,11 +7,18 @@
 mod lapsed_runners;
 mod load_sampler;
 mod missing_targets;
+mod newest_record;
 mod planner;
 mod records;
+mod retained_fetch;
+mod retained_records;
 mod serving_confirmer;
+mod target_records;
+mod topic_state;
 mod topic_watch;
 mod weight_recorder;
+mod weight_records;
+mod weight_times;
 
 #[cfg(test)]
 mod planner_order_tests;
@@ -32,6 +39,7 @@
 pub(crate) use load_sampler::{LoadSampler, sample_loads};
 pub(crate) use planner::{PlannerParts, run_planner};
 pub(crate) use records::FleetRecords;
+pub(crate) use retained_fetch::fetch_retained;
 pub(crate) use serving_confirmer::ServingConfirmer;
 pub(crate) use topic_watch::{FleetWatcher, watch_topic};
 pub(crate) use weight_recorder::record_weights;
--- a/crates/skylarkpick-forward/src/fleet/missing_targets.rs
+++ b/crates/skylarkpick-forward/src/fleet/missing_targets.rs
@@ -1,4 +1,5 @@
-//! Targets whose records disappeared while the platform was unavailable.
+//! Targets whose records disappeared while the platform was unavailable, or by the return of its store
+//! from an older copy.
 //!
 //! When the platform returns, the records of live targets that reach it reappear within about two
 //! seconds. Until then, a missing record doesn't mean that the target was removed.
@@ -27,6 +28,16 @@
         }
     }
 
+    /// Records that the platform's store came back from an older copy.
+    pub(crate) fn note_return(&mut self, now: Duration) {
+        self.reconnected_at = Some(now);
+    }
+
+    /// Returns whether a target is missing and may reappear.
+    pub(crate) fn is_missing(&self, target: &str) -> bool {
+        self.missing.contains_key(target)
+    }
+
     /// Records a missing target. Returns whether its record may still reappear.
     pub(crate) fn note_missing(&mut self, target: &str, now: Duration) -> bool {
         let until = self.reconnected_at.map(|at| at + RECONNECT_GRACE);
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -9,15 +9,14 @@
     node_state::NodeState,
     pauses::PausingControl,
     peers::PeerClient,
-    test_support::{TestRecords, TestSource, empty_node_state},
+    test_support::{TestRecords, TestSource, at, empty_node_state},
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
     CacheEpoch, CacheScope, ClientLimits, ContextMemory, ControlError, DesiredWeights, EngineLoad,
-    FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord, OrderOutcome, OrderState,
-    PartChanges, PartId, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
-    RegisteredTarget, ServiceKind, ServingDocument, TargetControl, TargetId, TokioClock,
-    WeightOrder, WeightVersion,
+    FleetRecord, FleetTopic, FleetUpdate, NamedRecord, OrderOutcome, OrderState, PartChanges,
+    PartId, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry, RegisteredTarget,
+    ServiceKind, ServingDocument, TargetControl, TargetId, TokioClock, WeightOrder, WeightVersion,
 };
 use skylarkpick_standin::{MemoryPlatform, PlatformRates};
 use std::{
@@ -196,9 +195,9 @@
     Fixture { source, control, objects, watcher, node_state, _planner: planner }
 }
 
-pub(super) fn update(records: Vec<(String, FleetRecord)>, revision: FleetRevision) -> FleetUpdate {
+pub(super) fn update(records: Vec<(String, FleetRecord)>, revision: u64) -> FleetUpdate {
     let named = |(name, record)| NamedRecord { name, record: Some(record) };
-    FleetUpdate { records: records.into_iter().map(named).collect(), revision }
+    FleetUpdate { records: records.into_iter().map(named).collect(), revision: at(revision) }
 }
 
 pub(super) fn serving() -> Box<ServingDocument> {
@@ -406,7 +405,8 @@
         tokio::time::sleep(6 * SECOND).await;
         let ended = || {
             let gone = NamedRecord { name: "i-5".to_string(), record: None };
-            records.update(FleetTopic::Targets, &FleetUpdate { records: vec![gone], revision: 3 });
+            records
+                .update(FleetTopic::Targets, &FleetUpdate { records: vec![gone], revision: at(3) });
         };
         if case.ended_at_ms == 0 {
             ended();
@@ -441,7 +441,7 @@
     records.update(FleetTopic::Weights, &update(vec![weights(2)], 2));
     tokio::time::sleep(10 * SECOND).await;
     let gone = NamedRecord { name: "i-1".to_string(), record: None };
-    records.update(FleetTopic::Targets, &FleetUpdate { records: vec![gone], revision: 3 });
+    records.update(FleetTopic::Targets, &FleetUpdate { records: vec![gone], revision: at(3) });
     tokio::time::sleep(Duration::from_millis(900)).await;
     assert_eq!(fixture.control.orders_by_target.lock().unwrap().len(), 4);
 }
--- /dev/null
+++ b/crates/skylarkpick-forward/src/fleet/target_records.rs
@@ -0,0 +1,117 @@
+//! Applies records of targets to the node state.
+
+use super::missing_targets::MissingTargets;
+use super::newest_record::is_earlier;
+use super::records::{FleetRecords, RecordOrigin, UpdateKind};
+use skylarkpick_interface::{
+    FleetRecord, FleetTopic, NamedRecord, RegisteredTarget, StoreRevision,
+};
+use std::{
+    collections::BTreeSet,
+    sync::{MutexGuard, PoisonError},
+};
+
+impl FleetRecords {
+    pub(super) fn missing_targets(&self) -> MutexGuard<'_, MissingTargets> {
+        self.missing_targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends the grace period of targets that are still missing: those without a record are removed,
+    /// and the others are as their records say.
+    pub(crate) fn remove_expired_targets(&self) {
+        let expired = self.missing_targets().take_expired(self.node_state.now());
+        for target in expired {
+            let (record, revision) = {
+                let topics = self.topics();
+                let state = topics.get(&FleetTopic::Targets);
+                let record = state.and_then(|state| state.record(&target)).cloned();
+                (record, state.map_or_else(StoreRevision::default, |state| state.revision))
+            };
+            match record {
+                Some(FleetRecord::Target(record)) => self.apply_target(&record, revision),
+                _ => self.remove_target(&target, "still missing after the platform's return"),
+            }
+        }
+    }
+
+    /// Returns whether a target's record in a list may be older than what is known of the target, which
+    /// then has some time to write it again.
+    pub(super) fn is_awaited(
+        &self,
+        topic: FleetTopic,
+        named: &NamedRecord,
+        origin: RecordOrigin,
+        unchanged: &BTreeSet<String>,
+    ) -> bool {
+        let Some(FleetRecord::Target(found)) = &named.record else { return false };
+        if topic != FleetTopic::Targets {
+            return false;
+        }
+        match origin.kind {
+            UpdateKind::Changes => false,
+            UpdateKind::List => {
+                unchanged.contains(&named.name) && self.missing_targets().is_missing(&found.id)
+            }
+            UpdateKind::ListOfNewEra => {
+                let state = self.node_state.lock();
+                let known = state.placement.targets().get(&found.id);
+                let is_earlier = known.is_some_and(|it| is_earlier(found, &it.registration));
+                drop(state);
+                is_earlier && self.missing_targets().note_missing(&found.id, self.node_state.now())
+            }
+        }
+    }
+
+    pub(super) fn apply_target(&self, target: &RegisteredTarget, revision: StoreRevision) {
+        self.missing_targets().note_present(&target.id);
+        let mut state = self.node_state.lock();
+        let known = state.placement.targets().get(&target.id);
+        // A start that drains never serves again, although an older copy of its record may say so.
+        let is_still_draining = known.is_some_and(|it| {
+            it.registration.is_draining && it.registration.started_at_ms == target.started_at_ms
+        });
+        let target = &RegisteredTarget {
+            is_draining: target.is_draining || is_still_draining,
+            ..target.clone()
+        };
+        let is_changed = known.is_none_or(|it| {
+            it.registration.is_draining != target.is_draining
+                || it.registration.weights != target.weights
+        });
+        let is_new = state.placement.set_target(target.clone());
+        state.software_versions.set_target(target, self.node_state.now());
+        drop(state);
+        if is_new {
+            self.node_state.caches_changed.notify_waiters();
+        }
+        if is_new || is_changed {
+            spdlog::info!("target record applied", kv: {
+                target = target.id.as_str(),
+                service = target.service.as_str(),
+                draining = target.is_draining,
+                weights:? = target.weights,
+                software_version = target.software_version.as_deref().unwrap_or("unknown"),
+                started_at_ms = target.started_at_ms,
+                is_new,
+                revision:,
+            });
+        }
+        self.node_state.weights_changed.notify_one();
+    }
+
+    pub(super) fn handle_missing_target(&self, target: &str) {
+        let may_reappear = self.missing_targets().note_missing(target, self.node_state.now());
+        if !may_reappear {
+            self.remove_target(target, "its record was removed");
+        }
+    }
+
+    pub(super) fn remove_target(&self, target: &str, why: &str) {
+        let mut state = self.node_state.lock();
+        state.placement.remove_target(target);
+        state.software_versions.remove_target(target, self.node_state.now());
+        drop(state);
+        spdlog::info!("target removed", kv: { target, why });
+        self.node_state.caches_changed.notify_waiters();
+    }
+}
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -11,12 +11,12 @@
 use crate::{
     node_state::NodeState,
     peers::{PeerClient, PeerRecords, PeerResponse},
-    test_support::{SlowNetwork, TestRecords, TestSource, empty_node_state, entry_records},
+    test_support::{SlowNetwork, TestRecords, TestSource, at, empty_node_state, entry_records},
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    CrashReport, DesiredWeights, FleetRecord, FleetRevision, FleetTopic, FleetUpdate, NamedRecord,
-    PlatformError, RegisteredEntry, RegisteredTarget, WatchError,
+    CrashReport, DesiredWeights, FleetRecord, FleetTopic, FleetUpdate, NamedRecord, PlatformError,
+    RegisteredEntry, RegisteredTarget, StoreRevision, WatchError,
 };
 use skylarkpick_schedule::{DesiredWeightsView, RolloutRunner, plan_rollout};
 use skylarkpick_transport::{
@@ -167,15 +167,18 @@
 #[tokio::test(start_paused = true)]
 async fn a_process_applies_newer_records_and_removals_of_another() {
     let (_, first) = records();
-    let update = FleetUpdate { records: vec![target("i-1"), target("i-2")], revision: 10 };
+    let update = FleetUpdate { records: vec![target("i-1"), target("i-2")], revision: at(10) };
     first.replace(FleetTopic::Targets, &update);
     let (node_state, second) = records();
-    let received = first.records_since(FleetTopic::Targets, 0).unwrap();
+    let received = first.records_since(FleetTopic::Targets, at(0)).unwrap();
     assert!(received.is_complete);
     assert!(second.apply_peer_records(FleetTopic::Targets, &received));
     assert_eq!(target_ids(&node_state), ["i-1", "i-2"]);
-    first.update(FleetTopic::Targets, &FleetUpdate { records: vec![removed("i-1")], revision: 12 });
-    let received = first.records_since(FleetTopic::Targets, 10).unwrap();
+    first.update(
+        FleetTopic::Targets,
+        &FleetUpdate { records: vec![removed("i-1")], revision: at(12) },
+    );
+    let received = first.records_since(FleetTopic::Targets, at(10)).unwrap();
     let content = (received.is_complete, received.update.records.len());
     assert_eq!(content, (false, 1), "only the change");
     assert!(second.apply_peer_records(FleetTopic::Targets, &received));
@@ -218,9 +221,9 @@
 #[tokio::test(start_paused = true)]
 async fn an_older_read_never_replaces_newer_records() {
     let (node_state, records) = records();
-    let newer = FleetUpdate { records: vec![target("i-2")], revision: 20 };
+    let newer = FleetUpdate { records: vec![target("i-2")], revision: at(20) };
     assert!(records.replace(FleetTopic::Targets, &newer));
-    let older = FleetUpdate { records: vec![target("i-1")], revision: 19 };
+    let older = FleetUpdate { records: vec![target("i-1")], revision: at(19) };
     assert!(!records.replace(FleetTopic::Targets, &older));
     assert_eq!(target_ids(&node_state), ["i-2"]);
 }
@@ -228,9 +231,9 @@
 #[tokio::test(start_paused = true)]
 async fn an_older_change_never_replaces_newer_records() {
     let (node_state, records) = records();
-    let newer = FleetUpdate { records: vec![draining("i-1")], revision: 20 };
+    let newer = FleetUpdate { records: vec![draining("i-1")], revision: at(20) };
     assert!(records.replace(FleetTopic::Targets, &newer));
-    let older = FleetUpdate { records: vec![target("i-1"), target("i-2")], revision: 19 };
+    let older = FleetUpdate { records: vec![target("i-1"), target("i-2")], revision: at(19) };
     records.update(FleetTopic::Targets, &older);
     assert_eq!(target_ids(&node_state), ["i-1"]);
     assert!(is_draining(&node_state, "i-1"));
@@ -239,10 +242,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_relay_that_loses_the_platform_reports_its_records_as_stale() {
     let (_, relay) = records();
-    let update = FleetUpdate { records: vec![target("i-1")], revision: 10 };
+    let update = FleetUpdate { records: vec![target("i-1")], revision: at(10) };
     relay.replace(FleetTopic::Targets, &update);
     relay.note_current(FleetTopic::Targets, Duration::ZERO);
-    let age_ms = || relay.records_since(FleetTopic::Targets, 10).unwrap().age_ms;
+    let age_ms = || relay.records_since(FleetTopic::Targets, at(10)).unwrap().age_ms;
     assert_eq!(age_ms(), 0);
     relay.note_disconnected(FleetTopic::Targets);
     assert_eq!(age_ms(), u64::MAX);
@@ -276,7 +279,7 @@
             self.failures_left.store(left - 1, Ordering::SeqCst);
             return Err(PlatformError::Unavailable("connection reset".to_string()).into());
         }
-        Ok(FleetUpdate { records: vec![target("i-1")], revision: 40 })
+        Ok(FleetUpdate { records: vec![target("i-1")], revision: at(40) })
     }
 }
 
@@ -317,7 +320,7 @@
     async fn changes(
         &self,
         topic: FleetTopic,
-        _: FleetRevision,
+        _: StoreRevision,
         _: Duration,
     ) -> Result<FleetUpdate, WatchError> {
         self.read(topic).await
@@ -338,7 +341,7 @@
         };
         NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
     });
-    let entries = FleetUpdate { records: entries.collect(), revision: 3 };
+    let entries = FleetUpdate { records: entries.collect(), revision: at(3) };
     records.replace(FleetTopic::Entries, &entries);
     let (certificate, key) = Authority::generate_pem().unwrap();
     let identity =
@@ -388,7 +391,7 @@
         };
         let entry =
             NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) };
-        let entries = FleetUpdate { records: vec![entry], revision: 3 };
+        let entries = FleetUpdate { records: vec![entry], revision: at(3) };
         records.replace(FleetTopic::Entries, &entries);
         let peer_client = Arc::new(PeerClient::default());
         let response = responds.then(|| {
@@ -437,7 +440,7 @@
     let named = NamedRecord { name: "tala".to_string(), record };
     // All processes are killed 0.2 s after the naming, and start again 1.3 s later.
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    records.replace(FleetTopic::Weights, &FleetUpdate { records: vec![named], revision: 5 });
+    records.replace(FleetTopic::Weights, &FleetUpdate { records: vec![named], revision: at(5) });
     let limit = Duration::from_millis(10_500);
     let withdrawal = tokio::time::timeout(limit, node_state.wait_for_expiry("tala", 1)).await;
     assert_eq!(withdrawal, Ok(()), "a run may start later than 12 s after the naming");
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -2,7 +2,7 @@
 
 use super::records::FleetRecords;
 use crate::{jitter::sleep_with_jitter, peers::PeerClient};
-use skylarkpick_interface::{FleetSource, FleetTopic, WatchError};
+use skylarkpick_interface::{FleetSource, FleetTopic, StoreEra, StoreRevision, WatchError};
 use skylarkpick_telemetry::{FEEDS_LOST, metrics};
 use std::{sync::Arc, time::Duration};
 use tokio::{task::JoinSet, time::Instant};
@@ -53,6 +53,8 @@
 #[derive(Default)]
 struct PlatformCalls {
     is_disconnected: bool,
+    /// Latest era that another process named and that has led to a read.
+    sought_era: StoreEra,
     /// Fetch from other processes, at most one. It runs next to the calls, since processes may be as
     /// silent as the platform.
     fetch: JoinSet<()>,
@@ -168,7 +170,7 @@
 async fn watch_changes(
     watcher: &Arc<FleetWatcher>,
     topic: FleetTopic,
-    mut revision: u64,
+    mut revision: StoreRevision,
     until: Instant,
     calls: &mut PlatformCalls,
 ) -> bool {
@@ -176,7 +178,18 @@
     while Instant::now() < until || has_no_relays() {
         let wait = watch_wait(watcher, topic);
         let began = watcher.records.now();
-        match watcher.source.changes(topic, revision, wait).await {
+        let changes = tokio::select! {
+            biased;
+            changes = watcher.source.changes(topic, revision, wait) => changes,
+            era = watcher.records.heard_later_era(revision.era.max(calls.sought_era)) => {
+                calls.sought_era = era;
+                spdlog::info!("another process names a later era; reading all records", kv: {
+                    topic:, revision:, era,
+                });
+                return false;
+            }
+        };
+        match changes {
             Ok(update) => {
                 note_success(watcher, topic, calls);
                 watcher.records.update(topic, &update);
@@ -186,7 +199,7 @@
             }
             Err(WatchError::HistoryCompacted) => {
                 spdlog::info!("platform compacted its changes; reading all records", kv: {
-                    topic:, revision,
+                    topic:, revision:,
                 });
                 return false;
             }
--- a/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
@@ -8,11 +8,11 @@
 };
 use crate::{
     peers::{PeerClient, PeerRecords, PeerResponse},
-    test_support::{SlowNetwork, TestRecords, TestSource, entry_records},
+    test_support::{SlowNetwork, TestRecords, TestSource, at, entry_records},
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    FleetRevision, FleetTopic, FleetUpdate, PeerError, PeerHandler, PeerNetwork, PlatformError,
+    FleetTopic, FleetUpdate, PeerError, PeerHandler, PeerNetwork, PlatformError, StoreRevision,
     WatchError,
 };
 use std::{
@@ -44,22 +44,22 @@
         if self.does_read_fail {
             self.fail()?;
         }
-        Ok(FleetUpdate { records: vec![target("i-1")], revision: 40 })
+        Ok(FleetUpdate { records: vec![target("i-1")], revision: at(40) })
     }
 
     async fn changes(
         &self,
         _: FleetTopic,
-        since: FleetRevision,
+        since: StoreRevision,
         _: Duration,
     ) -> Result<FleetUpdate, WatchError> {
         if !self.does_read_fail {
             self.fail()?;
         }
-        if since >= 50 {
+        if since >= at(50) {
             std::future::pending().await
         }
-        Ok(FleetUpdate { records: vec![draining("i-1")], revision: 50 })
+        Ok(FleetUpdate { records: vec![draining("i-1")], revision: at(50) })
     }
 }
 
@@ -105,7 +105,7 @@
     let (node_state, records) = records();
     records.replace(FleetTopic::Entries, &entry_records(3));
     let response = PeerResponse::Records(PeerRecords {
-        update: FleetUpdate { records: vec![draining("i-1")], revision: 50 },
+        update: FleetUpdate { records: vec![draining("i-1")], revision: at(50) },
         is_complete: true,
         age_ms: 0,
         complete_age_ms: Some(0),
@@ -142,7 +142,7 @@
 
     async fn request(&self, _: &str, message: Vec<u8>, _: Duration) -> Result<Vec<u8>, PeerError> {
         let request: serde_json::Value = serde_json::from_slice(&message).unwrap();
-        let since = request["records"]["since"].as_u64().unwrap();
+        let since = at(request["records"]["since"].as_u64().unwrap());
         let wait = Duration::from_millis(request["records"]["wait_ms"].as_u64().unwrap());
         let topic = FleetTopic::Weights;
         let mut changes = self.relay.subscribe();
@@ -188,7 +188,7 @@
 #[test]
 fn records_of_processes_that_name_no_age_of_their_calls_are_understood() {
     let records = PeerRecords {
-        update: FleetUpdate { records: vec![target("i-1")], revision: 50 },
+        update: FleetUpdate { records: vec![target("i-1")], revision: at(50) },
         is_complete: true,
         age_ms: 20,
         complete_age_ms: None,
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -9,12 +9,12 @@
 use crate::{
     node_state::NodeState,
     peers::PeerClient,
-    test_support::{TestRecords, TestSource, empty_node_state, entry_records},
+    test_support::{TestRecords, TestSource, at, empty_node_state, entry_records},
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    ClientLimits, DesiredSinceOutcome, DesiredWeights, FleetRecord, FleetRevision, FleetTopic,
-    FleetUpdate, NamedRecord, RegisteredTarget, ServingDocument, WatchError, WeightVersion,
+    ClientLimits, DesiredSinceOutcome, DesiredWeights, FleetRecord, FleetTopic, FleetUpdate,
+    NamedRecord, RegisteredTarget, ServingDocument, StoreRevision, WatchError, WeightVersion,
     WriteError,
 };
 use skylarkpick_schedule::{PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason};
@@ -43,7 +43,10 @@
         desired_since_ms: since_ms.iter().copied().collect(),
     };
     let record = Some(FleetRecord::Weights(weights));
-    FleetUpdate { records: vec![NamedRecord { name: MODEL.to_string(), record }], revision }
+    FleetUpdate {
+        records: vec![NamedRecord { name: MODEL.to_string(), record }],
+        revision: at(revision),
+    }
 }
 
 pub(super) fn newer_age(node_state: &NodeState, version: WeightVersion) -> Option<Duration> {
@@ -423,7 +426,7 @@
     };
     FleetUpdate {
         records: vec![NamedRecord { name: "i-1".to_string(), record: Some(record) }],
-        revision: 5,
+        revision: at(5),
     }
 }
 
@@ -474,13 +477,13 @@
     async fn changes(
         &self,
         _: FleetTopic,
-        _: FleetRevision,
+        _: StoreRevision,
         _: Duration,
     ) -> Result<FleetUpdate, WatchError> {
         match self.watches.fetch_add(1, Ordering::SeqCst) {
             0 => {
                 tokio::time::sleep(5 * SECOND).await;
-                Ok(FleetUpdate { records: Vec::new(), revision: 5 })
+                Ok(FleetUpdate { records: Vec::new(), revision: at(5) })
             }
             1 => {
                 tokio::time::sleep(SECOND / 10).await;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -6,7 +6,7 @@
     crashes::{CrashWatch, send_cleared_causes, send_crashes, store_crashes},
     fleet::{
         CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer,
-        record_weights, run_planner, sample_loads, watch_caches, watch_topic,
+        fetch_retained, record_weights, run_planner, sample_loads, watch_caches, watch_topic,
     },
     forwarding::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder},
     jitter::sleep_with_jitter,
@@ -35,9 +35,10 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for a registration to appear in the fleet's list.
 const LISTING_DELAY: Duration = Duration::from_secs(5);
-/// Mean delay before a failed registration is retried, and interval at which a registered process
-/// checks that it is still listed.
+/// Mean delay before a failed registration is retried.
 const REGISTER_DELAY: Duration = Duration::from_secs(1);
+/// Mean delay before a process that is no longer listed registers again. Many may be missing at once.
+const REREGISTER_DELAY: Duration = Duration::from_millis(400);
 
 /// Settings and external systems of a process.
 pub struct NodeParts {
@@ -141,6 +142,7 @@
         tasks.spawn(send_cleared_causes(crashes.clone()));
         tasks.spawn(store_crashes(crashes));
         tasks.spawn(record_weights(watcher.clone()));
+        tasks.spawn(fetch_retained(watcher.clone()));
         tasks.spawn(expire_targets(watcher.clone()));
         tasks.spawn(sample_loads(LoadSampler {
             node_state: node_state.clone(),
@@ -237,14 +239,21 @@
 
 /// Registers the process, and registers it again whenever it is missing from the fleet's list.
 async fn register(watcher: Arc<FleetWatcher>, entry: RegisteredEntry) {
+    let records = &watcher.records;
     loop {
+        let mut changes = records.subscribe();
+        let era = records.revision(FleetTopic::Entries).era;
         while let Err(error) = watcher.source.register(&entry).await {
             spdlog::info!("failed to register this process", kv: { error: });
             sleep_with_jitter(REGISTER_DELAY).await;
         }
-        tokio::time::sleep(LISTING_DELAY).await;
-        while watcher.records.is_registered() {
-            tokio::time::sleep(REGISTER_DELAY).await;
-        }
+        // After a return of the platform's store, the list is that of its copy.
+        let is_listed =
+            |_: &u64| records.is_listed(&entry) || records.revision(FleetTopic::Entries).era > era;
+        let _ = tokio::time::timeout(LISTING_DELAY, changes.wait_for(is_listed)).await;
+        let is_missing = |_: &u64| !records.is_listed(&entry);
+        // It can't fail: the records own the sender.
+        let _ = changes.wait_for(is_missing).await;
+        sleep_with_jitter(REREGISTER_DELAY).await;
     }
 }
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -8,7 +8,7 @@
     fleet::FleetWatcher, log::request_log, node_state::NodeState, streams::StreamKnowledge,
 };
 use async_trait::async_trait;
-use skylarkpick_interface::PeerHandler;
+use skylarkpick_interface::{PeerHandler, StoreRevision};
 use skylarkpick_schedule::{MemorySample, ReportSource};
 use std::{sync::Arc, time::Duration};
 
@@ -73,16 +73,21 @@
 impl PeerMessageHandler {
     async fn respond(&self, request: PeerRequest) -> PeerResponse {
         match request {
-            PeerRequest::Records { topic, since, wait_ms } => {
+            PeerRequest::Records { topic, since, era, wait_ms } => {
                 let records = &self.watcher.records;
+                records.note_heard_era(era.unwrap_or_default());
                 let mut changes = records.subscribe();
                 let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
+                let since = || {
+                    let known_era = records.revision(topic).era;
+                    StoreRevision { era: era.unwrap_or(known_era), number: since }
+                };
                 let is_newer =
-                    |_: &u64| records.revision(topic) > since || records.is_disconnected(topic);
+                    |_: &u64| records.revision(topic) > since() || records.is_disconnected(topic);
                 // After the timeout the response contains no newer records, only their age.
                 let _ = tokio::time::timeout(wait, changes.wait_for(is_newer)).await;
                 records
-                    .records_since(topic, since)
+                    .records_since(topic, since())
                     .map_or(PeerResponse::Nothing, PeerResponse::Records)
             }
             PeerRequest::Caches { log, since, wait_ms } => {
@@ -94,6 +99,9 @@
                 let history = state.software_versions.history(self.node_state.now());
                 history.map_or(PeerResponse::Nothing, PeerResponse::SoftwareHistory)
             }
+            PeerRequest::Retained { serving_version } => {
+                PeerResponse::Retained(self.watcher.records.retained(serving_version))
+            }
             PeerRequest::StreamOrigin { stream, service, window } => {
                 match self.node_state.stream_knowledge(stream, &service, window) {
                     StreamKnowledge::Began(origin) => PeerResponse::StreamBegan(origin),
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{
-    CrashReport, FleetRevision, FleetTopic, FleetUpdate, ModelName, RequestLimit, ServiceName,
-    SoftwareVersion, StreamOrigin, TargetId, WeightVersion,
+    CrashReport, FleetTopic, FleetUpdate, ModelName, NamedRecord, RequestLimit, ServiceName,
+    SoftwareVersion, StoreEra, StreamOrigin, TargetId, WeightVersion,
 };
 use skylarkpick_schedule::{SoftwareHistory, StreamFingerprint};
 use std::{net::SocketAddr, time::Duration};
@@ -16,8 +16,11 @@
     Records {
         /// Topic of the records.
         topic: FleetTopic,
-        /// Revision that the requester has.
-        since: FleetRevision,
+        /// Number of the revision that the requester has.
+        since: u64,
+        /// Era of that revision. `None` from processes that don't know eras: they compare numbers.
+        #[serde(default)]
+        era: Option<StoreEra>,
         /// Maximum wait for newer records.
         wait_ms: u64,
     },
@@ -41,6 +44,12 @@
     },
     /// Requests the software versions that the responder has seen recently.
     SoftwareHistory,
+    /// Requests the desired weights that the responder knows, and its serving document if it is newer
+    /// than a version. It may know what the platform has lost.
+    Retained {
+        /// Version of the document that the requester has.
+        serving_version: Option<u64>,
+    },
 }
 
 /// One-way message of an entry process to all others.
@@ -128,6 +137,8 @@
     SeveralSoftwareVersions,
     /// Software versions that the responder has seen recently.
     SoftwareHistory(SoftwareHistory),
+    /// The serving document, if it is newer, and the desired weights.
+    Retained(Vec<NamedRecord>),
 }
 
 /// Records of a topic that are newer than those of the requester.
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -12,6 +12,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of processes from which records are fetched at the same time.
 const PEERS_PER_FETCH: usize = 2;
+/// Number of processes that are asked at the same time for what the platform may have lost.
+const PEERS_PER_RETAINED_FETCH: usize = 3;
 
 /// How old the records of another process were when it responded.
 #[derive(Clone, Copy, Debug)]
@@ -107,8 +109,42 @@
         responses.iter().flatten().count() > 0
     }
 
+    /// Fetches the serving document and the desired weights from a few random processes, and applies
+    /// what is newer than known. Returns whether one of them responded.
+    pub(crate) async fn fetch_retained(
+        &self,
+        records: &FleetRecords,
+        serving: Option<u64>,
+    ) -> bool {
+        let Some(network) = self.network.get() else { return false };
+        let request = PeerRequest::Retained { serving_version: serving };
+        let peers = records.random_entries(PEERS_PER_RETAINED_FETCH);
+        let requests = peers.iter().map(|address| {
+            let request = &request;
+            async move { send_request(&**network, address, request, REQUEST_TIMEOUT).await }
+        });
+        let mut has_responded = false;
+        for response in futures::future::join_all(requests).await {
+            match response {
+                Ok(PeerResponse::Retained(retained)) => {
+                    records.apply_retained(&retained);
+                    has_responded = true;
+                }
+                // A process that doesn't know the request.
+                Ok(_) => has_responded = true,
+                Err(error) => {
+                    spdlog::debug!("failed to fetch what another entry process retains", kv: {
+                        error = error.as_str(),
+                    });
+                }
+            }
+        }
+        has_responded
+    }
+
     /// Fetches and applies newer records of a topic from one process, which may wait for some up to
-    /// `wait`. Returns how old the records of that process were.
+    /// `wait`. Returns how old the records of that process were, or `None` if it did not respond or
+    /// its records are of an earlier era.
     pub(crate) async fn fetch_records(
         &self,
         address: &str,
@@ -119,7 +155,8 @@
         let network = self.network.get()?;
         let since = records.revision(topic);
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let request = PeerRequest::Records { topic, since, wait_ms };
+        let era = Some(since.era);
+        let request = PeerRequest::Records { topic, since: since.number, era, wait_ms };
         match send_request(&**network, address, &request, wait + REQUEST_TIMEOUT).await {
             Ok(PeerResponse::Records(fetched)) => {
                 let revision = fetched.update.revision;
@@ -130,10 +167,12 @@
                 let has_records = !fetched.update.records.is_empty();
                 if records.apply_peer_records(topic, &fetched) && has_records {
                     spdlog::info!("applied records of another entry process", kv: {
-                        topic:, revision, address,
+                        topic:, revision:, address,
                     });
                 }
-                Some(age)
+                records.note_heard_era(revision.era);
+                // Records of an earlier era say nothing about the present.
+                (revision.era >= records.revision(topic).era).then_some(age)
             }
             Ok(_) => None,
             Err(error) => {
--- a/crates/skylarkpick-forward/src/streams/tests.rs
+++ b/crates/skylarkpick-forward/src/streams/tests.rs
@@ -6,7 +6,7 @@
     node_state::NodeState,
     peers::{PeerClient, PeerResponse},
     serving_index::ServingIndex,
-    test_support::{SlowNetwork, TestRecords, TestSource, empty_node_state, entry_records},
+    test_support::{SlowNetwork, TestRecords, TestSource, at, empty_node_state, entry_records},
 };
 use skylarkpick_interface::{
     ClientLimits, FleetRecord, FleetTopic, FleetUpdate, NamedRecord, RegisteredTarget,
@@ -51,7 +51,7 @@
         };
         NamedRecord { name, record: Some(FleetRecord::Target(target)) }
     });
-    FleetUpdate { records: records.collect(), revision }
+    FleetUpdate { records: records.collect(), revision: at(revision) }
 }
 
 fn registry(node_state: &Arc<NodeState>, response: Option<PeerResponse>) -> StreamRegistry {
@@ -168,7 +168,7 @@
     }
     // The target on v1.1 has left, so that v1 is the only version registered now.
     let left = NamedRecord { name: "i-2".to_string(), record: None };
-    records.update(FleetTopic::Targets, &FleetUpdate { records: vec![left], revision: 6 });
+    records.update(FleetTopic::Targets, &FleetUpdate { records: vec![left], revision: at(6) });
     let found = registry.find(Some(&"a1".to_string()), &SERVICE.to_string(), 10 * SECOND).await;
     assert_eq!(found, None);
 }
@@ -183,7 +183,7 @@
         if second == 28 {
             // Another process sends only the last state of each record: `i-3` was added and removed.
             let removed = NamedRecord { name: "i-3".to_string(), record: None };
-            let update = FleetUpdate { records: vec![removed], revision: 7 };
+            let update = FleetUpdate { records: vec![removed], revision: at(7) };
             records.update(FleetTopic::Targets, &update);
         }
         tokio::time::sleep(SECOND).await;
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -3,9 +3,9 @@
 use crate::{node_state::NodeState, peers::PeerResponse};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    Clock, CrashReport, DesiredSinceOutcome, FleetRecord, FleetRevision, FleetSource, FleetTopic,
-    FleetUpdate, NamedRecord, NodeLimits, PeerError, PeerHandler, PeerNetwork, PlatformError,
-    RegisteredEntry, TokioClock, WatchError, WeightVersion, WriteError,
+    Clock, CrashReport, DesiredSinceOutcome, FleetRecord, FleetSource, FleetTopic, FleetUpdate,
+    NamedRecord, NodeLimits, PeerError, PeerHandler, PeerNetwork, PlatformError, RegisteredEntry,
+    StoreRevision, TokioClock, WatchError, WeightVersion, WriteError,
 };
 use skylarkpick_schedule::PlacementPolicy;
 use std::{
@@ -15,6 +15,11 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Returns a revision of a store that names no era.
+pub(crate) fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 /// Returns an empty node state on tokio's clock.
 pub(crate) fn empty_node_state() -> Arc<NodeState> {
     node_state_on(Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)))
@@ -46,7 +51,7 @@
     async fn changes(
         &self,
         _: FleetTopic,
-        _: FleetRevision,
+        _: StoreRevision,
         _: Duration,
     ) -> Result<FleetUpdate, WatchError> {
         std::future::pending().await
@@ -82,7 +87,7 @@
     async fn changes(
         &self,
         topic: FleetTopic,
-        since: FleetRevision,
+        since: StoreRevision,
         timeout: Duration,
     ) -> Result<FleetUpdate, WatchError> {
         self.0.changes(topic, since, timeout).await
@@ -149,5 +154,5 @@
         };
         NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
     });
-    FleetUpdate { records: entries.collect(), revision: 3 }
+    FleetUpdate { records: entries.collect(), revision: at(3) }
 }
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -7,15 +7,12 @@
         AccountId, DataCentreId, ModelName, ServiceName, SoftwareVersion, TargetId, WeightVersion,
     },
     platform::{PlatformError, WriteError},
+    store_revision::StoreRevision,
 };
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-/// Revision of the platform's records up to which a reader has applied them; monotonically
-/// increasing.
-pub type FleetRevision = u64;
-
 /// A target as it registered itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RegisteredTarget {
@@ -257,14 +254,15 @@
     /// Records, each name once.
     pub records: Vec<NamedRecord>,
     /// Revision from which the next watch continues.
-    pub revision: FleetRevision,
+    #[serde(flatten)]
+    pub revision: StoreRevision,
 }
 
 /// Why a read or watch of platform records failed.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum WatchError {
-    /// The platform has compacted the changes since the requested revision; all records must be
-    /// read again.
+    /// The platform has compacted the changes since the requested revision, or lost them by its
+    /// return from an older copy; all records must be read again.
     #[error("changes since the revision have been compacted")]
     HistoryCompacted,
     /// The platform doesn't know this kind of records, so there are none.
@@ -300,7 +298,7 @@
     async fn changes(
         &self,
         topic: FleetTopic,
-        since: FleetRevision,
+        since: StoreRevision,
         timeout: Duration,
     ) -> Result<FleetUpdate, WatchError>;
 
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -28,9 +28,9 @@
 pub use crash::{CrashCause, CrashReport, PartDepth, PartNumber, RequestNumber, TargetCrash};
 pub use fleet::{
     ClientLimits, ContextMemory, DesiredSinceOutcome, DesiredWeights, Destination, FleetRecord,
-    FleetRevision, FleetSource, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry,
-    RegisteredTarget, Repeatability, ResponseKind, ServiceKind, ServingAccount, ServingDocument,
-    ServingRoute, WatchError,
+    FleetSource, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry, RegisteredTarget,
+    Repeatability, ResponseKind, ServiceKind, ServingAccount, ServingDocument, ServingRoute,
+    WatchError,
 };
 pub use forward::{
     CacheScope, ClientAttemptId, Dialect, EventId, FetchSource, HeadError, LimitSignal, PartId,
