Record the evidence of ended targets again after a return of the store

A process writes its evidence into the status of its registration, and not again while it is the same. After a return of the platform's store from an older copy the status is that of the copy, or gone with the registration, so that processes which are cut from this one no longer learned of it.

--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -407,12 +407,18 @@
 /// runs.
 pub(crate) async fn store_crashes(watch: Arc<CrashWatch>) {
     let mut stored = CrashReport::default();
+    let mut stored_era = 0;
     let mut delay = STORE_RETRY_DELAY;
     loop {
         watch.node_state.evidence_changed.notified().await;
         loop {
             sleep_with_jitter(STORE_DELAY).await;
             let report = watch.record();
+            let era = watch.watcher.records.revision(FleetTopic::Entries).era;
+            if std::mem::replace(&mut stored_era, era) != era {
+                // The platform's store may have lost it.
+                stored = CrashReport::default();
+            }
             if report == stored {
                 break;
             }
