Version stored objects by era and revision

Change: `ObjectVersion` is replaced with `StoreRevision` in `ObjectStore`, so that a number alone no longer compares. The store tells the latest era that any of its responses named (`known_era`, 0 by default). The stores of the text product name no eras: their HTTP API is unchanged and its numbers are read as era 0. No decision changes yet; the lease still takes the number alone for its fencing number.

In tests only the type of literal versions changed.

--- a/crates/skylarkpick-claims/src/events.rs
+++ b/crates/skylarkpick-claims/src/events.rs
@@ -1,7 +1,7 @@
 //! Inputs, platform calls and replies of a shard's state machine.
 
 use crate::claim::{ClaimId, KeyDigest, Ran};
-use skylarkpick_interface::{ObjectVersion, RequestId};
+use skylarkpick_interface::{RequestId, StoreRevision};
 use skylarkpick_protocol::stored::{ClaimBatch, Claimed, Outcome};
 use std::time::Duration;
 
@@ -86,7 +86,7 @@
         /// Number of the object.
         number: u64,
         /// Version that the object must have.
-        version: ObjectVersion,
+        version: StoreRevision,
     },
 }
 
@@ -103,7 +103,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct FoundObject {
     /// Version of the object.
-    pub version: ObjectVersion,
+    pub version: StoreRevision,
     /// Content; `None` if it cannot be decoded.
     pub batch: Option<ClaimBatch>,
 }
@@ -116,7 +116,7 @@
     /// Objects read; `None` for each one that doesn't exist.
     Found(Vec<Option<FoundObject>>),
     /// The object was created.
-    Written(ObjectVersion),
+    Written(StoreRevision),
     /// An object with this number exists already.
     Conflict,
     /// The deletion completed, failed or timed out.
--- a/crates/skylarkpick-claims/src/state_machine.rs
+++ b/crates/skylarkpick-claims/src/state_machine.rs
@@ -12,6 +12,7 @@
     settings::ClaimSettings,
     tail::Tail,
 };
+use skylarkpick_interface::StoreRevision;
 use skylarkpick_protocol::stored::ClaimBatch;
 use std::{collections::BTreeMap, time::Duration};
 
@@ -38,6 +39,7 @@
 /// use skylarkpick_claims::{
 ///     Action, Call, CallResult, ClaimReply, ClaimSettings, Input, Reply, ShardStateMachine, Time,
 /// };
+/// use skylarkpick_interface::StoreRevision;
 /// use skylarkpick_protocol::stored::Claimed;
 /// use std::time::Duration;
 /// let now = Time { since_boot: Duration::from_secs(5), wall_ms: 1_000_000 };
@@ -47,7 +49,8 @@
 /// assert_eq!(shard.next_action(now), Action::Call(Call::List { after: None }));
 /// shard.complete_call(CallResult::Listed(Vec::new()), now);
 /// assert!(matches!(shard.next_action(now), Action::Call(Call::Put { number: 0, .. })));
-/// shard.complete_call(CallResult::Written(17), now);
+/// let version = StoreRevision { era: 0, number: 17 };
+/// shard.complete_call(CallResult::Written(version), now);
 /// assert_eq!(shard.take_replies(), [Reply::Claim(claim_id, ClaimReply::Granted)]);
 /// ```
 #[derive(Debug)]
@@ -308,7 +311,7 @@
         }
     }
 
-    fn append(&mut self, batch: &ClaimBatch, version: u64, is_own: bool, now: Time) {
+    fn append(&mut self, batch: &ClaimBatch, version: StoreRevision, is_own: bool, now: Time) {
         self.index.apply(self.tail.next_number, batch, now.since_boot);
         self.tail.advance(version, is_own, now);
     }
--- a/crates/skylarkpick-claims/src/tail.rs
+++ b/crates/skylarkpick-claims/src/tail.rs
@@ -1,14 +1,14 @@
 //! The end of a shard's log, and its objects that are due for deletion.
 
 use crate::{events::Time, settings::ClaimSettings};
-use skylarkpick_interface::ObjectVersion;
+use skylarkpick_interface::StoreRevision;
 use std::{collections::VecDeque, time::Duration};
 
 /// An object of the log that has not been deleted.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LogObject {
     pub(crate) number: u64,
-    pub(crate) version: ObjectVersion,
+    pub(crate) version: StoreRevision,
     first_seen_at: Duration,
     written_at_ms: u64,
 }
@@ -52,7 +52,7 @@
     }
 
     /// Moves past the next number, whose object has `version`.
-    pub(crate) fn advance(&mut self, version: ObjectVersion, is_own: bool, now: Time) {
+    pub(crate) fn advance(&mut self, version: StoreRevision, is_own: bool, now: Time) {
         let object = LogObject {
             number: self.next_number,
             version,
--- a/crates/skylarkpick-claims/tests/decoding.rs
+++ b/crates/skylarkpick-claims/tests/decoding.rs
@@ -10,6 +10,7 @@
     Action, Call, CallResult, ClaimReply, ClaimSettings, FoundObject, Input, ListedNumber, Reply,
     ShardStateMachine, Time,
 };
+use skylarkpick_interface::StoreRevision;
 use skylarkpick_protocol::stored::{ClaimBatch, ClaimEntry, Claimed, Outcome, claim_entry::Body};
 use std::time::Duration;
 
@@ -63,12 +64,15 @@
                 }
                 Call::Get { number, count } => {
                     let object = |at| {
-                        let found = FoundObject { version: 1, batch: batch.clone() };
+                        let found = FoundObject {
+                            version: StoreRevision { era: 0, number: 1 },
+                            batch: batch.clone(),
+                        };
                         (at == u64::MAX - 9).then_some(found)
                     };
                     CallResult::Found((number..number + count).map(object).collect())
                 }
-                _ => CallResult::Written(2),
+                _ => CallResult::Written(StoreRevision { era: 0, number: 2 }),
             };
             shard.complete_call(result, now);
         }
--- a/crates/skylarkpick-claims/tests/interleavings.rs
+++ b/crates/skylarkpick-claims/tests/interleavings.rs
@@ -10,6 +10,7 @@
     Action, Call, CallResult, ClaimId, ClaimReply, ClaimSettings, FoundObject, Input, ListedNumber,
     Ran, Reply, ShardStateMachine, Time, WaitReply,
 };
+use skylarkpick_interface::StoreRevision;
 use skylarkpick_protocol::stored::{self, ClaimBatch, Claimed, Outcome};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -100,8 +101,8 @@
 /// The platform, the processes, and a record of what happened for the checks.
 struct Simulation {
     now: Duration,
-    objects: BTreeMap<u64, (u64, ClaimBatch)>,
-    version: u64,
+    objects: BTreeMap<u64, (StoreRevision, ClaimBatch)>,
+    version: StoreRevision,
     delayed: Vec<DelayedWrite>,
     processes: Vec<Process>,
     /// Claims and waits so far, which number their ids.
@@ -142,7 +143,7 @@
         Simulation {
             now: Duration::from_secs(1_000),
             objects: BTreeMap::new(),
-            version: 0,
+            version: StoreRevision::default(),
             delayed: Vec::new(),
             processes: (0..PROCESSES).map(|_| process(Duration::from_secs(1_000))).collect(),
             next_id: 0,
@@ -260,7 +261,7 @@
         if self.objects.contains_key(&number) {
             return CallResult::Conflict;
         }
-        self.version += 1;
+        self.version.number += 1;
         self.objects.insert(number, (self.version, batch));
         CallResult::Written(self.version)
     }
--- a/crates/skylarkpick-config/src/configuration_client.rs
+++ b/crates/skylarkpick-config/src/configuration_client.rs
@@ -6,7 +6,7 @@
     record::{CONFIGURATION_KEY, ConfigurationRecord},
 };
 use skylarkpick_interface::{
-    Clock, ConfigurationVersion, ObjectStore, ObjectVersion, PlatformError, WriteError,
+    Clock, ConfigurationVersion, ObjectStore, PlatformError, StoreRevision, WriteError,
 };
 use std::{sync::Arc, time::SystemTime};
 
@@ -98,7 +98,7 @@
         PatchOutcome::Unknown("the write may still take effect".to_string())
     }
 
-    async fn read_object(&self) -> Result<(Option<ObjectVersion>, ConfigurationRecord), ReadError> {
+    async fn read_object(&self) -> Result<(Option<StoreRevision>, ConfigurationRecord), ReadError> {
         let Some(object) = self.platform.get(CONFIGURATION_KEY).await? else {
             return Ok((None, ConfigurationRecord::default()));
         };
--- a/crates/skylarkpick-entry/examples/spread.rs
+++ b/crates/skylarkpick-entry/examples/spread.rs
@@ -9,7 +9,7 @@
 use skylarkpick_config::{CONFIGURATION_KEY, Patch, PatchOutcome, Settings};
 use skylarkpick_entry::{Entry, EntryParts};
 use skylarkpick_interface::{
-    ListedObject, ListedVm, Object, ObjectStore, ObjectVersion, PlatformError, TokioClock,
+    ListedObject, ListedVm, Object, ObjectStore, PlatformError, StoreRevision, TokioClock,
     WriteError,
 };
 use skylarkpick_standin::{MemoryConnector, MemoryPeers, MemoryPlatform, PlatformRates};
@@ -152,14 +152,14 @@
     async fn put(
         &self,
         key: &str,
-        expected: Option<ObjectVersion>,
+        expected: Option<StoreRevision>,
         value: Vec<u8>,
-    ) -> Result<ObjectVersion, WriteError> {
+    ) -> Result<StoreRevision, WriteError> {
         self.check().map_err(|error| WriteError::NotWritten(error.to_string()))?;
         self.platform.put(key, expected, value).await
     }
 
-    async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<(), WriteError> {
+    async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), WriteError> {
         self.check().map_err(|error| WriteError::NotWritten(error.to_string()))?;
         self.platform.delete(key, expected).await
     }
@@ -177,7 +177,7 @@
     async fn watch(
         &self,
         key: &str,
-        seen: ObjectVersion,
+        seen: StoreRevision,
         timeout: Duration,
     ) -> Result<Option<Object>, PlatformError> {
         self.check()?;
--- a/crates/skylarkpick-entry/src/peers/configuration.rs
+++ b/crates/skylarkpick-entry/src/peers/configuration.rs
@@ -9,7 +9,7 @@
 use kameo::prelude::ActorRef;
 use prost::Message;
 use skylarkpick_config::{CONFIGURATION_KEY, ConfigurationRecord, decode_record};
-use skylarkpick_interface::{ConfigurationVersion, ObjectStore, ObjectVersion, PeerNetwork};
+use skylarkpick_interface::{ConfigurationVersion, ObjectStore, PeerNetwork, StoreRevision};
 use skylarkpick_protocol::peer::{ConfigurationRequest, PeerMessage, peer_message::Body};
 use std::{sync::Arc, time::Duration};
 use tokio::sync::watch;
@@ -39,7 +39,7 @@
 impl ConfigurationFollower {
     /// Watches the platform while this process holds the watcher role of its data centre.
     pub(super) async fn watch_platform(self) {
-        let mut seen: ObjectVersion = 0;
+        let mut seen = StoreRevision::default();
         loop {
             if !self.view.borrow().watches_configuration {
                 tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
--- a/crates/skylarkpick-entry/src/peers/tests/fleet.rs
+++ b/crates/skylarkpick-entry/src/peers/tests/fleet.rs
@@ -7,9 +7,9 @@
 use skylarkpick_config::{CONFIGURATION_KEY, ConfigurationRecord, Patch, PatchOutcome, Settings};
 use skylarkpick_interface::{
     CacheEventBatch, ExportOrder, ExportReceipt, FrameStream, ImportOrder, ImportReceipt,
-    ListedObject, ListedVm, LoadReport, NoPeers, Object, ObjectStore, ObjectVersion, Order,
-    OrderError, PeerNetwork, PlatformError, Priority, RunRequest, Runner, RunnerStatus, StartError,
-    TokioClock, TransferError, WriteError,
+    ListedObject, ListedVm, LoadReport, NoPeers, Object, ObjectStore, Order, OrderError,
+    PeerNetwork, PlatformError, Priority, RunRequest, Runner, RunnerStatus, StartError,
+    StoreRevision, TokioClock, TransferError, WriteError,
 };
 use skylarkpick_standin::{
     FakeRunner, FakeService, MemoryConnector, MemoryPeers, MemoryPlatform, PlatformRates,
@@ -326,14 +326,14 @@
     async fn put(
         &self,
         key: &str,
-        expected: Option<ObjectVersion>,
+        expected: Option<StoreRevision>,
         value: Vec<u8>,
-    ) -> Result<ObjectVersion, WriteError> {
+    ) -> Result<StoreRevision, WriteError> {
         self.check().map_err(|error| WriteError::NotWritten(error.to_string()))?;
         self.platform.put(key, expected, value).await
     }
 
-    async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<(), WriteError> {
+    async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), WriteError> {
         self.check().map_err(|error| WriteError::NotWritten(error.to_string()))?;
         self.platform.delete(key, expected).await
     }
@@ -351,7 +351,7 @@
     async fn watch(
         &self,
         key: &str,
-        seen: ObjectVersion,
+        seen: StoreRevision,
         timeout: Duration,
     ) -> Result<Option<Object>, PlatformError> {
         self.check()?;
--- a/crates/skylarkpick-entry/src/planner/load_slots.rs
+++ b/crates/skylarkpick-entry/src/planner/load_slots.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkpick_interface::{
-    Clock, DataCentreId, ObjectStore, ObjectVersion, RunnerId, WeightVersion, WriteError,
+    Clock, DataCentreId, ObjectStore, RunnerId, StoreRevision, WeightVersion, WriteError,
 };
 use std::{
     collections::BTreeMap,
@@ -168,7 +168,7 @@
         false
     }
 
-    async fn read_object(&self) -> Result<(Option<ObjectVersion>, Vec<ActiveLoad>), String> {
+    async fn read_object(&self) -> Result<(Option<StoreRevision>, Vec<ActiveLoad>), String> {
         let read = timeout(CALL_TIMEOUT, self.platform.get(LOADS_KEY)).await;
         let found = read.map_err(|_| "the platform did not respond in time".to_string())?;
         match found.map_err(|error| error.to_string())? {
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -253,7 +253,8 @@
         is_recorded_first: bool,
         calls: usize,
     }
-    let conflict = || WriteError::Conflict { current: Some(7) };
+    let revision = StoreRevision { era: 0, number: 7 };
+    let conflict = || WriteError::Conflict { current: Some(revision) };
     let cases = [
         Case { name: "recorded", entries: 3, errors: vec![], is_recorded_first: false, calls: 1 },
         Case {
--- a/crates/skylarkpick-http/src/lib.rs
+++ b/crates/skylarkpick-http/src/lib.rs
@@ -23,7 +23,7 @@
 pub use buffer_budget::{BufferBudget, BufferShare};
 pub use client::{CallError, HttpClient, LineSplitter, ResponseLimits, describe, ndjson};
 pub use connector::HttpConnector;
-pub use platform_client::{HttpPlatform, OBJECT_VERSION_HEADER};
+pub use platform_client::{HttpPlatform, ListedObjectBody, OBJECT_VERSION_HEADER, object_revision};
 pub use response_meter::{MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter};
 pub use runner_client::HttpRunner;
 pub use server::{Handler, Server, ServerLimits};
--- a/crates/skylarkpick-http/src/platform_client.rs
+++ b/crates/skylarkpick-http/src/platform_client.rs
@@ -14,12 +14,22 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use skylarkpick_interface::{
-    ListedObject, ListedVm, Object, ObjectStore, ObjectVersion, PlatformError, WriteError,
+    ListedObject, ListedVm, Object, ObjectKey, ObjectStore, PlatformError, StoreRevision,
+    WriteError,
 };
 use std::time::Duration;
 
+/// Entry of a listing in this API.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListedObjectBody {
+    /// Path of the object.
+    pub key: ObjectKey,
+    /// Version of the last write.
+    pub version: u64,
+}
+
 /// Response header with the version of an object.
 pub const OBJECT_VERSION_HEADER: &str = "x-object-version";
 
@@ -84,11 +94,17 @@
     Some(Object { version: object_version(response)?, value: response.body().to_vec() })
 }
 
-fn object_version(response: &Response<Bytes>) -> Option<ObjectVersion> {
-    response.headers().get(OBJECT_VERSION_HEADER)?.to_str().ok()?.parse().ok()
+fn object_version(response: &Response<Bytes>) -> Option<StoreRevision> {
+    let number = response.headers().get(OBJECT_VERSION_HEADER)?.to_str().ok()?.parse().ok()?;
+    Some(object_revision(number))
+}
+
+/// Returns the revision of a version in this API, which names no eras.
+pub fn object_revision(version: u64) -> StoreRevision {
+    StoreRevision { era: 0, number: version }
 }
 
-fn write_result(response: Result<Response<Bytes>, CallError>) -> Result<ObjectVersion, WriteError> {
+fn write_result(response: Result<Response<Bytes>, CallError>) -> Result<StoreRevision, WriteError> {
     let response = response.map_err(|error| match error {
         CallError::NotConnected(reason) => WriteError::NotWritten(reason),
         other => WriteError::Unknown(other.to_string()),
@@ -114,19 +130,19 @@
     async fn put(
         &self,
         key: &str,
-        expected: Option<ObjectVersion>,
+        expected: Option<StoreRevision>,
         value: Vec<u8>,
-    ) -> Result<ObjectVersion, WriteError> {
+    ) -> Result<StoreRevision, WriteError> {
         let condition = match expected {
-            Some(version) => ("if-match", version.to_string()),
+            Some(version) => ("if-match", version.number.to_string()),
             None => ("if-none-match", "*".to_string()),
         };
         let path = format!("objects/{key}");
         write_result(self.call("PUT", &path, Some(condition), value, self.timeout).await)
     }
 
-    async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<(), WriteError> {
-        let condition = ("if-match", expected.to_string());
+    async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), WriteError> {
+        let condition = ("if-match", expected.number.to_string());
         let path = format!("objects/{key}");
         let response = self.call("DELETE", &path, Some(condition), Vec::new(), self.timeout).await;
         write_result(response).map(|_| ())
@@ -138,16 +154,22 @@
         after: &str,
         count_limit: usize,
     ) -> Result<Vec<ListedObject>, PlatformError> {
-        self.read_json(&format!("list?prefix={prefix}&after={after}&limit={count_limit}")).await
+        let path = format!("list?prefix={prefix}&after={after}&limit={count_limit}");
+        let listed: Vec<ListedObjectBody> = self.read_json(&path).await?;
+        let listed = listed.into_iter();
+        Ok(listed
+            .map(|it| ListedObject { key: it.key, version: object_revision(it.version) })
+            .collect())
     }
 
     async fn watch(
         &self,
         key: &str,
-        seen: ObjectVersion,
+        seen: StoreRevision,
         timeout: Duration,
     ) -> Result<Option<Object>, PlatformError> {
         let timeout_ms = timeout.as_millis();
+        let seen = seen.number;
         let path = format!("watch/{key}?seen={seen}&timeout_ms={timeout_ms}");
         let response = self.read(&path, timeout + self.timeout).await?;
         Ok(decode_object(&response))
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -47,8 +47,7 @@
 pub use peers::{NoPeers, PeerError, PeerHandler, PeerNetwork};
 pub use plain_service::{PlainService, ServiceCall, ServiceError, ServiceReply};
 pub use platform::{
-    ListedObject, ListedVm, Object, ObjectKey, ObjectStore, ObjectVersion, PlatformError, VmState,
-    WriteError,
+    ListedObject, ListedVm, Object, ObjectKey, ObjectStore, PlatformError, VmState, WriteError,
 };
 pub use runner::{
     CacheChange, CacheEvent, CacheEventBatch, ExportOrder, ExportReceipt, FinishReason, FrameBody,
--- a/crates/skylarkpick-interface/src/platform.rs
+++ b/crates/skylarkpick-interface/src/platform.rs
@@ -1,19 +1,18 @@
 //! The platform's object API and VM list.
 
+use crate::store_revision::{StoreEra, StoreRevision};
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Path of an object, for example `config/current`.
 pub type ObjectKey = String;
-/// Version that the platform assigns to an object on each write; monotonically increasing.
-pub type ObjectVersion = u64;
 
 /// An object and its version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Object {
     /// Version of the last write.
-    pub version: ObjectVersion,
+    pub version: StoreRevision,
     /// Content, at most 1 MB.
     pub value: Vec<u8>,
 }
@@ -24,7 +23,7 @@
     /// Path of the object.
     pub key: ObjectKey,
     /// Version of the last write.
-    pub version: ObjectVersion,
+    pub version: StoreRevision,
 }
 
 /// Whether the platform is about to remove a VM.
@@ -64,7 +63,7 @@
     #[error("the object is at version {current:?}")]
     Conflict {
         /// Current version, or `None` if the object does not exist.
-        current: Option<ObjectVersion>,
+        current: Option<StoreRevision>,
     },
     /// Nothing was written.
     #[error("not written: {0}")]
@@ -85,12 +84,12 @@
     async fn put(
         &self,
         key: &str,
-        expected: Option<ObjectVersion>,
+        expected: Option<StoreRevision>,
         value: Vec<u8>,
-    ) -> Result<ObjectVersion, WriteError>;
+    ) -> Result<StoreRevision, WriteError>;
 
     /// Deletes an object only if its version is `expected`.
-    async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<(), WriteError>;
+    async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), WriteError>;
 
     /// Lists up to `count_limit` objects whose keys start with `prefix` and sort after `after`, in
     /// key order.
@@ -106,10 +105,16 @@
     async fn watch(
         &self,
         key: &str,
-        seen: ObjectVersion,
+        seen: StoreRevision,
         timeout: Duration,
     ) -> Result<Option<Object>, PlatformError>;
 
+    /// Returns the latest era that the store has named in any response, 0 if it names none. Returns at
+    /// once. A holder of a role asks before each step, since other calls learn of a new era as well.
+    fn known_era(&self) -> StoreEra {
+        0
+    }
+
     /// Lists the VMs that are live or leaving.
     async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError>;
 }
--- a/crates/skylarkpick-lease/src/lease.rs
+++ b/crates/skylarkpick-lease/src/lease.rs
@@ -6,7 +6,7 @@
     state_machine::{Action, LeaseStateMachine, Permit, Tenure, WriteOutcome},
 };
 use rand::{RngCore, SeedableRng, rngs::StdRng};
-use skylarkpick_interface::{Clock, FencingNumber, ObjectStore, ObjectVersion, WriteError};
+use skylarkpick_interface::{Clock, FencingNumber, ObjectStore, StoreRevision, WriteError};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, SystemTime},
@@ -200,7 +200,7 @@
         }
     }
 
-    async fn write(&self, expected: Option<ObjectVersion>, record: &LeaseRecord) {
+    async fn write(&self, expected: Option<StoreRevision>, record: &LeaseRecord) {
         let call = self.platform.put(&self.settings.key, expected, record.encode());
         let outcome = match timeout(self.settings.call_timeout, call).await {
             Ok(Ok(version)) => WriteOutcome::Written(version),
--- a/crates/skylarkpick-lease/src/state_machine.rs
+++ b/crates/skylarkpick-lease/src/state_machine.rs
@@ -2,7 +2,7 @@
 //! holder may send an order. Does no I/O.
 
 use crate::{record::LeaseRecord, settings::LeaseSettings};
-use skylarkpick_interface::{FencingNumber, ObjectVersion};
+use skylarkpick_interface::{FencingNumber, StoreRevision};
 use std::time::Duration;
 
 /// What the caller does next.
@@ -14,7 +14,7 @@
     /// Write the object conditionally and pass the result to [`LeaseStateMachine::observe_write`].
     Write {
         /// Version that the object must have; `None` if it must not exist.
-        expected: Option<ObjectVersion>,
+        expected: Option<StoreRevision>,
         /// Content to write.
         record: LeaseRecord,
     },
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WriteOutcome {
     /// The write took effect and created this version.
-    Written(ObjectVersion),
+    Written(StoreRevision),
     /// The object had another version; nothing was written.
     Conflict,
     /// Nothing was written.
@@ -85,7 +85,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct HeldLease {
-    version: ObjectVersion,
+    version: StoreRevision,
     term_started_at: Duration,
     /// Time from which orders are far enough from those of other machines.
     orders_from: Duration,
@@ -93,7 +93,7 @@
 
 #[derive(Clone, Debug)]
 struct ObservedLease {
-    version: ObjectVersion,
+    version: StoreRevision,
     first_seen_at: Duration,
     record: LeaseRecord,
 }
@@ -103,6 +103,7 @@
     /// of a process.
     ///
     /// ```
+    /// use skylarkpick_interface::StoreRevision;
     /// use skylarkpick_lease::{Action, LeaseSettings, LeaseStateMachine, WriteOutcome};
     /// use std::time::Duration;
     /// let settings = LeaseSettings::new("leases/planner/mnl-a", "entry-1");
@@ -111,7 +112,8 @@
     /// assert_eq!(candidate.next_action(now), Action::Read);
     /// candidate.observe_read(now, None);
     /// assert!(matches!(candidate.next_action(now), Action::Write { expected: None, .. }));
-    /// candidate.observe_write(WriteOutcome::Written(12));
+    /// let version = StoreRevision { era: 0, number: 12 };
+    /// candidate.observe_write(WriteOutcome::Written(version));
     /// assert_eq!(candidate.permit(now).map(|permit| permit.fencing_number), Some(12));
     /// assert_eq!(candidate.permit(now + Duration::from_secs(5)), None);
     /// ```
@@ -181,7 +183,7 @@
 
     /// Applies the result of a read that completed at `now`; `found` is `None` if the object
     /// doesn't exist.
-    pub fn observe_read(&mut self, now: Duration, found: Option<(ObjectVersion, LeaseRecord)>) {
+    pub fn observe_read(&mut self, now: Duration, found: Option<(StoreRevision, LeaseRecord)>) {
         self.next_read_at = now + self.settings.poll_interval;
         self.has_read = true;
         let Some((version, record)) = found else {
@@ -230,7 +232,7 @@
         let remaining = ends_at.checked_sub(now)?;
         let covered = remaining >= self.settings.order_timeout;
         covered.then_some(Tenure {
-            fencing_number: held.version,
+            fencing_number: held.version.number,
             remaining,
             order_pause: held.orders_from.saturating_sub(now),
         })
@@ -289,7 +291,7 @@
         }
     }
 
-    fn acquire(&mut self, version: ObjectVersion, sent: &SentWrite) {
+    fn acquire(&mut self, version: StoreRevision, sent: &SentWrite) {
         self.unresolved_writes.clear();
         self.observed = None;
         if self.released {
@@ -309,7 +311,7 @@
         Action::Read
     }
 
-    fn write(&mut self, now: Duration, expected: Option<ObjectVersion>, released: bool) -> Action {
+    fn write(&mut self, now: Duration, expected: Option<StoreRevision>, released: bool) -> Action {
         self.write_count += 1;
         let nonce = format!("{}-{}", self.nonce_prefix, self.write_count);
         self.next_write_at = now + self.settings.poll_interval;
--- a/crates/skylarkpick-lease/tests/state_machine/model.rs
+++ b/crates/skylarkpick-lease/tests/state_machine/model.rs
@@ -2,6 +2,7 @@
 
 use crate::schedules::{StoreReturn, TickEvent};
 use proptest::prelude::*;
+use skylarkpick_interface::StoreRevision;
 use skylarkpick_lease::{Action, LeaseRecord, LeaseSettings, LeaseStateMachine, WriteOutcome};
 use std::time::Duration;
 
@@ -108,7 +109,7 @@
         }
         content.number += 1;
         content.object = Some((content.number, record.clone()));
-        WriteOutcome::Written(content.number)
+        WriteOutcome::Written(StoreRevision { era: 0, number: content.number })
     }
 
     fn apply(&mut self, store_return: &StoreReturn) {
@@ -157,7 +158,11 @@
             ResponseContent::Write(WriteOutcome::NotWritten | WriteOutcome::Unknown)
         );
         match response.content {
-            ResponseContent::Read(found) => self.state_machine.observe_read(now, found),
+            ResponseContent::Read(found) => {
+                let found =
+                    found.map(|(number, record)| (StoreRevision { era: 0, number }, record));
+                self.state_machine.observe_read(now, found);
+            }
             ResponseContent::Write(outcome) => self.state_machine.observe_write(outcome),
         }
         if !is_lost {
@@ -290,11 +295,12 @@
                 }
                 Action::Write { expected, record } if event == TickEvent::DelayedWrite => {
                     let due_tick = self.tick + WRITE_DELAY_TICKS;
+                    let expected = expected.map(|it| it.number);
                     self.delayed.push(DelayedWrite { due_tick, expected, record });
                     ResponseContent::Write(WriteOutcome::Unknown)
                 }
                 Action::Write { expected, record } => {
-                    let outcome = self.store.write(expected, &record);
+                    let outcome = self.store.write(expected.map(|it| it.number), &record);
                     let is_lost = event == TickEvent::LostResponse;
                     ResponseContent::Write(if is_lost { WriteOutcome::Unknown } else { outcome })
                 }
--- a/crates/skylarkpick-scenario/src/views/platform.rs
+++ b/crates/skylarkpick-scenario/src/views/platform.rs
@@ -3,7 +3,7 @@
 use super::{Link, Partitioned};
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    ListedObject, ListedVm, Object, ObjectStore, ObjectVersion, PlatformError, WriteError,
+    ListedObject, ListedVm, Object, ObjectStore, PlatformError, StoreRevision, WriteError,
 };
 use std::{sync::Arc, time::Duration};
 
@@ -41,13 +41,13 @@
     async fn put(
         &self,
         key: &str,
-        expected: Option<ObjectVersion>,
+        expected: Option<StoreRevision>,
         value: Vec<u8>,
-    ) -> Result<ObjectVersion, WriteError> {
+    ) -> Result<StoreRevision, WriteError> {
         write(self.link.call(self.platform.put(key, expected, value)).await)
     }
 
-    async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<(), WriteError> {
+    async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), WriteError> {
         write(self.link.call(self.platform.delete(key, expected)).await)
     }
 
@@ -63,7 +63,7 @@
     async fn watch(
         &self,
         key: &str,
-        seen: ObjectVersion,
+        seen: StoreRevision,
         timeout: Duration,
     ) -> Result<Option<Object>, PlatformError> {
         read(self.link.call(self.platform.watch(key, seen, timeout)).await)
--- a/crates/skylarkpick-standin/src/platform.rs
+++ b/crates/skylarkpick-standin/src/platform.rs
@@ -2,7 +2,7 @@
 
 use async_trait::async_trait;
 use skylarkpick_interface::{
-    ListedObject, ListedVm, Object, ObjectStore, ObjectVersion, PlatformError, VmState, WriteError,
+    ListedObject, ListedVm, Object, ObjectStore, PlatformError, StoreRevision, VmState, WriteError,
 };
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -65,7 +65,7 @@
 
 struct State {
     objects: BTreeMap<String, Object>,
-    version: ObjectVersion,
+    version: StoreRevision,
     vms: Vec<(Instant, ListedVm)>,
     faults: PlatformFaults,
     calls: PlatformCalls,
@@ -78,7 +78,7 @@
     pub fn open(list_lag: Duration, rates: PlatformRates) -> Arc<MemoryPlatform> {
         let state = State {
             objects: BTreeMap::new(),
-            version: 0,
+            version: StoreRevision::default(),
             vms: Vec::new(),
             faults: PlatformFaults::default(),
             calls: PlatformCalls::default(),
@@ -142,9 +142,9 @@
     async fn write(
         &self,
         key: &str,
-        expected: Option<ObjectVersion>,
+        expected: Option<StoreRevision>,
         value: Option<Vec<u8>>,
-    ) -> Result<ObjectVersion, WriteError> {
+    ) -> Result<StoreRevision, WriteError> {
         self.delay().await;
         let mut state = self.lock();
         state.calls.writes += 1;
@@ -167,7 +167,7 @@
         if current != expected {
             return Err(WriteError::Conflict { current });
         }
-        state.version += 1;
+        state.version.number += 1;
         let version = state.version;
         state.calls.written_bytes += size_bytes as u64;
         match value {
@@ -183,7 +183,7 @@
     }
 
     /// Waits until an object has a version above `seen`.
-    async fn wait_above(&self, key: &str, seen: ObjectVersion) -> Result<Object, PlatformError> {
+    async fn wait_above(&self, key: &str, seen: StoreRevision) -> Result<Object, PlatformError> {
         loop {
             let changed = self.changed.notified();
             {
@@ -229,13 +229,13 @@
     async fn put(
         &self,
         key: &str,
-        expected: Option<ObjectVersion>,
+        expected: Option<StoreRevision>,
         value: Vec<u8>,
-    ) -> Result<ObjectVersion, WriteError> {
+    ) -> Result<StoreRevision, WriteError> {
         self.write(key, expected, Some(value)).await
     }
 
-    async fn delete(&self, key: &str, expected: ObjectVersion) -> Result<(), WriteError> {
+    async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), WriteError> {
         self.write(key, Some(expected), None).await.map(|_| ())
     }
 
@@ -260,7 +260,7 @@
     async fn watch(
         &self,
         key: &str,
-        seen: ObjectVersion,
+        seen: StoreRevision,
         timeout: Duration,
     ) -> Result<Option<Object>, PlatformError> {
         self.begin_read().await?;
--- a/crates/skylarkpick-standin/src/serve/platform.rs
+++ b/crates/skylarkpick-standin/src/serve/platform.rs
@@ -6,9 +6,12 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use skylarkpick_http::{
-    Handler, OBJECT_VERSION_HEADER, Server, ServerLimits, empty_response, full_body, json_response,
+    Handler, ListedObjectBody, OBJECT_VERSION_HEADER, Server, ServerLimits, empty_response,
+    full_body, json_response, object_revision,
+};
+use skylarkpick_interface::{
+    ListedObject, Object, ObjectStore, PlatformError, StoreRevision, WriteError,
 };
-use skylarkpick_interface::{Object, ObjectStore, ObjectVersion, PlatformError, WriteError};
 use std::{sync::Arc, time::Duration};
 
 /// Serves a platform over HTTP on `address`.
@@ -34,7 +37,7 @@
             return self.respond_to_object(method, key, request).await;
         }
         if let Some(key) = path.strip_prefix("/watch/") {
-            let seen = query_field(&uri, "seen").unwrap_or_default();
+            let seen = object_revision(query_field(&uri, "seen").unwrap_or_default());
             let timeout =
                 Duration::from_millis(query_field(&uri, "timeout_ms").unwrap_or_default());
             return Ok(match self.platform.watch(key, seen, timeout).await {
@@ -47,7 +50,8 @@
                 let prefix: String = query_field(&uri, "prefix").unwrap_or_default();
                 let after: String = query_field(&uri, "after").unwrap_or_default();
                 let limit = query_field(&uri, "limit").unwrap_or(usize::MAX);
-                list_response(self.platform.list(&prefix, &after, limit).await)
+                let listed = self.platform.list(&prefix, &after, limit).await;
+                list_response(listed.map(|listed| listed.into_iter().map(listed_body).collect()))
             }
             "/vms" => list_response(self.platform.list_vms().await),
             _ => empty_response(StatusCode::NOT_FOUND),
@@ -69,20 +73,22 @@
             }
             Method::DELETE => {
                 let expected = expected.unwrap_or_default();
-                write_response(self.platform.delete(key, expected).await.map(|()| 0))
+                write_response(
+                    self.platform.delete(key, expected).await.map(|()| StoreRevision::default()),
+                )
             }
             _ => empty_response(StatusCode::METHOD_NOT_ALLOWED),
         })
     }
 }
 
-fn if_match(headers: &HeaderMap) -> Option<ObjectVersion> {
-    headers.get("if-match")?.to_str().ok()?.parse().ok()
+fn if_match(headers: &HeaderMap) -> Option<StoreRevision> {
+    headers.get("if-match")?.to_str().ok()?.parse().ok().map(object_revision)
 }
 
-fn with_version(mut response: HttpResponse, version: Option<ObjectVersion>) -> HttpResponse {
+fn with_version(mut response: HttpResponse, version: Option<StoreRevision>) -> HttpResponse {
     if let Some(version) = version {
-        response.headers_mut().insert(OBJECT_VERSION_HEADER, HeaderValue::from(version));
+        response.headers_mut().insert(OBJECT_VERSION_HEADER, HeaderValue::from(version.number));
     }
     response
 }
@@ -99,6 +105,10 @@
     }
 }
 
+fn listed_body(listed: ListedObject) -> ListedObjectBody {
+    ListedObjectBody { key: listed.key, version: listed.version.number }
+}
+
 fn list_response<T: Serialize>(listed: Result<Vec<T>, PlatformError>) -> HttpResponse {
     match listed {
         Ok(listed) => json_response(StatusCode::OK, &listed),
@@ -113,7 +123,7 @@
     }
 }
 
-fn write_response(written: Result<ObjectVersion, WriteError>) -> HttpResponse {
+fn write_response(written: Result<StoreRevision, WriteError>) -> HttpResponse {
     match written {
         Ok(version) => with_version(empty_response(StatusCode::OK), Some(version)),
         Err(WriteError::Conflict { current }) => {
