Clear a request by an answer without a marked end if its target goes on

What callers saw: a poll whose answers end with their connections stood beside ends of targets at three moments and got 503, though it was answered each time in between. Found by a play of "targets that end together blame no equal polls" in which two answers in a row had no marked end.

Cause: an answer whose end nothing marks looks like one that broke off with its target, so it cleared nothing. The target tells the two apart: it refuses connections if it has ended.

Change: where there is evidence against a request or its parts, the target of such an answer is looked at 50 ms later; if it takes connections, the answer counts, with the time of its end. Without evidence nothing is looked at. The response to the client doesn't wait.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -145,6 +145,12 @@
         }
     }
 
+    /// Returns whether an address takes connections.
+    pub(crate) async fn is_open(&self, address: SocketAddr) -> bool {
+        let connected = tokio::time::timeout(REFUSAL_TIMEOUT, TcpStream::connect(address)).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
     /// Closes the idle connections to a target.
     pub(crate) fn close(&self, address: &SocketAddr) {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(address);
--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -58,6 +58,8 @@
 const STORE_RETRY_LIMIT: Duration = Duration::from_secs(8);
 /// Time for which the result of a look at a target is used again.
 const PROBE_LIFETIME: Duration = Duration::from_millis(200);
+/// Time within which a target that has ended refuses connections.
+const CLOSING_TIME: Duration = Duration::from_millis(50);
 /// Processes that keep the evidence against a blamed cause, besides those that saw it.
 const KEEPERS: usize = 2;
 
@@ -276,13 +278,37 @@
 
     /// Records a whole response to a request.
     pub(crate) fn note_answer(&self, request: &ActiveRequest) {
-        let now_ms = self.node_state.wall_ms();
-        let causes = &request.causes;
-        if self.node_state.change_evidence(|evidence| evidence.note_answer(causes, now_ms)) {
+        self.note_answered(&request.causes, self.node_state.wall_ms());
+    }
+
+    fn note_answered(&self, causes: &[CrashCause], at_ms: u64) {
+        if self.node_state.change_evidence(|evidence| evidence.note_answer(causes, at_ms)) {
             self.causes_cleared.notify_one();
         }
     }
 
+    /// Records a response that ended with its connection, which may be whole or broken off, if its target
+    /// goes on: it has not ended by the request then, of which there is evidence.
+    pub(crate) fn note_unmarked_answer(
+        self: &Arc<Self>,
+        place: &AttemptTarget,
+        request: &ActiveRequest,
+    ) {
+        let causes = request.causes.clone();
+        if !self.node_state.lock().crash_evidence.has_ends_of(&causes) {
+            return;
+        }
+        let (watch, address) = (self.clone(), place.address);
+        let answered_at_ms = self.node_state.wall_ms();
+        tokio::spawn(async move {
+            tokio::time::sleep(CLOSING_TIME).await;
+            if !watch.pool.is_open(address).await {
+                return;
+            }
+            watch.note_answered(&causes, answered_at_ms);
+        });
+    }
+
     /// Returns whether a target is registered and not about to leave, so that its end is unexpected.
     fn is_in_service(&self, place: &AttemptTarget) -> bool {
         let state = self.node_state.lock();
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -427,6 +427,9 @@
                 AttemptOutcome::Complete(response) if response.is_whole_answer() => {
                     self.crashes.note_answer(request);
                 }
+                AttemptOutcome::Complete(response) if response.head.status.is_success() => {
+                    self.crashes.note_unmarked_answer(&place, request);
+                }
                 _ => {}
             }
             metrics().count(&SENDS_ENDED, &[("end", outcome.name())]);
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -243,6 +243,9 @@
             let since_first_piece = current.guard.since_first_response();
             let crashes = &self.forwarder.crashes;
             Box::pin(crashes.note_broken(&place, &self.request, since_first_piece)).await;
+            if current.head.status.is_success() {
+                crashes.note_unmarked_answer(&place, &self.request);
+            }
             return;
         }
         if current.head.status.is_success() {
--- a/crates/skylarkpick-schedule/src/crashes/evidence.rs
+++ b/crates/skylarkpick-schedule/src/crashes/evidence.rs
@@ -121,6 +121,17 @@
         self.ends_of(cause).map(|crash| crash.ended_at_ms).min()
     }
 
+    /// Returns whether an end counts against one of these.
+    ///
+    /// ```
+    /// use skylarkpick_interface::CrashCause;
+    /// let evidence = skylarkpick_schedule::CrashEvidence::default();
+    /// assert!(!evidence.has_ends_of(&[CrashCause::Part(7)]));
+    /// ```
+    pub fn has_ends_of(&self, causes: &[CrashCause]) -> bool {
+        causes.iter().any(|cause| self.ends_of(*cause).next().is_some())
+    }
+
     /// Records a whole response to a request with these causes. Returns whether other processes should
     /// know, since it clears one.
     pub fn note_answer(&mut self, causes: &[CrashCause], now_ms: u64) -> bool {
