--- a/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
@@ -3,6 +3,7 @@
 use super::planner_tests::{
     Fixture, runner_address, start_planner, started_runner, update, weights,
 };
+use crate::test_support::at;
 use skylarkpick_interface::{FleetRecord, FleetTopic, FleetUpdate, NamedRecord};
 use std::{sync::atomic::Ordering, time::Duration};
 
@@ -66,7 +67,7 @@
         tokio::time::sleep(ended_at).await;
         if case.ended_at.is_some() {
             let gone = NamedRecord { name: "i-5".to_string(), record: None };
-            let ended = FleetUpdate { records: vec![gone], revision: 3 };
+            let ended = FleetUpdate { records: vec![gone], revision: at(3) };
             fixture.watcher.records.update(FleetTopic::Targets, &ended);
         }
         tokio::time::sleep(BEFORE_EXPIRY - ended_at).await;
