Record lost times of weights with the time that all processes know

A process remembers the time at which it saw weights named, and the time that the record has. After a return of the platform's store it wrote its own observation again where the record's time differed, so that the time of the new era could be some milliseconds later or earlier than the one that the other processes go by. A recorded time now takes the place of an own observation, and stays.

--- a/crates/skylarkpick-forward/src/fleet/weight_times.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_times.rs
@@ -10,19 +10,27 @@
 /// records have.
 #[derive(Debug, Default)]
 pub(super) struct WeightTimes {
-    /// Known times, as wall-clock time in Unix milliseconds.
-    known: BTreeMap<ModelName, BTreeMap<WeightVersion, u64>>,
+    known: BTreeMap<ModelName, BTreeMap<WeightVersion, KnownTime>>,
     /// Versions whose times the records have.
     recorded: BTreeMap<ModelName, BTreeSet<WeightVersion>>,
     /// Era in which the time of each model's newest version was last found or written.
     settled: BTreeMap<ModelName, (WeightVersion, StoreEra)>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct KnownTime {
+    /// Wall-clock time in Unix milliseconds.
+    since_ms: u64,
+    /// Whether a record had it, so that other processes know the same.
+    was_recorded: bool,
+}
+
 impl WeightTimes {
     /// Records the times that a record of the platform has.
     pub(super) fn note_found(&mut self, weights: &DesiredWeights) {
         for (version, since_ms) in weights.desired_since_ms.range(..=weights.weight_version) {
-            self.note(&weights.model, *version, *since_ms);
+            let found = KnownTime { since_ms: *since_ms, was_recorded: true };
+            self.note(&weights.model, *version, found);
         }
         let recorded = weights.desired_since_ms.keys().copied().collect();
         self.recorded.insert(weights.model.clone(), recorded);
@@ -36,7 +44,7 @@
         since_ms: u64,
         era: StoreEra,
     ) {
-        self.note(model, version, since_ms);
+        self.note(model, version, KnownTime { since_ms, was_recorded: false });
         self.settled.insert(model.to_string(), (version, era));
     }
 
@@ -53,16 +61,19 @@
         version: WeightVersion,
         era: StoreEra,
     ) -> Option<u64> {
-        let since_ms = *self.known.get(model)?.get(&version)?;
+        let since_ms = self.known.get(model)?.get(&version)?.since_ms;
         let settled = self.settled.insert(model.to_string(), (version, era));
         let is_other_era = settled.is_some_and(|(settled, at)| settled == version && at < era);
         (is_other_era && !self.is_recorded(model, version)).then_some(since_ms)
     }
 
-    /// Records a time, unless one is known.
-    fn note(&mut self, model: &str, version: WeightVersion, since_ms: u64) {
+    /// Records a time, unless a recorded one is known.
+    fn note(&mut self, model: &str, version: WeightVersion, time: KnownTime) {
         let times = self.known.entry(model.to_string()).or_default();
-        times.entry(version).or_insert(since_ms);
+        let known = times.entry(version).or_insert(time);
+        if !known.was_recorded {
+            *known = time;
+        }
         while times.len() > VERSIONS_LIMIT {
             times.pop_first();
         }
