Test each clause of a return of the platform's store

One of the new tests was wrong in its first form: the process that starts after the return was the only one left, so that nobody could know better.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -20,6 +20,8 @@
 mod weight_records;
 mod weight_times;
 
+#[cfg(test)]
+mod era_tests;
 #[cfg(test)]
 mod planner_order_tests;
 #[cfg(test)]
