--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -209,7 +209,9 @@
         let first_end_ms = self.node_state.lock().crash_evidence.first_end_ms(cause);
         let trial = Trial { cause, pause, first_end_ms: first_end_ms.unwrap_or(now_ms) };
         let claim = claim_trial(&*self.objects, &trial, now_ms).await;
-        request_log!("trial of a blamed cause", kv: { cause = cause.to_string().as_str(), claim:? });
+        request_log!("trial of a blamed cause", kv: {
+            cause = cause.to_string().as_str(), claim:?,
+        });
         if claim == Ok(TrialClaim::UsedUp) {
             let mut state = self.node_state.lock();
             state.crash_evidence.note_trial(cause, EVIDENCE_LIFETIME, now_ms);
@@ -392,10 +394,12 @@
         drop(state);
         if before != after {
             for cause in after.difference(&before) {
-                spdlog::warn!("blamed for ends of targets", kv: { cause = cause.to_string().as_str() });
+                let cause = cause.to_string();
+                spdlog::warn!("blamed for ends of targets", kv: { cause = cause.as_str() });
             }
             for cause in before.difference(&after) {
-                spdlog::info!("no longer blamed for ends of targets", kv: { cause = cause.to_string().as_str() });
+                let cause = cause.to_string();
+                spdlog::info!("no longer blamed for ends of targets", kv: { cause = cause.as_str() });
             }
             self.blame_changed.notify_waiters();
         }
--- a/crates/skylarkpick-schedule/src/crashes/evidence.rs
+++ b/crates/skylarkpick-schedule/src/crashes/evidence.rs
@@ -27,8 +27,8 @@
 /// A start of a target.
 type TargetStart = (TargetId, u64);
 
-/// Ends of targets, with the requests that they were about to answer and the parts of their prompts. All times are wall-clock
-/// times in Unix milliseconds.
+/// Ends of targets, with the requests that they were about to answer and the parts of their prompts. All
+/// times are wall-clock times in Unix milliseconds.
 ///
 /// Merging is commutative and idempotent, so that reports may arrive in any order, and again.
 #[derive(Clone, Debug, Default)]
@@ -89,7 +89,8 @@
     ///     });
     ///     evidence.note_answer(&[sound], ended_at_ms + 100);
     /// }
-    /// assert!(matches!(evidence.verdict(&[bad], 4_000), CrashVerdict::Blamed { cause, .. } if cause == bad));
+    /// let verdict = evidence.verdict(&[bad], 4_000);
+    /// assert!(matches!(verdict, CrashVerdict::Blamed { cause, .. } if cause == bad));
     /// assert_eq!(evidence.verdict(&[sound], 4_000), CrashVerdict::Free);
     /// ```
     pub fn note_crash(&mut self, crash: &TargetCrash) -> bool {
