Let the soak's check on parts know whole answers

Change: a whole answer whose end is marked, and which the client has wholly, begins the count of ends and of later requests anew. It is as strict otherwise: the same five ends, three seconds and three requests in each period, and answers without a marked end, or to prompts without the part, change nothing. A table of histories holds both sides.

--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -8,6 +8,8 @@
 mod limit_checks;
 mod network;
 mod part_checks;
+#[cfg(test)]
+mod part_tests;
 mod plan;
 mod process;
 mod proxy;
--- a/crates/skylarkpick-soak/src/part_checks.rs
+++ b/crates/skylarkpick-soak/src/part_checks.rs
@@ -5,7 +5,7 @@
     history::{Call, History},
     plan::CRASHING_PARTS,
 };
-use skylarkpick_platform_standin::Arrival;
+use skylarkpick_platform_standin::{AnswerEnd, Arrival};
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
@@ -18,17 +18,41 @@
 /// Sound requests from which their share is judged.
 const SOUND_FLOOR: usize = 20;
 
+/// A request with a part, which reached a target.
+struct Sent<'a> {
+    call: &'a Call,
+    arrival: &'a Arrival,
+}
+
+impl Sent<'_> {
+    /// Returns when the client had the target's whole answer, which shows that the part ends no
+    /// targets. An answer whose end nothing marks shows nothing.
+    fn answered_at(&self) -> Option<Instant> {
+        let Sent { call, arrival } = self;
+        let is_whole = arrival.has_run && arrival.marks_end && arrival.end == AnswerEnd::Whole;
+        (is_whole && call.is_served()).then_some(call.ended_at)
+    }
+}
+
 /// Checks the arrivals of a history at targets that ended.
 pub(crate) fn check_parts(history: &History, findings: &mut Vec<Finding>) {
     let calls: BTreeMap<&str, &Call> =
         history.calls.iter().map(|call| (call.request.attempt_id.as_str(), call)).collect();
     for part in CRASHING_PARTS {
         let with_part = |it: &&Arrival| it.parts.iter().any(|it| it == part);
-        let arrivals: Vec<&Arrival> = history.arrivals.iter().filter(with_part).collect();
+        let sent: Vec<Sent<'_>> = history
+            .arrivals
+            .iter()
+            .filter(with_part)
+            .filter_map(|arrival| {
+                let call = calls.get(arrival.attempt_id.as_str())?;
+                Some(Sent { call, arrival })
+            })
+            .collect();
         let crashes: Vec<Instant> =
-            arrivals.iter().filter(|it| it.has_crashed).map(|it| it.at).collect();
-        if let Some(fifth) = crashes.get(CRASHES - 1) {
-            check_late(history, &calls, part, &arrivals, *fifth, findings);
+            sent.iter().filter(|it| it.arrival.has_crashed).map(|it| it.arrival.at).collect();
+        for period in periods(&sent) {
+            check_late(history, part, &period, findings);
         }
         if let Some(last) = crashes.last() {
             check_sound(history, part, crashes.get(CRASHES - 1).unwrap_or(last), findings);
@@ -36,21 +60,28 @@
     }
 }
 
-fn check_late(
-    history: &History,
-    calls: &BTreeMap<&str, &Call>,
-    part: &str,
-    arrivals: &[&Arrival],
-    fifth: Instant,
-    findings: &mut Vec<Finding>,
-) {
-    let is_late = |it: &&&Arrival| {
-        let call = calls.get(it.attempt_id.as_str());
-        it.at > fifth + EVIDENCE_WINDOW
-            && call.is_some_and(|call| history.is_process_undisturbed(call.process, it.at, it.at))
+/// Splits requests with a part at the whole answers to some of them: the evidence of one period does
+/// not count in the next.
+fn periods<'a>(sent: &'a [Sent<'a>]) -> Vec<Vec<&'a Sent<'a>>> {
+    let mut ends: Vec<Instant> = sent.iter().filter_map(Sent::answered_at).collect();
+    ends.sort();
+    let mut periods: Vec<Vec<&Sent<'_>>> = vec![Vec::new(); ends.len() + 1];
+    for it in sent {
+        periods[ends.partition_point(|end| *end < it.arrival.at)].push(it);
+    }
+    periods
+}
+
+fn check_late(history: &History, part: &str, period: &[&Sent<'_>], findings: &mut Vec<Finding>) {
+    let mut crashes = period.iter().filter(|it| it.arrival.has_crashed);
+    let Some(fifth) = crashes.nth(CRASHES - 1) else { return };
+    let window_end = fifth.arrival.at + EVIDENCE_WINDOW;
+    let is_late = |it: &&&Sent<'_>| {
+        let at = it.arrival.at;
+        at > window_end && history.is_process_undisturbed(it.call.process, at, at)
     };
     let late: Vec<String> =
-        arrivals.iter().filter(is_late).map(|it| describe(history, it)).collect();
+        period.iter().filter(is_late).map(|it| describe(history, it.arrival)).collect();
     if late.len() > LATE_LIMIT {
         let rule = "a part of prompts that ended five targets reaches at most three more requests";
         findings.push(Finding { rule, evidence: format!("{part}: {late:?}") });
