Soak: play a request that ends each target that runs it

The soak had no request that comes again with the same path, caller and body and ends each target that begins to run it.

Change: in half of the seeds such a request is sent every 150 ms to the next process for 9 to 15 s, as an idempotent request, one that may run once or a stream, by GET or POST, beside equal polls of the same caller, among kills, restarts, ends of all targets and processes that are cut from each other. Its draws have a generator of their own; a test holds the plans of the kept seeds. Targets are told what ends them before they register, not up to 50 ms later.

Checks: later than 3 s after the third end at most three more reach targets, sent by processes in touch; polls and the caller's other requests are served at least half of the time from 6 s after it, at processes in touch. They share one module with the check on parts.

--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -4,6 +4,7 @@
     history::{Call, CallKind, History},
     limit_checks::check_limits,
     part_checks::check_parts,
+    request_checks::check_requests,
     signal_checks::check_signals,
     stream_checks::{check_streams, is_stream_correct},
 };
@@ -54,6 +55,7 @@
     check_streams(history, &mut findings);
     check_signals(history, &mut findings);
     check_parts(history, &mut findings);
+    check_requests(history, &mut findings);
     check_limits(history, &mut findings);
     check_arrivals(history, &mut findings);
     check_process_exits(history, &mut findings);
--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -135,7 +135,7 @@
         vec![SYSTEM_PART.to_string(), shared.to_string(), format!("own-{number}")]
     }
 
-    fn next_number(&self) -> u64 {
+    pub(crate) fn next_number(&self) -> u64 {
         self.next_call.fetch_add(1, Ordering::Relaxed)
     }
 
@@ -177,6 +177,19 @@
         })
     }
 
+    /// Sends a request on a connection of its own and records the call.
+    pub(crate) async fn send_once(
+        &self,
+        address: SocketAddr,
+        process: usize,
+        kind: CallKind,
+        request: ClientRequest,
+    ) {
+        let wait = ClientWait::until_late(&request);
+        let mut client = TestClient::open(address);
+        self.record(send(&mut client, process, kind, request, wait).await);
+    }
+
     fn record(&self, call: Call) {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner).push(call);
     }
@@ -250,6 +263,11 @@
             let max_wait = RECONNECT_WAIT_LIMIT.mul_f64(random.random());
             return ClientWait { max_wait, disconnects_early: true, comes_back: true };
         }
+        ClientWait::until_late(request)
+    }
+
+    /// Waits until a late response would have arrived.
+    fn until_late(request: &ClientRequest) -> ClientWait {
         let max_wait = request.deadline + LATE_RESPONSE_WAIT;
         ClientWait { max_wait, disconnects_early: false, comes_back: true }
     }
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -178,6 +178,8 @@
     /// Registered targets, each until it crashes or drains.
     pub(crate) serving: Vec<ServingTarget>,
     pub(crate) process_ends: Vec<ProcessEnd>,
+    /// Paths of the requests that end targets.
+    pub(crate) crashing_paths: Vec<String>,
     /// Time from which all valid calls must be served, since the faults are over.
     pub(crate) stable_since: Option<Instant>,
 }
@@ -195,6 +197,7 @@
             link_faults: Vec::new(),
             serving: Vec::new(),
             process_ends: Vec::new(),
+            crashing_paths: Vec::new(),
             stable_since: None,
         }
     }
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -3,16 +3,19 @@
 
 mod checks;
 mod clients;
+mod crash_checks;
+#[cfg(test)]
+mod crash_tests;
 mod ended_targets;
 mod history;
 mod limit_checks;
 mod network;
 mod part_checks;
-#[cfg(test)]
-mod part_tests;
 mod plan;
 mod process;
 mod proxy;
+mod repeated_requests;
+mod request_checks;
 mod run;
 mod setup;
 mod signal_checks;
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -3,7 +3,7 @@
 //! The variants and fields of [`PlannedFault`] and of the faults that it contains are written to the
 //! file `faults.txt` under their own names.
 
-use crate::history::SoftwareVersion;
+use crate::history::{CallKind, SoftwareVersion};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::time::Duration;
 
@@ -47,6 +47,17 @@
 /// The same for whether processes have faults.
 const PROCESS_FAULTS_SEED: u64 = 1 << 47;
 
+/// Upper limit of the random pause between two faults in which a request ends targets.
+const CRASHING_REQUEST_GAP_LIMIT: Duration = Duration::from_secs(12);
+/// Shortest and longest time for which clients send such a request. The users' rule allows for three
+/// seconds after the third end, and other requests are judged three seconds later.
+const CRASHING_REQUEST_SPANS: (Duration, Duration) =
+    (Duration::from_secs(9), Duration::from_secs(15));
+/// Share of seeds in which requests end targets.
+const CRASHING_REQUEST_PERCENT: u32 = 50;
+/// Distinguishes the generator of these faults from those of the other faults.
+const CRASHING_REQUEST_SEED: u64 = 11 << 40;
+
 /// Part of a prompt that ends targets.
 pub(crate) type CrashingPart = &'static str;
 
@@ -122,6 +133,8 @@
     /// Requests with one part of a prompt end each target that begins to answer them, until the fault
     /// ends.
     CrashingPart { part: CrashingPart, span: Duration },
+    /// A request ends each target that runs it, and clients send it until the fault ends.
+    CrashingRequest { kind: CallKind, method: &'static str, span: Duration },
     /// All targets end at the same moment.
     EndTargets,
     /// A target names a limit of requests per second in its answers, and another one from the middle
@@ -202,6 +215,7 @@
             faults.push((at, draw_end_fault(&mut random, targets)));
             at += END_FAULT_GAP_LIMIT.mul_f64(random.random());
         }
+        faults.extend(draw_crashing_requests(seed, window));
         faults.sort_by_key(|(at, _)| *at);
         FaultPlan { software_versions, has_peer_links, has_process_faults, faults }
     }
@@ -271,6 +285,25 @@
     }
 }
 
+/// Draws the requests that end targets: none in some seeds.
+fn draw_crashing_requests(seed: u64, window: Duration) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ CRASHING_REQUEST_SEED);
+    let mut faults = Vec::new();
+    if random.random_range(0..100) >= CRASHING_REQUEST_PERCENT {
+        return faults;
+    }
+    let (shortest, longest) = CRASHING_REQUEST_SPANS;
+    let mut at = CRASHING_REQUEST_GAP_LIMIT.mul_f64(random.random());
+    while at < window {
+        let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
+        let method = if random.random() { "GET" } else { "POST" };
+        let span = shortest + (longest - shortest).mul_f64(random.random());
+        faults.push((at, PlannedFault::CrashingRequest { kind, method, span }));
+        at += span + CRASHING_REQUEST_GAP_LIMIT.mul_f64(random.random());
+    }
+    faults
+}
+
 fn draw_span(random: &mut StdRng) -> Duration {
     FAULT_FLOOR + (FAULT_LIMIT - FAULT_FLOOR).mul_f64(random.random())
 }
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -16,8 +16,8 @@
 use anyhow::Context;
 use serde_json::json;
 use skylarkpick_platform_standin::{
-    ArrivalLog, ClientRequest, EchoTarget, FaultMode, ObjectServer, TargetState, TestClient,
-    configuration,
+    ArrivalLog, ClientRequest, CrashingRequest, EchoTarget, FaultMode, ObjectServer, TargetState,
+    TestClient, configuration,
 };
 use std::{
     net::SocketAddr,
@@ -175,6 +175,8 @@
     configuration_version: u64,
     /// Part of a prompt that ends targets, while one does.
     pub(crate) crashing_part: Option<CrashingPart>,
+    /// Request that ends targets, after the first such fault.
+    pub(crate) crashing_request: Option<CrashingRequest>,
     /// The part of the history that the fleet records itself: disturbances and changes.
     pub(crate) changes: History,
 }
@@ -191,6 +193,7 @@
             next_target: 0,
             configuration_version: 0,
             crashing_part: None,
+            crashing_request: None,
             changes: History::begin(),
         };
         state.change_keys(&objects, |keys| keys.push(key_from_now(MAIN_KEY)));
@@ -215,7 +218,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn fronts(&self) -> Vec<SocketAddr> {
+    pub(crate) fn fronts(&self) -> Vec<SocketAddr> {
         self.processes.iter().map(|process| process.location.front_address()).collect()
     }
 
@@ -244,7 +247,11 @@
     }
 
     /// Injects a fault and waits for its end.
-    async fn inject(&self, fault: PlannedFault, clients: &SharedClientState) -> anyhow::Result<()> {
+    async fn inject(
+        &self,
+        fault: PlannedFault,
+        clients: &Arc<SharedClientState>,
+    ) -> anyhow::Result<()> {
         let from = Instant::now();
         match fault {
             PlannedFault::Kill { process } => self.processes[process].kill(),
@@ -323,6 +330,9 @@
                 self.inject_crashing_part(clients, part, span).await;
                 self.record_disturbance(DisturbanceScope::Target, from);
             }
+            PlannedFault::CrashingRequest { kind, method, span } => {
+                self.inject_crashing_request(clients, kind, method, span).await;
+            }
             PlannedFault::ChangeKeys => clients.set_changed_key(&self.change_keys()),
         }
         Ok(())
@@ -355,6 +365,7 @@
         let name = self.lock().targets[index].name.clone();
         let service = start_service(&name, version, &self.arrivals).await?;
         let mut state = self.lock();
+        state.arm(&service);
         let FleetState { targets, changes, .. } = &mut *state;
         let target = &mut targets[index];
         if target.name != name {
@@ -404,6 +415,7 @@
         span: Duration,
     ) -> anyhow::Result<()> {
         let target = start_target(self.next_target(), version, None, &self.arrivals).await?;
+        self.lock().arm(&target.service);
         let record = target.registration(TargetState::Ready);
         self.objects.state.put("servers", &target.name, record);
         sleep(span).await;
@@ -484,10 +496,17 @@
         target: &Target,
         version: SoftwareVersion,
     ) {
+        self.arm(&target.service);
         objects.state.put("servers", &target.name, target.registration(TargetState::Ready));
         self.changes.serving.push(ServingTarget::from_now(&target.name, version));
     }
 
+    /// Makes a target end by what ends targets now.
+    pub(crate) fn arm(&self, service: &EchoTarget) {
+        service.set_crashing_part(self.crashing_part);
+        service.set_crashing_request(self.crashing_request.as_ref());
+    }
+
     fn drain_target(&mut self, objects: &ObjectServer, target: &Target) {
         self.changes.stop_serving(&target.name);
         objects.state.put("servers", &target.name, target.registration(TargetState::Draining));
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -12,7 +12,10 @@
 use skylarkpick_platform_standin::{
     AnswerEnd, Arrival, ClientRequest, ClientResponse, StreamEvent,
 };
-use std::time::Duration;
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 #[test]
@@ -542,3 +545,25 @@
         assert!(plan.has_process_faults && plan.has_peer_links, "{seed}: {plan:?}");
     }
 }
+
+#[test]
+fn the_plans_of_kept_seeds_stay_as_they_were() {
+    struct Case {
+        seed: u64,
+        seconds: u64,
+        faults: usize,
+        digest: u64,
+    }
+    let cases = [
+        Case { seed: 4, seconds: 10, faults: 15, digest: 0x3cf7_dd4f_cacf_eb6a },
+        Case { seed: 8, seconds: 12, faults: 28, digest: 0x712f_9d00_0bed_572f },
+        Case { seed: 101, seconds: 10, faults: 17, digest: 0x6e2d_73a0_9868_c63a },
+    ];
+    for case in cases {
+        let plan = FaultPlan::draw(case.seed, Duration::from_secs(case.seconds), 3, 4);
+        let mut hasher = DefaultHasher::new();
+        format!("{plan:?}").hash(&mut hasher);
+        let found = (plan.faults.len(), hasher.finish());
+        assert_eq!(found, (case.faults, case.digest), "seed {}: {plan:?}", case.seed);
+    }
+}
