--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod history;
 mod limit_checks;
 mod network;
+mod operator;
 mod part_checks;
 mod plan;
 mod process;
@@ -23,6 +24,7 @@
 mod signal_tests;
 mod stream_checks;
 mod target;
+mod target_changes;
 
 pub use checks::Finding;
 pub use network::LoopbackNetwork;
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -2,26 +2,22 @@
 //! the outcome.
 
 use crate::{
-    checks::{DRAIN_LIMIT, Finding, ROUTE_TIMEOUT, check_history},
+    checks::{Finding, ROUTE_TIMEOUT, check_history},
     clients::{Clients, MAIN_KEY, SharedClientState},
-    history::{
-        Call, ConfiguredKey, Disturbance, DisturbanceScope, History, ServingTarget, SoftwareVersion,
-    },
+    history::{Call, Disturbance, DisturbanceScope, History},
     plan::{CrashingPart, FaultPlan, ObjectApiFault, PlannedFault},
     process::NodeProcess,
     proxy::FaultProxy,
-    setup::{key_from_now, routes, start_process},
-    target::{Target, inject_link_fault, start_service, start_target},
+    setup::{key_from_now, start_process},
+    target::{Target, inject_link_fault, start_target},
 };
 use anyhow::Context;
 use serde_json::json;
 use skylarkpick_platform_standin::{
-    ArrivalLog, ClientRequest, CrashingRequest, EchoTarget, FaultMode, ObjectServer, TargetState,
-    TestClient, configuration,
+    ArrivalLog, ClientRequest, CrashingRequest, EchoTarget, FaultMode, ObjectServer, TestClient,
 };
 use std::{
     net::SocketAddr,
-    ops::Range,
     path::{Path, PathBuf},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -40,15 +36,10 @@
 const STABLE_PERIOD: Duration = Duration::from_secs(4);
 /// Time within which all processes must be ready at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time between the replacements of two targets in a release.
-const RELEASE_STEP: Duration = Duration::from_millis(700);
 /// Time for which a target says that it leaves before its record does; longer than the drain limit.
 const LEAVING_NOTICE: Duration = Duration::from_millis(3_500);
 /// Interval at which the readiness is checked at the start.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which a drained target keeps running after the drain limit, so that it records late
-/// requests.
-const REMOVAL_SLACK: Duration = Duration::from_secs(1);
 
 /// Settings of the run with one seed.
 #[derive(Clone, Debug)]
@@ -172,7 +163,7 @@
 pub(crate) struct FleetState {
     pub(crate) targets: Vec<Target>,
     next_target: u64,
-    configuration_version: u64,
+    pub(crate) configuration_version: u64,
     /// Part of a prompt that ends targets, while one does.
     pub(crate) crashing_part: Option<CrashingPart>,
     /// Request that ends targets, after the first such fault.
@@ -360,118 +351,12 @@
         state.set_fault_mode(FaultMode::None);
     }
 
-    /// Replaces a target by a new instance with the same name, without draining it.
-    async fn restart_target(&self, index: usize, version: SoftwareVersion) -> anyhow::Result<()> {
-        let name = self.lock().targets[index].name.clone();
-        let service = start_service(&name, version, &self.arrivals).await?;
-        let mut state = self.lock();
-        state.arm(&service);
-        let FleetState { targets, changes, .. } = &mut *state;
-        let target = &mut targets[index];
-        if target.name != name {
-            // Another fault replaced the target meanwhile.
-            return Ok(());
-        }
-        target.proxy.set_upstream(service.address);
-        target.service = service;
-        target.is_end_seen = false;
-        target.version = version;
-        target.registered_version = Some(version);
-        changes.stop_serving(&name);
-        let record = target.registration(TargetState::Ready);
-        self.objects.state.put("servers", &name, record);
-        changes.serving.push(ServingTarget::from_now(&name, version));
-        Ok(())
-    }
-
-    /// Replaces targets by new ones of a software version, one after another. Each old one drains once
-    /// the new one is registered, and is removed at the end.
-    async fn replace_targets(
-        &self,
-        indexes: Range<usize>,
-        version: SoftwareVersion,
-    ) -> anyhow::Result<()> {
-        let mut replaced = Vec::new();
-        for index in indexes {
-            if !replaced.is_empty() {
-                sleep(RELEASE_STEP).await;
-            }
-            let new =
-                start_target(self.next_target(), version, Some(version), &self.arrivals).await?;
-            let mut state = self.lock();
-            state.add_target(&self.objects, &new, version);
-            let old = std::mem::replace(&mut state.targets[index], new);
-            state.drain_target(&self.objects, &old);
-            replaced.push(old);
-        }
-        self.remove_drained(replaced).await;
-        Ok(())
-    }
-
-    /// Runs a target for some time whose entry, by another writer, names no software version.
-    async fn run_unversioned_target(
-        &self,
-        version: SoftwareVersion,
-        span: Duration,
-    ) -> anyhow::Result<()> {
-        let target = start_target(self.next_target(), version, None, &self.arrivals).await?;
-        self.lock().arm(&target.service);
-        let record = target.registration(TargetState::Ready);
-        self.objects.state.put("servers", &target.name, record);
-        sleep(span).await;
-        self.lock().drain_target(&self.objects, &target);
-        self.remove_drained(vec![target]).await;
-        Ok(())
-    }
-
-    /// Changes how a target answers for some time, unless it is replaced meanwhile.
-    async fn change_answers(
-        &self,
-        index: usize,
-        span: Duration,
-        change: impl Fn(&EchoTarget, bool),
-    ) {
-        let started_at_ms = {
-            let target = &self.lock().targets[index];
-            change(&target.service, true);
-            target.service.started_at_ms
-        };
-        sleep(span).await;
-        let service = &self.lock().targets[index].service;
-        if service.started_at_ms == started_at_ms {
-            change(service, false);
-        }
-    }
-
-    async fn remove_drained(&self, targets: Vec<Target>) {
-        sleep(DRAIN_LIMIT + REMOVAL_SLACK).await;
-        for target in targets {
-            self.objects.state.remove("servers", &target.name);
-        }
-    }
-
     pub(crate) fn next_target(&self) -> u64 {
         let mut state = self.lock();
         state.next_target += 1;
         state.next_target
     }
 
-    /// Adds an API key, or revokes the one that was added last. Returns the key.
-    fn change_keys(&self) -> String {
-        let mut state = self.lock();
-        let newest = state.changes.keys.last().cloned();
-        let revoked = newest.filter(|key| key.key != MAIN_KEY && key.until.is_none());
-        let key = match &revoked {
-            Some(revoked) => revoked.key.clone(),
-            None => format!("key-{}", state.configuration_version),
-        };
-        state.change_keys(&self.objects, |keys| match (revoked, keys.last_mut()) {
-            (Some(_), Some(last)) => last.until = Some(Instant::now()),
-            _ => keys.push(key_from_now(&key)),
-        });
-        key
-    }
-
     /// Collects the history of the processes, targets and clients. Requests of the readiness check
     /// are left out.
     fn history(&self, calls: Vec<Call>, stable_since: Instant) -> History {
@@ -488,45 +373,3 @@
         history
     }
 }
-
-impl FleetState {
-    pub(crate) fn add_target(
-        &mut self,
-        objects: &ObjectServer,
-        target: &Target,
-        version: SoftwareVersion,
-    ) {
-        self.arm(&target.service);
-        objects.state.put("servers", &target.name, target.registration(TargetState::Ready));
-        self.changes.serving.push(ServingTarget::from_now(&target.name, version));
-    }
-
-    /// Makes a target end by what ends targets now.
-    pub(crate) fn arm(&self, service: &EchoTarget) {
-        service.set_crashing_part(self.crashing_part);
-        service.set_crashing_request(self.crashing_request.as_ref());
-    }
-
-    fn drain_target(&mut self, objects: &ObjectServer, target: &Target) {
-        self.changes.stop_serving(&target.name);
-        objects.state.put("servers", &target.name, target.registration(TargetState::Draining));
-        self.changes.draining.push((target.name.clone(), Instant::now()));
-    }
-
-    /// Changes the API keys and writes them to the platform as a new configuration.
-    fn change_keys(
-        &mut self,
-        objects: &ObjectServer,
-        change: impl FnOnce(&mut Vec<ConfiguredKey>),
-    ) {
-        change(&mut self.changes.keys);
-        self.configuration_version += 1;
-        let configured = self.changes.keys.iter().filter(|key| key.until.is_none());
-        let keys: Vec<String> = configured.map(|key| key.key.clone()).collect();
-        objects.state.put(
-            "config",
-            "main",
-            configuration(self.configuration_version, &routes(), &keys),
-        );
-    }
-}
