--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -98,8 +98,7 @@
 
     fn describe(&self) -> String {
         let Call { process, request, response, .. } = self.call;
-        let seconds =
-            |at: Instant| at.saturating_duration_since(self.history.started_at).as_secs_f64();
+        let seconds = |at: Instant| self.history.seconds(at);
         let targets: Vec<String> = self
             .arrivals
             .iter()
--- a/crates/skylarkpick-soak/src/crash_checks.rs
+++ b/crates/skylarkpick-soak/src/crash_checks.rs
@@ -128,6 +128,6 @@
 }
 
 fn describe(history: &History, arrival: &Arrival) -> String {
-    let at = arrival.at.saturating_duration_since(history.started_at).as_secs_f64();
+    let at = history.seconds(arrival.at);
     format!("{} at {} at {at:.3} s", arrival.attempt_id, arrival.target)
 }
--- a/crates/skylarkpick-soak/src/crash_tests.rs
+++ b/crates/skylarkpick-soak/src/crash_tests.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     clients::MAIN_KEY,
-    history::{Call, CallKind, ConfiguredKey, Disturbance, DisturbanceScope, History},
+    history::{Call, ConfiguredKey, Disturbance, DisturbanceScope, History},
     part_checks::check_parts,
     plan::CRASHING_PARTS,
     repeated_requests::POLL_PATH,
     request_checks::check_requests,
+    test_history::{arrival, served_call},
 };
-use skylarkpick_platform_standin::{AnswerEnd, Arrival, ClientRequest, ClientResponse};
+use skylarkpick_platform_standin::{AnswerEnd, Arrival};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -110,59 +111,27 @@
 }
 
 fn observe(index: usize, sent: &Sent, at: Instant) -> (Call, Option<Arrival>) {
+    let mut call = served_call(&format!("call-{index}"), sent.content.path(), at);
     let parts = sent.content.shared_parts();
-    let is_answered = matches!(sent.outcome, Outcome::Answered | Outcome::AnsweredUnmarked);
-    let marks_end = sent.outcome != Outcome::AnsweredUnmarked;
-    let attempt_id = format!("call-{index}");
-    let request = ClientRequest {
-        attempt_id: attempt_id.clone(),
-        method: "POST".to_string(),
-        path: sent.content.path().to_string(),
-        key: MAIN_KEY.to_string(),
-        deadline: Duration::from_secs(5),
-        resumes: None,
-        last_event_id: None,
-        parts: parts.iter().cloned().chain([format!("own-{index}")]).collect(),
-        body: "body".to_string(),
-    };
-    let response = ClientResponse {
-        status: Some(if is_answered { 200 } else { 503 }),
-        body: if is_answered { attempt_id.clone() } else { String::new() },
-        is_complete: true,
-        is_end_marked: marks_end,
-        retry_after: None,
-    };
-    let arrival = Arrival {
-        attempt_id,
-        target: format!("i-{index}"),
-        software_version: "b7".to_string(),
-        last_event_id: None,
-        account: Some("acme".to_string()),
-        at,
-        has_run: true,
-        marks_end,
-        end: if is_answered { AnswerEnd::Whole } else { AnswerEnd::Unfinished },
-        started_at_ms: 1,
-        pause: None,
-        is_leaving: false,
-        method: request.method.clone(),
-        path: request.path.clone(),
-        body_digest: 0,
-        parts,
-        has_crashed: sent.outcome == Outcome::Ends,
-        limit: None,
-    };
-    let ended_at = at + Duration::from_millis(30);
-    let call = Call {
-        process: 0,
-        kind: CallKind::Read,
-        request,
-        sent_at: at,
-        ended_at,
-        response,
-        disconnects_early: false,
-    };
-    (call, (sent.outcome != Outcome::Refused).then_some(arrival))
+    call.request.parts = parts.iter().cloned().chain([format!("own-{index}")]).collect();
+    let mut arrival = Arrival { parts, ..arrival(&call, &format!("i-{index}")) };
+    match sent.outcome {
+        Outcome::Answered => {}
+        Outcome::AnsweredUnmarked => {
+            call.response.is_end_marked = false;
+            arrival.marks_end = false;
+        }
+        Outcome::Ends => {
+            call.response.status = Some(502);
+            arrival.has_crashed = true;
+            arrival.end = AnswerEnd::Unfinished;
+        }
+        Outcome::Refused => {
+            call.response.status = Some(503);
+            return (call, None);
+        }
+    }
+    (call, Some(arrival))
 }
 
 #[test]
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -211,6 +211,11 @@
         })
     }
 
+    /// Returns a time in seconds after the start of the fault plan.
+    pub(crate) fn seconds(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.started_at).as_secs_f64()
+    }
+
     /// Whether neither a process nor the platform was disturbed between two times, nor within the
     /// contact window before.
     pub(crate) fn is_process_undisturbed(
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -25,6 +25,8 @@
 mod stream_checks;
 mod target;
 mod target_changes;
+#[cfg(test)]
+mod test_history;
 
 pub use checks::Finding;
 pub use network::LoopbackNetwork;
--- a/crates/skylarkpick-soak/src/limit_checks.rs
+++ b/crates/skylarkpick-soak/src/limit_checks.rs
@@ -67,7 +67,7 @@
         let allowed = 1.5 * limit * COUNTED_TIME.as_secs_f64() + ALLOWED_MORE;
         if within.len() as f64 > allowed {
             let rule = "a target gets no more than its limit allows from all processes together";
-            let at = start.at.saturating_duration_since(history.started_at).as_secs_f64();
+            let at = history.seconds(start.at);
             let evidence = format!(
                 "{target} got {} in 4 s from {at:.3} s at {limit} a second, allowed {allowed}",
                 within.len()
--- a/crates/skylarkpick-soak/src/signal_checks.rs
+++ b/crates/skylarkpick-soak/src/signal_checks.rs
@@ -82,7 +82,7 @@
 }
 
 fn describe(history: &History, first: &Sent<'_>, late: &[&Sent<'_>]) -> String {
-    let seconds = |at: Instant| at.saturating_duration_since(history.started_at).as_secs_f64();
+    let seconds = |at: Instant| history.seconds(at);
     let late: Vec<String> = late
         .iter()
         .map(|it| format!("{} at {:.3} s", it.arrival.attempt_id, seconds(it.arrival.at)))
--- a/crates/skylarkpick-soak/src/stream_checks.rs
+++ b/crates/skylarkpick-soak/src/stream_checks.rs
@@ -102,7 +102,7 @@
             "{} at process {} from {:.3} s, status {:?}, events {events:?}, at targets {arrivals:?}",
             call.request.attempt_id,
             call.process,
-            call.sent_at.saturating_duration_since(history.started_at).as_secs_f64(),
+            history.seconds(call.sent_at),
             call.response.status,
         )
     });
