Soak: play returns of the platform's store from an older copy

The soak's store never lost what it had acknowledged.

Change: in half of the seeds the store is away for up to 2 s and comes back from a copy 0.5 to 6 s old, perhaps twice in a row and amid the other faults. Writes of others are lost with it; in three of ten cases all registrations of targets have lapsed. The draws have a generator of their own; the plans of the kept seeds stay.

Checks, on what clients and targets see: a change is in force 2 s after its acknowledgement, or after the lost configuration was written again, at processes that were in touch for 3 s; no older configuration has an effect after a newer one in one life of a process, over keys and routes; the main key is never denied, also by disturbed processes; a process that must have learned in time that a target drains does not forget it; around returns at least half the usual share is served.

--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -1,10 +1,13 @@
 //! Checks the rules that must hold, on what clients received and what targets ran.
 
 use crate::{
+    change_checks::check_changes,
+    clients::MAIN_KEY,
     history::{Call, CallKind, History},
     limit_checks::check_limits,
     part_checks::check_parts,
     request_checks::check_requests,
+    return_checks::check_returns,
     signal_checks::check_signals,
     stream_checks::{check_streams, is_stream_correct},
 };
@@ -56,6 +59,8 @@
     check_signals(history, &mut findings);
     check_parts(history, &mut findings);
     check_requests(history, &mut findings);
+    check_changes(history, &mut findings);
+    check_returns(history, &mut findings);
     check_limits(history, &mut findings);
     check_arrivals(history, &mut findings);
     check_process_exits(history, &mut findings);
@@ -183,7 +188,9 @@
     fn respects_api_keys(&self) -> bool {
         let (history, call) = (self.history, self.call);
         let key = history.keys.iter().find(|key| key.key == call.request.key);
-        let is_denied = matches!(call.response.status, Some(400..=404));
+        // The checks of changes judge calls on routes that were added.
+        let is_denied =
+            matches!(call.response.status, Some(400..=404)) && !history.is_on_added_route(call);
         let Some(key) = key else {
             return self.runs() == 0 && call.response.status != Some(200);
         };
@@ -199,6 +206,8 @@
                 self.runs() == 0 || !is_undisturbed(until)
             }
             Some(until) if call.ended_at > until => true,
+            // All configurations have the main key: no disturbance explains that it is denied.
+            _ if key.key == MAIN_KEY => !is_denied,
             _ => !is_denied || call.sent_at < in_force || !is_undisturbed(key.from),
         }
     }
@@ -211,12 +220,12 @@
 
     fn is_served_when_stable(&self) -> bool {
         let call = self.call;
-        let has_valid_key = self.history.has_valid_key(call);
+        let is_allowed = self.history.has_valid_key(call) && self.history.has_valid_route(call);
         let is_stable = self.history.stable_since.is_some_and(|since| call.sent_at > since);
         // A stream that is taken up may be refused; the share that goes on has a rule of its own.
         let may_be_refused = call.request.resumes.is_some() && call.is_rejected();
         let is_exempt = call.disconnects_early || may_be_refused;
-        !has_valid_key || !is_stable || is_exempt || call.is_served()
+        !is_allowed || !is_stable || is_exempt || call.is_served()
     }
 
     /// A process that shuts down, reloads its settings or applies a configuration completes the
--- a/crates/skylarkpick-soak/src/ended_targets.rs
+++ b/crates/skylarkpick-soak/src/ended_targets.rs
@@ -5,6 +5,7 @@
     history::{DisturbanceScope, SoftwareVersion},
     plan::CrashingPart,
     run::Fleet,
+    store_faults::TARGETS,
     target::start_target,
 };
 use std::{sync::Arc, time::Duration};
@@ -76,7 +77,7 @@
     async fn replace_ended_target(self: Arc<Fleet>, ended: EndedTarget) {
         self.lock().changes.stop_serving(&ended.name);
         sleep(REMOVAL_DELAY).await;
-        self.objects.state.remove("servers", &ended.name);
+        self.lock().write(&self.objects, TARGETS, &ended.name, None);
         sleep(RESTART_DELAY).await;
         let (number, version) = (self.next_target(), ended.version);
         let Ok(target) = start_target(number, version, Some(version), &self.arrivals).await else {
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -11,6 +11,8 @@
 /// Time after the end of a disturbance until the time limits hold for a process again. The
 /// requirements call it the contact window.
 const CONTACT_WINDOW: Duration = Duration::from_secs(4);
+/// The same for the time limits on the configuration, without tolerance.
+const CONFIGURATION_CONTACT_WINDOW: Duration = Duration::from_secs(3);
 
 /// Software version of a target.
 pub(crate) type SoftwareVersion = &'static str;
@@ -61,6 +63,11 @@
 }
 
 impl Call {
+    /// Returns the name of the route.
+    pub(crate) fn route(&self) -> &str {
+        self.request.path.split('/').nth(1).unwrap_or_default()
+    }
+
     /// Returns the whole events of a stream that arrived.
     pub(crate) fn events(&self) -> Vec<StreamEvent> {
         match self.kind {
@@ -148,6 +155,14 @@
     pub(crate) until: Option<Instant>,
 }
 
+/// A route that the operator added, with the time in which it is configured.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConfiguredRoute {
+    pub(crate) name: &'static str,
+    pub(crate) from: Instant,
+    pub(crate) until: Option<Instant>,
+}
+
 /// The exit of a process. Findings show it in its `Debug` format.
 #[derive(Clone, Debug)]
 pub(crate) struct ProcessEnd {
@@ -171,6 +186,12 @@
     pub(crate) arrivals: Vec<Arrival>,
     pub(crate) disturbances: Vec<Disturbance>,
     pub(crate) keys: Vec<ConfiguredKey>,
+    /// Routes beside those of the kinds of calls.
+    pub(crate) added_routes: Vec<ConfiguredRoute>,
+    /// Times in which the platform's store did not have the newest configuration, since it lost it.
+    pub(crate) configuration_losses: Vec<(Instant, Option<Instant>)>,
+    /// Times in which the platform's store was away before it came back from a copy.
+    pub(crate) store_returns: Vec<(Instant, Instant)>,
     /// Targets that are being drained, with the time at which the platform announced it.
     pub(crate) draining: Vec<(String, Instant)>,
     /// Targets behind a link with a fault, with its start and its end.
@@ -193,6 +214,9 @@
             arrivals: Vec::new(),
             disturbances: Vec::new(),
             keys: Vec::new(),
+            added_routes: Vec::new(),
+            configuration_losses: Vec::new(),
+            store_returns: Vec::new(),
             draining: Vec::new(),
             link_faults: Vec::new(),
             serving: Vec::new(),
@@ -216,6 +240,40 @@
         at.saturating_duration_since(self.started_at).as_secs_f64()
     }
 
+    /// Whether the route of a call is one that the operator added.
+    pub(crate) fn is_on_added_route(&self, call: &Call) -> bool {
+        self.added_routes.iter().any(|it| it.name == call.route())
+    }
+
+    /// Whether the route of a call was in force from its start to its end.
+    pub(crate) fn has_valid_route(&self, call: &Call) -> bool {
+        let added = self.added_routes.iter().find(|it| it.name == call.route());
+        added.is_none_or(|it| {
+            it.from + CONFIGURATION_LIMIT < call.sent_at
+                && it.until.is_none_or(|until| call.ended_at < until)
+        })
+    }
+
+    /// Whether the platform's store has had the newest configuration for the time within which one must
+    /// be in force.
+    pub(crate) fn is_configuration_settled(&self, at: Instant) -> bool {
+        self.configuration_losses.iter().all(|(from, until)| {
+            at < *from || until.is_some_and(|until| until + CONFIGURATION_LIMIT < at)
+        })
+    }
+
+    /// Whether the time limits on the configuration hold for a process between two times.
+    pub(crate) fn is_in_contact(&self, process: usize, from: Instant, until: Instant) -> bool {
+        let is_of_process = |scope| match scope {
+            DisturbanceScope::Process(it) | DisturbanceScope::PlannedRestart(it) => it == process,
+            DisturbanceScope::Platform => true,
+            DisturbanceScope::Target | DisturbanceScope::TargetLink => false,
+        };
+        let is_near =
+            |it: &&Disturbance| it.from <= until && it.until + CONFIGURATION_CONTACT_WINDOW >= from;
+        !self.disturbances.iter().filter(is_near).any(|it| is_of_process(it.scope))
+    }
+
     /// Whether neither a process nor the platform was disturbed between two times, nor within the
     /// contact window before.
     pub(crate) fn is_process_undisturbed(
@@ -293,7 +351,7 @@
 
     /// Whether there was no disturbance of a scope that `counts` selects. A disturbance lasts until
     /// the contact window after its end.
-    fn is_undisturbed(
+    pub(crate) fn is_undisturbed(
         &self,
         from: Instant,
         until: Instant,
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -1,6 +1,9 @@
 //! A randomized soak test: injects faults into a fleet of real processes under load, and checks
 //! what clients received and what targets ran.
 
+mod change_checks;
+#[cfg(test)]
+mod change_tests;
 mod checks;
 mod clients;
 mod crash_checks;
@@ -17,11 +20,13 @@
 mod proxy;
 mod repeated_requests;
 mod request_checks;
+mod return_checks;
 mod run;
 mod setup;
 mod signal_checks;
 #[cfg(test)]
 mod signal_tests;
+mod store_faults;
 mod stream_checks;
 mod target;
 mod target_changes;
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -58,6 +58,29 @@
 /// Distinguishes the generator of these faults from those of the other faults.
 const CRASHING_REQUEST_SEED: u64 = 11 << 40;
 
+/// Upper limit of the random pause between two returns of the platform's store from a copy.
+const RETURN_GAP_LIMIT: Duration = Duration::from_secs(10);
+/// Upper limit of the pause between two returns of which one follows the other soon.
+const SECOND_RETURN_LIMIT: Duration = Duration::from_secs(3);
+/// Share of returns that another one follows soon.
+const SECOND_RETURN_PERCENT: u32 = 30;
+/// Shortest and longest age of the copy.
+const COPY_AGES: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(6));
+/// Longest time for which the store is away before.
+const AWAY_LIMIT: Duration = Duration::from_secs(2);
+/// Upper limit of the writes of others that are lost.
+const LOST_WRITES_LIMIT: u32 = 60;
+/// Longest time until the operator writes a lost configuration again.
+const REWRITE_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time after a return until the operator changes the configuration.
+const CHANGE_LIMIT: Duration = Duration::from_secs(3);
+/// Share of returns at which all registrations of targets have lapsed.
+const LAPSE_PERCENT: u32 = 30;
+/// Share of seeds with returns.
+const RETURN_PERCENT: u32 = 50;
+/// Distinguishes the generator of returns from those of the other faults.
+const RETURN_SEED: u64 = 23 << 40;
+
 /// Part of a prompt that ends targets.
 pub(crate) type CrashingPart = &'static str;
 
@@ -96,6 +119,25 @@
     ForgetHistory,
     /// Another writer stores a target registration that cannot be decoded.
     UnreadableRecord,
+    /// The store is away until the fault ends, and comes back from a copy.
+    ReturnToCopy(StoreReturn),
+}
+
+/// What happens around a return of the platform's store from a copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct StoreReturn {
+    /// Age of the copy when the store goes away.
+    pub(crate) age: Duration,
+    /// Writes of others in that time, which are lost and not made again.
+    pub(crate) lost_writes: u32,
+    /// Time after the return after which the operator writes a lost configuration again.
+    pub(crate) rewrite_after: Duration,
+    /// Whether all registrations of targets have lapsed while the store was away.
+    pub(crate) lapses: bool,
+    /// Time after the return after which the operator changes the configuration.
+    pub(crate) change_after: Duration,
+    /// Whether the operator then changes routes, not API keys.
+    pub(crate) changes_routes: bool,
 }
 
 /// A fault. Processes and targets are given by their index.
@@ -216,6 +258,7 @@
             at += END_FAULT_GAP_LIMIT.mul_f64(random.random());
         }
         faults.extend(draw_crashing_requests(seed, window));
+        faults.extend(draw_returns(seed, window));
         faults.sort_by_key(|(at, _)| *at);
         FaultPlan { software_versions, has_peer_links, has_process_faults, faults }
     }
@@ -304,6 +347,35 @@
     faults
 }
 
+/// Draws the returns of the platform's store from a copy: none in some seeds.
+fn draw_returns(seed: u64, window: Duration) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ RETURN_SEED);
+    let mut faults = Vec::new();
+    if random.random_range(0..100) >= RETURN_PERCENT {
+        return faults;
+    }
+    let (youngest, oldest) = COPY_AGES;
+    let mut at = RETURN_GAP_LIMIT.mul_f64(random.random());
+    while at < window {
+        let span = AWAY_LIMIT.mul_f64(random.random());
+        let age = youngest + (oldest - youngest).mul_f64(random.random());
+        let fault = StoreReturn {
+            age,
+            lost_writes: random.random_range(1..=LOST_WRITES_LIMIT),
+            rewrite_after: REWRITE_LIMIT.mul_f64(random.random()),
+            lapses: random.random_range(0..100) < LAPSE_PERCENT,
+            change_after: CHANGE_LIMIT.mul_f64(random.random()),
+            changes_routes: random.random(),
+        };
+        let fault = ObjectApiFault::ReturnToCopy(fault);
+        faults.push((at, PlannedFault::Store { fault, span }));
+        let is_followed = random.random_range(0..100) < SECOND_RETURN_PERCENT;
+        let gap_limit = if is_followed { SECOND_RETURN_LIMIT } else { RETURN_GAP_LIMIT };
+        at += age + span + gap_limit.mul_f64(random.random());
+    }
+    faults
+}
+
 fn draw_span(random: &mut StdRng) -> Duration {
     FAULT_FLOOR + (FAULT_LIMIT - FAULT_FLOOR).mul_f64(random.random())
 }
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -5,16 +5,16 @@
     checks::{Finding, ROUTE_TIMEOUT, check_history},
     clients::{Clients, MAIN_KEY, SharedClientState},
     history::{Call, Disturbance, DisturbanceScope, History},
-    plan::{CrashingPart, FaultPlan, ObjectApiFault, PlannedFault},
+    plan::{CrashingPart, FaultPlan, PlannedFault},
     process::NodeProcess,
     proxy::FaultProxy,
     setup::{key_from_now, start_process},
+    store_faults::WrittenObjects,
     target::{Target, inject_link_fault, start_target},
 };
 use anyhow::Context;
-use serde_json::json;
 use skylarkpick_platform_standin::{
-    ArrivalLog, ClientRequest, CrashingRequest, EchoTarget, FaultMode, ObjectServer, TestClient,
+    ArrivalLog, ClientRequest, CrashingRequest, EchoTarget, ObjectServer, TestClient,
 };
 use std::{
     net::SocketAddr,
@@ -168,6 +168,8 @@
     pub(crate) crashing_part: Option<CrashingPart>,
     /// Request that ends targets, after the first such fault.
     pub(crate) crashing_request: Option<CrashingRequest>,
+    /// What the operator and the targets have written to the platform.
+    pub(crate) written: WrittenObjects,
     /// The part of the history that the fleet records itself: disturbances and changes.
     pub(crate) changes: History,
 }
@@ -185,6 +187,7 @@
             configuration_version: 0,
             crashing_part: None,
             crashing_request: None,
+            written: WrittenObjects::default(),
             changes: History::begin(),
         };
         state.change_keys(&objects, |keys| keys.push(key_from_now(MAIN_KEY)));
@@ -268,8 +271,7 @@
                 self.record_disturbance(DisturbanceScope::TargetLink, from);
             }
             PlannedFault::Store { fault, span } => {
-                self.inject_object_api_fault(fault, span).await;
-                self.record_disturbance(DisturbanceScope::Platform, from);
+                self.inject_object_api_fault(clients, fault, span).await;
             }
             PlannedFault::RestartTarget { target, version } => {
                 self.restart_target(target, version).await?;
@@ -334,23 +336,6 @@
         self.lock().changes.disturbances.push(Disturbance { scope, from, until });
     }
 
-    async fn inject_object_api_fault(&self, fault: ObjectApiFault, span: Duration) {
-        let state = &self.objects.state;
-        match fault {
-            ObjectApiFault::Refuse => state.set_fault_mode(FaultMode::RejectCalls),
-            ObjectApiFault::LoseAnswers => state.set_fault_mode(FaultMode::DropResponses),
-            ObjectApiFault::ForgetHistory => return state.compact_history(),
-            ObjectApiFault::UnreadableRecord => {
-                state.put("servers", "unreadable", json!({ "service": 7, "state": [] }));
-                sleep(span).await;
-                return state.remove("servers", "unreadable");
-            }
-        }
-        sleep(span).await;
-        // This also ends other outages that began meanwhile.
-        state.set_fault_mode(FaultMode::None);
-    }
-
     pub(crate) fn next_target(&self) -> u64 {
         let mut state = self.lock();
         state.next_target += 1;
--- a/crates/skylarkpick-soak/src/setup.rs
+++ b/crates/skylarkpick-soak/src/setup.rs
@@ -55,9 +55,10 @@
     }
 }
 
-pub(crate) fn routes() -> Vec<RouteSpec> {
-    let route = |kind: CallKind| RouteSpec {
-        name: kind.route(),
+/// Returns the routes of all kinds of calls, and of idempotent requests these.
+pub(crate) fn routes(added: impl Iterator<Item = &'static str>) -> Vec<RouteSpec> {
+    let route = |name: &'static str, kind: CallKind| RouteSpec {
+        name,
         kind: match kind {
             CallKind::Read => "idempotent",
             CallKind::Write => "non_idempotent",
@@ -67,7 +68,8 @@
         is_resumable: kind == CallKind::Events,
         timeout: ROUTE_TIMEOUT,
     };
-    CallKind::ALL.into_iter().map(route).collect()
+    let constant = CallKind::ALL.into_iter().map(|kind| route(kind.route(), kind));
+    constant.chain(added.map(|name| route(name, CallKind::Read))).collect()
 }
 
 pub(crate) fn key_from_now(key: &str) -> ConfiguredKey {
--- a/crates/skylarkpick-soak/src/target_changes.rs
+++ b/crates/skylarkpick-soak/src/target_changes.rs
@@ -4,6 +4,7 @@
     checks::DRAIN_LIMIT,
     history::{ServingTarget, SoftwareVersion},
     run::{Fleet, FleetState},
+    store_faults::TARGETS,
     target::{Target, start_service, start_target},
 };
 use skylarkpick_platform_standin::{EchoTarget, ObjectServer, TargetState};
@@ -40,8 +41,8 @@
         target.registered_version = Some(version);
         changes.stop_serving(&name);
         let record = target.registration(TargetState::Ready);
-        self.objects.state.put("servers", &name, record);
         changes.serving.push(ServingTarget::from_now(&name, version));
+        state.write(&self.objects, TARGETS, &name, Some(record));
         Ok(())
     }
 
@@ -78,7 +79,7 @@
         let target = start_target(self.next_target(), version, None, &self.arrivals).await?;
         self.lock().arm(&target.service);
         let record = target.registration(TargetState::Ready);
-        self.objects.state.put("servers", &target.name, record);
+        self.lock().write(&self.objects, TARGETS, &target.name, Some(record));
         sleep(span).await;
         self.lock().drain_target(&self.objects, &target);
         self.remove_drained(vec![target]).await;
@@ -107,7 +108,7 @@
     async fn remove_drained(&self, targets: Vec<Target>) {
         sleep(DRAIN_LIMIT + REMOVAL_SLACK).await;
         for target in targets {
-            self.objects.state.remove("servers", &target.name);
+            self.lock().write(&self.objects, TARGETS, &target.name, None);
         }
     }
 }
@@ -120,7 +121,8 @@
         version: SoftwareVersion,
     ) {
         self.arm(&target.service);
-        objects.state.put("servers", &target.name, target.registration(TargetState::Ready));
+        let record = target.registration(TargetState::Ready);
+        self.write(objects, TARGETS, &target.name, Some(record));
         self.changes.serving.push(ServingTarget::from_now(&target.name, version));
     }
 
@@ -132,7 +134,8 @@
 
     fn drain_target(&mut self, objects: &ObjectServer, target: &Target) {
         self.changes.stop_serving(&target.name);
-        objects.state.put("servers", &target.name, target.registration(TargetState::Draining));
+        let record = target.registration(TargetState::Draining);
+        self.write(objects, TARGETS, &target.name, Some(record));
         self.changes.draining.push((target.name.clone(), Instant::now()));
     }
 }
