Judge sound prompts also while a part ends targets

The check that sound prompts are served while a part of others ends targets counted only calls without any disturbance of a target in the four seconds before.

Change: it counts calls at processes in touch, as the checks of requests that end targets do: neither the process nor the platform nor a link was disturbed, whatever happens to targets.

--- a/crates/skylarkpick-soak/src/part_checks.rs
+++ b/crates/skylarkpick-soak/src/part_checks.rs
@@ -36,6 +36,6 @@
         && !call.request.parts.iter().any(is_crashing)
         && call.request.resumes.is_none()
         && !call.disconnects_early
-        && history.is_exit_undisturbed(call.process, call.sent_at, call.ended_at)
+        && history.is_in_touch(call.process, call.sent_at, call.ended_at)
         && history.has_valid_key(call)
 }
