Soak: judge what is served beside ended targets only while there are targets

Trace: all calls that were counted lie between 15.4 and 16.5 s, since the processes were out of touch before and after; a planned fault (EndTargets, 15.75 s) ended all targets, and others stood 1.5 s later. No process can serve then.

Change: the end of all targets is a disturbance of its own, until their successors stand and for the contact window; sound prompts, polls and other requests are not counted within it. The end of single targets counts as before. Each has a case in the table.

--- a/crates/skylarkpick-soak/src/crash_tests.rs
+++ b/crates/skylarkpick-soak/src/crash_tests.rs
@@ -90,7 +90,7 @@
     (0..served + refused).map(|it| sent(content, first_ms + 10 * it, outcome(it))).collect()
 }
 
-fn history(sent: &[Sent], disturbed_ms: Option<u64>) -> History {
+fn history(sent: &[Sent], disturbed: Option<(DisturbanceScope, u64)>) -> History {
     let mut history = History::begin();
     history.crashing_paths.push(CRASHING_PATH.to_string());
     let started_at = history.started_at;
@@ -102,9 +102,8 @@
         history.calls.push(call);
         history.arrivals.extend(arrival);
     }
-    if let Some(disturbed_ms) = disturbed_ms {
+    if let Some((scope, disturbed_ms)) = disturbed {
         let (from, until) = (at(disturbed_ms), at(disturbed_ms));
-        let scope = DisturbanceScope::Process(0);
         history.disturbances.push(Disturbance { scope, from, until });
     }
     history
@@ -139,11 +138,11 @@
     struct Case {
         name: &'static str,
         sent: Vec<Vec<Sent>>,
-        disturbed_ms: Option<u64>,
+        disturbed: Option<(DisturbanceScope, u64)>,
         rules: &'static [&'static str],
     }
     use Content::{CrashingPart as Part, CrashingRequest as Request, Poll, SoundPrompt};
-    let case = |name, sent, rules| Case { name, sent, disturbed_ms: None, rules };
+    let case = |name, sent, rules| Case { name, sent, disturbed: None, rules };
     let answered = |content, after_ms| vec![sent(content, after_ms, Outcome::Answered)];
     let unmarked = |content, after_ms| vec![sent(content, after_ms, Outcome::AnsweredUnmarked)];
     let mut cases = vec![
@@ -174,6 +173,22 @@
             vec![ends(Request, 0, 3), sound(SoundPrompt, 7_000, 9, 11), ends(Request, 8_000, 1)],
             &[OTHERS_RULE],
         ),
+        Case {
+            disturbed: Some((DisturbanceScope::AllTargets, 6_500)),
+            ..case(
+                "less than half of the polls are served after all targets have ended",
+                vec![ends(Request, 0, 3), sound(Poll, 7_000, 9, 11), ends(Request, 8_000, 1)],
+                &[],
+            )
+        },
+        Case {
+            disturbed: Some((DisturbanceScope::Target, 6_500)),
+            ..case(
+                "less than half of the polls are served after one target has ended",
+                vec![ends(Request, 0, 3), sound(Poll, 7_000, 9, 11), ends(Request, 8_000, 1)],
+                &[POLL_RULE],
+            )
+        },
         case(
             "polls are refused before the evidence takes effect",
             vec![ends(Request, 0, 3), sound(Poll, 5_000, 0, 20), ends(Request, 8_000, 1)],
@@ -190,7 +205,7 @@
             case("four more", vec![first(), ends(it, 3_500, 4)], rules),
             case("four more in time", vec![first(), ends(it, 2_700, 4)], &[]),
             Case {
-                disturbed_ms: Some(3_500),
+                disturbed: Some((DisturbanceScope::Process(0), 3_500)),
                 ..case("four more at a disturbed process", vec![first(), ends(it, 3_500, 4)], &[])
             },
             case(
@@ -222,7 +237,7 @@
     }
     for case in cases {
         let mut findings = Vec::new();
-        let history = history(&case.sent.concat(), case.disturbed_ms);
+        let history = history(&case.sent.concat(), case.disturbed);
         check_parts(&history, &mut findings);
         check_requests(&history, &mut findings);
         let rules: Vec<&str> = findings.iter().map(|finding| finding.rule).collect();
--- a/crates/skylarkpick-soak/src/ended_targets.rs
+++ b/crates/skylarkpick-soak/src/ended_targets.rs
@@ -21,6 +21,9 @@
 /// Time between that removal and the start of another target.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
 
+/// Time until all targets are replaced after they have ended.
+pub(crate) const REPLACEMENT_TIME: Duration = REMOVAL_DELAY.saturating_add(RESTART_DELAY);
+
 /// A target that has ended.
 struct EndedTarget {
     index: usize,
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -135,6 +135,8 @@
     Platform,
     /// A target.
     Target,
+    /// All targets, which end at the same moment.
+    AllTargets,
     /// The links from all processes to a target.
     TargetLink,
 }
@@ -267,7 +269,9 @@
         let is_of_process = |scope| match scope {
             DisturbanceScope::Process(it) | DisturbanceScope::PlannedRestart(it) => it == process,
             DisturbanceScope::Platform => true,
-            DisturbanceScope::Target | DisturbanceScope::TargetLink => false,
+            DisturbanceScope::Target
+            | DisturbanceScope::AllTargets
+            | DisturbanceScope::TargetLink => false,
         };
         let is_near =
             |it: &&Disturbance| it.from <= until && it.until + CONFIGURATION_CONTACT_WINDOW >= from;
@@ -287,7 +291,9 @@
                 disturbed == process
             }
             DisturbanceScope::Platform => true,
-            DisturbanceScope::Target | DisturbanceScope::TargetLink => false,
+            DisturbanceScope::Target
+            | DisturbanceScope::AllTargets
+            | DisturbanceScope::TargetLink => false,
         })
     }
 
@@ -298,6 +304,11 @@
             && self.is_undisturbed(from, until, |scope| scope == DisturbanceScope::TargetLink)
     }
 
+    /// Whether not all targets had ended between two times, nor within the contact window before.
+    pub(crate) fn has_targets(&self, from: Instant, until: Instant) -> bool {
+        self.is_undisturbed(from, until, |scope| scope == DisturbanceScope::AllTargets)
+    }
+
     /// Whether a process ran between two times, without a start, and without having been suspended.
     pub(crate) fn keeps_state(&self, process: usize, from: Instant, until: Instant) -> bool {
         !self.disturbances.iter().any(|it| {
@@ -336,6 +347,7 @@
             DisturbanceScope::Process(disturbed) => disturbed == process,
             DisturbanceScope::Platform
             | DisturbanceScope::Target
+            | DisturbanceScope::AllTargets
             | DisturbanceScope::TargetLink => true,
             DisturbanceScope::PlannedRestart(_) => false,
         })
--- a/crates/skylarkpick-soak/src/part_checks.rs
+++ b/crates/skylarkpick-soak/src/part_checks.rs
@@ -37,5 +37,6 @@
         && call.request.resumes.is_none()
         && !call.disconnects_early
         && history.is_in_touch(call.process, call.sent_at, call.ended_at)
+        && history.has_targets(call.sent_at, call.ended_at)
         && history.has_valid_key(call)
 }
--- a/crates/skylarkpick-soak/src/return_checks.rs
+++ b/crates/skylarkpick-soak/src/return_checks.rs
@@ -36,7 +36,9 @@
                     it == call.process
                 }
                 DisturbanceScope::TargetLink => true,
-                DisturbanceScope::Platform | DisturbanceScope::Target => false,
+                DisturbanceScope::Platform
+                | DisturbanceScope::Target
+                | DisturbanceScope::AllTargets => false,
             })
     };
     let is_around = |call: &&Call| {
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -4,6 +4,7 @@
 use crate::{
     checks::{Finding, ROUTE_TIMEOUT, check_history},
     clients::{Clients, MAIN_KEY, SharedClientState},
+    ended_targets::REPLACEMENT_TIME,
     history::{Call, Disturbance, DisturbanceScope, History},
     plan::{CrashingPart, FaultPlan, PlannedFault},
     process::NodeProcess,
@@ -309,6 +310,8 @@
             }
             PlannedFault::EndTargets => {
                 self.lock().targets.iter().for_each(|target| target.service.end());
+                sleep(REPLACEMENT_TIME).await;
+                self.record_disturbance(DisturbanceScope::AllTargets, from);
             }
             PlannedFault::LimitRequests { target, limits, span } => {
                 for limit in limits {
