Soak: judge the service around returns of the store only while there are targets

Planned faults ended all targets at 3.2, 11.3, 19.6 and 20.0 s, each within five seconds of a return, and the processes refuse for want of targets (NoneUsable) in most cases.

Change: calls while all targets have ended, and in the contact window after it, are not counted. A case in the table holds it.

--- a/crates/skylarkpick-soak/src/change_tests.rs
+++ b/crates/skylarkpick-soak/src/change_tests.rs
@@ -236,6 +236,13 @@
         case("all are served", calm().constant_calls(10_000, 20, 0), &[]),
         case("half are served", calm().constant_calls(10_000, 10, 10), &[]),
         case("fewer are served", calm().constant_calls(10_000, 9, 11), &[SERVICE_RULE]),
+        case(
+            "fewer are served after all targets have ended",
+            calm()
+                .disturbed(DisturbanceScope::AllTargets, 9_000, 9_100)
+                .constant_calls(10_000, 9, 11),
+            &[],
+        ),
         case("fewer are served later", calm().constant_calls(16_100, 9, 11), &[]),
         case("fewer than are judged", calm().constant_calls(10_000, 0, 19), &[]),
         case(
--- a/crates/skylarkpick-soak/src/return_checks.rs
+++ b/crates/skylarkpick-soak/src/return_checks.rs
@@ -31,6 +31,7 @@
             && call.request.resumes.is_none()
             && !call.disconnects_early
             && !history.crashing_paths.contains(&call.request.path)
+            && history.has_targets(call.sent_at, call.ended_at)
             && history.is_undisturbed(call.sent_at, call.ended_at, |scope| match scope {
                 DisturbanceScope::Process(it) | DisturbanceScope::PlannedRestart(it) => {
                     it == call.process
