--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -44,6 +44,11 @@
             seconds: "12",
             cause: "SIGTERM to a process that had just exited was attributed to its successor",
         },
+        Regression {
+            seed: "11004",
+            seconds: "12",
+            cause: "a request that ended each target that ran it was sent to one after another",
+        },
     ];
     let runs = cases.map(|case| {
         std::thread::spawn(move || {
