--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -44,6 +44,11 @@
             seconds: "12",
             cause: "SIGTERM to a process that had just exited was attributed to its successor",
         },
+        Regression {
+            seed: "11003",
+            seconds: "12",
+            cause: "writes after a return of the store from a copy were taken for older than known",
+        },
         Regression {
             seed: "11004",
             seconds: "12",
