Keep targets that left from serving again after a return

What callers see: a runner that drained or left and goes on for a while gets requests again once the platform's store comes back from a copy that has it as ready (DRAIN).

Cause: that a start drains was known from the target in placement alone, and the removal of its record took that away with it. The copy's record was then a new, serving target. The class is that of the other returns: a belief that rests on an acknowledged write, here the removal, outlives the store that ordered it.

Change: the latest start of each target that drained or was removed is remembered, for 30 s and for at most 4,096 targets, with the era in which it became known. In a list of a later era that start, or an earlier one, is draining. It ends with a change of its record, which the target has written since, with a later start, a list of the era in which it left (it wrote itself again there), or after the 30 s. Lists of one era never ask, so that nothing changes without a return.

A target that merely lapsed may write the very content that the copy has. Relays pass on changed content alone, so that their followers would have left it draining for the 30 s: after a return a relay passes on the first change of each record also if its content is the same. What it costs is each live target's record once more to each follower for a return.

Ruled out: keeping the removed targets in placement as draining. It would change what placement, the planner and the software versions see without a return.

Not covered: a process that starts after the return knows no departures, and relays don't tell them. A target that writes itself again between a return and the list that shows it is draining until its next change.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod cache_role;
 mod cache_watch;
+mod departed_targets;
 mod desired_times;
 mod entry_health;
 mod lapsed_runners;
@@ -20,6 +21,8 @@
 mod weight_records;
 mod weight_times;
 
+#[cfg(test)]
+mod departed_tests;
 #[cfg(test)]
 mod era_tests;
 #[cfg(test)]
--- a/crates/skylarkpick-forward/src/fleet/era_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/era_tests.rs
@@ -26,18 +26,18 @@
 };
 
 /// Time after which a target that is still missing is removed, and a bit more.
-const GRACE: Duration = Duration::from_millis(2_300);
+pub(super) const GRACE: Duration = Duration::from_millis(2_300);
 
-const fn revision(era: u64, number: u64) -> StoreRevision {
+pub(super) const fn revision(era: u64, number: u64) -> StoreRevision {
     StoreRevision { era, number }
 }
 
-fn update(records: Vec<NamedRecord>, revision: StoreRevision) -> FleetUpdate {
+pub(super) fn update(records: Vec<NamedRecord>, revision: StoreRevision) -> FleetUpdate {
     FleetUpdate { records, revision }
 }
 
 /// Returns the same update at another revision.
-fn moved(update: FleetUpdate, revision: StoreRevision) -> FleetUpdate {
+pub(super) fn moved(update: FleetUpdate, revision: StoreRevision) -> FleetUpdate {
     FleetUpdate { revision, ..update }
 }
 
@@ -49,7 +49,7 @@
     named
 }
 
-fn changed_target(id: &str, change: impl Fn(&mut RegisteredTarget)) -> NamedRecord {
+pub(super) fn changed_target(id: &str, change: impl Fn(&mut RegisteredTarget)) -> NamedRecord {
     let mut named = target(id);
     if let Some(FleetRecord::Target(registration)) = &mut named.record {
         change(registration);
@@ -57,7 +57,7 @@
     named
 }
 
-fn removed(id: &str) -> NamedRecord {
+pub(super) fn removed(id: &str) -> NamedRecord {
     NamedRecord { name: id.to_string(), record: None }
 }
 
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -1,6 +1,7 @@
 //! Stores the platform's records and applies them to the node state.
 
 use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler};
+use super::departed_targets::DepartedTargets;
 use super::desired_times::{DesiredTimes, WeightsChange};
 use super::missing_targets::MissingTargets;
 use super::topic_state::{EraChange, TopicState};
@@ -25,6 +26,7 @@
 /// processes.
 pub(crate) struct FleetRecords {
     pub(super) node_state: Arc<NodeState>,
+    pub(super) departed_targets: Mutex<DepartedTargets>,
     pub(super) missing_targets: Mutex<MissingTargets>,
     pub(super) desired_times: Mutex<DesiredTimes>,
     pub(super) weight_times: Mutex<WeightTimes>,
@@ -75,6 +77,7 @@
     pub(crate) fn open(node_state: Arc<NodeState>, node: &str) -> FleetRecords {
         FleetRecords {
             node_state,
+            departed_targets: Mutex::default(),
             missing_targets: Mutex::default(),
             desired_times: Mutex::default(),
             weight_times: Mutex::default(),
@@ -372,7 +375,7 @@
                 let now = self.node_state.now();
                 self.node_state.lock().software_versions.note_gap(now);
             }
-            let applied = state.update(update);
+            let applied = state.update(update, kind);
             let revision = update.revision;
             (RecordOrigin { revision, kind, is_first_read, not_before }, applied)
         };
@@ -415,7 +418,7 @@
         let revision = origin.revision;
         match &named.record {
             Some(FleetRecord::Serving(document)) => self.apply_serving(document, revision),
-            Some(FleetRecord::Target(target)) => self.apply_target(target, revision),
+            Some(FleetRecord::Target(target)) => self.apply_target(target, revision, origin.kind),
             Some(FleetRecord::Weights(weights)) => self.apply_weights(weights, origin),
             Some(FleetRecord::Entry(entry)) => {
                 let source = match entry.name == self.node {
--- a/crates/skylarkpick-forward/src/fleet/topic_state.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_state.rs
@@ -1,6 +1,7 @@
 //! Latest records of a topic of the platform, over returns of its store from older copies.
 
 use super::newest_record::newest_record;
+use super::records::UpdateKind;
 use skylarkpick_interface::{FleetRecord, FleetUpdate, NamedRecord, StoreRevision};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -13,6 +14,8 @@
     pub(super) revision: StoreRevision,
     /// Revision of the first read of its era; earlier changes are unknown.
     first: StoreRevision,
+    /// Whether the store has come back from an older copy.
+    is_after_return: bool,
     records: BTreeMap<String, StoredRecord>,
     /// Time at which the records were last known to be current.
     pub(super) verified_at: Option<Duration>,
@@ -83,6 +86,7 @@
         if is_new_era || !self.is_read() {
             self.first = update.revision;
         }
+        self.is_after_return |= is_new_era;
         let named: BTreeMap<&String, &NamedRecord> =
             update.records.iter().map(|it| (&it.name, it)).collect();
         let (mut dropped, mut retained) = (0, 0);
@@ -125,11 +129,11 @@
     }
 
     /// Stores the records of an update. A configuration or weights version never goes back.
-    pub(super) fn update(&mut self, update: &FleetUpdate) -> AppliedUpdate {
+    pub(super) fn update(&mut self, update: &FleetUpdate, kind: UpdateKind) -> AppliedUpdate {
         self.revision = self.revision.max(update.revision);
         let mut applied = AppliedUpdate::default();
         for named in &update.records {
-            if !self.store(named, update.revision) {
+            if !self.store(named, update.revision, kind) {
                 applied.unchanged.insert(named.name.clone());
             }
             if let Some(in_force) = self.record(&named.name)
@@ -165,15 +169,19 @@
     }
 
     /// Stores a record, unless a newer one is known. Returns whether this changed anything.
-    fn store(&mut self, named: &NamedRecord, revision: StoreRevision) -> bool {
+    fn store(&mut self, named: &NamedRecord, revision: StoreRevision, kind: UpdateKind) -> bool {
         let newest = newest_record(self.record(&named.name), named.record.as_ref());
         let (record, is_retained) = (newest.record, newest.is_known);
         let is_stored = self
             .records
             .get(&named.name)
             .is_some_and(|it| it.record == record && it.is_retained == is_retained);
+        // Followers are told too that a record which the copy had was written since.
+        let is_first_write = kind == UpdateKind::Changes
+            && self.is_after_return
+            && self.records.get(&named.name).is_some_and(|it| it.revision == self.first);
         let is_unknown = record.is_none() && !self.records.contains_key(&named.name);
-        if is_stored || is_unknown {
+        if (is_stored && !is_first_write) || is_unknown {
             return false;
         }
         self.records.insert(named.name.clone(), StoredRecord { revision, record, is_retained });
