Store a list of records in one step

What callers see: for a moment after a return of the platform's store, a follower that asks its relay may get a part of the targets as all of them, at the revision before the return, and removes the others from use. Found by review, not by a record.

Cause: the list of a later era was stored in two steps, each under a lock of its own: the removal of what it lacks, which also starts the records anew for followers, and then its records and its revision. Between them stands the application of the removals, which waits for the node state.

Evidence: `a_follower_never_receives_a_list_without_the_records_that_are_about_to_be_stored` holds the node state meanwhile. Before, with i-1 and i-2 known at 1.20 and a list of i-1 and i-3 at 2.4:

left: [i-1] at era 1, number 20, complete right: [i-1, i-3] at era 2, number 4

Change: one lock over both steps. The removals are applied once the list is stored; their order to the application of its records is as before.

Ruled out: holding the topics' lock until the list is applied. The application asks for records itself.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -24,6 +24,8 @@
 #[cfg(test)]
 mod departed_tests;
 #[cfg(test)]
+mod era_list_tests;
+#[cfg(test)]
 mod era_tests;
 #[cfg(test)]
 mod planner_order_tests;
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -4,7 +4,7 @@
 use super::departed_targets::DepartedTargets;
 use super::desired_times::{DesiredTimes, WeightsChange};
 use super::missing_targets::MissingTargets;
-use super::topic_state::{EraChange, TopicState};
+use super::topic_state::{AppliedUpdate, EraChange, TopicState};
 use super::weight_times::WeightTimes;
 use crate::peers::PeerRecords;
 use crate::{log::request_log, node_state::NodeState, serving_index::ServingIndex};
@@ -150,7 +150,7 @@
         if received.is_complete {
             return self.replace_from(topic, &received.update, RecordSource::Peer);
         }
-        self.apply_update(topic, &received.update, UpdateKind::Changes)
+        self.apply_changes(topic, &received.update)
     }
 
     /// Returns the time since a topic was last known to be current.
@@ -298,14 +298,21 @@
     }
 
     fn replace_from(&self, topic: FleetTopic, update: &FleetUpdate, source: RecordSource) -> bool {
-        let era_change = {
+        // Others must not receive the records between the two steps.
+        let (era_change, origin, applied) = {
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
             if update.revision < state.revision {
                 note_older(topic, update, state.revision);
                 return false;
             }
-            state.remove_missing(update)
+            let era_change = state.remove_missing(update);
+            let kind = match era_change {
+                Some(_) => UpdateKind::ListOfNewEra,
+                None => UpdateKind::List,
+            };
+            let (origin, applied) = self.store(state, topic, update, kind);
+            (era_change, origin, applied)
         };
         if let Some(change) = era_change {
             self.note_return(topic, update, change, source);
@@ -320,11 +327,8 @@
                 self.handle_missing_target(target);
             }
         }
-        let kind = match era_change {
-            Some(_) => UpdateKind::ListOfNewEra,
-            None => UpdateKind::List,
-        };
-        self.apply_update(topic, update, kind)
+        self.apply_stored(topic, update, origin, &applied);
+        true
     }
 
     /// Records that the platform's store came back from an older copy, as its list of a topic shows.
@@ -355,30 +359,50 @@
     /// these were read meanwhile, and contain its changes. Neither do changes of another era, which
     /// continue another list.
     pub(crate) fn update(&self, topic: FleetTopic, update: &FleetUpdate) {
-        self.apply_update(topic, update, UpdateKind::Changes);
+        self.apply_changes(topic, update);
     }
 
-    fn apply_update(&self, topic: FleetTopic, update: &FleetUpdate, kind: UpdateKind) -> bool {
+    fn apply_changes(&self, topic: FleetTopic, update: &FleetUpdate) -> bool {
         let (origin, applied) = {
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
-            let is_first_read = !state.is_read();
-            let is_other_era = kind == UpdateKind::Changes
-                && !is_first_read
-                && update.revision.era != state.revision.era;
+            let is_other_era = state.is_read() && update.revision.era != state.revision.era;
             if update.revision < state.revision || is_other_era {
                 note_older(topic, update, state.revision);
                 return false;
             }
-            let not_before = state.complete_at.filter(|_| !is_first_read);
-            if topic == FleetTopic::Targets && state.lacks_changes(update) {
-                let now = self.node_state.now();
-                self.node_state.lock().software_versions.note_gap(now);
-            }
-            let applied = state.update(update, kind);
-            let revision = update.revision;
-            (RecordOrigin { revision, kind, is_first_read, not_before }, applied)
+            self.store(state, topic, update, UpdateKind::Changes)
         };
+        self.apply_stored(topic, update, origin, &applied);
+        true
+    }
+
+    /// Stores the records of an update, whose topic is locked.
+    fn store(
+        &self,
+        state: &mut TopicState,
+        topic: FleetTopic,
+        update: &FleetUpdate,
+        kind: UpdateKind,
+    ) -> (RecordOrigin, AppliedUpdate) {
+        let is_first_read = !state.is_read();
+        let not_before = state.complete_at.filter(|_| !is_first_read);
+        if topic == FleetTopic::Targets && state.lacks_changes(update) {
+            let now = self.node_state.now();
+            self.node_state.lock().software_versions.note_gap(now);
+        }
+        let applied = state.update(update, kind);
+        (RecordOrigin { revision: update.revision, kind, is_first_read, not_before }, applied)
+    }
+
+    /// Applies the records of an update that has been stored.
+    fn apply_stored(
+        &self,
+        topic: FleetTopic,
+        update: &FleetUpdate,
+        origin: RecordOrigin,
+        applied: &AppliedUpdate,
+    ) {
         for named in &update.records {
             if let Some(FleetRecord::Weights(weights)) = &named.record {
                 self.lock_weight_times().note_found(weights);
@@ -401,7 +425,6 @@
         if topic == FleetTopic::Entries {
             self.entries_changed();
         }
-        true
     }
 
     fn entries_changed(&self) {
