Keep entry processes that a copy lacks until they register again

What callers see: after a return of the platform's store the fleet takes itself for a few processes. Of 20 entry processes the copy has 3: each process then knows of 3, follows no relay, watches the platform and all caches itself and competes for the planner's lease; what is divided among processes (retries, limits) grows, and notices on ends of targets skip 17 processes. Found by review, not by a record.

Cause: targets that a list of a later era lacks have 2.2 s to write themselves again, entry processes had none, although they register again within the same time (0.16 to 1.28 s measured before).

Evidence: `entry_processes_that_the_copy_lacks_keep_their_place_for_a_while`, entry processes and relays at once and after 2.3 s. Without the keeping, which is what was before:

wrong: [("17 lost", (3, 0), (3, 0)), ("17 lost, and the copy is read twice", (3, 0), (3, 0)), ("all lost, and all but 5 register again", (15, 2), (15, 2)), ("17 lost, and a registration is removed since", (3, 0), (3, 0)), ("a registration is removed before the return", (3, 0), (3, 0)), ("two returns", (3, 0), (3, 0))]

where (20, 2) at once is expected, or (19, 2) with a registration removed. The other three (one registers and ends, none lost, no return) passed before and pass.

Change: entry processes that a list of a later era lacks are kept beside the records for 2.2 s, the time of targets, unless their registration is written or removed meanwhile; a second return gives those still missing the time again. Whether the own process is registered is still what the store says, so that it registers again at once (`a_process_whose_registration_is_lost_knows_so_at_once`).

Ruled out: keeping their records as retained, like versions. Followers and later processes would receive them as registered, and nothing would end them.

Not covered: a process that starts after the return knows only the copy's entry processes. One that ended shortly before the return and is not in the copy is told notices for up to 2.2 s.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -7,6 +7,7 @@
 mod entry_health;
 mod lapsed_runners;
 mod load_sampler;
+mod missing_entries;
 mod missing_targets;
 mod newest_record;
 mod planner;
@@ -28,6 +29,8 @@
 #[cfg(test)]
 mod era_tests;
 #[cfg(test)]
+mod missing_entries_tests;
+#[cfg(test)]
 mod planner_order_tests;
 #[cfg(test)]
 mod planner_restart_tests;
--- a/crates/skylarkpick-forward/src/fleet/missing_targets.rs
+++ b/crates/skylarkpick-forward/src/fleet/missing_targets.rs
@@ -6,8 +6,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-/// Time after the platform's return in which the records of live targets reappear.
-const RECONNECT_GRACE: Duration = Duration::from_millis(2_200);
+/// Time after the platform's return in which the records of live targets and entry processes reappear.
+pub(super) const RECONNECT_GRACE: Duration = Duration::from_millis(2_200);
 
 /// Targets with missing records that may reappear, each with the end of its grace period.
 #[derive(Debug, Default)]
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -3,6 +3,7 @@
 use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler};
 use super::departed_targets::DepartedTargets;
 use super::desired_times::{DesiredTimes, WeightsChange};
+use super::missing_entries::MissingEntries;
 use super::missing_targets::MissingTargets;
 use super::topic_state::{AppliedUpdate, EraChange, TopicState};
 use super::weight_times::WeightTimes;
@@ -27,6 +28,7 @@
 pub(crate) struct FleetRecords {
     pub(super) node_state: Arc<NodeState>,
     pub(super) departed_targets: Mutex<DepartedTargets>,
+    pub(super) missing_entries: Mutex<MissingEntries>,
     pub(super) missing_targets: Mutex<MissingTargets>,
     pub(super) desired_times: Mutex<DesiredTimes>,
     pub(super) weight_times: Mutex<WeightTimes>,
@@ -78,6 +80,7 @@
         FleetRecords {
             node_state,
             departed_targets: Mutex::default(),
+            missing_entries: Mutex::default(),
             missing_targets: Mutex::default(),
             desired_times: Mutex::default(),
             weight_times: Mutex::default(),
@@ -197,9 +200,10 @@
         &self.node
     }
 
-    /// Returns the registered entry processes.
-    pub(crate) fn entries(&self) -> Vec<RegisteredEntry> {
-        let topics = self.topics();
+    pub(super) fn registered_entries(
+        &self,
+        topics: &BTreeMap<FleetTopic, TopicState>,
+    ) -> Vec<RegisteredEntry> {
         let records = topics.get(&FleetTopic::Entries).into_iter().flat_map(TopicState::records);
         let entries = records.filter_map(|(_, record)| match record {
             FleetRecord::Entry(entry) => Some(entry.clone()),
@@ -229,10 +233,11 @@
 
     /// Returns whether this process is registered.
     pub(crate) fn is_registered(&self) -> bool {
-        self.entries().iter().any(|entry| entry.name == self.node)
+        let topics = self.topics();
+        self.registered_entries(&topics).iter().any(|entry| entry.name == self.node)
     }
 
-    /// Returns the other registered entry processes.
+    /// Returns the other entry processes.
     pub(crate) fn other_entries(&self) -> Vec<RegisteredEntry> {
         let mut others = self.entries();
         others.retain(|entry| entry.name != self.node);
@@ -306,6 +311,10 @@
                 note_older(topic, update, state.revision);
                 return false;
             }
+            let is_new_era = state.is_read() && update.revision.era > state.revision.era;
+            if topic == FleetTopic::Entries && is_new_era {
+                self.keep_missing_entries(state, update);
+            }
             let era_change = state.remove_missing(update);
             let kind = match era_change {
                 Some(_) => UpdateKind::ListOfNewEra,
@@ -391,6 +400,9 @@
             let now = self.node_state.now();
             self.node_state.lock().software_versions.note_gap(now);
         }
+        if topic == FleetTopic::Entries {
+            self.note_entries_written(update);
+        }
         let applied = state.update(update, kind);
         (RecordOrigin { revision: update.revision, kind, is_first_read, not_before }, applied)
     }
@@ -427,7 +439,7 @@
         }
     }
 
-    fn entries_changed(&self) {
+    pub(super) fn entries_changed(&self) {
         self.node_state.note_entries_read();
         let entries = self.entries();
         let role = cache_watch_role(&entries, &self.node);
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -143,7 +143,7 @@
         tasks.spawn(store_crashes(crashes));
         tasks.spawn(record_weights(watcher.clone()));
         tasks.spawn(fetch_retained(watcher.clone()));
-        tasks.spawn(expire_targets(watcher.clone()));
+        tasks.spawn(expire_records(watcher.clone()));
         tasks.spawn(sample_loads(LoadSampler {
             node_state: node_state.clone(),
             control: control.clone(),
@@ -230,10 +230,11 @@
     }
 }
 
-async fn expire_targets(watcher: Arc<FleetWatcher>) {
+async fn expire_records(watcher: Arc<FleetWatcher>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         watcher.records.remove_expired_targets();
+        watcher.records.remove_expired_entries();
     }
 }
 
