--- a/crates/skylarkpick-forward/src/fleet/missing_entries_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/missing_entries_tests.rs
@@ -117,3 +117,16 @@
     assert_eq!(records.entries().len(), 3);
     assert!(!records.is_registered() && !records.is_listed(&own));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_second_return_gives_missing_entry_processes_their_time_again() {
+    let (_, records) = records();
+    let topic = FleetTopic::Entries;
+    records.replace(topic, &moved(entry_records(20), revision(1, 90)));
+    for (era, wait, expected) in [(2, 2 * SECOND, 20), (3, 2 * SECOND, 20), (4, GRACE, 3)] {
+        records.replace(topic, &moved(entry_records(3), revision(era, 4)));
+        tokio::time::sleep(wait).await;
+        records.remove_expired_entries();
+        assert_eq!(records.entries().len(), expected, "era {era}");
+    }
+}
