Keep the registrations of processes that respond with outdated records

What callers saw: in a rolling upgrade on a store that names an era of 1 or more, the holder of the planner lease removes the registrations of processes of the version before after 8 s, over and over, although they run and respond. They register again each time; meanwhile nobody tells them anything.

Cause: the health check takes "its records are current" for "it has responded". Since records know their era, a fetch gives nothing for records of an earlier era, and a process that names none is of the lowest. A process that has read nothing yet was taken for unresponsive in the same way, since before eras.

Change: a fetch tells current records, outdated ones and no response apart. The health check asks for a response; relays and look-ups ask for current records, as before.

Test, before the change (the condition put back): entry_health_tests::a_process_that_responds_keeps_its_registration_whatever_records_it_has removed: [("records that name no era", {"entry-0", "entry-2"}), ("no records", {"entry-0", "entry-2"})] After it: passes, and processes without a response are still removed. 78 tests of the crate, end_to_end (19) and store_returns (6) pass.

That such removals happen beside real processes of two versions was not run.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -27,6 +27,8 @@
 #[cfg(test)]
 mod era_list_tests;
 #[cfg(test)]
+mod entry_health_tests;
+#[cfg(test)]
 mod era_tests;
 #[cfg(test)]
 mod missing_entries_tests;
--- a/crates/skylarkpick-forward/src/fleet/entry_health.rs
+++ b/crates/skylarkpick-forward/src/fleet/entry_health.rs
@@ -42,7 +42,7 @@
 }
 
 /// Health checks of the other entry processes during one term of the lease.
-struct EntryHealthCheck {
+pub(super) struct EntryHealthCheck {
     watcher: Arc<FleetWatcher>,
     states: BTreeMap<String, EntryState>,
 }
@@ -54,11 +54,11 @@
 }
 
 impl EntryHealthCheck {
-    fn open(watcher: Arc<FleetWatcher>) -> EntryHealthCheck {
+    pub(super) fn open(watcher: Arc<FleetWatcher>) -> EntryHealthCheck {
         EntryHealthCheck { watcher, states: BTreeMap::new() }
     }
 
-    async fn run(&mut self) {
+    pub(super) async fn run(&mut self) {
         loop {
             self.check_due().await;
             tokio::time::sleep(PASS_INTERVAL).await;
@@ -108,5 +108,6 @@
 async fn responds(watcher: &FleetWatcher, entry: &RegisteredEntry) -> bool {
     let address = entry.address.to_string();
     let (records, topic) = (&watcher.records, FleetTopic::Serving);
-    watcher.peer_client.fetch_records(&address, records, topic, Duration::ZERO).await.is_some()
+    let fetch = watcher.peer_client.request_records(&address, records, topic, Duration::ZERO);
+    fetch.await.has_response()
 }
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -24,6 +24,32 @@
     pub(crate) complete: Option<Duration>,
 }
 
+/// Result of a fetch of records from another process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum RecordsFetch {
+    /// Its records are current as of this age.
+    Current(FetchedAge),
+    /// It responded, but its records are of an earlier era or it has none.
+    Outdated,
+    /// It did not respond.
+    NoResponse,
+}
+
+impl RecordsFetch {
+    /// Returns the age of the records if they are current.
+    pub(crate) fn current_age(self) -> Option<FetchedAge> {
+        match self {
+            RecordsFetch::Current(age) => Some(age),
+            RecordsFetch::Outdated | RecordsFetch::NoResponse => None,
+        }
+    }
+
+    /// Returns whether the process responded, whatever its records.
+    pub(crate) fn has_response(self) -> bool {
+        !matches!(self, RecordsFetch::NoResponse)
+    }
+}
+
 /// Client for other entry processes. Every call fails until the network is set.
 #[derive(Default)]
 pub(crate) struct PeerClient {
@@ -144,7 +170,7 @@
 
     /// Fetches and applies newer records of a topic from one process, which may wait for some up to
     /// `wait`. Returns how old the records of that process were, or `None` if it did not respond or
-    /// its records are of an earlier era.
+    /// its records are not current.
     pub(crate) async fn fetch_records(
         &self,
         address: &str,
@@ -152,7 +178,18 @@
         topic: FleetTopic,
         wait: Duration,
     ) -> Option<FetchedAge> {
-        let network = self.network.get()?;
+        self.request_records(address, records, topic, wait).await.current_age()
+    }
+
+    /// Does the same, and also tells whether a process without current records responded.
+    pub(crate) async fn request_records(
+        &self,
+        address: &str,
+        records: &FleetRecords,
+        topic: FleetTopic,
+        wait: Duration,
+    ) -> RecordsFetch {
+        let Some(network) = self.network.get() else { return RecordsFetch::NoResponse };
         let since = records.revision(topic);
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let era = Some(since.era);
@@ -172,14 +209,18 @@
                 }
                 records.note_heard_era(revision.era);
                 // Records of an earlier era say nothing about the present.
-                (revision.era >= records.revision(topic).era).then_some(age)
+                if revision.era >= records.revision(topic).era {
+                    RecordsFetch::Current(age)
+                } else {
+                    RecordsFetch::Outdated
+                }
             }
-            Ok(_) => None,
+            Ok(_) => RecordsFetch::Outdated,
             Err(error) => {
                 spdlog::debug!("failed to fetch records from another entry process", kv: {
                     address, error = error.as_str(),
                 });
-                None
+                RecordsFetch::NoResponse
             }
         }
     }
