Ask other processes before a request is rejected by a document read after the start

What callers saw: a route is added and acknowledged, the store comes back from an older copy, and a process that starts then answers 404 (or 401 for a new key) for some 0.2 s, until it has first asked other processes, which all serve the route.

Cause: a process that has read the serving document within 2.7 s takes it for current. After a return that says that the copy is current. Other processes were asked only beside that, 0.15 s after the start at the earliest.

Change: until another process has responded with what it retains, a rejection asks others first and applies what they have; if none responds, the answer is 503. A process that knows that it is alone in the list rejects at once. Readiness, and requests whose route is found, don't change. The start of rejections is logged. One look-up at a time, as before; the platform and others are asked at the same time, so that it takes no longer.

What remains: the first response may be of a process that itself read only the copy (three at random are asked), and a copy that lists no other process leaves nobody to ask, so that a process that starts before the others have registered again rejects by the copy.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -39,6 +39,8 @@
 #[cfg(test)]
 mod planner_tests;
 #[cfg(test)]
+mod serving_confirmer_tests;
+#[cfg(test)]
 mod tests;
 #[cfg(test)]
 mod topic_watch_tests;
--- a/crates/skylarkpick-forward/src/fleet/serving_confirmer.rs
+++ b/crates/skylarkpick-forward/src/fleet/serving_confirmer.rs
@@ -31,11 +31,11 @@
         ServingConfirmer { watcher, latest: Arc::default() }
     }
 
-    /// Looks up and applies the current document if the watch is behind. Returns false if neither
-    /// the platform nor another entry process responded.
+    /// Looks up and applies the current document if the watch is behind, and asks other processes
+    /// for a newer one if none has responded since the start. Returns false if neither the platform
+    /// nor another entry process responded, or if no other process did that may know a newer one.
     pub(crate) async fn confirm(&self) -> bool {
-        let age = self.watcher.records.age(FleetTopic::Serving);
-        if age.is_some_and(|age| age < WATCH_FRESHNESS) {
+        if self.is_watch_current() && self.has_asked_others() {
             return true;
         }
         let requested_at = Instant::now();
@@ -46,12 +46,35 @@
             return lookup.is_confirmed;
         }
         let began = Instant::now();
-        let is_confirmed = self.look_up().await;
+        let (is_current, has_asked) = tokio::join!(self.look_up(), self.ask_others());
+        let is_confirmed = is_current && has_asked;
         *latest = Some(Lookup { began, is_confirmed });
         is_confirmed
     }
 
+    fn is_watch_current(&self) -> bool {
+        let age = self.watcher.records.age(FleetTopic::Serving);
+        age.is_some_and(|age| age < WATCH_FRESHNESS)
+    }
+
+    /// Returns whether others have been asked for what the platform's store may have lost, or there
+    /// are none to ask.
+    fn has_asked_others(&self) -> bool {
+        let FleetWatcher { records, peer_client, .. } = &*self.watcher;
+        let is_alone = || records.node_state.knows_evidence() && records.other_entries().is_empty();
+        peer_client.has_asked_retained() || is_alone()
+    }
+
+    async fn ask_others(&self) -> bool {
+        let FleetWatcher { records, peer_client, .. } = &*self.watcher;
+        self.has_asked_others()
+            || peer_client.fetch_retained(records, records.serving_version()).await
+    }
+
     async fn look_up(&self) -> bool {
+        if self.is_watch_current() {
+            return true;
+        }
         let FleetWatcher { source, records, peer_client } = &*self.watcher;
         let read = source.read(FleetTopic::Serving);
         match tokio::time::timeout(READ_TIMEOUT, read).await {
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -4,7 +4,10 @@
 use crate::fleet::FleetRecords;
 use skylarkpick_interface::{FleetTopic, PeerNetwork, RegisteredEntry};
 use std::{
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -54,6 +57,9 @@
 #[derive(Default)]
 pub(crate) struct PeerClient {
     network: OnceLock<Arc<dyn PeerNetwork>>,
+    /// Whether others have been asked for what the platform's store may have lost before this process
+    /// started.
+    has_asked_retained: AtomicBool,
 }
 
 impl PeerClient {
@@ -66,6 +72,22 @@
         self.network.get()
     }
 
+    /// Returns whether another process has responded with what it retains since the serving document
+    /// is known, or whether that is no longer waited for.
+    pub(crate) fn has_asked_retained(&self) -> bool {
+        self.has_asked_retained.load(Ordering::SeqCst)
+    }
+
+    /// Records that another process has responded with what it retains, or that its response is no
+    /// longer waited for.
+    pub(crate) fn note_asked_retained(&self, has_responded: bool) {
+        if !self.has_asked_retained.swap(true, Ordering::SeqCst) {
+            spdlog::info!("requests may be rejected by the serving document", kv: {
+                has_responded,
+            });
+        }
+    }
+
     /// Sends a notice to all other entry processes without waiting for its delivery.
     pub(crate) fn broadcast(&self, records: &FleetRecords, notice: &Notice) {
         self.send_notice(records.other_entries(), notice);
@@ -165,6 +187,10 @@
                 }
             }
         }
+        // What arrives before the serving document has been read is not applied.
+        if has_responded && serving.is_some() {
+            self.note_asked_retained(true);
+        }
         has_responded
     }
 
