Pause between reads of lists whose changes are compacted at once

What callers saw: nothing yet. The platform sees a list read by each process as fast as it answers while each list is followed by a watch whose changes are compacted: 100 lists of one topic in 1 s with calls of 5 ms, for instance when late responses make the store's eras alternate.

Cause: a watch that ends with compacted changes leads to a new read without any pause, however often.

Change: from the second such end in a row on, without a watch that has responded between, the usual delay of a retry (125 to 375 ms) comes before the next read. The first read stays immediate, since a change may wait for it.

--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -55,6 +55,8 @@
     is_disconnected: bool,
     /// Latest era that another process named and that has led to a read.
     sought_era: StoreEra,
+    /// Number of watches that ended with compacted changes since the last one that responded with some.
+    compactions: u32,
     /// Fetch from other processes, at most one. It runs next to the calls, since processes may be as
     /// silent as the platform.
     fetch: JoinSet<()>,
@@ -192,6 +194,7 @@
         match changes {
             Ok(update) => {
                 note_success(watcher, topic, calls);
+                calls.compactions = 0;
                 watcher.records.update(topic, &update);
                 watcher.records.note_complete(topic, began);
                 revision = update.revision;
@@ -201,6 +204,11 @@
                 spdlog::info!("platform compacted its changes; reading all records", kv: {
                     topic:, revision:,
                 });
+                calls.compactions += 1;
+                // A list whose changes are compacted at once would be followed by the next one.
+                if calls.compactions > 1 {
+                    sleep_with_jitter(RETRY_DELAY).await;
+                }
                 return false;
             }
             Err(error) => {
--- a/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
@@ -17,11 +17,12 @@
 };
 use std::{
     sync::{
-        Arc, Weak,
+        Arc, Mutex, Weak,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
+use tokio::time::Instant;
 
 /// Platform on which the first call of one kind fails and further ones return a draining target.
 struct FailingOnceSource {
@@ -197,3 +198,79 @@
     message.as_object_mut().unwrap().remove("complete_age_ms");
     assert_eq!(serde_json::from_value::<PeerRecords>(message).unwrap(), records);
 }
+
+/// Platform on which every call takes 5 ms, and a watch ends with compacted changes unless its number is
+/// a multiple of `success_interval`.
+struct CompactingSource {
+    success_interval: Option<u32>,
+    watches: AtomicU32,
+    reads: Mutex<Vec<Instant>>,
+}
+
+#[async_trait]
+impl TestRecords for CompactingSource {
+    async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
+        self.reads.lock().unwrap().push(Instant::now());
+        tokio::time::sleep(SECOND / 200).await;
+        Ok(FleetUpdate { records: vec![target("i-1")], revision: at(40) })
+    }
+
+    async fn changes(
+        &self,
+        _: FleetTopic,
+        _: StoreRevision,
+        _: Duration,
+    ) -> Result<FleetUpdate, WatchError> {
+        tokio::time::sleep(SECOND / 200).await;
+        let number = self.watches.fetch_add(1, Ordering::SeqCst) + 1;
+        if self.success_interval.is_some_and(|interval| number.is_multiple_of(interval)) {
+            return Ok(FleetUpdate { records: vec![], revision: at(40) });
+        }
+        Err(WatchError::HistoryCompacted)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn lists_whose_changes_are_compacted_at_once_do_not_flood_the_platform() {
+    struct Case {
+        name: &'static str,
+        success_interval: Option<u32>,
+        /// Least and greatest number of reads in the first second.
+        reads: (usize, usize),
+        /// Greatest time between the first two reads.
+        first_pause: Duration,
+    }
+    let at_once = SECOND / 50;
+    let cases = [
+        Case { name: "every watch", success_interval: None, reads: (4, 9), first_pause: at_once },
+        Case {
+            name: "every other watch",
+            success_interval: Some(2),
+            reads: (50, 100),
+            first_pause: at_once,
+        },
+    ];
+    let mut wrong = Vec::new();
+    for Case { name, success_interval, reads, first_pause } in cases {
+        let (_, records) = records();
+        let source = Arc::new(CompactingSource {
+            success_interval,
+            watches: AtomicU32::new(0),
+            reads: Mutex::default(),
+        });
+        let watcher = Arc::new(FleetWatcher {
+            source: Arc::new(TestSource(source.clone())),
+            records,
+            peer_client: Arc::new(PeerClient::default()),
+        });
+        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets));
+        tokio::time::sleep(SECOND).await;
+        task.abort();
+        let times = source.reads.lock().unwrap();
+        let pause = times[1] - times[0];
+        if !(reads.0..=reads.1).contains(&times.len()) || pause > first_pause {
+            wrong.push((name, times.len(), pause));
+        }
+    }
+    assert!(wrong.is_empty(), "reads and first pause: {wrong:?}");
+}
