--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -25,10 +25,10 @@
 #[cfg(test)]
 mod departed_tests;
 #[cfg(test)]
-mod era_list_tests;
-#[cfg(test)]
 mod entry_health_tests;
 #[cfg(test)]
+mod era_list_tests;
+#[cfg(test)]
 mod era_tests;
 #[cfg(test)]
 mod missing_entries_tests;
