Blame two causes that end targets beside each other

For five seconds a request and a part of prompts end 14 targets, and each process logs, in turn, that one of them is blamed and the other no longer.

Cause: of two causes with common ends, the one that explains most takes them all, and what is left for the other does not suffice. With one more end the other explains most, and so on: each change of the blame lets the one through that was withheld, which ends one more target. It needs few targets, so that both stand in the same ends.

Change: a cause that was never answered is blamed as well if all of its ends suffice and the blamed ones leave one of them open. One whose ends others explain wholly is acquitted as before, and so is one that was answered, like the first part of all prompts.

Tests: two cases of requests_are_judged_by_the_ends_of_targets; the first fails with the change taken out, the second holds what must not change. The tables of parts and requests pass unchanged (95 tests of the crate).

--- a/crates/skylarkpick-schedule/src/crashes/request_tests.rs
+++ b/crates/skylarkpick-schedule/src/crashes/request_tests.rs
@@ -17,6 +17,8 @@
     End(&'static str, u64, &'static [(RequestNumber, u64)], &'static [PartNumber]),
     /// A whole answer to a request.
     Answer(u64, RequestNumber),
+    /// A whole answer to a prompt with a part.
+    AnswerToPart(u64, PartNumber),
 }
 
 fn end(target: &str, ended_at_ms: u64, requests: &[(RequestNumber, u64)]) -> TargetCrash {
@@ -40,6 +42,9 @@
             Seen::Answer(at_ms, request) => {
                 evidence.note_answer(&[CrashCause::Request(request)], START_MS + at_ms);
             }
+            Seen::AnswerToPart(at_ms, part) => {
+                evidence.note_answer(&[CrashCause::Part(part)], START_MS + at_ms);
+            }
         }
     }
     evidence
@@ -62,7 +67,7 @@
         suspected: &'static [RequestNumber],
     }
     use CrashCause::{Part, Request};
-    use Seen::{Answer, End};
+    use Seen::{Answer, AnswerToPart, End};
     let cases = [
         Case {
             name: "one end says nothing",
@@ -168,6 +173,31 @@
             blamed: &[Request(BAD)],
             suspected: &[],
         },
+        Case {
+            name: "a request and a part that end targets beside each other",
+            seen: &[
+                End("i-1", 1_000, &[(BAD, 900)], &[]),
+                End("i-2", 2_000, &[(BAD, 1_900)], &[PART]),
+                End("i-3", 3_000, &[], &[PART]),
+                End("i-4", 4_000, &[(BAD, 3_900)], &[PART]),
+                End("i-5", 5_000, &[(BAD, 4_900)], &[]),
+            ],
+            blamed: &[Part(PART), Request(BAD)],
+            suspected: &[],
+        },
+        Case {
+            name: "a part that was answered, with an end beside those of a request",
+            seen: &[
+                AnswerToPart(0, PART),
+                End("i-1", 1_000, &[(BAD, 900)], &[PART]),
+                End("i-2", 2_000, &[(BAD, 1_900)], &[PART]),
+                End("i-3", 3_000, &[(BAD, 2_900)], &[PART]),
+                End("i-4", 4_000, &[(BAD, 3_900)], &[PART]),
+                End("i-5", 5_000, &[], &[PART]),
+            ],
+            blamed: &[Request(BAD)],
+            suspected: &[],
+        },
         Case {
             name: "a part explains more ends than each of its requests",
             seen: &[
--- a/crates/skylarkpick-schedule/src/crashes/verdict.rs
+++ b/crates/skylarkpick-schedule/src/crashes/verdict.rs
@@ -94,15 +94,23 @@
 }
 
 /// Judges the causes: the one that explains most ends is blamed for all of them, then the next, as
-/// long as the ends that are left suffice. Suspects are found among the rest.
+/// long as the ends that are left suffice. One that was never answered is blamed as well if all of its
+/// ends suffice and others leave one of them open: else two causes with common ends would acquit each
+/// other in turn. Suspects are found among the rest.
 pub(super) fn judge<'a>(
     crashes: impl Iterator<Item = &'a TargetCrash>,
     answered: &AnsweredCauses,
 ) -> Verdicts {
     let mut open = OpenCrashes::of(crashes, answered);
-    let mut rest = open.clone();
+    let all = open.clone();
+    let mut blamed = Vec::new();
+    while let Some(strongest) = open.take_strongest(OpenCrashes::blame_weight) {
+        blamed.push(strongest);
+    }
+    blamed.extend(all.beside(&blamed));
+    let mut rest = all;
     let mut verdicts = Verdicts::default();
-    while let Some((cause, explained)) = open.take_strongest(OpenCrashes::blame_weight) {
+    for (cause, explained) in blamed {
         let last_ms = explained.ends.last().map_or(0, |last| open.times_ms[last.index]);
         let pause = trial_pause(explained.ends.len(), open.moments(&explained));
         let due_at_ms = last_ms.saturating_add(milliseconds(pause));
@@ -170,6 +178,21 @@
         Some((strongest, explained))
     }
 
+    /// Returns the causes that were never answered, suffice for blame and have an end that none of the
+    /// blamed ones explains.
+    fn beside(&self, blamed: &[(CrashCause, OpenCause)]) -> Vec<(CrashCause, OpenCause)> {
+        let explained: BTreeSet<usize> =
+            blamed.iter().flat_map(|(_, cause)| &cause.ends).map(|end| end.index).collect();
+        let is_beside = |(key, cause): &(&CrashCause, &OpenCause)| {
+            !cause.was_answered
+                && blamed.iter().all(|(blamed, _)| blamed != *key)
+                && cause.ends.iter().any(|end| !explained.contains(&end.index))
+                && self.blame_weight(cause).is_some()
+        };
+        let beside = self.causes.iter().filter(is_beside);
+        beside.map(|(key, cause)| (*key, cause.clone())).collect()
+    }
+
     /// Removes ends that are explained.
     fn remove_ends(&mut self, explained: &[CauseEnd]) {
         for cause in self.causes.values_mut() {
