Log what the retry budget stood at when it decided, and count its decisions

Change: one line a decision with first attempts, retries and the processes that share the additional retries; the counter retries.decided. No decision changes. Ruled out by reading: attempts that are taken back from the count (NotSent, HeldBack) have written nothing.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -32,7 +32,8 @@
     PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason, part_number,
 };
 use skylarkpick_telemetry::{
-    REQUESTS_ANSWER_START, REQUESTS_ANSWERED, SENDS_ENDED, STREAMS_RESUMED, metrics,
+    REQUESTS_ANSWER_START, REQUESTS_ANSWERED, RETRIES_DECIDED, SENDS_ENDED, STREAMS_RESUMED,
+    metrics,
 };
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -379,13 +380,7 @@
                     return self.handle_unplaced(request, why, last);
                 }
             };
-            if request.sends > 0
-                && !self.node_state.try_take_retry(&request.placement_request.service)
-            {
-                request_log!("retry budget exhausted", kv: {
-                    request = request.head.attempt_id.as_str(),
-                    service = request.placement_request.service.as_str(),
-                });
+            if request.sends > 0 && !self.may_retry(request) {
                 return last;
             }
             let target = assignment.target.clone();
@@ -442,6 +437,22 @@
         }
     }
 
+    /// Takes a retry from the budget of the request's service, if there is one.
+    fn may_retry(&self, request: &ActiveRequest) -> bool {
+        let decision = self.node_state.try_take_retry(request.service());
+        let outcome = if decision.is_allowed { "allowed" } else { "refused" };
+        metrics().count(&RETRIES_DECIDED, &[("outcome", outcome)]);
+        request_log!("retry decided", kv: {
+            request = request.head.attempt_id.as_str(),
+            service = request.service().as_str(),
+            is_allowed = decision.is_allowed,
+            first_attempts = decision.first_attempts,
+            retries = decision.retries,
+            entries = decision.entries,
+        });
+        decision.is_allowed
+    }
+
     /// Records the outcome of an attempt. Returns the result of the request if it is final;
     /// otherwise sets `last` to the result that applies if no further attempt is possible.
     fn handle_outcome(
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -87,6 +87,18 @@
     pub(crate) untold_limits: BTreeMap<TargetId, LimitNotice>,
 }
 
+/// Whether a request may be sent again, with the state of the budget that decided.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct RetryDecision {
+    pub(crate) is_allowed: bool,
+    /// First attempts for the service in the window.
+    pub(crate) first_attempts: usize,
+    /// Retries at the service in the window, with this one if it is allowed.
+    pub(crate) retries: usize,
+    /// Entry processes among which the additional retries are divided.
+    pub(crate) entries: u32,
+}
+
 impl NodeState {
     pub(crate) fn open(
         clock: Arc<dyn Clock>,
@@ -300,12 +312,16 @@
         self.budget(&mut state, service).note_first_attempt(now);
     }
 
-    /// Takes a retry from the budget of a service. Returns false if the budget is used up.
-    pub(crate) fn try_take_retry(&self, service: &str) -> bool {
+    /// Takes a retry from the budget of a service, and returns the state of the budget.
+    pub(crate) fn try_take_retry(&self, service: &str) -> RetryDecision {
         let now = self.now();
         let mut state = self.lock();
         let extra = self.limits.retry_extra / state.entries;
-        self.budget(&mut state, service).take(extra, now)
+        let entries = state.entries;
+        let budget = self.budget(&mut state, service);
+        let is_allowed = budget.take(extra, now);
+        let (first_attempts, retries) = budget.counts();
+        RetryDecision { is_allowed, first_attempts, retries, entries }
     }
 
     fn budget<'a>(&self, state: &'a mut RoutingState, service: &str) -> &'a mut WindowRetryBudget {
--- a/crates/skylarkpick-schedule/src/retry/window.rs
+++ b/crates/skylarkpick-schedule/src/retry/window.rs
@@ -47,6 +47,11 @@
         true
     }
 
+    /// Returns the number of first attempts and of retries in the window.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.first_attempts.len(), self.retries.len())
+    }
+
     fn drop_expired(&mut self, now: Duration) {
         let since = now.saturating_sub(self.window);
         for times in [&mut self.first_attempts, &mut self.retries] {
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -114,6 +114,14 @@
     description: "runners that are leaving the fleet",
 };
 
+/// Decisions on whether a request may be sent to a further target.
+pub const RETRIES_DECIDED: Metric = Metric {
+    name: "retries.decided",
+    kind: MetricKind::Counter,
+    tags: &["outcome"],
+    description: "decisions on whether the budget allows a further attempt, by outcome",
+};
+
 /// Finished attempts to forward a request to a target.
 pub const SENDS_ENDED: Metric = Metric {
     name: "sends.ended",
@@ -216,6 +224,7 @@
     READY,
     RUNNERS_SERVING,
     RUNNERS_LEAVING,
+    RETRIES_DECIDED,
     SENDS_ENDED,
     REQUESTS_ENDED,
     STREAMS_RESUMED,
