Test that all processes and all their starts keep the retry budget

Cause: BUDGET, hypotheses 1 to 3 of docs/incidents/repeats-beyond-the-budget.md. Ruled out: a calm fleet of 8 or 360 processes, and one killed twice at 360, keep it. Conclusion: the first three hypotheses each break it alone.

--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -20,6 +20,8 @@
 mod pauses_tests;
 mod peers;
 mod readiness;
+#[cfg(test)]
+mod retry_budget_tests;
 mod serving_index;
 mod streams;
 #[cfg(test)]
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -9,7 +9,7 @@
 };
 use skylarkpick_schedule::PlacementPolicy;
 use std::{
-    sync::{Arc, Weak},
+    sync::{Arc, Mutex, Weak},
     time::{Duration, SystemTime},
 };
 
@@ -25,6 +25,26 @@
     node_state_on(Arc::new(TokioClock::start(SystemTime::UNIX_EPOCH)))
 }
 
+/// Clock that stands still until it is set.
+#[derive(Default)]
+pub(crate) struct ManualClock(Mutex<Duration>);
+
+impl ManualClock {
+    pub(crate) fn set(&self, since_boot: Duration) {
+        *self.0.lock().unwrap() = since_boot;
+    }
+}
+
+impl Clock for ManualClock {
+    fn since_boot(&self) -> Duration {
+        *self.0.lock().unwrap()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.since_boot()
+    }
+}
+
 /// Returns an empty node state on a clock.
 pub(crate) fn node_state_on(clock: Arc<dyn Clock>) -> Arc<NodeState> {
     let limits = NodeLimits {
