Keep the retry budget over all processes, all their starts and clients that move

Cause: WindowRetryBudget counted per process and per start. A start brought its share of the additional retries again, more than eight processes that knew few others handed out more than there is, and clients that moved gave two processes the same ratio. A limit on a sum was kept by limits on parts whose number and lives nobody knew. Change: RetryShare. A process holds at most three quarters of its additional retries (or 1.2, as far as its requests bring it), starts with nothing, is given more by requests and by time, and keeps its own window besides. The test's lists: a list counts while the platform confirms it, so the cases in which processes know few others read it once and never again, as before; the others confirm it each 2.5 s. Two cases are new (360 processes).

--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -170,6 +170,9 @@
         state.verified_at = state.verified_at.max(Some(at));
         state.is_disconnected = false;
         drop(topics);
+        if topic == FleetTopic::Entries {
+            self.node_state.note_entries_current(at);
+        }
         self.changes.send_modify(|count| *count += 1);
     }
 
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -447,8 +447,8 @@
             service = request.service().as_str(),
             is_allowed = decision.is_allowed,
             first_attempts = decision.first_attempts,
-            retries = decision.retries,
-            entries = decision.entries,
+            available = decision.available,
+            extra_share = decision.extra_share,
         });
         decision.is_allowed
     }
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -7,8 +7,8 @@
 };
 use skylarkpick_schedule::{
     Assignment, CrashEvidence, MemorySample, Placement, PlacementDecision, PlacementPolicy,
-    PlacementPrompt, PlacementRequest, SoftwareVersions, StreamOrigins, TargetOutcome, TargetView,
-    UnplacedReason, WaitingRequests, WindowRetryBudget,
+    PlacementPrompt, PlacementRequest, RetryLimits, RetryShare, SharingProcesses, SoftwareVersions,
+    StreamOrigins, TargetOutcome, TargetView, UnplacedReason, WaitingRequests,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -29,10 +29,6 @@
 /// Longest time for which an attempt on replaced weights doesn't look at the node time. Timers stand still
 /// while the VM is suspended. A fifth of the margin for withdrawals.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum number of entry processes among which the additional retries are divided, since a
-/// process that has just started doesn't know the others yet.
-const ENTRIES_FLOOR: u32 = 8;
-
 /// Node time at boot, so that the node time of what happened before the boot is not negative.
 const NODE_TIME_AT_BOOT: Duration = Duration::from_secs(24 * 60 * 60);
 /// Longest time after which a request that waits for capacity is placed again.
@@ -69,10 +65,10 @@
 pub(crate) struct RoutingState {
     serving: Option<Arc<ServingIndex>>,
     pub(crate) placement: Placement,
-    /// Retry budgets by service.
-    budgets: BTreeMap<ServiceName, WindowRetryBudget>,
-    /// Number of entry processes that share the additional retries.
-    entries: u32,
+    /// Shares in the retry budgets by service.
+    retry_shares: BTreeMap<ServiceName, RetryShare>,
+    /// Entry processes that share the additional retries.
+    sharing: SharingProcesses,
     /// Requests that wait until a target has capacity.
     waiting: WaitingRequests,
     /// Software versions of the registered targets.
@@ -87,16 +83,16 @@
     pub(crate) untold_limits: BTreeMap<TargetId, LimitNotice>,
 }
 
-/// Whether a request may be sent again, with the state of the budget that decided.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Whether a request may be sent again, with what decided.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct RetryDecision {
     pub(crate) is_allowed: bool,
     /// First attempts for the service in the window.
     pub(crate) first_attempts: usize,
-    /// Retries at the service in the window, with this one if it is allowed.
-    pub(crate) retries: usize,
-    /// Entry processes among which the additional retries are divided.
-    pub(crate) entries: u32,
+    /// Retries that this process may still make, with a fraction of the next one.
+    pub(crate) available: f64,
+    /// Additional retries of this process in a window; 0 while the number of processes is not certain.
+    pub(crate) extra_share: f64,
 }
 
 impl NodeState {
@@ -110,8 +106,8 @@
             state: Mutex::new(RoutingState {
                 serving: None,
                 placement: Placement::open_with_policy(usable_for, policy),
-                budgets: BTreeMap::new(),
-                entries: ENTRIES_FLOOR,
+                retry_shares: BTreeMap::new(),
+                sharing: SharingProcesses::open(limits.retry_window, node_time(&*clock)),
                 waiting: WaitingRequests::default(),
                 software_versions: SoftwareVersions::default(),
                 stream_origins: StreamOrigins::default(),
@@ -142,7 +138,7 @@
     /// Returns the node time: monotonic, including time for which the VM was suspended, and a day
     /// ahead of the time since boot.
     pub(crate) fn now(&self) -> Duration {
-        NODE_TIME_AT_BOOT + self.clock.since_boot()
+        node_time(&*self.clock)
     }
 
     /// Returns the wall-clock time in Unix milliseconds.
@@ -177,10 +173,15 @@
     pub(crate) fn set_entries(&self, own: &str, names: Vec<EntryId>) {
         let now = self.now();
         let mut state = self.lock();
-        state.entries = u32::try_from(names.len()).unwrap_or(u32::MAX).max(ENTRIES_FLOOR);
+        state.sharing.set_listed(u32::try_from(names.len()).unwrap_or(u32::MAX), now);
         state.placement.set_entries(own, names, now);
     }
 
+    /// Records that the list of entry processes was current at a node time.
+    pub(crate) fn note_entries_current(&self, at: Duration) {
+        self.lock().sharing.note_current(at);
+    }
+
     /// Chooses a target. No target is chosen while more urgent requests wait for the service, and
     /// none for a prompt before the desired weights are known.
     pub(crate) fn choose(&self, request: &PlacementRequest) -> PlacementDecision {
@@ -309,27 +310,37 @@
     pub(crate) fn note_first_attempt(&self, service: &str) {
         let now = self.now();
         let mut state = self.lock();
-        self.budget(&mut state, service).note_first_attempt(now);
+        let extra_share = self.extra_retry_share(&state, now);
+        self.retry_share(&mut state, service).note_first_attempt(extra_share, now);
     }
 
-    /// Takes a retry from the budget of a service, and returns the state of the budget.
+    /// Takes a retry from the share of this process in the budget of a service, and returns what
+    /// decided.
     pub(crate) fn try_take_retry(&self, service: &str) -> RetryDecision {
         let now = self.now();
         let mut state = self.lock();
-        let extra = self.limits.retry_extra / state.entries;
-        let entries = state.entries;
-        let budget = self.budget(&mut state, service);
-        let is_allowed = budget.take(extra, now);
-        let (first_attempts, retries) = budget.counts();
-        RetryDecision { is_allowed, first_attempts, retries, entries }
+        let extra_share = self.extra_retry_share(&state, now);
+        let share = self.retry_share(&mut state, service);
+        let is_allowed = share.take(extra_share, now);
+        let (first_attempts, available) = (share.first_attempts(), share.available());
+        RetryDecision { is_allowed, first_attempts, available, extra_share }
+    }
+
+    fn retry_limits(&self) -> RetryLimits {
+        let ratio = f64::from(self.limits.retry_percent) / 100.0;
+        RetryLimits { window: self.limits.retry_window, ratio, extra: self.limits.retry_extra }
     }
 
-    fn budget<'a>(&self, state: &'a mut RoutingState, service: &str) -> &'a mut WindowRetryBudget {
-        let (window, percent) = (self.limits.retry_window, self.limits.retry_percent);
-        state
-            .budgets
-            .entry(service.to_string())
-            .or_insert_with(|| WindowRetryBudget::open(window, percent))
+    /// Returns the additional retries of this process in a window.
+    fn extra_retry_share(&self, state: &RoutingState, now: Duration) -> f64 {
+        let processes = state.sharing.number(now);
+        processes.map_or(0.0, |number| self.retry_limits().extra_share(number))
+    }
+
+    fn retry_share<'a>(&self, state: &'a mut RoutingState, service: &str) -> &'a mut RetryShare {
+        let filled_from = state.sharing.certain_from();
+        let open = || RetryShare::open(self.retry_limits(), filled_from);
+        state.retry_shares.entry(service.to_string()).or_insert_with(open)
     }
 
     pub(crate) fn is_draining(&self) -> bool {
@@ -470,6 +481,11 @@
     }
 }
 
+/// Returns the node time of a clock.
+fn node_time(clock: &dyn Clock) -> Duration {
+    NODE_TIME_AT_BOOT + clock.since_boot()
+}
+
 impl RoutingState {
     pub(crate) fn serving(&self) -> Option<&Arc<ServingIndex>> {
         self.serving.as_ref()
--- a/crates/skylarkpick-forward/src/retry_budget_tests.rs
+++ b/crates/skylarkpick-forward/src/retry_budget_tests.rs
@@ -18,6 +18,10 @@
 const RESTART_TIME: Duration = Duration::from_millis(300);
 /// Time from a start until the process has read who else there is.
 const LISTING_TIME: Duration = Duration::from_millis(200);
+/// Interval at which the platform confirms that the list is current.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Interval at which the processes read what has changed.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Time before the first request.
 const LEAD_TIME: Duration = Duration::from_secs(30);
 const SEEDS: u64 = 12;
@@ -26,7 +30,7 @@
 #[derive(Clone, Copy)]
 enum Listed {
     All,
-    /// So many, itself among them.
+    /// So many, itself among them, after its start; later the platform is away.
     Only(usize),
     /// All, and from this time after the first request on only so many.
     AllThenOnly(Duration, usize),
@@ -82,6 +86,7 @@
     state: Arc<NodeState>,
     started_at: Duration,
     has_listed: bool,
+    confirmed_at: Duration,
 }
 
 /// When requests came, and when some were sent again.
@@ -125,12 +130,14 @@
         state: node_state_on(clock.clone()),
         started_at: at,
         has_listed: false,
+        confirmed_at: Duration::ZERO,
     };
     let mut processes: Vec<Process> = (0..case.processes).map(|_| start(Duration::ZERO)).collect();
     let mut played = Played { requests: Vec::new(), retries: Vec::new() };
     let mut kills = case.kills_s.iter().map(|kill| LEAD_TIME + seconds(*kill)).peekable();
     let pause = Duration::from_secs(1) / case.requests_per_second;
-    let mut has_shrunk = false;
+    let (mut has_shrunk, mut has_news) = (false, false);
+    let mut next_round = Duration::ZERO;
     let mut now = Duration::ZERO;
     while now < LEAD_TIME + case.duration {
         clock.set(now);
@@ -141,10 +148,20 @@
             Listed::AllThenOnly(after, _) => now >= LEAD_TIME + after,
             _ => false,
         };
-        let is_news = shrinks && !std::mem::replace(&mut has_shrunk, shrinks);
-        for (index, process) in processes.iter_mut().enumerate() {
+        has_news |= shrinks && !std::mem::replace(&mut has_shrunk, shrinks);
+        let is_round = now >= next_round;
+        if is_round {
+            next_round = now + READ_INTERVAL;
+        }
+        for (index, process) in processes.iter_mut().enumerate().filter(|_| is_round) {
             let is_due = now >= process.started_at + LISTING_TIME;
-            if !is_due || (process.has_listed && !is_news) {
+            let is_away = matches!(case.listed, Listed::Only(_) | Listed::Never);
+            let is_outdated = now >= process.confirmed_at + CONFIRMATION_INTERVAL;
+            if is_due && (!process.has_listed || (is_outdated && !is_away)) {
+                process.state.note_entries_current(process.state.now());
+                process.confirmed_at = now;
+            }
+            if !is_due || (process.has_listed && !has_news) {
                 continue;
             }
             process.has_listed = true;
@@ -158,6 +175,7 @@
             let names = names(listed, index, case.processes);
             process.state.set_entries(&format!("entry-{index}"), names);
         }
+        has_news &= !is_round;
         if now >= LEAD_TIME {
             let index = match case.load {
                 Load::Spread => random.random_range(0..case.processes),
@@ -212,7 +230,23 @@
             fails_s: &[(9, 10), (17, 18)],
             ..CALM
         },
+        Case {
+            name: "clients that move between 360 processes, and targets that fail at times",
+            processes: 360,
+            requests_per_second: 500,
+            load: Load::Moving(seconds(10)),
+            fails_s: &[(9, 10), (17, 18)],
+            ..CALM
+        },
         Case { name: "360 processes", processes: 360, ..CALM },
+        Case {
+            name: "360 processes, and targets that fail late",
+            processes: 360,
+            requests_per_second: 2_000,
+            duration: seconds(23),
+            fails_s: &[(12, 23)],
+            ..CALM
+        },
         Case {
             name: "360 processes, killed twice",
             processes: 360,
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -35,7 +35,7 @@
     TargetView, UnplacedReason, WaitingRequests,
 };
 pub use queue::{FairQueue, QueuedId, QueuedRequest};
-pub use retry::{RetryBudget, WindowRetryBudget};
+pub use retry::{RetryBudget, RetryLimits, RetryShare, SharingProcesses};
 pub use rollout::{RolloutGoal, RolloutPlan, RolloutRunner, RolloutWait, plan_rollout};
 pub use route::{
     Backlog, CacheMismatch, Candidate, ContextPlan, DEFAULT_RULES, Holder, ImportPlan, NoRoute,
--- a/crates/skylarkpick-schedule/src/retry.rs
+++ b/crates/skylarkpick-schedule/src/retry.rs
@@ -1,13 +1,15 @@
 //! Retry budgets, which limit retries to a share of first attempts.
 //!
 //! `skylarkpick-entry` uses [`RetryBudget`], which accumulates. `skylarkpick-forward` uses
-//! [`WindowRetryBudget`], which matches the limit that the platform sets for a sliding window.
+//! [`RetryShare`], which keeps the limit that the platform sets for all processes together.
 
 mod budget;
-mod window;
+mod processes;
+mod share;
 
 pub use budget::RetryBudget;
-pub use window::WindowRetryBudget;
+pub use processes::SharingProcesses;
+pub use share::{RetryLimits, RetryShare};
 
 #[cfg(test)]
 mod tests;
