Count connections to targets that could not be opened, by how they ended

Change: the counter connections.failed with refused and timed_out, and the typed reason that it needs. No decision changes.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -8,9 +8,12 @@
 use skylarkpick_http::{
     BodyEnd, MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter, describe,
 };
+use skylarkpick_schedule::ConnectFailure;
+use skylarkpick_telemetry::{CONNECTIONS_FAILED, metrics};
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     collections::HashMap,
+    fmt::Display,
     io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
@@ -40,8 +43,13 @@
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub(crate) enum SendError {
     /// No connection was established; no byte of the request was sent.
-    #[error("no connection: {0}")]
-    NotConnected(String),
+    #[error("no connection: {why}")]
+    NotConnected {
+        /// How the attempt to connect ended.
+        failure: ConnectFailure,
+        /// Why, for the log.
+        why: String,
+    },
     /// The connection was closed before any byte of the request was sent.
     #[error("closed before the request was sent: {0}")]
     NotSent(String),
@@ -64,6 +72,13 @@
     pub(crate) fn is_held_back(&self) -> bool {
         matches!(self, SendError::Paused | SendError::Withheld | SendError::Limited)
     }
+
+    /// Counts a connection that could not be opened.
+    fn count(&self) {
+        if let SendError::NotConnected { failure, .. } = self {
+            metrics().count(&CONNECTIONS_FAILED, &[("end", failure.name())]);
+        }
+    }
 }
 
 /// Pool of idle connections to targets.
@@ -107,7 +122,8 @@
         }
         let channel = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(address))
             .await
-            .unwrap_or_else(|_| Err(SendError::NotConnected("timed out".to_string())))?;
+            .unwrap_or_else(|_| Err(not_connected(ConnectFailure::TimedOut, "timed out")))
+            .inspect_err(|error| error.count())?;
         Ok(Connection { channel, address, is_reused: false })
     }
 
@@ -177,8 +193,12 @@
     }
 }
 
+fn not_connected(failure: ConnectFailure, why: impl Display) -> SendError {
+    SendError::NotConnected { failure, why: why.to_string() }
+}
+
 async fn open_connection(address: SocketAddr) -> Result<Channel, SendError> {
-    let failed = |error: &dyn std::fmt::Display| SendError::NotConnected(error.to_string());
+    let failed = |error: &dyn Display| not_connected(ConnectFailure::Refused, error);
     let stream = TcpStream::connect(address).await.map_err(|error| failed(&error))?;
     set_socket_options(&stream, UNACKNOWLEDGED_LIMIT);
     let stream = MeteredStream::open(stream);
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -271,7 +271,7 @@
             SendError::Paused | SendError::Withheld | SendError::Limited => {
                 AttemptOutcome::HeldBack(error.to_string())
             }
-            SendError::NotConnected(why) | SendError::NotSent(why) => {
+            SendError::NotConnected { why, .. } | SendError::NotSent(why) => {
                 self.forwarder.pool.close(&self.guard.assignment.address);
                 AttemptOutcome::NotSent(why)
             }
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -13,6 +13,7 @@
 mod limit;
 mod placement;
 mod queue;
+mod reach;
 mod retry;
 mod rollout;
 mod route;
@@ -35,6 +36,7 @@
     TargetView, UnplacedReason, WaitingRequests,
 };
 pub use queue::{FairQueue, QueuedId, QueuedRequest};
+pub use reach::ConnectFailure;
 pub use retry::{RetryBudget, RetryLimits, RetryShare, SharingProcesses};
 pub use rollout::{RolloutGoal, RolloutPlan, RolloutRunner, RolloutWait, plan_rollout};
 pub use route::{
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -114,6 +114,14 @@
     description: "runners that are leaving the fleet",
 };
 
+/// Connections to targets that could not be opened.
+pub const CONNECTIONS_FAILED: Metric = Metric {
+    name: "connections.failed",
+    kind: MetricKind::Counter,
+    tags: &["end"],
+    description: "connections to targets that could not be opened, by how the attempt ended",
+};
+
 /// Decisions on whether a request may be sent to a further target.
 pub const RETRIES_DECIDED: Metric = Metric {
     name: "retries.decided",
@@ -224,6 +232,7 @@
     READY,
     RUNNERS_SERVING,
     RUNNERS_LEAVING,
+    CONNECTIONS_FAILED,
     RETRIES_DECIDED,
     SENDS_ENDED,
     REQUESTS_ENDED,
