Hand requests over to a process that reaches their service

Cause: a process places requests only at targets that it reaches itself, tries them by turns, and nothing could carry a request to another process. Change: new connections tell whether a service is reached (ServiceReach), three probes confirm that it isn't, other processes are asked, and requests go over a byte stream of our QUIC transport to one that reaches it, which handles them as if their client had come there. One hop; a hand-over without an answer is a run that may have happened; refusals stay true. With nobody who reaches the service, requests are refused at once. Ruled out: readiness alone (a whole data centre; clients that keep their connection), refusing sooner alone. Roles of a process that is cut off are not yet given up.

--- a/crates/skylarkpick-forward/src/client/activity.rs
+++ b/crates/skylarkpick-forward/src/client/activity.rs
@@ -1,5 +1,6 @@
 //! Tracks the phase of a client connection for its idle and head timeouts.
 
+use skylarkpick_interface::PeerStream;
 use socket2::SockRef;
 use std::{
     pin::Pin,
@@ -125,17 +126,36 @@
     }
 }
 
+/// Socket or stream on which requests arrive.
+pub(super) trait RequestSocket: AsyncRead + AsyncWrite + Send + Unpin + 'static {
+    /// Sets whether closing the socket before it is shut down resets the connection.
+    fn set_resets(&self, resets: bool) -> std::io::Result<()>;
+}
+
+impl RequestSocket for TcpStream {
+    fn set_resets(&self, resets: bool) -> std::io::Result<()> {
+        if resets { self.set_zero_linger() } else { SockRef::from(self).set_linger(None) }
+    }
+}
+
+impl RequestSocket for Box<dyn PeerStream> {
+    /// Does nothing: a stream is reset unless it is shut down.
+    fn set_resets(&self, _: bool) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Client socket that records the arrival of a new request. While it sends a response that ends with
 /// the connection, whatever closes it before that end resets it, the end of the process too.
-pub(super) struct ActivityStream {
-    stream: TcpStream,
+pub(super) struct ActivityStream<S> {
+    stream: S,
     activity: Arc<Activity>,
     /// Whether closing the socket resets the connection.
     resets: bool,
 }
 
-impl ActivityStream {
-    pub(super) fn open(stream: TcpStream, activity: Arc<Activity>) -> ActivityStream {
+impl<S: RequestSocket> ActivityStream<S> {
+    pub(super) fn open(stream: S, activity: Arc<Activity>) -> ActivityStream<S> {
         ActivityStream { stream, activity, resets: false }
     }
 
@@ -143,14 +163,14 @@
     /// of the response for the whole.
     fn prepare_write(&mut self) -> std::io::Result<()> {
         if !self.resets && self.activity.response_end() != ResponseEnd::Marked {
-            self.stream.set_zero_linger()?;
+            self.stream.set_resets(true)?;
             self.resets = true;
         }
         Ok(())
     }
 }
 
-impl AsyncRead for ActivityStream {
+impl<S: RequestSocket> AsyncRead for ActivityStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -165,7 +185,7 @@
     }
 }
 
-impl AsyncWrite for ActivityStream {
+impl<S: RequestSocket> AsyncWrite for ActivityStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -203,7 +223,7 @@
             ResponseEnd::WithConnection { is_reached: false } => return Poll::Ready(Ok(())),
             ResponseEnd::WithConnection { is_reached: true } if self.resets => {
                 // All bytes have been handed over to the system, which sends them before the end.
-                SockRef::from(&self.stream).set_linger(None)?;
+                self.stream.set_resets(false)?;
                 self.resets = false;
             }
             _ => {}
--- a/crates/skylarkpick-forward/src/client/connection.rs
+++ b/crates/skylarkpick-forward/src/client/connection.rs
@@ -1,6 +1,6 @@
 //! Serves HTTP on one client connection.
 
-use super::activity::{Activity, ActivityStream, Phase};
+use super::activity::{Activity, ActivityStream, Phase, RequestSocket};
 use crate::forwarding::{
     ClientBody, Forwarder, IncompleteResponse, ResponseDeadline, may_end_with_connection,
 };
@@ -12,6 +12,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use skylarkpick_interface::PeerStream;
 use std::{
     convert::Infallible,
     pin::{Pin, pin},
@@ -19,7 +20,7 @@
     task::{Context, Poll, ready},
     time::Duration,
 };
-use tokio::{net::TcpStream, sync::watch};
+use tokio::sync::watch;
 
 /// Smallest buffer size that hyper accepts.
 const HEAD_SIZE_FLOOR_BYTES: usize = 8_192;
@@ -30,10 +31,27 @@
 /// Idle timeout of a connection until a serving document sets one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Who sends the requests on a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RequestOrigin {
+    Client,
+    /// Another entry process, which hands them over.
+    Process,
+}
+
+/// Serves a request that another entry process hands over.
+pub(crate) async fn serve_peer(stream: Box<dyn PeerStream>, forwarder: Arc<Forwarder>) {
+    let _place = forwarder.count_taken_over();
+    // It ends by itself: the stream carries one request.
+    let (_never, stopped) = watch::channel(false);
+    serve(stream, forwarder, RequestOrigin::Process, stopped).await;
+}
+
 /// Serves a connection until it closes, or until `stopped` is set and the last response is sent.
-pub(super) async fn serve(
-    stream: TcpStream,
+pub(super) async fn serve<S: RequestSocket>(
+    stream: S,
     forwarder: Arc<Forwarder>,
+    origin: RequestOrigin,
     mut stopped: watch::Receiver<bool>,
 ) {
     let activity = Activity::open();
@@ -49,7 +67,10 @@
             activity.set(Phase::Busy);
             async move {
                 let version = request.version();
-                let response = forwarder.handle(request).await;
+                let response = match origin {
+                    RequestOrigin::Client => forwarder.handle(request).await,
+                    RequestOrigin::Process => forwarder.handle_taken_over(request).await,
+                };
                 if may_end_with_connection(version, response.version()) {
                     activity.end_with_connection();
                 }
--- a/crates/skylarkpick-forward/src/client/listener.rs
+++ b/crates/skylarkpick-forward/src/client/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts client connections.
 
-use super::connection;
+use super::connection::{self, RequestOrigin};
 use crate::{connection_pool::set_socket_options, forwarding::Forwarder};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -67,7 +67,7 @@
                 set_socket_options(&stream, UNACKNOWLEDGED_LIMIT);
                 let (forwarder, stopped) = (forwarder.clone(), stopped.clone());
                 tokio::spawn(async move {
-                    connection::serve(stream, forwarder, stopped).await;
+                    connection::serve(stream, forwarder, RequestOrigin::Client, stopped).await;
                     drop(permit);
                 });
             }
--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod event_splitter;
 mod forwarder;
+mod hand_over;
 mod request_identity;
 mod response;
 mod response_stream;
--- a/crates/skylarkpick-forward/src/forwarding/active_request.rs
+++ b/crates/skylarkpick-forward/src/forwarding/active_request.rs
@@ -2,7 +2,7 @@
 
 use crate::{crashes::CausePermit, node_state::InFlightGuard};
 use bytes::Bytes;
-use http::Method;
+use http::{HeaderMap, Method, Uri};
 use skylarkpick_interface::{
     ClientAttemptId, CrashCause, PartNumber, Repeatability, RequestHead, RequestNumber,
     ResponseKind, ServiceName, ServingAccount, ServingRoute, SoftwareVersion, TargetId,
@@ -28,6 +28,9 @@
     /// Path and query, unchanged.
     pub(crate) path: String,
     pub(crate) body: Bytes,
+    /// URI and headers as the client sent them.
+    pub(super) client_uri: Uri,
+    pub(super) client_headers: HeaderMap,
     pub(crate) route: Arc<ServingRoute>,
     pub(crate) account: Option<Arc<ServingAccount>>,
     pub(crate) deadline: Instant,
@@ -47,6 +50,10 @@
     pub(super) has_waited: bool,
     /// Version of the serving document that the request was checked against.
     pub(super) serving_version: u64,
+    /// Whether another process has handed the request over.
+    pub(super) is_taken_over: bool,
+    /// Whether it has been counted as a first attempt in the retry budget.
+    pub(super) is_counted: bool,
     /// Attempts that may have reached a target.
     pub(super) sends: u32,
     /// Attempts that may have run.
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -174,7 +174,10 @@
     /// request was blamed, or the share in its limit has no room.
     async fn connect(&self, idle_limit: Duration) -> Result<Connection, SendError> {
         let (pool, address) = (&self.forwarder.pool, self.guard.assignment.address);
-        let connection = pool.connect(address, idle_limit).await?;
+        let began = self.forwarder.node_state.now();
+        let connected = pool.connect(address, idle_limit).await;
+        self.note_reach(&connected, began).await;
+        let connection = connected?;
         let error = if self.forwarder.node_state.pause_rest(&address).is_some() {
             SendError::Paused
         } else if self.forwarder.crashes.is_withheld(self.request) {
@@ -191,6 +194,19 @@
         Err(error)
     }
 
+    /// Records whether the target takes new connections.
+    async fn note_reach(&self, connected: &Result<Connection, SendError>, began: Duration) {
+        let (reach, service) = (&self.forwarder.reach, self.request.service());
+        match connected {
+            Ok(connection) if !connection.is_reused => reach.note_connected(service),
+            Err(SendError::NotConnected { failure, .. }) => {
+                let target = &self.guard.assignment.target;
+                reach.note_failed(service, target, *failure, began).await;
+            }
+            _ => {}
+        }
+    }
+
     fn http_request(&self) -> Result<Request<Full<Bytes>>, SendError> {
         let (request, assignment) = (self.request, &self.guard.assignment);
         let metadata = RequestMetadata {
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -3,6 +3,7 @@
 use super::{
     active_request::ActiveRequest,
     attempt::{Attempt, AttemptOutcome, CompleteResponse, StreamingResponse},
+    hand_over::mark_refused,
     request_identity::{Caller, request_number},
     response::{
         ClientBody, GatewayError, ResponseDeadline, close_connection, end_with_connection,
@@ -14,8 +15,10 @@
     connection_pool::ConnectionPool,
     crashes::{AttemptTarget, CrashWatch, Withheld},
     fleet::ServingConfirmer,
+    hand_over::{HandOverTerms, ReachWatch},
     log::{age_ms, request_log},
     node_state::NodeState,
+    peers::PeerClient,
     serving_index::{ServingIndex, pick_destination},
     streams::StreamRegistry,
 };
@@ -35,7 +38,10 @@
     REQUESTS_ANSWER_START, REQUESTS_ANSWERED, RETRIES_DECIDED, SENDS_ENDED, STREAMS_RESUMED,
     metrics,
 };
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicUsize},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Maximum body size until a serving document sets one.
@@ -65,12 +71,18 @@
     pub(crate) data_centre: DataCentreId,
     pub(crate) streams: Arc<StreamRegistry>,
     pub(crate) control: Arc<dyn TargetControl>,
+    pub(crate) reach: Arc<ReachWatch>,
+    pub(crate) peer_client: Arc<PeerClient>,
+    /// Requests of other processes that this one serves.
+    pub(crate) taken_over: Arc<AtomicUsize>,
 }
 
 /// Result of sending a request with retries.
 pub(super) enum SendResult {
     Complete(CompleteResponse),
     Streaming(Box<StreamingResponse>),
+    /// Another process has responded.
+    HandedOver(Response<ClientBody>),
     /// There is no response of a target, for the reason given in the text.
     Failed(GatewayError, String),
 }
@@ -82,10 +94,26 @@
         self: &Arc<Self>,
         request: Request<Incoming>,
     ) -> Response<ClientBody> {
-        let received = Instant::now();
+        self.respond(request, None).await
+    }
+
+    /// Responds to a request, which another process has handed over with these terms, if any.
+    pub(super) async fn respond(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        terms: Option<HandOverTerms>,
+    ) -> Response<ClientBody> {
+        let arrived = Instant::now();
+        let elapsed = terms.map_or(Duration::ZERO, |terms| terms.elapsed());
+        let received = arrived.checked_sub(elapsed).unwrap_or(arrived);
         let (head, body) = request.into_parts();
         let mut response = match self.prepare(&head, body, received).await {
-            Ok(request) => self.forward(request).await,
+            Ok(mut request) => {
+                if let Some(terms) = &terms {
+                    request.take_over(terms);
+                }
+                self.forward(request).await
+            }
             Err((attempt_id, error, why)) => {
                 count_response("none", error.status(), received);
                 request_log!("request rejected", kv: {
@@ -159,6 +187,8 @@
             method: parts.method.clone(),
             path,
             body,
+            client_uri: parts.uri.clone(),
+            client_headers: parts.headers.clone(),
             route,
             account,
             deadline: received + timeout,
@@ -169,6 +199,8 @@
             capacity_wait_share: self.node_state.lock().placement.policy().capacity_wait_share,
             serving_version: serving.version(),
             has_waited: false,
+            is_taken_over: false,
+            is_counted: false,
             sends: 0,
             runs: 0,
             _in_flight: self.node_state.track_request(),
@@ -234,7 +266,12 @@
 
     /// Sends the request to targets until one responds, and returns its response to the client.
     async fn forward(self: &Arc<Self>, mut request: ActiveRequest) -> Response<ClientBody> {
-        self.node_state.note_first_attempt(&request.placement_request.service);
+        // Streams go on at the software version that the process which reaches the targets knows.
+        if self.reach.is_cut_off(request.service()) {
+            let last = not_tried(&request);
+            let result = self.hand_over(&mut request, false, last).await;
+            return self.respond_with(request, result);
+        }
         let is_resumed_by_client = request.is_resumed_by_client();
         if is_resumed_by_client {
             request_log!("client resumes a stream", kv: {
@@ -250,6 +287,15 @@
         if is_resumed_by_client {
             count_resumed("client", matches!(result, SendResult::Streaming(_)));
         }
+        self.respond_with(request, result)
+    }
+
+    /// Returns the response with the result of a request.
+    fn respond_with(
+        self: &Arc<Self>,
+        request: ActiveRequest,
+        result: SendResult,
+    ) -> Response<ClientBody> {
         match result {
             SendResult::Complete(completed) => {
                 count_response(&request.route.name, completed.head.status, request.received);
@@ -289,25 +335,53 @@
                 response.extensions_mut().insert(deadline);
                 response
             }
-            SendResult::Failed(error, why) => {
-                count_response(&request.route.name, error.status(), request.received);
-                request_log!("request failed", kv: {
-                    request = request.head.attempt_id.as_str(),
-                    status = error.status().as_u16(),
-                    why = why.as_str(),
-                    sends = request.sends,
-                    runs = request.runs,
-                    serving_version = request.serving_version,
-                    took_ms = milliseconds(request.received.elapsed()),
-                });
-                error.response(&*self.dialect, &request.head.attempt_id, rand::random())
-            }
+            SendResult::HandedOver(response) => self.handed_over_response(&request, response),
+            SendResult::Failed(error, why) => self.failed(&request, &error, &why),
         }
     }
 
+    fn handed_over_response(
+        &self,
+        request: &ActiveRequest,
+        response: Response<ClientBody>,
+    ) -> Response<ClientBody> {
+        count_response(&request.route.name, response.status(), request.received);
+        request_log!("response of another entry process started", kv: {
+            request = request.head.attempt_id.as_str(),
+            status = response.status().as_u16(),
+            took_ms = milliseconds(request.received.elapsed()),
+        });
+        response
+    }
+
+    /// Returns the response to a request that has none of a target.
+    fn failed(
+        &self,
+        request: &ActiveRequest,
+        error: &GatewayError,
+        why: &str,
+    ) -> Response<ClientBody> {
+        count_response(&request.route.name, error.status(), request.received);
+        request_log!("request failed", kv: {
+            request = request.head.attempt_id.as_str(),
+            status = error.status().as_u16(),
+            why,
+            sends = request.sends,
+            runs = request.runs,
+            serving_version = request.serving_version,
+            took_ms = milliseconds(request.received.elapsed()),
+        });
+        let attempt_id = &request.head.attempt_id;
+        let mut response = error.response(&*self.dialect, attempt_id, rand::random());
+        if request.is_taken_over {
+            mark_refused(&mut response, error);
+        }
+        response
+    }
+
     /// Returns a response with the head of a target's response. A body whose end is not proven ends
     /// with the connection to the client too.
-    fn client_response(
+    pub(super) fn client_response(
         &self,
         head: &response::Parts,
         body: ClientBody,
@@ -347,11 +421,11 @@
         request: &mut ActiveRequest,
         resume_after: Option<EventId>,
     ) -> SendResult {
-        let mut last = SendResult::Failed(
-            GatewayError::RetryLater { wait: UNKNOWN_WAIT },
-            "no target was tried".to_string(),
-        );
+        let mut last = not_tried(request);
         loop {
+            if self.reach.is_cut_off(request.service()) {
+                return self.hand_over(request, resume_after.is_some(), last).await;
+            }
             if let Err(Withheld { wait }) = self.crashes.admit(request).await {
                 if request.has_run() {
                     return last;
@@ -410,6 +484,9 @@
                 after = resume_after.or(request.head.resume_after).unwrap_or_default(),
                 waited_ms = milliseconds(request.received.elapsed()),
             });
+            if !std::mem::replace(&mut request.is_counted, true) {
+                self.node_state.note_first_attempt(request.service());
+            }
             request.sends += 1;
             request.sent_after_ms = self.crashes.sent_after_ms(request);
             let place = AttemptTarget::of(&guard.assignment);
@@ -557,6 +634,16 @@
     }
 }
 
+/// Returns the result of a request that this process has not sent yet. Another one, which handed it
+/// over, may have.
+fn not_tried(request: &ActiveRequest) -> SendResult {
+    let why = "no target was tried".to_string();
+    if request.has_run() {
+        return SendResult::Failed(GatewayError::NoResponse, why);
+    }
+    SendResult::Failed(GatewayError::RetryLater { wait: UNKNOWN_WAIT }, why)
+}
+
 /// Counts a stream that was taken up again by `by`.
 fn count_resumed(by: &str, is_continued: bool) {
     let end = if is_continued { "continued" } else { "not_continued" };
--- a/crates/skylarkpick-forward/src/forwarding/response.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response.rs
@@ -58,6 +58,11 @@
         /// Expected wait until a target has capacity.
         wait: Duration,
     },
+    /// The request has not run and will not run: no target of its service is reached.
+    CutOff {
+        /// Time until a target may be reached.
+        wait: Duration,
+    },
     /// The request may have run, but there is no valid response.
     NoResponse,
     /// The request's deadline has passed; it may have run.
@@ -80,7 +85,9 @@
     pub(crate) fn status(&self) -> StatusCode {
         match self {
             GatewayError::Rejected { status, .. } => *status,
-            GatewayError::RetryLater { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            GatewayError::RetryLater { .. } | GatewayError::CutOff { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             GatewayError::NoResponse => StatusCode::BAD_GATEWAY,
             GatewayError::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -101,7 +108,7 @@
             dialect.write_attempt_id(headers, attempt_id);
         }
         match self {
-            GatewayError::RetryLater { wait } => {
+            GatewayError::RetryLater { wait } | GatewayError::CutOff { wait } => {
                 dialect.write_retry_after(headers, retry_delay(*wait, jitter));
             }
             GatewayError::Rejected { closes: true, .. } => close_connection(headers),
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod fleet;
 mod forwarding;
+mod hand_over;
 mod jitter;
 mod log;
 mod node;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -9,6 +9,7 @@
         fetch_retained, record_weights, run_planner, sample_loads, watch_caches, watch_topic,
     },
     forwarding::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder},
+    hand_over::ReachWatch,
     jitter::sleep_with_jitter,
     node_state::NodeState,
     pauses::{PausingControl, send_limits},
@@ -23,7 +24,14 @@
 };
 use skylarkpick_schedule::PlacementPolicy;
 use skylarkpick_telemetry::Exposition;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{task::JoinSet, time::Instant};
 
 /// Time after SIGTERM in which the load balancer still opens new connections: it checks readiness
@@ -33,6 +41,8 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 /// Interval between checks for expired missing targets.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which a process that drains checks whether it still serves requests of others.
+const TAKEN_OVER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for a registration to appear in the fleet's list.
 const LISTING_DELAY: Duration = Duration::from_secs(5);
 /// Mean delay before a failed registration is retried.
@@ -64,6 +74,8 @@
 pub struct Node {
     node_state: Arc<NodeState>,
     listener: ClientListener,
+    /// Requests of other processes that this one serves.
+    taken_over: Arc<AtomicUsize>,
     _handler: Arc<PeerMessageHandler>,
     ready: Server,
     metrics: Server,
@@ -86,17 +98,19 @@
             peer_client: peer_client.clone(),
         });
         let relay = CacheRelay::open(node_state.clone());
-        let handler = Arc::new(PeerMessageHandler {
-            node_state: node_state.clone(),
-            watcher: watcher.clone(),
-            relay: relay.clone(),
-        });
         let streams = Arc::new(StreamRegistry {
             node_state: node_state.clone(),
             watcher: watcher.clone(),
             data_centre: settings.data_centre.clone(),
         });
         let pool = ConnectionPool::open();
+        let taken_over: Arc<AtomicUsize> = Arc::default();
+        let reach = ReachWatch::open(
+            node_state.clone(),
+            pool.clone(),
+            watcher.clone(),
+            settings.data_centre.clone(),
+        );
         let crashes = CrashWatch::open(
             node_state.clone(),
             pool.clone(),
@@ -113,6 +127,16 @@
             data_centre: settings.data_centre.clone(),
             streams: streams.clone(),
             control: control.clone(),
+            reach: reach.clone(),
+            peer_client: peer_client.clone(),
+            taken_over: taken_over.clone(),
+        });
+        let handler = Arc::new(PeerMessageHandler {
+            node_state: node_state.clone(),
+            watcher: watcher.clone(),
+            relay: relay.clone(),
+            reach,
+            forwarder: Some(forwarder.clone()),
         });
         let ready = Server::bind(
             &settings.ready_address.to_string(),
@@ -179,7 +203,15 @@
             // Names and addresses are each used again for later VMs.
             machine: format!("{} {}", settings.node, settings.peer_address),
         }));
-        Ok(Node { node_state, listener, _handler: handler, ready, metrics, _tasks: tasks })
+        Ok(Node {
+            node_state,
+            listener,
+            taken_over,
+            _handler: handler,
+            ready,
+            metrics,
+            _tasks: tasks,
+        })
     }
 
     /// Returns the address for client connections.
@@ -216,7 +248,11 @@
         self.node_state.drain();
         spdlog::info!("draining", kv: { requests = self.node_state.requests_in_flight() });
         tokio::time::sleep_until((began + BALANCER_LAG).min(until)).await;
-        self.listener.close(until).await
+        let has_sent_all = self.listener.close(until).await;
+        while self.taken_over.load(Ordering::SeqCst) > 0 && Instant::now() < until {
+            tokio::time::sleep(TAKEN_OVER_CHECK_INTERVAL).await;
+        }
+        has_sent_all && self.taken_over.load(Ordering::SeqCst) == 0
     }
 }
 
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -5,10 +5,11 @@
     relay::CacheRelay,
 };
 use crate::{
-    fleet::FleetWatcher, log::request_log, node_state::NodeState, streams::StreamKnowledge,
+    client::serve_peer, fleet::FleetWatcher, forwarding::Forwarder, hand_over::ReachWatch,
+    log::request_log, node_state::NodeState, streams::StreamKnowledge,
 };
 use async_trait::async_trait;
-use skylarkpick_interface::{PeerHandler, StoreRevision};
+use skylarkpick_interface::{PeerHandler, PeerStream, StoreRevision};
 use skylarkpick_schedule::{MemorySample, ReportSource};
 use std::{sync::Arc, time::Duration};
 
@@ -20,6 +21,9 @@
     pub(crate) node_state: Arc<NodeState>,
     pub(crate) watcher: Arc<FleetWatcher>,
     pub(crate) relay: Arc<CacheRelay>,
+    pub(crate) reach: Arc<ReachWatch>,
+    /// Serves requests that others hand over; `None` in tests.
+    pub(crate) forwarder: Option<Arc<Forwarder>>,
 }
 
 #[async_trait]
@@ -68,6 +72,12 @@
         // A response of strings and numbers always serializes.
         serde_json::to_vec(&response).unwrap_or_default()
     }
+
+    async fn handle_stream(&self, stream: Box<dyn PeerStream>) {
+        if let Some(forwarder) = &self.forwarder {
+            serve_peer(stream, forwarder.clone()).await;
+        }
+    }
 }
 
 impl PeerMessageHandler {
@@ -99,6 +109,9 @@
                 let history = state.software_versions.history(self.node_state.now());
                 history.map_or(PeerResponse::Nothing, PeerResponse::SoftwareHistory)
             }
+            PeerRequest::Reach { service } => {
+                PeerResponse::Reach { is_reached: self.reach.serves(&service).await }
+            }
             PeerRequest::Retained { serving_version } => {
                 PeerResponse::Retained(self.watcher.records.retained(serving_version))
             }
--- a/crates/skylarkpick-forward/src/peers/handler_tests.rs
+++ b/crates/skylarkpick-forward/src/peers/handler_tests.rs
@@ -2,7 +2,9 @@
 
 use super::{handler::PeerMessageHandler, messages::PeerResponse, relay::CacheRelay};
 use crate::{
+    connection_pool::ConnectionPool,
     fleet::{FleetRecords, FleetWatcher},
+    hand_over::ReachWatch,
     peers::PeerClient,
     test_support::{TestRecords, TestSource, empty_node_state, entry_records},
 };
@@ -25,7 +27,10 @@
     let peer_client = Arc::new(PeerClient::default());
     let watcher = Arc::new(FleetWatcher { source, records, peer_client });
     let relay = CacheRelay::open(node_state.clone());
-    PeerMessageHandler { node_state, watcher, relay }
+    let pool = ConnectionPool::open();
+    let data_centre = "mnl-a".to_string();
+    let reach = ReachWatch::open(node_state.clone(), pool, watcher.clone(), data_centre);
+    PeerMessageHandler { node_state, watcher, relay, reach, forwarder: None }
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -44,6 +44,11 @@
     },
     /// Requests the software versions that the responder has seen recently.
     SoftwareHistory,
+    /// Asks whether the responder reaches targets of a service.
+    Reach {
+        /// Name of the service.
+        service: ServiceName,
+    },
     /// Requests the desired weights that the responder knows, and its serving document if it is newer
     /// than a version. It may know what the platform has lost.
     Retained {
@@ -139,6 +144,11 @@
     SoftwareHistory(SoftwareHistory),
     /// The serving document, if it is newer, and the desired weights.
     Retained(Vec<NamedRecord>),
+    /// Whether the responder reaches targets of the service, and takes requests for it.
+    Reach {
+        /// Whether it does.
+        is_reached: bool,
+    },
 }
 
 /// Records of a topic that are newer than those of the requester.
--- a/crates/skylarkpick-interface/src/peers.rs
+++ b/crates/skylarkpick-interface/src/peers.rs
@@ -5,6 +5,7 @@
     sync::{Arc, Weak},
     time::Duration,
 };
+use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Error of a message to a peer.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -20,6 +21,10 @@
     TooLarge(usize),
 }
 
+/// Byte stream between two processes, in both directions. The peer sees that it is complete only if it
+/// was shut down; dropping it before resets it.
+pub trait PeerStream: AsyncRead + AsyncWrite + Send + Unpin {}
+
 /// Handles messages of peers. The transport doesn't interpret message bodies: `skylarkpick-entry`
 /// sends messages of `skylarkpick-protocol`, `skylarkpick-forward` sends JSON.
 #[async_trait]
@@ -29,6 +34,11 @@
 
     /// Handles a request and returns the response.
     async fn handle_request(&self, message: Vec<u8>) -> Vec<u8>;
+
+    /// Serves a byte stream that a peer has opened. Without an implementation it is reset.
+    async fn handle_stream(&self, stream: Box<dyn PeerStream>) {
+        drop(stream);
+    }
 }
 
 /// Sends messages to other entry processes.
@@ -50,6 +60,16 @@
         message: Vec<u8>,
         timeout: Duration,
     ) -> Result<Vec<u8>, PeerError>;
+
+    /// Opens a byte stream. The peer learns of it with its first byte.
+    async fn open_stream(
+        &self,
+        address: &str,
+        timeout: Duration,
+    ) -> Result<Box<dyn PeerStream>, PeerError> {
+        let _ = timeout;
+        Err(PeerError::Unreachable(format!("{address}: this network has no byte streams")))
+    }
 }
 
 /// Network of a process that runs without peers: every send fails.
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -36,7 +36,7 @@
     TargetView, UnplacedReason, WaitingRequests,
 };
 pub use queue::{FairQueue, QueuedId, QueuedRequest};
-pub use reach::ConnectFailure;
+pub use reach::{ConnectFailure, HelperAddress, Helpers, ServiceReach};
 pub use retry::{RetryBudget, RetryLimits, RetryShare, SharingProcesses};
 pub use rollout::{RolloutGoal, RolloutPlan, RolloutRunner, RolloutWait, plan_rollout};
 pub use route::{
--- a/crates/skylarkpick-schedule/src/reach.rs
+++ b/crates/skylarkpick-schedule/src/reach.rs
@@ -1,24 +1,12 @@
-//! How attempts to connect to targets fail.
+//! Which services this process reaches, and who serves their requests while it doesn't.
 
-/// Why a connection to a target failed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ConnectFailure {
-    /// The target's VM refused or reset it.
-    Refused,
-    /// There was no response.
-    TimedOut,
-}
+mod connect_failure;
+mod helpers;
+mod service_reach;
 
-impl ConnectFailure {
-    /// Returns the value of the metrics tag.
-    ///
-    /// ```
-    /// assert_eq!(skylarkpick_schedule::ConnectFailure::Refused.name(), "refused");
-    /// ```
-    pub fn name(self) -> &'static str {
-        match self {
-            ConnectFailure::Refused => "refused",
-            ConnectFailure::TimedOut => "timed_out",
-        }
-    }
-}
+pub use connect_failure::ConnectFailure;
+pub use helpers::{HelperAddress, Helpers};
+pub use service_reach::ServiceReach;
+
+#[cfg(test)]
+mod tests;
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -122,6 +122,22 @@
     description: "connections to targets that could not be opened, by how the attempt ended",
 };
 
+/// Services of which this process reaches no target.
+pub const SERVICES_CUT_OFF: Metric = Metric {
+    name: "services.cut_off",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "services of which the process reaches no target",
+};
+
+/// Requests handed over to other processes, or taken over from them.
+pub const REQUESTS_HANDED_OVER: Metric = Metric {
+    name: "requests.handed_over",
+    kind: MetricKind::Counter,
+    tags: &["end"],
+    description: "requests handed over to another process, or taken over, by how that ended",
+};
+
 /// Decisions on whether a request may be sent to a further target.
 pub const RETRIES_DECIDED: Metric = Metric {
     name: "retries.decided",
@@ -233,6 +249,8 @@
     RUNNERS_SERVING,
     RUNNERS_LEAVING,
     CONNECTIONS_FAILED,
+    SERVICES_CUT_OFF,
+    REQUESTS_HANDED_OVER,
     RETRIES_DECIDED,
     SENDS_ENDED,
     REQUESTS_ENDED,
--- /dev/null
+++ b/crates/skylarkpick-transport/src/byte_stream.rs
@@ -0,0 +1,137 @@
+//! Byte streams to and from peers, on connections of their own.
+
+use crate::{connections::Connections, incoming::REFUSED};
+use quinn::{Connection, RecvStream, SendStream};
+use skylarkpick_interface::{PeerError, PeerStream};
+use std::{
+    collections::BTreeMap,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError, Weak},
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Time for which a connection without streams stays open.
+const UNUSED_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Byte stream to or from a peer.
+pub(crate) struct QuicStream {
+    send: SendStream,
+    receive: RecvStream,
+    is_shut_down: bool,
+    /// Keeps the connection open; `None` on the side that accepted it.
+    _use: Option<Arc<ConnectionUse>>,
+}
+
+/// Use of a connection by streams. The connection is closed some time after the last one.
+struct ConnectionUse {
+    connection: Connection,
+    /// Uses of all connections by the peer's address.
+    uses: Arc<Uses>,
+    address: String,
+}
+
+type Uses = Mutex<BTreeMap<String, Weak<ConnectionUse>>>;
+
+/// Opens byte streams to peers.
+pub(crate) struct StreamOpener {
+    connections: Connections,
+    uses: Arc<Uses>,
+}
+
+impl StreamOpener {
+    pub(crate) fn open(connections: Connections) -> StreamOpener {
+        StreamOpener { connections, uses: Arc::default() }
+    }
+
+    pub(crate) async fn open_stream(&self, address: &str) -> Result<QuicStream, PeerError> {
+        let connection = self.connections.get(address).await?;
+        let opened = connection.open_bi().await;
+        let (send, receive) = opened.map_err(|error| PeerError::Unreachable(error.to_string()))?;
+        let connection_use = self.use_of(address, connection);
+        Ok(QuicStream { send, receive, is_shut_down: false, _use: Some(connection_use) })
+    }
+
+    fn use_of(&self, address: &str, connection: Connection) -> Arc<ConnectionUse> {
+        let mut uses = self.uses.lock().unwrap_or_else(PoisonError::into_inner);
+        let current = uses.get(address).and_then(Weak::upgrade);
+        let current = current.filter(|it| it.connection.stable_id() == connection.stable_id());
+        current.unwrap_or_else(|| {
+            let address = address.to_string();
+            let (key, uses_of_all) = (address.clone(), self.uses.clone());
+            let new = Arc::new(ConnectionUse { connection, uses: uses_of_all, address });
+            uses.insert(key, Arc::downgrade(&new));
+            new
+        })
+    }
+}
+
+impl Drop for ConnectionUse {
+    fn drop(&mut self) {
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        let (connection, uses) = (self.connection.clone(), self.uses.clone());
+        let address = std::mem::take(&mut self.address);
+        runtime.spawn(async move {
+            tokio::time::sleep(UNUSED_LIFETIME).await;
+            let uses = uses.lock().unwrap_or_else(PoisonError::into_inner);
+            let current = uses.get(&address).and_then(Weak::upgrade);
+            if current.is_none_or(|it| it.connection.stable_id() != connection.stable_id()) {
+                connection.close(0_u32.into(), b"not in use");
+            }
+        });
+    }
+}
+
+impl QuicStream {
+    /// Wraps a stream that a peer has opened.
+    pub(crate) fn accepted(send: SendStream, receive: RecvStream) -> QuicStream {
+        QuicStream { send, receive, is_shut_down: false, _use: None }
+    }
+}
+
+impl PeerStream for QuicStream {}
+
+impl AsyncRead for QuicStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        AsyncRead::poll_read(Pin::new(&mut self.receive), context, buffer)
+    }
+}
+
+impl AsyncWrite for QuicStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        AsyncWrite::poll_write(Pin::new(&mut self.send), context, bytes)
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        AsyncWrite::poll_flush(Pin::new(&mut self.send), context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        self.is_shut_down = true;
+        AsyncWrite::poll_shutdown(Pin::new(&mut self.send), context)
+    }
+}
+
+impl Drop for QuicStream {
+    fn drop(&mut self) {
+        if !self.is_shut_down {
+            // A dropped stream would otherwise look complete. It fails only if the stream has ended.
+            let _ = self.send.reset(REFUSED.into());
+        }
+    }
+}
--- a/crates/skylarkpick-transport/src/connections.rs
+++ b/crates/skylarkpick-transport/src/connections.rs
@@ -1,7 +1,7 @@
 //! Pool of connections to peers: one for each address, opened on first use.
 
 use crate::authority::PEER_NAME;
-use quinn::{Connection, Endpoint};
+use quinn::{ClientConfig, Connection, Endpoint};
 use skylarkpick_interface::PeerError;
 use std::{
     collections::BTreeMap,
@@ -20,14 +20,15 @@
 /// Pool of connections to peers.
 pub(crate) struct Connections {
     endpoint: Endpoint,
+    config: ClientConfig,
     timeout: Duration,
     /// Latest attempt for each address.
     attempts: Mutex<BTreeMap<String, Attempt>>,
 }
 
 impl Connections {
-    pub(crate) fn open(endpoint: Endpoint, timeout: Duration) -> Connections {
-        Connections { endpoint, timeout, attempts: Mutex::default() }
+    pub(crate) fn open(endpoint: Endpoint, config: ClientConfig, timeout: Duration) -> Connections {
+        Connections { endpoint, config, timeout, attempts: Mutex::default() }
     }
 
     /// Returns the open connection to an address, or opens one. Concurrent callers share one
@@ -58,7 +59,7 @@
             address.parse().map_err(|_| unreachable(address, "not an IP:port address"))?;
         let connecting = self
             .endpoint
-            .connect(socket_address, PEER_NAME)
+            .connect_with(self.config.clone(), socket_address, PEER_NAME)
             .map_err(|error| unreachable(address, error))?;
         let (ended, attempt) = watch::channel(None);
         let (address, timeout) = (address.to_string(), self.timeout);
--- a/crates/skylarkpick-transport/src/incoming.rs
+++ b/crates/skylarkpick-transport/src/incoming.rs
@@ -1,7 +1,12 @@
 //! Accepts connections of peers and dispatches their messages to the handler.
 
-use crate::{authority::PeerIdentity, quic_peers::TransportLimits};
-use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
+use crate::{
+    authority::PeerIdentity, byte_stream::QuicStream, quic_peers::TransportLimits,
+    tls::STREAM_PROTOCOL,
+};
+use quinn::{
+    Connection, Endpoint, Incoming, RecvStream, SendStream, crypto::rustls::HandshakeData,
+};
 use rustls::pki_types::CertificateDer;
 use skylarkpick_interface::PeerHandler;
 use std::sync::{Arc, OnceLock, Weak};
@@ -11,7 +16,7 @@
 const CONNECTIONS_LIMIT: usize = 2_048;
 
 /// Error code that resets a stream whose message was not handled or whose response was not sent.
-const REFUSED: u32 = 2;
+pub(crate) const REFUSED: u32 = 2;
 
 /// State shared by the tasks that serve incoming connections.
 #[derive(Clone)]
@@ -45,6 +50,7 @@
             connection.close(1_u32.into(), b"the certificate names no process");
             return;
         }
+        let carries_streams = carries_byte_streams(&connection);
         let mut streams = JoinSet::new();
         loop {
             while streams.try_join_next().is_some() {}
@@ -54,6 +60,9 @@
                     Err(_) => return,
                 },
                 stream = connection.accept_bi() => match stream {
+                    Ok((send, receive)) if carries_streams => {
+                        streams.spawn(self.clone().serve_stream(QuicStream::accepted(send, receive)))
+                    }
                     Ok((send, receive)) => {
                         streams.spawn(self.clone().handle_stream(receive, Some(send)))
                     }
@@ -63,6 +72,12 @@
         }
     }
 
+    async fn serve_stream(self, stream: QuicStream) {
+        if let Some(handler) = self.handler.get().and_then(Weak::upgrade) {
+            handler.handle_stream(Box::new(stream)).await;
+        }
+    }
+
     /// Reads one message and passes it to the handler. On a bidirectional stream, writes the
     /// response to `send`.
     async fn handle_stream(self, mut receive: RecvStream, send: Option<SendStream>) {
@@ -101,6 +116,12 @@
     }
 }
 
+/// Returns whether a connection was opened for byte streams.
+fn carries_byte_streams(connection: &Connection) -> bool {
+    let data = connection.handshake_data().and_then(|it| it.downcast::<HandshakeData>().ok());
+    data.and_then(|it| it.protocol).is_some_and(|protocol| protocol == STREAM_PROTOCOL)
+}
+
 /// Returns the identity in the verified certificate of a connection's peer.
 pub(crate) fn identity(connection: &Connection) -> Option<PeerIdentity> {
     let presented = connection.peer_identity()?;
--- a/crates/skylarkpick-transport/src/lib.rs
+++ b/crates/skylarkpick-transport/src/lib.rs
@@ -5,6 +5,7 @@
 //! expires. Client and server both reject a peer whose certificate another authority signed.
 
 mod authority;
+mod byte_stream;
 mod certificates;
 mod connections;
 mod error;
--- a/crates/skylarkpick-transport/src/quic_peers.rs
+++ b/crates/skylarkpick-transport/src/quic_peers.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     authority::{Authority, PeerIdentity},
+    byte_stream::StreamOpener,
     certificates::{CertificateTiming, Certificates},
     connections::Connections,
     error::TransportError,
@@ -10,7 +11,7 @@
 };
 use async_trait::async_trait;
 use quinn::{Connection, Endpoint};
-use skylarkpick_interface::{PeerError, PeerHandler, PeerNetwork};
+use skylarkpick_interface::{PeerError, PeerHandler, PeerNetwork, PeerStream};
 use std::{
     net::SocketAddr,
     sync::{Arc, OnceLock, Weak},
@@ -56,6 +57,7 @@
     address: SocketAddr,
     endpoint: Endpoint,
     pub(crate) connections: Connections,
+    streams: StreamOpener,
     certificates: Arc<Certificates>,
     handler: Arc<OnceLock<Weak<dyn PeerHandler>>>,
     limits: TransportLimits,
@@ -90,19 +92,23 @@
             address: socket_address,
             reason: error.to_string(),
         };
-        let mut endpoint = Endpoint::server(server, socket_address).map_err(bind_error)?;
-        endpoint.set_default_client_config(tls::client_config(&certificates, &limits)?);
+        let endpoint = Endpoint::server(server, socket_address).map_err(bind_error)?;
         let address = endpoint.local_addr().map_err(bind_error)?;
         let handler = Arc::new(OnceLock::new());
         let receiver = Receiver { handler: handler.clone(), limits };
         let mut tasks = JoinSet::new();
         tasks.spawn(receiver.accept_connections(endpoint.clone()));
         tasks.spawn(certificates.clone().run_renewal());
-        let connections = Connections::open(endpoint.clone(), limits.connect_timeout);
+        let timeout = limits.connect_timeout;
+        let messages = tls::client_config(&certificates, &limits)?;
+        let connections = Connections::open(endpoint.clone(), messages, timeout);
+        let streams = tls::stream_client_config(&certificates)?;
+        let streams = Connections::open(endpoint.clone(), streams, timeout);
         Ok(Arc::new(QuicPeers {
             address,
             endpoint,
             connections,
+            streams: StreamOpener::open(streams),
             certificates,
             handler,
             limits,
@@ -195,6 +201,16 @@
             Err(_) => Err(close_silent(&connection, timeout)),
         }
     }
+
+    async fn open_stream(
+        &self,
+        address: &str,
+        timeout: Duration,
+    ) -> Result<Box<dyn PeerStream>, PeerError> {
+        let opened = tokio::time::timeout(timeout, self.streams.open_stream(address)).await;
+        let stream = opened.map_err(|_| PeerError::Timeout(timeout))??;
+        Ok(Box::new(stream))
+    }
 }
 
 impl Drop for QuicPeers {
--- a/crates/skylarkpick-transport/src/tls.rs
+++ b/crates/skylarkpick-transport/src/tls.rs
@@ -7,10 +7,20 @@
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
 use rustls::{RootCertStore, crypto::ring, server::WebPkiClientVerifier, version::TLS13};
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 /// ALPN protocol name, required on both sides.
 const PROTOCOL: &[u8] = b"skylarkpick/1";
+/// The same of a connection for byte streams.
+pub(crate) const STREAM_PROTOCOL: &[u8] = b"skylarkpick-streams/1";
+/// Bytes of a byte stream that wait on the side that opened it, until they are read.
+const STREAM_BUFFER_BYTES: u32 = 65_536;
+/// The same of all byte streams of a connection.
+const STREAMS_BUFFER_BYTES: u32 = 1_048_576;
+/// Interval between signs of life on a connection for byte streams.
+const STREAM_KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without a sign of life after which such a connection, and with it its streams, is lost.
+const STREAM_IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Limit of concurrent one-way messages to one side of a connection.
 const CONCURRENT_MESSAGES_LIMIT: u32 = 64;
 /// Limit of concurrent requests to one side of a connection.
@@ -32,7 +42,7 @@
         .map_err(tls_error)?
         .with_client_cert_verifier(verifier)
         .with_cert_resolver(certificates.clone());
-    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    tls.alpn_protocols = vec![PROTOCOL.to_vec(), STREAM_PROTOCOL.to_vec()];
     // Disables session resumption: a resumed session presents no certificate to verify.
     tls.session_storage = Arc::new(rustls::server::NoServerSessionStorage {});
     tls.send_tls13_tickets = 0;
@@ -45,6 +55,32 @@
 pub(crate) fn client_config(
     certificates: &Arc<Certificates>,
     limits: &TransportLimits,
+) -> Result<ClientConfig, TransportError> {
+    client_config_with(certificates, PROTOCOL, transport(limits)?)
+}
+
+/// Returns the configuration of connections for byte streams. They buffer little, and notice soon that
+/// the peer is gone.
+pub(crate) fn stream_client_config(
+    certificates: &Arc<Certificates>,
+) -> Result<ClientConfig, TransportError> {
+    let mut transport = TransportConfig::default();
+    transport
+        .max_concurrent_uni_streams(0_u32.into())
+        .max_concurrent_bidi_streams(0_u32.into())
+        .stream_receive_window(STREAM_BUFFER_BYTES.into())
+        .receive_window(STREAMS_BUFFER_BYTES.into())
+        .send_window(STREAMS_BUFFER_BYTES.into())
+        .datagram_receive_buffer_size(None)
+        .keep_alive_interval(Some(STREAM_KEEPALIVE_INTERVAL))
+        .max_idle_timeout(Some(IdleTimeout::try_from(STREAM_IDLE_LIMIT).map_err(tls_error)?));
+    client_config_with(certificates, STREAM_PROTOCOL, Arc::new(transport))
+}
+
+fn client_config_with(
+    certificates: &Arc<Certificates>,
+    protocol: &[u8],
+    transport: Arc<TransportConfig>,
 ) -> Result<ClientConfig, TransportError> {
     let provider = Arc::new(ring::default_provider());
     let mut tls = rustls::ClientConfig::builder_with_provider(provider)
@@ -52,11 +88,11 @@
         .map_err(tls_error)?
         .with_root_certificates(roots(certificates)?)
         .with_client_cert_resolver(certificates.clone());
-    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    tls.alpn_protocols = vec![protocol.to_vec()];
     tls.resumption = rustls::client::Resumption::disabled();
     let tls = QuicClientConfig::try_from(tls).map_err(tls_error)?;
     let mut config = ClientConfig::new(Arc::new(tls));
-    config.transport_config(transport(limits)?);
+    config.transport_config(transport);
     Ok(config)
 }
 
