--- a/crates/skylarkpick-transport/src/byte_stream.rs
+++ b/crates/skylarkpick-transport/src/byte_stream.rs
@@ -7,7 +7,7 @@
     collections::BTreeMap,
     pin::Pin,
     sync::{Arc, Mutex, PoisonError, Weak},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -19,11 +19,15 @@
 pub(crate) struct QuicStream {
     send: SendStream,
     receive: RecvStream,
-    is_shut_down: bool,
+    /// Once the stream is shut down, resolves when the peer has received all of it.
+    received: Option<Received>,
     /// Keeps the connection open; `None` on the side that accepted it.
     _use: Option<Arc<ConnectionUse>>,
 }
 
+/// Resolves when the peer has received a stream, or no longer wants it.
+type Received = Pin<Box<dyn Future<Output = ()> + Send>>;
+
 /// Use of a connection by streams. The connection is closed some time after the last one.
 struct ConnectionUse {
     connection: Connection,
@@ -50,7 +54,7 @@
         let opened = connection.open_bi().await;
         let (send, receive) = opened.map_err(|error| PeerError::Unreachable(error.to_string()))?;
         let connection_use = self.use_of(address, connection);
-        Ok(QuicStream { send, receive, is_shut_down: false, _use: Some(connection_use) })
+        Ok(QuicStream { send, receive, received: None, _use: Some(connection_use) })
     }
 
     fn use_of(&self, address: &str, connection: Connection) -> Arc<ConnectionUse> {
@@ -86,7 +90,7 @@
 impl QuicStream {
     /// Wraps a stream that a peer has opened.
     pub(crate) fn accepted(send: SendStream, receive: RecvStream) -> QuicStream {
-        QuicStream { send, receive, is_shut_down: false, _use: None }
+        QuicStream { send, receive, received: None, _use: None }
     }
 }
 
@@ -122,14 +126,24 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        self.is_shut_down = true;
-        AsyncWrite::poll_shutdown(Pin::new(&mut self.send), context)
+        if self.received.is_none() {
+            ready!(AsyncWrite::poll_shutdown(Pin::new(&mut self.send), context))?;
+        }
+        let stream = &mut *self;
+        let received = stream.received.get_or_insert_with(|| {
+            let stopped = stream.send.stopped();
+            Box::pin(async move {
+                // An error means that the connection is lost; nothing is left to wait for.
+                let _ = stopped.await;
+            })
+        });
+        received.as_mut().poll(context).map(Ok)
     }
 }
 
 impl Drop for QuicStream {
     fn drop(&mut self) {
-        if !self.is_shut_down {
+        if self.received.is_none() {
             // A dropped stream would otherwise look complete. It fails only if the stream has ended.
             let _ = self.send.reset(REFUSED.into());
         }
--- a/crates/skylarkpick-transport/src/tests.rs
+++ b/crates/skylarkpick-transport/src/tests.rs
@@ -5,12 +5,17 @@
     certificates::Certificates, incoming::identity,
 };
 use async_trait::async_trait;
-use skylarkpick_interface::{PeerError, PeerHandler, PeerNetwork};
+use skylarkpick_interface::{PeerError, PeerHandler, PeerNetwork, PeerStream};
 use std::{
     sync::{Arc, Mutex},
     time::{Duration, SystemTime},
 };
-use tokio::{sync::mpsc, task::JoinSet, time::Instant};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    sync::mpsc,
+    task::JoinSet,
+    time::Instant,
+};
 
 const FREE_PORT: &str = "127.0.0.1:0";
 /// Long enough not to expire on a busy machine.
@@ -31,6 +36,17 @@
         message.reverse();
         message
     }
+
+    /// Echoes a stream up to a byte 0, and resets it there.
+    async fn handle_stream(&self, mut stream: Box<dyn PeerStream>) {
+        let mut buffer = [0; 4_096];
+        while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+            if buffer[..length].contains(&0) || stream.write_all(&buffer[..length]).await.is_err() {
+                return;
+            }
+        }
+        let _ = stream.shutdown().await;
+    }
 }
 
 struct Process {
@@ -366,3 +382,63 @@
         }
     }
 }
+
+#[tokio::test]
+async fn a_byte_stream_is_complete_only_if_it_was_shut_down() {
+    struct Case {
+        sent: Vec<u8>,
+        is_complete: bool,
+    }
+    let cases = [
+        Case { sent: vec![1; 300_000], is_complete: true },
+        Case { sent: vec![1, 0], is_complete: false },
+    ];
+    let pem = pem();
+    let (one, two) = (start(&pem), start(&pem));
+    for case in cases {
+        let stream = one.peers.open_stream(&two.peers.address(), TIMEOUT).await.unwrap();
+        let (mut reader, mut writer) = tokio::io::split(stream);
+        let sent = case.sent.clone();
+        let writing = tokio::spawn(async move {
+            let _ = writer.write_all(&sent).await;
+            let _ = writer.shutdown().await;
+        });
+        let mut received = Vec::new();
+        let ended = reader.read_to_end(&mut received).await;
+        writing.await.unwrap();
+        assert_eq!(ended.is_ok(), case.is_complete);
+        assert!(!case.is_complete || received == case.sent);
+    }
+}
+
+#[tokio::test]
+async fn a_byte_stream_that_is_not_read_holds_back_its_writer() {
+    let pem = pem();
+    let (one, two) = (start(&pem), start(&pem));
+    let mut stream = one.peers.open_stream(&two.peers.address(), TIMEOUT).await.unwrap();
+    let mut written = 0;
+    let write = async {
+        loop {
+            written += stream.write(&[1; 4_096]).await.unwrap();
+        }
+    };
+    // The peer echoes all that it reads, and stops reading once nobody takes the echo.
+    let _ = tokio::time::timeout(Duration::from_secs(2), write).await;
+    assert!((1..2_000_000).contains(&written), "{written} bytes");
+}
+
+#[tokio::test]
+async fn byte_streams_leave_room_for_messages() {
+    let pem = pem();
+    let (one, two) = (start(&pem), start(&pem));
+    let address = two.peers.address();
+    let mut streams = Vec::new();
+    for _ in 0..64 {
+        let mut stream = one.peers.open_stream(&address, TIMEOUT).await.unwrap();
+        stream.write_all(&[1]).await.unwrap();
+        streams.push(stream);
+    }
+    let refused = one.peers.open_stream(&address, Duration::from_millis(100)).await;
+    assert!(matches!(refused, Err(PeerError::Timeout(_))), "their number is limited");
+    assert!(one.peers.request(&address, vec![1, 2], TIMEOUT).await.is_ok());
+}
