Let no process take a version for the only one before it has known the service for 30 s

Cause: a process that has just started believes in a single version after two timeouts of the stream's route as it is now. Streams are older than that if the timeout was shortened since they began, or if their clients wait for longer than the route. Ruled out: history that is passed on (dated by its arrival), keepers that were killed (no record, not a wrong one). Conclusion: streams from before a kill of all are refused for 30 s in place of two timeouts; those after it are recorded.

--- a/crates/skylarkpick-forward/src/serving_index.rs
+++ b/crates/skylarkpick-forward/src/serving_index.rs
@@ -19,10 +19,13 @@
 
 /// Number of route timeouts that a stream may last: its first attempt and its resumption.
 const STREAM_TIMEOUTS: u32 = 2;
+/// Time that a stream may last whatever its route's timeout is now: the timeout may have been longer when
+/// it began, and clients may wait for longer than it.
+const STREAM_WINDOW_FLOOR: Duration = Duration::from_secs(30);
 
 /// Returns the longest time from the first event of a stream to the last attempt to resume it.
 pub(crate) fn stream_window(route: &ServingRoute) -> Duration {
-    route.timeout * STREAM_TIMEOUTS
+    (route.timeout * STREAM_TIMEOUTS).max(STREAM_WINDOW_FLOOR)
 }
 
 impl ServingIndex {
