Leave the planner's lease to others while no engines are reached

Cause: holding the lease depends on the platform alone. Change: a candidate can stand back; a lease that it holds lapses, so that no order of it can follow another holder's. The planner does so while the process is cut off from a service of engines that another process says it reaches. With nobody who reaches it the lease stays. Evidence: a_planner_that_reaches_no_engines_leaves_its_lease_to_others fails without the call and passes with it; two candidates in virtual time have no permit at once and change places (a_holder_that_stands_back_...). Ruled out: releasing the lease, which asks for no order in flight; the roles of readers of caches and loads, which each data centre has twice.

--- a/crates/skylarkpick-forward/src/fleet/planner.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner.rs
@@ -82,6 +82,8 @@
     parts: PlannerParts,
     lease: Arc<Lease>,
     holder: String,
+    /// Whether the lease is left to others, since this process reaches no engines.
+    stands_back: bool,
     /// Era of the store in which the lease is held.
     held_era: Option<StoreEra>,
     /// Last order to the last known start of each target.
@@ -140,6 +142,7 @@
         parts,
         lease,
         holder,
+        stands_back: false,
         held_era: None,
         ordered: BTreeMap::new(),
         announced: BTreeMap::new(),
@@ -168,6 +171,11 @@
     }
 
     async fn reconcile(&mut self) {
+        let stands_back = self.parts.node_state.is_cut_off_from_engines();
+        if std::mem::replace(&mut self.stands_back, stands_back) != stands_back {
+            spdlog::info!("reach of engines changed for the planner", kv: { stands_back });
+            self.lease.stand_back(stands_back);
+        }
         let tenure = self.lease.tenure();
         let store_era = self.parts.objects.known_era();
         // The lease may have ended and been acquired again since the last pass.
--- a/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_order_tests.rs
@@ -5,7 +5,7 @@
 };
 use crate::test_support::at;
 use skylarkpick_interface::{FleetRecord, FleetTopic, FleetUpdate, NamedRecord};
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{collections::BTreeSet, sync::atomic::Ordering, time::Duration};
 
 /// Time in which the planner acquires the lease.
 const LEASE_TIME: Duration = Duration::from_secs(6);
@@ -125,3 +125,18 @@
     tokio::time::sleep(ORDERED_BY).await;
     assert!(orders(&fixture, 1) > 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_planner_that_reaches_no_engines_leaves_its_lease_to_others() {
+    let fixture = start_planner(false, 0);
+    tokio::time::sleep(LEASE_TIME * 2).await;
+    fixture.node_state.set_cut_off(&BTreeSet::from(["engines".to_string()]));
+    tokio::time::sleep(LEASE_TIME).await;
+    let renamed = update(vec![weights(2)], 2);
+    fixture.watcher.records.update(FleetTopic::Weights, &renamed);
+    tokio::time::sleep(LEASE_TIME * 2).await;
+    assert!(fixture.control.orders_by_target.lock().unwrap().is_empty(), "others may give orders");
+    fixture.node_state.set_cut_off(&BTreeSet::new());
+    tokio::time::sleep(LEASE_TIME * 2).await;
+    assert!(!fixture.control.orders_by_target.lock().unwrap().is_empty(), "it acquires it again");
+}
--- a/crates/skylarkpick-forward/src/hand_over/reach_watch.rs
+++ b/crates/skylarkpick-forward/src/hand_over/reach_watch.rs
@@ -129,7 +129,7 @@
             tokio::time::sleep(PROBE_INTERVAL).await;
             if self.targets(&service).is_empty() {
                 self.lock().reach.forget(&service);
-                self.set_metric();
+                self.publish();
                 return;
             }
             self.probe(&service).await;
@@ -145,14 +145,21 @@
         let is_reached = self.connects(service).await;
         let now = self.node_state.now();
         if self.lock().reach.note_probed(service, is_reached, now) {
-            self.set_metric();
+            self.publish();
             spdlog::warn!("reach of a service changed", kv: { service, is_cut_off = !is_reached });
         }
     }
 
-    fn set_metric(&self) {
-        let cut_off = self.lock().reach.cut_off().len();
-        metrics().set(&SERVICES_CUT_OFF, cut_off as u64, &[]);
+    /// Tells metrics and roles what the process is cut off from. A role is left only if others can take
+    /// it over.
+    fn publish(&self) {
+        let now = self.node_state.now();
+        let state = self.lock();
+        let mut cut_off = state.reach.cut_off();
+        metrics().set(&SERVICES_CUT_OFF, cut_off.len() as u64, &[]);
+        cut_off.retain(|it| state.helpers.get(it).is_some_and(|it| it.is_any_known(now)));
+        drop(state);
+        self.node_state.set_cut_off(&cut_off);
     }
 
     /// Connects to a few targets of a service. Returns whether one was reached.
@@ -180,6 +187,7 @@
             reaches
         });
         let reaching = join_all(questions).await.into_iter().filter(|reaches| *reaches).count();
+        self.publish();
         spdlog::info!("asked other entry processes for the reach of a service", kv: {
             service, asked = asked.len(), reaching,
         });
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -2,8 +2,8 @@
 
 use crate::{peers::LimitNotice, serving_index::ServingIndex};
 use skylarkpick_interface::{
-    Clock, CrashCause, EntryId, ModelName, NodeLimits, ReportedLoad, ServiceName, TargetId,
-    WeightVersion,
+    Clock, CrashCause, EntryId, ModelName, NodeLimits, ReportedLoad, ServiceKind, ServiceName,
+    TargetId, WeightVersion,
 };
 use skylarkpick_schedule::{
     Assignment, CrashEvidence, MemorySample, Placement, PlacementDecision, PlacementPolicy,
@@ -57,6 +57,8 @@
     knows_weights: AtomicBool,
     /// Whether the entry processes have been read since the start, with their evidence.
     knows_evidence: AtomicBool,
+    /// Whether this process reaches no engine of a service that others reach.
+    is_cut_off_from_engines: AtomicBool,
     draining: AtomicBool,
     in_flight: AtomicU64,
 }
@@ -126,6 +128,7 @@
             limits_changed: Notify::new(),
             knows_weights: AtomicBool::new(false),
             knows_evidence: AtomicBool::new(false),
+            is_cut_off_from_engines: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
         })
@@ -343,6 +346,22 @@
         state.retry_shares.entry(service.to_string()).or_insert_with(open)
     }
 
+    /// Sets the services of which this process reaches no target, while others do.
+    pub(crate) fn set_cut_off(&self, services: &BTreeSet<ServiceName>) {
+        let serving = self.serving();
+        let is_engine = |service: &ServiceName| {
+            let kind = serving.as_ref().and_then(|it| it.document.services.get(service));
+            matches!(kind, Some(ServiceKind::Engines(_)))
+        };
+        self.is_cut_off_from_engines.store(services.iter().any(is_engine), Ordering::SeqCst);
+    }
+
+    /// Returns whether this process reaches no engine of a service that others reach, so that it can't
+    /// give orders.
+    pub(crate) fn is_cut_off_from_engines(&self) -> bool {
+        self.is_cut_off_from_engines.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
--- a/crates/skylarkpick-lease/src/lease.rs
+++ b/crates/skylarkpick-lease/src/lease.rs
@@ -137,6 +137,13 @@
         self.shared.wakes.notify_one();
     }
 
+    /// Sets whether this candidate stands back: it lets a lease that it holds lapse, and doesn't acquire
+    /// one until it no longer does.
+    pub fn stand_back(&self, stands_back: bool) {
+        self.shared.lock().stand_back(stands_back);
+        self.shared.wakes.notify_one();
+    }
+
     /// Returns the lease while this process holds it, also before it may send orders.
     pub fn tenure(&self) -> Option<Tenure> {
         let now = self.shared.now();
--- a/crates/skylarkpick-lease/src/state_machine.rs
+++ b/crates/skylarkpick-lease/src/state_machine.rs
@@ -72,6 +72,8 @@
     must_read: bool,
     /// Whether this candidate leaves the lease to others, unless its own machine held it last.
     is_standing_by: bool,
+    /// Whether it leaves the lease to others.
+    stands_back: bool,
     has_read: bool,
     released: bool,
     /// Latest era of the store that is known. The rest of the state is of this era.
@@ -133,6 +135,7 @@
             next_write_at: Duration::ZERO,
             must_read: true,
             is_standing_by: false,
+            stands_back: false,
             has_read: false,
             released: false,
             era: 0,
@@ -153,12 +156,37 @@
         self.is_standing_by = false;
     }
 
+    /// Sets whether this candidate stands back: it lets a lease that it holds lapse, and doesn't acquire
+    /// one.
+    ///
+    /// ```
+    /// use skylarkpick_interface::StoreRevision;
+    /// use skylarkpick_lease::{Action, LeaseSettings, LeaseStateMachine, WriteOutcome};
+    /// use std::time::Duration;
+    /// let settings = LeaseSettings::new("leases/planner/mnl-a", "entry-1");
+    /// let mut holder = LeaseStateMachine::open(settings, "entry-1-7f");
+    /// let now = Duration::from_secs(100);
+    /// holder.next_action(now);
+    /// holder.observe_read(now, None);
+    /// holder.next_action(now);
+    /// holder.observe_write(now, WriteOutcome::Written(StoreRevision { era: 0, number: 12 }));
+    /// holder.stand_back(true);
+    /// let Action::WaitUntil(lapsed_at) = holder.next_action(now) else { panic!("it is not renewed") };
+    /// assert!(holder.permit(lapsed_at).is_none());
+    /// ```
+    pub fn stand_back(&mut self, stands_back: bool) {
+        self.stands_back = stands_back;
+    }
+
     /// Returns the next action. A returned write counts as sent at `now`, which is when its term
     /// starts.
     pub fn next_action(&mut self, now: Duration) -> Action {
         if self.must_read {
             return self.read(now);
         }
+        if self.stands_back {
+            return self.lapse(now);
+        }
         if let Some(held) = self.held {
             if now < self.next_write_at {
                 return Action::WaitUntil(self.next_write_at);
@@ -182,6 +210,20 @@
         self.write(now, expected, false)
     }
 
+    /// Waits for the end of a held lease, and then until the candidate no longer stands back. What it
+    /// knew of the lease counts no more then.
+    fn lapse(&mut self, now: Duration) -> Action {
+        let ends_at = self.held.map(|held| held.term_started_at + self.settings.term());
+        match ends_at {
+            Some(ends_at) if now < ends_at => Action::WaitUntil(ends_at),
+            Some(_) => {
+                self.held = None;
+                self.read(now)
+            }
+            None => Action::WaitUntil(now + self.settings.poll_interval),
+        }
+    }
+
     /// Applies the era that the store is in at `now`. In a new era the lease has ended, and what was read
     /// and written before counts no more. Returns whether it is a new one.
     ///
--- a/crates/skylarkpick-lease/tests/lease.rs
+++ b/crates/skylarkpick-lease/tests/lease.rs
@@ -365,3 +365,28 @@
     }
     assert_eq!(calls[0], calls[1]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_stands_back_leaves_the_lease_to_another_candidate() {
+    let platform = platform();
+    let (first, second) = (spawn(&platform, "entry-1"), spawn(&platform, "entry-2"));
+    wait(0.1).await;
+    let (holder, other) = if first.permit().is_some() { (first, second) } else { (second, first) };
+    let has_permit = async |lease: &Lease, seconds: u32| {
+        let mut has_permit = false;
+        for _ in 0..seconds * 100 {
+            let both = holder.permit().is_some() && other.permit().is_some();
+            assert!(!both, "two permits at once");
+            has_permit |= lease.permit().is_some();
+            wait(0.01).await;
+        }
+        has_permit && lease.permit().is_some()
+    };
+    assert!(has_permit(&holder, 5).await, "nobody stands back");
+    holder.stand_back(true);
+    assert!(has_permit(&other, 12).await, "the other candidate acquires it");
+    holder.stand_back(false);
+    assert!(has_permit(&other, 12).await, "the holder renews it");
+    other.stand_back(true);
+    assert!(has_permit(&holder, 12).await, "it goes back");
+}
