Soak: cut processes off from all targets

Cause: RECOVER was played by end-to-end tests alone; in the soak a fault of a link to a target held for all processes alike. Change: each process reads the platform through a view in which targets have addresses of its own links, which can be cut (new connections refused, open ones reset or not) for the first processes, so many or all, for 4 to 9 s in 40 % of the seeds. A check of the users' rule on it, with tests. Up to eight targets are probed now, and while nobody is known to reach the service one round each 0.1 s suffices.

--- a/crates/skylarkpick-forward/src/hand_over/reach_watch.rs
+++ b/crates/skylarkpick-forward/src/hand_over/reach_watch.rs
@@ -19,10 +19,13 @@
 };
 use tokio::{sync::watch, time::Instant};
 
-/// Targets of a service that a round of probes connects to at the same time.
-const TARGETS_PER_ROUND: usize = 3;
-/// Interval between rounds of probes while the process is cut off from a service.
+/// Targets of a service that a round of probes connects to at the same time. Several may have ended at
+/// once.
+const TARGETS_PER_ROUND: usize = 8;
+/// Interval between rounds of probes while the process is cut off from a service and another serves it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The same while nobody is known to reach the service: its targets may be about to start again.
+const UNSERVED_PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which other processes are asked whether they reach such a service.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of such a question.
@@ -56,6 +59,13 @@
     address: HelperAddress,
 }
 
+impl State {
+    /// Returns whether another process is known to reach a service.
+    fn has_helper(&self, service: &str, now: Duration) -> bool {
+        self.helpers.get(service).is_some_and(|it| it.is_any_known(now))
+    }
+}
+
 impl ReachWatch {
     pub(crate) fn open(
         node_state: Arc<NodeState>,
@@ -126,7 +136,9 @@
         drop(end);
         let mut asked_at = Instant::now();
         while self.is_cut_off(&service) {
-            tokio::time::sleep(PROBE_INTERVAL).await;
+            let has_helper = self.lock().has_helper(&service, self.node_state.now());
+            let interval = if has_helper { PROBE_INTERVAL } else { UNSERVED_PROBE_INTERVAL };
+            tokio::time::sleep(interval).await;
             if self.targets(&service).is_empty() {
                 self.lock().reach.forget(&service);
                 self.publish();
@@ -144,7 +156,12 @@
     async fn probe(&self, service: &str) {
         let is_reached = self.connects(service).await;
         let now = self.node_state.now();
-        if self.lock().reach.note_probed(service, is_reached, now) {
+        let is_changed = {
+            let mut state = self.lock();
+            let has_helper = state.has_helper(service, now);
+            state.reach.note_probed(service, is_reached, has_helper, now)
+        };
+        if is_changed {
             self.publish();
             spdlog::warn!("reach of a service changed", kv: { service, is_cut_off = !is_reached });
         }
@@ -157,7 +174,7 @@
         let state = self.lock();
         let mut cut_off = state.reach.cut_off();
         metrics().set(&SERVICES_CUT_OFF, cut_off.len() as u64, &[]);
-        cut_off.retain(|it| state.helpers.get(it).is_some_and(|it| it.is_any_known(now)));
+        cut_off.retain(|service| state.has_helper(service, now));
         drop(state);
         self.node_state.set_cut_off(&cut_off);
     }
--- a/crates/skylarkpick-schedule/src/reach/service_reach.rs
+++ b/crates/skylarkpick-schedule/src/reach/service_reach.rs
@@ -14,8 +14,8 @@
 const FAILURE_LIFETIME: Duration = Duration::from_secs(3);
 /// Targets that refused connections from which on a service is suspected. One may have ended.
 const REFUSING_TARGETS_FLOOR: usize = 2;
-/// Rounds of probes that succeed in a row before a service counts as reached again. A single
-/// connection may get through a link that is still disturbed.
+/// Rounds of probes that succeed in a row before a service counts as reached again, while others serve
+/// its requests. A single connection may get through a link that is still disturbed.
 const REACHED_ROUNDS_FLOOR: u32 = 2;
 
 /// Which services this process reaches targets of, by the connections that it opens.
@@ -25,10 +25,11 @@
 /// use std::time::Duration;
 /// let (mut reach, began) = (ServiceReach::default(), Duration::from_secs(60));
 /// assert!(reach.note_failed("svc", "i-1", ConnectFailure::TimedOut, 9, began, began));
-/// assert!(reach.note_probed("svc", false, began));
+/// let has_helper = true;
+/// assert!(reach.note_probed("svc", false, has_helper, began));
 /// assert!(reach.is_cut_off("svc"));
-/// assert!(!reach.note_probed("svc", true, began), "one round of probes doesn't suffice");
-/// assert!(reach.note_probed("svc", true, began));
+/// assert!(!reach.note_probed("svc", true, has_helper, began), "one round doesn't suffice");
+/// assert!(reach.note_probed("svc", true, has_helper, began));
 /// assert!(!reach.is_cut_off("svc"));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -78,16 +79,23 @@
         has_timed_out || reach.failures.len() >= REFUSING_TARGETS_FLOOR.min(targets)
     }
 
-    /// Applies a round of probes, which reached a target of the service or none. Returns whether this
-    /// changes whether the process counts as cut off from the service.
-    pub fn note_probed(&mut self, service: &str, is_reached: bool, now: Duration) -> bool {
+    /// Applies a round of probes, which reached a target of the service or none, while another process
+    /// is known to reach it or none is. Returns whether this changes whether the process counts as cut
+    /// off from the service.
+    pub fn note_probed(
+        &mut self,
+        service: &str,
+        is_reached: bool,
+        has_helper: bool,
+        now: Duration,
+    ) -> bool {
         let reach = self.services.entry(service.to_string()).or_default();
         let was_cut_off = reach.is_cut_off;
         if is_reached {
             reach.connected_at = Some(now);
             reach.failures.clear();
             reach.reached_rounds += 1;
-            reach.is_cut_off &= reach.reached_rounds < REACHED_ROUNDS_FLOOR;
+            reach.is_cut_off &= has_helper && reach.reached_rounds < REACHED_ROUNDS_FLOOR;
         } else {
             reach.reached_rounds = 0;
             reach.is_cut_off = true;
--- a/crates/skylarkpick-schedule/src/reach/tests.rs
+++ b/crates/skylarkpick-schedule/src/reach/tests.rs
@@ -98,23 +98,26 @@
 }
 
 #[test]
-fn two_rounds_of_probes_in_a_row_end_a_cut() {
+fn two_rounds_of_probes_in_a_row_end_a_cut_and_one_if_nobody_serves() {
     struct Case {
         rounds: &'static [bool],
+        has_helper: bool,
         is_cut_off: bool,
     }
     let cases = [
-        Case { rounds: &[true], is_cut_off: false },
-        Case { rounds: &[false], is_cut_off: true },
-        Case { rounds: &[false, true], is_cut_off: true },
-        Case { rounds: &[false, true, false, true], is_cut_off: true },
-        Case { rounds: &[false, true, true], is_cut_off: false },
-        Case { rounds: &[true, true, false], is_cut_off: true },
+        Case { rounds: &[true], has_helper: true, is_cut_off: false },
+        Case { rounds: &[false], has_helper: true, is_cut_off: true },
+        Case { rounds: &[false, true], has_helper: true, is_cut_off: true },
+        Case { rounds: &[false, true, false, true], has_helper: true, is_cut_off: true },
+        Case { rounds: &[false, true, true], has_helper: true, is_cut_off: false },
+        Case { rounds: &[true, true, false], has_helper: true, is_cut_off: true },
+        Case { rounds: &[false, true], has_helper: false, is_cut_off: false },
     ];
     for case in cases {
         let mut reach = ServiceReach::default();
         for (round, is_reached) in case.rounds.iter().enumerate() {
-            reach.note_probed(SERVICE, *is_reached, ms(round as u64 * 250));
+            let now = ms(round as u64 * 250);
+            reach.note_probed(SERVICE, *is_reached, case.has_helper, now);
         }
         assert_eq!(reach.is_cut_off(SERVICE), case.is_cut_off, "{:?}", case.rounds);
         assert!(!reach.is_cut_off("another"), "each service alone");
--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -3,6 +3,7 @@
 use crate::{
     change_checks::check_changes,
     clients::MAIN_KEY,
+    cut_checks::check_cuts,
     history::{Call, CallKind, History},
     limit_checks::check_limits,
     part_checks::check_parts,
@@ -62,6 +63,7 @@
     check_changes(history, &mut findings);
     check_returns(history, &mut findings);
     check_limits(history, &mut findings);
+    check_cuts(history, &mut findings);
     check_arrivals(history, &mut findings);
     check_process_exits(history, &mut findings);
     findings
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -141,6 +141,14 @@
     TargetLink,
 }
 
+/// A cut of the first processes, so many, from all targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TargetCut {
+    pub(crate) processes: usize,
+    pub(crate) from: Instant,
+    pub(crate) until: Instant,
+}
+
 /// A disturbance with its start and its end.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Disturbance {
@@ -198,6 +206,8 @@
     pub(crate) draining: Vec<(String, Instant)>,
     /// Targets behind a link with a fault, with its start and its end.
     pub(crate) link_faults: Vec<(String, Instant, Instant)>,
+    /// Cuts of the first processes from all targets.
+    pub(crate) cuts: Vec<TargetCut>,
     /// Registered targets, each until it crashes or drains.
     pub(crate) serving: Vec<ServingTarget>,
     pub(crate) process_ends: Vec<ProcessEnd>,
@@ -221,6 +231,7 @@
             store_returns: Vec::new(),
             draining: Vec::new(),
             link_faults: Vec::new(),
+            cuts: Vec::new(),
             serving: Vec::new(),
             process_ends: Vec::new(),
             crashing_paths: Vec::new(),
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -9,6 +9,9 @@
 mod crash_checks;
 #[cfg(test)]
 mod crash_tests;
+mod cut_checks;
+#[cfg(test)]
+mod cut_tests;
 mod ended_targets;
 mod history;
 mod limit_checks;
@@ -30,6 +33,7 @@
 mod stream_checks;
 mod target;
 mod target_changes;
+mod target_links;
 #[cfg(test)]
 mod test_history;
 
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -81,6 +81,15 @@
 /// Distinguishes the generator of returns from those of the other faults.
 const RETURN_SEED: u64 = 23 << 40;
 
+/// Upper limit of the random pause between two cuts of processes from all targets.
+const CUT_GAP_LIMIT: Duration = Duration::from_secs(6);
+/// Shortest and longest such cut. The users' rule counts from three seconds on.
+const CUT_SPANS: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(9));
+/// Share of seeds with such cuts.
+const CUT_PERCENT: u32 = 40;
+/// Distinguishes the generator of these cuts from those of the other faults.
+const CUT_SEED: u64 = 64 << 40;
+
 /// Part of a prompt that ends targets.
 pub(crate) type CrashingPart = &'static str;
 
@@ -106,6 +115,10 @@
     HoldAnswers,
     /// Data from the client is held until the fault ends.
     HoldRequests,
+    /// New connections are refused, open ones live on.
+    RefuseNew,
+    /// New connections are refused, open ones are reset.
+    Cut,
 }
 
 /// A fault of the platform's object API.
@@ -155,6 +168,8 @@
     PlatformLink { process: usize, fault: LinkFault, span: Duration },
     /// A fault of the links from all processes to a target.
     TargetLink { target: usize, fault: LinkFault, span: Duration },
+    /// The links from the first processes, so many, to all targets are cut.
+    CutOff { processes: usize, fault: LinkFault, span: Duration },
     /// A fault of the object API.
     Store { fault: ObjectApiFault, span: Duration },
     /// A target crashes, and is restarted under the same name, perhaps at another software version.
@@ -197,6 +212,7 @@
                 | PlannedFault::Pause { .. }
                 | PlannedFault::PlatformLink { .. }
                 | PlannedFault::TargetLink { .. }
+                | PlannedFault::CutOff { .. }
                 | PlannedFault::Store { .. }
         )
     }
@@ -257,6 +273,7 @@
             faults.push((at, draw_end_fault(&mut random, targets)));
             at += END_FAULT_GAP_LIMIT.mul_f64(random.random());
         }
+        faults.extend(draw_cuts(seed, window, processes));
         faults.extend(draw_crashing_requests(seed, window));
         faults.extend(draw_returns(seed, window));
         faults.sort_by_key(|(at, _)| *at);
@@ -328,6 +345,25 @@
     }
 }
 
+/// Draws the cuts between processes and all targets: none in some seeds.
+fn draw_cuts(seed: u64, window: Duration, processes: usize) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ CUT_SEED);
+    let mut faults = Vec::new();
+    if random.random_range(0..100) >= CUT_PERCENT {
+        return faults;
+    }
+    let (shortest, longest) = CUT_SPANS;
+    let mut at = CUT_GAP_LIMIT.mul_f64(random.random());
+    while at < window {
+        let span = shortest + (longest - shortest).mul_f64(random.random());
+        let fault = if random.random() { LinkFault::Cut } else { LinkFault::RefuseNew };
+        let processes = random.random_range(1..=processes);
+        faults.push((at, PlannedFault::CutOff { processes, fault, span }));
+        at += span + CUT_GAP_LIMIT.mul_f64(random.random());
+    }
+    faults
+}
+
 /// Draws the requests that end targets: none in some seeds.
 fn draw_crashing_requests(seed: u64, window: Duration) -> Vec<(Duration, PlannedFault)> {
     let mut random = StdRng::seed_from_u64(seed ^ CRASHING_REQUEST_SEED);
--- a/crates/skylarkpick-soak/src/proxy.rs
+++ b/crates/skylarkpick-soak/src/proxy.rs
@@ -6,11 +6,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::{JoinHandle, JoinSet},
 };
 
+/// Connections that wait to be accepted, as tokio's own listener sets it.
+const LISTEN_BACKLOG: u32 = 1_024;
 /// Data that is forwarded at a time.
 const BUFFER_SIZE_BYTES: usize = 16_384;
 
@@ -66,16 +68,32 @@
             // Dropped when the task is aborted, which closes the connections.
             let mut connections = JoinSet::new();
             let accept = async {
-                while let Ok((client, _)) = listener.accept().await {
-                    connections.spawn(forward_connection(client, shared.clone()));
-                    while connections.try_join_next().is_some() {}
+                let mut listener = Some(listener);
+                let mut fault = shared.fault.subscribe();
+                loop {
+                    if refuses(*fault.borrow()) {
+                        drop(listener.take());
+                        // Nobody else may get the port meanwhile.
+                        let Ok(reserved) = reserve(address) else { return };
+                        // The wait cannot fail: the proxy owns the sender.
+                        let _ = fault.wait_for(|fault| !refuses(*fault)).await;
+                        listener = reserved.listen(LISTEN_BACKLOG).ok();
+                    }
+                    let Some(open) = &listener else { return };
+                    tokio::select! {
+                        accepted = open.accept() => {
+                            let Ok((client, _)) = accepted else { return };
+                            connections.spawn(forward_connection(client, shared.clone()));
+                            while connections.try_join_next().is_some() {}
+                        }
+                        _ = fault.wait_for(|fault| refuses(*fault)) => {}
+                    }
                 }
             };
             tokio::select! {
                 () = accept => {}
                 _ = ended.wait_for(|ended| *ended) => {}
             }
-            drop(listener);
             shared.is_listening.send_replace(false);
             while connections.join_next().await.is_some() {}
         });
@@ -118,7 +136,7 @@
         let up = forward(&mut from_client, &mut to_server, &link, Direction::ToUpstream);
         let down = forward(&mut from_server, &mut to_client, &link, Direction::ToClient);
         tokio::select! {
-            _ = fault.wait_for(|fault| *fault == Some(LinkFault::Reset)) => false,
+            _ = fault.wait_for(|fault| resets(*fault)) => false,
             ended = async { tokio::try_join!(up, down) } => ended.is_ok(),
         }
     };
@@ -157,13 +175,32 @@
     }
 }
 
+/// Whether new connections are refused.
+fn refuses(fault: Option<LinkFault>) -> bool {
+    matches!(fault, Some(LinkFault::RefuseNew | LinkFault::Cut))
+}
+
+/// Whether open connections are reset.
+fn resets(fault: Option<LinkFault>) -> bool {
+    matches!(fault, Some(LinkFault::Reset | LinkFault::Cut))
+}
+
+/// Binds an address on which connections may still be open, without listening there.
+fn reserve(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// Whether data is held until the fault ends. It is not lost, since TCP would retransmit it.
 fn is_held(fault: Option<LinkFault>, direction: Direction) -> bool {
     match fault {
         Some(LinkFault::Silence) => true,
         Some(LinkFault::HoldAnswers) => direction == Direction::ToClient,
         Some(LinkFault::HoldRequests) => direction == Direction::ToUpstream,
-        Some(LinkFault::Delay(_) | LinkFault::Reset) | None => false,
+        Some(LinkFault::Delay(_) | LinkFault::Reset | LinkFault::RefuseNew | LinkFault::Cut)
+        | None => false,
     }
 }
 
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -5,13 +5,14 @@
     checks::{Finding, ROUTE_TIMEOUT, check_history},
     clients::{Clients, MAIN_KEY, SharedClientState},
     ended_targets::REPLACEMENT_TIME,
-    history::{Call, Disturbance, DisturbanceScope, History},
+    history::{Call, Disturbance, DisturbanceScope, History, TargetCut},
     plan::{CrashingPart, FaultPlan, PlannedFault},
     process::NodeProcess,
     proxy::FaultProxy,
     setup::{key_from_now, start_process},
     store_faults::WrittenObjects,
     target::{Target, inject_link_fault, start_target},
+    target_links::TargetLinks,
 };
 use anyhow::Context;
 use skylarkpick_platform_standin::{
@@ -155,7 +156,11 @@
 /// The processes, targets and platform of a run.
 pub(crate) struct Fleet {
     pub(crate) objects: ObjectServer,
+    /// The platform as each process sees it.
+    _views: Vec<ObjectServer>,
     platform_links: Vec<FaultProxy>,
+    target_links: Vec<Arc<TargetLinks>>,
+    has_peer_links: bool,
     processes: Vec<NodeProcess>,
     pub(crate) arrivals: ArrivalLog,
     state: Mutex<FleetState>,
@@ -200,13 +205,27 @@
             state.targets.push(target);
         }
         let (mut platform_links, mut processes) = (Vec::new(), Vec::new());
+        let (mut target_links, mut views) = (Vec::new(), Vec::new());
         for index in 0..settings.processes {
-            let link = FaultProxy::bind(objects.address()).await?;
+            let links = TargetLinks::open();
+            let view = objects.start_view(links.clone()).await?;
+            let link = FaultProxy::bind(view.address()).await?;
+            target_links.push(links);
+            views.push(view);
             processes.push(start_process(settings, index, link.address, plan.has_peer_links)?);
             platform_links.push(link);
         }
         let state = Mutex::new(state);
-        Ok(Arc::new(Fleet { objects, platform_links, processes, arrivals, state }))
+        Ok(Arc::new(Fleet {
+            objects,
+            _views: views,
+            platform_links,
+            target_links,
+            has_peer_links: plan.has_peer_links,
+            processes,
+            arrivals,
+            state,
+        }))
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, FleetState> {
@@ -271,6 +290,21 @@
                 self.lock().changes.link_faults.push((name, from, Instant::now()));
                 self.record_disturbance(DisturbanceScope::TargetLink, from);
             }
+            PlannedFault::CutOff { processes, fault, span } => {
+                for links in &self.target_links[..processes] {
+                    links.set_fault(Some(fault)).await;
+                }
+                sleep(span).await;
+                for links in &self.target_links[..processes] {
+                    links.set_fault(None).await;
+                }
+                let until = Instant::now();
+                // Without links between the processes, nobody can serve for another.
+                if self.has_peer_links {
+                    self.lock().changes.cuts.push(TargetCut { processes, from, until });
+                }
+                self.record_disturbance(DisturbanceScope::TargetLink, from);
+            }
             PlannedFault::Store { fault, span } => {
                 self.inject_object_api_fault(clients, fault, span).await;
             }
