Say what the limit for unacknowledged bytes does to keep-alive probes

Cause: the users' page from today: a TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. Our sockets set both. Read: of the places that count on KEEPALIVE_PROBES_LIMIT, idle connections to targets end at 2 s in place of 3 s, those to clients at 8 s in place of 3 s. Nothing else counts on it. Conclusion: open; a limit of 2.5 s would give the 3 s back and notice lost VMs 1.7 s later.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -28,7 +28,8 @@
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(800);
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keepalive probes after which a connection counts as dead.
+/// Unanswered keepalive probes after which a connection counts as dead, where the limit for
+/// unacknowledged bytes doesn't decide that, as it does on Linux.
 const KEEPALIVE_PROBES_LIMIT: u32 = 2;
 /// Time within which an address refuses a connection, if nobody listens there.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
