--- a/crates/skylarkpick-forward/src/hand_over/reach_watch.rs
+++ b/crates/skylarkpick-forward/src/hand_over/reach_watch.rs
@@ -17,7 +17,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{sync::watch, time::Instant};
+use tokio::{sync::watch, task::JoinSet, time::Instant};
 
 /// Targets of a service that a round of probes connects to at the same time. Several may have ended at
 /// once.
@@ -28,8 +28,12 @@
 const UNSERVED_PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which other processes are asked whether they reach such a service.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
-/// Timeout of such a question.
-const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// The same while nobody is known to.
+const UNSERVED_ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Timeout of such a question. One that times out closes its connection, on which others may wait.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which the first answers are waited for.
+const ANSWER_WAIT: Duration = Duration::from_millis(250);
 /// Processes of the own data centre, and of others, that are asked at the same time.
 const ASKED_PER_ROUND: usize = 3;
 /// Age up to which a connection shows that a service is reached.
@@ -145,7 +149,8 @@
                 return;
             }
             self.probe(&service).await;
-            if asked_at.elapsed() >= ASK_INTERVAL && self.is_cut_off(&service) {
+            let ask_interval = if has_helper { ASK_INTERVAL } else { UNSERVED_ASK_INTERVAL };
+            if asked_at.elapsed() >= ask_interval && self.is_cut_off(&service) {
                 asked_at = Instant::now();
                 self.ask(&service).await;
             }
@@ -189,27 +194,48 @@
     }
 
     /// Asks a few other processes whether they reach a service.
-    async fn ask(&self, service: &str) {
+    async fn ask(self: &Arc<Self>, service: &str) {
         let asked = self.processes_to_ask();
-        let questions = asked.iter().map(|entry| async move {
-            let (address, request) =
-                (entry.address.to_string(), PeerRequest::Reach { service: service.to_string() });
-            let answer = self.watcher.peer_client.ask(&address, &request, ASK_TIMEOUT).await;
-            let reaches = matches!(answer, Ok(PeerResponse::Reach { is_reached: true }));
-            let is_in_data_centre = entry.data_centre == self.data_centre;
-            let now = self.node_state.now();
-            let mut state = self.lock();
-            let helpers = state.helpers.entry(service.to_string()).or_default();
-            helpers.note_answer(&address, reaches, is_in_data_centre, now);
-            reaches
-        });
-        let reaching = join_all(questions).await.into_iter().filter(|reaches| *reaches).count();
-        self.publish();
+        let count = asked.len();
+        let mut questions = JoinSet::new();
+        for entry in asked {
+            let (watch, service) = (self.clone(), service.to_string());
+            questions.spawn(async move { watch.ask_process(&entry, &service).await });
+        }
+        let until = Instant::now() + ANSWER_WAIT;
+        let (mut reaching, mut answered) = (0, 0);
+        // A timeout leaves the other answers to the questions, which go on.
+        while let Ok(Some(answer)) = tokio::time::timeout_at(until, questions.join_next()).await {
+            answered += 1;
+            reaching += usize::from(answer.is_ok_and(|reaches| reaches));
+        }
+        questions.detach_all();
         spdlog::info!("asked other entry processes for the reach of a service", kv: {
-            service, asked = asked.len(), reaching,
+            service, asked = count, answered, reaching,
         });
     }
 
+    /// Asks a process whether it reaches a service.
+    async fn ask_process(&self, entry: &RegisteredEntry, service: &str) -> bool {
+        let (address, request) =
+            (entry.address.to_string(), PeerRequest::Reach { service: service.to_string() });
+        let answer = self.watcher.peer_client.ask(&address, &request, ASK_TIMEOUT).await;
+        if let Err(error) = &answer {
+            spdlog::debug!("failed to ask another entry process for its reach", kv: {
+                address = address.as_str(), error = error.as_str(),
+            });
+        }
+        let reaches = matches!(answer, Ok(PeerResponse::Reach { is_reached: true }));
+        let is_in_data_centre = entry.data_centre == self.data_centre;
+        let now = self.node_state.now();
+        let mut state = self.lock();
+        let helpers = state.helpers.entry(service.to_string()).or_default();
+        helpers.note_answer(&address, reaches, is_in_data_centre, now);
+        drop(state);
+        self.publish();
+        reaches
+    }
+
     fn processes_to_ask(&self) -> Vec<RegisteredEntry> {
         let mut others = self.watcher.records.other_entries();
         others.shuffle(&mut rand::rng());
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -110,7 +110,11 @@
                 history.map_or(PeerResponse::Nothing, PeerResponse::SoftwareHistory)
             }
             PeerRequest::Reach { service } => {
-                PeerResponse::Reach { is_reached: self.reach.serves(&service).await }
+                let is_reached = self.reach.serves(&service).await;
+                request_log!("reach of a service told", kv: {
+                    service = service.as_str(), is_reached,
+                });
+                PeerResponse::Reach { is_reached }
             }
             PeerRequest::Retained { serving_version } => {
                 PeerResponse::Retained(self.watcher.records.retained(serving_version))
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -232,6 +232,11 @@
 }
 
 impl FaultPlan {
+    /// Returns whether processes are cut off from all targets.
+    pub(crate) fn has_cuts(&self) -> bool {
+        self.faults.iter().any(|(_, fault)| matches!(fault, PlannedFault::CutOff { .. }))
+    }
+
     /// Draws the plan of a seed, with faults that start within `window`. The same arguments give the
     /// same plan.
     pub(crate) fn draw(seed: u64, window: Duration, processes: usize, targets: usize) -> FaultPlan {
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -205,13 +205,18 @@
             state.targets.push(target);
         }
         let (mut platform_links, mut processes) = (Vec::new(), Vec::new());
-        let (mut target_links, mut views) = (Vec::new(), Vec::new());
+        let (mut target_links, mut views): (Vec<_>, Vec<ObjectServer>) = Default::default();
         for index in 0..settings.processes {
             let links = TargetLinks::open();
-            let view = objects.start_view(links.clone()).await?;
-            let link = FaultProxy::bind(view.address()).await?;
+            // Only cuts need links of each process: their ports may be used again by other soaks.
+            let platform = if plan.has_cuts() {
+                views.push(objects.start_view(links.clone()).await?);
+                views[index].address()
+            } else {
+                objects.address()
+            };
             target_links.push(links);
-            views.push(view);
+            let link = FaultProxy::bind(platform).await?;
             processes.push(start_process(settings, index, link.address, plan.has_peer_links)?);
             platform_links.push(link);
         }
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -7,7 +7,7 @@
     history::{
         Call, CallKind, ConfiguredKey, Disturbance, DisturbanceScope, History, ServingTarget,
     },
-    plan::{FaultPlan, PlannedFault},
+    plan::FaultPlan,
 };
 use skylarkpick_platform_standin::{
     AnswerEnd, Arrival, ClientRequest, ClientResponse, StreamEvent,
@@ -550,9 +550,7 @@
 fn the_seeds_of_regressions_cut_no_process_off_from_all_targets() {
     for seed in [4, 8, 101, 11_003, 11_004] {
         let plan = FaultPlan::draw(seed, Duration::from_secs(12), 3, 4);
-        let is_cut =
-            |(_, fault): &(Duration, PlannedFault)| matches!(fault, PlannedFault::CutOff { .. });
-        assert!(!plan.faults.iter().any(is_cut), "{seed}: {plan:?}");
+        assert!(!plan.has_cuts(), "{seed}: {plan:?}");
     }
 }
 
