Believe a rejection without an ID only as the first answer on its connection

Cause: a target's second copy of an earlier answer may arrive late, where the answer to the next request on the connection is due. Its ID tells it apart, but a response that says "not run" was believed without one. The next caller, whose request the target runs, was then told that it had not run (503), or the request was sent a second time. Change: on a connection that is in use again, a response without the request's ID belongs to no request. On a new one, a rejection may still lack it: a target that is full may reject before it has read the head.

--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -121,7 +121,7 @@
         };
         let metadata = self.forwarder.dialect.read_response(&head);
         self.note_signals(&metadata);
-        if let Err(why) = self.validate(&head, &metadata) {
+        if let Err(why) = self.validate(&head, &metadata, connection.is_reused) {
             self.guard.outcome = TargetOutcome::Failed;
             return AttemptOutcome::NoValidResponse(why);
         }
@@ -229,13 +229,20 @@
     }
 
     /// Checks that the response belongs to this request and is signed by the target.
-    fn validate(&self, head: &Parts, metadata: &ResponseMetadata) -> Result<(), String> {
-        if metadata.attempt_id.as_ref() != Some(&self.request.head.attempt_id)
-            && !metadata.is_not_run
-        {
-            return Err(format!("the response is for {:?}", metadata.attempt_id));
-        }
-        if metadata.attempt_id.as_ref().is_some_and(|id| *id != self.request.head.attempt_id) {
+    fn validate(
+        &self,
+        head: &Parts,
+        metadata: &ResponseMetadata,
+        is_reused: bool,
+    ) -> Result<(), String> {
+        // A target that rejects a request before it has read its ID may not name it. On a connection
+        // that is in use again, such a response may as well be a late copy of an earlier one.
+        let may_lack_id = metadata.is_not_run && !is_reused;
+        let belongs = match &metadata.attempt_id {
+            Some(id) => *id == self.request.head.attempt_id,
+            None => may_lack_id,
+        };
+        if !belongs {
             return Err(format!("the response is for {:?}", metadata.attempt_id));
         }
         if head.status.is_success() && !metadata.is_signed {
