Send notices to relays only in a large fleet, which the others fetch from them

Cause: samples of engines' loads, ends of targets, limits and swaps were sent by their process to each other one. With 195 processes, ten samplers sent 7,760 messages a second of some 2 KB, four of five between data centres; each end of a target that several processes saw opened connections from each to each, with a handshake with certificates on both sides. Relays keep notices for 5 s (loads 1.5 s) for processes that change their relay. The evidence of ended targets counts as told once all relays have it; else the platform keeps it, as before. A process registers that it fetches notices; as long as one listed process doesn't (an earlier version), all are sent to each. Tests: a notice reaches 60 processes in 6 messages (59 amid an upgrade, as before this change), also when a relay has ended; loads that are outdated are not told.

--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -335,9 +335,9 @@
 
     /// Tells all other processes. What does not reach one of them, the platform has to keep.
     async fn send(&self, report: CrashReport) {
-        let others = self.watcher.records.other_entries();
         let notice = Notice::Crashes { report };
-        if !self.watcher.peer_client.deliver(others, &notice, DELIVERY_TIMEOUT).await {
+        let FleetWatcher { records, peer_client, .. } = &*self.watcher;
+        if !peer_client.deliver(records, &notice, DELIVERY_TIMEOUT).await {
             self.node_state.lock().crash_evidence.note_untold();
             self.node_state.evidence_changed.notify_one();
         }
--- a/crates/skylarkpick-forward/src/fleet/cache_role.rs
+++ b/crates/skylarkpick-forward/src/fleet/cache_role.rs
@@ -4,7 +4,8 @@
 //! cache. In a larger one, two processes of each data centre do, and relay the changes to the
 //! others.
 
-use skylarkpick_interface::RegisteredEntry;
+use skylarkpick_interface::{DataCentreId, RegisteredEntry};
+use std::collections::BTreeSet;
 
 /// Maximum number of processes in a fleet without relays.
 const DIRECT_WATCH_LIMIT: usize = 12;
@@ -48,6 +49,22 @@
     strongest_entries(entries, data_centre).iter().any(|entry| entry.name == node)
 }
 
+/// Returns the relays of all data centres if notices go through relays: in a larger fleet whose
+/// processes all fetch notices from their relays. Else a process of an earlier version would miss
+/// them.
+pub(crate) fn notice_relays(entries: &[RegisteredEntry]) -> Option<Vec<RegisteredEntry>> {
+    let is_relayed =
+        entries.len() > DIRECT_WATCH_LIMIT && entries.iter().all(|entry| entry.fetches_notices);
+    if !is_relayed {
+        return None;
+    }
+    let data_centres: BTreeSet<&DataCentreId> =
+        entries.iter().map(|entry| &entry.data_centre).collect();
+    let relays =
+        data_centres.into_iter().flat_map(|data_centre| strongest_entries(entries, data_centre));
+    Some(relays.cloned().collect())
+}
+
 /// Returns the VMs with the most CPU in a data centre.
 fn strongest_entries<'a>(
     entries: &'a [RegisteredEntry],
--- a/crates/skylarkpick-forward/src/fleet/load_sampler.rs
+++ b/crates/skylarkpick-forward/src/fleet/load_sampler.rs
@@ -78,7 +78,8 @@
         match self.control.engine_load(address, SAMPLE_TIMEOUT).await {
             Ok(load) => {
                 let (waiting, used_tokens) = (load.waiting, load.used_tokens);
-                self.node_state.observe_memory(&target, MemorySample { used_tokens, waiting });
+                let sample = MemorySample { used_tokens, waiting };
+                self.node_state.observe_memory(&target, sample, Duration::ZERO);
                 Some(EngineLoadNotice { target, waiting, used_tokens })
             }
             Err(error) => {
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -262,6 +262,7 @@
         address: ([10, 0, 0, index], 80).into(),
         data_centre: "mnl-a".to_string(),
         cpu_percent: 25,
+        fetches_notices: true,
         crashes: Default::default(),
     };
     (entry.name.clone(), FleetRecord::Entry(entry))
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -1,6 +1,6 @@
 //! Stores the platform's records and applies them to the node state.
 
-use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler};
+use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler, notice_relays};
 use super::departed_targets::DepartedTargets;
 use super::desired_times::{DesiredTimes, WeightsChange};
 use super::missing_entries::MissingEntries;
@@ -42,6 +42,8 @@
     node: String,
     /// Role of this process, according to the registered entry processes.
     role: Mutex<CacheWatchRole>,
+    /// Relays of all data centres, if notices go through relays.
+    notice_relays: Mutex<Option<Vec<RegisteredEntry>>>,
     /// Number of changes; wakes the subscribers.
     pub(super) changes: watch::Sender<u64>,
 }
@@ -90,6 +92,7 @@
             heard_era: watch::Sender::default(),
             node: node.to_string(),
             role: Mutex::new(CacheWatchRole::Direct),
+            notice_relays: Mutex::default(),
             changes: watch::Sender::new(0),
         }
     }
@@ -223,7 +226,9 @@
         else {
             return false;
         };
-        let content = |it: &RegisteredEntry| (it.address, it.data_centre.clone(), it.cpu_percent);
+        let content = |it: &RegisteredEntry| {
+            (it.address, it.data_centre.clone(), it.cpu_percent, it.fetches_notices)
+        };
         content(found) == content(entry)
     }
 
@@ -247,6 +252,25 @@
         others
     }
 
+    fn locked_notice_relays(&self) -> MutexGuard<'_, Option<Vec<RegisteredEntry>>> {
+        self.notice_relays.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether notices go through relays.
+    pub(crate) fn relays_notices(&self) -> bool {
+        self.locked_notice_relays().is_some()
+    }
+
+    /// Returns the processes that notices are sent to: the relays of all data centres if notices go
+    /// through them, else all others.
+    pub(crate) fn notice_receivers(&self) -> Vec<RegisteredEntry> {
+        let Some(mut relays) = self.locked_notice_relays().clone() else {
+            return self.other_entries();
+        };
+        relays.retain(|entry| entry.name != self.node);
+        relays
+    }
+
     /// Returns whether this process samples the load of the engines in its own data centre.
     pub(crate) fn is_load_sampler(&self, data_centre: &str) -> bool {
         is_load_sampler(&self.entries(), &self.node, data_centre)
@@ -447,6 +471,7 @@
         let entries = self.entries();
         let role = cache_watch_role(&entries, &self.node);
         *self.role.lock().unwrap_or_else(PoisonError::into_inner) = role;
+        *self.locked_notice_relays() = notice_relays(&entries);
         let names = entries.into_iter().map(|entry| entry.name).collect();
         self.node_state.set_entries(&self.node, names);
         self.node_state.caches_changed.notify_waiters();
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -141,6 +141,7 @@
             address: ([10, 0, 0, index], 80).into(),
             data_centre: ["mnl-a", "mnl-b"][usize::from(index) % 2].to_string(),
             cpu_percent: if index >= 36 { 50 } else { 12 },
+            fetches_notices: true,
             crashes: Default::default(),
         })
         .collect();
@@ -337,6 +338,7 @@
             address: socket.local_addr().unwrap(),
             data_centre: "mnl-a".to_string(),
             cpu_percent: 25,
+            fetches_notices: true,
             crashes: Default::default(),
         };
         NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
@@ -387,6 +389,7 @@
             address: ([10, 0, 0, 2], 80).into(),
             data_centre: "mnl-a".to_string(),
             cpu_percent: 25,
+            fetches_notices: true,
             crashes: CrashReport::default(),
         };
         let entry =
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -262,6 +262,7 @@
         address: settings.peer_address,
         data_centre: settings.data_centre.clone(),
         cpu_percent: settings.cpu_percent,
+        fetches_notices: true,
         crashes: CrashReport::default(),
     }
 }
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -215,9 +215,10 @@
         let _ = tokio::time::timeout_at(until, self.capacity_changed.notified()).await;
     }
 
-    /// Applies a sample of an engine's memory that arrived now.
-    pub(crate) fn observe_memory(&self, target: &str, sample: MemorySample) {
-        self.lock().placement.observe_memory(target, sample, self.now());
+    /// Applies a sample of an engine's memory that the engine returned `age` ago.
+    pub(crate) fn observe_memory(&self, target: &str, sample: MemorySample, age: Duration) {
+        let reported_at = self.now().saturating_sub(age);
+        self.lock().placement.observe_memory(target, sample, reported_at);
         self.capacity_changed.notify_waiters();
     }
 
--- a/crates/skylarkpick-forward/src/peers.rs
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -7,6 +7,8 @@
 mod handler;
 mod messages;
 mod network;
+mod notice_log;
+mod notices;
 mod peer_client;
 mod relay;
 
@@ -21,4 +23,6 @@
 #[cfg(test)]
 mod handler_tests;
 #[cfg(test)]
+mod notice_tests;
+#[cfg(test)]
 mod tests;
--- a/crates/skylarkpick-forward/src/peers/handler.rs
+++ b/crates/skylarkpick-forward/src/peers/handler.rs
@@ -1,7 +1,7 @@
 //! Handles messages of other entry processes.
 
 use super::{
-    messages::{Notice, PeerRequest, PeerResponse, StreamRecord},
+    messages::{Notice, PeerRequest, PeerResponse},
     relay::CacheRelay,
 };
 use crate::{
@@ -10,7 +10,6 @@
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{PeerHandler, PeerStream, StoreRevision};
-use skylarkpick_schedule::{MemorySample, ReportSource};
 use std::{sync::Arc, time::Duration};
 
 /// Upper limit of the wait that a request specifies.
@@ -29,31 +28,10 @@
 #[async_trait]
 impl PeerHandler for PeerMessageHandler {
     async fn handle_message(&self, message: Vec<u8>) {
-        match serde_json::from_slice(&message) {
-            Ok(Notice::Swapping { target, model, weight_version }) => {
-                request_log!("target is about to swap its weights", kv: {
-                    target = target.as_str(), model = model.as_str(), weight_version,
-                });
-                self.node_state.note_swapping(&target, &model, weight_version);
-            }
-            Ok(Notice::Loads { loads }) => {
-                for load in loads {
-                    let sample =
-                        MemorySample { used_tokens: load.used_tokens, waiting: load.waiting };
-                    self.node_state.observe_memory(&load.target, sample);
-                }
-            }
-            Ok(Notice::StreamsBegan { streams }) => {
-                for StreamRecord { stream, origin } in streams {
-                    self.node_state.note_stream(stream, origin, false);
-                }
-            }
-            Ok(Notice::Limits { limits }) => {
-                limits.iter().for_each(|limit| self.node_state.merge_limit(limit));
-            }
-            Ok(Notice::Crashes { report }) => {
-                let source = ReportSource::Process;
-                self.node_state.merge_crashes(&report, "another entry process", source);
+        match serde_json::from_slice::<Notice>(&message) {
+            Ok(notice) => {
+                self.watcher.peer_client.pass_on(&self.watcher.records, &notice);
+                self.node_state.apply_notice(notice, Duration::ZERO);
             }
             Err(error) => {
                 spdlog::warn!("invalid notice from another entry process", kv: { error: });
@@ -100,9 +78,19 @@
                     .records_since(topic, since())
                     .map_or(PeerResponse::Nothing, PeerResponse::Records)
             }
-            PeerRequest::Caches { log, since, wait_ms } => {
+            PeerRequest::Caches { log, since, notices_since, wait_ms } => {
                 let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
-                PeerResponse::Caches(self.relay.changes(log, since, wait).await)
+                let notices = &self.watcher.peer_client.notices;
+                let mut update = tokio::select! {
+                    biased;
+                    update = self.relay.changes(log, since, wait) => update,
+                    () = notices.wait_for_newer(notices_since) => {
+                        self.relay.changes(log, since, Duration::ZERO).await
+                    }
+                };
+                let notices_since = if update.log == log { notices_since } else { 0 };
+                (update.notices, update.notices_next) = notices.since(notices_since);
+                PeerResponse::Caches(update)
             }
             PeerRequest::SoftwareHistory => {
                 let state = self.node_state.lock();
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -30,7 +30,11 @@
         log: u64,
         /// Position after the last change that the requester has.
         since: u64,
-        /// Maximum wait for a change.
+        /// Position after the last notice that the requester has from the responder, in the same
+        /// incarnation.
+        #[serde(default)]
+        notices_since: u64,
+        /// Maximum wait for a change or a notice.
         wait_ms: u64,
     },
     /// Requests what the responder knows of the software version that began a stream.
@@ -57,7 +61,7 @@
     },
 }
 
-/// One-way message of an entry process to all others.
+/// Message of an entry process to all others, which relays may pass on.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum Notice {
@@ -184,6 +188,21 @@
     pub(crate) caches: Vec<SocketAddr>,
     /// Changes, oldest first.
     pub(crate) entries: Vec<CacheEntry>,
+    /// Notices that the responder passes on, oldest first.
+    #[serde(default)]
+    pub(crate) notices: Vec<RelayedNotice>,
+    /// Position from which the next request continues to fetch notices.
+    #[serde(default)]
+    pub(crate) notices_next: u64,
+}
+
+/// A notice that a relay passes on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct RelayedNotice {
+    /// Time since the relay received it.
+    pub(crate) age_ms: u64,
+    /// The notice.
+    pub(crate) notice: Notice,
 }
 
 /// Change of a cache: index of the cache in the message, fingerprint of the prompt part, and number
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -1,6 +1,9 @@
 //! Client for other entry processes: fetches platform records and sends notices.
 
-use super::messages::{Notice, PeerRequest, PeerResponse};
+use super::{
+    messages::{Notice, PeerRequest, PeerResponse},
+    notice_log::NoticeLog,
+};
 use crate::fleet::FleetRecords;
 use skylarkpick_interface::{FleetTopic, PeerNetwork, RegisteredEntry};
 use std::{
@@ -60,6 +63,8 @@
     /// Whether others have been asked for what the platform's store may have lost before this process
     /// started.
     has_asked_retained: AtomicBool,
+    /// Notices that this process passes on, if it is a relay.
+    pub(crate) notices: NoticeLog,
 }
 
 impl PeerClient {
@@ -88,9 +93,21 @@
         }
     }
 
-    /// Sends a notice to all other entry processes without waiting for its delivery.
+    /// Sends a notice to all other entry processes without waiting for its delivery: to each of
+    /// them, or in a larger fleet to the relays, from which the others fetch it.
     pub(crate) fn broadcast(&self, records: &FleetRecords, notice: &Notice) {
-        self.send_notice(records.other_entries(), notice);
+        self.pass_on(records, notice);
+        self.send_notice(records.notice_receivers(), notice);
+    }
+
+    /// Keeps a notice for the followers of this process, if it is a relay of a fleet in which notices
+    /// go through relays.
+    pub(super) fn pass_on(&self, records: &FleetRecords, notice: &Notice) {
+        // Streams are kept by those that they are sent to.
+        let is_for_all = !matches!(notice, Notice::StreamsBegan { .. });
+        if is_for_all && records.is_relay() && records.relays_notices() {
+            self.notices.append(notice.clone());
+        }
     }
 
     /// Sends a notice to entry processes without waiting for its delivery.
@@ -115,13 +132,16 @@
         }
     }
 
-    /// Sends a notice to entry processes. Returns whether all have taken it within `timeout`.
+    /// Sends a notice as [`PeerClient::broadcast`] does. Returns whether all receivers have taken it
+    /// within `timeout`; the two relays of a data centre each take it.
     pub(crate) async fn deliver(
         &self,
-        receivers: Vec<RegisteredEntry>,
+        records: &FleetRecords,
         notice: &Notice,
         timeout: Duration,
     ) -> bool {
+        self.pass_on(records, notice);
+        let receivers = records.notice_receivers();
         let Some(network) = self.network.get() else { return false };
         // A notice of strings and numbers always serializes.
         let message = serde_json::to_vec(notice).unwrap_or_default();
--- a/crates/skylarkpick-forward/src/peers/relay.rs
+++ b/crates/skylarkpick-forward/src/peers/relay.rs
@@ -5,7 +5,7 @@
 //! follow one of these logs.
 
 use super::{
-    messages::{CacheEntry, CacheUpdate, PeerRequest, PeerResponse},
+    messages::{CacheEntry, CacheUpdate, PeerRequest, PeerResponse, RelayedNotice},
     peer_client::{PeerClient, send_request},
 };
 use crate::{fleet::FleetWatcher, node_state::NodeState};
@@ -129,7 +129,15 @@
         let changes = if is_known { self.changes_since(since) } else { self.snapshot() };
         let (caches, entries) = encode(&changes);
         let fresh_stores = self.fresh_stores();
-        CacheUpdate { log: self.log, next, is_complete: !is_known, fresh_stores, caches, entries }
+        CacheUpdate {
+            log: self.log,
+            next,
+            is_complete: !is_known,
+            fresh_stores,
+            caches,
+            entries,
+            ..CacheUpdate::default()
+        }
     }
 
     fn changes_since(&self, since: u64) -> Vec<RelayedChange> {
@@ -180,13 +188,13 @@
     (caches, entries)
 }
 
-/// Follows the change log of a relay for as long as the task runs.
+/// Follows the change log of a relay, and the notices that it passes on, for as long as the task runs.
 pub(crate) async fn follow_relay(
     node_state: Arc<NodeState>,
     peer_client: Arc<PeerClient>,
     watcher: Arc<FleetWatcher>,
 ) {
-    let (mut log, mut since) = (0, 0);
+    let (mut log, mut since, mut notices_since) = (0, 0, 0);
     let mut relay_index = rand::random::<u32>() as usize;
     loop {
         let relays = watcher.records.relays();
@@ -196,10 +204,13 @@
         };
         let relay = &relays[relay_index % relays.len()];
         let wait_ms = u64::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u64::MAX);
-        let request = PeerRequest::Caches { log, since, wait_ms };
+        let request = PeerRequest::Caches { log, since, notices_since, wait_ms };
         match send_request(&**network, relay, &request, FOLLOW_WAIT + RESPONSE_TIMEOUT).await {
-            Ok(PeerResponse::Caches(update)) => {
-                (log, since) = (update.log, update.next);
+            Ok(PeerResponse::Caches(mut update)) => {
+                (log, since, notices_since) = (update.log, update.next, update.notices_next);
+                for RelayedNotice { age_ms, notice } in std::mem::take(&mut update.notices) {
+                    node_state.apply_notice(notice, Duration::from_millis(age_ms));
+                }
                 apply(&node_state, update);
             }
             Ok(_) => relay_index += 1,
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -170,6 +170,7 @@
             address: ([10, 0, 0, index], 80).into(),
             data_centre: "mnl-a".to_string(),
             cpu_percent: if index == 1 { 12 } else { 25 },
+            fetches_notices: true,
             crashes: Default::default(),
         };
         NamedRecord { name: entry.name.clone(), record: Some(FleetRecord::Entry(entry)) }
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -193,6 +193,9 @@
     pub data_centre: DataCentreId,
     /// CPU share of the VM, in hundredths of a core.
     pub cpu_percent: u32,
+    /// Whether it fetches notices from relays. Processes of earlier versions don't.
+    #[serde(default)]
+    pub fetches_notices: bool,
     /// What it tells about ends of targets. Outlasts the process, until its VM is removed.
     #[serde(default)]
     pub crashes: CrashReport,
--- a/crates/skylarkpick-schedule/src/crashes/tests.rs
+++ b/crates/skylarkpick-schedule/src/crashes/tests.rs
@@ -392,6 +392,7 @@
             address: ([10, 0, 0, index], 80).into(),
             data_centre: "mnl-a".to_string(),
             cpu_percent: 25,
+            fetches_notices: true,
             crashes: CrashReport::default(),
         })
         .collect();
--- a/crates/skylarkpick-schedule/src/streams/tests.rs
+++ b/crates/skylarkpick-schedule/src/streams/tests.rs
@@ -48,6 +48,7 @@
             address: ([10, 0, 0, index], 80).into(),
             data_centre,
             cpu_percent: 25,
+            fetches_notices: true,
             crashes: Default::default(),
         })
         .collect()
