Let a process watch no caches before it knows its role in the fleet

Relays asked each store for events without a pause. Change: the role is undecided, without watches, until the list shows a large fleet, or a small one whose list had this process at first read (a restart), or 1.5 s after that read (5 s after the start without one). A relay pauses 0.2 s between two calls for a store's events and waits as much less for them. A relay's pause between reads of targets follows the time within which a draining target must get no more requests: 0.15 of it, as before where that is 2 s; 0.6 s where it is 4 s, so that a change takes effect 0.3 s later at worst there. The log names the role when it changes.

--- a/crates/skylarkpick-forward/src/fleet/cache_role.rs
+++ b/crates/skylarkpick-forward/src/fleet/cache_role.rs
@@ -5,18 +5,26 @@
 //! others.
 
 use skylarkpick_interface::{DataCentreId, RegisteredEntry};
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 /// Maximum number of processes in a fleet without relays.
 const DIRECT_WATCH_LIMIT: usize = 12;
 /// Number of relays per data centre in a larger fleet. With up to six data centres, they stay
 /// within the number of readers that a cache serves.
 const RELAYS_PER_DATA_CENTRE: usize = 2;
+/// Time for which a process that was not registered before doesn't take a short list of entry
+/// processes for the whole fleet, since many may be starting.
+const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+/// Time after its start from which a process that can't read the list goes without it.
+const UNREAD_SETTLING_TIME: Duration = Duration::from_secs(5);
 
 /// How a process obtains the contents of caches. The role also determines how it reads the
 /// platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum CacheWatchRole {
+    /// It doesn't know the fleet yet, and watches no cache: if each of many processes that start
+    /// together watched all caches, they would open connections from each to each.
+    Undecided,
     /// It watches every cache.
     Direct,
     /// It watches every cache and relays the changes to others.
@@ -28,6 +36,67 @@
     },
 }
 
+impl CacheWatchRole {
+    /// Returns the name of the role for logs.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            CacheWatchRole::Undecided => "undecided",
+            CacheWatchRole::Direct => "direct",
+            CacheWatchRole::Relay => "relay",
+            CacheWatchRole::Follower { .. } => "follower",
+        }
+    }
+}
+
+/// Decides the role of one process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoleDecision {
+    started_at: Duration,
+    first_read: Option<FirstRead>,
+}
+
+/// First read of the entry processes.
+#[derive(Clone, Copy, Debug)]
+struct FirstRead {
+    at: Duration,
+    /// Whether it listed the process, which then has run before.
+    was_listed: bool,
+}
+
+impl RoleDecision {
+    /// Opens the decision of a process that starts at `now`.
+    pub(crate) fn open(now: Duration) -> RoleDecision {
+        RoleDecision { started_at: now, first_read: None }
+    }
+
+    /// Records that the entry processes have been read.
+    pub(crate) fn note_read(&mut self, entries: &[RegisteredEntry], node: &str, now: Duration) {
+        let was_listed = entries.iter().any(|entry| entry.name == node);
+        self.first_read.get_or_insert(FirstRead { at: now, was_listed });
+    }
+
+    /// Returns the role of the process `node` among the registered ones.
+    pub(crate) fn role(
+        &self,
+        entries: &[RegisteredEntry],
+        node: &str,
+        now: Duration,
+    ) -> CacheWatchRole {
+        match cache_watch_role(entries, node) {
+            CacheWatchRole::Direct if !self.is_settled(now) => CacheWatchRole::Undecided,
+            role => role,
+        }
+    }
+
+    fn is_settled(&self, now: Duration) -> bool {
+        match self.first_read {
+            Some(FirstRead { was_listed: true, .. }) => true,
+            Some(FirstRead { at, .. }) => now >= at + SETTLING_TIME,
+            None => now >= self.started_at + UNREAD_SETTLING_TIME,
+        }
+    }
+}
+
 /// Returns the role of the process `node`. Every process derives the same roles from the same list;
 /// the VMs with the most CPU in a data centre become relays. A process that is not listed watches
 /// the caches itself.
--- a/crates/skylarkpick-forward/src/fleet/cache_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/cache_watch.rs
@@ -20,6 +20,9 @@
 const RUNNER_PAUSE: Duration = Duration::from_millis(100);
 /// The same pause for a relay of a larger fleet, which watches a hundred runners or more.
 const RELAYED_RUNNER_PAUSE: Duration = Duration::from_millis(400);
+/// Pause of a relay between two calls for a store's events. Its wait for events is shorter by as much,
+/// so that a store without events stays as fresh.
+const RELAYED_STORE_PAUSE: Duration = Duration::from_millis(200);
 /// Position from which the events of a newly watched cache are read.
 const FIRST_EVENT: u64 = 0;
 
@@ -62,7 +65,7 @@
             CacheWatchRole::Direct | CacheWatchRole::Relay => {
                 caches.map(|(address, _)| *address).collect()
             }
-            CacheWatchRole::Follower { .. } => Vec::new(),
+            CacheWatchRole::Undecided | CacheWatchRole::Follower { .. } => Vec::new(),
         }
     }
 
@@ -73,11 +76,16 @@
 
     fn runner_pause(&self) -> Duration {
         match self.watcher.records.cache_watch_role() {
-            CacheWatchRole::Direct => RUNNER_PAUSE,
+            CacheWatchRole::Undecided | CacheWatchRole::Direct => RUNNER_PAUSE,
             CacheWatchRole::Relay | CacheWatchRole::Follower { .. } => RELAYED_RUNNER_PAUSE,
         }
     }
 
+    /// Returns the pause between two calls for a store's events.
+    fn store_pause(&self) -> Duration {
+        if self.watcher.records.is_relay() { RELAYED_STORE_PAUSE } else { Duration::ZERO }
+    }
+
     /// Applies the changes of a cache and appends them to the log for this process's followers.
     fn apply(&self, address: SocketAddr, changes: &PartChanges, is_reset: bool) {
         let now = self.node_state.now();
@@ -91,7 +99,8 @@
     let mut epoch = None;
     let mut is_disconnected = false;
     loop {
-        match watchers.control.part_changes(address, since, EVENTS_WAIT).await {
+        let wait = EVENTS_WAIT.saturating_sub(watchers.store_pause());
+        match watchers.control.part_changes(address, since, wait).await {
             Ok(changes) => {
                 if std::mem::replace(&mut is_disconnected, false) {
                     spdlog::info!("cache reconnected", kv: { address: });
@@ -107,9 +116,9 @@
                     changes
                 };
                 watchers.apply(address, &changes, needs_listing || is_first);
-                if !watchers.is_store(&address) {
-                    tokio::time::sleep(watchers.runner_pause()).await;
-                }
+                let is_store = watchers.is_store(&address);
+                let pause = if is_store { watchers.store_pause() } else { watchers.runner_pause() };
+                tokio::time::sleep(pause).await;
             }
             // What the cache holds is still valid.
             Err(ControlError::Paused(rest)) => tokio::time::sleep(rest.min(PAUSE_STEP)).await,
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -1,6 +1,6 @@
 //! Stores the platform's records and applies them to the node state.
 
-use super::cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler, notice_relays};
+use super::cache_role::{CacheWatchRole, RoleDecision, is_load_sampler, notice_relays};
 use super::departed_targets::DepartedTargets;
 use super::desired_times::{DesiredTimes, WeightsChange};
 use super::missing_entries::MissingEntries;
@@ -42,6 +42,7 @@
     node: String,
     /// Role of this process, according to the registered entry processes.
     role: Mutex<CacheWatchRole>,
+    role_decision: Mutex<RoleDecision>,
     /// Relays of all data centres, if notices go through relays.
     notice_relays: Mutex<Option<Vec<RegisteredEntry>>>,
     /// Number of changes; wakes the subscribers.
@@ -80,6 +81,7 @@
 impl FleetRecords {
     pub(crate) fn open(node_state: Arc<NodeState>, node: &str) -> FleetRecords {
         FleetRecords {
+            role_decision: Mutex::new(RoleDecision::open(node_state.now())),
             node_state,
             departed_targets: Mutex::default(),
             missing_entries: Mutex::default(),
@@ -91,7 +93,7 @@
             topics: Mutex::default(),
             heard_era: watch::Sender::default(),
             node: node.to_string(),
-            role: Mutex::new(CacheWatchRole::Direct),
+            role: Mutex::new(CacheWatchRole::Undecided),
             notice_relays: Mutex::default(),
             changes: watch::Sender::new(0),
         }
@@ -469,14 +471,43 @@
     pub(super) fn entries_changed(&self) {
         self.node_state.note_entries_read();
         let entries = self.entries();
-        let role = cache_watch_role(&entries, &self.node);
-        *self.role.lock().unwrap_or_else(PoisonError::into_inner) = role;
+        let now = self.node_state.now();
+        self.locked_role_decision().note_read(&entries, &self.node, now);
+        self.decide_role(&entries);
         *self.locked_notice_relays() = notice_relays(&entries);
         let names = entries.into_iter().map(|entry| entry.name).collect();
         self.node_state.set_entries(&self.node, names);
         self.node_state.caches_changed.notify_waiters();
     }
 
+    /// Decides the role of this process if it could not be decided before.
+    pub(crate) fn decide_pending_role(&self) {
+        if self.cache_watch_role() == CacheWatchRole::Undecided {
+            self.decide_role(&self.entries());
+        }
+    }
+
+    fn decide_role(&self, entries: &[RegisteredEntry]) {
+        let now = self.node_state.now();
+        let role = self.locked_role_decision().role(entries, &self.node, now);
+        let mut known = self.role.lock().unwrap_or_else(PoisonError::into_inner);
+        if std::mem::discriminant(&*known) != std::mem::discriminant(&role) {
+            spdlog::info!("role in the fleet changed", kv: {
+                role = role.name(), entries = entries.len(),
+            });
+        }
+        let is_changed = *known != role;
+        *known = role;
+        drop(known);
+        if is_changed {
+            self.node_state.caches_changed.notify_waiters();
+        }
+    }
+
+    fn locked_role_decision(&self) -> MutexGuard<'_, RoleDecision> {
+        self.role_decision.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(super) fn apply(&self, topic: FleetTopic, named: &NamedRecord, origin: RecordOrigin) {
         let revision = origin.revision;
         match &named.record {
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of how platform records are applied, relayed to other processes and expired.
 
 use super::{
-    cache_role::{CacheWatchRole, cache_watch_role, is_load_sampler},
+    cache_role::{CacheWatchRole, RoleDecision, cache_watch_role, is_load_sampler},
     missing_targets::MissingTargets,
     planner::rollout_goal,
     records::FleetRecords,
@@ -448,3 +448,79 @@
     let withdrawal = tokio::time::timeout(limit, node_state.wait_for_expiry("tala", 1)).await;
     assert_eq!(withdrawal, Ok(()), "a run may start later than 12 s after the naming");
 }
+
+#[test]
+fn processes_that_start_together_do_not_each_watch_all_caches() {
+    struct Case {
+        name: &'static str,
+        /// Entry processes that the process reads first, with itself among them or not.
+        first_read: Option<(usize, bool)>,
+        /// Entry processes listed later, itself among them.
+        later: usize,
+        /// Role after its first read, 1.4 s and 1.6 s after it.
+        roles: [&'static str; 3],
+    }
+    let cases = [
+        Case {
+            name: "first start of a large fleet",
+            first_read: Some((3, false)),
+            later: 40,
+            roles: ["undecided", "follower", "follower"],
+        },
+        Case {
+            name: "first start of a small fleet",
+            first_read: Some((3, false)),
+            later: 7,
+            roles: ["undecided", "undecided", "direct"],
+        },
+        Case {
+            name: "restart in a small fleet",
+            first_read: Some((7, true)),
+            later: 7,
+            roles: ["direct", "direct", "direct"],
+        },
+        Case {
+            name: "restart of a large fleet",
+            first_read: Some((40, true)),
+            later: 40,
+            roles: ["follower", "follower", "follower"],
+        },
+        Case {
+            name: "the list can't be read",
+            first_read: None,
+            later: 0,
+            roles: ["undecided", "undecided", "undecided"],
+        },
+    ];
+    let entries = |count: usize, is_listed: bool| -> Vec<RegisteredEntry> {
+        let from = usize::from(!is_listed);
+        (from..count + from)
+            .map(|index| RegisteredEntry {
+                name: format!("entry-{index:02}"),
+                address: ([10, 0, 0, u8::try_from(index).unwrap()], 80).into(),
+                data_centre: "mnl-a".to_string(),
+                cpu_percent: if index == 0 { 12 } else { 25 },
+                fetches_notices: true,
+                crashes: Default::default(),
+            })
+            .collect()
+    };
+    let node = "entry-00";
+    for Case { name, first_read, later, roles } in cases {
+        let mut decision = RoleDecision::open(SECOND);
+        let first = first_read.map(|(count, is_listed)| entries(count, is_listed));
+        if let Some(first) = &first {
+            decision.note_read(first, node, SECOND);
+        }
+        let listed = entries(later, true);
+        let after = |millis| SECOND + Duration::from_millis(millis);
+        let seen = [
+            decision.role(&first.unwrap_or_default(), node, SECOND).name(),
+            decision.role(&listed, node, after(1_400)).name(),
+            decision.role(&listed, node, after(1_600)).name(),
+        ];
+        assert_eq!(seen, roles, "{name}");
+    }
+    let unread = RoleDecision::open(SECOND);
+    assert_eq!(unread.role(&[], node, 7 * SECOND), CacheWatchRole::Direct, "after five seconds");
+}
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -28,9 +28,9 @@
 const URGENT_RELAY_AGE_LIMIT: Duration = Duration::from_millis(1_900);
 /// The same for entry processes, whose watch may wait for `ENTRIES_WATCH_WAIT` without a response.
 const ENTRIES_RELAY_AGE_LIMIT: Duration = Duration::from_secs(15);
-/// Pause of a relay after a change of targets, in which changes accumulate: every heartbeat of a
-/// target is a change.
-const RELAYED_TARGETS_PAUSE: Duration = Duration::from_millis(300);
+/// Pause of a relay after a change of targets, in which changes accumulate, as a share of the time
+/// within which a draining target must get no more requests. Every heartbeat of a target is a change.
+const RELAYED_TARGETS_PAUSE_SHARE: f64 = 0.15;
 /// Time for which a follower watches the platform itself after its relays became stale.
 const DIRECT_WATCH_PERIOD: Duration = Duration::from_secs(6);
 /// Mean delay after a failed call.
@@ -161,7 +161,10 @@
     let is_relay = watcher.records.is_relay();
     match topic {
         FleetTopic::Entries => ENTRIES_PAUSE,
-        FleetTopic::Targets if is_relay => RELAYED_TARGETS_PAUSE,
+        FleetTopic::Targets if is_relay => {
+            let drain = watcher.records.node_state.limits().drain;
+            drain.mul_f64(RELAYED_TARGETS_PAUSE_SHARE)
+        }
         _ => Duration::ZERO,
     }
 }
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -272,6 +272,7 @@
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         watcher.records.remove_expired_targets();
         watcher.records.remove_expired_entries();
+        watcher.records.decide_pending_role();
     }
 }
 
