Read through relays at the start of a process of a large fleet

Change: the first read of all topics but the entry processes waits until the role is known, a second at most, and tries the relays for about a second, which may be starting as well. Then the platform is read, as before. What it costs: a process whose relays know nothing reads the platform up to two seconds later. Records of relays are taken by the same limits on their age as at any other time.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -55,5 +55,5 @@
 pub(crate) use records::FleetRecords;
 pub(crate) use retained_fetch::fetch_retained;
 pub(crate) use serving_confirmer::ServingConfirmer;
-pub(crate) use topic_watch::{FleetWatcher, watch_topic};
+pub(crate) use topic_watch::{FleetWatcher, watch_topic_from_start};
 pub(crate) use weight_recorder::record_weights;
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -501,6 +501,7 @@
         drop(known);
         if is_changed {
             self.node_state.caches_changed.notify_waiters();
+            self.changes.send_modify(|count| *count += 1);
         }
     }
 
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -1,6 +1,6 @@
 //! Watches one topic of the platform's records, directly or through relays.
 
-use super::records::FleetRecords;
+use super::{cache_role::CacheWatchRole, records::FleetRecords};
 use crate::{jitter::sleep_with_jitter, peers::PeerClient};
 use skylarkpick_interface::{FleetSource, FleetTopic, StoreEra, StoreRevision, WatchError};
 use skylarkpick_telemetry::{FEEDS_LOST, metrics};
@@ -42,6 +42,14 @@
 /// Mean delay of a follower after further failures. Its relays detect the platform's return first.
 const FOLLOWER_RETRY_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a process that starts waits to know its role before it reads from the
+/// platform, so that a large fleet that starts together reads through its relays.
+const ROLE_WAIT: Duration = Duration::from_secs(1);
+/// Attempts of a process that starts to read through relays, which may be starting as well, and the
+/// mean pause between them.
+const START_ATTEMPTS: u32 = 6;
+const START_RETRY_DELAY: Duration = Duration::from_millis(150);
+
 /// Shared state of the tasks that watch platform records.
 pub(crate) struct FleetWatcher {
     pub(crate) source: Arc<dyn FleetSource>,
@@ -62,9 +70,17 @@
     fetch: JoinSet<()>,
 }
 
+/// Watches a topic from the start of the process on, for as long as the task runs.
+pub(crate) async fn watch_topic_from_start(watcher: Arc<FleetWatcher>, topic: FleetTopic) {
+    if topic != FleetTopic::Entries {
+        read_relays_at_start(&watcher, topic).await;
+    }
+    watch_topic(watcher, topic).await;
+}
+
 /// Watches a topic for as long as the task runs: through relays if the process is a follower, else
 /// at the platform.
-pub(crate) async fn watch_topic(watcher: Arc<FleetWatcher>, topic: FleetTopic) {
+pub(super) async fn watch_topic(watcher: Arc<FleetWatcher>, topic: FleetTopic) {
     let mut calls = PlatformCalls::default();
     // Number of consecutive failed reads.
     let mut failures = 0;
@@ -98,6 +114,25 @@
     }
 }
 
+/// Reads a topic through relays for as long as one of them returns current records, as soon as this
+/// process knows them.
+async fn read_relays_at_start(watcher: &FleetWatcher, topic: FleetTopic) {
+    let mut changes = watcher.records.subscribe();
+    let knows_role = |_: &u64| watcher.records.cache_watch_role() != CacheWatchRole::Undecided;
+    // After the timeout the platform is read.
+    let _ = tokio::time::timeout(ROLE_WAIT, changes.wait_for(knows_role)).await;
+    for _ in 0..START_ATTEMPTS {
+        if watcher.records.relays().is_empty() {
+            return;
+        }
+        read_relays(watcher, topic).await;
+        if watcher.records.age(topic).is_some() {
+            return;
+        }
+        sleep_with_jitter(START_RETRY_DELAY).await;
+    }
+}
+
 /// Reads a topic through relays for as long as one of them returns current records.
 async fn read_relays(watcher: &FleetWatcher, topic: FleetTopic) {
     let limit = relay_age_limit(topic);
--- a/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
@@ -3,7 +3,7 @@
 use super::{
     records::FleetRecords,
     tests::{SECOND, draining, is_draining, records, target, target_ids},
-    topic_watch::{FleetWatcher, watch_topic},
+    topic_watch::{FleetWatcher, watch_topic, watch_topic_from_start},
     weight_tests::{named, newer_age},
 };
 use crate::{
@@ -274,3 +274,57 @@
     }
     assert!(wrong.is_empty(), "reads and first pause: {wrong:?}");
 }
+
+/// Platform that counts reads.
+#[derive(Default)]
+struct CountingSource {
+    reads: AtomicU32,
+}
+
+#[async_trait]
+impl TestRecords for CountingSource {
+    async fn read(&self, _: FleetTopic) -> Result<FleetUpdate, WatchError> {
+        self.reads.fetch_add(1, Ordering::SeqCst);
+        Ok(FleetUpdate { records: vec![target("i-1")], revision: at(40) })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_of_a_large_fleet_that_starts_reads_the_platform_only_if_its_relays_know_nothing()
+{
+    struct Case {
+        name: &'static str,
+        response: Option<PeerResponse>,
+        reads: u32,
+    }
+    let known = PeerResponse::Records(PeerRecords {
+        update: FleetUpdate { records: vec![target("i-1")], revision: at(40) },
+        is_complete: true,
+        age_ms: 0,
+        complete_age_ms: Some(0),
+    });
+    let cases = [
+        Case { name: "its relays have the records", response: Some(known), reads: 0 },
+        Case { name: "they have none", response: Some(PeerResponse::Nothing), reads: 1 },
+        Case { name: "they don't respond", response: None, reads: 1 },
+    ];
+    for Case { name, response, reads } in cases {
+        // Its own process, entry-1, has the least CPU and is a follower.
+        let (node_state, records) = records();
+        records.replace(FleetTopic::Entries, &entry_records(20));
+        let peer_client = Arc::new(PeerClient::default());
+        let delay = Duration::from_millis(10);
+        peer_client.set_network(Arc::new(SlowNetwork { delay, response }));
+        let source = Arc::new(CountingSource::default());
+        let watcher = Arc::new(FleetWatcher {
+            source: Arc::new(TestSource(source.clone())),
+            records,
+            peer_client,
+        });
+        let task = tokio::spawn(watch_topic_from_start(watcher, FleetTopic::Targets));
+        tokio::time::sleep(2 * SECOND).await;
+        assert_eq!(source.reads.load(Ordering::SeqCst), reads, "{name}");
+        assert_eq!(target_ids(&node_state), ["i-1"], "{name}");
+        task.abort();
+    }
+}
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -6,7 +6,8 @@
     crashes::{CrashWatch, send_cleared_causes, send_crashes, store_crashes},
     fleet::{
         CacheWatchers, FleetRecords, FleetWatcher, LoadSampler, PlannerParts, ServingConfirmer,
-        fetch_retained, record_weights, run_planner, sample_loads, watch_caches, watch_topic,
+        fetch_retained, record_weights, run_planner, sample_loads, watch_caches,
+        watch_topic_from_start,
     },
     forwarding::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder},
     hand_over::ReachWatch,
@@ -157,7 +158,7 @@
         let topics =
             [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
         for topic in topics {
-            tasks.spawn(watch_topic(watcher.clone(), topic));
+            tasks.spawn(watch_topic_from_start(watcher.clone(), topic));
         }
         tasks.spawn(take_over_history(streams.clone()));
         tasks.spawn(share_streams(streams));
