Answer requests that arrive in the instant in which a stopping process closes its address

Cause: 2.6 s after the signal the task that accepts connections was ended, and what the system had accepted by then was reset with the listener; a connection that had just been accepted, or that a client had kept, was closed although a request or a part of its head had arrived on it. Under load a few callers of each planned stop got no answer. Ruled out: requests whose head has been read (they were always finished). Change: connections that wait to be accepted are accepted before the listener closes; requests that have arrived are read before a connection is told to end; a connection on which a head is being received ends after its request. All end with the grace period as before. Left: a connection that arrives between the last look at the queue and the close of the listener, some microseconds, is reset; its request has not been read.

--- a/crates/skylarkpick-forward/src/client/activity.rs
+++ b/crates/skylarkpick-forward/src/client/activity.rs
@@ -113,6 +113,16 @@
         }
     }
 
+    /// Waits until no head is being received. The task that waits has to poll the connection as well:
+    /// only that changes the phase.
+    pub(super) async fn wait_outside_head(&self) {
+        std::future::poll_fn(|_| match self.phase() {
+            Phase::Head => Poll::Pending,
+            Phase::Idle | Phase::Busy => Poll::Ready(()),
+        })
+        .await;
+    }
+
     /// Returns the time at which the current phase exceeds its timeout.
     pub(super) fn deadline(&self, head_timeout: Duration, idle_timeout: Duration) -> Instant {
         let State { phase, since, response_deadline, .. } = *self.lock();
--- a/crates/skylarkpick-forward/src/client/connection.rs
+++ b/crates/skylarkpick-forward/src/client/connection.rs
@@ -87,12 +87,20 @@
         .max_buf_size(head_size_bytes.max(HEAD_SIZE_FLOOR_BYTES))
         .serve_connection(io, service);
     let mut connection = pin!(connection);
-    let mut is_stopping = false;
+    // A graceful shutdown closes a kept connection at once unless it has read a whole head, so it waits
+    // for the rest of a head.
+    let (mut is_stop_due, mut is_stopping) = (false, false);
     loop {
         let due = activity.deadline(head_timeout, idle_timeout);
         tokio::select! {
+            // Requests that have arrived are read before the process stops.
+            biased;
             // A connection error needs no handling: it cancelled the connection's request as well.
             _ = connection.as_mut() => return,
+            () = activity.wait_outside_head(), if is_stop_due && !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = activity.wait_for_response() => {}
             () = tokio::time::sleep_until(due) => {
                 if activity.deadline(head_timeout, idle_timeout) > due {
@@ -108,10 +116,7 @@
                     }
                 }
             }
-            _ = stopped.wait_for(|stopped| *stopped), if !is_stopping => {
-                is_stopping = true;
-                connection.as_mut().graceful_shutdown();
-            }
+            _ = stopped.wait_for(|stopped| *stopped), if !is_stop_due => is_stop_due = true,
         }
     }
 }
--- a/crates/skylarkpick-forward/src/client/listener.rs
+++ b/crates/skylarkpick-forward/src/client/listener.rs
@@ -44,11 +44,13 @@
         self.address
     }
 
-    /// Stops accepting connections and waits until `until` for all responses to be sent. Returns
-    /// whether all of them were.
-    pub(crate) async fn close(self, until: Instant) -> bool {
-        self.accept_task.abort();
+    /// Stops accepting connections, but for those that the system has accepted already, and waits until
+    /// `until` for all responses to be sent. Returns whether all of them were.
+    pub(crate) async fn close(mut self, until: Instant) -> bool {
         self.stop.send_replace(true);
+        if tokio::time::timeout_at(until, &mut self.accept_task).await.is_err() {
+            self.accept_task.abort();
+        }
         let permit_count = u32::try_from(CONNECTIONS_LIMIT).unwrap_or(u32::MAX);
         tokio::time::timeout_at(until, self.permits.acquire_many(permit_count)).await.is_ok()
     }
@@ -58,11 +60,18 @@
     listener: TcpListener,
     forwarder: Arc<Forwarder>,
     permits: Arc<Semaphore>,
-    stopped: watch::Receiver<bool>,
+    mut stopped: watch::Receiver<bool>,
 ) {
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            // Connections that wait to be accepted come before the end: closing the listener would reset
+            // them, with requests that their clients have sent.
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 set_socket_options(&stream, UNACKNOWLEDGED_LIMIT);
                 let (forwarder, stopped) = (forwarder.clone(), stopped.clone());
