Don't take a target that pauses amid a long body for dead

Cause: the socket's limit for unacknowledged bytes, 0.8 s, also counts while a target acknowledges all but takes nothing more. A sound target that reads a long body with a longer pause was cut off; the request got 502 after 1.06 s of 3.5. Change: the limit is lifted once more than 64 KB have been written without an answer, and set again with the next bytes read. What it costs: a cut link amid such a body is noticed at the request's deadline.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -202,7 +202,7 @@
     let failed = |error: &dyn Display| not_connected(ConnectFailure::Refused, error);
     let stream = TcpStream::connect(address).await.map_err(|error| failed(&error))?;
     set_socket_options(&stream, UNACKNOWLEDGED_LIMIT);
-    let stream = MeteredStream::open(stream);
+    let stream = MeteredStream::open(stream).with_unacknowledged_limit(UNACKNOWLEDGED_LIMIT);
     let meter = stream.meter();
     let (sender, connection) = Builder::new()
         .max_buf_size(READ_BUFFER_LIMIT_BYTES)
--- a/crates/skylarkpick-http/src/lib.rs
+++ b/crates/skylarkpick-http/src/lib.rs
@@ -11,6 +11,7 @@
 mod server;
 mod service_client;
 mod store_client;
+mod unacknowledged_limit;
 
 /// Request and response bodies of the store protocol.
 pub mod store_messages;
--- a/crates/skylarkpick-http/src/response_meter.rs
+++ b/crates/skylarkpick-http/src/response_meter.rs
@@ -1,6 +1,6 @@
 //! Bounds what a connection reads without a response head or a part of a body coming out of it.
 
-use crate::body_end::BodyEnd;
+use crate::{body_end::BodyEnd, unacknowledged_limit::UnacknowledgedLimit};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper_util::client::legacy::connect::{Connected, Connection};
@@ -11,6 +11,7 @@
         atomic::{AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
+    time::Duration,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -43,6 +44,7 @@
 pub struct MeteredStream {
     stream: TcpStream,
     meter: Arc<ResponseMeter>,
+    unacknowledged_limit: Option<UnacknowledgedLimit>,
 }
 
 impl MeteredStream {
@@ -59,7 +61,32 @@
     /// # Ok::<(), std::io::Error>(())
     /// ```
     pub fn open(stream: TcpStream) -> MeteredStream {
-        MeteredStream { stream, meter: Arc::default() }
+        MeteredStream { stream, meter: Arc::default(), unacknowledged_limit: None }
+    }
+
+    /// Lifts the limit of the socket for the time for which bytes that were sent may stay
+    /// unacknowledged, `limit`, amid a request of more bytes than a server takes before it reads.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use std::time::Duration;
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    /// let socket = tokio::net::TcpStream::connect(listener.local_addr()?).await?;
+    /// let stream = skylarkpick_http::MeteredStream::open(socket);
+    /// let _stream = stream.with_unacknowledged_limit(Duration::from_millis(800));
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn with_unacknowledged_limit(mut self, limit: Duration) -> MeteredStream {
+        self.unacknowledged_limit = Some(UnacknowledgedLimit::open(limit));
+        self
+    }
+
+    fn note_written(&mut self, written: &Poll<std::io::Result<usize>>) {
+        if let (Poll::Ready(Ok(count)), Some(limit)) = (written, &mut self.unacknowledged_limit) {
+            limit.note_written(&self.stream, *count);
+        }
     }
 
     /// Returns the meter, for the bodies of the connection's responses.
@@ -83,6 +110,10 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let read = (buffer.filled().len() - before) as u64;
+        let MeteredStream { stream, unacknowledged_limit, .. } = &mut *self;
+        if let (true, Some(limit)) = (read > 0, unacknowledged_limit) {
+            limit.note_read(stream);
+        }
         let unproductive = self.meter.unproductive_bytes.fetch_add(read, Ordering::Relaxed) + read;
         if unproductive > UNPRODUCTIVE_LIMIT_BYTES {
             let why = format!("{unproductive} bytes without a part of a response");
@@ -98,7 +129,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note_written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -106,7 +139,9 @@
         context: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.note_written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
