Take no stale records from a relay at the start of a process

Cause: since a process of a large fleet that starts reads through relays first, and applied what a relay had before it looked at its age. A relay that had lost the platform for some seconds could give it a target that had left since, or a key that had been withdrawn, until the platform was read, up to a second later. Change: a process without records asks a relay how old its records are, and fetches them only below the limit on the age that followers have; else the platform is read first. With the platform unavailable, what others have is taken as before.

--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -57,6 +57,13 @@
     pub(crate) peer_client: Arc<PeerClient>,
 }
 
+/// Where a process with relays reads a topic first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FirstRead {
+    Platform,
+    Relays,
+}
+
 /// State of a topic's calls to the platform.
 #[derive(Default)]
 struct PlatformCalls {
@@ -75,20 +82,28 @@
     if topic != FleetTopic::Entries {
         read_relays_at_start(&watcher, topic).await;
     }
-    watch_topic(watcher, topic).await;
+    // Without records, only an unavailable platform is a reason to take what may be stale.
+    let has_records = watcher.records.age(topic).is_some();
+    let first = if has_records { FirstRead::Relays } else { FirstRead::Platform };
+    watch_topic(watcher, topic, first).await;
 }
 
 /// Watches a topic for as long as the task runs: through relays if the process is a follower, else
 /// at the platform.
-pub(super) async fn watch_topic(watcher: Arc<FleetWatcher>, topic: FleetTopic) {
+pub(super) async fn watch_topic(
+    watcher: Arc<FleetWatcher>,
+    topic: FleetTopic,
+    mut first: FirstRead,
+) {
     let mut calls = PlatformCalls::default();
     // Number of consecutive failed reads.
     let mut failures = 0;
     loop {
         // The first failures may come from stale keep-alive connections and don't mean that the
         // platform is unavailable.
-        if failures == 0 || failures >= PROMPT_RETRIES {
-            read_relays(&watcher, topic).await;
+        let source = std::mem::replace(&mut first, FirstRead::Relays);
+        if (failures == 0 && source == FirstRead::Relays) || failures >= PROMPT_RETRIES {
+            read_relays(&watcher, topic, None).await;
         }
         let began = watcher.records.now();
         let update = match watcher.source.read(topic).await {
@@ -115,29 +130,34 @@
 }
 
 /// Reads a topic through relays for as long as one of them returns current records, as soon as this
-/// process knows them.
+/// process knows them. It has no records yet, so it takes none from a relay whose own are stale.
 async fn read_relays_at_start(watcher: &FleetWatcher, topic: FleetTopic) {
     let mut changes = watcher.records.subscribe();
     let knows_role = |_: &u64| watcher.records.cache_watch_role() != CacheWatchRole::Undecided;
     // After the timeout the platform is read.
     let _ = tokio::time::timeout(ROLE_WAIT, changes.wait_for(knows_role)).await;
     for _ in 0..START_ATTEMPTS {
-        if watcher.records.relays().is_empty() {
+        let relays = watcher.records.relays();
+        if relays.is_empty() {
             return;
         }
-        read_relays(watcher, topic).await;
-        if watcher.records.age(topic).is_some() {
-            return;
+        for relay in relays {
+            let age = watcher.peer_client.records_age(&relay, topic).await;
+            if age.is_some_and(|age| age < relay_age_limit(topic)) {
+                read_relays(watcher, topic, Some(relay)).await;
+                return;
+            }
         }
         sleep_with_jitter(START_RETRY_DELAY).await;
     }
 }
 
-/// Reads a topic through relays for as long as one of them returns current records.
-async fn read_relays(watcher: &FleetWatcher, topic: FleetTopic) {
+/// Reads a topic through relays, `first` before others, for as long as one of them returns current
+/// records.
+async fn read_relays(watcher: &FleetWatcher, topic: FleetTopic, first: Option<String>) {
     let limit = relay_age_limit(topic);
     let mut known_age = Duration::ZERO;
-    let mut last_responder = None;
+    let mut last_responder = first;
     loop {
         let mut is_fresh = false;
         let mut relays = watcher.records.relays();
--- a/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
@@ -3,7 +3,7 @@
 use super::{
     records::FleetRecords,
     tests::{SECOND, draining, is_draining, records, target, target_ids},
-    topic_watch::{FleetWatcher, watch_topic, watch_topic_from_start},
+    topic_watch::{FirstRead, FleetWatcher, watch_topic, watch_topic_from_start},
     weight_tests::{named, newer_age},
 };
 use crate::{
@@ -77,7 +77,7 @@
             records,
             peer_client,
         });
-        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets));
+        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstRead::Relays));
         tokio::time::sleep(SECOND).await;
         let case = if does_read_fail { "read" } else { "changes" };
         assert_eq!(target_ids(&node_state), ["i-1"], "after a failed {case}");
@@ -118,7 +118,7 @@
     let source = Arc::new(SilentSource { has_failed: AtomicBool::new(false) });
     let watcher =
         Arc::new(FleetWatcher { source: Arc::new(TestSource(source)), records, peer_client });
-    let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets));
+    let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstRead::Relays));
     tokio::time::sleep(3 * SECOND).await;
     assert_eq!(target_ids(&node_state), ["i-1"]);
     task.abort();
@@ -175,7 +175,7 @@
     peer_client.set_network(Arc::new(RelayNetwork { relay: relay.clone() }));
     let source = Arc::new(TestSource(Arc::new(UnreachableSource)));
     let watcher = Arc::new(FleetWatcher { source, records, peer_client });
-    let task = tokio::spawn(watch_topic(watcher, topic));
+    let task = tokio::spawn(watch_topic(watcher, topic, FirstRead::Relays));
     // The response of a watch that began before version 2 was named, at 1 s, arrives at 3 s.
     tokio::time::sleep(3 * SECOND).await;
     relay.note_current(topic, Duration::ZERO);
@@ -263,7 +263,7 @@
             records,
             peer_client: Arc::new(PeerClient::default()),
         });
-        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets));
+        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstRead::Relays));
         tokio::time::sleep(SECOND).await;
         task.abort();
         let times = source.reads.lock().unwrap();
@@ -297,14 +297,18 @@
         response: Option<PeerResponse>,
         reads: u32,
     }
-    let known = PeerResponse::Records(PeerRecords {
-        update: FleetUpdate { records: vec![target("i-1")], revision: at(40) },
-        is_complete: true,
-        age_ms: 0,
-        complete_age_ms: Some(0),
-    });
+    let records_of_age = |id: &str, age_ms: u64| {
+        Some(PeerResponse::Records(PeerRecords {
+            update: FleetUpdate { records: vec![target(id)], revision: at(39) },
+            is_complete: true,
+            age_ms,
+            complete_age_ms: Some(age_ms),
+        }))
+    };
+    let (known, stale) = (records_of_age("i-1", 0), records_of_age("left-since", 9_000));
     let cases = [
-        Case { name: "its relays have the records", response: Some(known), reads: 0 },
+        Case { name: "its relays have the records", response: known, reads: 0 },
+        Case { name: "their records are stale", response: stale, reads: 1 },
         Case { name: "they have none", response: Some(PeerResponse::Nothing), reads: 1 },
         Case { name: "they don't respond", response: None, reads: 1 },
     ];
@@ -322,7 +326,11 @@
             peer_client,
         });
         let task = tokio::spawn(watch_topic_from_start(watcher, FleetTopic::Targets));
-        tokio::time::sleep(2 * SECOND).await;
+        for _ in 0..2_000 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            let targets = target_ids(&node_state);
+            assert!(!targets.contains(&"left-since".to_string()), "{name}: a target that has left");
+        }
         assert_eq!(source.reads.load(Ordering::SeqCst), reads, "{name}");
         assert_eq!(target_ids(&node_state), ["i-1"], "{name}");
         task.abort();
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -214,6 +214,23 @@
         has_responded
     }
 
+    /// Asks one process how old its records of a topic are, without fetching them: the time since it last
+    /// knew them to be current. Returns `None` if it has none or does not respond.
+    pub(crate) async fn records_age(&self, address: &str, topic: FleetTopic) -> Option<Duration> {
+        // No record is newer than that.
+        let request = PeerRequest::Records { topic, since: u64::MAX, era: None, wait_ms: 0 };
+        match self.ask(address, &request, REQUEST_TIMEOUT).await {
+            Ok(PeerResponse::Records(response)) => Some(Duration::from_millis(response.age_ms)),
+            Ok(_) => None,
+            Err(error) => {
+                spdlog::debug!("failed to ask another entry process for its records", kv: {
+                    address, error = error.as_str(),
+                });
+                None
+            }
+        }
+    }
+
     /// Fetches and applies newer records of a topic from one process, which may wait for some up to
     /// `wait`. Returns how old the records of that process were, or `None` if it did not respond or
     /// its records are not current.
