--- a/crates/skylarkpick-forward/src/fleet/era_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/era_tests.rs
@@ -3,7 +3,7 @@
 use super::{
     records::FleetRecords,
     tests::{SECOND, draining, is_draining, records, target, target_ids},
-    topic_watch::{FirstRead, FleetWatcher, watch_topic},
+    topic_watch::{FirstSource, FleetWatcher, watch_topic},
     weight_tests::{MODEL, first_update, named, newer_age},
 };
 use crate::{
@@ -478,7 +478,7 @@
         records,
         peer_client: Arc::new(PeerClient::default()),
     });
-    let task = tokio::spawn(watch_topic(watcher.clone(), FleetTopic::Targets, FirstRead::Relays));
+    let task = tokio::spawn(watch_topic(watcher.clone(), FleetTopic::Targets, FirstSource::Relays));
     let reads = async || {
         tokio::time::sleep(SECOND / 10).await;
         source.reads.load(Ordering::SeqCst)
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -6,7 +6,7 @@
     planner::rollout_goal,
     records::FleetRecords,
     serving_confirmer::ServingConfirmer,
-    topic_watch::{FirstRead, FleetWatcher, relay_wait, watch_topic},
+    topic_watch::{FirstSource, FleetWatcher, relay_wait, watch_topic},
 };
 use crate::{
     node_state::NodeState,
@@ -298,7 +298,7 @@
             records,
             peer_client,
         });
-        let task = tokio::spawn(watch_topic(follower, FleetTopic::Targets, FirstRead::Relays));
+        let task = tokio::spawn(watch_topic(follower, FleetTopic::Targets, FirstSource::Relays));
         tokio::time::sleep(SECOND).await;
         assert_eq!(target_ids(&node_state), ["i-1"], "after {failures} failures");
         task.abort();
@@ -367,7 +367,7 @@
         [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
     let mut tasks = JoinSet::new();
     for topic in topics {
-        tasks.spawn(watch_topic(watcher.clone(), topic, FirstRead::Relays));
+        tasks.spawn(watch_topic(watcher.clone(), topic, FirstSource::Relays));
     }
     tokio::time::sleep(10 * SECOND).await;
     let reads = source.reads.lock().unwrap();
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -59,7 +59,7 @@
 
 /// Where a process with relays reads a topic first.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum FirstRead {
+pub(super) enum FirstSource {
     Platform,
     Relays,
 }
@@ -84,7 +84,7 @@
     }
     // Without records, only an unavailable platform is a reason to take what may be stale.
     let has_records = watcher.records.age(topic).is_some();
-    let first = if has_records { FirstRead::Relays } else { FirstRead::Platform };
+    let first = if has_records { FirstSource::Relays } else { FirstSource::Platform };
     watch_topic(watcher, topic, first).await;
 }
 
@@ -93,7 +93,7 @@
 pub(super) async fn watch_topic(
     watcher: Arc<FleetWatcher>,
     topic: FleetTopic,
-    mut first: FirstRead,
+    mut first: FirstSource,
 ) {
     let mut calls = PlatformCalls::default();
     // Number of consecutive failed reads.
@@ -101,8 +101,8 @@
     loop {
         // The first failures may come from stale keep-alive connections and don't mean that the
         // platform is unavailable.
-        let source = std::mem::replace(&mut first, FirstRead::Relays);
-        if (failures == 0 && source == FirstRead::Relays) || failures >= PROMPT_RETRIES {
+        let source = std::mem::replace(&mut first, FirstSource::Relays);
+        if (failures == 0 && source == FirstSource::Relays) || failures >= PROMPT_RETRIES {
             read_relays(&watcher, topic, None).await;
         }
         let began = watcher.records.now();
--- a/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch_tests.rs
@@ -3,7 +3,7 @@
 use super::{
     records::FleetRecords,
     tests::{SECOND, draining, is_draining, records, target, target_ids},
-    topic_watch::{FirstRead, FleetWatcher, watch_topic, watch_topic_from_start},
+    topic_watch::{FirstSource, FleetWatcher, watch_topic, watch_topic_from_start},
     weight_tests::{named, newer_age},
 };
 use crate::{
@@ -77,7 +77,7 @@
             records,
             peer_client,
         });
-        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstRead::Relays));
+        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstSource::Relays));
         tokio::time::sleep(SECOND).await;
         let case = if does_read_fail { "read" } else { "changes" };
         assert_eq!(target_ids(&node_state), ["i-1"], "after a failed {case}");
@@ -118,7 +118,7 @@
     let source = Arc::new(SilentSource { has_failed: AtomicBool::new(false) });
     let watcher =
         Arc::new(FleetWatcher { source: Arc::new(TestSource(source)), records, peer_client });
-    let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstRead::Relays));
+    let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstSource::Relays));
     tokio::time::sleep(3 * SECOND).await;
     assert_eq!(target_ids(&node_state), ["i-1"]);
     task.abort();
@@ -175,7 +175,7 @@
     peer_client.set_network(Arc::new(RelayNetwork { relay: relay.clone() }));
     let source = Arc::new(TestSource(Arc::new(UnreachableSource)));
     let watcher = Arc::new(FleetWatcher { source, records, peer_client });
-    let task = tokio::spawn(watch_topic(watcher, topic, FirstRead::Relays));
+    let task = tokio::spawn(watch_topic(watcher, topic, FirstSource::Relays));
     // The response of a watch that began before version 2 was named, at 1 s, arrives at 3 s.
     tokio::time::sleep(3 * SECOND).await;
     relay.note_current(topic, Duration::ZERO);
@@ -263,7 +263,7 @@
             records,
             peer_client: Arc::new(PeerClient::default()),
         });
-        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstRead::Relays));
+        let task = tokio::spawn(watch_topic(watcher, FleetTopic::Targets, FirstSource::Relays));
         tokio::time::sleep(SECOND).await;
         task.abort();
         let times = source.reads.lock().unwrap();
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -3,7 +3,7 @@
 use super::{
     desired_times::DesiredTimes,
     records::FleetRecords,
-    topic_watch::{FirstRead, FleetWatcher, watch_topic},
+    topic_watch::{FirstSource, FleetWatcher, watch_topic},
     weight_recorder::record_weights,
 };
 use crate::{
@@ -503,7 +503,7 @@
     let source = Arc::new(LateSource::default());
     let watcher =
         Arc::new(FleetWatcher { source: Arc::new(TestSource(source)), records, peer_client });
-    let task = tokio::spawn(watch_topic(watcher, FleetTopic::Weights, FirstRead::Relays));
+    let task = tokio::spawn(watch_topic(watcher, FleetTopic::Weights, FirstSource::Relays));
     tokio::time::sleep(6 * SECOND).await;
     assert_eq!(newer_age(&node_state, 1), Some(5 * SECOND));
     task.abort();
