--- a/crates/skylarkpick-forward/src/peers/handler_tests.rs
+++ b/crates/skylarkpick-forward/src/peers/handler_tests.rs
@@ -1,36 +1,20 @@
 //! Tests of requests for records, of processes that know eras and that don't.
 
-use super::{handler::PeerMessageHandler, messages::PeerResponse, relay::CacheRelay};
+use super::{handler::PeerMessageHandler, messages::PeerResponse};
 use crate::{
-    connection_pool::ConnectionPool,
-    fleet::{FleetRecords, FleetWatcher},
-    hand_over::ReachWatch,
+    fleet::FleetRecords,
     peers::PeerClient,
-    test_support::{TestRecords, TestSource, empty_node_state, entry_records},
+    test_support::{empty_node_state, entry_records, message_handler},
 };
-use async_trait::async_trait;
 use skylarkpick_interface::{FleetTopic, FleetUpdate, PeerHandler, StoreRevision};
 use std::sync::Arc;
 
-/// Platform that never responds.
-struct UnreachableSource;
-
-#[async_trait]
-impl TestRecords for UnreachableSource {}
-
 /// Returns a process that has read the entry processes at a revision.
 fn handler(revision: StoreRevision) -> PeerMessageHandler {
     let node_state = empty_node_state();
     let records = FleetRecords::open(node_state.clone(), "entry-1");
     records.replace(FleetTopic::Entries, &FleetUpdate { revision, ..entry_records(2) });
-    let source = Arc::new(TestSource(Arc::new(UnreachableSource)));
-    let peer_client = Arc::new(PeerClient::default());
-    let watcher = Arc::new(FleetWatcher { source, records, peer_client });
-    let relay = CacheRelay::open(node_state.clone());
-    let pool = ConnectionPool::open();
-    let data_centre = "mnl-a".to_string();
-    let reach = ReachWatch::open(node_state.clone(), pool, watcher.clone(), data_centre);
-    PeerMessageHandler { node_state, watcher, relay, reach, forwarder: None }
+    message_handler(node_state, records, Arc::new(PeerClient::default()), "mnl-a")
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/skylarkpick-forward/src/peers/notice_tests.rs
+++ b/crates/skylarkpick-forward/src/peers/notice_tests.rs
@@ -1,16 +1,13 @@
 //! Tests that notices reach all processes of a fleet, and in how many messages.
 
 use super::{
-    handler::PeerMessageHandler, messages::Notice, notice_log::NoticeLog, relay::CacheRelay,
-    relay::follow_relay,
+    handler::PeerMessageHandler, messages::Notice, notice_log::NoticeLog, relay::follow_relay,
 };
 use crate::{
-    connection_pool::ConnectionPool,
     fleet::{FleetRecords, FleetWatcher},
-    hand_over::ReachWatch,
     node_state::NodeState,
     peers::PeerClient,
-    test_support::{TestRecords, TestSource, empty_node_state},
+    test_support::{empty_node_state, message_handler},
 };
 use async_trait::async_trait;
 use skylarkpick_interface::{
@@ -30,12 +27,6 @@
 const PART: u64 = 7;
 const DATA_CENTRES: usize = 3;
 
-/// Platform that never responds.
-struct UnreachableSource;
-
-#[async_trait]
-impl TestRecords for UnreachableSource {}
-
 /// Network of the processes of a test, which counts one-way messages.
 #[derive(Default)]
 struct TestNetwork {
@@ -115,21 +106,9 @@
         records.replace(FleetTopic::Entries, &update);
         let peer_client = Arc::new(PeerClient::default());
         peer_client.set_network(network.clone());
-        let source = Arc::new(TestSource(Arc::new(UnreachableSource)));
-        let watcher = Arc::new(FleetWatcher { source, records, peer_client: peer_client.clone() });
-        let reach = ReachWatch::open(
-            node_state.clone(),
-            ConnectionPool::open(),
-            watcher.clone(),
-            entry.data_centre.clone(),
-        );
-        let handler = PeerMessageHandler {
-            node_state: node_state.clone(),
-            watcher: watcher.clone(),
-            relay: CacheRelay::open(node_state.clone()),
-            reach,
-            forwarder: None,
-        };
+        let handler =
+            message_handler(node_state.clone(), records, peer_client.clone(), &entry.data_centre);
+        let watcher = handler.watcher.clone();
         let address = entry.address.to_string();
         network.handlers.lock().unwrap().insert(address, Arc::new(handler));
         tokio::spawn(follow_relay(node_state.clone(), peer_client, watcher.clone()));
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -1,6 +1,12 @@
 //! Node state, platform records and other entry processes for tests.
 
-use crate::{node_state::NodeState, peers::PeerResponse};
+use crate::{
+    connection_pool::ConnectionPool,
+    fleet::{FleetRecords, FleetWatcher},
+    hand_over::ReachWatch,
+    node_state::NodeState,
+    peers::{CacheRelay, PeerClient, PeerMessageHandler, PeerResponse},
+};
 use async_trait::async_trait;
 use skylarkpick_interface::{
     Clock, CrashReport, DesiredSinceOutcome, FleetRecord, FleetSource, FleetTopic, FleetUpdate,
@@ -177,3 +183,25 @@
     });
     FleetUpdate { records: entries.collect(), revision: at(3) }
 }
+
+/// Platform that never responds.
+struct UnreachableSource;
+
+#[async_trait]
+impl TestRecords for UnreachableSource {}
+
+/// Returns the handler of a process with these records of a platform that no longer responds.
+pub(crate) fn message_handler(
+    node_state: Arc<NodeState>,
+    records: FleetRecords,
+    peer_client: Arc<PeerClient>,
+    data_centre: &str,
+) -> PeerMessageHandler {
+    let source = Arc::new(TestSource(Arc::new(UnreachableSource)));
+    let watcher = Arc::new(FleetWatcher { source, records, peer_client });
+    let pool = ConnectionPool::open();
+    let reach =
+        ReachWatch::open(node_state.clone(), pool, watcher.clone(), data_centre.to_string());
+    let relay = CacheRelay::open(node_state.clone());
+    PeerMessageHandler { node_state, watcher, relay, reach, forwarder: None }
+}
