Review case 4: mixed versions after a silence alone

The runner with other software leaves as planned and no longer crashes, so that the silent connection is the only disruption.

--- a/review/lab/mixed_versions.rs
+++ b/review/lab/mixed_versions.rs
@@ -1,5 +1,5 @@
 //! The connection over which a process watches the runners' entries becomes silent, a runner with other
-//! software joins, and clients take up at this process the streams that the runner began.
+//! software joins and leaves again, and clients take up at this process the streams that the runner began.
 
 use crate::{
     http::chunk,
@@ -12,12 +12,15 @@
 /// Time for which all processes have known one software version.
 const LEAD: Duration = Duration::from_secs(34);
 const STREAMS: usize = 60;
-const EVENTS: u64 = 20;
+const EVENTS: u64 = 40;
 const EVENT_DELAY: Duration = Duration::from_millis(100);
-/// Time from the silence until the other software joins, streams begin there, and it ends.
+/// Times from the silence until the other software joins, from there until streams begin, and from the last
+/// of them until it leaves.
 const JOIN_DELAY: Duration = Duration::from_millis(100);
-const BEGIN_DELAY: Duration = Duration::from_millis(300);
-const CRASH_DELAY: Duration = Duration::from_millis(900);
+const BEGIN_DELAY: Duration = Duration::from_millis(200);
+const LEAVE_DELAY: Duration = Duration::from_millis(50);
+/// Time for which it serves then: `drainMs` and a little longer.
+const SERVING_TIME: Duration = Duration::from_millis(2_100);
 /// Streams with events of two software versions that break the rule.
 const ALLOWED: usize = 2;
 
@@ -118,9 +121,10 @@
         }));
         thread::sleep(Duration::from_millis(3));
     }
-    thread::sleep(CRASH_DELAY);
-    record.line("runner i-4 crashes");
-    other.crash();
+    thread::sleep(LEAVE_DELAY);
+    record.line("runner i-4 leaves: it reports that it drains");
+    other.leave(SERVING_TIME);
+    record.line("runner i-4 has left");
     let mixed = streams.into_iter().filter_map(|it| it.join().ok()).filter(|it| *it).count();
     record.line(&format!("{mixed} streams have events of two software versions"));
     Ok(mixed <= ALLOWED)
--- a/review/lab/runner.rs
+++ b/review/lab/runner.rs
@@ -42,6 +42,7 @@
     pub weights: u64,
     pub is_loading: bool,
     pub orders: u64,
+    is_leaving: bool,
     /// Whether it still writes its entry.
     writes_entry: bool,
     heartbeats: u64,
@@ -92,6 +93,7 @@
                 weights: 1,
                 is_loading: false,
                 orders: 0,
+                is_leaving: false,
                 writes_entry: true,
                 heartbeats: 0,
             }),
@@ -142,7 +144,7 @@
                 ("zone", Json::text(&self.identity.zone)),
                 ("version", Json::text(&self.identity.software)),
                 ("slots", Json::number(self.identity.slots)),
-                ("state", Json::text("ready")),
+                ("state", Json::text(if state.is_leaving { "draining" } else { "ready" })),
                 ("coldRemainingMs", Json::number(0)),
                 ("stage", Json::text("combined")),
                 ("models", Json::List(models)),
@@ -164,6 +166,16 @@
         }
     }
 
+    /// Leaves as planned: it reports that it drains, says so in all its answers, serves for a time, and
+    /// exits.
+    pub fn leave(&self, serving_time: Duration) {
+        self.lock().is_leaving = true;
+        self.write_entry();
+        thread::sleep(serving_time);
+        self.crash();
+        self.store.remove("servers", &self.identity.id);
+    }
+
     pub fn has_ended(&self) -> bool {
         self.has_ended.load(Ordering::SeqCst)
     }
@@ -178,6 +190,9 @@
         if self.identity.is_engine {
             headers += &format!("x-skylarkpick-weight-versions: {}\r\n", state.weights);
         }
+        if state.is_leaving {
+            headers += "server-leaving: 1\r\n";
+        }
         headers
     }
 
--- a/review/lab/store.rs
+++ b/review/lab/store.rs
@@ -68,6 +68,12 @@
         self.changed.notify_all();
     }
 
+    /// Removes an object as a runner that has left does.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.lock().remove(kind, name);
+        self.changed.notify_all();
+    }
+
     /// Opens a view on a free port.
     pub fn view(self: &Arc<Store>) -> Result<Arc<View>, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
