--- a/review/lab/mixed_versions.rs
+++ b/review/lab/mixed_versions.rs
@@ -1,5 +1,6 @@
-//! The connection over which a process watches the runners' entries becomes silent, a runner with other
-//! software joins and leaves again, and clients take up at this process the streams that the runner began.
+//! The connection over which a process watches the runners' entries becomes silent, and a runner starts again
+//! with other software under its identifier. The streams that the process begins there go on elsewhere when the
+//! runner leaves.
 
 use crate::{
     http::chunk,
@@ -14,9 +15,10 @@
 const STREAMS: usize = 60;
 const EVENTS: u64 = 40;
 const EVENT_DELAY: Duration = Duration::from_millis(100);
-/// Times from the silence until the other software joins, from there until streams begin, and from the last
-/// of them until it leaves.
-const JOIN_DELAY: Duration = Duration::from_millis(100);
+/// Times from the silence until the runner ends, until it is back with other software, from there until
+/// streams begin, and from the last of them until it leaves.
+const END_DELAY: Duration = Duration::from_millis(100);
+const AWAY: Duration = Duration::from_millis(150);
 const BEGIN_DELAY: Duration = Duration::from_millis(200);
 const LEAVE_DELAY: Duration = Duration::from_millis(50);
 /// Time for which it serves then: `drainMs` and a little longer.
@@ -71,7 +73,7 @@
     let platform = Platform::open(record, configuration);
     let behaviour: Behaviour = Arc::new(|call| behave(call));
     let mut runners = Vec::new();
-    for id in ["i-1", "i-2", "i-3"] {
+    for id in ["i-1", "i-2", "i-3", "i-4"] {
         runners.push(platform.runner(id, "feed", "v1", false, &behaviour)?);
     }
     let fleet = platform.start()?;
@@ -81,10 +83,14 @@
         fleet.views[0].silence(watch);
         record.line("the connection of process 0's watch of the runners is silent from now on");
     }
-    thread::sleep(JOIN_DELAY);
-    let joining = crate::setup::Platform { store: fleet.store.clone(), record: record.clone() };
-    let other = joining.runner("i-4", "feed", "v2", false, &behaviour)?;
-    record.line("runner i-4 with software v2 joins");
+    thread::sleep(END_DELAY);
+    let Some(former) = runners.pop() else { return Err("no runner".to_string()) };
+    former.crash();
+    record.line("runner i-4 ends");
+    thread::sleep(AWAY);
+    let platform = Platform { store: fleet.store.clone(), record: record.clone() };
+    let other = platform.runner_at(former.address, "i-4", "feed", "v2", false, &behaviour)?;
+    record.line("runner i-4 is back with software v2, and its entry says so");
     thread::sleep(BEGIN_DELAY);
     let mut streams = Vec::new();
     for number in 0..STREAMS {
@@ -98,7 +104,7 @@
                 parts: &[],
                 resumes: None,
             };
-            let first = send(&record, fronts[2], 2, &begun);
+            let first = send(&record, fronts[0], 0, &begun);
             let mut body = first.body.clone();
             let last = last_event(&body);
             if first.status == Some(200) && !first.is_complete && last > 0 {
--- a/review/lab/runner.rs
+++ b/review/lab/runner.rs
@@ -74,14 +74,15 @@
 }
 
 impl Runner {
-    /// Starts a runner and registers it.
+    /// Starts a runner at an address, whose port may be 0 for any, and registers it.
     pub fn start(
         identity: Identity,
+        address: SocketAddr,
         store: &Arc<Store>,
         record: &Record,
         behaviour: Behaviour,
     ) -> Result<Arc<Runner>, String> {
-        let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+        let listener = TcpListener::bind(address).map_err(|error| error.to_string())?;
         let address = listener.local_addr().map_err(|error| error.to_string())?;
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let runner = Arc::new(Runner {
--- a/review/lab/setup.rs
+++ b/review/lab/setup.rs
@@ -142,6 +142,7 @@
         Platform { store, record: record.clone() }
     }
 
+    /// Starts a runner on a free port.
     pub fn runner(
         &self,
         id: &str,
@@ -149,6 +150,19 @@
         software: &str,
         is_engine: bool,
         behaviour: &Behaviour,
+    ) -> Result<Arc<Runner>, String> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        self.runner_at(any, id, service, software, is_engine, behaviour)
+    }
+
+    pub fn runner_at(
+        &self,
+        address: SocketAddr,
+        id: &str,
+        service: &str,
+        software: &str,
+        is_engine: bool,
+        behaviour: &Behaviour,
     ) -> Result<Arc<Runner>, String> {
         let identity = Identity {
             id: id.to_string(),
@@ -158,7 +172,7 @@
             slots: if is_engine { 64 } else { 6 },
             is_engine,
         };
-        Runner::start(identity, &self.store, &self.record, behaviour.clone())
+        Runner::start(identity, address, &self.store, &self.record, behaviour.clone())
     }
 
     /// Starts the processes.
