Send a client attempt at most once on a connection to a target

Cause: a second send of a client attempt to the same target, after a rejection that allows it, used the connection of the first send. A late copy of the rejection carries the ID of this attempt and arrives where the answer to the second send is due. The ID can't tell the two apart, so the second send counted as not run. The cause is not the rejection: any answer that leaves a connection in use can come a second time, and an attempt can come back to a connection in other ways, with other requests in between too.

Ruled out: copies that come before the next request is written (they close the connection), copies to another attempt (the ID tells), answers after which the connection is dropped, a hand-over (each process has connections of its own, each hand-over a stream of its own). Not returning connections to the pool after a rejection would mend the case, but not a copy of any other answer, and costs connections where targets are full.

Change: a connection remembers the attempts that it has carried, as hashes, and the pool doesn't give it out for one of them. It is closed after 512 attempts, so that what it remembers is bounded.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -8,12 +8,14 @@
 use skylarkpick_http::{
     BodyEnd, MeteredBody, MeteredStream, READ_BUFFER_LIMIT_BYTES, ResponseMeter, describe,
 };
+use skylarkpick_interface::ClientAttemptId;
 use skylarkpick_schedule::ConnectFailure;
 use skylarkpick_telemetry::{CONNECTIONS_FAILED, metrics};
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     collections::HashMap,
     fmt::Display,
+    hash::{BuildHasher, RandomState},
     io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
@@ -39,6 +41,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum number of idle connections per target.
 const IDLE_COUNT_LIMIT: usize = 16;
+/// Client attempts that a connection carries before it is closed, each of which takes 8 bytes.
+pub(crate) const CARRIED_LIMIT: usize = 512;
 
 /// Why a call failed.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -90,11 +94,18 @@
 }
 
 /// Pool of idle connections to targets.
+///
+/// A connection carries a client attempt at most once. A target may send a second copy of its response,
+/// and only the attempt's ID tells that it doesn't answer a later request.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    hasher: RandomState,
 }
 
+/// Hash of the ID of a client attempt. If two are equal, a new connection is opened needlessly.
+type AttemptHash = u64;
+
 struct Idle {
     channel: Channel,
     since: Instant,
@@ -105,12 +116,15 @@
 struct Channel {
     sender: SendRequest<Full<Bytes>>,
     meter: Arc<ResponseMeter>,
+    /// Client attempts that were sent on the connection.
+    carried: Vec<AttemptHash>,
 }
 
-/// Connection in use by one request.
+/// Connection in use by one client attempt.
 pub(crate) struct Connection {
     channel: Channel,
     address: SocketAddr,
+    attempt: AttemptHash,
     pub(crate) is_reused: bool,
 }
 
@@ -119,29 +133,39 @@
         Arc::new(ConnectionPool::default())
     }
 
-    /// Returns a pooled connection that has been idle for at most `idle_limit`, or a new one.
+    /// Returns a connection for a client attempt, which it has not carried yet: a pooled one that has
+    /// been idle for at most `idle_limit`, or a new one.
     pub(crate) async fn connect(
         &self,
         address: SocketAddr,
+        attempt_id: &ClientAttemptId,
         idle_limit: Duration,
     ) -> Result<Connection, SendError> {
-        if let Some(channel) = self.take_idle(address, idle_limit) {
-            return Ok(Connection { channel, address, is_reused: true });
+        let attempt = self.hasher.hash_one(attempt_id);
+        if let Some(channel) = self.take_idle(address, attempt, idle_limit) {
+            return Ok(Connection { channel, address, attempt, is_reused: true });
         }
         let channel = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(address))
             .await
             .unwrap_or_else(|_| Err(not_connected(ConnectFailure::TimedOut, "timed out")))
             .inspect_err(|error| error.count())?;
-        Ok(Connection { channel, address, is_reused: false })
+        Ok(Connection { channel, address, attempt, is_reused: false })
     }
 
-    fn take_idle(&self, address: SocketAddr, idle_limit: Duration) -> Option<Channel> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        attempt: AttemptHash,
+        idle_limit: Duration,
+    ) -> Option<Channel> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         connections.retain(|it| !it.channel.sender.is_closed() && now < it.since + it.limit);
         let newest = connections.iter().rposition(|it| {
-            it.channel.sender.is_ready() && now.duration_since(it.since) <= idle_limit
+            it.channel.sender.is_ready()
+                && now.duration_since(it.since) <= idle_limit
+                && !it.channel.carried.contains(&attempt)
         })?;
         Some(connections.remove(newest).channel)
     }
@@ -149,7 +173,8 @@
     /// Returns a connection to the pool after its response was read to the end.
     pub(crate) fn release(&self, connection: Connection, reported_limit: Option<Duration>) {
         let limit = reported_limit.map_or(IDLE_LIMIT, |limit| limit.saturating_sub(IDLE_MARGIN));
-        if connection.channel.sender.is_closed() || limit.is_zero() {
+        let is_used_up = connection.channel.carried.len() >= CARRIED_LIMIT;
+        if connection.channel.sender.is_closed() || limit.is_zero() || is_used_up {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -187,7 +212,8 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<MeteredBody>, SendError> {
-        let Channel { sender, meter } = &mut self.channel;
+        let Channel { sender, meter, carried } = &mut self.channel;
+        carried.push(self.attempt);
         let method = request.method().clone();
         let response = sender.try_send_request(request).await.map_err(|mut error| {
             let text = describe(error.error());
@@ -232,7 +258,7 @@
         // A failure also reaches the caller that waits for the response.
         let _ = connection.await;
     });
-    Ok(Channel { sender, meter })
+    Ok(Channel { sender, meter, carried: Vec::new() })
 }
 
 /// Sets the socket options for low latency and for detection of dead peers. Failures are only
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -175,7 +175,8 @@
     async fn connect(&self, idle_limit: Duration) -> Result<Connection, SendError> {
         let (pool, address) = (&self.forwarder.pool, self.guard.assignment.address);
         let began = self.forwarder.node_state.now();
-        let connected = pool.connect(address, idle_limit).await;
+        let attempt_id = &self.request.head.attempt_id;
+        let connected = pool.connect(address, attempt_id, idle_limit).await;
         self.note_reach(&connected, began).await;
         let connection = connected?;
         let error = if self.forwarder.node_state.pause_rest(&address).is_some() {
