Pause at a brittle target that reports waiting requests

What callers saw: right after a target said that it is brittle, requests were still sent on top of those that waited there from before, and turned away.

Cause: a report of waiting requests lowered the room no further than to what ran, all slots, and what a process has beyond its places was told up to 0.3 s after it heard the word from another process.

Change: more than one waiting request pauses the target for 0.2 s; a process that is told the word tells its own requests at once.

Unit tests of brittle targets pass.

--- a/crates/skylarkpick-forward/src/brittle.rs
+++ b/crates/skylarkpick-forward/src/brittle.rs
@@ -68,6 +68,8 @@
             state.untold_brittle.remove(target);
             state.set_known_brittle(target, *is_brittle);
             drop(state);
+            // Others don't know yet what this process has under way beyond its places.
+            self.limits_changed.notify_one();
             let signal = is_brittle.then(BrittleSignal::default);
             self.report_brittle_change(target, signal, "another entry process");
         }
--- a/crates/skylarkpick-schedule/src/placement/brittle.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle.rs
@@ -24,6 +24,8 @@
 const REJECTION_PAUSE: Duration = Duration::from_secs(1);
 /// The same after a target rejected a request of another process.
 const REJECTION_PAUSE_ELSEWHERE: Duration = Duration::from_millis(500);
+/// The same after a target reported that requests wait there, which it took before it became brittle.
+const WAITING_PAUSE: Duration = Duration::from_millis(200);
 /// Factor on the room of a target that rejected a request, or that has just started.
 const ROOM_DECREASE: f64 = 0.5;
 /// Time in which the room of a target grows from none to all of its slots.
@@ -395,6 +397,7 @@
         }
         if let Some(own) = self.own_mut(service, target) {
             own.set_room(own.room(now).min(f64::from(load.running)), now);
+            own.paused_until = own.paused_until.max(now + WAITING_PAUSE);
         }
     }
 
