Count requests beyond the places only where there are any

Cause: what a process has beyond its places was counted at each placement, with a map for each target, and the pause for reported waiting requests stopped sends that had room.

Change: no pause; without an excess anywhere the places are counted as before; a process counts its own excess as it has told it.

--- a/crates/skylarkpick-schedule/src/placement/brittle.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle.rs
@@ -24,8 +24,6 @@
 const REJECTION_PAUSE: Duration = Duration::from_secs(1);
 /// The same after a target rejected a request of another process.
 const REJECTION_PAUSE_ELSEWHERE: Duration = Duration::from_millis(500);
-/// The same after a target reported that requests wait there, which it took before it became brittle.
-const WAITING_PAUSE: Duration = Duration::from_millis(200);
 /// Factor on the room of a target that rejected a request, or that has just started.
 const ROOM_DECREASE: f64 = 0.5;
 /// Time in which the room of a target grows from none to all of its slots.
@@ -279,8 +277,8 @@
     ) -> impl Iterator<Item = (&TargetId, u32)> {
         self.services.get(service).into_iter().flat_map(move |service| {
             let owned = service.own.iter().filter(|(_, own)| own.places > 0);
-            owned.map(move |(id, own)| {
-                let excesses = self.excesses_at(id, own.places, targets, now);
+            owned.map(move |(id, _)| {
+                let excesses = self.excesses_at(id, targets, now);
                 (id, service.owners.own_usable(id, memory_room, &excesses))
             })
         })
@@ -294,10 +292,7 @@
         now: Duration,
     ) -> Vec<(EntryId, u32)> {
         let Some(service) = self.services.get(service) else { return Vec::new() };
-        let owners = service.owners.other_owners(|id| {
-            let own_places = service.own.get(id).map_or(0, |own| own.places);
-            self.excesses_at(id, own_places, targets, now)
-        });
+        let owners = service.owners.other_owners(|id| self.excesses_at(id, targets, now));
         owners.into_iter().map(|(process, places)| (process.clone(), places)).collect()
     }
 
@@ -306,14 +301,16 @@
     fn excesses_at(
         &self,
         target: &TargetId,
-        own_places: u32,
         targets: &BTreeMap<TargetId, TargetView>,
         now: Duration,
     ) -> BTreeMap<EntryId, u32> {
+        if self.excesses.is_empty() {
+            return BTreeMap::new();
+        }
         let Some(view) = targets.get(target) else { return BTreeMap::new() };
-        let mut excesses = self.excesses.of(target, view.registration.started_at_ms, now);
-        let under_way = self.under_way(&view.registration);
-        if under_way > own_places {
+        let started_at_ms = view.registration.started_at_ms;
+        let mut excesses = self.excesses.of(target, started_at_ms, now);
+        if let Some(under_way) = self.excesses.own_at(target, started_at_ms) {
             excesses.insert(self.own.clone(), under_way);
         }
         excesses
@@ -397,7 +394,6 @@
         }
         if let Some(own) = self.own_mut(service, target) {
             own.set_room(own.room(now).min(f64::from(load.running)), now);
-            own.paused_until = own.paused_until.max(now + WAITING_PAUSE);
         }
     }
 
--- a/crates/skylarkpick-schedule/src/placement/excess.rs
+++ b/crates/skylarkpick-schedule/src/placement/excess.rs
@@ -52,6 +52,16 @@
         before.is_some() != (under_way > 0)
     }
 
+    /// Returns whether no process is known to have more requests under way anywhere than places.
+    pub(super) fn is_empty(&self) -> bool {
+        self.others.is_empty() && self.own.is_empty()
+    }
+
+    /// Returns how many requests of this process others were told of at a target.
+    pub(super) fn own_at(&self, target: &str, started_at_ms: u64) -> Option<u32> {
+        self.own.get(&(target.to_string(), started_at_ms)).map(|told| told.under_way)
+    }
+
     /// Returns how many requests other processes have under way at a target, if they are more than their
     /// places.
     pub(super) fn of(
--- a/crates/skylarkpick-schedule/src/placement/places.rs
+++ b/crates/skylarkpick-schedule/src/placement/places.rs
@@ -126,6 +126,9 @@
         room: usize,
         excesses: &BTreeMap<EntryId, u32>,
     ) -> u32 {
+        if excesses.is_empty() {
+            return self.own_places(target, room);
+        }
         // No target has as many slots as the type holds.
         self.usable(target, room, excesses).filter(|owner| *owner == self.own).count() as u32
     }
