Let a gone process leave its places with their times

What callers saw: a 504 at the deadline where a refusal was due, while brittle targets are overloaded and processes are removed.

Cause: a place that moves between living processes may be used two seconds later. If its new owner is gone within them, it went to others at once, beside a request of its first owner: seven under way at a target of six slots. The seventh waits there, beyond its deadline if it had waited in its process before.

In virtual time 15 of 30 processes removed four at a time: 7 under way.

Ruled out: requests from before the word, which have ended long before; a stalled connection, since the target had the request at once. The "missing" log lines are the rate limit's.

Change: each place has the time from which it may be used, and heirs take it over with the place. All processes derive it from the same divisions.

--- a/crates/skylarkpick-schedule/src/placement/brittle.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle.rs
@@ -1,7 +1,12 @@
 //! What this process may have under way at brittle targets, which fall over if they have to turn away
 //! a few requests.
 
-use super::{excess::Excesses, heard::HeardSignals, places::PlaceOwners, target::TargetView};
+use super::{
+    excess::Excesses,
+    heard::HeardSignals,
+    places::{MoveTimes, PlaceOwners},
+    target::TargetView,
+};
 use skylarkpick_interface::{EntryId, RegisteredTarget, ReportedLoad, ServiceName, TargetId};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -60,10 +65,8 @@
 /// Places of this process at one target.
 #[derive(Clone, Debug)]
 struct OwnPlaces {
-    places: u32,
-    /// Places that it may use until it may use all.
-    places_before: u32,
-    all_from: Duration,
+    /// Times from which it may use each of its places.
+    usable_from: Vec<Duration>,
     slots: f64,
     /// Requests that the target had room for at a time, from which it grows.
     room: f64,
@@ -76,9 +79,7 @@
 impl OwnPlaces {
     fn open(slots: u32, room: f64, now: Duration) -> OwnPlaces {
         OwnPlaces {
-            places: 0,
-            places_before: 0,
-            all_from: now,
+            usable_from: Vec::new(),
             slots: f64::from(slots),
             room,
             room_at: now,
@@ -87,21 +88,14 @@
         }
     }
 
-    fn allowed(&self, now: Duration) -> u32 {
-        if now < self.all_from { self.places_before } else { self.places }
+    /// Returns how many places this process owns. No target has as many slots as the type holds.
+    fn places(&self) -> u32 {
+        self.usable_from.len() as u32
     }
 
-    /// Sets how many places this process owns. Those before and the inherited ones may be used at once,
-    /// more from a later time on.
-    fn set_places(&mut self, places: u32, inherited: u32, more_from: Duration, now: Duration) {
-        if places == self.places && inherited == 0 {
-            return;
-        }
-        self.places_before = (self.allowed(now) + inherited).min(places);
-        if places > self.places || now >= self.all_from {
-            self.all_from = if places > self.places_before { more_from } else { now };
-        }
-        self.places = places;
+    /// Returns how many of them it may use.
+    fn allowed(&self, now: Duration) -> u32 {
+        self.usable_from.iter().filter(|from| now >= **from).count() as u32
     }
 
     fn room(&self, now: Duration) -> f64 {
@@ -182,31 +176,26 @@
     }
 
     fn divide(&mut self, service: &ServiceName, slots: &BTreeMap<TargetId, u32>, now: Duration) {
-        let owners = PlaceOwners::open(&self.own, self.processes.keys(), slots);
+        let mut owners = PlaceOwners::open(&self.own, self.processes.keys(), slots);
         let known = self.services.remove(service);
         let is_new = known.is_none();
-        let knows_entries_at = self.knows_entries_at.unwrap_or_default();
         let (before, mut known) = known.map(|it| (it.owners, it.own)).unwrap_or_default();
-        let has_heirs = owners.lacks_processes_of(&before);
+        // Alone, no other process may use a place.
+        if self.processes.len() >= 2 {
+            // Others know of this process, and of the places that it owns, a while after its start.
+            let knows_entries_at = self.knows_entries_at.unwrap_or_default();
+            let new_from = now.max(knows_entries_at + TAKE_OVER_DELAY);
+            let moved_from = now + TAKE_OVER_DELAY;
+            owners.set_usable_times(&before, MoveTimes { new_from, moved_from });
+        }
         let mut own = BTreeMap::new();
         for (target, slots) in slots {
             let all_room = f64::from(*slots);
             let room = if is_new { all_room } else { (all_room * ROOM_DECREASE).max(1.0) };
-            let (is_known, mut places) = match known.remove(target) {
-                Some(places) => (true, places),
-                None => (false, OwnPlaces::open(*slots, room, now)),
-            };
+            let known = known.remove(target);
+            let mut places = known.unwrap_or_else(|| OwnPlaces::open(*slots, room, now));
             places.slots = all_room;
-            let more_from = match is_known {
-                // No other process may use them.
-                _ if self.processes.len() < 2 => now,
-                true => now + TAKE_OVER_DELAY,
-                // Others know of this process, and of the places that it owns, a while after its start.
-                false => now.max(knows_entries_at + TAKE_OVER_DELAY),
-            };
-            let inherited = if has_heirs { owners.own_inherited(&before, target) } else { 0 };
-            let own_places = owners.own_places(target, *slots as usize);
-            places.set_places(own_places, inherited, more_from, now);
+            places.usable_from = owners.own_usable_times(target);
             own.insert(target.clone(), places);
         }
         let divided = ServicePlaces { owners, own, divided_at: now, is_outdated: false };
@@ -263,7 +252,7 @@
     /// Returns the targets of a brittle service at which this process owns places, with how many.
     pub(super) fn owned(&self, service: &str) -> impl Iterator<Item = (&TargetId, u32)> {
         let own = self.services.get(service).into_iter().flat_map(|service| &service.own);
-        own.filter(|(_, own)| own.places > 0).map(|(target, own)| (target, own.places))
+        own.filter(|(_, own)| own.places() > 0).map(|(target, own)| (target, own.places()))
     }
 
     /// Returns the targets of a brittle service at which this process owns places, with how many it may
@@ -276,7 +265,7 @@
         now: Duration,
     ) -> impl Iterator<Item = (&TargetId, u32)> {
         self.services.get(service).into_iter().flat_map(move |service| {
-            let owned = service.own.iter().filter(|(_, own)| own.places > 0);
+            let owned = service.own.iter().filter(|(_, own)| own.places() > 0);
             owned.map(move |(id, _)| {
                 let excesses = self.excesses_at(id, targets, now);
                 (id, service.owners.own_usable(id, memory_room, &excesses))
@@ -366,7 +355,7 @@
         for (id, own) in self.services.values().flat_map(|service| &service.own) {
             let Some(target) = targets.get(id) else { continue };
             let under_way = self.under_way(&target.registration);
-            if under_way > own.places {
+            if under_way > own.places() {
                 own_excesses.insert((id.clone(), target.registration.started_at_ms), under_way);
             }
         }
--- a/crates/skylarkpick-schedule/src/placement/brittle_place_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle_place_tests.rs
@@ -4,8 +4,8 @@
     Assignment, Placement, PlacementDecision, TargetOutcome, UnplacedReason,
     test_fleet::{choose, fleet, registered},
 };
-use skylarkpick_interface::{EntryId, ReportedLoad};
-use std::time::Duration;
+use skylarkpick_interface::{EntryId, ReportedLoad, TargetId};
+use std::{collections::BTreeMap, time::Duration};
 
 const SECOND: Duration = Duration::from_secs(1);
 const NOW: Duration = Duration::from_secs(100);
@@ -13,14 +13,22 @@
 
 /// Returns a placement of this many brittle targets, whose first entry process it is.
 fn brittle_fleet(targets: u8, processes: usize) -> Placement {
+    brittle_fleet_of(0, targets, processes)
+}
+
+/// Returns the placement of one of several processes before brittle targets.
+fn brittle_fleet_of(own: usize, targets: u8, processes: usize) -> Placement {
     let mut placement = fleet(targets);
-    let names: Vec<EntryId> = (0..processes).map(|number| format!("entry-{number}")).collect();
-    placement.set_entries("entry-0", names, NOW - SECOND * 10);
+    placement.set_entries(&format!("entry-{own}"), names(processes), NOW - SECOND * 10);
     let assignment = assigned(&placement, NOW).unwrap();
     placement.note_brittle(&assignment, NOW);
     placement
 }
 
+fn names(processes: usize) -> Vec<EntryId> {
+    (0..processes).map(|number| format!("entry-{number}")).collect()
+}
+
 fn assigned(placement: &Placement, now: Duration) -> Option<Assignment> {
     match choose(placement, &[], now) {
         PlacementDecision::Assigned(assignment) => Some(*assignment),
@@ -93,3 +101,68 @@
     let waits = |why| matches!(why, UnplacedReason::NoPlace { wait: Some(_) });
     assert!(matches!(decision, PlacementDecision::Unplaced(why) if waits(why)), "{decision:?}");
 }
+
+struct Removals {
+    processes: usize,
+    removed: usize,
+    /// Processes that are removed at a time.
+    group: usize,
+    interval: Duration,
+}
+
+/// Request that runs at a target.
+struct Run {
+    process: usize,
+    assignment: Assignment,
+    ends_at: Duration,
+}
+
+/// Removes the last processes in groups, while the others send as many requests as they may. Returns the
+/// most that a target had under way.
+fn remove_in_groups(removals: &Removals) -> usize {
+    const RUN_TIME: Duration = Duration::from_millis(600);
+    const STEP: Duration = Duration::from_millis(20);
+    let Removals { processes, removed, group, interval } = *removals;
+    let mut placements: Vec<Placement> =
+        (0..processes - removed).map(|own| brittle_fleet_of(own, 12, processes)).collect();
+    let (mut runs, mut most): (Vec<Run>, usize) = (Vec::new(), 0);
+    let mut now = NOW;
+    while now < NOW + SECOND * 8 {
+        for run in runs.extract_if(.., |run| run.ends_at <= now) {
+            let placement = &mut placements[run.process];
+            placement.end(&run.assignment, TargetOutcome::Served, RUN_TIME, now);
+        }
+        let groups = ((now - NOW).as_millis() / interval.as_millis()) as usize;
+        let left = processes - removed.min(groups * group);
+        for (process, placement) in placements.iter_mut().enumerate() {
+            placement.set_entries(&format!("entry-{process}"), names(left), now);
+            placement.merge_brittle("i-1", 1, true, now);
+            let begun = fill(placement, now);
+            let ends_at = now + RUN_TIME;
+            runs.extend(begun.into_iter().map(|assignment| Run { process, assignment, ends_at }));
+        }
+        let mut under_way: BTreeMap<&TargetId, usize> = BTreeMap::new();
+        for run in &runs {
+            *under_way.entry(&run.assignment.target).or_default() += 1;
+        }
+        most = most.max(under_way.into_values().max().unwrap_or_default());
+        now += STEP;
+    }
+    most
+}
+
+#[test]
+fn places_that_move_twice_are_not_used_beside_a_request_of_their_first_owner() {
+    let interval = Duration::from_millis(300);
+    let cases = [
+        Removals { processes: 30, removed: 15, group: 4, interval },
+        Removals { processes: 30, removed: 15, group: 1, interval: interval / 2 },
+        Removals { processes: 8, removed: 4, group: 1, interval },
+        Removals { processes: 60, removed: 40, group: 4, interval },
+    ];
+    let most: Vec<usize> = cases.iter().map(remove_in_groups).collect();
+    assert!(
+        most.iter().all(|most| *most <= SLOTS),
+        "{most:?} under way at a target of {SLOTS} slots"
+    );
+}
--- a/crates/skylarkpick-schedule/src/placement/places.rs
+++ b/crates/skylarkpick-schedule/src/placement/places.rs
@@ -10,6 +10,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
+    time::Duration,
 };
 
 /// Which process owns which places of the targets of a service.
@@ -17,8 +18,24 @@
 pub(super) struct PlaceOwners {
     processes: Vec<EntryId>,
     own: usize,
-    /// For each target, the index of the owner of each place.
-    owners: BTreeMap<TargetId, Vec<usize>>,
+    places: BTreeMap<TargetId, Vec<Place>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    /// Index of the process.
+    owner: usize,
+    /// Time from which the owner may use it.
+    usable_from: Duration,
+}
+
+/// Times from which places may be used that a division gives to another owner.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MoveTimes {
+    /// Those of targets that were not divided before.
+    pub(super) new_from: Duration,
+    /// Those that belonged to another process.
+    pub(super) moved_from: Duration,
 }
 
 /// A target whose places are being assigned.
@@ -49,10 +66,11 @@
         }
     }
 
-    /// Returns the owners of all places.
-    fn into_owners(self) -> Vec<usize> {
+    /// Returns all places, which may be used at once.
+    fn into_places(self) -> Vec<Place> {
         let each = std::iter::repeat_n(&self.order, self.places_each).flatten();
-        self.owners.iter().chain(each).copied().collect()
+        let owners = self.owners.iter().chain(each);
+        owners.map(|owner| Place { owner: *owner, usable_from: Duration::ZERO }).collect()
     }
 }
 
@@ -90,15 +108,50 @@
                 .zip(lefts)
                 .for_each(|(target, left)| target.assign(&mut counts, limit, left));
         }
-        let owners =
-            open.into_iter().map(|target| (target.id.clone(), target.into_owners())).collect();
-        PlaceOwners { processes, own, owners }
+        let places =
+            open.into_iter().map(|target| (target.id.clone(), target.into_places())).collect();
+        PlaceOwners { processes, own, places }
+    }
+
+    /// Sets the times from which the places may be used, by the division `before`. A process that is gone
+    /// leaves its places to others as they were: at once only those that it might use itself, since a
+    /// request of an earlier owner may still be under way at one that it had just got. All processes that
+    /// know the same agree on it.
+    pub(super) fn set_usable_times(&mut self, before: &PlaceOwners, times: MoveTimes) {
+        let index_of = |name: &EntryId| self.processes.binary_search(name).ok();
+        let indexes: Vec<Option<usize>> = before.processes.iter().map(index_of).collect();
+        for (target, places) in &mut self.places {
+            let Some(known) = before.places.get(target) else {
+                places.iter_mut().for_each(|place| place.usable_from = times.new_from);
+                continue;
+            };
+            let mut known = known.clone();
+            known.sort_by_key(|place| place.usable_from);
+            let (mut kept, gone): (Vec<Place>, Vec<Place>) =
+                known.into_iter().partition(|place| indexes[place.owner].is_some());
+            let mut left_by_gone = gone.into_iter();
+            for place in places {
+                let known = kept.iter().position(|it| indexes[it.owner] == Some(place.owner));
+                let known = known.map(|index| kept.remove(index)).or_else(|| left_by_gone.next());
+                place.usable_from = known.map_or(times.moved_from, |known| known.usable_from);
+            }
+        }
+    }
+
+    /// Returns the owners of the places at a target.
+    fn owners(&self, target: &str) -> impl Iterator<Item = usize> + '_ {
+        self.places.get(target).into_iter().flatten().map(|place| place.owner)
+    }
+
+    /// Returns the times from which this process may use its places at a target.
+    pub(super) fn own_usable_times(&self, target: &str) -> Vec<Duration> {
+        let places = self.places.get(target).into_iter().flatten();
+        places.filter(|place| place.owner == self.own).map(|place| place.usable_from).collect()
     }
 
     /// Returns the places of this process at a target whose numbers are below `room`.
     pub(super) fn own_places(&self, target: &str, room: usize) -> u32 {
-        let owners = self.owners.get(target).map_or(&[][..], Vec::as_slice);
-        let own = owners.iter().take(room).filter(|owner| **owner == self.own);
+        let own = self.owners(target).take(room).filter(|owner| *owner == self.own);
         // No target has as many slots as the type holds.
         own.count() as u32
     }
@@ -113,9 +166,8 @@
         excesses: &'a BTreeMap<EntryId, u32>,
     ) -> impl Iterator<Item = usize> + 'a {
         let taken: usize = excesses.values().map(|under_way| *under_way as usize).sum();
-        let owners = self.owners.get(target).map_or(&[][..], Vec::as_slice).iter().copied();
-        let others =
-            owners.take(room).filter(|owner| !excesses.contains_key(&self.processes[*owner]));
+        let owners = self.owners(target).take(room);
+        let others = owners.filter(|owner| !excesses.contains_key(&self.processes[*owner]));
         others.take(room.saturating_sub(taken))
     }
 
@@ -133,47 +185,19 @@
         self.usable(target, room, excesses).filter(|owner| *owner == self.own).count() as u32
     }
 
-    /// Returns whether processes are gone since `before`.
-    pub(super) fn lacks_processes_of(&self, before: &PlaceOwners) -> bool {
-        // Both lists are in order.
-        before.processes.iter().any(|name| self.processes.binary_search(name).is_err())
-    }
-
-    /// Returns how many places of this process at a target come from processes that are gone since
-    /// `before`. All processes that know the same agree on it.
-    pub(super) fn own_inherited(&self, before: &PlaceOwners, target: &str) -> u32 {
-        let names = |owners: &PlaceOwners| -> Vec<EntryId> {
-            let indexes = owners.owners.get(target).map_or(&[][..], Vec::as_slice);
-            indexes.iter().map(|index| owners.processes[*index].clone()).collect()
-        };
-        let (mut kept, gone): (Vec<EntryId>, Vec<EntryId>) =
-            names(before).into_iter().partition(|name| self.processes.contains(name));
-        let mut gained = names(self);
-        gained.retain(|name| match kept.iter().position(|it| it == name) {
-            Some(index) => {
-                kept.swap_remove(index);
-                false
-            }
-            None => true,
-        });
-        let own_name = &self.processes[self.own];
-        // No target has as many slots as the type holds.
-        gained.iter().take(gone.len()).filter(|name| *name == own_name).count() as u32
-    }
-
     /// Returns the other processes that own places which they may use, with how many.
     pub(super) fn other_owners(
         &self,
         excesses_at: impl Fn(&TargetId) -> BTreeMap<EntryId, u32>,
     ) -> BTreeMap<&EntryId, u32> {
-        let mut places = BTreeMap::new();
-        for (target, owners) in &self.owners {
+        let mut counts = BTreeMap::new();
+        for (target, places) in &self.places {
             let excesses = excesses_at(target);
-            let usable = self.usable(target, owners.len(), &excesses);
+            let usable = self.usable(target, places.len(), &excesses);
             for owner in usable.filter(|owner| *owner != self.own) {
-                *places.entry(&self.processes[owner]).or_default() += 1;
+                *counts.entry(&self.processes[owner]).or_default() += 1;
             }
         }
-        places
+        counts
     }
 }
