Forget a target once no process has requests beyond its places

Cause: the last word that a process has no more requests beyond its places left an empty entry, so that each placement looked for more until the next word.

Ruled out: an effect on what may be sent, since expired words don't count.

Change: empty and expired entries are dropped after a word is kept, not before.

Before: the first of the two new tests fails, the second, which guards the change, passes. After: both pass.

--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -14,6 +14,8 @@
 mod cost;
 mod estimate;
 mod excess;
+#[cfg(test)]
+mod excess_tests;
 mod heard;
 #[cfg(test)]
 mod limit_tests;
--- a/crates/skylarkpick-schedule/src/placement/excess.rs
+++ b/crates/skylarkpick-schedule/src/placement/excess.rs
@@ -29,6 +29,12 @@
     at: Duration,
 }
 
+impl Told {
+    fn is_live(&self, now: Duration) -> bool {
+        now < self.at + LIFETIME
+    }
+}
+
 impl Excesses {
     /// Keeps how many requests another process has under way at a target; 0 ends its excess. Returns
     /// whether one has begun or ended.
@@ -40,16 +46,18 @@
         under_way: u32,
         now: Duration,
     ) -> bool {
-        self.others.retain(|_, processes| {
-            processes.retain(|_, told| now < told.at + LIFETIME);
-            !processes.is_empty()
-        });
-        let processes = self.others.entry((target.to_string(), started_at_ms)).or_default();
+        let start = (target.to_string(), started_at_ms);
+        let processes = self.others.entry(start).or_default();
         let before = match under_way {
             0 => processes.remove(process),
             _ => processes.insert(process.to_string(), Told { under_way, at: now }),
         };
-        before.is_some() != (under_way > 0)
+        let was_live = before.is_some_and(|told| told.is_live(now));
+        self.others.retain(|_, processes| {
+            processes.retain(|_, told| told.is_live(now));
+            !processes.is_empty()
+        });
+        was_live != (under_way > 0)
     }
 
     /// Returns whether no process is known to have more requests under way anywhere than places.
@@ -74,7 +82,7 @@
             return BTreeMap::new();
         }
         let processes = self.others.get(&(target.to_string(), started_at_ms));
-        let live = processes.into_iter().flatten().filter(|(_, told)| now < told.at + LIFETIME);
+        let live = processes.into_iter().flatten().filter(|(_, told)| told.is_live(now));
         live.map(|(process, told)| (process.clone(), told.under_way)).collect()
     }
 
