--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -18,7 +18,10 @@
     hash::{BuildHasher, RandomState},
     io::ErrorKind,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 use tokio::{net::TcpStream, time::Instant};
@@ -82,6 +85,15 @@
         matches!(self, SendError::Paused | SendError::Withheld | SendError::Limited)
     }
 
+    /// Returns the text for logs of a request that was not answered.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            SendError::Broken(_) => "broken",
+            _ if self.is_held_back() => "held_back",
+            _ => "not_sent",
+        }
+    }
+
     /// Counts a connection that could not be opened.
     fn count(&self) {
         let end = match self {
@@ -101,8 +113,12 @@
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     hasher: RandomState,
+    opened: AtomicU64,
 }
 
+/// Number of a connection among those that this process has opened to targets, for the log.
+pub(crate) type ConnectionNumber = u64;
+
 /// Hash of the ID of a client attempt. If two are equal, a new connection is opened needlessly.
 type AttemptHash = u64;
 
@@ -114,6 +130,7 @@
 
 /// Way to send requests on a connection, and the meter of its responses.
 struct Channel {
+    number: ConnectionNumber,
     sender: SendRequest<Full<Bytes>>,
     meter: Arc<ResponseMeter>,
     /// Client attempts that were sent on the connection.
@@ -145,7 +162,8 @@
         if let Some(channel) = self.take_idle(address, attempt, idle_limit) {
             return Ok(Connection { channel, address, attempt, is_reused: true });
         }
-        let channel = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(address))
+        let number = self.opened.fetch_add(1, Ordering::Relaxed);
+        let channel = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(address, number))
             .await
             .unwrap_or_else(|_| Err(not_connected(ConnectFailure::TimedOut, "timed out")))
             .inspect_err(|error| error.count())?;
@@ -207,12 +225,17 @@
 }
 
 impl Connection {
+    /// Returns its number, for the log.
+    pub(crate) fn number(&self) -> ConnectionNumber {
+        self.channel.number
+    }
+
     /// Sends a request and returns the response, whose body is still to be read.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<MeteredBody>, SendError> {
-        let Channel { sender, meter, carried } = &mut self.channel;
+        let Channel { sender, meter, carried, .. } = &mut self.channel;
         carried.push(self.attempt);
         let method = request.method().clone();
         let response = sender.try_send_request(request).await.map_err(|mut error| {
@@ -244,7 +267,10 @@
     }
 }
 
-async fn open_connection(address: SocketAddr) -> Result<Channel, SendError> {
+async fn open_connection(
+    address: SocketAddr,
+    number: ConnectionNumber,
+) -> Result<Channel, SendError> {
     let stream = TcpStream::connect(address).await.map_err(|error| connect_error(&error))?;
     set_socket_options(&stream, UNACKNOWLEDGED_LIMIT);
     let stream = MeteredStream::open(stream).with_unacknowledged_limit(UNACKNOWLEDGED_LIMIT);
@@ -258,7 +284,7 @@
         // A failure also reaches the caller that waits for the response.
         let _ = connection.await;
     });
-    Ok(Channel { sender, meter, carried: Vec::new() })
+    Ok(Channel { number, sender, meter, carried: Vec::new() })
 }
 
 /// Sets the socket options for low latency and for detection of dead peers. Failures are only
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     connection_pool::{Connection, SendError},
+    log::request_log,
     node_state::AssignmentGuard,
 };
 use bytes::Bytes;
@@ -17,6 +18,7 @@
     EventId, LimitSignal, Repeatability, RequestMetadata, ResponseKind, ResponseMetadata,
 };
 use skylarkpick_schedule::{Assignment, TargetOutcome};
+use skylarkpick_telemetry::{REJECTIONS_RECEIVED, metrics};
 use std::time::Duration;
 use tokio::time::{Instant, error::Elapsed};
 
@@ -122,10 +124,16 @@
         let metadata = self.forwarder.dialect.read_response(&head);
         self.note_signals(&metadata);
         if let Err(why) = self.validate(&head, &metadata, connection.is_reused) {
+            self.log_response("invalid", &connection, head.status, &metadata);
             self.guard.outcome = TargetOutcome::Failed;
             return AttemptOutcome::NoValidResponse(why);
         }
         self.observe(&metadata);
+        if metadata.is_not_run || promises_not_run(head.status) {
+            let kind = if metadata.is_not_run { "not_run" } else { "unstated" };
+            metrics().count(&REJECTIONS_RECEIVED, &[("kind", kind)]);
+            self.log_response(kind, &connection, head.status, &metadata);
+        }
         if metadata.is_not_run {
             return self.handle_rejection(connection, head.status, body, metadata).await;
         }
@@ -159,17 +167,55 @@
         let mut connection = self.connect(idle_limit).await?;
         let http_request = self.http_request()?;
         let response = match connection.send(http_request).await {
-            Err(SendError::NotSent(_)) if connection.is_reused => {
+            Err(error @ SendError::NotSent(_)) if connection.is_reused => {
+                self.log_send_error(&connection, &error);
                 // The target closed the idle connection; try a new one.
                 connection = self.connect(Duration::ZERO).await?;
-                connection.send(self.http_request()?).await?
+                connection.send(self.http_request()?).await
             }
-            response => response?,
+            response => response,
         };
+        let response = response.inspect_err(|error| self.log_send_error(&connection, error))?;
         let (head, body) = response.into_parts();
         Ok((connection, head, body))
     }
 
+    fn log_send_error(&self, connection: &Connection, error: &SendError) {
+        request_log!("connection failed under a request", kv: {
+            request = self.request.head.attempt_id.as_str(),
+            target = self.guard.assignment.target.as_str(),
+            connection = connection.number(),
+            is_reused = connection.is_reused,
+            end = error.name(),
+            why = error.to_string().as_str(),
+        });
+    }
+
+    /// Logs what decides whether a request counts as run.
+    fn log_response(
+        &self,
+        kind: &'static str,
+        connection: &Connection,
+        status: StatusCode,
+        metadata: &ResponseMetadata,
+    ) {
+        let request = &self.request.head.attempt_id;
+        let id = match &metadata.attempt_id {
+            Some(id) if id == request => "own",
+            Some(_) => "other",
+            None => "none",
+        };
+        request_log!("target rejected a request", kv: {
+            request = request.as_str(),
+            target = self.guard.assignment.target.as_str(),
+            kind,
+            status = status.as_u16(),
+            id,
+            connection = connection.number(),
+            is_reused = connection.is_reused,
+        });
+    }
+
     /// Returns a connection to the target, unless since it was chosen it has asked for a pause, the
     /// request was blamed, or the share in its limit has no room.
     async fn connect(&self, idle_limit: Duration) -> Result<Connection, SendError> {
@@ -432,6 +478,17 @@
     }
 }
 
+/// Returns whether a response with this status promises its client that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns what a complete response means for the health of its target.
 fn target_outcome(status: StatusCode) -> TargetOutcome {
     if status.is_server_error() { TargetOutcome::Failed } else { TargetOutcome::Served }
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -154,6 +154,14 @@
     description: "finished attempts to forward a request to a target, by outcome",
 };
 
+/// Responses of targets that reject a request, or look so.
+pub const REJECTIONS_RECEIVED: Metric = Metric {
+    name: "rejections.received",
+    kind: MetricKind::Counter,
+    tags: &["kind"],
+    description: "responses of targets with a rejection, by whether they say that the request has not run",
+};
+
 /// Finished streamed responses.
 pub const REQUESTS_ENDED: Metric = Metric {
     name: "requests.ended",
@@ -277,6 +285,7 @@
     REQUESTS_HANDED_OVER,
     RETRIES_DECIDED,
     SENDS_ENDED,
+    REJECTIONS_RECEIVED,
     REQUESTS_ENDED,
     STREAMS_RESUMED,
     FEEDS_LOST,
