Don't pass on a promise that the target has not made

What callers saw: 503, 429 or 408 for a request that had run (REFUSED). Those that came back ran it a second time.

Cause: a target's answer went to the client with its status. To a client the status says "not run, and never will"; from a target only the not-run header (or 421) says so. The answer was forwarded across a border at which its meaning changes.

Change: such an answer is an outcome of its own. The attempt counts as run; a request that may be repeated goes to another target, any other gets 502 without the target's signature.

--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -50,6 +50,9 @@
         /// older than the request's.
         may_run_there: bool,
     },
+    /// The target responded with a status that promises a client that its request has not run, but did
+    /// not say so itself. The request may have run.
+    UnstatedRejection(StatusCode),
     /// The request may have run, but there is no valid response.
     NoValidResponse(String),
     /// The response had not started when the weights became too old. The request may have run, since
@@ -70,6 +73,7 @@
             AttemptOutcome::NotSent(_) => "not_sent",
             AttemptOutcome::HeldBack(_) => "held_back",
             AttemptOutcome::NotRun { .. } => "not_run",
+            AttemptOutcome::UnstatedRejection(_) => "unstated",
             AttemptOutcome::NoValidResponse(_) => "broken",
             AttemptOutcome::Withdrawn(_) => "withdrawn",
             AttemptOutcome::TimedOut => "timed_out",
@@ -137,6 +141,10 @@
         if metadata.is_not_run {
             return self.handle_rejection(connection, head.status, body, metadata).await;
         }
+        if promises_not_run(head.status) {
+            self.guard.outcome = TargetOutcome::Failed;
+            return AttemptOutcome::UnstatedRejection(head.status);
+        }
         if self.request.route.shape == ResponseKind::Events && head.status.is_success() {
             return self.begin_event_stream(connection, head, metadata, body).await;
         }
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -586,11 +586,12 @@
                 }
                 self.handle_rejection(request, target, &metadata, last);
             }
+            AttemptOutcome::UnstatedRejection(status) => {
+                let why = format!("{status}, and the target doesn't say that it has not run");
+                note_run_without_response(request, &target, end, why, last);
+            }
             AttemptOutcome::NoValidResponse(why) | AttemptOutcome::Withdrawn(why) => {
-                log_failed_attempt(request, &target, end, &why);
-                request.runs += 1;
-                request.avoid(&target);
-                *last = SendResult::Failed(GatewayError::NoResponse, why);
+                note_run_without_response(request, &target, end, why, last);
             }
             AttemptOutcome::TimedOut => {
                 let why = "the deadline has passed".to_string();
@@ -639,6 +640,20 @@
     }
 }
 
+/// Records an attempt that may have run but has no response that may be forwarded.
+fn note_run_without_response(
+    request: &mut ActiveRequest,
+    target: &TargetId,
+    end: &'static str,
+    why: String,
+    last: &mut SendResult,
+) {
+    log_failed_attempt(request, target, end, &why);
+    request.runs += 1;
+    request.avoid(target);
+    *last = SendResult::Failed(GatewayError::NoResponse, why);
+}
+
 /// Returns the result of a request that this process has not sent yet. Another one, which handed it
 /// over, may have.
 fn not_tried(request: &ActiveRequest) -> SendResult {
