Keep telling a target of a close while its link is away

What callers saw: nothing; a target works on after its request is given up, for as long as the request would have run.

Cause: the limit of 0.8 s for unacknowledged bytes also holds for a socket that is closed already: the system gives its FIN up after it, without a reset. A target that is quiet never learns of the close. Class: a limit set for the life of a connection that also decides what comes after it.

Change: the limit is 30 s from the moment at which this process closes the socket. It bounds what the system keeps; the descriptor is free at once.

--- a/crates/skylarkpick-http/src/response_meter.rs
+++ b/crates/skylarkpick-http/src/response_meter.rs
@@ -1,6 +1,9 @@
 //! Bounds what a connection reads without a response head or a part of a body coming out of it.
 
-use crate::{body_end::BodyEnd, unacknowledged_limit::UnacknowledgedLimit};
+use crate::{
+    body_end::BodyEnd,
+    unacknowledged_limit::{UnacknowledgedLimit, extend_for_close},
+};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper_util::client::legacy::connect::{Connected, Connection};
@@ -163,6 +166,14 @@
     }
 }
 
+impl Drop for MeteredStream {
+    fn drop(&mut self) {
+        if self.unacknowledged_limit.is_some() {
+            extend_for_close(&self.stream);
+        }
+    }
+}
+
 /// Body of a response, each part of which starts the count of its connection's meter again.
 #[derive(Debug)]
 pub struct MeteredBody {
--- a/crates/skylarkpick-http/src/unacknowledged_limit.rs
+++ b/crates/skylarkpick-http/src/unacknowledged_limit.rs
@@ -6,6 +6,9 @@
 
 /// Bytes of a request that any server takes into its buffers while it doesn't read.
 const BUFFERED_BYTES: u64 = 65_536;
+/// The limit of a connection that this process has closed. The system gives up telling the server of the
+/// close after it, and the server goes on with what it runs.
+const CLOSED_LIMIT: Duration = Duration::from_secs(30);
 
 /// Closes a connection whose server is gone, without mistaking a server that reads a long request
 /// slowly for one.
@@ -44,6 +47,12 @@
     }
 }
 
+/// Keeps the system telling a server of a close for longer than the limit of an open connection. To be
+/// called before the socket is closed.
+pub(crate) fn extend_for_close(stream: &TcpStream) {
+    set(stream, Some(CLOSED_LIMIT));
+}
+
 /// Sets the limit, or none. A failure is only logged: a server that is gone is then noticed later.
 fn set(stream: &TcpStream, limit: Option<Duration>) {
     if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(limit) {
