--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -141,8 +141,9 @@
         if metadata.is_not_run {
             return self.handle_rejection(connection, head.status, body, metadata).await;
         }
-        if promises_not_run(head.status) {
-            self.guard.outcome = TargetOutcome::Failed;
+        let may_repeat = self.request.route.repeatability == Repeatability::Repeatable;
+        if promises_not_run(head.status) && !may_repeat {
+            self.guard.outcome = target_outcome(head.status);
             return AttemptOutcome::UnstatedRejection(head.status);
         }
         if self.request.route.shape == ResponseKind::Events && head.status.is_success() {
