End the run of a handed-over stream soon after its process has fallen silent

What callers saw: a process that reaches no target hands a stream that may be resumed over and is killed.

Change: while a process has streams open to another, it sends a datagram of one byte each 0.1 s, and the terms of the hand-over name that interval. Requests that may run only once are not watched. A version that names no interval isn't watched either, and one that takes no datagrams gets none. Without streams nothing is sent but what was sent before. One line in the log for each run that is ended.

Guards taken away once: watching every request turns the test of a request that may run only once red; promising signs and sending none turns the test of the killed process red (its run ends while it lives).

--- a/crates/skylarkpick-forward/src/client/connection.rs
+++ b/crates/skylarkpick-forward/src/client/connection.rs
@@ -1,8 +1,13 @@
 //! Serves HTTP on one client connection.
 
 use super::activity::{Activity, ActivityStream, Phase, RequestSocket};
-use crate::forwarding::{
-    ClientBody, Forwarder, IncompleteResponse, ResponseDeadline, may_end_with_connection,
+use crate::{
+    forwarding::{
+        ClientBody, Forwarder, IncompleteResponse, ResponseDeadline, may_end_with_connection,
+        milliseconds,
+    },
+    hand_over::OriginWatch,
+    log::request_log,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -32,19 +37,31 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Who sends the requests on a connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone)]
 pub(super) enum RequestOrigin {
     Client,
     /// Another entry process, which hands them over.
-    Process,
+    Process(Arc<OriginWatch>),
 }
 
-/// Serves a request that another entry process hands over.
+/// Serves a request that another entry process hands over. A stream that its client may take up
+/// elsewhere ends once that process is silent.
 pub(crate) async fn serve_peer(stream: Box<dyn PeerStream>, forwarder: Arc<Forwarder>) {
     let _place = forwarder.count_taken_over();
     // It ends by itself: the stream carries one request.
     let (_never, stopped) = watch::channel(false);
-    serve(stream, forwarder, RequestOrigin::Process, stopped).await;
+    let watch = OriginWatch::open(stream.link());
+    let origin = RequestOrigin::Process(watch.clone());
+    tokio::select! {
+        () = serve(stream, forwarder, origin, stopped) => {}
+        silent = watch.silent() => {
+            request_log!("handed-over stream ended: its process is silent", kv: {
+                request = silent.attempt_id.as_str(),
+                address = silent.address.as_str(),
+                silence_ms = milliseconds(silent.silence),
+            });
+        }
+    }
 }
 
 /// Serves a connection until it closes, or until `stopped` is set and the last response is sent.
@@ -63,13 +80,16 @@
     let service = {
         let activity = activity.clone();
         service_fn(move |request| {
-            let (forwarder, activity) = (forwarder.clone(), activity.clone());
+            let (forwarder, activity, origin) =
+                (forwarder.clone(), activity.clone(), origin.clone());
             activity.set(Phase::Busy);
             async move {
                 let version = request.version();
-                let response = match origin {
+                let response = match &origin {
                     RequestOrigin::Client => forwarder.handle(request).await,
-                    RequestOrigin::Process => forwarder.handle_taken_over(request).await,
+                    RequestOrigin::Process(watch) => {
+                        forwarder.handle_taken_over(request, watch).await
+                    }
                 };
                 if may_end_with_connection(version, response.version()) {
                     activity.end_with_connection();
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -15,7 +15,7 @@
     connection_pool::ConnectionPool,
     crashes::{AttemptTarget, CrashWatch, Withheld},
     fleet::ServingConfirmer,
-    hand_over::{HandOverTerms, ReachWatch},
+    hand_over::{HandOverTerms, OriginWatch, ReachWatch},
     log::{age_ms, request_log, transfer_sources},
     node_state::NodeState,
     peers::PeerClient,
@@ -97,20 +97,24 @@
         self.respond(request, None).await
     }
 
-    /// Responds to a request, which another process has handed over with these terms, if any.
+    /// Responds to a request, which another process, which is watched, has handed over with these terms,
+    /// if any.
     pub(super) async fn respond(
         self: &Arc<Self>,
         request: Request<Incoming>,
-        terms: Option<HandOverTerms>,
+        taken_over: Option<(HandOverTerms, &OriginWatch)>,
     ) -> Response<ClientBody> {
         let arrived = Instant::now();
-        let elapsed = terms.map_or(Duration::ZERO, |terms| terms.elapsed());
+        let elapsed = taken_over.map_or(Duration::ZERO, |(terms, _)| terms.elapsed());
         let received = arrived.checked_sub(elapsed).unwrap_or(arrived);
         let (head, body) = request.into_parts();
         let mut response = match self.prepare(&head, body, received).await {
             Ok(mut request) => {
-                if let Some(terms) = &terms {
+                if let Some((terms, origin)) = &taken_over {
                     request.take_over(terms);
+                    if request.is_resumable() {
+                        origin.begin(&request.head.attempt_id, terms);
+                    }
                 }
                 self.forward(request).await
             }
--- a/crates/skylarkpick-forward/src/forwarding/hand_over.rs
+++ b/crates/skylarkpick-forward/src/forwarding/hand_over.rs
@@ -4,9 +4,10 @@
     active_request::ActiveRequest,
     forwarder::{Forwarder, SendResult},
     response::{ClientBody, GatewayError, IncompleteResponse, ResponseDeadline},
+    response_stream::milliseconds,
 };
 use crate::{
-    hand_over::{HandOverTerms, HelperGuard, Refusal},
+    hand_over::{HandOverTerms, HelperGuard, OriginWatch, Refusal},
     log::request_log,
     node_state::InFlightGuard,
 };
@@ -177,7 +178,8 @@
             // A failure also reaches the caller that waits for the response.
             let _ = connection.await;
         });
-        sender.try_send_request(handed_over(request)).await.map_err(|mut error| {
+        let sign_interval = network.sign_interval();
+        sender.try_send_request(handed_over(request, sign_interval)).await.map_err(|mut error| {
             let text = describe(error.error());
             match error.take_message() {
                 Some(_) => OfferError::NotSent(text),
@@ -209,9 +211,11 @@
     }
 
     /// Handles a request that another process hands over, as if its client had come to this one.
+    /// Watches that process if the request is a stream that its client may take up elsewhere.
     pub(crate) async fn handle_taken_over(
         self: &Arc<Self>,
         mut request: Request<Incoming>,
+        origin: &OriginWatch,
     ) -> Response<ClientBody> {
         let Some(terms) = HandOverTerms::take(request.headers_mut()) else {
             spdlog::warn!("a request was handed over without terms that can be read");
@@ -221,7 +225,7 @@
             return self.refuse(refusal);
         }
         count_end("taken");
-        self.respond(request, Some(terms)).await
+        self.respond(request, Some((terms, origin))).await
     }
 
     fn refusal(&self, terms: &HandOverTerms) -> Option<Refusal> {
@@ -254,11 +258,12 @@
 }
 
 /// Returns a request of a client as it is handed over.
-fn handed_over(request: &ActiveRequest) -> Request<Full<Bytes>> {
+fn handed_over(request: &ActiveRequest, sign_interval: Option<Duration>) -> Request<Full<Bytes>> {
     let terms = HandOverTerms {
         sends: request.sends,
         runs: request.runs,
         is_counted: request.is_counted,
+        sign_interval_ms: sign_interval.map(milliseconds),
         ..HandOverTerms::open(request.received.elapsed(), request.serving_version)
     };
     let mut handed_over = Request::new(Full::new(request.body.clone()));
--- a/crates/skylarkpick-forward/src/hand_over/terms.rs
+++ b/crates/skylarkpick-forward/src/hand_over/terms.rs
@@ -8,6 +8,11 @@
 const TERMS: HeaderName = HeaderName::from_static("skylarkpick-hand-over");
 /// Header of a response with a [`Refusal`].
 const REFUSAL: HeaderName = HeaderName::from_static("skylarkpick-refusal");
+/// Shortest interval between signs of life that a process is held to.
+const SIGN_INTERVAL_FLOOR: Duration = Duration::from_millis(100);
+/// Intervals without a sign of life after which a process counts as gone: two lost ones in a row don't
+/// show that, and a run ends within 400 ms of the end of its process.
+const SILENT_INTERVALS: f64 = 2.5;
 /// Headers of a client's request that concern its connection or the framing of its body.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -34,6 +39,10 @@
     pub(crate) runs: u32,
     /// Whether it has been counted as a first attempt in the retry budget.
     pub(crate) is_counted: bool,
+    /// Interval at which the process that hands it over shows that it lives, while the request is under
+    /// way. A process of an earlier version names none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) sign_interval_ms: Option<u64>,
 }
 
 /// Why a process doesn't take a request that is handed over. It has not run and will not run there.
@@ -61,6 +70,13 @@
         Duration::from_millis(self.elapsed_ms)
     }
 
+    /// Returns the silence after which the process that hands the request over counts as gone; `None` if
+    /// it has not promised signs of life.
+    pub(crate) fn silence_limit(&self) -> Option<Duration> {
+        let interval = Duration::from_millis(self.sign_interval_ms?).max(SIGN_INTERVAL_FLOOR);
+        Some(interval.mul_f64(SILENT_INTERVALS))
+    }
+
     /// Returns the headers of a client's request with the terms, whatever the client sent in their
     /// place.
     pub(crate) fn add_to(&self, client_headers: &HeaderMap) -> HeaderMap {
--- a/crates/skylarkpick-forward/src/hand_over/terms_tests.rs
+++ b/crates/skylarkpick-forward/src/hand_over/terms_tests.rs
@@ -2,8 +2,78 @@
 
 use super::{HandOverTerms, Refusal};
 use http::{HeaderMap, HeaderValue};
+use serde::Deserialize;
 use std::time::Duration;
 
+/// Terms as the version before signs of life reads them.
+#[derive(Debug, Deserialize, Eq, PartialEq)]
+struct EarlierTerms {
+    elapsed_ms: u64,
+    serving_version: u64,
+    sends: u32,
+    runs: u32,
+    is_counted: bool,
+}
+
+#[test]
+fn a_process_is_held_to_signs_of_life_only_if_it_promised_them() {
+    struct Case {
+        name: &'static str,
+        header: &'static str,
+        silence_limit_ms: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "the version before",
+            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true}"#,
+            silence_limit_ms: None,
+        },
+        Case {
+            name: "this version",
+            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"sign_interval_ms":100}"#,
+            silence_limit_ms: Some(250),
+        },
+        Case {
+            name: "one that shows itself more rarely",
+            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"sign_interval_ms":400}"#,
+            silence_limit_ms: Some(1_000),
+        },
+        Case {
+            name: "one that promises too much",
+            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"sign_interval_ms":0}"#,
+            silence_limit_ms: Some(250),
+        },
+    ];
+    for case in cases {
+        let mut headers = HeaderMap::new();
+        headers.insert("skylarkpick-hand-over", HeaderValue::from_static(case.header));
+        let terms = HandOverTerms::take(&mut headers).unwrap();
+        assert_eq!((terms.elapsed_ms, terms.sends, terms.is_counted), (3, 1, true));
+        let limit = case.silence_limit_ms.map(Duration::from_millis);
+        assert_eq!(terms.silence_limit(), limit, "{}", case.name);
+    }
+}
+
+#[test]
+fn the_version_before_signs_of_life_reads_terms_of_this_one() {
+    let open = HandOverTerms::open(Duration::from_millis(340), 12);
+    for sign_interval_ms in [None, Some(100)] {
+        let terms = HandOverTerms { sends: 2, runs: 1, is_counted: true, sign_interval_ms, ..open };
+        let headers = terms.add_to(&HeaderMap::new());
+        let text = headers["skylarkpick-hand-over"].to_str().unwrap();
+        let earlier: EarlierTerms = serde_json::from_str(text).unwrap();
+        let expected = EarlierTerms {
+            elapsed_ms: 340,
+            serving_version: 12,
+            sends: 2,
+            runs: 1,
+            is_counted: true,
+        };
+        assert_eq!(earlier, expected);
+        assert_eq!(text.contains("sign_interval_ms"), sign_interval_ms.is_some());
+    }
+}
+
 #[test]
 fn terms_replace_what_a_client_sent_in_their_place() {
     let mut client = HeaderMap::new();
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -44,7 +44,7 @@
     SoftwareVersion, StoreId, TargetId, WeightVersion,
 };
 pub use node::{NodeLimits, NodeSettings};
-pub use peers::{NoPeers, PeerError, PeerHandler, PeerNetwork, PeerStream};
+pub use peers::{NoPeers, PeerError, PeerHandler, PeerLink, PeerNetwork, PeerStream};
 pub use plain_service::{PlainService, ServiceCall, ServiceError, ServiceReply};
 pub use platform::{
     ListedObject, ListedVm, Object, ObjectKey, ObjectStore, PlatformError, VmState, WriteError,
--- a/crates/skylarkpick-interface/src/peers.rs
+++ b/crates/skylarkpick-interface/src/peers.rs
@@ -23,7 +23,22 @@
 
 /// Byte stream between two processes, in both directions. The peer sees that it is complete only if it
 /// was shut down; dropping it before resets it.
-pub trait PeerStream: AsyncRead + AsyncWrite + Send + Unpin {}
+pub trait PeerStream: AsyncRead + AsyncWrite + Send + Unpin {
+    /// Returns the link that carries the stream; `None` if it can't be observed.
+    fn link(&self) -> Option<Arc<dyn PeerLink>> {
+        None
+    }
+}
+
+/// Link to a peer that carries byte streams, as this process observes it.
+pub trait PeerLink: Send + Sync {
+    /// Returns the address of the peer.
+    fn address(&self) -> String;
+
+    /// Returns the number of datagrams received from the peer so far. It grows while the peer lives, at
+    /// least once in each of its [`sign_interval`](PeerNetwork::sign_interval)s.
+    fn received_datagrams(&self) -> u64;
+}
 
 /// Handles messages of peers. The transport doesn't interpret message bodies: `skylarkpick-entry`
 /// sends messages of `skylarkpick-protocol`, `skylarkpick-forward` sends JSON.
@@ -61,6 +76,12 @@
         timeout: Duration,
     ) -> Result<Vec<u8>, PeerError>;
 
+    /// Returns the interval at which a peer hears from this process while a byte stream to it is open;
+    /// `None` if it may hear nothing.
+    fn sign_interval(&self) -> Option<Duration> {
+        None
+    }
+
     /// Opens a byte stream. The peer learns of it with its first byte.
     async fn open_stream(
         &self,
--- a/crates/skylarkpick-transport/src/byte_stream.rs
+++ b/crates/skylarkpick-transport/src/byte_stream.rs
@@ -2,7 +2,7 @@
 
 use crate::{connections::Connections, incoming::REFUSED};
 use quinn::{Connection, RecvStream, SendStream};
-use skylarkpick_interface::{PeerError, PeerStream};
+use skylarkpick_interface::{PeerError, PeerLink, PeerStream};
 use std::{
     collections::BTreeMap,
     pin::Pin,
@@ -10,13 +10,21 @@
     task::{Context, Poll, ready},
     time::Duration,
 };
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    task::JoinSet,
+};
 
 /// Time for which a connection without streams stays open.
 const UNUSED_LIFETIME: Duration = Duration::from_secs(5);
+/// Interval between the signs of life that a process sends to a peer while a stream to it is open.
+pub(crate) const SIGN_INTERVAL: Duration = Duration::from_millis(100);
+/// Content of a sign of life, which nobody reads.
+const SIGN: &[u8] = &[0];
 
 /// Byte stream to or from a peer.
 pub(crate) struct QuicStream {
+    pub(crate) connection: Connection,
     send: SendStream,
     receive: RecvStream,
     /// Once the stream is shut down, resolves when the peer has received all of it.
@@ -34,6 +42,8 @@
     /// Uses of all connections by the peer's address.
     uses: Arc<Uses>,
     address: String,
+    /// Sends signs of life for as long as there are streams.
+    _signs: JoinSet<()>,
 }
 
 type Uses = Mutex<BTreeMap<String, Weak<ConnectionUse>>>;
@@ -53,8 +63,8 @@
         let connection = self.connections.get(address).await?;
         let opened = connection.open_bi().await;
         let (send, receive) = opened.map_err(|error| PeerError::Unreachable(error.to_string()))?;
-        let connection_use = self.use_of(address, connection);
-        Ok(QuicStream { send, receive, received: None, _use: Some(connection_use) })
+        let connection_use = self.use_of(address, connection.clone());
+        Ok(QuicStream { connection, send, receive, received: None, _use: Some(connection_use) })
     }
 
     fn use_of(&self, address: &str, connection: Connection) -> Arc<ConnectionUse> {
@@ -64,7 +74,10 @@
         current.unwrap_or_else(|| {
             let address = address.to_string();
             let (key, uses_of_all) = (address.clone(), self.uses.clone());
-            let new = Arc::new(ConnectionUse { connection, uses: uses_of_all, address });
+            let mut signs = JoinSet::new();
+            signs.spawn(send_signs(connection.clone()));
+            let new = ConnectionUse { connection, uses: uses_of_all, address, _signs: signs };
+            let new = Arc::new(new);
             uses.insert(key, Arc::downgrade(&new));
             new
         })
@@ -89,12 +102,44 @@
 
 impl QuicStream {
     /// Wraps a stream that a peer has opened.
-    pub(crate) fn accepted(send: SendStream, receive: RecvStream) -> QuicStream {
-        QuicStream { send, receive, received: None, _use: None }
+    pub(crate) fn accepted(
+        connection: Connection,
+        send: SendStream,
+        receive: RecvStream,
+    ) -> QuicStream {
+        QuicStream { connection, send, receive, received: None, _use: None }
+    }
+}
+
+impl PeerStream for QuicStream {
+    fn link(&self) -> Option<Arc<dyn PeerLink>> {
+        Some(Arc::new(QuicLink(self.connection.clone())))
     }
 }
 
-impl PeerStream for QuicStream {}
+/// Connection that carries byte streams.
+struct QuicLink(Connection);
+
+impl PeerLink for QuicLink {
+    fn address(&self) -> String {
+        self.0.remote_address().to_string()
+    }
+
+    fn received_datagrams(&self) -> u64 {
+        self.0.stats().udp_rx.datagrams
+    }
+}
+
+/// Shows the peer at intervals that this process lives, until the connection is lost.
+async fn send_signs(connection: Connection) {
+    loop {
+        tokio::time::sleep(SIGN_INTERVAL).await;
+        // A peer of an earlier version takes none, and waits for none.
+        if connection.send_datagram(SIGN.into()).is_err() {
+            return;
+        }
+    }
+}
 
 impl AsyncRead for QuicStream {
     fn poll_read(
--- a/crates/skylarkpick-transport/src/incoming.rs
+++ b/crates/skylarkpick-transport/src/incoming.rs
@@ -61,7 +61,8 @@
                 },
                 stream = connection.accept_bi() => match stream {
                     Ok((send, receive)) if carries_streams => {
-                        streams.spawn(self.clone().serve_stream(QuicStream::accepted(send, receive)))
+                        let stream = QuicStream::accepted(connection.clone(), send, receive);
+                        streams.spawn(self.clone().serve_stream(stream))
                     }
                     Ok((send, receive)) => {
                         streams.spawn(self.clone().handle_stream(receive, Some(send)))
--- a/crates/skylarkpick-transport/src/quic_peers.rs
+++ b/crates/skylarkpick-transport/src/quic_peers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     authority::{Authority, PeerIdentity},
-    byte_stream::StreamOpener,
+    byte_stream::{SIGN_INTERVAL, StreamOpener},
     certificates::{CertificateTiming, Certificates},
     connections::Connections,
     error::TransportError,
@@ -57,7 +57,7 @@
     address: SocketAddr,
     endpoint: Endpoint,
     pub(crate) connections: Connections,
-    streams: StreamOpener,
+    pub(crate) streams: StreamOpener,
     certificates: Arc<Certificates>,
     handler: Arc<OnceLock<Weak<dyn PeerHandler>>>,
     limits: TransportLimits,
@@ -202,6 +202,10 @@
         }
     }
 
+    fn sign_interval(&self) -> Option<Duration> {
+        Some(SIGN_INTERVAL)
+    }
+
     async fn open_stream(
         &self,
         address: &str,
--- a/crates/skylarkpick-transport/src/tests.rs
+++ b/crates/skylarkpick-transport/src/tests.rs
@@ -442,3 +442,84 @@
     assert!(matches!(refused, Err(PeerError::Timeout(_))), "their number is limited");
     assert!(one.peers.request(&address, vec![1, 2], TIMEOUT).await.is_ok());
 }
+
+/// Waits until this many signs of life were sent on a connection.
+async fn wait_for_signs(connection: &quinn::Connection, count: u64) {
+    let until = Instant::now() + TIMEOUT;
+    while connection.stats().frame_tx.datagram < count {
+        assert!(Instant::now() < until, "signs are sent");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_process_shows_that_it_lives_only_while_a_stream_is_open() {
+    let pem = pem();
+    let (one, two) = (start(&pem), start(&pem));
+    let address = two.peers.address();
+    let streams = &one.peers.streams;
+    let first = streams.open_stream(&address).await.unwrap();
+    let second = streams.open_stream(&address).await.unwrap();
+    let connection = first.connection.clone();
+    wait_for_signs(&connection, 2).await;
+    drop(first);
+    let sent = connection.stats().frame_tx.datagram;
+    wait_for_signs(&connection, sent + 2).await;
+    drop(second);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let sent = connection.stats().frame_tx.datagram;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(connection.stats().frame_tx.datagram, sent, "no stream is open");
+    let _third = streams.open_stream(&address).await.unwrap();
+    wait_for_signs(&connection, sent + 2).await;
+}
+
+#[tokio::test]
+async fn the_datagrams_received_from_a_peer_grow_while_it_sends_nothing_else() {
+    let pem = pem();
+    let (one, two) = (start(&pem), start(&pem));
+    let mut stream = one.peers.open_stream(&two.peers.address(), TIMEOUT).await.unwrap();
+    let mut echo = [0; 1];
+    stream.write_all(&[1]).await.unwrap();
+    stream.read_exact(&mut echo).await.unwrap();
+    let link = stream.link().unwrap();
+    assert_eq!(link.address(), two.peers.address());
+    let (received, until) = (link.received_datagrams(), Instant::now() + TIMEOUT);
+    // What this side receives acknowledges its signs of life.
+    while link.received_datagrams() < received + 3 {
+        assert!(Instant::now() < until, "the peer is heard");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_stream_to_a_version_that_takes_no_signs_of_life_goes_on_without_them() {
+    let pem = pem();
+    let authority = Authority::open(pem.0.as_bytes(), pem.1.as_bytes()).unwrap();
+    let timing = CertificateTiming::default();
+    let certificates =
+        Certificates::open(authority, named("two"), timing, SystemTime::now()).unwrap();
+    let mut config = crate::tls::server_config(&certificates, &limits()).unwrap();
+    let mut transport = quinn::TransportConfig::default();
+    transport.datagram_receive_buffer_size(None);
+    config.transport_config(Arc::new(transport));
+    let earlier = quinn::Endpoint::server(config, FREE_PORT.parse().unwrap()).unwrap();
+    let address = earlier.local_addr().unwrap().to_string();
+    let echo = tokio::spawn(async move {
+        let connection = earlier.accept().await.unwrap().await.unwrap();
+        let (mut send, mut receive) = connection.accept_bi().await.unwrap();
+        tokio::io::copy(&mut receive, &mut send).await
+    });
+    let one = start(&pem);
+    let mut stream = one.peers.streams.open_stream(&address).await.unwrap();
+    for byte in 1..=4 {
+        let mut received = [0; 1];
+        stream.write_all(&[byte]).await.unwrap();
+        stream.read_exact(&mut received).await.unwrap();
+        assert_eq!(received, [byte]);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(stream.connection.stats().frame_tx.datagram, 0);
+    drop(stream);
+    let _ = echo.await.unwrap();
+}
--- a/crates/skylarkpick-transport/src/tls.rs
+++ b/crates/skylarkpick-transport/src/tls.rs
@@ -17,7 +17,9 @@
 const STREAM_BUFFER_BYTES: u32 = 65_536;
 /// The same of all byte streams of a connection.
 const STREAMS_BUFFER_BYTES: u32 = 1_048_576;
-/// Interval between signs of life on a connection for byte streams.
+/// Bytes of signs of life of a connection that wait to be read, which nobody does.
+const SIGNS_BUFFER_BYTES: usize = 1_024;
+/// Interval between keep-alives on a connection for byte streams, also while it carries none.
 const STREAM_KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a sign of life after which such a connection, and with it its streams, is lost.
 const STREAM_IDLE_LIMIT: Duration = Duration::from_secs(2);
@@ -48,7 +50,9 @@
     tls.send_tls13_tickets = 0;
     let tls = QuicServerConfig::try_from(tls).map_err(tls_error)?;
     let mut config = ServerConfig::with_crypto(Arc::new(tls));
-    config.transport_config(transport(limits)?);
+    let mut transport = transport(limits)?;
+    transport.datagram_receive_buffer_size(Some(SIGNS_BUFFER_BYTES));
+    config.transport_config(Arc::new(transport));
     Ok(config)
 }
 
@@ -56,7 +60,7 @@
     certificates: &Arc<Certificates>,
     limits: &TransportLimits,
 ) -> Result<ClientConfig, TransportError> {
-    client_config_with(certificates, PROTOCOL, transport(limits)?)
+    client_config_with(certificates, PROTOCOL, Arc::new(transport(limits)?))
 }
 
 /// Returns the configuration of connections for byte streams. They buffer little, and notice soon that
@@ -71,7 +75,8 @@
         .stream_receive_window(STREAM_BUFFER_BYTES.into())
         .receive_window(STREAMS_BUFFER_BYTES.into())
         .send_window(STREAMS_BUFFER_BYTES.into())
-        .datagram_receive_buffer_size(None)
+        // A side that takes no datagrams may send none.
+        .datagram_receive_buffer_size(Some(SIGNS_BUFFER_BYTES))
         .keep_alive_interval(Some(STREAM_KEEPALIVE_INTERVAL))
         .max_idle_timeout(Some(IdleTimeout::try_from(STREAM_IDLE_LIMIT).map_err(tls_error)?));
     client_config_with(certificates, STREAM_PROTOCOL, Arc::new(transport))
@@ -102,7 +107,7 @@
     Ok(roots)
 }
 
-fn transport(limits: &TransportLimits) -> Result<Arc<TransportConfig>, TransportError> {
+fn transport(limits: &TransportLimits) -> Result<TransportConfig, TransportError> {
     let frame_size_bytes = limits.frame_size_bytes as u64;
     let window = |bytes: u64| VarInt::from_u64(bytes).map_err(tls_error);
     let mut transport = TransportConfig::default();
@@ -114,7 +119,7 @@
         .send_window(frame_size_bytes * BUFFERED_FRAMES_LIMIT)
         .datagram_receive_buffer_size(None)
         .max_idle_timeout(Some(IdleTimeout::try_from(limits.idle_timeout).map_err(tls_error)?));
-    Ok(Arc::new(transport))
+    Ok(transport)
 }
 
 fn tls_error(error: impl std::fmt::Display) -> TransportError {
