--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -15,7 +15,7 @@
     connection_pool::ConnectionPool,
     crashes::{AttemptTarget, CrashWatch, Withheld},
     fleet::ServingConfirmer,
-    hand_over::{HandOverTerms, OriginWatch, ReachWatch},
+    hand_over::{HandOverTerms, OriginWatch, ReachWatch, Refusal},
     log::{age_ms, request_log, transfer_sources},
     node_state::NodeState,
     peers::PeerClient,
@@ -395,6 +395,7 @@
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = self.dialect.response_headers(&head.headers);
+        Refusal::remove(response.headers_mut());
         if end == BodyEnd::Unproven {
             end_with_connection(&mut response);
         }
--- a/crates/skylarkpick-forward/src/forwarding/hand_over.rs
+++ b/crates/skylarkpick-forward/src/forwarding/hand_over.rs
@@ -130,7 +130,7 @@
                     let why = "the deadline has passed".to_string();
                     return Some(SendResult::Failed(GatewayError::TimedOut, why));
                 }
-                Ok(Ok(response)) => match Refusal::read(response.headers()) {
+                Ok(Ok(response)) => match Refusal::read(response.status(), response.headers()) {
                     None => {
                         count_end("answered");
                         let response = self.taken_response(response, helper, request);
--- a/crates/skylarkpick-forward/src/forwarding/tests.rs
+++ b/crates/skylarkpick-forward/src/forwarding/tests.rs
@@ -188,6 +188,11 @@
     for case in cases {
         let mut response = case.error.response(&PlainDialect, "a1", 0.0);
         mark_refused(&mut response, &case.error, case.is_sent_here);
-        assert_eq!(Refusal::read(response.headers()), case.refusal, "{}", case.name);
+        assert_eq!(
+            Refusal::read(response.status(), response.headers()),
+            case.refusal,
+            "{}",
+            case.name
+        );
     }
 }
--- a/crates/skylarkpick-forward/src/hand_over/terms.rs
+++ b/crates/skylarkpick-forward/src/hand_over/terms.rs
@@ -1,6 +1,6 @@
 //! What two entry processes tell each other about a request that one hands over to the other.
 
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -120,9 +120,17 @@
         headers.insert(REFUSAL, HeaderValue::from_static(self.name()));
     }
 
-    /// Returns the refusal in the headers of a response, if it is one.
-    pub(crate) fn read(headers: &HeaderMap) -> Option<Refusal> {
+    /// Removes what looks like a refusal from the headers of a target's response.
+    pub(crate) fn remove(headers: &mut HeaderMap) {
+        headers.remove(REFUSAL);
+    }
+
+    /// Returns the refusal in the head of a response, if it is one.
+    pub(crate) fn read(status: StatusCode, headers: &HeaderMap) -> Option<Refusal> {
         let value = headers.get(REFUSAL)?;
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return None;
+        }
         // A refusal for a reason that is not known here is one all the same.
         Some(Refusal::ALL.into_iter().find(|it| *value == it.name()).unwrap_or(Refusal::Busy))
     }
--- a/crates/skylarkpick-forward/src/hand_over/terms_tests.rs
+++ b/crates/skylarkpick-forward/src/hand_over/terms_tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the headers of requests that are handed over.
 
 use super::{HandOverTerms, Refusal};
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -106,7 +106,13 @@
     for case in cases {
         let mut headers = HeaderMap::new();
         headers.insert("skylarkpick-refusal", HeaderValue::from_static(case.text));
-        assert_eq!(Refusal::read(&headers), Some(case.refusal), "{}", case.text);
+        let refused = StatusCode::SERVICE_UNAVAILABLE;
+        assert_eq!(Refusal::read(refused, &headers), Some(case.refusal), "{}", case.text);
+        for status in [StatusCode::OK, StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT] {
+            assert_eq!(Refusal::read(status, &headers), None, "no refusal is a {status}");
+        }
+        Refusal::remove(&mut headers);
+        assert_eq!(Refusal::read(refused, &headers), None);
     }
-    assert_eq!(Refusal::read(&HeaderMap::new()), None);
+    assert_eq!(Refusal::read(StatusCode::SERVICE_UNAVAILABLE, &HeaderMap::new()), None);
 }
