Check the runs of a handed-over request before it is sent for the first time

What callers saw: nothing yet.

Cause: attempts were counted before each further send, not before the first one after a hand-over.

Change: the check comes first.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -428,6 +428,10 @@
         resume_after: Option<EventId>,
     ) -> SendResult {
         let mut last = not_tried(request);
+        // Another process may have used up its attempts, by an older serving document.
+        if !request.may_send_again() {
+            return last;
+        }
         loop {
             if self.reach.is_cut_off(request.service()) {
                 return self.hand_over(request, resume_after.is_some(), last).await;
