--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -15,7 +15,7 @@
     connection_pool::ConnectionPool,
     crashes::{AttemptTarget, CrashWatch, Withheld},
     fleet::ServingConfirmer,
-    hand_over::{HandOverTerms, ReachWatch},
+    hand_over::{HandOverTerms, OriginWatch, ReachWatch, Refusal},
     log::{age_ms, request_log, transfer_sources},
     node_state::NodeState,
     peers::PeerClient,
@@ -97,20 +97,24 @@
         self.respond(request, None).await
     }
 
-    /// Responds to a request, which another process has handed over with these terms, if any.
+    /// Responds to a request, which another process, which is watched, has handed over with these terms,
+    /// if any.
     pub(super) async fn respond(
         self: &Arc<Self>,
         request: Request<Incoming>,
-        terms: Option<HandOverTerms>,
+        taken_over: Option<(HandOverTerms, &OriginWatch)>,
     ) -> Response<ClientBody> {
         let arrived = Instant::now();
-        let elapsed = terms.map_or(Duration::ZERO, |terms| terms.elapsed());
+        let elapsed = taken_over.map_or(Duration::ZERO, |(terms, _)| terms.elapsed());
         let received = arrived.checked_sub(elapsed).unwrap_or(arrived);
         let (head, body) = request.into_parts();
         let mut response = match self.prepare(&head, body, received).await {
             Ok(mut request) => {
-                if let Some(terms) = &terms {
+                if let Some((terms, origin)) = &taken_over {
                     request.take_over(terms);
+                    if request.is_resumable() {
+                        origin.begin(&request.head.attempt_id, terms);
+                    }
                 }
                 self.forward(request).await
             }
@@ -391,6 +395,7 @@
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = self.dialect.response_headers(&head.headers);
+        Refusal::remove(response.headers_mut());
         if end == BodyEnd::Unproven {
             end_with_connection(&mut response);
         }
@@ -423,6 +428,10 @@
         resume_after: Option<EventId>,
     ) -> SendResult {
         let mut last = not_tried(request);
+        // Another process may have used up its attempts, by an older serving document.
+        if !request.may_send_again() {
+            return last;
+        }
         loop {
             if self.reach.is_cut_off(request.service()) {
                 return self.hand_over(request, resume_after.is_some(), last).await;
