Send signs of life each 50 ms, so that the loss of three is no silence

Cause: with an interval of 100 ms and a limit of 2.5, the loss of two signs in a row reaches the limit, against what the constant said; only the loss probes of QUIC and other traffic made up for it.

Change: an interval of 50 ms and a limit of five; the limit stays 0.25 s. Ten more datagrams a second and pair of processes, only while streams are handed over.

--- a/crates/skylarkpick-forward/src/hand_over/terms.rs
+++ b/crates/skylarkpick-forward/src/hand_over/terms.rs
@@ -9,10 +9,10 @@
 /// Header of a response with a [`Refusal`].
 const REFUSAL: HeaderName = HeaderName::from_static("skylarkpick-refusal");
 /// Shortest interval between signs of life that a process is held to.
-const SIGN_INTERVAL_FLOOR: Duration = Duration::from_millis(100);
-/// Intervals without a sign of life after which a process counts as gone: two lost ones in a row don't
+const SIGN_INTERVAL_FLOOR: Duration = Duration::from_millis(50);
+/// Intervals without a sign of life after which a process counts as gone: three lost ones in a row don't
 /// show that, and a run ends within 400 ms of the end of its process.
-const SILENT_INTERVALS: f64 = 2.5;
+const SILENT_INTERVALS: u32 = 5;
 /// Headers of a client's request that concern its connection or the framing of its body.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -74,7 +74,7 @@
     /// it has not promised signs of life.
     pub(crate) fn silence_limit(&self) -> Option<Duration> {
         let interval = Duration::from_millis(self.sign_interval_ms?).max(SIGN_INTERVAL_FLOOR);
-        Some(interval.mul_f64(SILENT_INTERVALS))
+        Some(interval * SILENT_INTERVALS)
     }
 
     /// Returns the headers of a client's request with the terms, whatever the client sent in their
--- a/crates/skylarkpick-transport/src/byte_stream.rs
+++ b/crates/skylarkpick-transport/src/byte_stream.rs
@@ -18,7 +18,7 @@
 /// Time for which a connection without streams stays open.
 const UNUSED_LIFETIME: Duration = Duration::from_secs(5);
 /// Interval between the signs of life that a process sends to a peer while a stream to it is open.
-pub(crate) const SIGN_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const SIGN_INTERVAL: Duration = Duration::from_millis(50);
 /// Content of a sign of life, which nobody reads.
 const SIGN: &[u8] = &[0];
 
