--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -141,8 +141,7 @@
         if metadata.is_not_run {
             return self.handle_rejection(connection, head.status, body, metadata).await;
         }
-        let may_repeat = self.request.route.repeatability == Repeatability::Repeatable;
-        if promises_not_run(head.status) && !may_repeat {
+        if promises_not_run(head.status) {
             self.guard.outcome = target_outcome(head.status);
             return AttemptOutcome::UnstatedRejection(head.status);
         }
