--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -2,6 +2,7 @@
 
 mod active_request;
 mod attempt;
+mod attempt_log;
 mod event_splitter;
 mod forwarder;
 mod hand_over;
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -6,7 +6,6 @@
 };
 use crate::{
     connection_pool::{Connection, SendError},
-    log::request_log,
     node_state::AssignmentGuard,
 };
 use bytes::Bytes;
@@ -188,42 +187,6 @@
         Ok((connection, head, body))
     }
 
-    fn log_send_error(&self, connection: &Connection, error: &SendError) {
-        request_log!("connection failed under a request", kv: {
-            request = self.request.head.attempt_id.as_str(),
-            target = self.guard.assignment.target.as_str(),
-            connection = connection.number(),
-            is_reused = connection.is_reused,
-            end = error.name(),
-            why = error.to_string().as_str(),
-        });
-    }
-
-    /// Logs what decides whether a request counts as run.
-    fn log_response(
-        &self,
-        kind: &'static str,
-        connection: &Connection,
-        status: StatusCode,
-        metadata: &ResponseMetadata,
-    ) {
-        let request = &self.request.head.attempt_id;
-        let id = match &metadata.attempt_id {
-            Some(id) if id == request => "own",
-            Some(_) => "other",
-            None => "none",
-        };
-        request_log!("target rejected a request", kv: {
-            request = request.as_str(),
-            target = self.guard.assignment.target.as_str(),
-            kind,
-            status = status.as_u16(),
-            id,
-            connection = connection.number(),
-            is_reused = connection.is_reused,
-        });
-    }
-
     /// Returns a connection to the target, unless since it was chosen it has asked for a pause, the
     /// request was blamed, or the share in its limit has no room.
     async fn connect(&self, idle_limit: Duration) -> Result<Connection, SendError> {
