Soak: targets that send answers twice, or don't say what they did

Cause: the soak checks that a request that may run only once does so, and that none that ran is refused, but its targets sent no second answers, named no weights and answered 503 only with the not-run header.

Change: in three seeds of five, all targets for some seconds reject a share of requests with their weights (421 or 503, not run), so that a process may send them there again; send a share of answers a second time, with their ID, up to 60 ms later or before the next answer of the connection; and in half of these times run requests that they answer with 503, 429 or 408 with signature and ID but without the not-run header. The generator is its own; the plans of kept seeds stay as they were, with the same digests. Clients now also send streams that can't be resumed and may run only once. A finding names a target's failure.

The two checks stood already. New cases of histories that break them, for the new kind and each status; a test of the stand-in that its answers are what the shares say.

--- a/crates/skylarkpick-soak/src/checks.rs
+++ b/crates/skylarkpick-soak/src/checks.rs
@@ -5,7 +5,7 @@
     change_checks::check_changes,
     clients::MAIN_KEY,
     cut_checks::check_cuts,
-    history::{Call, CallKind, History},
+    history::{Call, History},
     limit_checks::check_limits,
     part_checks::check_parts,
     request_checks::check_requests,
@@ -112,7 +112,10 @@
             .arrivals
             .iter()
             .map(|it| match it.has_run {
-                true => format!("{} ({:?}, end marked {})", it.target, it.end, it.marks_end),
+                true => format!(
+                    "{} ({:?}, end marked {}, failure {:?})",
+                    it.target, it.end, it.marks_end, it.failure
+                ),
                 false => format!("{} (not run)", it.target),
             })
             .collect();
@@ -136,7 +139,7 @@
     }
 
     fn runs_once(&self) -> bool {
-        self.call.kind != CallKind::Write || self.runs() <= 1
+        !self.call.kind.runs_once() || self.runs() <= 1
     }
 
     fn respects_attempt_limit(&self) -> bool {
@@ -152,7 +155,7 @@
         if response.status != Some(200) {
             return true;
         }
-        if self.call.kind == CallKind::Events {
+        if self.call.kind.is_stream() {
             return is_stream_correct(self.call, self.is_cut_by_target());
         }
         let expected = &self.call.request.attempt_id;
--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -209,7 +209,7 @@
         let wait = ClientWait::draw(&request, kind, &mut random);
         let call = send(&mut client, process, kind, request, wait).await;
         shared.record(call.clone());
-        if wait.comes_back {
+        if wait.comes_back && kind == CallKind::Events {
             take_up_stream(&shared, &addresses, &call, &mut random).await;
         }
     }
--- a/crates/skylarkpick-soak/src/history.rs
+++ b/crates/skylarkpick-soak/src/history.rs
@@ -26,10 +26,15 @@
     Write,
     /// An event stream that can be resumed on another target.
     Events,
+    /// An event stream that can't be resumed and must run at most once.
+    Unresumable,
 }
 
 impl CallKind {
-    pub(crate) const ALL: [CallKind; 3] = [CallKind::Read, CallKind::Write, CallKind::Events];
+    pub(crate) const ALL: [CallKind; 4] =
+        [CallKind::Read, CallKind::Write, CallKind::Events, CallKind::Unresumable];
+    /// The kinds of requests that end targets.
+    pub(crate) const CRASHING: [CallKind; 3] = [CallKind::Read, CallKind::Write, CallKind::Events];
 
     /// Returns the name of the route.
     pub(crate) fn route(self) -> &'static str {
@@ -37,6 +42,7 @@
             CallKind::Read => "read",
             CallKind::Write => "write",
             CallKind::Events => "events",
+            CallKind::Unresumable => "unresumable",
         }
     }
 
@@ -44,9 +50,19 @@
     pub(crate) fn attempts(self) -> u32 {
         match self {
             CallKind::Read | CallKind::Events => 2,
-            CallKind::Write => 1,
+            CallKind::Write | CallKind::Unresumable => 1,
         }
     }
+
+    /// Returns whether a request may run only once.
+    pub(crate) fn runs_once(self) -> bool {
+        matches!(self, CallKind::Write | CallKind::Unresumable)
+    }
+
+    /// Returns whether the response is a stream.
+    pub(crate) fn is_stream(self) -> bool {
+        matches!(self, CallKind::Events | CallKind::Unresumable)
+    }
 }
 
 /// A client call with its outcome.
@@ -71,7 +87,7 @@
     /// Returns the whole events of a stream that arrived.
     pub(crate) fn events(&self) -> Vec<StreamEvent> {
         match self.kind {
-            CallKind::Events => whole_events(&self.response.body).0,
+            CallKind::Events | CallKind::Unresumable => whole_events(&self.response.body).0,
             CallKind::Read | CallKind::Write => Vec::new(),
         }
     }
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -5,6 +5,7 @@
 
 use crate::history::{CallKind, SoftwareVersion};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use skylarkpick_platform_standin::AnswerFaults;
 use std::time::Duration;
 
 /// Limits of the random pause between two faults. Each seed draws one of them, so that some seeds
@@ -99,6 +100,23 @@
 /// Distinguishes the generator of this time from those of the other faults.
 const BRITTLE_SEED: u64 = 89 << 40;
 
+/// Upper limit of the random pause between two times with faulty answers.
+const FAULTY_ANSWERS_GAP_LIMIT: Duration = Duration::from_secs(4);
+/// Shortest and longest such time.
+const FAULTY_ANSWERS_SPANS: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(9));
+/// Share of seeds with such times.
+const FAULTY_ANSWERS_PERCENT: u32 = 60;
+/// Upper limit of the share of requests that targets then reject so that they may come again.
+const REJECTED_PERCENT_LIMIT: u64 = 40;
+/// Upper limit of the share of answers of which a copy follows.
+const REPEATED_PERCENT_LIMIT: u64 = 50;
+/// Upper limits of the time until the copy; with the last one it mostly comes before the next answer.
+const REPEAT_LIMITS: [Duration; 2] = [Duration::from_millis(60), Duration::from_secs(5)];
+/// Upper limit of the share of requests that run and get a status of rejections.
+const UNSTATED_PERCENT_LIMIT: u64 = 10;
+/// Distinguishes the generator of these times from those of the other faults.
+const FAULTY_ANSWERS_SEED: u64 = 236 << 40;
+
 /// Number that brittle targets name.
 pub(crate) type BrittleNumber = &'static str;
 
@@ -215,6 +233,9 @@
     /// All targets say that they are brittle, and have room for so many waiting requests and fall over
     /// from three seconds on, until the fault ends.
     BrittleTargets { number: BrittleNumber, room: usize, span: Duration },
+    /// All targets reject requests so that they may come again, send copies of answers, and run requests
+    /// that they answer with a status of rejections, until the fault ends.
+    FaultyAnswers { faults: AnswerFaults, span: Duration },
     /// The operator adds an API key, or revokes the one that was added last.
     ChangeKeys,
 }
@@ -300,6 +321,7 @@
         faults.extend(draw_crashing_requests(seed, window));
         faults.extend(draw_returns(seed, window));
         faults.extend(draw_brittle_time(seed, window));
+        faults.extend(draw_faulty_answers(seed, window));
         faults.sort_by_key(|(at, _)| *at);
         FaultPlan { software_versions, has_peer_links, has_process_faults, faults }
     }
@@ -398,7 +420,7 @@
     let (shortest, longest) = CRASHING_REQUEST_SPANS;
     let mut at = CRASHING_REQUEST_GAP_LIMIT.mul_f64(random.random());
     while at < window {
-        let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
+        let kind = CallKind::CRASHING[random.random_range(0..CallKind::CRASHING.len())];
         let method = if random.random() { "GET" } else { "POST" };
         let span = shortest + (longest - shortest).mul_f64(random.random());
         faults.push((at, PlannedFault::CrashingRequest { kind, method, span }));
@@ -450,6 +472,31 @@
     Some((at, PlannedFault::BrittleTargets { number, room, span }))
 }
 
+/// Draws the times with faulty answers: none in some seeds.
+fn draw_faulty_answers(seed: u64, window: Duration) -> Vec<(Duration, PlannedFault)> {
+    let mut random = StdRng::seed_from_u64(seed ^ FAULTY_ANSWERS_SEED);
+    let mut faults = Vec::new();
+    if random.random_range(0..100) >= FAULTY_ANSWERS_PERCENT {
+        return faults;
+    }
+    let (shortest, longest) = FAULTY_ANSWERS_SPANS;
+    let mut at = FAULTY_ANSWERS_GAP_LIMIT.mul_f64(random.random());
+    while at < window {
+        let span = shortest + (longest - shortest).mul_f64(random.random());
+        let is_unstated: bool = random.random();
+        let unstated_percent = random.random_range(1..=UNSTATED_PERCENT_LIMIT);
+        let answers = AnswerFaults {
+            rejected_percent: random.random_range(0..=REJECTED_PERCENT_LIMIT),
+            repeated_percent: random.random_range(0..=REPEATED_PERCENT_LIMIT),
+            repeat_limit: REPEAT_LIMITS[random.random_range(0..REPEAT_LIMITS.len())],
+            unstated_percent: if is_unstated { unstated_percent } else { 0 },
+        };
+        faults.push((at, PlannedFault::FaultyAnswers { faults: answers, span }));
+        at += span + FAULTY_ANSWERS_GAP_LIMIT.mul_f64(random.random());
+    }
+    faults
+}
+
 fn draw_span(random: &mut StdRng) -> Duration {
     FAULT_FLOOR + (FAULT_LIMIT - FAULT_FLOOR).mul_f64(random.random())
 }
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -17,7 +17,7 @@
 };
 use anyhow::Context;
 use skylarkpick_platform_standin::{
-    ArrivalLog, ClientRequest, CrashingRequest, EchoTarget, ObjectServer, TestClient,
+    AnswerFaults, ArrivalLog, ClientRequest, CrashingRequest, EchoTarget, ObjectServer, TestClient,
 };
 use std::{
     net::SocketAddr,
@@ -175,6 +175,8 @@
     pub(crate) crashing_part: Option<CrashingPart>,
     /// Request that ends targets, after the first such fault.
     pub(crate) crashing_request: Option<CrashingRequest>,
+    /// Faults of the answers of all targets.
+    pub(crate) answer_faults: AnswerFaults,
     /// How brittle the targets are, while they are.
     pub(crate) brittleness: Option<Brittleness>,
     /// What the operator and the targets have written to the platform.
@@ -196,6 +198,7 @@
             configuration_version: 0,
             crashing_part: None,
             crashing_request: None,
+            answer_faults: AnswerFaults::default(),
             brittleness: None,
             written: WrittenObjects::default(),
             changes: History::begin(),
@@ -375,6 +378,12 @@
             PlannedFault::BrittleTargets { number, room, span } => {
                 self.make_targets_brittle(clients, number, room, span).await;
             }
+            PlannedFault::FaultyAnswers { faults, span } => {
+                self.lock().set_answer_faults(faults);
+                sleep(span).await;
+                self.lock().set_answer_faults(AnswerFaults::default());
+                self.record_disturbance(DisturbanceScope::Target, from);
+            }
             PlannedFault::ChangeKeys => clients.set_changed_key(&self.change_keys()),
         }
         Ok(())
--- a/crates/skylarkpick-soak/src/setup.rs
+++ b/crates/skylarkpick-soak/src/setup.rs
@@ -62,7 +62,7 @@
         kind: match kind {
             CallKind::Read => "idempotent",
             CallKind::Write => "non_idempotent",
-            CallKind::Events => "streaming",
+            CallKind::Events | CallKind::Unresumable => "streaming",
         },
         attempts: kind.attempts(),
         is_resumable: kind == CallKind::Events,
--- a/crates/skylarkpick-soak/src/signal_tests.rs
+++ b/crates/skylarkpick-soak/src/signal_tests.rs
@@ -71,6 +71,7 @@
             body_digest: 0,
             parts: Vec::new(),
             has_crashed: false,
+            failure: None,
             limit: None,
             is_turned_away: false,
             has_fallen: false,
--- a/crates/skylarkpick-soak/src/target_changes.rs
+++ b/crates/skylarkpick-soak/src/target_changes.rs
@@ -7,7 +7,7 @@
     store_faults::TARGETS,
     target::{Target, start_service, start_target},
 };
-use skylarkpick_platform_standin::{EchoTarget, ObjectServer, TargetState};
+use skylarkpick_platform_standin::{AnswerFaults, EchoTarget, ObjectServer, TargetState};
 use std::{ops::Range, time::Duration};
 use tokio::time::{Instant, sleep};
 
@@ -126,15 +126,22 @@
         self.changes.serving.push(ServingTarget::from_now(&target.name, version));
     }
 
-    /// Makes a target end by what ends targets now, and as brittle as the others.
+    /// Makes a target end by what ends targets now, and as brittle and faulty as the others.
     pub(crate) fn arm(&self, service: &EchoTarget) {
         service.set_crashing_part(self.crashing_part);
         service.set_crashing_request(self.crashing_request.as_ref());
+        service.set_answer_faults(self.answer_faults);
         if let Some(brittleness) = self.brittleness {
             brittleness.apply(service);
         }
     }
 
+    /// Makes the answers of all targets, and of those that start later, as faulty as this.
+    pub(crate) fn set_answer_faults(&mut self, faults: AnswerFaults) {
+        self.answer_faults = faults;
+        self.targets.iter().for_each(|target| target.service.set_answer_faults(faults));
+    }
+
     fn drain_target(&mut self, objects: &ObjectServer, target: &Target) {
         self.changes.stop_serving(&target.name);
         let record = target.registration(TargetState::Draining);
--- a/crates/skylarkpick-soak/src/test_history.rs
+++ b/crates/skylarkpick-soak/src/test_history.rs
@@ -59,6 +59,7 @@
         body_digest: 0,
         parts: call.request.parts.clone(),
         has_crashed: false,
+        failure: None,
         limit: None,
         is_turned_away: false,
         has_fallen: false,
--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -10,7 +10,7 @@
     plan::{FaultPlan, PlannedFault},
 };
 use skylarkpick_platform_standin::{
-    AnswerEnd, Arrival, ClientRequest, ClientResponse, StreamEvent,
+    AnswerEnd, AnswerFaults, Arrival, ClientRequest, ClientResponse, StreamEvent,
 };
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -44,7 +44,9 @@
 fn valid_history(kind: CallKind) -> History {
     let now = Instant::now();
     let body = match kind {
-        CallKind::Events => (1..=8).map(|index| event("b7", "a", 0, index)).collect(),
+        CallKind::Events | CallKind::Unresumable => {
+            (1..=8).map(|index| event("b7", "a", 0, index)).collect()
+        }
         CallKind::Read | CallKind::Write => "a".to_string(),
     };
     let request = ClientRequest {
@@ -95,6 +97,7 @@
             body_digest: 0,
             parts: Vec::new(),
             has_crashed: false,
+            failure: None,
             limit: None,
             is_turned_away: false,
             has_fallen: false,
@@ -205,6 +208,48 @@
             change: |history| history.calls[0].response.status = Some(503),
             rules: &["a request that is rejected as not run has not run"],
         },
+        Case {
+            name: "a stream that can't be resumed and ran twice",
+            kind: CallKind::Unresumable,
+            change: |history| history.arrivals.push(history.arrivals[0].clone()),
+            rules: &[
+                "a non-idempotent request runs at most once",
+                "a request runs at most as often as its route allows",
+            ],
+        },
+        Case {
+            name: "a stream that can't be resumed, first rejected and then run",
+            kind: CallKind::Unresumable,
+            change: |history| {
+                let rejected = Arrival { has_run: false, ..history.arrivals[0].clone() };
+                history.arrivals.insert(0, rejected);
+            },
+            rules: &[],
+        },
+        Case {
+            name: "a stream that can't be resumed, refused with 429 after it ran",
+            kind: CallKind::Unresumable,
+            change: |history| history.calls[0].response.status = Some(429),
+            rules: &["a request that is rejected as not run has not run"],
+        },
+        Case {
+            name: "a write that is refused with 408 after it ran",
+            kind: CallKind::Write,
+            change: |history| history.calls[0].response.status = Some(408),
+            rules: &["a request that is rejected as not run has not run"],
+        },
+        Case {
+            name: "a write that is refused with 421 after it ran",
+            kind: CallKind::Write,
+            change: |history| history.calls[0].response.status = Some(421),
+            rules: &["a request that is rejected as not run has not run"],
+        },
+        Case {
+            name: "a write that ran and gets a failure that promises nothing",
+            kind: CallKind::Write,
+            change: |history| history.calls[0].response.status = Some(502),
+            rules: &[],
+        },
         Case {
             name: "a rejection of a request that did not run",
             kind: CallKind::Write,
@@ -558,6 +603,25 @@
     }
 }
 
+#[test]
+fn some_seeds_have_faulty_answers_of_each_kind_and_others_have_none() {
+    let draw = |seed| FaultPlan::draw(seed, Duration::from_secs(20), 4, 4);
+    let faults: Vec<Vec<AnswerFaults>> = (1..=40)
+        .map(|seed| {
+            let times = draw(seed).faults.into_iter().filter_map(|(_, fault)| match fault {
+                PlannedFault::FaultyAnswers { faults, .. } => Some(faults),
+                _ => None,
+            });
+            times.collect()
+        })
+        .collect();
+    let has = |is_so: fn(&AnswerFaults) -> bool| faults.iter().flatten().any(is_so);
+    assert!(faults.iter().any(Vec::is_empty));
+    assert!(has(|it| it.rejected_percent > 0 && it.repeated_percent > 0));
+    assert!(has(|it| it.unstated_percent > 0));
+    assert!(has(|it| it.unstated_percent == 0));
+}
+
 #[test]
 fn the_plans_of_kept_seeds_stay_as_they_were() {
     struct Case {
