--- a/crates/skylarkpick-command/src/commands/soak.rs
+++ b/crates/skylarkpick-command/src/commands/soak.rs
@@ -46,6 +46,12 @@
             "N",
         );
         options.optopt("", "processes", "entry processes per seed (default 4)", "N");
+        options.optopt(
+            "",
+            "program",
+            "executable whose `node` is started (default: this one)",
+            "PATH",
+        );
         options.optopt(
             "",
             "keep",
@@ -56,12 +62,13 @@
     }
 
     fn description(&self) -> &'static str {
-        "Starts entry processes of this binary in front of stand-ins for the platform and the \
-         targets, with clients that reuse their connections. Injects the faults of each seed from \
-         outside the processes: signals, restarts, links that are delayed, reset, blackholed or \
-         cut in one direction, platform outages, targets that crash or shut down, and key changes. \
-         Checks what the clients received and what the targets ran. Keeps the logs of a seed that \
-         fails. Exits with 1 if a check failed."
+        "Starts entry processes of this binary, or of another build, in front of stand-ins for the \
+         platform and the targets, with clients that reuse their connections. Injects the faults of \
+         each seed from outside the processes: signals, restarts, links that are delayed, reset, \
+         blackholed or cut in one direction, platform outages, targets that crash or shut down, \
+         answers that come twice or don't say whether the request has run, and key changes. Checks \
+         what the clients received and what the targets ran. Keeps the logs of a seed that fails. \
+         Exits with 1 if a check failed."
     }
 
     fn examples(&self) -> Vec<Example> {
@@ -87,7 +94,9 @@
             )?),
             processes: option_or(matches, "processes", DEFAULT_PROCESSES)?
                 .clamp(1, PROCESSES_LIMIT),
-            program: std::env::current_exe().context("the path of this executable is unknown")?,
+            program: matches
+                .opt_str("program")
+                .map_or_else(this_program, |path| Ok(path.into()))?,
             folder,
             loopback_network: 0,
         };
@@ -142,6 +151,10 @@
         .collect()
 }
 
+fn this_program() -> anyhow::Result<PathBuf> {
+    std::env::current_exe().context("the path of this executable is unknown")
+}
+
 fn temporary_folder() -> PathBuf {
     std::env::temp_dir().join(format!("skylarkpick-soak-{}", std::process::id()))
 }
