Soak: more requests that may run only once while answers are faulty

Change: while answers are faulty, clients send 40 further requests a second that may run only once, plain and as streams, each process some of both. Shares: 10 to 40 in 100 rejected, 20 to 80 in 100 answers repeated. Requests of no special kind are made in one place.

--- a/crates/skylarkpick-soak/src/brittle_times.rs
+++ b/crates/skylarkpick-soak/src/brittle_times.rs
@@ -1,13 +1,12 @@
 //! Times in which all targets say that they are brittle.
 
 use crate::{
-    checks::ROUTE_TIMEOUT,
-    clients::{MAIN_KEY, SharedClientState},
+    clients::SharedClientState,
     history::{BrittleTime, CallKind, DisturbanceScope},
     plan::BrittleNumber,
     run::{Fleet, FleetState},
 };
-use skylarkpick_platform_standin::{ClientRequest, EchoTarget};
+use skylarkpick_platform_standin::EchoTarget;
 use std::{sync::Arc, time::Duration};
 use tokio::{
     task::JoinSet,
@@ -67,7 +66,7 @@
                 self.lock().set_brittleness(Some(brittleness));
             }
             // Equal requests would be blamed for the ends of targets.
-            let request = request(clients.next_number());
+            let request = clients.next_request(CallKind::Read);
             let (clients, address) = (clients.clone(), fronts[process]);
             calls.spawn(async move {
                 clients.send_once(address, process, CallKind::Read, request).await;
@@ -103,17 +102,3 @@
         }
     }
 }
-
-fn request(number: u64) -> ClientRequest {
-    ClientRequest {
-        attempt_id: format!("call-{number}"),
-        method: "POST".to_string(),
-        path: format!("/read/{number}"),
-        key: MAIN_KEY.to_string(),
-        deadline: ROUTE_TIMEOUT,
-        resumes: None,
-        last_event_id: None,
-        parts: Vec::new(),
-        body: "body".to_string(),
-    }
-}
--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -139,6 +139,22 @@
         self.next_call.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Returns a request of the main key, without a prompt and equal to no other.
+    pub(crate) fn next_request(&self, kind: CallKind) -> ClientRequest {
+        let number = self.next_number();
+        ClientRequest {
+            attempt_id: format!("call-{number}"),
+            method: "POST".to_string(),
+            path: format!("/{}/{number}", kind.route()),
+            key: MAIN_KEY.to_string(),
+            deadline: ROUTE_TIMEOUT,
+            resumes: None,
+            last_event_id: None,
+            parts: Vec::new(),
+            body: "body".to_string(),
+        }
+    }
+
     fn request(&self, kind: CallKind, random: &mut StdRng) -> ClientRequest {
         let number = self.next_number();
         let changed = self.changed_key.lock().unwrap_or_else(PoisonError::into_inner).clone();
--- a/crates/skylarkpick-soak/src/lib.rs
+++ b/crates/skylarkpick-soak/src/lib.rs
@@ -17,6 +17,7 @@
 #[cfg(test)]
 mod cut_tests;
 mod ended_targets;
+mod faulty_answers;
 mod history;
 mod limit_checks;
 mod network;
--- a/crates/skylarkpick-soak/src/plan.rs
+++ b/crates/skylarkpick-soak/src/plan.rs
@@ -106,10 +106,10 @@
 const FAULTY_ANSWERS_SPANS: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(9));
 /// Share of seeds with such times.
 const FAULTY_ANSWERS_PERCENT: u32 = 60;
-/// Upper limit of the share of requests that targets then reject so that they may come again.
-const REJECTED_PERCENT_LIMIT: u64 = 40;
-/// Upper limit of the share of answers of which a copy follows.
-const REPEATED_PERCENT_LIMIT: u64 = 50;
+/// Limits of the share of requests that targets then reject so that they may come again.
+const REJECTED_PERCENT: (u64, u64) = (10, 40);
+/// Limits of the share of answers of which a copy follows.
+const REPEATED_PERCENT: (u64, u64) = (20, 80);
 /// Upper limits of the time until the copy; with the last one it mostly comes before the next answer.
 const REPEAT_LIMITS: [Duration; 2] = [Duration::from_millis(60), Duration::from_secs(5)];
 /// Upper limit of the share of requests that run and get a status of rejections.
@@ -486,8 +486,8 @@
         let is_unstated: bool = random.random();
         let unstated_percent = random.random_range(1..=UNSTATED_PERCENT_LIMIT);
         let answers = AnswerFaults {
-            rejected_percent: random.random_range(0..=REJECTED_PERCENT_LIMIT),
-            repeated_percent: random.random_range(0..=REPEATED_PERCENT_LIMIT),
+            rejected_percent: random.random_range(REJECTED_PERCENT.0..=REJECTED_PERCENT.1),
+            repeated_percent: random.random_range(REPEATED_PERCENT.0..=REPEATED_PERCENT.1),
             repeat_limit: REPEAT_LIMITS[random.random_range(0..REPEAT_LIMITS.len())],
             unstated_percent: if is_unstated { unstated_percent } else { 0 },
         };
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -379,10 +379,7 @@
                 self.make_targets_brittle(clients, number, room, span).await;
             }
             PlannedFault::FaultyAnswers { faults, span } => {
-                self.lock().set_answer_faults(faults);
-                sleep(span).await;
-                self.lock().set_answer_faults(AnswerFaults::default());
-                self.record_disturbance(DisturbanceScope::Target, from);
+                self.make_answers_faulty(clients, faults, span).await;
             }
             PlannedFault::ChangeKeys => clients.set_changed_key(&self.change_keys()),
         }
--- a/crates/skylarkpick-soak/src/target_changes.rs
+++ b/crates/skylarkpick-soak/src/target_changes.rs
@@ -7,7 +7,7 @@
     store_faults::TARGETS,
     target::{Target, start_service, start_target},
 };
-use skylarkpick_platform_standin::{AnswerFaults, EchoTarget, ObjectServer, TargetState};
+use skylarkpick_platform_standin::{EchoTarget, ObjectServer, TargetState};
 use std::{ops::Range, time::Duration};
 use tokio::time::{Instant, sleep};
 
@@ -136,12 +136,6 @@
         }
     }
 
-    /// Makes the answers of all targets, and of those that start later, as faulty as this.
-    pub(crate) fn set_answer_faults(&mut self, faults: AnswerFaults) {
-        self.answer_faults = faults;
-        self.targets.iter().for_each(|target| target.service.set_answer_faults(faults));
-    }
-
     fn drain_target(&mut self, objects: &ObjectServer, target: &Target) {
         self.changes.stop_serving(&target.name);
         let record = target.registration(TargetState::Draining);
