--- a/crates/skylarkpick-soak/src/tests.rs
+++ b/crates/skylarkpick-soak/src/tests.rs
@@ -595,7 +595,7 @@
 
 #[test]
 fn the_seeds_of_regressions_have_no_cuts_from_all_targets_and_no_brittle_targets() {
-    for seed in [4, 8, 101, 11_003, 11_004] {
+    for seed in [4, 8, 101, 11_003, 11_004, 58_230] {
         let plan = FaultPlan::draw(seed, Duration::from_secs(12), 3, 4);
         let is_brittle = |fault| matches!(fault, PlannedFault::BrittleTargets { .. });
         let has_brittle_time = plan.faults.iter().any(|(_, fault)| is_brittle(*fault));
@@ -603,23 +603,22 @@
     }
 }
 
+/// Returns the faults of answers of a seed, as a regression plays it.
+fn answer_faults(seed: u64) -> Vec<AnswerFaults> {
+    let plan = FaultPlan::draw(seed, Duration::from_secs(10), 3, 4);
+    let faults = plan.faults.into_iter().filter_map(|(_, fault)| match fault {
+        PlannedFault::FaultyAnswers { faults, .. } => Some(faults),
+        _ => None,
+    });
+    faults.collect()
+}
+
 #[test]
-fn some_seeds_have_faulty_answers_of_each_kind_and_others_have_none() {
-    let draw = |seed| FaultPlan::draw(seed, Duration::from_secs(20), 4, 4);
-    let faults: Vec<Vec<AnswerFaults>> = (1..=40)
-        .map(|seed| {
-            let times = draw(seed).faults.into_iter().filter_map(|(_, fault)| match fault {
-                PlannedFault::FaultyAnswers { faults, .. } => Some(faults),
-                _ => None,
-            });
-            times.collect()
-        })
-        .collect();
-    let has = |is_so: fn(&AnswerFaults) -> bool| faults.iter().flatten().any(is_so);
-    assert!(faults.iter().any(Vec::is_empty));
-    assert!(has(|it| it.rejected_percent > 0 && it.repeated_percent > 0));
-    assert!(has(|it| it.unstated_percent > 0));
-    assert!(has(|it| it.unstated_percent == 0));
+fn the_seed_of_late_copies_and_unstated_rejections_has_faulty_answers_and_others_have_none() {
+    let faults = answer_faults(58_230);
+    assert!(faults.iter().any(|it| it.rejected_percent > 0 && it.repeated_percent > 0));
+    assert!(faults.iter().any(|it| it.unstated_percent > 0));
+    assert!([4, 8, 101, 11_003, 11_004].iter().all(|seed| answer_faults(*seed).is_empty()));
 }
 
 #[test]
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -54,6 +54,12 @@
             seconds: "12",
             cause: "a request that ended each target that ran it was sent to one after another",
         },
+        Regression {
+            seed: "58230",
+            seconds: "10",
+            cause: "a late copy of a rejection answered the next send, and promises that no target made \
+                    were passed on",
+        },
     ];
     let runs = cases.map(|case| {
         std::thread::spawn(move || {
