--- a/crates/skylarkpick-soak/src/target_changes.rs
+++ b/crates/skylarkpick-soak/src/target_changes.rs
@@ -126,10 +126,11 @@
         self.changes.serving.push(ServingTarget::from_now(&target.name, version));
     }
 
-    /// Makes a target end by what ends targets now, and as brittle as the others.
+    /// Makes a target end by what ends targets now, and as brittle and faulty as the others.
     pub(crate) fn arm(&self, service: &EchoTarget) {
         service.set_crashing_part(self.crashing_part);
         service.set_crashing_request(self.crashing_request.as_ref());
+        service.set_answer_faults(self.answer_faults);
         if let Some(brittleness) = self.brittleness {
             brittleness.apply(service);
         }
