--- a/crates/skylarkpick-forward/src/forwarding/hand_over.rs
+++ b/crates/skylarkpick-forward/src/forwarding/hand_over.rs
@@ -178,14 +178,16 @@
             // A failure also reaches the caller that waits for the response.
             let _ = connection.await;
         });
-        let sign_interval = network.sign_interval();
-        sender.try_send_request(handed_over(request, sign_interval)).await.map_err(|mut error| {
-            let text = describe(error.error());
-            match error.take_message() {
-                Some(_) => OfferError::NotSent(text),
-                None => OfferError::Broken(text),
-            }
-        })
+        let heartbeat_interval = network.heartbeat_interval();
+        sender.try_send_request(handed_over(request, heartbeat_interval)).await.map_err(
+            |mut error| {
+                let text = describe(error.error());
+                match error.take_message() {
+                    Some(_) => OfferError::NotSent(text),
+                    None => OfferError::Broken(text),
+                }
+            },
+        )
     }
 
     /// Returns the response of another process for the client.
@@ -258,12 +260,15 @@
 }
 
 /// Returns a request of a client as it is handed over.
-fn handed_over(request: &ActiveRequest, sign_interval: Option<Duration>) -> Request<Full<Bytes>> {
+fn handed_over(
+    request: &ActiveRequest,
+    heartbeat_interval: Option<Duration>,
+) -> Request<Full<Bytes>> {
     let terms = HandOverTerms {
         sends: request.sends,
         runs: request.runs,
         is_counted: request.is_counted,
-        sign_interval_ms: sign_interval.map(milliseconds),
+        heartbeat_interval_ms: heartbeat_interval.map(milliseconds),
         ..HandOverTerms::open(request.received.elapsed(), request.serving_version)
     };
     let mut handed_over = Request::new(Full::new(request.body.clone()));
--- a/crates/skylarkpick-forward/src/hand_over/origin_watch.rs
+++ b/crates/skylarkpick-forward/src/hand_over/origin_watch.rs
@@ -33,7 +33,7 @@
         Arc::new(OriginWatch { link, watched: OnceLock::new(), begun: Notify::new() })
     }
 
-    /// Begins to watch, if the terms promise signs of life.
+    /// Begins to watch, if the terms promise heartbeats.
     pub(crate) fn begin(&self, attempt_id: &ClientAttemptId, terms: &HandOverTerms) {
         if let Some(limit) = terms.silence_limit() {
             // Each stream carries one request.
--- a/crates/skylarkpick-forward/src/hand_over/terms.rs
+++ b/crates/skylarkpick-forward/src/hand_over/terms.rs
@@ -8,9 +8,9 @@
 const TERMS: HeaderName = HeaderName::from_static("skylarkpick-hand-over");
 /// Header of a response with a [`Refusal`].
 const REFUSAL: HeaderName = HeaderName::from_static("skylarkpick-refusal");
-/// Shortest interval between signs of life that a process is held to.
-const SIGN_INTERVAL_FLOOR: Duration = Duration::from_millis(50);
-/// Intervals without a sign of life after which a process counts as gone: three lost ones in a row don't
+/// Shortest interval between heartbeats that a process is held to.
+const HEARTBEAT_INTERVAL_FLOOR: Duration = Duration::from_millis(50);
+/// Intervals without a heartbeat after which a process counts as gone: three lost ones in a row don't
 /// show that, and a run ends within 400 ms of the end of its process.
 const SILENT_INTERVALS: u32 = 5;
 /// Headers of a client's request that concern its connection or the framing of its body.
@@ -42,7 +42,7 @@
     /// Interval at which the process that hands it over shows that it lives, while the request is under
     /// way. A process of an earlier version names none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) sign_interval_ms: Option<u64>,
+    pub(crate) heartbeat_interval_ms: Option<u64>,
 }
 
 /// Why a process doesn't take a request that is handed over. It has not run and will not run there.
@@ -71,9 +71,10 @@
     }
 
     /// Returns the silence after which the process that hands the request over counts as gone; `None` if
-    /// it has not promised signs of life.
+    /// it has not promised heartbeats.
     pub(crate) fn silence_limit(&self) -> Option<Duration> {
-        let interval = Duration::from_millis(self.sign_interval_ms?).max(SIGN_INTERVAL_FLOOR);
+        let interval =
+            Duration::from_millis(self.heartbeat_interval_ms?).max(HEARTBEAT_INTERVAL_FLOOR);
         Some(interval * SILENT_INTERVALS)
     }
 
--- a/crates/skylarkpick-forward/src/hand_over/terms_tests.rs
+++ b/crates/skylarkpick-forward/src/hand_over/terms_tests.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use std::time::Duration;
 
-/// Terms as the version before signs of life reads them.
+/// Terms as the version before heartbeats reads them.
 #[derive(Debug, Deserialize, Eq, PartialEq)]
 struct EarlierTerms {
     elapsed_ms: u64,
@@ -16,7 +16,7 @@
 }
 
 #[test]
-fn a_process_is_held_to_signs_of_life_only_if_it_promised_them() {
+fn a_process_is_held_to_heartbeats_only_if_it_promised_them() {
     struct Case {
         name: &'static str,
         header: &'static str,
@@ -30,17 +30,17 @@
         },
         Case {
             name: "this version",
-            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"sign_interval_ms":50}"#,
+            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"heartbeat_interval_ms":50}"#,
             silence_limit_ms: Some(250),
         },
         Case {
             name: "one that shows itself more rarely",
-            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"sign_interval_ms":400}"#,
+            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"heartbeat_interval_ms":400}"#,
             silence_limit_ms: Some(2_000),
         },
         Case {
             name: "one that promises too much",
-            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"sign_interval_ms":0}"#,
+            header: r#"{"elapsed_ms":3,"serving_version":9,"sends":1,"runs":0,"is_counted":true,"heartbeat_interval_ms":0}"#,
             silence_limit_ms: Some(250),
         },
     ];
@@ -55,10 +55,11 @@
 }
 
 #[test]
-fn the_version_before_signs_of_life_reads_terms_of_this_one() {
+fn the_version_before_heartbeats_reads_terms_of_this_one() {
     let open = HandOverTerms::open(Duration::from_millis(340), 12);
-    for sign_interval_ms in [None, Some(50)] {
-        let terms = HandOverTerms { sends: 2, runs: 1, is_counted: true, sign_interval_ms, ..open };
+    for heartbeat_interval_ms in [None, Some(50)] {
+        let terms =
+            HandOverTerms { sends: 2, runs: 1, is_counted: true, heartbeat_interval_ms, ..open };
         let headers = terms.add_to(&HeaderMap::new());
         let text = headers["skylarkpick-hand-over"].to_str().unwrap();
         let earlier: EarlierTerms = serde_json::from_str(text).unwrap();
@@ -70,7 +71,7 @@
             is_counted: true,
         };
         assert_eq!(earlier, expected);
-        assert_eq!(text.contains("sign_interval_ms"), sign_interval_ms.is_some());
+        assert_eq!(text.contains("heartbeat_interval_ms"), heartbeat_interval_ms.is_some());
     }
 }
 
--- a/crates/skylarkpick-interface/src/peers.rs
+++ b/crates/skylarkpick-interface/src/peers.rs
@@ -36,7 +36,7 @@
     fn address(&self) -> String;
 
     /// Returns the number of datagrams received from the peer so far. It grows while the peer lives, at
-    /// least once in each of its [`sign_interval`](PeerNetwork::sign_interval)s.
+    /// least once in each of its [`heartbeat_interval`](PeerNetwork::heartbeat_interval)s.
     fn received_datagrams(&self) -> u64;
 }
 
@@ -78,7 +78,7 @@
 
     /// Returns the interval at which a peer hears from this process while a byte stream to it is open;
     /// `None` if it may hear nothing.
-    fn sign_interval(&self) -> Option<Duration> {
+    fn heartbeat_interval(&self) -> Option<Duration> {
         None
     }
 
--- a/crates/skylarkpick-transport/src/byte_stream.rs
+++ b/crates/skylarkpick-transport/src/byte_stream.rs
@@ -17,10 +17,10 @@
 
 /// Time for which a connection without streams stays open.
 const UNUSED_LIFETIME: Duration = Duration::from_secs(5);
-/// Interval between the signs of life that a process sends to a peer while a stream to it is open.
-pub(crate) const SIGN_INTERVAL: Duration = Duration::from_millis(50);
-/// Content of a sign of life, which nobody reads.
-const SIGN: &[u8] = &[0];
+/// Interval between the heartbeats that a process sends to a peer while a stream to it is open.
+pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
+/// Content of a heartbeat, which nobody reads.
+const HEARTBEAT: &[u8] = &[0];
 
 /// Byte stream to or from a peer.
 pub(crate) struct QuicStream {
@@ -42,8 +42,8 @@
     /// Uses of all connections by the peer's address.
     uses: Arc<Uses>,
     address: String,
-    /// Sends signs of life for as long as there are streams.
-    _signs: JoinSet<()>,
+    /// Sends heartbeats for as long as there are streams.
+    _heartbeats: JoinSet<()>,
 }
 
 type Uses = Mutex<BTreeMap<String, Weak<ConnectionUse>>>;
@@ -74,9 +74,10 @@
         current.unwrap_or_else(|| {
             let address = address.to_string();
             let (key, uses_of_all) = (address.clone(), self.uses.clone());
-            let mut signs = JoinSet::new();
-            signs.spawn(send_signs(connection.clone()));
-            let new = ConnectionUse { connection, uses: uses_of_all, address, _signs: signs };
+            let mut heartbeats = JoinSet::new();
+            heartbeats.spawn(send_heartbeats(connection.clone()));
+            let new =
+                ConnectionUse { connection, uses: uses_of_all, address, _heartbeats: heartbeats };
             let new = Arc::new(new);
             uses.insert(key, Arc::downgrade(&new));
             new
@@ -131,11 +132,11 @@
 }
 
 /// Shows the peer at intervals that this process lives, until the connection is lost.
-async fn send_signs(connection: Connection) {
+async fn send_heartbeats(connection: Connection) {
     loop {
-        tokio::time::sleep(SIGN_INTERVAL).await;
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         // A peer of an earlier version takes none, and waits for none.
-        if connection.send_datagram(SIGN.into()).is_err() {
+        if connection.send_datagram(HEARTBEAT.into()).is_err() {
             return;
         }
     }
--- a/crates/skylarkpick-transport/src/quic_peers.rs
+++ b/crates/skylarkpick-transport/src/quic_peers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     authority::{Authority, PeerIdentity},
-    byte_stream::{SIGN_INTERVAL, StreamOpener},
+    byte_stream::{HEARTBEAT_INTERVAL, StreamOpener},
     certificates::{CertificateTiming, Certificates},
     connections::Connections,
     error::TransportError,
@@ -202,8 +202,8 @@
         }
     }
 
-    fn sign_interval(&self) -> Option<Duration> {
-        Some(SIGN_INTERVAL)
+    fn heartbeat_interval(&self) -> Option<Duration> {
+        Some(HEARTBEAT_INTERVAL)
     }
 
     async fn open_stream(
--- a/crates/skylarkpick-transport/src/tests.rs
+++ b/crates/skylarkpick-transport/src/tests.rs
@@ -443,11 +443,11 @@
     assert!(one.peers.request(&address, vec![1, 2], TIMEOUT).await.is_ok());
 }
 
-/// Waits until this many signs of life were sent on a connection.
-async fn wait_for_signs(connection: &quinn::Connection, count: u64) {
+/// Waits until this many heartbeats were sent on a connection.
+async fn wait_for_heartbeats(connection: &quinn::Connection, count: u64) {
     let until = Instant::now() + TIMEOUT;
     while connection.stats().frame_tx.datagram < count {
-        assert!(Instant::now() < until, "signs are sent");
+        assert!(Instant::now() < until, "heartbeats are sent");
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
@@ -461,17 +461,17 @@
     let first = streams.open_stream(&address).await.unwrap();
     let second = streams.open_stream(&address).await.unwrap();
     let connection = first.connection.clone();
-    wait_for_signs(&connection, 2).await;
+    wait_for_heartbeats(&connection, 2).await;
     drop(first);
     let sent = connection.stats().frame_tx.datagram;
-    wait_for_signs(&connection, sent + 2).await;
+    wait_for_heartbeats(&connection, sent + 2).await;
     drop(second);
     tokio::time::sleep(Duration::from_millis(50)).await;
     let sent = connection.stats().frame_tx.datagram;
     tokio::time::sleep(Duration::from_millis(400)).await;
     assert_eq!(connection.stats().frame_tx.datagram, sent, "no stream is open");
     let _third = streams.open_stream(&address).await.unwrap();
-    wait_for_signs(&connection, sent + 2).await;
+    wait_for_heartbeats(&connection, sent + 2).await;
 }
 
 #[tokio::test]
@@ -485,7 +485,7 @@
     let link = stream.link().unwrap();
     assert_eq!(link.address(), two.peers.address());
     let (received, until) = (link.received_datagrams(), Instant::now() + TIMEOUT);
-    // What this side receives acknowledges its signs of life.
+    // What this side receives acknowledges its heartbeats.
     while link.received_datagrams() < received + 3 {
         assert!(Instant::now() < until, "the peer is heard");
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -493,7 +493,7 @@
 }
 
 #[tokio::test]
-async fn a_stream_to_a_version_that_takes_no_signs_of_life_goes_on_without_them() {
+async fn a_stream_to_a_version_that_takes_no_heartbeats_goes_on_without_them() {
     let pem = pem();
     let authority = Authority::open(pem.0.as_bytes(), pem.1.as_bytes()).unwrap();
     let timing = CertificateTiming::default();
--- a/crates/skylarkpick-transport/src/tls.rs
+++ b/crates/skylarkpick-transport/src/tls.rs
@@ -17,11 +17,11 @@
 const STREAM_BUFFER_BYTES: u32 = 65_536;
 /// The same of all byte streams of a connection.
 const STREAMS_BUFFER_BYTES: u32 = 1_048_576;
-/// Bytes of signs of life of a connection that wait to be read, which nobody does.
-const SIGNS_BUFFER_BYTES: usize = 1_024;
+/// Bytes of heartbeats of a connection that wait to be read, which nobody does.
+const HEARTBEATS_BUFFER_BYTES: usize = 1_024;
 /// Interval between keep-alives on a connection for byte streams, also while it carries none.
 const STREAM_KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time without a sign of life after which such a connection, and with it its streams, is lost.
+/// Time without a heartbeat after which such a connection, and with it its streams, is lost.
 const STREAM_IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Limit of concurrent one-way messages to one side of a connection.
 const CONCURRENT_MESSAGES_LIMIT: u32 = 64;
@@ -51,7 +51,7 @@
     let tls = QuicServerConfig::try_from(tls).map_err(tls_error)?;
     let mut config = ServerConfig::with_crypto(Arc::new(tls));
     let mut transport = transport(limits)?;
-    transport.datagram_receive_buffer_size(Some(SIGNS_BUFFER_BYTES));
+    transport.datagram_receive_buffer_size(Some(HEARTBEATS_BUFFER_BYTES));
     config.transport_config(Arc::new(transport));
     Ok(config)
 }
@@ -76,7 +76,7 @@
         .receive_window(STREAMS_BUFFER_BYTES.into())
         .send_window(STREAMS_BUFFER_BYTES.into())
         // A side that takes no datagrams may send none.
-        .datagram_receive_buffer_size(Some(SIGNS_BUFFER_BYTES))
+        .datagram_receive_buffer_size(Some(HEARTBEATS_BUFFER_BYTES))
         .keep_alive_interval(Some(STREAM_KEEPALIVE_INTERVAL))
         .max_idle_timeout(Some(IdleTimeout::try_from(STREAM_IDLE_LIMIT).map_err(tls_error)?));
     client_config_with(certificates, STREAM_PROTOCOL, Arc::new(transport))
