Soak: build the requests without a prompt in one place

next_request, which the faulty answers added, repeated the request with which run.rs waits until the processes serve.

--- a/crates/skylarkpick-soak/src/clients.rs
+++ b/crates/skylarkpick-soak/src/clients.rs
@@ -142,17 +142,7 @@
     /// Returns a request of the main key, without a prompt and equal to no other.
     pub(crate) fn next_request(&self, kind: CallKind) -> ClientRequest {
         let number = self.next_number();
-        ClientRequest {
-            attempt_id: format!("call-{number}"),
-            method: "POST".to_string(),
-            path: format!("/{}/{number}", kind.route()),
-            key: MAIN_KEY.to_string(),
-            deadline: ROUTE_TIMEOUT,
-            resumes: None,
-            last_event_id: None,
-            parts: Vec::new(),
-            body: "body".to_string(),
-        }
+        plain_request(format!("call-{number}"), format!("/{}/{number}", kind.route()))
     }
 
     fn request(&self, kind: CallKind, random: &mut StdRng) -> ClientRequest {
@@ -211,6 +201,21 @@
     }
 }
 
+/// Returns a request of the main key, without a prompt.
+pub(crate) fn plain_request(attempt_id: String, path: String) -> ClientRequest {
+    ClientRequest {
+        attempt_id,
+        method: "POST".to_string(),
+        path,
+        key: MAIN_KEY.to_string(),
+        deadline: ROUTE_TIMEOUT,
+        resumes: None,
+        last_event_id: None,
+        parts: Vec::new(),
+        body: "body".to_string(),
+    }
+}
+
 async fn run_client(
     shared: Arc<SharedClientState>,
     addresses: Vec<SocketAddr>,
--- a/crates/skylarkpick-soak/src/run.rs
+++ b/crates/skylarkpick-soak/src/run.rs
@@ -4,7 +4,7 @@
 use crate::{
     brittle_times::Brittleness,
     checks::{Finding, ROUTE_TIMEOUT, check_history},
-    clients::{Clients, MAIN_KEY, SharedClientState},
+    clients::{Clients, MAIN_KEY, SharedClientState, plain_request},
     ended_targets::REPLACEMENT_TIME,
     history::{Call, Disturbance, DisturbanceScope, History, TargetCut},
     plan::{CrashingPart, FaultPlan, PlannedFault},
@@ -17,7 +17,7 @@
 };
 use anyhow::Context;
 use skylarkpick_platform_standin::{
-    AnswerFaults, ArrivalLog, ClientRequest, CrashingRequest, EchoTarget, ObjectServer, TestClient,
+    AnswerFaults, ArrivalLog, CrashingRequest, EchoTarget, ObjectServer, TestClient,
 };
 use std::{
     net::SocketAddr,
@@ -252,17 +252,7 @@
     async fn wait_until_ready(&self) -> anyhow::Result<()> {
         let until = Instant::now() + START_TIMEOUT;
         for (index, address) in self.fronts().into_iter().enumerate() {
-            let request = ClientRequest {
-                attempt_id: format!("start-{index}"),
-                method: "POST".to_string(),
-                path: "/read/start".to_string(),
-                key: MAIN_KEY.to_string(),
-                deadline: ROUTE_TIMEOUT,
-                resumes: None,
-                last_event_id: None,
-                parts: Vec::new(),
-                body: "body".to_string(),
-            };
+            let request = plain_request(format!("start-{index}"), "/read/start".to_string());
             while TestClient::open(address).send(&request, ROUTE_TIMEOUT).await.status != Some(200)
             {
                 anyhow::ensure!(Instant::now() < until, "process {index} does not serve requests");
