Decode cold starts, evacuation bounds, event gaps and slowness

Two deployments configure cold starts, a bound for evacuations, limits on the pause between events and a fourth load figure, which were ignored. The fields are decoded at the border into types of the interface; no decision uses them yet, so that no behaviour changes.

--- a/crates/skylarkpick-forward/src/brittle_tests.rs
+++ b/crates/skylarkpick-forward/src/brittle_tests.rs
@@ -35,6 +35,7 @@
         weights: BTreeMap::new(),
         started_at_ms: 1,
         software_version: None,
+        cold_remaining: None,
     });
     tokio::time::advance(SECOND * 10).await;
     node_state
--- a/crates/skylarkpick-forward/src/fleet/planner_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/planner_tests.rs
@@ -219,6 +219,7 @@
             idle_timeout: SECOND,
         },
         accounts: None,
+        cold_starts: BTreeMap::new(),
     })
 }
 
@@ -243,6 +244,7 @@
         weights: BTreeMap::from([("tala".to_string(), 1)]),
         started_at_ms,
         software_version: Some("v1".to_string()),
+        cold_remaining: None,
     };
     (id, FleetRecord::Target(registration))
 }
--- a/crates/skylarkpick-forward/src/fleet/tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/tests.rs
@@ -51,6 +51,7 @@
         weights: BTreeMap::new(),
         started_at_ms: 1,
         software_version: Some("v1".to_string()),
+        cold_remaining: None,
     };
     NamedRecord { name: id.to_string(), record: Some(FleetRecord::Target(registration)) }
 }
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -410,6 +410,7 @@
                 idle_timeout: 15 * SECOND,
             },
             accounts: None,
+            cold_starts: BTreeMap::new(),
         })),
         FleetTopic::Targets => FleetRecord::Target(RegisteredTarget {
             id: "i-1".to_string(),
@@ -421,6 +422,7 @@
             weights: BTreeMap::new(),
             started_at_ms: 1,
             software_version: Some("v1".to_string()),
+            cold_remaining: None,
         }),
         FleetTopic::Weights => return named(1, &[], 5),
         FleetTopic::Entries => return entry_records(2),
--- a/crates/skylarkpick-forward/src/peers/brittle_notice_tests.rs
+++ b/crates/skylarkpick-forward/src/peers/brittle_notice_tests.rs
@@ -34,6 +34,7 @@
         weights: BTreeMap::new(),
         started_at_ms,
         software_version: None,
+        cold_remaining: None,
     }
 }
 
--- a/crates/skylarkpick-forward/src/streams/tests.rs
+++ b/crates/skylarkpick-forward/src/streams/tests.rs
@@ -48,6 +48,7 @@
             weights: BTreeMap::new(),
             started_at_ms: 1,
             software_version: Some(version.to_string()),
+            cold_remaining: None,
         };
         NamedRecord { name, record: Some(FleetRecord::Target(target)) }
     });
@@ -81,6 +82,7 @@
         services: BTreeMap::new(),
         limits,
         accounts: None,
+        cold_starts: BTreeMap::new(),
     }));
     let registry = registry(&node_state, None);
     let records = &registry.watcher.records;
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -62,6 +62,8 @@
         retry_extra: 54,
         lease: 3 * SECOND,
         weights: 12 * SECOND,
+        cold: None,
+        evacuation: None,
     };
     NodeState::open(clock, limits, PlacementPolicy::default())
 }
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -35,6 +35,19 @@
     /// Version of its software. `None` in records of entry processes that don't know the field.
     #[serde(default)]
     pub software_version: Option<SoftwareVersion>,
+    /// Time for which the target stays cold, counted from its registration. `None` if the registration
+    /// doesn't say, and in records of entry processes that don't know the field.
+    #[serde(default)]
+    pub cold_remaining: Option<Duration>,
+}
+
+/// Requests that targets of a service tolerate while they are cold.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ColdStart {
+    /// Time for which a target is cold after it starts.
+    pub duration: Duration,
+    /// Requests per second that a cold target tolerates from all entry processes together.
+    pub requests_per_second: f64,
 }
 
 /// Whether a request may run more than once.
@@ -87,6 +100,10 @@
     pub timeout: Duration,
     /// Latency objective: a later response has less value.
     pub target_latency: Duration,
+    /// Longest pause between two events of a response that is still on time. `None` if the route
+    /// doesn't set one, and in documents of entry processes that don't know the field.
+    #[serde(default)]
+    pub target_gap: Option<Duration>,
     /// Priority rank of the requests; 0 is the most urgent.
     pub rank: u8,
     /// Whether requests without a key are accepted.
@@ -164,6 +181,9 @@
     pub routes: Vec<ServingRoute>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServiceKind>,
+    /// Services whose targets start cold.
+    #[serde(default)]
+    pub cold_starts: BTreeMap<ServiceName, ColdStart>,
     /// Limits on client requests and connections.
     pub limits: ClientLimits,
     /// Client accounts, or `None` if requests carry no keys.
--- a/crates/skylarkpick-interface/src/forward.rs
+++ b/crates/skylarkpick-interface/src/forward.rs
@@ -123,6 +123,9 @@
     pub waiting: u32,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// How long work takes on the target's machine at the moment, in percent of the usual time.
+    /// `None` if the target doesn't report it.
+    pub slowness_percent: Option<u32>,
 }
 
 /// Requests that a target takes from all processes together.
--- a/crates/skylarkpick-interface/src/lib.rs
+++ b/crates/skylarkpick-interface/src/lib.rs
@@ -27,10 +27,10 @@
 };
 pub use crash::{CrashCause, CrashReport, PartDepth, PartNumber, RequestNumber, TargetCrash};
 pub use fleet::{
-    ClientLimits, ContextMemory, DesiredSinceOutcome, DesiredWeights, Destination, FleetRecord,
-    FleetSource, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry, RegisteredTarget,
-    Repeatability, ResponseKind, ServiceKind, ServingAccount, ServingDocument, ServingRoute,
-    WatchError,
+    ClientLimits, ColdStart, ContextMemory, DesiredSinceOutcome, DesiredWeights, Destination,
+    FleetRecord, FleetSource, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry,
+    RegisteredTarget, Repeatability, ResponseKind, ServiceKind, ServingAccount, ServingDocument,
+    ServingRoute, WatchError,
 };
 pub use forward::{
     BrittleSignal, CacheScope, ClientAttemptId, Dialect, EventId, FetchSource, HeadError,
@@ -43,7 +43,7 @@
     Generation, IdempotencyKey, ModelName, PrefixKey, RequestId, RunId, RunnerId, ServiceName,
     SoftwareVersion, StoreId, TargetId, WeightVersion,
 };
-pub use node::{NodeLimits, NodeSettings};
+pub use node::{ColdRequestBound, NodeLimits, NodeSettings};
 pub use peers::{NoPeers, PeerError, PeerHandler, PeerLink, PeerNetwork, PeerStream};
 pub use plain_service::{PlainService, ServiceCall, ServiceError, ServiceReply};
 pub use platform::{
--- a/crates/skylarkpick-interface/src/node.rs
+++ b/crates/skylarkpick-interface/src/node.rs
@@ -22,6 +22,13 @@
     pub platform_address: SocketAddr,
     /// CPU share of the VM, in hundredths of a core.
     pub cpu_percent: u32,
+    /// Memory of the VM, if the settings name it.
+    pub memory_limit_bytes: Option<u64>,
+    /// Descriptors that the process may have open, if the settings name a limit.
+    pub descriptor_limit: Option<u64>,
+    /// Whether clients may send more than they are asked to, so that client accounts need a fair
+    /// share of scarce capacity.
+    pub has_pressing_clients: bool,
     /// Time limits and retry limits that the platform sets.
     pub bounds: NodeLimits,
 }
@@ -47,4 +54,18 @@
     /// Time after a change of a model's desired weights from which runs must no longer start on the
     /// previous ones.
     pub weights: Duration,
+    /// Bound on the requests to a cold target; `None` if targets are never cold.
+    pub cold: Option<ColdRequestBound>,
+    /// Time after the platform records an evacuation within which entry processes must stop sending
+    /// requests to the targets of the data centre; `None` if data centres are never evacuated.
+    pub evacuation: Option<Duration>,
+}
+
+/// Bound on the requests that a cold target may get in any second, over all entry processes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ColdRequestBound {
+    /// Factor on the rate that a cold target tolerates, in hundredths.
+    pub excess_percent: u32,
+    /// Requests allowed in addition.
+    pub slack_requests: u32,
 }
--- a/crates/skylarkpick-schedule/src/placement/brittle_place_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle_place_tests.rs
@@ -80,7 +80,11 @@
 #[test]
 fn a_target_that_reports_fewer_slots_than_its_record_names_runs_no_more() {
     let mut placement = brittle_fleet(1, 1);
-    placement.observe_load("i-1", ReportedLoad { running: 3, waiting: 0, slots: 3 }, NOW);
+    placement.observe_load(
+        "i-1",
+        ReportedLoad { running: 3, waiting: 0, slots: 3, slowness_percent: None },
+        NOW,
+    );
     assert_eq!(fill(&mut placement, NOW).len(), 3);
 }
 
--- a/crates/skylarkpick-schedule/src/placement/brittle_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle_tests.rs
@@ -418,6 +418,7 @@
                     running: target.running.len() as u32,
                     waiting: target.waiting.len() as u32,
                     slots: SLOTS,
+                    slowness_percent: None,
                 };
                 placement.observe_load(&run.assignment.target, load, now);
                 placement.end(&run.assignment, TargetOutcome::Served, RUN_TIME, now);
--- a/crates/skylarkpick-schedule/src/placement/load_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/load_tests.rs
@@ -172,6 +172,7 @@
             running: u32::try_from(self.running.len()).unwrap(),
             waiting: u32::try_from(self.waiting.len()).unwrap(),
             slots: 48,
+            slowness_percent: None,
         }
     }
 }
@@ -460,6 +461,7 @@
             weights: BTreeMap::from([(MODEL.to_string(), 1)]),
             started_at_ms: 1,
             software_version: Some("v1".to_string()),
+            cold_remaining: None,
         });
     }
     let changes = (0..deployment.sessions).map(|session| PartChange {
--- a/crates/skylarkpick-schedule/src/placement/spread_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/spread_tests.rs
@@ -70,6 +70,7 @@
         weights: BTreeMap::from([(MODEL.to_string(), 1)]),
         started_at_ms: 1,
         software_version: Some("v1".to_string()),
+        cold_remaining: None,
     }
 }
 
--- a/crates/skylarkpick-schedule/src/placement/test_fleet.rs
+++ b/crates/skylarkpick-schedule/src/placement/test_fleet.rs
@@ -21,6 +21,7 @@
         weights: BTreeMap::new(),
         started_at_ms,
         software_version: Some("v1".to_string()),
+        cold_remaining: None,
     }
 }
 
--- a/crates/skylarkpick-schedule/src/placement/tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/tests.rs
@@ -48,6 +48,7 @@
         weights: if service == ENGINES { weights } else { BTreeMap::new() },
         started_at_ms: 1,
         software_version: Some("v1".to_string()),
+        cold_remaining: None,
     }
 }
 
@@ -613,7 +614,7 @@
 #[test]
 fn does_not_place_a_request_that_would_wait_too_long() {
     let mut placement = fleet();
-    let load = ReportedLoad { running: 6, waiting: 30, slots: 6 };
+    let load = ReportedLoad { running: 6, waiting: 30, slots: 6, slowness_percent: None };
     (11..=13).for_each(|index| {
         placement.observe_load(&format!("i-{index}"), load, Duration::ZERO);
     });
--- a/crates/skylarkpick-schedule/src/streams/software_versions.rs
+++ b/crates/skylarkpick-schedule/src/streams/software_versions.rs
@@ -64,6 +64,7 @@
     ///         weights: BTreeMap::new(),
     ///         started_at_ms: 1,
     ///         software_version: Some("v1".to_string()),
+    ///         cold_remaining: None,
     ///     },
     ///     Duration::ZERO,
     /// );
--- a/crates/skylarkpick-schedule/src/streams/tests.rs
+++ b/crates/skylarkpick-schedule/src/streams/tests.rs
@@ -24,6 +24,7 @@
         weights: BTreeMap::new(),
         started_at_ms,
         software_version: version.map(str::to_string),
+        cold_remaining: None,
     }
 }
 
