Bound the requests to cold targets over all processes

Cause: targets that come back under traffic are the least loaded of their service, so that all processes prefer them; they crash at twice what they tolerate, and their load moves on.

Change: a target counts as cold by its record, its responses, failed and broken connections and the ends that other processes report. Up to four processes, derived from the processes listed in the last 600 s, own the requests that it may get; for all others it is absent. Owners use it only while no warm target is free. The share is checked again when a request is written. A process uses no share before it has been listed for 52 s, or when the platform's list that it knows is older than 30 s. Without the bound in the settings or the service's cold start nothing is cold.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -126,6 +126,8 @@
     channel: Channel,
     since: Instant,
     limit: Duration,
+    /// Whether the target reported for how long it keeps idle connections open.
+    is_limit_reported: bool,
 }
 
 /// Way to send requests on a connection, and the meter of its responses.
@@ -143,6 +145,9 @@
     address: SocketAddr,
     attempt: AttemptHash,
     pub(crate) is_reused: bool,
+    /// Whether the target has closed idle connections before the time for which it keeps them, as one
+    /// that ends does.
+    pub(crate) follows_broken: bool,
 }
 
 impl ConnectionPool {
@@ -159,33 +164,40 @@
         idle_limit: Duration,
     ) -> Result<Connection, SendError> {
         let attempt = self.hasher.hash_one(attempt_id);
-        if let Some(channel) = self.take_idle(address, attempt, idle_limit) {
-            return Ok(Connection { channel, address, attempt, is_reused: true });
+        let (channel, follows_broken) = self.take_idle(address, attempt, idle_limit);
+        if let Some(channel) = channel {
+            return Ok(Connection { channel, address, attempt, is_reused: true, follows_broken });
         }
         let number = self.opened.fetch_add(1, Ordering::Relaxed);
         let channel = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(address, number))
             .await
             .unwrap_or_else(|_| Err(not_connected(ConnectFailure::TimedOut, "timed out")))
             .inspect_err(|error| error.count())?;
-        Ok(Connection { channel, address, attempt, is_reused: false })
+        Ok(Connection { channel, address, attempt, is_reused: false, follows_broken })
     }
 
+    /// Returns an idle connection, if there is one, and whether the target has closed others before the
+    /// time for which it keeps them.
     fn take_idle(
         &self,
         address: SocketAddr,
         attempt: AttemptHash,
         idle_limit: Duration,
-    ) -> Option<Channel> {
+    ) -> (Option<Channel>, bool) {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(&address)?;
-        connections.retain(|it| !it.channel.sender.is_closed() && now < it.since + it.limit);
+        let Some(connections) = idle.get_mut(&address) else { return (None, false) };
+        let is_expired = |it: &Idle| now >= it.since + it.limit;
+        let is_broken =
+            |it: &Idle| it.channel.sender.is_closed() && it.is_limit_reported && !is_expired(it);
+        let follows_broken = connections.iter().any(is_broken);
+        connections.retain(|it| !it.channel.sender.is_closed() && !is_expired(it));
         let newest = connections.iter().rposition(|it| {
             it.channel.sender.is_ready()
                 && now.duration_since(it.since) <= idle_limit
                 && !it.channel.carried.contains(&attempt)
-        })?;
-        Some(connections.remove(newest).channel)
+        });
+        (newest.map(|newest| connections.remove(newest).channel), follows_broken)
     }
 
     /// Returns a connection to the pool after its response was read to the end.
@@ -200,7 +212,9 @@
         if connections.len() >= IDLE_COUNT_LIMIT {
             connections.remove(0);
         }
-        connections.push(Idle { channel: connection.channel, since: Instant::now(), limit });
+        let is_limit_reported = reported_limit.is_some();
+        let since = Instant::now();
+        connections.push(Idle { channel: connection.channel, since, limit, is_limit_reported });
     }
 
     /// Returns whether an address refuses connections, since no process listens there. Silence is no
--- a/crates/skylarkpick-forward/src/crashes.rs
+++ b/crates/skylarkpick-forward/src/crashes.rs
@@ -376,6 +376,9 @@
             return;
         }
         let now_ms = self.wall_ms();
+        if source == ReportSource::Process {
+            self.note_ended_targets(&report.crashes, now_ms);
+        }
         if self.change_evidence(|evidence| evidence.merge(report, source, now_ms)) {
             request_log!("evidence of ended targets applied", kv: {
                 from,
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -191,6 +191,9 @@
         if topic == FleetTopic::Targets {
             self.node_state.lock().software_versions.note_complete(at);
         }
+        if topic == FleetTopic::Entries {
+            self.node_state.note_entries_complete(at);
+        }
     }
 
     /// Returns the node time.
--- a/crates/skylarkpick-forward/src/fleet/target_records.rs
+++ b/crates/skylarkpick-forward/src/fleet/target_records.rs
@@ -88,6 +88,7 @@
         kind: UpdateKind,
     ) {
         self.missing_targets().note_present(&target.id);
+        self.node_state.note_target_record(target, kind == UpdateKind::Changes);
         let is_reported_draining = {
             let is_assumed = self.departed_targets().is_assumed(&target.id);
             let state = self.node_state.lock();
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -176,6 +176,7 @@
         let response = match connection.send(http_request).await {
             Err(error @ SendError::NotSent(_)) if connection.is_reused => {
                 self.log_send_error(&connection, &error);
+                self.forwarder.node_state.note_broken_connection(&self.guard.assignment);
                 // The target closed the idle connection; try a new one.
                 connection = self.connect(Duration::ZERO).await?;
                 connection.send(self.http_request()?).await
@@ -196,6 +197,9 @@
         let connected = pool.connect(address, attempt_id, idle_limit).await;
         self.note_reach(&connected, began).await;
         let connection = connected?;
+        if connection.follows_broken {
+            self.forwarder.node_state.note_broken_connection(&self.guard.assignment);
+        }
         let error = if self.forwarder.node_state.pause_rest(&address).is_some() {
             SendError::Paused
         } else if self.forwarder.crashes.is_withheld(self.request) {
@@ -283,6 +287,9 @@
             if is_own && metadata.signals.limit == LimitSignal::None {
                 node_state.note_no_limit(assignment, self.guard.sent_at());
             }
+            if is_own && let Some(remaining) = metadata.signals.cold_remaining {
+                node_state.note_cold_report(assignment, remaining, self.guard.sent_at());
+            }
             if is_own && metadata.signals.brittle.is_none() {
                 node_state.note_not_brittle(assignment, self.guard.sent_at());
             }
@@ -396,6 +403,7 @@
                 }
                 Ok(Ok(start)) => Some(start.content),
                 Ok(Err(error)) => {
+                    self.forwarder.node_state.note_broken_connection(&self.guard.assignment);
                     self.guard.outcome = TargetOutcome::Failed;
                     return AttemptOutcome::NoValidResponse(describe(&error));
                 }
@@ -424,6 +432,7 @@
             }
             Ok(None) => None,
             Ok(Some(Err(error))) => {
+                self.forwarder.node_state.note_broken_connection(&self.guard.assignment);
                 self.guard.outcome = TargetOutcome::Failed;
                 return AttemptOutcome::NoValidResponse(describe(&error));
             }
--- a/crates/skylarkpick-forward/src/forwarding/response_stream.rs
+++ b/crates/skylarkpick-forward/src/forwarding/response_stream.rs
@@ -268,6 +268,7 @@
     async fn resume(&mut self, why: &str) -> bool {
         let Some(mut failed) = self.current.take() else { return false };
         failed.guard.outcome = TargetOutcome::Failed;
+        self.forwarder.node_state.note_broken_connection(&failed.guard.assignment);
         let since_first_piece = failed.guard.since_first_response();
         let assignment = &failed.guard.assignment;
         let place = AttemptTarget::of(assignment);
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -9,6 +9,9 @@
 mod brittle_tests;
 mod brittle_use;
 mod client;
+mod cold;
+#[cfg(test)]
+mod cold_tests;
 mod connection_pool;
 #[cfg(test)]
 mod connection_pool_tests;
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -99,6 +99,8 @@
     pub(crate) untold_rejections: BTreeSet<(TargetId, u64)>,
     /// Targets that were logged as brittle.
     pub(crate) known_brittle: BTreeSet<TargetId>,
+    /// Targets that were logged as cold.
+    pub(crate) known_cold: BTreeSet<TargetId>,
 }
 
 /// Whether a request may be sent again, with what decided.
@@ -120,10 +122,12 @@
         policy: PlacementPolicy,
     ) -> Arc<NodeState> {
         let usable_for = limits.weights.saturating_sub(OLD_WEIGHTS_MARGIN);
+        let mut placement = Placement::open_with_policy(usable_for, policy);
+        placement.set_cold_bound(limits.cold);
         Arc::new(NodeState {
             state: Mutex::new(RoutingState {
                 serving: None,
-                placement: Placement::open_with_policy(usable_for, policy),
+                placement,
                 retry_shares: BTreeMap::new(),
                 sharing: SharingProcesses::open(limits.retry_window, node_time(&*clock)),
                 waiting: WaitingRequests::default(),
@@ -135,6 +139,7 @@
                 untold_brittle: BTreeMap::new(),
                 untold_rejections: BTreeSet::new(),
                 known_brittle: BTreeSet::new(),
+                known_cold: BTreeSet::new(),
             }),
             clock,
             limits,
@@ -187,6 +192,7 @@
             return false;
         }
         state.placement.set_services(&serving.document.services);
+        state.placement.set_cold_starts(&serving.document.cold_starts, self.now());
         state.serving = Some(Arc::new(serving));
         drop(state);
         self.caches_changed.notify_waiters();
--- a/crates/skylarkpick-forward/src/pauses.rs
+++ b/crates/skylarkpick-forward/src/pauses.rs
@@ -95,7 +95,10 @@
     /// may be written.
     pub(crate) fn take_share(&self, assignment: &Assignment) -> bool {
         let now = self.now();
-        self.lock().placement.take_share(assignment, now).is_ok()
+        let mut state = self.lock();
+        let is_taken = state.placement.take_share(assignment, now).is_ok();
+        state.count_cold_share(assignment, is_taken, now);
+        is_taken
     }
 
     /// Logs a change, and has other processes told.
@@ -162,6 +165,7 @@
             tokio::time::sleep(LIMIT_COLLECTION_TIME).await;
         }
         node_state.log_silent_ends();
+        node_state.log_cold_changes();
         if let Some(notice) = node_state.take_untold() {
             watcher.peer_client.broadcast(&watcher.records, &notice);
             // A target that turned a request away can't wait. Each makes this process pause there.
@@ -188,6 +192,9 @@
         if let Some(signal) = signals.brittle {
             self.note_brittle_at(address, signal);
         }
+        if let Some(remaining) = signals.cold_remaining {
+            self.note_cold_report_at(address, remaining);
+        }
         let is_new = |address| self.lock().placement.note_leaving_at(address, now);
         if let Some(target) = signals.is_leaving.then_some(address).and_then(is_new) {
             request_log!("target says that it leaves, in its response to a call", kv: {
--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -8,7 +8,7 @@
 use skylarkpick_telemetry::{
     BRITTLE_TARGETS, CONFIGURATION_VERSION, ENGINES_MEMORY_PERCENT, Exposition, PARTS_BLAMED,
     READY, REQUESTS_BLAMED, REQUESTS_UNDER_WAY, REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING,
-    metrics,
+    TARGETS_COLD, metrics,
 };
 use std::sync::Arc;
 
@@ -55,6 +55,7 @@
         metrics.set(&PARTS_BLAMED, parts, &[]);
         metrics.set(&REQUESTS_BLAMED, requests, &[]);
         metrics.set(&BRITTLE_TARGETS, self.node_state.count_brittle(), &[]);
+        metrics.set(&TARGETS_COLD, self.node_state.count_cold(), &[]);
         Response::new(full_body(self.exposition.text()))
     }
 }
--- a/crates/skylarkpick-interface/src/forward.rs
+++ b/crates/skylarkpick-interface/src/forward.rs
@@ -191,6 +191,8 @@
     pub limit: LimitSignal,
     /// Whether the target is brittle.
     pub brittle: Option<BrittleSignal>,
+    /// Time for which the target stays cold, if it says so.
+    pub cold_remaining: Option<Duration>,
     /// Headers that can't be decoded.
     pub unreadable: Vec<UnreadableHeader>,
 }
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -11,7 +11,13 @@
 mod brittle_tests;
 #[cfg(test)]
 mod brittle_word_tests;
+mod cold;
+#[cfg(test)]
+mod cold_tests;
 mod cost;
+mod entry_history;
+#[cfg(test)]
+mod entry_history_tests;
 mod estimate;
 mod excess;
 #[cfg(test)]
--- a/crates/skylarkpick-schedule/src/placement/limits.rs
+++ b/crates/skylarkpick-schedule/src/placement/limits.rs
@@ -16,7 +16,7 @@
 const LIMIT_CEILING: u64 = 1_000_000_000;
 /// Part of a limit that is shared out. The rest covers processes that know of each other at different
 /// times, when some start or end.
-const SHARED_PART: f64 = 0.8;
+pub(super) const SHARED_PART: f64 = 0.8;
 /// Processes that have a share in any limit: if one ends, another goes on.
 const SHARES_FLOOR: usize = 2;
 /// Requests beyond the rate that targets allow for, divided by the users' factor for the rate; half of
@@ -60,15 +60,25 @@
         EntryList { own: own.to_string(), names }
     }
 
+    /// Returns the number of processes.
+    pub(super) fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Returns how many processes come before this one in the order in which they have shares in the
+    /// limit of a target.
+    pub(super) fn rank(&self, target: &str) -> usize {
+        let own_weight = rendezvous_weight(target, &self.own);
+        self.names.iter().filter(|name| rendezvous_weight(target, name) > own_weight).count()
+    }
+
     /// Returns the share of this process in the limit of a target, if it has one.
     pub(super) fn share(&self, target: &str, limit: RequestLimit) -> Option<LimitShare> {
         let shared = limit.requests_per_second() * SHARED_PART;
         let entries = if self.names.is_empty() { UNKNOWN_ENTRIES } else { self.names.len() };
         // A cast saturates, and no fleet has as many processes.
         let shares = SHARES_FLOOR.saturating_add(shared as usize).min(entries);
-        let own_weight = rendezvous_weight(target, &self.own);
-        let is_ahead = |name: &&EntryId| rendezvous_weight(target, name) > own_weight;
-        if shares < entries && self.names.iter().filter(is_ahead).count() >= shares {
+        if shares < entries && self.rank(target) >= shares {
             return None;
         }
         let shares = shares as f64;
@@ -122,7 +132,7 @@
         let share = entries.share(target, self.limit);
         self.bucket = share.map(|share| match self.bucket.take() {
             Some(mut bucket) => {
-                bucket.set_rate(share.requests_per_second, share.burst, now);
+                share.apply(&mut bucket, now);
                 bucket
             }
             None => share.empty_bucket(now),
@@ -154,12 +164,27 @@
 }
 
 impl LimitShare {
+    /// Opens a share of this rate, of which one request may be sent at once.
+    pub(super) fn single(requests_per_second: f64) -> LimitShare {
+        LimitShare { requests_per_second, burst: 1.0 }
+    }
+
     fn empty_bucket(self, now: Duration) -> TokenBucket {
+        self.bucket(1.0, now)
+    }
+
+    /// Returns a bucket that lacks a part of its burst.
+    pub(super) fn bucket(self, lacking_part: f64, now: Duration) -> TokenBucket {
         let mut bucket = TokenBucket::open(self.requests_per_second, self.burst, now);
         // Cannot fail: a new bucket holds its burst.
-        let _ = bucket.take(self.burst, now);
+        let _ = bucket.take(self.burst * lacking_part, now);
         bucket
     }
+
+    /// Applies the share to a bucket that was opened for another one.
+    pub(super) fn apply(self, bucket: &mut TokenBucket, now: Duration) {
+        bucket.set_rate(self.requests_per_second, self.burst, now);
+    }
 }
 
 /// Returns the limit that is kept for one that a target named.
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -2,6 +2,7 @@
 
 use super::{
     brittle::BrittlePlaces,
+    cold::{self, ColdTargets},
     cost::{self, AffinityRanking, Cost, EngineRequest, PartHolders, TransferCosts},
     heard::HeardSignals,
     memory::MemorySample,
@@ -37,6 +38,7 @@
     reachability: DataCentreReachability,
     pub(super) heard: HeardSignals,
     pub(super) brittle: BrittlePlaces,
+    pub(super) cold: ColdTargets,
     pub(super) timings: BTreeMap<ServiceName, ServiceTiming>,
     policy: PlacementPolicy,
     /// Which caches hold which parts.
@@ -107,6 +109,7 @@
             reachability: DataCentreReachability::default(),
             heard: HeardSignals::default(),
             brittle: BrittlePlaces::default(),
+            cold: ColdTargets::default(),
             timings: BTreeMap::new(),
             parts: PartDirectory::default(),
             weights: DesiredWeightsView::open(old_weights_usable_for),
@@ -209,7 +212,10 @@
             known.into_iter().filter(|it| self.may_take(&it.registration, request)).collect();
         let mut shortest_wait: Option<Duration> = None;
         usable.retain(|it| {
-            let Some(wait) = self.heard.wait(&it.registration, now) else { return true };
+            let cold_wait = self.cold.wait(&it.registration.id, now);
+            let Some(wait) = self.heard.wait(&it.registration, now).max(cold_wait) else {
+                return true;
+            };
             shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
             false
         });
@@ -242,6 +248,11 @@
                 .filter_map(|it| self.candidate(it, request, &mut lookup, now))
                 .collect();
         }
+        cold::keep_free_warm(
+            &mut candidates,
+            |it| self.cold.is_cold(&it.target.registration.id, now),
+            |it| it.cost.wait_ms <= 0.0,
+        );
         let shortest_wait_ms =
             candidates.iter().map(|it| it.cost.capacity_wait_ms).min_by(f64::total_cmp);
         let best = candidates
@@ -517,6 +528,9 @@
                 state.observe_outcome(outcome, now);
             }
             let service = &state.registration.service;
+            if outcome == TargetOutcome::Unreachable {
+                self.cold.note_unreached(&assignment.target, service, now);
+            }
             match outcome {
                 TargetOutcome::Rejected => {
                     self.brittle.note_rejection(service, &assignment.target, now);
--- a/crates/skylarkpick-schedule/src/placement/signals.rs
+++ b/crates/skylarkpick-schedule/src/placement/signals.rs
@@ -221,12 +221,13 @@
     /// Sets the registered entry processes, among which limits are shared.
     pub fn set_entries(&mut self, own: &str, names: Vec<EntryId>, now: Duration) {
         self.brittle.set_entries(own, &names, now);
+        self.cold.set_entries(own, &names, now);
         self.heard.set_entries(EntryList::open(own, names), now);
     }
 
     /// Takes a request to the target of an assignment from this process's share in its limit, if it
-    /// names one, and checks that it has a place there if the target is brittle. To be called
-    /// immediately before the request is written.
+    /// names one, and in what it tolerates, if it is cold, and checks that it has a place there if the
+    /// target is brittle. To be called immediately before the request is written.
     ///
     /// # Errors
     /// Returns the time to wait if there is no room.
@@ -237,7 +238,8 @@
         {
             return Err(Duration::ZERO);
         }
-        self.heard.take_share(assignment.address, &incarnation_of(assignment), now)
+        self.heard.take_share(assignment.address, &incarnation_of(assignment), now)?;
+        self.cold.take(&assignment.target, now)
     }
 
     /// Returns whether a target limits its requests.
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -267,6 +267,22 @@
     description: "requests of the process that targets turned away which count as brittle",
 };
 
+/// Targets that are cold.
+pub const TARGETS_COLD: Metric = Metric {
+    name: "targets.cold",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "registered targets that are cold, as far as the process knows",
+};
+
+/// Requests to cold targets.
+pub const COLD_REQUESTS: Metric = Metric {
+    name: "targets.cold_requests",
+    kind: MetricKind::Counter,
+    tags: &["outcome"],
+    description: "requests of the process to targets that are cold, by whether they were sent",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -299,4 +315,6 @@
     SIGNALS_UNREADABLE,
     BRITTLE_TARGETS,
     BRITTLE_REJECTIONS,
+    TARGETS_COLD,
+    COLD_REQUESTS,
 ];
