Tell other processes of targets that refuse connections

Cause: a process that sent nothing to a target while it was down takes it for warm until it reads the new record.

Change: a process to which a target of a service with cold starts refuses a connection tells all others, in a new field of the notice of limits, which the previous build ignores. After a failure the cold time begins anew with the first contact, however long the target was down.

--- a/crates/skylarkpick-forward/src/cold.rs
+++ b/crates/skylarkpick-forward/src/cold.rs
@@ -3,15 +3,19 @@
 use crate::{
     log::request_log,
     node_state::{NodeState, RoutingState},
+    peers::EndedTargetNotice,
 };
 use skylarkpick_interface::{RegisteredTarget, TargetCrash, TargetId};
-use skylarkpick_schedule::Assignment;
+use skylarkpick_schedule::{Assignment, ConnectFailure};
 use skylarkpick_telemetry::{COLD_REQUESTS, metrics};
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 /// Age up to which the end of a target counts that another process has seen. Processes repeat what they
 /// have seen for minutes.
 const END_LIFETIME_MS: u64 = 5_000;
+/// Age up to which a notice of an ended target counts. A relay passes on older ones to processes that
+/// change to it.
+const NOTICE_LIFETIME: Duration = Duration::from_secs(3);
 
 impl NodeState {
     /// Records that all changes of the platform's list of entry processes up to a node time are known.
@@ -33,6 +37,28 @@
         self.lock().placement.note_broken_connection(assignment, now);
     }
 
+    /// Records that no connection to the target of an assignment could be opened. Others are told of a
+    /// refusal: nobody listens there. A timeout may be the fault of this process's links.
+    pub(crate) fn note_not_connected(&self, assignment: &Assignment, failure: ConnectFailure) {
+        let now = self.now();
+        let mut state = self.lock();
+        if failure != ConnectFailure::Refused {
+            state.placement.note_broken_connection(assignment, now);
+        } else if state.placement.note_refused(assignment, now) {
+            state.untold_ends.insert((assignment.target.clone(), assignment.started_at_ms));
+            self.limits_changed.notify_one();
+        }
+    }
+
+    /// Applies that a target had ended `age` ago, as another process has noticed.
+    pub(crate) fn merge_ended(&self, notice: &EndedTargetNotice, age: Duration) {
+        if age < NOTICE_LIFETIME {
+            let now = self.now();
+            let EndedTargetNotice { target, started_at_ms } = notice;
+            self.lock().placement.note_ended(target, *started_at_ms, now);
+        }
+    }
+
     /// Records the targets that have just ended, as another process has seen: they may start again
     /// before their next records are read.
     pub(crate) fn note_ended_targets(&self, crashes: &[TargetCrash], wall_ms: u64) {
@@ -92,6 +118,12 @@
 }
 
 impl RoutingState {
+    /// Takes the ends of targets that other processes are to be told of.
+    pub(crate) fn take_untold_ends(&mut self) -> Vec<EndedTargetNotice> {
+        let untold = std::mem::take(&mut self.untold_ends).into_iter();
+        untold.map(|(target, started_at_ms)| EndedTargetNotice { target, started_at_ms }).collect()
+    }
+
     /// Counts a request to a target that is cold, which was sent or held back.
     pub(crate) fn count_cold_share(&self, assignment: &Assignment, is_sent: bool, now: Duration) {
         if self.placement.is_cold(assignment, now) {
--- a/crates/skylarkpick-forward/src/cold_tests.rs
+++ b/crates/skylarkpick-forward/src/cold_tests.rs
@@ -4,7 +4,7 @@
 use crate::{
     fleet::FleetRecords,
     node_state::NodeState,
-    peers::PeerRecords,
+    peers::{EndedTargetNotice, Notice, PeerRecords},
     test_support::{at, empty_node_state},
 };
 use skylarkpick_interface::{
@@ -13,7 +13,8 @@
     TargetCrash, TargetSignals, TokioClock,
 };
 use skylarkpick_schedule::{
-    Assignment, PlacementDecision, PlacementPolicy, PlacementRequest, ReportSource, TargetOutcome,
+    Assignment, ConnectFailure, PlacementDecision, PlacementPolicy, PlacementRequest, ReportSource,
+    TargetOutcome,
 };
 use std::{
     collections::BTreeMap,
@@ -158,6 +159,35 @@
             note: |state, _, _| note_end(state, 1, state.wall_ms()),
             cold_for: 3 * SECOND,
         },
+        Case {
+            name: "it refused a connection of another process",
+            note: |state, _, _| state.apply_notice(ended(), Duration::ZERO),
+            cold_for: 3 * SECOND,
+        },
+        Case {
+            name: "it refused a connection of another process long ago",
+            note: |state, _, _| state.apply_notice(ended(), 3 * SECOND),
+            cold_for: Duration::ZERO,
+        },
+        Case {
+            name: "it refused a connection",
+            note: |state, _, assignment| {
+                state.note_not_connected(assignment, ConnectFailure::Refused);
+                state.note_not_connected(assignment, ConnectFailure::Refused);
+                let untold = state.lock().take_untold_ends().len();
+                let is_on = state.limits().cold.is_some();
+                assert_eq!(untold, usize::from(is_on), "others are told once");
+            },
+            cold_for: 3 * SECOND,
+        },
+        Case {
+            name: "a connection timed out",
+            note: |state, _, assignment| {
+                state.note_not_connected(assignment, ConnectFailure::TimedOut);
+                assert!(state.lock().take_untold_ends().is_empty(), "it may go on");
+            },
+            cold_for: 3 * SECOND,
+        },
         Case {
             name: "another process saw it end long ago",
             note: |state, _, _| note_end(state, 1, state.wall_ms() - 5_000),
@@ -178,11 +208,20 @@
             assert_eq!(node_state.take_share(&assignment), !is_cold, "{name}, on: {is_on}");
             tokio::time::advance(cold_for).await;
             assert_eq!(node_state.count_cold(), 0, "{name}, on: {is_on}");
+            // The first contact after a failure begins the time anew.
+            let _ = node_state.take_share(&assignment);
+            tokio::time::advance(3 * SECOND).await;
             assert!(node_state.take_share(&assignment), "{name}, on: {is_on}");
         }
     }
 }
 
+fn ended() -> Notice {
+    let end = EndedTargetNotice { target: "i-1".to_string(), started_at_ms: 1 };
+    let (limits, brittle, uses) = (Vec::new(), Vec::new(), Vec::new());
+    Notice::Limits { limits, brittle, uses, ended: vec![end] }
+}
+
 fn note_end(state: &NodeState, started_at_ms: u64, ended_at_ms: u64) {
     let crash = TargetCrash {
         target: "i-1".to_string(),
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -222,6 +222,7 @@
         match connected {
             Ok(connection) if !connection.is_reused => reach.note_connected(service),
             Err(SendError::NotConnected { failure, .. }) => {
+                self.forwarder.node_state.note_not_connected(&self.guard.assignment, *failure);
                 let target = &self.guard.assignment.target;
                 reach.note_failed(service, target, *failure, began).await;
             }
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -99,6 +99,8 @@
     pub(crate) untold_rejections: BTreeSet<(TargetId, u64)>,
     /// Targets that were logged as brittle.
     pub(crate) known_brittle: BTreeSet<TargetId>,
+    /// Targets, with their starts, of which other processes are to be told that they have ended.
+    pub(crate) untold_ends: BTreeSet<(TargetId, u64)>,
     /// Targets that were logged as cold.
     pub(crate) known_cold: BTreeSet<TargetId>,
 }
@@ -139,6 +141,7 @@
                 untold_brittle: BTreeMap::new(),
                 untold_rejections: BTreeSet::new(),
                 known_brittle: BTreeSet::new(),
+                untold_ends: BTreeSet::new(),
                 known_cold: BTreeSet::new(),
             }),
             clock,
--- a/crates/skylarkpick-forward/src/pauses.rs
+++ b/crates/skylarkpick-forward/src/pauses.rs
@@ -131,9 +131,11 @@
             let notice = BrittleNotice { target: target.clone(), started_at_ms, is_brittle: true };
             brittle.insert(target, notice);
         }
-        let is_quiet = limits.is_empty() && brittle.is_empty() && uses.is_empty();
+        let ended = state.take_untold_ends();
+        let is_quiet =
+            limits.is_empty() && brittle.is_empty() && uses.is_empty() && ended.is_empty();
         let brittle = brittle.into_values().collect();
-        (!is_quiet).then_some(Notice::Limits { limits, brittle, uses })
+        (!is_quiet).then_some(Notice::Limits { limits, brittle, uses, ended })
     }
 
     /// Returns the rest of the pause that whoever has an address asked for.
--- a/crates/skylarkpick-forward/src/peers.rs
+++ b/crates/skylarkpick-forward/src/peers.rs
@@ -14,8 +14,8 @@
 
 pub(crate) use handler::PeerMessageHandler;
 pub(crate) use messages::{
-    BrittleNotice, BrittleUseNotice, EngineLoadNotice, LimitNotice, Notice, PeerRecords,
-    PeerRequest, PeerResponse, StreamRecord,
+    BrittleNotice, BrittleUseNotice, EndedTargetNotice, EngineLoadNotice, LimitNotice, Notice,
+    PeerRecords, PeerRequest, PeerResponse, StreamRecord,
 };
 pub(crate) use network::{NetworkParts, open_network};
 pub(crate) use peer_client::PeerClient;
--- a/crates/skylarkpick-forward/src/peers/brittle_notice_tests.rs
+++ b/crates/skylarkpick-forward/src/peers/brittle_notice_tests.rs
@@ -210,8 +210,12 @@
         let processes = start_telling(&network, 2);
         let Case { started_at_ms, age, .. } = case;
         let brittle = BrittleNotice { target: "i-1".to_string(), started_at_ms, is_brittle: true };
-        let notice =
-            Notice::Limits { limits: Vec::new(), brittle: vec![brittle], uses: Vec::new() };
+        let notice = Notice::Limits {
+            limits: Vec::new(),
+            brittle: vec![brittle],
+            uses: Vec::new(),
+            ended: Vec::new(),
+        };
         processes[0].node_state.apply_notice(notice, age);
         assert_eq!(processes[0].node_state.count_brittle(), case.brittle, "{}", case.name);
     }
--- a/crates/skylarkpick-forward/src/peers/earlier_version_tests.rs
+++ b/crates/skylarkpick-forward/src/peers/earlier_version_tests.rs
@@ -1,8 +1,8 @@
 //! Tests of messages between this version and the one before notices went through relays.
 
 use super::messages::{
-    BrittleNotice, BrittleUseNotice, CacheUpdate, LimitNotice, Notice, PeerRequest, PeerResponse,
-    RelayedNotice,
+    BrittleNotice, BrittleUseNotice, CacheUpdate, EndedTargetNotice, LimitNotice, Notice,
+    PeerRequest, PeerResponse, RelayedNotice,
 };
 use serde::Deserialize;
 use skylarkpick_interface::RegisteredEntry;
@@ -45,12 +45,22 @@
         Case {
             name: "a limit",
             message: r#"{"limits":{"limits":[{"target":"i-1","started_at_ms":7,"limit":null}]}}"#,
-            expected: Notice::Limits { limits: vec![limit], brittle: Vec::new(), uses: Vec::new() },
+            expected: Notice::Limits {
+                limits: vec![limit],
+                brittle: Vec::new(),
+                uses: Vec::new(),
+                ended: Vec::new(),
+            },
         },
         Case {
             name: "nothing",
             message: r#"{"limits":{"limits":[]}}"#,
-            expected: Notice::Limits { limits: Vec::new(), brittle: Vec::new(), uses: Vec::new() },
+            expected: Notice::Limits {
+                limits: Vec::new(),
+                brittle: Vec::new(),
+                uses: Vec::new(),
+                ended: Vec::new(),
+            },
         },
     ];
     for case in cases {
@@ -94,7 +104,7 @@
         Case { name: "all", limits: both.0, brittle: both.1, uses },
     ];
     for Case { name, limits, brittle, uses } in cases {
-        let notice = Notice::Limits { limits: limits.clone(), brittle, uses };
+        let notice = Notice::Limits { limits: limits.clone(), brittle, uses, ended: Vec::new() };
         let message = serde_json::to_vec(&notice).unwrap();
         let earlier: EarlierNotice = serde_json::from_slice(&message).unwrap();
         assert_eq!(earlier, EarlierNotice::Limits { limits }, "{name}");
@@ -140,3 +150,41 @@
         serde_json::from_slice(&serde_json::to_vec(&update).unwrap()).unwrap();
     assert_eq!(update, EarlierUpdate { log: 9, next: 5, is_whole: false });
 }
+
+/// Notice of limits as the version before cold targets reads it.
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum NoticeBeforeColdTargets {
+    Limits {
+        limits: Vec<LimitNotice>,
+        #[serde(default)]
+        brittle: Vec<BrittleNotice>,
+        #[serde(default)]
+        uses: Vec<BrittleUseNotice>,
+    },
+}
+
+/// Guards against notices that the version before can't read, and against ones that differ without
+/// targets that start cold.
+#[test]
+fn the_version_before_cold_targets_reads_notices_of_ended_targets() {
+    let end = EndedTargetNotice { target: "i-1".to_string(), started_at_ms: 7 };
+    struct Case {
+        name: &'static str,
+        ended: Vec<EndedTargetNotice>,
+    }
+    let cases =
+        [Case { name: "none", ended: Vec::new() }, Case { name: "a target", ended: vec![end] }];
+    for Case { name, ended } in cases {
+        let is_none = ended.is_empty();
+        let brittle = vec![brittle_notice()];
+        let (limits, uses) = (Vec::new(), Vec::new());
+        let notice = Notice::Limits { limits, brittle: brittle.clone(), uses, ended };
+        let message = serde_json::to_string(&notice).unwrap();
+        assert_eq!(!message.contains("ended"), is_none, "{name}");
+        let earlier: NoticeBeforeColdTargets = serde_json::from_str(&message).unwrap();
+        let (limits, uses) = (Vec::new(), Vec::new());
+        assert_eq!(earlier, NoticeBeforeColdTargets::Limits { limits, brittle, uses }, "{name}");
+        assert_eq!(serde_json::from_str::<Notice>(&message).unwrap(), notice, "{name}");
+    }
+}
--- a/crates/skylarkpick-forward/src/peers/messages.rs
+++ b/crates/skylarkpick-forward/src/peers/messages.rs
@@ -96,6 +96,10 @@
         /// What the sender has under way at brittle targets. Processes of the version before ignore it.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         uses: Vec<BrittleUseNotice>,
+        /// Targets that refuse connections, if they start cold. Processes of the version before ignore
+        /// it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        ended: Vec<EndedTargetNotice>,
     },
     /// What the sender tells about ends of targets.
     Crashes {
@@ -154,6 +158,15 @@
     pub(crate) is_rejected: bool,
 }
 
+/// Target that refused a connection of another process, so that it has ended.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct EndedTargetNotice {
+    /// Name of the target.
+    pub(crate) target: TargetId,
+    /// Start of the target's incarnation.
+    pub(crate) started_at_ms: u64,
+}
+
 /// Load that an engine reported to another process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct EngineLoadNotice {
--- a/crates/skylarkpick-forward/src/peers/notice_tests.rs
+++ b/crates/skylarkpick-forward/src/peers/notice_tests.rs
@@ -178,7 +178,12 @@
         is_told: bool,
     }
     let loads = Notice::Loads { loads: Vec::new() };
-    let limits = Notice::Limits { limits: Vec::new(), brittle: Vec::new(), uses: Vec::new() };
+    let limits = Notice::Limits {
+        limits: Vec::new(),
+        brittle: Vec::new(),
+        uses: Vec::new(),
+        ended: Vec::new(),
+    };
     let second = Duration::from_secs(1);
     let cases = [
         Case { name: "loads", notice: loads.clone(), after: second, is_told: true },
--- a/crates/skylarkpick-forward/src/peers/notices.rs
+++ b/crates/skylarkpick-forward/src/peers/notices.rs
@@ -27,10 +27,11 @@
                     self.note_stream(stream, origin, false);
                 }
             }
-            Notice::Limits { limits, brittle, uses } => {
+            Notice::Limits { limits, brittle, uses, ended } => {
                 limits.iter().for_each(|limit| self.merge_limit(limit));
                 brittle.iter().for_each(|notice| self.merge_brittle(notice, age));
                 uses.iter().for_each(|notice| self.merge_brittle_use(notice, age));
+                ended.iter().for_each(|notice| self.merge_ended(notice, age));
             }
             Notice::Crashes { report } => {
                 self.merge_crashes(&report, "another entry process", ReportSource::Process);
--- a/crates/skylarkpick-schedule/src/placement/cold.rs
+++ b/crates/skylarkpick-schedule/src/placement/cold.rs
@@ -31,6 +31,8 @@
 /// Age up to which a failure counts although a later start has registered since: the record may be
 /// older than the failure.
 const RECORD_DELAY: Duration = Duration::from_secs(2);
+/// Time after a sign that a target has ended in which other processes aren't told of another one.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of targets that are remembered: twice the targets of a fleet of the planned size.
 const TARGETS_LIMIT: usize = 2_048;
 
@@ -190,6 +192,14 @@
         }
     }
 
+    /// Returns whether other processes are to be told that a target has ended: its service starts cold,
+    /// and neither this process nor another one has just noticed it.
+    fn is_end_new(&self, target: &str, service: &str, now: Duration) -> bool {
+        let suspected_at = self.targets.get(target).and_then(|known| known.suspected_at);
+        let is_known = suspected_at.is_some_and(|at| now < at + TELL_INTERVAL);
+        self.bound.is_some() && self.starts.contains_key(service) && !is_known
+    }
+
     /// Records that a connection to a target is open. After a failure, the target may have started
     /// just now.
     fn note_reached(&mut self, target: &str, now: Duration) {
@@ -425,6 +435,16 @@
         }
     }
 
+    /// Records that the target of an assignment refused a connection. Returns whether other processes are
+    /// to be told: they may not have noticed that it has ended.
+    pub fn note_refused(&mut self, assignment: &Assignment, now: Duration) -> bool {
+        let Some(state) = self.targets.get(&assignment.target) else { return false };
+        let service = &state.registration.service;
+        let is_new = self.cold.is_end_new(&assignment.target, service, now);
+        self.cold.note_unreached(&assignment.target, service, now);
+        is_new
+    }
+
     /// Records that a target has ended, as another process has seen, unless a later start of it is
     /// registered.
     pub fn note_ended(&mut self, target: &str, started_at_ms: u64, now: Duration) {
--- a/crates/skylarkpick-schedule/src/placement/cold_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/cold_tests.rs
@@ -28,6 +28,8 @@
 const RESTART_TIME: Duration = Duration::from_secs(2);
 const RUN_TIME: Duration = Duration::from_millis(400);
 const SLOTS: u32 = 6;
+/// Longest time until another process reads a notice.
+const NOTICE_DELAY: Duration = Duration::from_millis(600);
 /// Attempts after which a request is given up.
 const ATTEMPTS_LIMIT: usize = 8;
 
@@ -153,7 +155,6 @@
     is_up: bool,
     /// Number of the start.
     start: u32,
-    started_at: Duration,
     cold_until: Duration,
     /// Arrivals of the last second while it is cold.
     recent: VecDeque<Duration>,
@@ -204,9 +205,7 @@
                 placement
             })
             .collect();
-        let targets = (0..=TARGETS)
-            .map(|_| Target { is_up: true, started_at: SECOND, ..Target::default() })
-            .collect();
+        let targets = (0..=TARGETS).map(|_| Target { is_up: true, ..Target::default() }).collect();
         Play {
             random: StdRng::seed_from_u64(seed),
             processes,
@@ -290,6 +289,7 @@
                 }
             }
             Event::Unreached(send) => {
+                self.tell_refused(send, now);
                 self.end(send, TargetOutcome::Unreachable, now);
                 let Send { process, attempts, .. } = self.sends[send];
                 if attempts + 1 < ATTEMPTS_LIMIT {
@@ -343,6 +343,21 @@
         }
     }
 
+    /// Has the others told that a target refused a connection, as notices do, unless it was just known.
+    fn tell_refused(&mut self, send: usize, now: Duration) {
+        let Send { process: teller, target, ref assignment, .. } = self.sends[send];
+        let started_at = Duration::from_millis(assignment.started_at_ms);
+        if !self.processes[teller].note_refused(assignment, now) {
+            return;
+        }
+        for process in 0..PROCESSES {
+            if self.lists != Lists::Partitioned || teller % 3 == process % 3 {
+                let told_at = now + self.delay(NOTICE_DELAY);
+                self.at(told_at, Event::Told { process, target, started_at });
+            }
+        }
+    }
+
     fn end(&mut self, send: usize, outcome: TargetOutcome, now: Duration) {
         let Send { process, assignment, .. } = &self.sends[send];
         self.processes[*process].end(assignment, outcome, RUN_TIME, now);
@@ -375,17 +390,7 @@
     fn stop(&mut self, number: usize, now: Duration) {
         let target = &mut self.targets[number];
         target.is_up = false;
-        let started_at = target.started_at;
         let under_way = std::mem::take(&mut target.under_way);
-        for process in 0..PROCESSES {
-            let is_near = |send: &usize| {
-                self.lists != Lists::Partitioned || self.sends[*send].process % 3 == process % 3
-            };
-            if under_way.iter().any(is_near) {
-                let told_at = now + self.delay(100 * MILLISECOND);
-                self.at(told_at, Event::Told { process, target: number, started_at });
-            }
-        }
         for send in under_way {
             self.at(now + MILLISECOND, Event::Unreached(send));
         }
@@ -396,7 +401,6 @@
         let target = &mut self.targets[number];
         target.is_up = true;
         target.start += 1;
-        target.started_at = now;
         target.cold_until = now + COLD_START.duration;
         target.recent.clear();
         for process in 0..PROCESSES {
