Send no requests to evacuated data centres

Change: FleetTopic::Evacuations, watched only where the setting is given, through relays with the urgency of targets. Placement leaves the targets out (may_take), and take_share looks again immediately before a request is written. What is in effect follows from all stored records, under the topic's lock.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -71,7 +71,7 @@
     #[error("it ends targets")]
     Withheld,
     /// The share of this process in the target's limit, or its places at a brittle target, had no room
-    /// before the request was sent.
+    /// before the request was sent, or an evacuation of the target's data centre had begun.
     #[error("this process may send the target no request now")]
     Limited,
     /// No response was received. The target may have received the request.
--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -5,8 +5,10 @@
 mod departed_targets;
 mod desired_times;
 mod entry_health;
+mod evacuation_records;
 mod lapsed_runners;
 mod load_sampler;
+mod lost_evacuations;
 mod missing_entries;
 mod missing_targets;
 mod newest_record;
@@ -18,6 +20,7 @@
 mod target_records;
 mod topic_state;
 mod topic_watch;
+mod unaware_relays;
 mod weight_recorder;
 mod weight_records;
 mod weight_times;
@@ -31,6 +34,8 @@
 #[cfg(test)]
 mod era_tests;
 #[cfg(test)]
+mod evacuation_tests;
+#[cfg(test)]
 mod missing_entries_tests;
 #[cfg(test)]
 mod planner_order_tests;
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -3,6 +3,7 @@
 use super::cache_role::{CacheWatchRole, RoleDecision, is_load_sampler, notice_relays};
 use super::departed_targets::DepartedTargets;
 use super::desired_times::{DesiredTimes, WeightsChange};
+use super::evacuation_records::{EvacuationRecords, topics_at_start};
 use super::missing_entries::MissingEntries;
 use super::missing_targets::MissingTargets;
 use super::topic_state::{AppliedUpdate, EraChange, TopicState};
@@ -32,6 +33,7 @@
     pub(super) missing_targets: Mutex<MissingTargets>,
     pub(super) desired_times: Mutex<DesiredTimes>,
     pub(super) weight_times: Mutex<WeightTimes>,
+    pub(super) evacuations: EvacuationRecords,
     /// Weights without a recorded time that [`FleetRecords::weights_changes`] has not returned yet.
     pub(super) weights_changes: Mutex<Vec<WeightsChange>>,
     pub(super) weights_change_seen: Notify,
@@ -82,15 +84,16 @@
     pub(crate) fn open(node_state: Arc<NodeState>, node: &str) -> FleetRecords {
         FleetRecords {
             role_decision: Mutex::new(RoleDecision::open(node_state.now())),
+            topics: Mutex::new(topics_at_start(node_state.uses_evacuations())),
             node_state,
             departed_targets: Mutex::default(),
             missing_entries: Mutex::default(),
             missing_targets: Mutex::default(),
             desired_times: Mutex::default(),
             weight_times: Mutex::default(),
+            evacuations: EvacuationRecords::default(),
             weights_changes: Mutex::default(),
             weights_change_seen: Notify::new(),
-            topics: Mutex::default(),
             heard_era: watch::Sender::default(),
             node: node.to_string(),
             role: Mutex::new(CacheWatchRole::Undecided),
@@ -299,7 +302,10 @@
     /// Records that a call to the platform for a topic failed.
     pub(crate) fn note_disconnected(&self, topic: FleetTopic) {
         self.topics().entry(topic).or_default().is_disconnected = true;
-        self.missing_targets().note_disconnected();
+        // A platform that serves all but the evacuations keeps the records of targets.
+        if topic != FleetTopic::Evacuations {
+            self.missing_targets().note_disconnected();
+        }
         if topic == FleetTopic::Targets {
             self.node_state.lock().software_versions.note_disconnected();
         }
@@ -311,6 +317,7 @@
         match topic {
             FleetTopic::Weights => self.node_state.note_weights_read(),
             FleetTopic::Entries => self.node_state.note_entries_read(),
+            FleetTopic::Evacuations => self.note_no_evacuations(),
             FleetTopic::Serving | FleetTopic::Targets => {}
         }
     }
@@ -345,6 +352,9 @@
                 self.keep_missing_entries(state, update);
             }
             let era_change = state.remove_missing(update);
+            if topic == FleetTopic::Evacuations && era_change.is_some() {
+                self.note_lost_evacuations(update);
+            }
             let kind = match era_change {
                 Some(_) => UpdateKind::ListOfNewEra,
                 None => UpdateKind::List,
@@ -380,7 +390,7 @@
         match topic {
             FleetTopic::Targets => self.missing_targets().note_return(self.node_state.now()),
             FleetTopic::Entries => self.node_state.evidence_changed.notify_one(),
-            FleetTopic::Serving | FleetTopic::Weights => {}
+            FleetTopic::Serving | FleetTopic::Weights | FleetTopic::Evacuations => {}
         }
         spdlog::info!("the platform's store came back from an older copy", kv: {
             topic:,
@@ -460,7 +470,8 @@
         match topic {
             FleetTopic::Weights => self.node_state.note_weights_read(),
             FleetTopic::Targets => self.weights_change_seen.notify_one(),
-            _ => {}
+            FleetTopic::Evacuations => self.follow_evacuations(update, origin),
+            FleetTopic::Serving | FleetTopic::Entries => {}
         }
         self.changes.send_modify(|count| *count += 1);
         if topic == FleetTopic::Entries {
@@ -531,7 +542,8 @@
                 }
             }
             None if topic == FleetTopic::Targets => self.handle_missing_target(&named.name),
-            None => {}
+            // Evacuations are followed as a whole, after all records of an update.
+            Some(FleetRecord::Evacuation(_)) | None => {}
         }
     }
 
--- a/crates/skylarkpick-forward/src/fleet/topic_watch.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_watch.rs
@@ -41,6 +41,14 @@
 const PROMPT_RETRIES: u32 = 3;
 /// Mean delay of a follower after further failures. Its relays detect the platform's return first.
 const FOLLOWER_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+/// Mean delay after the platform has not known the kind of the evacuations. Followers ask their relays,
+/// so that 300 processes ask the platform a few times a second; the first evacuation is read in time.
+const UNKNOWN_KIND_DELAY: Duration = Duration::from_millis(800);
+/// Time beyond the wait of a watch after which it has no response, even if the VM was suspended: the
+/// source's timers stand still meanwhile, the node time doesn't.
+const SUSPENDED_WATCH_SLACK: Duration = Duration::from_millis(1_000);
+/// Interval at which the node time is compared with the start of a watch.
+const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Longest time for which a process that starts waits to know its role before it reads from the
 /// platform, so that a large fleet that starts together reads through its relays.
@@ -108,20 +116,25 @@
         let began = watcher.records.now();
         let update = match watcher.source.read(topic).await {
             Ok(update) => update,
+            Err(WatchError::UnknownKind) if topic == FleetTopic::Evacuations => {
+                watcher.records.note_no_records(topic);
+                sleep_with_jitter(UNKNOWN_KIND_DELAY).await;
+                continue;
+            }
             Err(error) => {
                 if error == WatchError::UnknownKind {
                     watcher.records.note_no_records(topic);
                 }
                 note_failure(&watcher, topic, &error, &mut calls);
                 failures += 1;
-                delay_retry(&watcher, failures).await;
+                delay_retry(&watcher, topic, failures).await;
                 continue;
             }
         };
         note_success(&watcher, topic, &mut calls);
         watcher.records.replace(topic, &update);
         watcher.records.note_complete(topic, began);
-        let are_relays_stale = !watcher.records.relays().is_empty();
+        let are_relays_stale = !watcher.records.relays_for(topic).is_empty();
         let period = if are_relays_stale { DIRECT_WATCH_PERIOD } else { Duration::ZERO };
         let until = Instant::now() + period;
         let has_failed = watch_changes(&watcher, topic, update.revision, until, &mut calls).await;
@@ -137,12 +150,12 @@
     // After the timeout the platform is read.
     let _ = tokio::time::timeout(ROLE_WAIT, changes.wait_for(knows_role)).await;
     for _ in 0..START_ATTEMPTS {
-        let relays = watcher.records.relays();
+        let relays = watcher.records.relays_for(topic);
         if relays.is_empty() {
             return;
         }
         for relay in relays {
-            let age = watcher.peer_client.records_age(&relay, topic).await;
+            let age = watcher.peer_client.records_age(&relay, &watcher.records, topic).await;
             if age.is_some_and(|age| age < relay_age_limit(topic)) {
                 read_relays(watcher, topic, Some(relay)).await;
                 return;
@@ -160,7 +173,7 @@
     let mut last_responder = first;
     loop {
         let mut is_fresh = false;
-        let mut relays = watcher.records.relays();
+        let mut relays = watcher.records.relays_for(topic);
         // A relay that doesn't respond costs about a second, so the last one that did comes first.
         relays.sort_by_key(|relay| Some(relay) != last_responder.as_ref());
         for relay in relays {
@@ -170,6 +183,7 @@
             let age = watcher.peer_client.fetch_records(&relay, records, topic, wait).await;
             if let Some(age) = age.filter(|age| age.verified < limit) {
                 records.note_current(topic, age.verified);
+                records.note_followed(topic);
                 if let Some(complete) = age.complete {
                     records.note_complete(topic, began.saturating_sub(complete));
                 }
@@ -190,7 +204,9 @@
 
 fn relay_age_limit(topic: FleetTopic) -> Duration {
     match topic {
-        FleetTopic::Serving | FleetTopic::Targets => URGENT_RELAY_AGE_LIMIT,
+        FleetTopic::Serving | FleetTopic::Targets | FleetTopic::Evacuations => {
+            URGENT_RELAY_AGE_LIMIT
+        }
         FleetTopic::Weights => RELAY_AGE_LIMIT,
         FleetTopic::Entries => ENTRIES_RELAY_AGE_LIMIT,
     }
@@ -206,7 +222,9 @@
     let is_relay = watcher.records.is_relay();
     match topic {
         FleetTopic::Entries => ENTRIES_WATCH_WAIT,
-        FleetTopic::Serving | FleetTopic::Targets if is_relay => RELAYED_WATCH_WAIT,
+        FleetTopic::Serving | FleetTopic::Targets | FleetTopic::Evacuations if is_relay => {
+            RELAYED_WATCH_WAIT
+        }
         _ => WATCH_WAIT,
     }
 }
@@ -234,7 +252,7 @@
     until: Instant,
     calls: &mut PlatformCalls,
 ) -> bool {
-    let has_no_relays = || watcher.records.relays().is_empty();
+    let has_no_relays = || watcher.records.relays_for(topic).is_empty();
     while Instant::now() < until || has_no_relays() {
         let wait = watch_wait(watcher, topic);
         let began = watcher.records.now();
@@ -248,6 +266,10 @@
                 });
                 return false;
             }
+            () = suspended(watcher, topic, began + wait + SUSPENDED_WATCH_SLACK) => {
+                spdlog::info!("watch without a response; reading all records", kv: { topic: });
+                return false;
+            }
         };
         match changes {
             Ok(update) => {
@@ -269,9 +291,13 @@
                 }
                 return false;
             }
+            Err(WatchError::UnknownKind) if topic == FleetTopic::Evacuations => {
+                sleep_with_jitter(RETRY_DELAY).await;
+                return false;
+            }
             Err(error) => {
                 note_failure(watcher, topic, &error, calls);
-                delay_retry(watcher, PROMPT_RETRIES - 1).await;
+                delay_retry(watcher, topic, PROMPT_RETRIES - 1).await;
                 revision = revision.max(watcher.records.revision(topic));
                 if !has_no_relays() {
                     return true;
@@ -311,8 +337,18 @@
     }
 }
 
-async fn delay_retry(watcher: &FleetWatcher, failures: u32) {
-    let has_no_relays = watcher.records.relays().is_empty();
+/// Waits until a watch of the evacuations is overdue by the node time. Never returns for other topics.
+async fn suspended(watcher: &FleetWatcher, topic: FleetTopic, due: Duration) {
+    if topic != FleetTopic::Evacuations {
+        std::future::pending().await
+    }
+    while watcher.records.now() < due {
+        tokio::time::sleep(SUSPENSION_CHECK_INTERVAL).await;
+    }
+}
+
+async fn delay_retry(watcher: &FleetWatcher, topic: FleetTopic, failures: u32) {
+    let has_no_relays = watcher.records.relays_for(topic).is_empty();
     let is_prompt = has_no_relays || failures < PROMPT_RETRIES;
     let mean = if is_prompt { RETRY_DELAY } else { FOLLOWER_RETRY_DELAY };
     sleep_with_jitter(mean).await;
--- a/crates/skylarkpick-forward/src/fleet/weight_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/weight_tests.rs
@@ -426,6 +426,9 @@
         }),
         FleetTopic::Weights => return named(1, &[], 5),
         FleetTopic::Entries => return entry_records(2),
+        FleetTopic::Evacuations => {
+            return FleetUpdate { records: Vec::new(), revision: at(5) };
+        }
     };
     FleetUpdate {
         records: vec![NamedRecord { name: "i-1".to_string(), record: Some(record) }],
--- a/crates/skylarkpick-forward/src/hand_over/reach_watch.rs
+++ b/crates/skylarkpick-forward/src/hand_over/reach_watch.rs
@@ -8,7 +8,9 @@
 };
 use futures::future::join_all;
 use rand::seq::{IndexedRandom, SliceRandom};
-use skylarkpick_interface::{DataCentreId, EntryId, RegisteredEntry, ServiceName, TargetId};
+use skylarkpick_interface::{
+    DataCentreId, EntryId, RegisteredEntry, RegisteredTarget, ServiceName, TargetId,
+};
 use skylarkpick_schedule::{ConnectFailure, HelperAddress, Helpers, ServiceReach};
 use skylarkpick_telemetry::{SERVICES_CUT_OFF, metrics};
 use std::{
@@ -301,11 +303,15 @@
         Some(HelperGuard { watch: self.clone(), service, address })
     }
 
-    /// Returns the targets of a service that are not leaving.
+    /// Returns the targets of a service that are not leaving, without those of evacuated data centres:
+    /// a process that reaches only these can't serve requests.
     fn targets(&self, service: &str) -> Vec<(TargetId, SocketAddr)> {
         let state = self.node_state.lock();
         let targets = state.placement.targets().values().map(|target| &target.registration);
-        let usable = targets.filter(|it| it.service == service && !state.placement.is_leaving(it));
+        let placement = &state.placement;
+        let is_used =
+            |it: &&RegisteredTarget| !placement.is_leaving(it) && !placement.is_evacuated(it);
+        let usable = targets.filter(|it| it.service == service).filter(is_used);
         usable.map(|it| (it.id.clone(), it.address)).collect()
     }
 }
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -157,7 +157,8 @@
         let mut tasks = JoinSet::new();
         let topics =
             [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
-        for topic in topics {
+        let evacuations = settings.bounds.evacuation.map(|_| FleetTopic::Evacuations);
+        for topic in topics.into_iter().chain(evacuations) {
             tasks.spawn(watch_topic_from_start(watcher.clone(), topic));
         }
         tasks.spawn(take_over_history(streams.clone()));
@@ -273,6 +274,7 @@
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         watcher.records.remove_expired_targets();
         watcher.records.remove_expired_entries();
+        watcher.records.remove_expired_evacuations();
         watcher.records.decide_pending_role();
     }
 }
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a process: serving document, placement and retry budgets.
 
 use crate::{
+    evacuations::EvacuationKnowledge,
     log::MatterLog,
     peers::{BrittleNotice, LimitNotice},
     serving_index::ServingIndex,
@@ -64,6 +65,8 @@
     knows_weights: AtomicBool,
     /// Whether the entry processes have been read since the start, with their evidence.
     knows_evidence: AtomicBool,
+    /// Whether the evacuations of data centres are known.
+    pub(crate) evacuations: EvacuationKnowledge,
     /// Whether this process reaches no engine of a service that others reach.
     is_cut_off_from_engines: AtomicBool,
     /// Headers that were logged as unreadable, by the address of their target.
@@ -119,6 +122,7 @@
         limits: NodeLimits,
         policy: PlacementPolicy,
     ) -> Arc<NodeState> {
+        let evacuations = EvacuationKnowledge::open(limits.evacuation, node_time(&*clock));
         let usable_for = limits.weights.saturating_sub(OLD_WEIGHTS_MARGIN);
         Arc::new(NodeState {
             state: Mutex::new(RoutingState {
@@ -148,6 +152,7 @@
             brittle_rejected: Notify::new(),
             knows_weights: AtomicBool::new(false),
             knows_evidence: AtomicBool::new(false),
+            evacuations,
             is_cut_off_from_engines: AtomicBool::new(false),
             unreadable_headers: MatterLog::default(),
             draining: AtomicBool::new(false),
@@ -208,9 +213,10 @@
 
     /// Chooses a target. No target is chosen while more urgent requests wait for the service, none of
     /// a brittle service while others wait for it, unless the request has waited too, and none for a
-    /// prompt before the desired weights are known.
+    /// prompt before the desired weights are known or for any request before the evacuations are.
     pub(crate) fn choose(&self, request: &PlacementRequest, has_waited: bool) -> PlacementDecision {
-        if request.prompt.is_some() && !self.knows_weights.load(Ordering::SeqCst) {
+        let lacks_weights = request.prompt.is_some() && !self.knows_weights.load(Ordering::SeqCst);
+        if lacks_weights || self.awaits_evacuations() {
             return PlacementDecision::Unplaced(UnplacedReason::NoneUsable);
         }
         let now = self.now();
@@ -420,7 +426,7 @@
         let state = self.lock();
         let knows_targets = !state.placement.targets().is_empty();
         let knows_weights = self.knows_weights.load(Ordering::SeqCst);
-        let knows_rest = knows_weights && self.knows_evidence();
+        let knows_rest = knows_weights && self.knows_evidence() && !self.awaits_evacuations();
         state.serving.is_some() && knows_targets && knows_rest && !self.is_draining()
     }
 
--- a/crates/skylarkpick-forward/src/peers/earlier_version_tests.rs
+++ b/crates/skylarkpick-forward/src/peers/earlier_version_tests.rs
@@ -5,7 +5,7 @@
     RelayedNotice,
 };
 use serde::Deserialize;
-use skylarkpick_interface::RegisteredEntry;
+use skylarkpick_interface::{FleetTopic, RegisteredEntry};
 
 /// Request for cache changes as the version before reads it.
 #[derive(Debug, Deserialize, PartialEq)]
@@ -140,3 +140,44 @@
         serde_json::from_slice(&serde_json::to_vec(&update).unwrap()).unwrap();
     assert_eq!(update, EarlierUpdate { log: 9, next: 5, is_whole: false });
 }
+
+/// Request for records as the version before evacuations reads it.
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum RequestBeforeEvacuations {
+    Records { topic: TopicBeforeEvacuations, since: u64, wait_ms: u64 },
+}
+
+/// Topics of that version.
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum TopicBeforeEvacuations {
+    Serving,
+    Targets,
+    Weights,
+    Entries,
+}
+
+/// Guards against requests for the other topics that the version before evacuations can't read. It
+/// answers a request that it can't read with [`PeerResponse::Nothing`].
+#[test]
+fn the_version_before_evacuations_reads_requests_for_all_other_topics() {
+    use FleetTopic::{Entries, Evacuations, Serving, Targets, Weights};
+    for (topic, expected) in [
+        (Serving, Some(TopicBeforeEvacuations::Serving)),
+        (Targets, Some(TopicBeforeEvacuations::Targets)),
+        (Weights, Some(TopicBeforeEvacuations::Weights)),
+        (Entries, Some(TopicBeforeEvacuations::Entries)),
+        (Evacuations, None),
+    ] {
+        let request = PeerRequest::Records { topic, since: 4, era: Some(1), wait_ms: 500 };
+        let message = serde_json::to_vec(&request).unwrap();
+        let read = serde_json::from_slice::<RequestBeforeEvacuations>(&message).ok();
+        let expected = expected.map(|topic| RequestBeforeEvacuations::Records {
+            topic,
+            since: 4,
+            wait_ms: 500,
+        });
+        assert_eq!(read, expected, "{topic}");
+    }
+}
--- a/crates/skylarkpick-forward/src/peers/peer_client.rs
+++ b/crates/skylarkpick-forward/src/peers/peer_client.rs
@@ -216,12 +216,20 @@
 
     /// Asks one process how old its records of a topic are, without fetching them: the time since it last
     /// knew them to be current. Returns `None` if it has none or does not respond.
-    pub(crate) async fn records_age(&self, address: &str, topic: FleetTopic) -> Option<Duration> {
+    pub(crate) async fn records_age(
+        &self,
+        address: &str,
+        records: &FleetRecords,
+        topic: FleetTopic,
+    ) -> Option<Duration> {
         // No record is newer than that.
         let request = PeerRequest::Records { topic, since: u64::MAX, era: None, wait_ms: 0 };
         match self.ask(address, &request, REQUEST_TIMEOUT).await {
             Ok(PeerResponse::Records(response)) => Some(Duration::from_millis(response.age_ms)),
-            Ok(_) => None,
+            Ok(_) => {
+                records.note_nothing(address, topic);
+                None
+            }
             Err(error) => {
                 spdlog::debug!("failed to ask another entry process for its records", kv: {
                     address, error = error.as_str(),
@@ -278,7 +286,10 @@
                     RecordsFetch::Outdated
                 }
             }
-            Ok(_) => RecordsFetch::Outdated,
+            Ok(_) => {
+                records.note_nothing(address, topic);
+                RecordsFetch::Outdated
+            }
             Err(error) => {
                 spdlog::debug!("failed to fetch records from another entry process", kv: {
                     address, error = error.as_str(),
--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -6,9 +6,9 @@
 use hyper::body::Incoming;
 use skylarkpick_http::{Handler, ResponseBody, empty_response, full_body};
 use skylarkpick_telemetry::{
-    BRITTLE_TARGETS, CONFIGURATION_VERSION, ENGINES_MEMORY_PERCENT, Exposition, PARTS_BLAMED,
-    READY, REQUESTS_BLAMED, REQUESTS_UNDER_WAY, REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING,
-    metrics,
+    BRITTLE_TARGETS, CONFIGURATION_VERSION, DATA_CENTRES_EVACUATED, ENGINES_MEMORY_PERCENT,
+    Exposition, PARTS_BLAMED, READY, REQUESTS_BLAMED, REQUESTS_UNDER_WAY, REQUESTS_WAITING,
+    RUNNERS_LEAVING, RUNNERS_SERVING, metrics,
 };
 use std::sync::Arc;
 
@@ -55,6 +55,9 @@
         metrics.set(&PARTS_BLAMED, parts, &[]);
         metrics.set(&REQUESTS_BLAMED, requests, &[]);
         metrics.set(&BRITTLE_TARGETS, self.node_state.count_brittle(), &[]);
+        if self.node_state.uses_evacuations() {
+            metrics.set(&DATA_CENTRES_EVACUATED, self.node_state.count_evacuated(), &[]);
+        }
         Response::new(full_body(self.exposition.text()))
     }
 }
--- a/crates/skylarkpick-forward/src/test_support.rs
+++ b/crates/skylarkpick-forward/src/test_support.rs
@@ -53,7 +53,17 @@
 
 /// Returns an empty node state on a clock.
 pub(crate) fn node_state_on(clock: Arc<dyn Clock>) -> Arc<NodeState> {
-    let limits = NodeLimits {
+    NodeState::open(clock, limits(), PlacementPolicy::default())
+}
+
+/// Returns an empty node state of a process that uses evacuations, on a clock.
+pub(crate) fn evacuating_node_state(clock: Arc<dyn Clock>) -> Arc<NodeState> {
+    let limits = NodeLimits { evacuation: Some(5 * SECOND), ..limits() };
+    NodeState::open(clock, limits, PlacementPolicy::default())
+}
+
+fn limits() -> NodeLimits {
+    NodeLimits {
         drain: 2 * SECOND,
         grace: 8 * SECOND,
         configuration: 2 * SECOND,
@@ -64,8 +74,7 @@
         weights: 12 * SECOND,
         cold: None,
         evacuation: None,
-    };
-    NodeState::open(clock, limits, PlacementPolicy::default())
+    }
 }
 
 /// Records of a platform in a test. Reads and watches never return and writes succeed, unless a test
--- a/crates/skylarkpick-interface/src/fleet.rs
+++ b/crates/skylarkpick-interface/src/fleet.rs
@@ -233,6 +233,8 @@
     Weights,
     /// Entry processes.
     Entries,
+    /// Evacuations of data centres. Entry processes of earlier versions don't know the topic.
+    Evacuations,
 }
 
 impl std::fmt::Display for FleetTopic {
@@ -242,6 +244,7 @@
             FleetTopic::Targets => "targets",
             FleetTopic::Weights => "weights",
             FleetTopic::Entries => "entries",
+            FleetTopic::Evacuations => "evacuations",
         })
     }
 }
@@ -258,6 +261,8 @@
     Weights(DesiredWeights),
     /// An entry process.
     Entry(RegisteredEntry),
+    /// Evacuation of a data centre: its targets get no more requests while the record exists.
+    Evacuation(DataCentreId),
     /// A record that can't be decoded, with the reason.
     Unreadable(String),
 }
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -13,6 +13,9 @@
 mod brittle_word_tests;
 mod cost;
 mod estimate;
+mod evacuation;
+#[cfg(test)]
+mod evacuation_tests;
 mod excess;
 #[cfg(test)]
 mod excess_tests;
--- a/crates/skylarkpick-schedule/src/placement/brittle.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle.rs
@@ -278,10 +278,12 @@
         &self,
         service: &str,
         targets: &BTreeMap<TargetId, TargetView>,
+        is_used: impl Fn(&TargetId) -> bool,
         now: Duration,
     ) -> Vec<(EntryId, u32)> {
         let Some(service) = self.services.get(service) else { return Vec::new() };
-        let owners = service.owners.other_owners(|id| self.excesses_at(id, targets, now));
+        let excesses_at = |id: &TargetId| self.excesses_at(id, targets, now);
+        let owners = service.owners.other_owners(is_used, excesses_at);
         owners.into_iter().map(|(process, places)| (process.clone(), places)).collect()
     }
 
--- a/crates/skylarkpick-schedule/src/placement/places.rs
+++ b/crates/skylarkpick-schedule/src/placement/places.rs
@@ -188,10 +188,11 @@
     /// Returns the other processes that own places which they may use, with how many.
     pub(super) fn other_owners(
         &self,
+        is_used: impl Fn(&TargetId) -> bool,
         excesses_at: impl Fn(&TargetId) -> BTreeMap<EntryId, u32>,
     ) -> BTreeMap<&EntryId, u32> {
         let mut counts = BTreeMap::new();
-        for (target, places) in &self.places {
+        for (target, places) in self.places.iter().filter(|(target, _)| is_used(target)) {
             let excesses = excesses_at(target);
             let usable = self.usable(target, places.len(), &excesses);
             for owner in usable.filter(|owner| *owner != self.own) {
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -3,6 +3,7 @@
 use super::{
     brittle::BrittlePlaces,
     cost::{self, AffinityRanking, Cost, EngineRequest, PartHolders, TransferCosts},
+    evacuation::Evacuations,
     heard::HeardSignals,
     memory::MemorySample,
     parts::{CacheKind, PartDirectory, PartFingerprint},
@@ -37,6 +38,7 @@
     reachability: DataCentreReachability,
     pub(super) heard: HeardSignals,
     pub(super) brittle: BrittlePlaces,
+    pub(super) evacuations: Evacuations,
     pub(super) timings: BTreeMap<ServiceName, ServiceTiming>,
     policy: PlacementPolicy,
     /// Which caches hold which parts.
@@ -107,6 +109,7 @@
             reachability: DataCentreReachability::default(),
             heard: HeardSignals::default(),
             brittle: BrittlePlaces::default(),
+            evacuations: Evacuations::default(),
             timings: BTreeMap::new(),
             parts: PartDirectory::default(),
             weights: DesiredWeightsView::open(old_weights_usable_for),
@@ -268,7 +271,10 @@
     fn may_take(&self, target: &RegisteredTarget, request: &PlacementRequest) -> bool {
         let runs_version = request.software_version.is_none()
             || request.software_version == target.software_version;
-        !self.is_leaving(target) && runs_version && !request.avoid.contains(&target.id)
+        !self.is_leaving(target)
+            && !self.is_evacuated(target)
+            && runs_version
+            && !request.avoid.contains(&target.id)
     }
 
     /// Returns the expected time until a request may be sent to a brittle service after as many others
--- a/crates/skylarkpick-schedule/src/placement/signals.rs
+++ b/crates/skylarkpick-schedule/src/placement/signals.rs
@@ -154,10 +154,14 @@
         self.brittle.refresh(&self.heard, &self.targets, now);
     }
 
-    /// Returns the other processes that may send requests to the brittle targets of a service, with how
-    /// many at the same time.
+    /// Returns the other processes that may send requests to the brittle targets of a service, without
+    /// those of evacuated data centres, with how many at the same time.
     pub fn place_owners(&self, service: &str, now: Duration) -> Vec<(EntryId, u32)> {
-        self.brittle.other_owners(service, &self.targets, now)
+        let is_used = |id: &TargetId| {
+            let target = self.targets.get(id);
+            !target.is_some_and(|target| self.is_evacuated(&target.registration))
+        };
+        self.brittle.other_owners(service, &self.targets, is_used, now)
     }
 
     /// Returns whether a target counts as brittle.
@@ -225,12 +229,16 @@
     }
 
     /// Takes a request to the target of an assignment from this process's share in its limit, if it
-    /// names one, and checks that it has a place there if the target is brittle. To be called
-    /// immediately before the request is written.
+    /// names one, and checks that it has a place there if the target is brittle, and that the data
+    /// centre is not being evacuated. To be called immediately before the request is written.
     ///
     /// # Errors
     /// Returns the time to wait if there is no room.
     pub fn take_share(&mut self, assignment: &Assignment, now: Duration) -> Result<(), Duration> {
+        let registered = self.targets.get(&assignment.target).map(|state| &state.registration);
+        if registered.is_some_and(|target| self.is_evacuated(target)) {
+            return Err(Duration::ZERO);
+        }
         if let Some(target) = self.targets.get(&assignment.target)
             && self.heard.is_brittle(&target.registration, now)
             && !self.brittle.may_write(target, self.memory_room(&target.registration.service), now)
--- a/crates/skylarkpick-schedule/src/placement/types.rs
+++ b/crates/skylarkpick-schedule/src/placement/types.rs
@@ -97,8 +97,9 @@
 pub enum UnplacedReason {
     /// No target of the service is registered.
     NoTarget,
-    /// Every target is draining, has already failed the request, or has no usable weights or another
-    /// software version, or the prompt's service is not in the serving document.
+    /// Every target is draining or in an evacuated data centre, has already failed the request, or has
+    /// no usable weights or another software version, or the prompt's service is not in the serving
+    /// document.
     NoneUsable,
     /// Every target that could take the request has asked this process for a pause, or limits its
     /// requests and this process's share has no room.
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -267,6 +267,14 @@
     description: "requests of the process that targets turned away which count as brittle",
 };
 
+/// Data centres that the process sends no requests to, at the operator's request.
+pub const DATA_CENTRES_EVACUATED: Metric = Metric {
+    name: "data_centres.evacuated",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "data centres that are evacuated: the process sends their targets no requests",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -299,4 +307,5 @@
     SIGNALS_UNREADABLE,
     BRITTLE_TARGETS,
     BRITTLE_REJECTIONS,
+    DATA_CENTRES_EVACUATED,
 ];
