--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -5,6 +5,7 @@
 mod departed_targets;
 mod desired_times;
 mod entry_health;
+mod evacuation_log;
 mod evacuation_records;
 mod lapsed_runners;
 mod load_sampler;
--- a/crates/skylarkpick-forward/src/fleet/evacuation_records.rs
+++ b/crates/skylarkpick-forward/src/fleet/evacuation_records.rs
@@ -1,10 +1,11 @@
 //! Applies records of evacuations to the node state.
 
+use super::evacuation_log::EvacuationLog;
 use super::lost_evacuations::LostEvacuations;
 use super::records::{FleetRecords, RecordOrigin, UpdateKind};
 use super::topic_state::TopicState;
 use super::unaware_relays::UnawareRelays;
-use crate::log::{age_ms, request_log};
+use crate::log::age_ms;
 use skylarkpick_interface::{DataCentreId, FleetTopic, FleetUpdate};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,6 +17,7 @@
 #[derive(Default)]
 pub(crate) struct EvacuationRecords {
     lost: Mutex<LostEvacuations>,
+    log: Mutex<EvacuationLog>,
     unaware_relays: Mutex<UnawareRelays>,
 }
 
@@ -83,8 +85,8 @@
         let present = present_evacuations(&topics);
         for data_centre in &present {
             lost.note_known(data_centre);
-            if self.node_state.set_evacuated(data_centre, true) {
-                request_log!("evacuation of a data centre begins", kv: {
+            if self.node_state.set_evacuated(data_centre, true) && self.is_line_allowed() {
+                spdlog::info!("evacuation of a data centre begins", kv: {
                     data_centre = data_centre.as_str(),
                     age_ms = self.record_age_ms(origin.not_before),
                     revision: = origin.revision,
@@ -122,13 +124,18 @@
         }
     }
 
+    fn is_line_allowed(&self) -> bool {
+        let mut log = self.evacuations.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.is_line_allowed(self.now())
+    }
+
     fn evacuated(&self) -> BTreeSet<DataCentreId> {
         self.node_state.lock().placement.evacuated().clone()
     }
 
     fn end_evacuation(&self, data_centre: &str, why: &'static str, not_before: Option<Duration>) {
-        if self.node_state.set_evacuated(data_centre, false) {
-            request_log!("evacuation of a data centre ends", kv: {
+        if self.node_state.set_evacuated(data_centre, false) && self.is_line_allowed() {
+            spdlog::info!("evacuation of a data centre ends", kv: {
                 data_centre, why, age_ms = self.record_age_ms(not_before),
             });
         }
--- a/crates/skylarkpick-forward/src/fleet/evacuation_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/evacuation_tests.rs
@@ -2,6 +2,7 @@
 
 use super::{
     era_tests::{removed, revision, update},
+    evacuation_log::EvacuationLog,
     records::FleetRecords,
     tests::{SECOND, target},
     topic_watch::{FirstSource, FleetWatcher, watch_topic, watch_topic_from_start},
@@ -628,6 +629,17 @@
     assert!(without.records_since(TOPIC, StoreRevision::default()).is_none(), "not used");
 }
 
+/// Guards against a log that an operator's faulty tool fills with evacuations.
+#[test]
+fn lines_about_evacuations_are_bounded() {
+    let mut log = EvacuationLog::default();
+    for (period, count) in [(0, 1_000), (1, 5), (2, 1_000)] {
+        let began = period * 10 * SECOND;
+        let allowed = (0..count).filter(|_| log.is_line_allowed(began)).count();
+        assert_eq!(allowed, count.min(20), "period {period}");
+    }
+}
+
 /// Guards against targets that count as present for longer since only the evacuations can't be read.
 #[tokio::test(start_paused = true)]
 async fn targets_are_removed_at_once_while_only_the_evacuations_can_not_be_read() {
