--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -6,9 +6,9 @@
 use hyper::body::Incoming;
 use skylarkpick_http::{Handler, ResponseBody, empty_response, full_body};
 use skylarkpick_telemetry::{
-    BRITTLE_TARGETS, CONFIGURATION_VERSION, ENGINES_MEMORY_PERCENT, Exposition, PARTS_BLAMED,
-    READY, REQUESTS_BLAMED, REQUESTS_UNDER_WAY, REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING,
-    TARGETS_COLD, metrics,
+    BRITTLE_TARGETS, CONFIGURATION_VERSION, DATA_CENTRES_EVACUATED, ENGINES_MEMORY_PERCENT,
+    Exposition, PARTS_BLAMED, READY, REQUESTS_BLAMED, REQUESTS_UNDER_WAY, REQUESTS_WAITING,
+    RUNNERS_LEAVING, RUNNERS_SERVING, TARGETS_COLD, metrics,
 };
 use std::sync::Arc;
 
@@ -56,6 +56,9 @@
         metrics.set(&REQUESTS_BLAMED, requests, &[]);
         metrics.set(&BRITTLE_TARGETS, self.node_state.count_brittle(), &[]);
         metrics.set(&TARGETS_COLD, self.node_state.count_cold(), &[]);
+        if self.node_state.uses_evacuations() {
+            metrics.set(&DATA_CENTRES_EVACUATED, self.node_state.count_evacuated(), &[]);
+        }
         Response::new(full_body(self.exposition.text()))
     }
 }
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -19,6 +19,9 @@
 #[cfg(test)]
 mod entry_history_tests;
 mod estimate;
+mod evacuation;
+#[cfg(test)]
+mod evacuation_tests;
 mod excess;
 #[cfg(test)]
 mod excess_tests;
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -283,6 +283,14 @@
     description: "requests of the process to targets that are cold, by whether they were sent",
 };
 
+/// Data centres that the process sends no requests to, at the operator's request.
+pub const DATA_CENTRES_EVACUATED: Metric = Metric {
+    name: "data_centres.evacuated",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "data centres that are evacuated: the process sends their targets no requests",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -317,4 +325,5 @@
     BRITTLE_REJECTIONS,
     TARGETS_COLD,
     COLD_REQUESTS,
+    DATA_CENTRES_EVACUATED,
 ];
