Tests: bytes and connections that clients make a process hold

Cause: request bodies have no common bound, so that clients end a process by its memory; the limit of connections does not follow from the descriptors.

Change: tests/client_bytes.rs starts the binary with limits.memoryMb=160 (or limits.fileDescriptors=200) and 300 clients. The crowd and the bounds (100 MB peak resident memory, 200 descriptors) are fixed here.

Both tests are ignored until the fix.

--- /dev/null
+++ b/tests/client_bytes.rs
@@ -0,0 +1,304 @@
+//! Runs the binary as an entry process with the memory and the descriptors of a small machine, in
+//! front of clients that make it hold as many bytes and connections as they can.
+#![allow(clippy::expect_used, clippy::unwrap_used, reason = "a helper of a test fails the test")]
+
+mod support;
+
+use skylarkpick_platform_standin::{
+    AfterRequest, BodyRead, Conduct, Decide, ObjectServer, RouteSpec, RunLog, RunTarget,
+    configuration, success_answer,
+};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use support::{POLL_INTERVAL, Process, SECOND, STEP_TIMEOUT, register, request};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::Mutex,
+    task::JoinSet,
+    time::sleep,
+};
+
+/// Clients of each crowd.
+const CLIENTS: usize = 300;
+/// Memory of the smallest machine, of which a process may take `MEMORY_LIMIT_BYTES`.
+const SMALL_MACHINE: &str = "limits.memoryMb=160\n";
+const MEMORY_LIMIT_BYTES: usize = 100_000_000;
+/// Descriptors of a machine that has fewer than a crowd has clients.
+const FEW_DESCRIPTORS: &str = "limits.fileDescriptors=200\n";
+const DESCRIPTOR_LIMIT: usize = 200;
+const BODY_LIMIT_BYTES: usize = 4_194_304;
+/// Time after which a client whose bytes are not taken writes no more and leaves its connection open.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which all connections of a crowd stay open after their clients have written.
+const HOLD_TIME: Duration = Duration::from_millis(500);
+
+/// Pieces in which a client sends whose link of 10 Mbit/s carries another body as well: in 6.4 s.
+const SLOW_PIECE_BYTES: usize = 65_536;
+const SLOW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time that a target takes for a request of a crowd, if one is complete.
+const CROWD_WORK: Duration = Duration::from_secs(60);
+
+/// Crowds run one after the other: the memory of one must not be taken by another.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
+/// A crowd of clients, each of which writes the same and then keeps its connection open.
+struct Case {
+    name: &'static str,
+    /// Lines of the head after the common ones, with the empty line if the head ends.
+    head: String,
+    /// What is written after it, and how often.
+    piece: String,
+    pieces: usize,
+    settings: &'static str,
+}
+
+fn chunk(size_bytes: usize) -> String {
+    format!("{size_bytes:x}\r\n{}\r\n", "b".repeat(size_bytes))
+}
+
+fn cases() -> Vec<Case> {
+    let announced = |size_bytes: usize| format!("Content-Length: {size_bytes}\r\n\r\n");
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n".to_string();
+    let pipelined = "POST /write/ HTTP/1.1\r\nHost: h.example\r\nX-Skylarkpick-Attempt-Id: p\r\n\
+                     X-Skylarkpick-Credential: k1\r\nContent-Length: 5\r\n\r\nbbbbb";
+    vec![
+        Case {
+            name: "announced, all but the last byte",
+            head: announced(BODY_LIMIT_BYTES),
+            piece: "b".repeat(BODY_LIMIT_BYTES - 1),
+            pieces: 1,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "chunks of 64 KB, all but the last chunk",
+            head: chunked.clone(),
+            piece: chunk(65_536),
+            pieces: BODY_LIMIT_BYTES / 65_536,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "chunks of one byte, all but the last chunk",
+            head: chunked.clone(),
+            piece: chunk(1).repeat(1_024),
+            pieces: 64,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "announced far over the limit",
+            head: announced(40 * BODY_LIMIT_BYTES),
+            piece: "b".repeat(BODY_LIMIT_BYTES),
+            pieces: 2,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "chunks without end",
+            head: chunked.clone(),
+            piece: chunk(65_536),
+            pieces: 2 * BODY_LIMIT_BYTES / 65_536,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "stalled bodies of ordinary size",
+            head: announced(60_000),
+            piece: "b".repeat(59_999),
+            pieces: 1,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "extensions of a chunk without end",
+            head: format!("{chunked}1;"),
+            piece: "e".repeat(65_536),
+            pieces: 16,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "trailers without end",
+            head: format!("{chunked}1\r\nb\r\n0\r\n"),
+            piece: "x-trailer: b\r\n".repeat(1_024),
+            pieces: 64,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "heads without end, in small pieces",
+            head: String::new(),
+            piece: "x-head: b\r\n".to_string(),
+            pieces: 1_400,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "requests behind one that takes long",
+            head: format!("{}bbbbb", announced(5)),
+            piece: pipelined.repeat(100),
+            pieces: 100,
+            settings: SMALL_MACHINE,
+        },
+        Case {
+            name: "more connections than descriptors",
+            head: String::new(),
+            piece: String::new(),
+            pieces: 0,
+            settings: FEW_DESCRIPTORS,
+        },
+    ]
+}
+
+/// Writes what a client of a crowd writes; returns its connection, which stays open, unless the
+/// process has closed it.
+async fn write(
+    address: SocketAddr,
+    number: usize,
+    bytes: Arc<(String, String, usize)>,
+) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let writes = async {
+        let (head, piece, pieces) = &*bytes;
+        let head = format!(
+            "POST /write/{number} HTTP/1.1\r\nHost: h.example\r\n\
+             X-Skylarkpick-Attempt-Id: c{number}\r\nX-Skylarkpick-Credential: k1\r\n{head}"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        for _ in 0..*pieces {
+            stream.write_all(piece.as_bytes()).await?;
+        }
+        std::io::Result::Ok(())
+    };
+    match tokio::time::timeout(WRITE_TIMEOUT, writes).await {
+        Ok(Err(_)) => None,
+        Ok(Ok(())) | Err(_) => Some(stream),
+    }
+}
+
+async fn start_objects() -> ObjectServer {
+    let objects = ObjectServer::start().await.unwrap();
+    let route = RouteSpec {
+        name: "write",
+        kind: "non_idempotent",
+        attempts: 3,
+        is_resumable: false,
+        timeout: Duration::from_secs(15),
+        target_latency: Duration::from_secs(5),
+    };
+    let mut content = configuration(3, &[route], &["k1".to_string()]);
+    content["limits"]["bodyBytes"] = BODY_LIMIT_BYTES.into();
+    objects.state.put("config", "main", content);
+    objects
+}
+
+fn start_target(objects: &ObjectServer, log: &RunLog) -> RunTarget {
+    let decide: Decide = Arc::new(|id, _| Conduct {
+        reads: BodyRead::Whole,
+        runs: true,
+        work: if id.starts_with('c') { CROWD_WORK } else { Duration::ZERO },
+        answer: Some(success_answer("ran")),
+        then: AfterRequest::Keep(Duration::ZERO),
+    });
+    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let target = RunTarget::start(free, "i-0", 5, log.clone(), decide).unwrap();
+    register(objects, "i-0", target.address, 5);
+    target
+}
+
+/// Sends a request until it is answered, as clients do that are asked to come back.
+async fn send_until_answered(process: &Process, name: &str, size_bytes: usize) {
+    let answered = async {
+        for number in 0.. {
+            let sent = request(format!("after-{number}"), "write", SECOND * 10, size_bytes);
+            if process.send(sent).await.1 == Some(200) {
+                break;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    let answered = tokio::time::timeout(STEP_TIMEOUT, answered).await;
+    answered.unwrap_or_else(|_| panic!("{name}: a request of {size_bytes} bytes is answered"));
+}
+
+// Guards against the end of a process whose memory or descriptors clients have used up: with bodies that
+// stop just short of their end, or by what comes along with bodies, heads and connections.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "request bodies have no common bound yet"]
+async fn a_process_outlives_clients_that_make_it_hold_all_they_can() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let mut failures = Vec::new();
+    for Case { name, head, piece, pieces, settings } in cases() {
+        let objects = start_objects().await;
+        let _target = start_target(&objects, &RunLog::default());
+        let mut process = Process::start(&objects, settings).await;
+        let before = process.peak_resident_bytes();
+        let mut clients = JoinSet::new();
+        let bytes = Arc::new((head, piece, pieces));
+        for number in 0..CLIENTS {
+            clients.spawn(write(process.front(), number, bytes.clone()));
+        }
+        let mut open = Vec::new();
+        let mut descriptors = 0;
+        while let Some(client) = clients.join_next().await {
+            open.extend(client.unwrap());
+            descriptors = descriptors.max(process.open_descriptors());
+        }
+        sleep(HOLD_TIME).await;
+        descriptors = descriptors.max(process.open_descriptors());
+        assert!(process.is_running(), "{name}: the process has ended");
+        let left_open = open.len();
+        let peak = process.peak_resident_bytes();
+        println!(
+            "{name}: {} MB before, peak {} MB, {descriptors} descriptors, {left_open} left open",
+            before / 1_000_000,
+            peak / 1_000_000
+        );
+        let is_bounded = match settings {
+            FEW_DESCRIPTORS => descriptors <= DESCRIPTOR_LIMIT,
+            _ => peak <= MEMORY_LIMIT_BYTES,
+        };
+        if !is_bounded {
+            failures.push(format!("{name}: {} MB, {descriptors} descriptors", peak / 1_000_000));
+        }
+        // Ordinary requests are answered while the crowd is there, unless it has all connections; large
+        // ones once it has left.
+        if settings == SMALL_MACHINE {
+            send_until_answered(&process, name, 5).await;
+        }
+        drop(open);
+        send_until_answered(&process, name, BODY_LIMIT_BYTES).await;
+        assert!(process.is_running(), "{name}: the process has ended");
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+// Guards against limits that a client within the configuration's limits reaches: a body of the greatest
+// size is served on the smallest machine, also one that arrives at the rate of a thin link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "request bodies have no common bound yet"]
+async fn a_body_of_the_greatest_size_is_served_by_the_smallest_machine() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let objects = start_objects().await;
+    let log = RunLog::default();
+    let _target = start_target(&objects, &log);
+    let process = Process::start(&objects, SMALL_MACHINE).await;
+    for number in 0..10 {
+        let sent = request(format!("large-{number}"), "write", SECOND * 10, BODY_LIMIT_BYTES);
+        assert_eq!(process.send(sent).await.1, Some(200), "request {number}");
+    }
+    let whole = |run: &&skylarkpick_platform_standin::Run| {
+        run.body_size_bytes == BODY_LIMIT_BYTES && run.is_body_whole
+    };
+    assert_eq!(log.runs().iter().filter(whole).count(), 10);
+    let mut slow = TcpStream::connect(process.front()).await.unwrap();
+    let head = format!(
+        "POST /write/slow HTTP/1.1\r\nHost: h.example\r\nX-Skylarkpick-Attempt-Id: slow\r\n\
+         X-Skylarkpick-Credential: k1\r\nConnection: close\r\nContent-Length: {BODY_LIMIT_BYTES}\r\n\r\n"
+    );
+    slow.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..BODY_LIMIT_BYTES / SLOW_PIECE_BYTES {
+        sleep(SLOW_INTERVAL).await;
+        slow.write_all(&[b'b'; SLOW_PIECE_BYTES]).await.unwrap();
+    }
+    let mut response = String::new();
+    slow.read_to_string(&mut response).await.unwrap();
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+}
--- a/tests/stopped_process.rs
+++ b/tests/stopped_process.rs
@@ -2,32 +2,24 @@
 //! counts what targets ran against what clients got.
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a helper of a test fails the test")]
 
-use rustix::process::{Pid, Signal, kill_process};
+mod support;
+
+use rustix::process::Signal;
 use skylarkpick_platform_standin::{
-    AfterRequest, ArrivalLog, BodyRead, ClientRequest, Conduct, Decide, EchoTarget, FleetLimits,
-    NodeLocation, ObjectServer, RouteSpec, RunLog, RunTarget, TargetState, TestClient,
-    configuration, content_digest, node_settings, registration, rejection_answer, success_answer,
+    AfterRequest, ArrivalLog, BodyRead, ClientRequest, Conduct, Decide, EchoTarget, ObjectServer,
+    RouteSpec, RunLog, RunTarget, configuration, content_digest, rejection_answer, success_answer,
 };
 use std::{
     collections::{BTreeMap, HashMap},
-    fs::File,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
-    },
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
+use support::{POLL_INTERVAL, Process, SECOND, STEP_TIMEOUT, register, request, send};
 use tokio::{task::JoinSet, time::sleep};
 
-/// Timeout of a step; far above its normal duration, so that only a test that hangs fails.
-const STEP_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time in which what is still on its way runs.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
-const SECOND: Duration = Duration::from_secs(1);
 const BODY_LIMIT_BYTES: u64 = 1_000_000;
 const REJECTIONS: [&str; 3] =
     ["503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"];
@@ -45,119 +37,6 @@
     }
 }
 
-/// An entry process of the binary and its files.
-struct Process {
-    child: Child,
-    location: NodeLocation,
-    folder: PathBuf,
-}
-
-impl Process {
-    /// Starts a process and waits until it serves requests.
-    async fn start(objects: &ObjectServer) -> Process {
-        static NUMBER: AtomicU8 = AtomicU8::new(100);
-        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let [.., high, low] = std::process::id().to_be_bytes();
-        let location = NodeLocation {
-            name: "entry-1".to_string(),
-            data_centre: "mnl-a".to_string(),
-            address: IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number)),
-            platform: objects.address(),
-            has_peer_links: false,
-        };
-        let folder = format!("stopped-{}-{number}", std::process::id());
-        let folder = std::env::temp_dir().join(folder);
-        std::fs::create_dir_all(&folder).unwrap();
-        let limits = FleetLimits {
-            drain: SECOND * 2,
-            grace: SECOND * 6,
-            configuration: SECOND * 2,
-            weights: SECOND * 12,
-        };
-        let settings = folder.join("settings.conf");
-        std::fs::write(&settings, node_settings(&location, &limits)).unwrap();
-        let log = File::create(folder.join("log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_skylarkpick"))
-            .arg("node")
-            .env("SKYLARKPICK_CONFIG", &settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
-        let process = Process { child, location, folder };
-        let served = async {
-            for number in 0.. {
-                let sent = request(format!("first-{number}"), "write", SECOND, 0);
-                if process.send(sent).await.1 == Some(200) {
-                    break;
-                }
-                sleep(POLL_INTERVAL).await;
-            }
-        };
-        tokio::time::timeout(STEP_TIMEOUT, served).await.expect("the process serves");
-        process
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).unwrap();
-    }
-
-    fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.join("log")).unwrap()
-    }
-
-    fn front(&self) -> SocketAddr {
-        self.location.front_address()
-    }
-
-    async fn send(&self, request: ClientRequest) -> (ClientRequest, Option<u16>) {
-        send(self.front(), request).await
-    }
-
-    /// Waits until the process has exited; returns whether it did so as asked.
-    async fn wait(&mut self) -> bool {
-        let exited = async {
-            loop {
-                if let Some(status) = self.child.try_wait().unwrap() {
-                    return status.success();
-                }
-                sleep(POLL_INTERVAL).await;
-            }
-        };
-        tokio::time::timeout(STEP_TIMEOUT, exited).await.expect("the process exits")
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Fails if the process has already exited.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        // A folder that cannot be removed does not affect other tests.
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-fn request(id: String, route: &str, deadline: Duration, body_size_bytes: usize) -> ClientRequest {
-    ClientRequest {
-        method: "POST".to_string(),
-        path: format!("/{route}/{id}"),
-        key: "k1".to_string(),
-        deadline,
-        resumes: None,
-        last_event_id: None,
-        parts: Vec::new(),
-        body: "b".repeat(body_size_bytes),
-        attempt_id: id,
-    }
-}
-
-async fn send(address: SocketAddr, request: ClientRequest) -> (ClientRequest, Option<u16>) {
-    let response = TestClient::open(address).send(&request, STEP_TIMEOUT).await;
-    (request, response.status)
-}
-
 async fn start_objects() -> Arc<ObjectServer> {
     let objects = ObjectServer::start().await.unwrap();
     let mut content = configuration(3, ROUTES, &["k1".to_string()]);
@@ -166,11 +45,6 @@
     Arc::new(objects)
 }
 
-fn register(objects: &ObjectServer, name: &str, address: SocketAddr, started_at_ms: u64) {
-    let record = registration(address, TargetState::Ready, started_at_ms, Some("v1"));
-    objects.state.put("servers", name, record);
-}
-
 /// Fails the test if a request ran twice, or ran although its client was told that it has not. Returns
 /// the answers by status.
 fn check(
@@ -274,7 +148,7 @@
         register(&objects, &format!("i-{index}"), target.address, 5);
         targets.push(target);
     }
-    let process = Process::start(&objects).await;
+    let process = Process::start(&objects, "").await;
     let mut others = Vec::new();
     let mut results = Vec::new();
     for (stop, time) in STOPS.into_iter().enumerate() {
@@ -370,7 +244,7 @@
             register(&objects, &id, target.address, target.started_at_ms);
             targets.push(target);
         }
-        let mut process = Process::start(&objects).await;
+        let mut process = Process::start(&objects, "").await;
         targets.iter().for_each(|it| it.set_processing_time(processing_time));
         let mut clients = JoinSet::new();
         for index in 0..WAITING_REQUESTS {
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,168 @@
+//! Starts the binary as an entry process in front of stand-ins.
+#![allow(clippy::expect_used, clippy::unwrap_used, reason = "a helper of a test fails the test")]
+#![allow(dead_code, reason = "each test uses some of the helpers")]
+
+use rustix::process::{Pid, Signal, kill_process};
+use skylarkpick_platform_standin::{
+    ClientRequest, FleetLimits, NodeLocation, ObjectServer, TargetState, TestClient, node_settings,
+    registration,
+};
+use std::{
+    fs::File,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+use tokio::time::sleep;
+
+/// Timeout of a step; far above its normal duration, so that only a test that hangs fails.
+pub const STEP_TIMEOUT: Duration = Duration::from_secs(30);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(5);
+pub const SECOND: Duration = Duration::from_secs(1);
+
+/// An entry process of the binary and its files.
+pub struct Process {
+    child: Child,
+    location: NodeLocation,
+    folder: PathBuf,
+}
+
+impl Process {
+    /// Starts a process with these lines added to its settings, and waits until it serves requests.
+    pub async fn start(objects: &ObjectServer, more_settings: &str) -> Process {
+        static NUMBER: AtomicU8 = AtomicU8::new(100);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let location = NodeLocation {
+            name: "entry-1".to_string(),
+            data_centre: "mnl-a".to_string(),
+            address: IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number)),
+            platform: objects.address(),
+            has_peer_links: false,
+        };
+        let folder = format!("skylarkpick-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let limits = FleetLimits {
+            drain: SECOND * 2,
+            grace: SECOND * 6,
+            configuration: SECOND * 2,
+            weights: SECOND * 12,
+        };
+        let settings = folder.join("settings.conf");
+        let text = node_settings(&location, &limits) + more_settings;
+        std::fs::write(&settings, text).unwrap();
+        let log = File::create(folder.join("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_skylarkpick"))
+            .arg("node")
+            .env("SKYLARKPICK_CONFIG", &settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let process = Process { child, location, folder };
+        let served = async {
+            for number in 0.. {
+                let sent = request(format!("first-{number}"), "write", SECOND, 0);
+                if process.send(sent).await.1 == Some(200) {
+                    break;
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        tokio::time::timeout(STEP_TIMEOUT, served).await.expect("the process serves");
+        process
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Returns whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Returns the largest resident memory so far, from `/proc`.
+    pub fn peak_resident_bytes(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1_024
+    }
+
+    /// Returns the number of open descriptors, from `/proc`.
+    pub fn open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap()
+    }
+
+    pub fn front(&self) -> SocketAddr {
+        self.location.front_address()
+    }
+
+    pub async fn send(&self, request: ClientRequest) -> (ClientRequest, Option<u16>) {
+        send(self.front(), request).await
+    }
+
+    /// Waits until the process has exited; returns whether it did so as asked.
+    pub async fn wait(&mut self) -> bool {
+        let exited = async {
+            loop {
+                if let Some(status) = self.child.try_wait().unwrap() {
+                    return status.success();
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        tokio::time::timeout(STEP_TIMEOUT, exited).await.expect("the process exits")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Fails if the process has already exited.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        // A folder that cannot be removed does not affect other tests.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Returns a request of the client account `acme`.
+pub fn request(
+    id: String,
+    route: &str,
+    deadline: Duration,
+    body_size_bytes: usize,
+) -> ClientRequest {
+    ClientRequest {
+        method: "POST".to_string(),
+        path: format!("/{route}/{id}"),
+        key: "k1".to_string(),
+        deadline,
+        resumes: None,
+        last_event_id: None,
+        parts: Vec::new(),
+        body: "b".repeat(body_size_bytes),
+        attempt_id: id,
+    }
+}
+
+/// Sends a request on a connection of its own; returns it with the status of its response.
+pub async fn send(address: SocketAddr, request: ClientRequest) -> (ClientRequest, Option<u16>) {
+    let response = TestClient::open(address).send(&request, STEP_TIMEOUT).await;
+    (request, response.status)
+}
+
+/// Registers a target of the service `svc`.
+pub fn register(objects: &ObjectServer, name: &str, address: SocketAddr, started_at_ms: u64) {
+    let record = registration(address, TargetState::Ready, started_at_ms, Some("v1"));
+    objects.state.put("servers", name, record);
+}
