--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -1,14 +1,14 @@
 //! HTTP handlers for the load balancer's readiness checks and for metrics.
 
-use crate::node_state::NodeState;
+use crate::{forwarding::BodyBudget, node_state::NodeState};
 use async_trait::async_trait;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use skylarkpick_http::{Handler, ResponseBody, empty_response, full_body};
 use skylarkpick_telemetry::{
-    BRITTLE_TARGETS, CONFIGURATION_VERSION, DATA_CENTRES_EVACUATED, ENGINES_MEMORY_PERCENT,
-    Exposition, PARTS_BLAMED, READY, REQUESTS_BLAMED, REQUESTS_UNDER_WAY, REQUESTS_WAITING,
-    RUNNERS_LEAVING, RUNNERS_SERVING, TARGETS_COLD, metrics,
+    BODIES_HELD_BYTES, BRITTLE_TARGETS, CONFIGURATION_VERSION, DATA_CENTRES_EVACUATED,
+    ENGINES_MEMORY_PERCENT, Exposition, PARTS_BLAMED, READY, REQUESTS_BLAMED, REQUESTS_UNDER_WAY,
+    REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING, TARGETS_COLD, metrics,
 };
 use std::sync::Arc;
 
@@ -31,6 +31,7 @@
 /// Serves the metrics of the process.
 pub(crate) struct MetricsHandler {
     pub(crate) node_state: Arc<NodeState>,
+    pub(crate) bodies: BodyBudget,
     pub(crate) exposition: Exposition,
 }
 
@@ -59,6 +60,9 @@
         if self.node_state.uses_evacuations() {
             metrics.set(&DATA_CENTRES_EVACUATED, self.node_state.count_evacuated(), &[]);
         }
+        let bodies = self.bodies.use_bytes();
+        metrics.set(&BODIES_HELD_BYTES, bodies.arriving_bytes as u64, &[("kind", "arriving")]);
+        metrics.set(&BODIES_HELD_BYTES, bodies.kept_bytes as u64, &[("kind", "kept")]);
         Response::new(full_body(self.exposition.text()))
     }
 }
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -291,6 +291,22 @@
     description: "data centres that are evacuated: the process sends their targets no requests",
 };
 
+/// Bytes of request bodies that are held.
+pub const BODIES_HELD_BYTES: Metric = Metric {
+    name: "bodies.held_bytes",
+    kind: MetricKind::Gauge,
+    tags: &["kind"],
+    description: "bytes of request bodies that the process holds for others",
+};
+
+/// Request bodies that were not read to their end.
+pub const BODIES_REFUSED: Metric = Metric {
+    name: "bodies.refused",
+    kind: MetricKind::Counter,
+    tags: &["reason"],
+    description: "request bodies that were not read to their end",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -326,4 +342,6 @@
     TARGETS_COLD,
     COLD_REQUESTS,
     DATA_CENTRES_EVACUATED,
+    BODIES_HELD_BYTES,
+    BODIES_REFUSED,
 ];
