Read what a target says of itself in a response through another process

Change: taken_response applies these signals to a target that is registered under the name in the response and started before the hand-over. A pause was asked of the other process only.

--- a/crates/skylarkpick-forward/src/brittle.rs
+++ b/crates/skylarkpick-forward/src/brittle.rs
@@ -30,15 +30,20 @@
         }
     }
 
-    /// Records that whoever has an address said that it is brittle, in its response to a call.
-    pub(crate) fn note_brittle_at(&self, address: SocketAddr, signal: BrittleSignal) {
+    /// Records that whoever has an address said that it is brittle, in a response that `from` names.
+    pub(crate) fn note_brittle_at(
+        &self,
+        address: SocketAddr,
+        signal: BrittleSignal,
+        from: &'static str,
+    ) {
         let now = self.now();
         let mut state = self.lock();
         if let Some(target) = state.placement.note_brittle_at(address, now) {
             state.keep_brittle_change(&target, true);
             drop(state);
             self.limits_changed.notify_one();
-            self.report_brittle_change(&target, Some(signal), "its response to a call");
+            self.report_brittle_change(&target, Some(signal), from);
         }
     }
 
--- a/crates/skylarkpick-forward/src/forwarding/hand_over.rs
+++ b/crates/skylarkpick-forward/src/forwarding/hand_over.rs
@@ -122,6 +122,7 @@
                 sends = request.sends,
                 waited_ms = request.received.elapsed().as_millis() as u64,
             });
+            let handed_over_ms = self.node_state.wall_ms();
             let exchange = self.exchange(request, &address);
             let exchange = tokio::time::timeout_at(request.deadline, exchange).await;
             let (end, why) = match exchange {
@@ -133,7 +134,8 @@
                 Ok(Ok(response)) => match Refusal::read(response.status(), response.headers()) {
                     None => {
                         count_end("answered");
-                        let response = self.taken_response(response, helper, request);
+                        let response =
+                            self.taken_response(response, helper, request, handed_over_ms);
                         return Some(SendResult::HandedOver(response));
                     }
                     Some(refusal) => ("refused", refusal.name().to_string()),
@@ -190,14 +192,21 @@
         )
     }
 
-    /// Returns the response of another process for the client.
+    /// Returns the response of another process for the client. What its target says of itself in the
+    /// head also holds for the requests that this process sends once it reaches the target again.
     fn taken_response(
         &self,
         response: Response<Incoming>,
         helper: HelperGuard,
         request: &ActiveRequest,
+        handed_over_ms: u64,
     ) -> Response<ClientBody> {
         let (head, body) = response.into_parts();
+        let metadata = self.dialect.read_response(&head);
+        let attempt_id = &request.head.attempt_id;
+        if metadata.attempt_id.as_ref() == Some(attempt_id) {
+            self.node_state.note_signals_through_helper(attempt_id, &metadata, handed_over_ms);
+        }
         let end = BodyEnd::of_response(&request.method, head.status, &head.headers);
         let in_flight = self.node_state.track_request();
         let body = HandedOverBody { body, _helper: helper, _in_flight: in_flight };
--- a/crates/skylarkpick-forward/src/pauses.rs
+++ b/crates/skylarkpick-forward/src/pauses.rs
@@ -11,8 +11,8 @@
 use async_trait::async_trait;
 use skylarkpick_interface::{
     CacheEpoch, CacheScope, ControlError, EngineLoad, LimitSignal, OrderOutcome, OrderState,
-    PartChanges, PartId, SignalObserver, TargetControl, TargetSignals, UnreadableHeader,
-    WeightOrder,
+    PartChanges, PartId, ResponseMetadata, SignalObserver, TargetControl, TargetSignals,
+    UnreadableHeader, WeightOrder,
 };
 use skylarkpick_schedule::{Assignment, LimitChange};
 use skylarkpick_telemetry::{SIGNALS_UNREADABLE, metrics};
@@ -61,6 +61,38 @@
         }
     }
 
+    /// Applies what a target says of itself in the head of a response that came through another process,
+    /// to which this one handed a request over at `handed_over_ms` (Unix time in milliseconds). A pause
+    /// was asked of the other process. A response that doesn't name its target says nothing here.
+    pub(crate) fn note_signals_through_helper(
+        &self,
+        request: &str,
+        metadata: &ResponseMetadata,
+        handed_over_ms: u64,
+    ) {
+        let Some(target) = metadata.target.as_deref() else { return };
+        let now = self.now();
+        let mut state = self.lock();
+        let Some(address) = state.placement.address_of(target, handed_over_ms) else { return };
+        let signals = &metadata.signals;
+        let is_new_leaving =
+            signals.is_leaving && state.placement.note_leaving_at(address, now).is_some();
+        let limit_change = match signals.limit {
+            LimitSignal::Named(limit) => state.placement.note_limit_at(address, limit, now),
+            LimitSignal::None | LimitSignal::Unreadable => LimitChange::None,
+        };
+        drop(state);
+        if is_new_leaving {
+            request_log!("target says that it leaves, in a response through another process", kv: {
+                target, request,
+            });
+        }
+        log_limit_change(target, limit_change, "its response through another process");
+        if let Some(signal) = signals.brittle {
+            self.note_brittle_at(address, signal, "its response through another process");
+        }
+    }
+
     /// Counts the headers that can't be decoded, and returns those that are to be logged: a target may
     /// send one with every answer.
     fn unreadable_to_log<'a>(
@@ -186,7 +218,7 @@
             log_limit_change(&address.to_string(), change, "its response to a call");
         }
         if let Some(signal) = signals.brittle {
-            self.note_brittle_at(address, signal);
+            self.note_brittle_at(address, signal, "its response to a call");
         }
         let is_new = |address| self.lock().placement.note_leaving_at(address, now);
         if let Some(target) = signals.is_leaving.then_some(address).and_then(is_new) {
--- a/crates/skylarkpick-schedule/src/placement/signals.rs
+++ b/crates/skylarkpick-schedule/src/placement/signals.rs
@@ -274,6 +274,14 @@
         }
     }
 
+    /// Returns the address of a registered target that started by `started_by_ms` (Unix time in
+    /// milliseconds): what it said in a response to a request that was sent after that is not about an
+    /// earlier start.
+    pub fn address_of(&self, target: &str, started_by_ms: u64) -> Option<SocketAddr> {
+        let registered = &self.targets.get(target)?.registration;
+        (registered.started_at_ms <= started_by_ms).then_some(registered.address)
+    }
+
     fn incarnation_at(&self, address: &SocketAddr) -> Option<Incarnation> {
         let target = self.registered_at(address)?;
         Some(Incarnation::open(&target.id, target.started_at_ms))
