Partial and invalid responses: a close amid the upload, statuses above 599

Cause: (a) a target that answers a long upload without a length and closes its side before it has seen all of it ended the response like a whole one: the client got 200 and 6 bytes of 15, closed cleanly. (b) Statuses 600 to 999 were forwarded to the client; 000 to 099 and heads that aren't HTTP were errors already. Change: the end of a connection amid a request counts as its failure (ResponseMeter::expect_request); a status above 599 is no response.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -238,6 +238,7 @@
         let Channel { sender, meter, carried, .. } = &mut self.channel;
         carried.push(self.attempt);
         let method = request.method().clone();
+        meter.expect_request();
         let response = sender.try_send_request(request).await.map_err(|mut error| {
             let text = describe(error.error());
             match error.take_message() {
--- a/crates/skylarkpick-forward/src/forwarding/attempt.rs
+++ b/crates/skylarkpick-forward/src/forwarding/attempt.rs
@@ -36,6 +36,9 @@
 /// carries at most a short text.
 const REJECTION_BODY_LIMIT_BYTES: usize = 16_384;
 
+/// Largest status of HTTP. The parser of heads takes any from 100 to 999.
+const MAX_STATUS: u16 = 599;
+
 /// Outcome of an attempt.
 pub(crate) enum AttemptOutcome {
     /// No byte of the request left this process.
@@ -246,13 +249,16 @@
         Ok(http_request)
     }
 
-    /// Checks that the response belongs to this request and is signed by the target.
+    /// Checks that the response has a status of HTTP, belongs to this request and is signed by the target.
     fn validate(
         &self,
         head: &Parts,
         metadata: &ResponseMetadata,
         is_reused: bool,
     ) -> Result<(), String> {
+        if head.status.as_u16() > MAX_STATUS {
+            return Err(format!("{} is no status of HTTP", head.status.as_u16()));
+        }
         // A target that rejects a request before it has read its ID may not name it. On a connection
         // that is in use again, such a response may as well be a late copy of an earlier one.
         let may_lack_id = metadata.is_not_run && !is_reused;
--- a/crates/skylarkpick-http/src/response_meter.rs
+++ b/crates/skylarkpick-http/src/response_meter.rs
@@ -1,4 +1,5 @@
-//! Bounds what a connection reads without a response head or a part of a body coming out of it.
+//! Bounds what a connection reads without a response head or a part of a body coming out of it, and
+//! notices a server that closes its side amid a request.
 
 use crate::{
     body_end::BodyEnd,
@@ -8,10 +9,11 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use std::{
+    io::ErrorKind,
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
     time::Duration,
@@ -33,9 +35,53 @@
 #[derive(Debug, Default)]
 pub struct ResponseMeter {
     unproductive_bytes: AtomicU64,
+    request: AtomicU8,
 }
 
+/// No request is being written, or none of its bytes has been.
+const NOT_BEGUN: u8 = 0;
+/// A request is to be written, and none of its bytes has been.
+const EXPECTED: u8 = 1;
+/// A part of a request has been written.
+const BEGUN: u8 = 2;
+
 impl ResponseMeter {
+    /// Has the end of the connection count as a failure while a part of the next request is still to be
+    /// written. Otherwise a body that ends with the connection would look like any other one, although the
+    /// server has answered, and closed its side, without having seen the whole request.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    /// let socket = tokio::net::TcpStream::connect(listener.local_addr()?).await?;
+    /// let stream = skylarkpick_http::MeteredStream::open(socket);
+    /// stream.meter().expect_request();
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn expect_request(&self) {
+        self.request.store(EXPECTED, Ordering::SeqCst);
+    }
+
+    fn note_written(&self, count: usize) {
+        if count > 0 {
+            let (from, to) = (EXPECTED, BEGUN);
+            let _ = self.request.compare_exchange(from, to, Ordering::SeqCst, Ordering::SeqCst);
+        }
+    }
+
+    /// Records that all bytes that were to be written have been. The whole request is handed to the
+    /// connection before it writes, since its body is held in memory.
+    fn note_flushed(&self) {
+        let (from, to) = (BEGUN, NOT_BEGUN);
+        let _ = self.request.compare_exchange(from, to, Ordering::SeqCst, Ordering::SeqCst);
+    }
+
+    fn is_amid_request(&self) -> bool {
+        self.request.load(Ordering::SeqCst) == BEGUN
+    }
+
     /// Starts the count again, since a response head or a part of a body has come out.
     fn note_progress(&self) {
         self.unproductive_bytes.store(0, Ordering::Relaxed);
@@ -87,7 +133,9 @@
     }
 
     fn note_written(&mut self, written: &Poll<std::io::Result<usize>>) {
-        if let (Poll::Ready(Ok(count)), Some(limit)) = (written, &mut self.unacknowledged_limit) {
+        let Poll::Ready(Ok(count)) = written else { return };
+        self.meter.note_written(*count);
+        if let Some(limit) = &mut self.unacknowledged_limit {
             limit.note_written(&self.stream, *count);
         }
     }
@@ -117,6 +165,11 @@
         if let (true, Some(limit)) = (read > 0, unacknowledged_limit) {
             limit.note_read(stream);
         }
+        let is_end = read == 0 && buffer.remaining() > 0;
+        if is_end && self.meter.is_amid_request() {
+            let why = "closed before all of the request was written";
+            return Poll::Ready(Err(std::io::Error::new(ErrorKind::UnexpectedEof, why)));
+        }
         let unproductive = self.meter.unproductive_bytes.fetch_add(read, Ordering::Relaxed) + read;
         if unproductive > UNPRODUCTIVE_LIMIT_BYTES {
             let why = format!("{unproductive} bytes without a part of a response");
@@ -155,7 +208,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.meter.note_flushed();
+        }
+        flushed
     }
 
     fn poll_shutdown(
