Fair sharing of waiting requests between client accounts

Cause: requests that find no capacity wait by rank and time, so that a burst of one account stands before the requests of all others. Change: FairWaiting orders the requests of one service and rank by arrival among accounts that are not well ahead in virtual start time; FairQueue and it share the start times. Requests that can't be answered in time are refused if others wait. On only where the settings name pressure and the configuration has accounts. Not measured on a deployment.

--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -17,7 +17,7 @@
 mod tests;
 
 pub(crate) use active_request::ActiveRequest;
-pub(crate) use forwarder::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder};
+pub(crate) use forwarder::{BUFFERED_TOTAL_LIMIT_BYTES, Forwarder, UNKNOWN_WAIT};
 pub(crate) use response::{
     ClientBody, IncompleteResponse, ResponseDeadline, may_end_with_connection,
 };
--- a/crates/skylarkpick-forward/src/forwarding/active_request.rs
+++ b/crates/skylarkpick-forward/src/forwarding/active_request.rs
@@ -1,6 +1,6 @@
 //! A request of a client while it is forwarded.
 
-use crate::{crashes::CausePermit, node_state::InFlightGuard};
+use crate::{crashes::CausePermit, fair_turns::FairTurn, node_state::InFlightGuard};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use skylarkpick_interface::{
@@ -48,6 +48,8 @@
     pub(super) capacity_wait_share: f64,
     /// Whether the request has waited for capacity.
     pub(super) has_waited: bool,
+    /// Its turn among the requests that wait for capacity.
+    pub(super) turn: FairTurn,
     /// Version of the serving document that the request was checked against.
     pub(super) serving_version: u64,
     /// Whether another process has handed the request over.
@@ -145,6 +147,9 @@
 
     /// Returns whether the request can wait until it may be placed.
     pub(super) fn may_wait_for(&self, why: UnplacedReason) -> bool {
+        if self.turn.is_shed() {
+            return false;
+        }
         let wait = match why {
             UnplacedReason::Full { wait } if self.placement_request.prompt.is_some() => {
                 wait.min(CAPACITY_WAIT_STEP)
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -58,7 +58,7 @@
 /// thousands.
 const SHARED_PARTS_LIMIT: usize = 64;
 /// Expected wait if there is no estimate.
-pub(super) const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
+pub(crate) const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
 /// Forwards the requests of a process.
 pub(crate) struct Forwarder {
@@ -184,6 +184,12 @@
             (None, None) => Caller::Unknown,
         };
         let number = request_number(&parts.method, &path, caller, &body);
+        let turn = self.node_state.fair_turns.open_turn(
+            serving.uses_keys(),
+            account.as_deref(),
+            &placement_request,
+            received + route.target_latency,
+        );
         let causes = std::iter::once(CrashCause::Request(number)).chain(shared_parts).collect();
         Ok(ActiveRequest {
             received,
@@ -203,6 +209,7 @@
             capacity_wait_share: self.node_state.lock().placement.policy().capacity_wait_share,
             serving_version: serving.version(),
             has_waited: false,
+            turn,
             is_taken_over: false,
             sends_elsewhere: 0,
             is_counted: false,
@@ -443,7 +450,9 @@
                 let why = "it may end targets".to_string();
                 return SendResult::Failed(GatewayError::RetryLater { wait }, why);
             }
-            let decision = self.node_state.choose(&request.placement_request, request.has_waited);
+            let (placement_request, has_waited) = (&request.placement_request, request.has_waited);
+            let decision =
+                self.node_state.choose_in_turn(placement_request, has_waited, &mut request.turn);
             let assignment = match decision {
                 PlacementDecision::Assigned(assignment) => assignment,
                 PlacementDecision::Unplaced(why) if request.may_wait_for(why) => {
@@ -456,7 +465,8 @@
                         });
                     }
                     let until = request.waits_until();
-                    self.node_state.wait_for_capacity(&request.placement_request, until).await;
+                    let (placement_request, turn) = (&request.placement_request, &mut request.turn);
+                    self.node_state.wait_in_turn(placement_request, until, turn).await;
                     continue;
                 }
                 PlacementDecision::Unplaced(UnplacedReason::NoPlace { wait: None }) => {
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -13,6 +13,9 @@
 #[cfg(test)]
 mod connection_pool_tests;
 mod crashes;
+mod fair_turns;
+#[cfg(test)]
+mod fair_turns_tests;
 mod fleet;
 mod forwarding;
 mod hand_over;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -91,6 +91,7 @@
     pub async fn spawn(parts: NodeParts) -> std::io::Result<Node> {
         let settings = &parts.settings;
         let node_state = NodeState::open(parts.clock.clone(), settings.bounds, parts.policy);
+        node_state.fair_turns.set_pressing(settings.has_pressing_clients);
         let control = PausingControl::open(parts.control.clone(), node_state.clone());
         let peer_client = Arc::new(PeerClient::default());
         let watcher = Arc::new(FleetWatcher {
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a process: serving document, placement and retry budgets.
 
 use crate::{
+    fair_turns::FairTurns,
     log::MatterLog,
     peers::{BrittleNotice, LimitNotice},
     serving_index::ServingIndex,
@@ -37,7 +38,7 @@
 /// Node time at boot, so that the node time of what happened before the boot is not negative.
 const NODE_TIME_AT_BOOT: Duration = Duration::from_secs(24 * 60 * 60);
 /// Longest time after which a request that waits for capacity is placed again.
-const CAPACITY_POLL: Duration = Duration::from_millis(25);
+pub(crate) const CAPACITY_POLL: Duration = Duration::from_millis(25);
 
 /// State shared by all requests of a process.
 pub(crate) struct NodeState {
@@ -52,6 +53,8 @@
     desired_weights_changed: Notify,
     /// Wakes the requests that wait for capacity when some may have become free.
     capacity_changed: Notify,
+    /// Turns of the requests that wait for capacity.
+    pub(crate) fair_turns: Arc<FairTurns>,
     /// Wakes the attempts that have not started when the causes that are blamed change.
     pub(crate) blame_changed: Notify,
     /// Wakes the task that writes the evidence of ended targets to the platform.
@@ -142,6 +145,7 @@
             weights_changed: Notify::new(),
             desired_weights_changed: Notify::new(),
             capacity_changed: Notify::new(),
+            fair_turns: Arc::default(),
             blame_changed: Notify::new(),
             evidence_changed: Notify::new(),
             limits_changed: Notify::new(),
@@ -210,6 +214,16 @@
     /// a brittle service while others wait for it, unless the request has waited too, and none for a
     /// prompt before the desired weights are known.
     pub(crate) fn choose(&self, request: &PlacementRequest, has_waited: bool) -> PlacementDecision {
+        self.choose_behind(request, has_waited, None)
+    }
+
+    /// Chooses a target for a request with so many requests ahead of it; `None` if all that wait are.
+    pub(crate) fn choose_behind(
+        &self,
+        request: &PlacementRequest,
+        has_waited: bool,
+        ahead: Option<u32>,
+    ) -> PlacementDecision {
         if request.prompt.is_some() && !self.knows_weights.load(Ordering::SeqCst) {
             return PlacementDecision::Unplaced(UnplacedReason::NoneUsable);
         }
@@ -221,7 +235,7 @@
             return decision;
         }
         let (service, rank) = (&request.service, request.rank);
-        let ahead = state.waiting.count_ahead(service, rank);
+        let ahead = ahead.unwrap_or_else(|| state.waiting.count_ahead(service, rank));
         let place_wait = || state.placement.place_wait(request, ahead, now);
         let has_more_urgent = state.waiting.has_more_urgent(service, rank);
         match decision {
@@ -242,6 +256,25 @@
         }
     }
 
+    /// Returns why a request can't be placed while so many others go first; `None` if requests of the
+    /// service don't wait.
+    pub(crate) fn wait_for_others(
+        &self,
+        request: &PlacementRequest,
+        ahead: u32,
+    ) -> Option<UnplacedReason> {
+        match self.lock().placement.place_wait(request, ahead, self.now()) {
+            None if request.prompt.is_some() => Some(UnplacedReason::Full { wait: CAPACITY_POLL }),
+            None => None,
+            wait => Some(UnplacedReason::NoPlace { wait }),
+        }
+    }
+
+    /// Counts a request as waiting for capacity until the guard is dropped.
+    pub(crate) fn count_waiting(&self, request: &PlacementRequest) -> WaitingGuard<'_> {
+        WaitingGuard::begin(self, request)
+    }
+
     /// Waits until a target may have capacity for the request, or until `until`.
     pub(crate) async fn wait_for_capacity(
         self: &Arc<Self>,
@@ -257,13 +290,14 @@
     /// Has the requests that wait for capacity placed again.
     pub(crate) fn note_capacity_changed(&self) {
         self.capacity_changed.notify_waiters();
+        self.fair_turns.begin_round();
     }
 
     /// Applies a sample of an engine's memory that the engine returned `age` ago.
     pub(crate) fn observe_memory(&self, target: &str, sample: MemorySample, age: Duration) {
         let reported_at = self.now().saturating_sub(age);
         self.lock().placement.observe_memory(target, sample, reported_at);
-        self.capacity_changed.notify_waiters();
+        self.note_capacity_changed();
     }
 
     /// Counts a request as in flight at the assigned target until the guard is dropped.
@@ -460,7 +494,7 @@
 }
 
 /// Counts a request as waiting for capacity until dropped.
-struct WaitingGuard<'a> {
+pub(crate) struct WaitingGuard<'a> {
     node_state: &'a NodeState,
     service: ServiceName,
     rank: u8,
@@ -541,7 +575,7 @@
         }
         state.placement.end(&self.assignment, self.outcome, elapsed, now);
         drop(state);
-        self.node_state.capacity_changed.notify_waiters();
+        self.node_state.note_capacity_changed();
     }
 }
 
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -9,6 +9,9 @@
 
 mod admission;
 mod crashes;
+mod fair_waiting;
+#[cfg(test)]
+mod fair_waiting_tests;
 mod health;
 mod limit;
 mod placement;
@@ -27,6 +30,7 @@
 pub use crashes::{
     CrashEvidence, CrashVerdict, EVIDENCE_LIFETIME, ReportSource, evidence_keepers, part_number,
 };
+pub use fair_waiting::{FairWaiting, WaiterId, WaitingClass};
 pub use health::{Ejection, TargetHealth, TargetState};
 pub use limit::{AccountLimits, AccountShares, Demand, InFlightLimit, InFlightRules, TokenBucket};
 pub use placement::{
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -4,6 +4,7 @@
 //! Under ordinary load, cached context decides. In a burst or after the loss of targets, queue
 //! lengths do.
 
+mod answer_time;
 mod brittle;
 #[cfg(test)]
 mod brittle_place_tests;
--- a/crates/skylarkpick-schedule/src/queue/fair.rs
+++ b/crates/skylarkpick-schedule/src/queue/fair.rs
@@ -1,10 +1,10 @@
 //! A queue that is fair among client accounts by estimated tokens.
 //!
-//! Start-time fair queueing (Goyal, Vin and Cheng, 1996): each account has a virtual start time.
-//! The account with the lowest one is served, and its start time advances by the tokens served,
-//! divided by its weight. An account that was idle restarts at the virtual time of the queue, so it
-//! accumulates no credit. Within an account, requests are served by priority, then by arrival.
+//! The account with the lowest virtual start time ([`AccountStarts`]) is served, and its start time
+//! advances by the tokens served, divided by its weight. Within an account, requests are served by
+//! priority, then by arrival.
 
+use super::account_starts::AccountStarts;
 use skylarkpick_interface::{AccountId, Priority};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -16,6 +16,8 @@
 
 /// Units of virtual time per token of an account of weight 1.
 const UNITS_PER_TOKEN: f64 = 1_000.0;
+/// Credit of an account for the time for which it was idle.
+const NO_CREDIT: u64 = 0;
 /// Idle accounts to remember before those that the virtual time has reached are dropped.
 const IDLE_ACCOUNTS_LIMIT: usize = 64;
 /// Priorities in the order of service.
@@ -44,14 +46,13 @@
     accounts: BTreeMap<AccountId, AccountQueue>,
     /// Accounts with waiting requests, by their virtual start time.
     by_virtual_start: BTreeSet<(u64, AccountId)>,
-    virtual_time: u64,
+    starts: AccountStarts,
     waiting_tokens: u64,
 }
 
 #[derive(Debug, Default)]
 struct AccountQueue {
     weight: f64,
-    next_start: u64,
     waiting_tokens: u64,
     by_priority: [VecDeque<QueuedId>; 3],
 }
@@ -85,12 +86,11 @@
     /// ```
     pub fn push(&mut self, queued: QueuedRequest, weight: f64) {
         let queued = QueuedRequest { cost_tokens: queued.cost_tokens.max(1), ..queued };
-        let virtual_time = self.virtual_time;
         let account = self.accounts.entry(queued.account.clone()).or_default();
         account.weight = weight;
         if account.is_empty() {
-            account.next_start = account.next_start.max(virtual_time);
-            self.by_virtual_start.insert((account.next_start, queued.account.clone()));
+            let start = self.starts.begin(&queued.account, NO_CREDIT);
+            self.by_virtual_start.insert((start, queued.account.clone()));
         }
         account.waiting_tokens += queued.cost_tokens;
         account.by_priority[priority_index(queued.priority)].push_back(queued.id);
@@ -101,17 +101,17 @@
 
     /// Removes and returns the next request in the order of service.
     pub fn pop(&mut self) -> Option<QueuedRequest> {
-        let (start, name) = self.by_virtual_start.pop_first()?;
-        self.virtual_time = self.virtual_time.max(start);
+        let (_, name) = self.by_virtual_start.pop_first()?;
         let account = self.accounts.get_mut(&name)?;
         let id = next_of(account, &self.waiting)?;
         let queued = self.waiting.remove(&id)?;
         self.by_start_by.remove(&(queued.start_by, id));
         self.waiting_tokens -= queued.cost_tokens;
         account.waiting_tokens -= queued.cost_tokens;
-        account.next_start = start + virtual_length(queued.cost_tokens, account.weight);
+        let length = virtual_length(queued.cost_tokens, account.weight);
+        let next_start = self.starts.serve(&name, length);
         if !account.is_empty() {
-            self.by_virtual_start.insert((account.next_start, name));
+            self.by_virtual_start.insert((next_start, name));
         }
         self.drop_idle_accounts();
         Some(queued)
@@ -125,7 +125,8 @@
         if let Some(account) = self.accounts.get_mut(&queued.account) {
             account.waiting_tokens -= queued.cost_tokens;
             if account.is_empty() {
-                self.by_virtual_start.remove(&(account.next_start, queued.account.clone()));
+                let start = self.starts.start_of(&queued.account);
+                self.by_virtual_start.remove(&(start, queued.account.clone()));
                 account.by_priority.iter_mut().for_each(VecDeque::clear);
             }
         }
@@ -172,14 +173,14 @@
         self.waiting_tokens
     }
 
-    /// Drops idle accounts whose start time the virtual time has reached. Their state no longer
-    /// influences the order of service.
+    /// Drops idle accounts that no longer influence the order of service.
     fn drop_idle_accounts(&mut self) {
-        if self.accounts.len() < 2 * self.by_virtual_start.len() + IDLE_ACCOUNTS_LIMIT {
+        if self.starts.len() < 2 * self.by_virtual_start.len() + IDLE_ACCOUNTS_LIMIT {
             return;
         }
-        let virtual_time = self.virtual_time;
-        self.accounts.retain(|_, account| !account.is_empty() || account.next_start > virtual_time);
+        let accounts = &mut self.accounts;
+        accounts.retain(|_, account| !account.is_empty());
+        self.starts.drop_idle(|account| accounts.contains_key(account));
     }
 }
 
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -267,6 +267,14 @@
     description: "requests of the process that targets turned away which count as brittle",
 };
 
+/// Turns of requests for capacity, where it is shared fairly between client accounts.
+pub const WAITING_TURNS: Metric = Metric {
+    name: "waiting.turns",
+    kind: MetricKind::Counter,
+    tags: &["end"],
+    description: "turns of requests for capacity that client accounts share fairly, by how they ended",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -299,4 +307,5 @@
     SIGNALS_UNREADABLE,
     BRITTLE_TARGETS,
     BRITTLE_REJECTIONS,
+    WAITING_TURNS,
 ];
