--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -19,6 +19,9 @@
 mod evacuations;
 #[cfg(test)]
 mod evacuations_tests;
+mod fair_turns;
+#[cfg(test)]
+mod fair_turns_tests;
 mod fleet;
 mod forwarding;
 mod hand_over;
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -307,6 +307,14 @@
     description: "request bodies that were not read to their end",
 };
 
+/// Turns of requests for capacity, where it is shared fairly between client accounts.
+pub const WAITING_TURNS: Metric = Metric {
+    name: "waiting.turns",
+    kind: MetricKind::Counter,
+    tags: &["end"],
+    description: "turns of requests for capacity that client accounts share fairly, by how they ended",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -344,4 +352,5 @@
     DATA_CENTRES_EVACUATED,
     BODIES_HELD_BYTES,
     BODIES_REFUSED,
+    WAITING_TURNS,
 ];
