Test cold targets that were away for long

Cause: the tests covered only targets that are back before the time ends for which a failed connection makes them cold.

Change: a case with 9 s instead of 2 s, and records that are read up to 1 s late. How much cold targets serve isn't checked there: pauses after failed connections keep processes away for up to 4 s.

The model's targets take the same time for each request however many they run, so that the shares served say only how many requests found a target.

--- a/crates/skylarkpick-schedule/src/placement/cold_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/cold_tests.rs
@@ -26,6 +26,8 @@
 const CRASH_REQUESTS: usize = 20;
 /// Time after a crash at which a target starts again.
 const RESTART_TIME: Duration = Duration::from_secs(2);
+/// Longer than the time for which a failure makes a target cold, and than the longest pause after one.
+const LONG_RESTART_TIME: Duration = Duration::from_secs(9);
 const RUN_TIME: Duration = Duration::from_millis(400);
 const SLOTS: u32 = 6;
 /// Longest time until another process reads a notice.
@@ -163,7 +165,8 @@
     under_way: Vec<usize>,
 }
 
-/// Many processes and targets in virtual time.
+/// Many processes and targets in virtual time. A target takes the same time for each request, however
+/// many it runs; its reports say how many exceed its slots.
 struct Play {
     random: StdRng,
     processes: Vec<Placement>,
@@ -174,6 +177,7 @@
     lists: Lists,
     /// Longest time until a process reads a record.
     record_delay: Duration,
+    restart_time: Duration,
     requested: usize,
     served: usize,
     /// Requests that cold targets served.
@@ -215,6 +219,7 @@
             sends: Vec::new(),
             lists,
             record_delay,
+            restart_time: RESTART_TIME,
             requested: 0,
             served: 0,
             served_cold: 0,
@@ -394,7 +399,7 @@
         for send in under_way {
             self.at(now + MILLISECOND, Event::Unreached(send));
         }
-        self.at(now + RESTART_TIME, Event::Restart(number));
+        self.at(now + self.restart_time, Event::Restart(number));
     }
 
     fn restart(&mut self, number: usize, now: Duration) {
@@ -420,7 +425,8 @@
         lists: Lists,
         /// Longest time until a process reads a record.
         record_delay: Duration,
-        /// 40 targets serve 600.
+        restart_time: Duration,
+        /// 40 targets have slots for 600.
         requests_per_second: f64,
         /// Share of the requests that is served at least.
         served: f64,
@@ -431,6 +437,7 @@
         name: "twenty come back",
         lists: Lists::Equal,
         record_delay: 200 * MILLISECOND,
+        restart_time: RESTART_TIME,
         requests_per_second: 400.0,
         served: 0.98,
         served_cold: 0,
@@ -441,16 +448,26 @@
         case,
         overload,
         Case { name: "records are read late", record_delay: SECOND, ..overload },
+        Case {
+            name: "targets are away for long, and records are read late",
+            record_delay: SECOND,
+            restart_time: LONG_RESTART_TIME,
+            // Pauses of up to 4 s after failed connections keep processes away.
+            served_cold: 0,
+            ..overload
+        },
         Case { name: "lists of differing age", lists: Lists::Replaced, ..overload },
         Case { name: "three groups", lists: Lists::Partitioned, ..overload },
         Case { name: "half start", lists: Lists::Starting, ..overload },
         Case { name: "the platform is away", lists: Lists::PlatformAway, ..overload },
     ];
     for case in cases {
-        let Case { name, lists, record_delay, requests_per_second, served, served_cold } = case;
+        let Case { name, lists, record_delay, restart_time, .. } = case;
+        let Case { requests_per_second, served, served_cold, .. } = case;
         let mut play = Play::open(lists, record_delay, 7);
+        play.restart_time = restart_time;
         play.at(BEGIN + SECOND, Event::Stop { first: 1, last: 20 });
-        play.run(requests_per_second, 8 * SECOND);
+        play.run(requests_per_second, restart_time + 6 * SECOND);
         let most = play.most();
         let share = play.served as f64 / play.requested as f64;
         println!("{name}: {most} at most, {share:.3} served, {} by cold ones", play.served_cold);
