List a red test of cold targets that come back unnoticed

Processes that neither tried the target while it was down nor have read its record take it for warm.

--- a/crates/skylarkpick-schedule/src/placement/cold_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/cold_tests.rs
@@ -478,6 +478,19 @@
     }
 }
 
+/// Guards against processes that take a target for warm since none of them noticed that it had ended: it
+/// was idle, and nobody tried to connect before it was back.
+#[test]
+#[ignore = "known red: KNOWN-RED.txt, 32"]
+fn an_idle_target_that_comes_back_unnoticed_gets_no_more_than_the_bound() {
+    for seed in 1..=3 {
+        let mut play = Play::open(Lists::Equal, SECOND, seed);
+        play.at(BEGIN + SECOND, Event::Stop { first: 1, last: 20 });
+        play.run(800.0, 8 * SECOND);
+        assert!(play.most() <= BOUND_REQUESTS, "seed {seed}: {} in a second", play.most());
+    }
+}
+
 /// Shows that the load of the tests above makes targets crash one after the other without the rule.
 #[test]
 fn targets_crash_again_and_again_without_the_bound() {
