Placement: estimate the speed of single targets, off by default

Cause: ServiceTiming learns times by service, so that a target that is slower than the others of its service costs the same as they do.

Change: placement/target_speed.rs estimates, for each start of a target, the lasting slowness (a quantile of the last 24 times, with detection of changes, fading to usual without new times), a momentary factor from the reported figure that is trusted only while it is fresh, and the load from which times grow. The costs, waits and room of placement scale with it. PlacementPolicy::target_speeds switches it: always, never or reported. The default is never, so that decisions are as before.

--- a/crates/skylarkpick-config/src/schema/policy.rs
+++ b/crates/skylarkpick-config/src/schema/policy.rs
@@ -34,4 +34,9 @@
         FieldKind::Boolean,
         "Whether whole data centres are found unreachable",
     ),
+    field(
+        "target_speeds",
+        FieldKind::Choice(&["always", "never", "reported"]),
+        "For which services the speeds of single targets are learned",
+    ),
 ];
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -37,6 +37,9 @@
 #[cfg(test)]
 mod spread_tests;
 mod target;
+mod target_speed;
+#[cfg(test)]
+mod target_speed_tests;
 #[cfg(test)]
 mod test_fleet;
 #[cfg(test)]
@@ -54,6 +57,7 @@
 pub use policy::PlacementPolicy;
 pub use selection::Placement;
 pub use target::{TargetOutcome, TargetView};
+pub use target_speed::{SpeedChange, SpeedLearning, SpeedSample, SpeedSummary};
 pub use types::{
     Assignment, PlacementDecision, PlacementPrompt, PlacementRequest, PlannedTransfer,
     UnplacedReason,
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -84,8 +84,15 @@
     let slots = f64::from(target.slots());
     let wait_ms = ((in_flight + 1.0 - slots) / slots).max(0.0) * timing.run_ms();
     let distance = distance_penalty_ms(target, request);
+    let pace = timing.pace();
+    // A call ends with its run, so that the whole run counts, and not only the wait for it.
+    let pace_ms = pace_penalty_ms(timing, in_flight + 1.0, slots)
+        + timing.run_ms() * (1.0 - 1.0 / pace.slowness);
     Cost {
-        total_ms: wait_ms + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS + distance,
+        total_ms: wait_ms
+            + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS * pace.slowness
+            + distance
+            + pace_ms,
         wait_ms,
         capacity_wait_ms: 0.0,
     }
@@ -129,7 +136,8 @@
     let weights_penalty_ms = if has_newer_weights { OLD_WEIGHTS_PENALTY_MS } else { 0.0 };
     let total_ms = wait_ms
         + queue_ms
-        + in_flight * ENGINE_IN_FLIGHT_DELAY_MS
+        + in_flight * ENGINE_IN_FLIGHT_DELAY_MS * timing.pace().slowness
+        + pace_penalty_ms(timing, in_flight + 1.0, slots)
         + occupancy_penalty_ms
         + plan.ready_ms
         + weights_penalty_ms
@@ -139,6 +147,11 @@
     Cost { total_ms, wait_ms: wait_ms + queue_ms, capacity_wait_ms: memory_wait_ms }
 }
 
+/// Returns the penalty of a target with more requests than it handles well.
+fn pace_penalty_ms(timing: &ServiceTiming, requests: f64, slots: f64) -> f64 {
+    timing.pace().excess(requests, slots) * timing.run_ms()
+}
+
 /// Memory of an engine in use with one more request, as shares of its capacity.
 struct Occupancy {
     share: f64,
--- a/crates/skylarkpick-schedule/src/placement/policy.rs
+++ b/crates/skylarkpick-schedule/src/placement/policy.rs
@@ -1,5 +1,6 @@
 //! Weights and switches of placement, for experiments.
 
+use super::target_speed::SpeedLearning;
 use serde::Deserialize;
 
 /// Weights and switches of placement. The default is what serves; a settings file replaces single
@@ -38,6 +39,8 @@
     pub ejects_targets: bool,
     /// Whether a data centre counts as unreachable after failures of several of its targets.
     pub detects_partitions: bool,
+    /// For which services the speeds of single targets are learned.
+    pub target_speeds: SpeedLearning,
 }
 
 impl Default for PlacementPolicy {
@@ -54,6 +57,7 @@
             saves_parts: true,
             ejects_targets: true,
             detects_partitions: true,
+            target_speeds: SpeedLearning::Never,
         }
     }
 }
--- a/crates/skylarkpick-schedule/src/placement/selection.rs
+++ b/crates/skylarkpick-schedule/src/placement/selection.rs
@@ -9,6 +9,7 @@
     policy::PlacementPolicy,
     reachability::DataCentreReachability,
     target::{TargetOutcome, TargetView},
+    target_speed::TargetSpeeds,
     timing::ServiceTiming,
     types::{Assignment, PlacementDecision, PlacementPrompt, PlacementRequest, UnplacedReason},
     weights::DesiredWeightsView,
@@ -38,7 +39,8 @@
     pub(super) heard: HeardSignals,
     pub(super) brittle: BrittlePlaces,
     pub(super) timings: BTreeMap<ServiceName, ServiceTiming>,
-    policy: PlacementPolicy,
+    pub(super) speeds: TargetSpeeds,
+    pub(super) policy: PlacementPolicy,
     /// Which caches hold which parts.
     pub parts: PartDirectory,
     /// Weights that new runs may start on.
@@ -108,6 +110,7 @@
             heard: HeardSignals::default(),
             brittle: BrittlePlaces::default(),
             timings: BTreeMap::new(),
+            speeds: TargetSpeeds::default(),
             parts: PartDirectory::default(),
             weights: DesiredWeightsView::open(old_weights_usable_for),
         }
@@ -144,6 +147,7 @@
         self.brittle.note_change();
         let previous = self.targets.insert(registration.id.clone(), TargetView::open(registration));
         if let Some(previous) = previous {
+            self.speeds.forget(&previous.registration.id);
             self.parts.forget(&previous.registration.address);
         }
         self.update_caches();
@@ -154,6 +158,7 @@
     pub fn remove_target(&mut self, id: &str) {
         if let Some(state) = self.targets.remove(id) {
             self.brittle.note_change();
+            self.speeds.forget(id);
             self.parts.forget(&state.registration.address);
         }
         self.update_caches();
@@ -323,7 +328,8 @@
         lookup: &mut Lookup<'a>,
         now: Duration,
     ) -> Option<Candidate<'a>> {
-        let timing = self.timing(&request.service);
+        let pace = self.speeds.pace(&target.registration, &self.policy, now);
+        let timing = self.timing(&request.service).at_pace(pace);
         let plain = || Candidate {
             target,
             cost: cost::plain_cost(target, request, &timing, now),
@@ -495,7 +501,7 @@
     }
 
     /// Returns what was learned of the times of a service.
-    fn timing(&self, service: &str) -> ServiceTiming {
+    pub(super) fn timing(&self, service: &str) -> ServiceTiming {
         self.timings.get(service).copied().unwrap_or_default()
     }
 
@@ -509,6 +515,9 @@
         now: Duration,
     ) {
         self.brittle.end(assignment.address, assignment.started_at_ms);
+        if outcome == TargetOutcome::Served {
+            self.observe_call_speed(assignment, elapsed, now);
+        }
         if let Some(state) = self.targets.get_mut(&assignment.target) {
             state.own_requests = state.own_requests.saturating_sub(1);
             state.own_tokens = state.own_tokens.saturating_sub(assignment.memory_tokens);
@@ -569,6 +578,9 @@
     pub fn observe_load(&mut self, target: &str, load: ReportedLoad, now: Duration) {
         if let Some(state) = self.targets.get_mut(target) {
             state.observe_load(load, now);
+            if let Some(percent) = load.slowness_percent {
+                self.speeds.observe_report(&state.registration, percent, &self.policy, now);
+            }
             self.brittle.note_load(&state.registration.service, target, load, now);
         }
     }
--- a/crates/skylarkpick-schedule/src/placement/timing.rs
+++ b/crates/skylarkpick-schedule/src/placement/timing.rs
@@ -1,6 +1,9 @@
 //! Learns how long the targets of a service take from the requests that this process sent them.
 
-use super::estimate::{MeanEstimate, QuantileEstimate};
+use super::{
+    estimate::{MeanEstimate, QuantileEstimate},
+    target_speed::TargetPace,
+};
 
 /// Lower quartile: mostly prompts that met no queue.
 const UNLOADED_QUANTILE: f64 = 0.25;
@@ -49,6 +52,8 @@
     memory_tokens: MeanEstimate,
     /// Product of a request's tokens and the time for which it occupied them.
     memory_token_ms: MeanEstimate,
+    /// Pace of the target for which the times hold.
+    pace: TargetPace,
 }
 
 impl Default for ServiceTiming {
@@ -62,29 +67,40 @@
             run_ms: open(RUN_PRIOR_MS, TYPICAL_QUANTILE, RUN_BOUNDS_MS),
             memory_tokens: MeanEstimate::open(MEMORY_PRIOR_TOKENS),
             memory_token_ms: MeanEstimate::open(MEMORY_PRIOR_TOKENS * RESIDENCE_PRIOR_MS),
+            pace: TargetPace::default(),
         }
     }
 }
 
 impl ServiceTiming {
+    /// Returns the times at one target of the service.
+    pub(super) fn at_pace(self, pace: TargetPace) -> ServiceTiming {
+        ServiceTiming { pace, ..self }
+    }
+
+    /// Returns the pace of the target for which the times hold.
+    pub(super) fn pace(&self) -> TargetPace {
+        self.pace
+    }
+
     /// Returns the time until the first byte of a response to a prompt without uncached tokens.
     pub(super) fn response_ms(&self) -> f64 {
-        self.response_ms.value()
+        self.response_ms.value() * self.pace.slowness
     }
 
     /// Returns the time that an idle engine takes to prefill tokens.
     pub(super) fn prefill_ms(&self, tokens: u64) -> f64 {
-        tokens as f64 * self.prefill_ms_per_token.value()
+        tokens as f64 * self.prefill_ms_per_token.value() * self.pace.slowness
     }
 
     /// Returns the time that an idle engine takes to prefill a typical prompt.
     pub(super) fn prompt_prefill_ms(&self) -> f64 {
-        self.prompt_prefill_ms.value()
+        self.prompt_prefill_ms.value() * self.pace.slowness
     }
 
     /// Returns the time for which a request typically occupies a slot.
     pub(super) fn run_ms(&self) -> f64 {
-        self.run_ms.value()
+        self.run_ms.value() * self.pace.slowness
     }
 
     /// Returns the mean memory of a request.
@@ -94,7 +110,7 @@
 
     /// Returns the time for which a token of memory is occupied, averaged over tokens.
     pub(super) fn residence_ms(&self) -> f64 {
-        self.memory_token_ms.value() / self.memory_tokens.value().max(1.0)
+        self.memory_token_ms.value() / self.memory_tokens.value().max(1.0) * self.pace.slowness
     }
 
     /// Records a prompt that was sent to an engine.
