Placement: use own times and reports of single targets where they report

Cause: targets of unequal speed cost the same in placement.

Change: the speeds learned in target_speed.rs are on by default for services whose targets report their slowness (target_speeds: reported). Each process learns from its own times. No message between processes changes.

The tests of skylarkpick-forward were not run before this commit.

--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -33,6 +33,7 @@
 mod retry_budget_tests;
 mod serving_index;
 mod streams;
+mod target_speeds;
 #[cfg(test)]
 mod test_support;
 
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -527,6 +527,7 @@
             let elapsed = now.saturating_sub(self.sent_at);
             let mut state = self.node_state.lock();
             state.placement.note_first_response(&self.assignment, elapsed);
+            state.placement.observe_prompt_speed(&self.assignment, elapsed, now);
         }
     }
 }
--- a/crates/skylarkpick-forward/src/pauses.rs
+++ b/crates/skylarkpick-forward/src/pauses.rs
@@ -162,6 +162,7 @@
             tokio::time::sleep(LIMIT_COLLECTION_TIME).await;
         }
         node_state.log_silent_ends();
+        node_state.log_speed_changes();
         if let Some(notice) = node_state.take_untold() {
             watcher.peer_client.broadcast(&watcher.records, &notice);
             // A target that turned a request away can't wait. Each makes this process pause there.
--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -54,6 +54,7 @@
         let (parts, requests) = self.node_state.count_blamed();
         metrics.set(&PARTS_BLAMED, parts, &[]);
         metrics.set(&REQUESTS_BLAMED, requests, &[]);
+        self.node_state.set_speed_metric();
         metrics.set(&BRITTLE_TARGETS, self.node_state.count_brittle(), &[]);
         Response::new(full_body(self.exposition.text()))
     }
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -33,8 +33,8 @@
     Assignment, CacheKind, CacheView, DesiredWeightsView, LimitChange, MemorySample,
     OutdatedPartFinder, OutdatedParts, PartDirectory, PartFingerprint, PartKey, Placement,
     PlacementDecision, PlacementPolicy, PlacementPrompt, PlacementRequest, PlannedTransfer,
-    SpeedChange, SpeedLearning, SpeedSample, SpeedSummary, TargetOutcome, TargetView,
-    UnplacedReason, WaitingRequests,
+    SpeedChange, SpeedLearning, SpeedSummary, TargetOutcome, TargetView, UnplacedReason,
+    WaitingRequests,
 };
 pub use queue::{FairQueue, QueuedId, QueuedRequest};
 pub use reach::{ConnectFailure, HelperAddress, Helpers, ServiceReach};
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -39,6 +39,8 @@
 mod target;
 mod target_speed;
 #[cfg(test)]
+mod target_speed_load_tests;
+#[cfg(test)]
 mod target_speed_tests;
 #[cfg(test)]
 mod test_fleet;
@@ -57,7 +59,7 @@
 pub use policy::PlacementPolicy;
 pub use selection::Placement;
 pub use target::{TargetOutcome, TargetView};
-pub use target_speed::{SpeedChange, SpeedLearning, SpeedSample, SpeedSummary};
+pub use target_speed::{SpeedChange, SpeedLearning, SpeedSummary};
 pub use types::{
     Assignment, PlacementDecision, PlacementPrompt, PlacementRequest, PlannedTransfer,
     UnplacedReason,
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -86,8 +86,7 @@
     let distance = distance_penalty_ms(target, request);
     let pace = timing.pace();
     // A call ends with its run, so that the whole run counts, and not only the wait for it.
-    let pace_ms = pace_penalty_ms(timing, in_flight + 1.0, slots)
-        + timing.run_ms() * (1.0 - 1.0 / pace.slowness);
+    let pace_ms = timing.run_ms() * (1.0 - 1.0 / pace.slowness);
     Cost {
         total_ms: wait_ms
             + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS * pace.slowness
@@ -137,7 +136,6 @@
     let total_ms = wait_ms
         + queue_ms
         + in_flight * ENGINE_IN_FLIGHT_DELAY_MS * timing.pace().slowness
-        + pace_penalty_ms(timing, in_flight + 1.0, slots)
         + occupancy_penalty_ms
         + plan.ready_ms
         + weights_penalty_ms
@@ -147,11 +145,6 @@
     Cost { total_ms, wait_ms: wait_ms + queue_ms, capacity_wait_ms: memory_wait_ms }
 }
 
-/// Returns the penalty of a target with more requests than it handles well.
-fn pace_penalty_ms(timing: &ServiceTiming, requests: f64, slots: f64) -> f64 {
-    timing.pace().excess(requests, slots) * timing.run_ms()
-}
-
 /// Memory of an engine in use with one more request, as shares of its capacity.
 struct Occupancy {
     share: f64,
--- a/crates/skylarkpick-schedule/src/placement/policy.rs
+++ b/crates/skylarkpick-schedule/src/placement/policy.rs
@@ -57,7 +57,7 @@
             saves_parts: true,
             ejects_targets: true,
             detects_partitions: true,
-            target_speeds: SpeedLearning::Never,
+            target_speeds: SpeedLearning::Reported,
         }
     }
 }
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -267,6 +267,14 @@
     description: "requests of the process that targets turned away which count as brittle",
 };
 
+/// Slowness of the slowest target.
+pub const TARGETS_SLOWEST_PERCENT: Metric = Metric {
+    name: "targets.slowest_percent",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "learned slowness of the slowest target, in percent of the usual time of its service",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -299,4 +307,5 @@
     SIGNALS_UNREADABLE,
     BRITTLE_TARGETS,
     BRITTLE_REJECTIONS,
+    TARGETS_SLOWEST_PERCENT,
 ];
