--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -42,6 +42,7 @@
 mod retry_budget_tests;
 mod serving_index;
 mod streams;
+mod target_speeds;
 #[cfg(test)]
 mod test_support;
 
--- a/crates/skylarkpick-forward/src/pauses.rs
+++ b/crates/skylarkpick-forward/src/pauses.rs
@@ -200,6 +200,7 @@
         }
         node_state.log_silent_ends();
         node_state.log_cold_changes();
+        node_state.log_speed_changes();
         if let Some(notice) = node_state.take_untold() {
             watcher.peer_client.broadcast(&watcher.records, &notice);
             // A target that turned a request away can't wait. Each makes this process pause there.
--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -55,6 +55,7 @@
         let (parts, requests) = self.node_state.count_blamed();
         metrics.set(&PARTS_BLAMED, parts, &[]);
         metrics.set(&REQUESTS_BLAMED, requests, &[]);
+        self.node_state.set_speed_metric();
         metrics.set(&BRITTLE_TARGETS, self.node_state.count_brittle(), &[]);
         metrics.set(&TARGETS_COLD, self.node_state.count_cold(), &[]);
         if self.node_state.uses_evacuations() {
--- a/crates/skylarkpick-schedule/src/placement.rs
+++ b/crates/skylarkpick-schedule/src/placement.rs
@@ -47,6 +47,11 @@
 #[cfg(test)]
 mod spread_tests;
 mod target;
+mod target_speed;
+#[cfg(test)]
+mod target_speed_load_tests;
+#[cfg(test)]
+mod target_speed_tests;
 #[cfg(test)]
 mod test_fleet;
 #[cfg(test)]
@@ -64,6 +69,7 @@
 pub use policy::PlacementPolicy;
 pub use selection::Placement;
 pub use target::{TargetOutcome, TargetView};
+pub use target_speed::{SpeedChange, SpeedLearning, SpeedSummary};
 pub use types::{
     Assignment, PlacementDecision, PlacementPrompt, PlacementRequest, PlannedTransfer,
     UnplacedReason,
--- a/crates/skylarkpick-schedule/src/placement/cost.rs
+++ b/crates/skylarkpick-schedule/src/placement/cost.rs
@@ -84,8 +84,14 @@
     let slots = f64::from(target.slots());
     let wait_ms = ((in_flight + 1.0 - slots) / slots).max(0.0) * timing.run_ms();
     let distance = distance_penalty_ms(target, request);
+    let pace = timing.pace();
+    // A call ends with its run, so that the whole run counts, and not only the wait for it.
+    let pace_ms = timing.run_ms() * (1.0 - 1.0 / pace.slowness);
     Cost {
-        total_ms: wait_ms + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS + distance,
+        total_ms: wait_ms
+            + in_flight * PLAIN_IN_FLIGHT_PENALTY_MS * pace.slowness
+            + distance
+            + pace_ms,
         wait_ms,
         capacity_wait_ms: 0.0,
     }
@@ -129,7 +135,7 @@
     let weights_penalty_ms = if has_newer_weights { OLD_WEIGHTS_PENALTY_MS } else { 0.0 };
     let total_ms = wait_ms
         + queue_ms
-        + in_flight * ENGINE_IN_FLIGHT_DELAY_MS
+        + in_flight * ENGINE_IN_FLIGHT_DELAY_MS * timing.pace().slowness
         + occupancy_penalty_ms
         + plan.ready_ms
         + weights_penalty_ms
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -315,6 +315,14 @@
     description: "turns of requests for capacity that client accounts share fairly, by how they ended",
 };
 
+/// Slowness of the slowest target.
+pub const TARGETS_SLOWEST_PERCENT: Metric = Metric {
+    name: "targets.slowest_percent",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "learned slowness of the slowest target, in percent of the usual time of its service",
+};
+
 /// All metrics, in the order of docs/METRICS.md.
 pub const METRICS: &[Metric] = &[
     REQUESTS_ANSWERED,
@@ -353,4 +361,5 @@
     BODIES_HELD_BYTES,
     BODIES_REFUSED,
     WAITING_TURNS,
+    TARGETS_SLOWEST_PERCENT,
 ];
