--- a/review/lab-2/cases.rs
+++ b/review/lab-2/cases.rs
@@ -35,6 +35,11 @@
     }
 }
 
+/// A runner whose requests take a while.
+fn slow_start(id: &str) -> Start {
+    Start { work: Duration::from_millis(400), ..start(id, "b7") }
+}
+
 /// The operator's configuration: one service, and three routes to it.
 fn configuration() -> String {
     configuration_of(7, &[], &[KEY])
@@ -272,7 +277,7 @@
     let store = Store::default();
     store.put("config", "main", configuration().as_bytes());
     let runners: Vec<Runner> =
-        (1..=3).map(|it| add_runner(&store, start(&format!("i-{it}"), "b7"), plain())).collect();
+        (1..=3).map(|it| add_runner(&store, slow_start(&format!("i-{it}")), plain())).collect();
     let ids = ["i-1", "i-2", "i-3"];
     let addresses: Vec<(&str, SocketAddr)> =
         ids.iter().zip(&runners).map(|(id, runner)| (*id, runner.address)).collect();
@@ -305,8 +310,15 @@
     thread::sleep(DRAIN + Duration::from_millis(500));
     let sent_from = Instant::now();
     let mut late = 0;
-    for (name, node) in [("frontend-1", &one), ("frontend-2", &other)] {
-        let answers = send_all(node.front, "/book/2", 12);
+    let fronts = [("frontend-1", one.front), ("frontend-2", other.front)];
+    let sending =
+        fronts.map(|(name, front)| (name, thread::spawn(move || send_all(front, "/book/2", 12))));
+    // It has served for `drainMs` and a little longer.
+    thread::sleep(Duration::from_millis(300));
+    leaving.crash();
+    place.record.note("i-1 exits");
+    for (name, sent) in sending {
+        let answers = sent.join().map_err(|_| "a client failed".to_string())?;
         place.record.note(&format!("12 bookings at {name} are answered {}", describe(&answers)));
         note_all(place, &answers, &runners);
     }
@@ -478,7 +490,7 @@
     store.put("config", "main", configuration().as_bytes());
     let ids = ["i-1", "i-2"];
     let runners: Vec<Runner> =
-        ids.iter().map(|id| add_runner(&store, start(id, "b7"), plain())).collect();
+        ids.iter().map(|id| add_runner(&store, slow_start(id), plain())).collect();
     let links: Vec<Link> = runners.iter().map(|it| Link::open(it.address)).collect();
     let cut: Vec<(&str, SocketAddr)> =
         ids.iter().zip(&links).map(|(id, link)| (*id, link.address)).collect();
@@ -544,15 +556,19 @@
     thread::sleep(DRAIN);
     let sent_from = Instant::now();
     let mut late = 0;
-    for _ in 0..3 {
-        let answers = send_all(one.front, "/read/4", 8);
-        place.record.note(&format!("8 reads at frontend-1 are answered {}", describe(&answers)));
-        note_all(place, &answers, &runners);
-        thread::sleep(Duration::from_millis(200));
+    let front = one.front;
+    let sending = thread::spawn(move || send_all(front, "/book/4", 8));
+    thread::sleep(Duration::from_millis(300));
+    if place.has_trouble {
+        runners[0].crash();
+        place.record.note("i-1 exits, drainMs and a little longer after its first such answer");
     }
+    let answers = sending.join().map_err(|_| "a client failed".to_string())?;
+    place.record.note(&format!("8 bookings at frontend-1 are answered {}", describe(&answers)));
+    note_all(place, &answers, &runners);
     let passed_on = passed_on.unwrap_or(sent_from);
     for arrival in
-        runners[0].arrivals().iter().filter(|it| it.at >= sent_from && it.path == "/read/4")
+        runners[0].arrivals().iter().filter(|it| it.at >= sent_from && it.path == "/book/4")
     {
         late += 1;
         let after = arrival.at.duration_since(passed_on).as_millis();
