--- a/review/lab-2/cases.rs
+++ b/review/lab-2/cases.rs
@@ -557,6 +557,7 @@
     let sent_from = Instant::now();
     let mut late = 0;
     let front = one.front;
+    let handed_over = one.logged("request handed over");
     let sending = thread::spawn(move || send_all(front, "/book/4", 8));
     thread::sleep(Duration::from_millis(300));
     if place.has_trouble {
@@ -565,6 +566,10 @@
     }
     let answers = sending.join().map_err(|_| "a client failed".to_string())?;
     place.record.note(&format!("8 bookings at frontend-1 are answered {}", describe(&answers)));
+    let handed_over = one.logged("request handed over") - handed_over;
+    place
+        .record
+        .note(&format!("of these, frontend-1 handed {handed_over} over to the other process"));
     note_all(place, &answers, &runners);
     let passed_on = passed_on.unwrap_or(sent_from);
     for arrival in
@@ -577,6 +582,9 @@
             arrival.attempt
         ));
     }
+    if handed_over > 0 {
+        return Err("not all requests went to the runners from frontend-1 itself".to_string());
+    }
     store.set_down(false);
     place.record.note(&format!("{late} late requests reached the leaving runner"));
     Ok(late > 0)
