Serve by the last of several changes of a record in one update

Cause: an update may hold several changes of one record. TopicState::update kept a map, by name, of known records that were newer than the found ones. An entry stayed there when a later change of the same update was newer still, and was applied in place of it. The stored revision was the newest, so nothing read the record again. Weights took the same path, also when only their recorded times differed.

Ruled out: a watch dropped as older, and a change that doesn't arrive.

Change: what is stored after each change is what is applied; the map is gone. "Unchanged" holds for a change and not for a name. A gauge of the newest known configuration version and a log line show a process that serves by an older one.

Red before: requests_are_served_by_the_last_of_several_changes fails in ten rows (configuration served ["5"], stored ["6"]; weights the same). The third test of the file covers the new gauge.

--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -47,6 +47,8 @@
 #[cfg(test)]
 mod serving_confirmer_tests;
 #[cfg(test)]
+mod several_changes_tests;
+#[cfg(test)]
 mod tests;
 #[cfg(test)]
 mod topic_watch_tests;
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -6,7 +6,7 @@
 use super::evacuation_records::{EvacuationRecords, topics_at_start};
 use super::missing_entries::MissingEntries;
 use super::missing_targets::MissingTargets;
-use super::topic_state::{AppliedUpdate, EraChange, TopicState};
+use super::topic_state::{EraChange, StoredChange, TopicState};
 use super::weight_times::WeightTimes;
 use crate::peers::PeerRecords;
 use crate::{log::request_log, node_state::NodeState, serving_index::ServingIndex};
@@ -343,7 +343,7 @@
 
     fn replace_from(&self, topic: FleetTopic, update: &FleetUpdate, source: RecordSource) -> bool {
         // Others must not receive the records between the two steps.
-        let (era_change, origin, applied) = {
+        let (era_change, origin, stored) = {
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
             if update.revision < state.revision {
@@ -362,8 +362,8 @@
                 Some(_) => UpdateKind::ListOfNewEra,
                 None => UpdateKind::List,
             };
-            let (origin, applied) = self.store(state, topic, update, kind);
-            (era_change, origin, applied)
+            let (origin, stored) = self.store(state, topic, update, kind);
+            (era_change, origin, stored)
         };
         if let Some(change) = era_change {
             self.note_return(topic, update, change, source);
@@ -378,7 +378,7 @@
                 self.handle_missing_target(target);
             }
         }
-        self.apply_stored(topic, update, origin, &applied);
+        self.apply_stored(topic, update, origin, stored);
         true
     }
 
@@ -414,7 +414,7 @@
     }
 
     fn apply_changes(&self, topic: FleetTopic, update: &FleetUpdate) -> bool {
-        let (origin, applied) = {
+        let (origin, stored) = {
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
             let is_other_era = state.is_read() && update.revision.era != state.revision.era;
@@ -424,7 +424,7 @@
             }
             self.store(state, topic, update, UpdateKind::Changes)
         };
-        self.apply_stored(topic, update, origin, &applied);
+        self.apply_stored(topic, update, origin, stored);
         true
     }
 
@@ -435,7 +435,7 @@
         topic: FleetTopic,
         update: &FleetUpdate,
         kind: UpdateKind,
-    ) -> (RecordOrigin, AppliedUpdate) {
+    ) -> (RecordOrigin, Vec<StoredChange>) {
         let is_first_read = !state.is_read();
         let not_before = state.complete_at.filter(|_| !is_first_read);
         if topic == FleetTopic::Targets && state.lacks_changes(update) {
@@ -445,36 +445,31 @@
         if topic == FleetTopic::Entries {
             self.note_entries_written(update);
         }
-        let applied = state.update(update, kind);
-        (RecordOrigin { revision: update.revision, kind, is_first_read, not_before }, applied)
+        let stored = state.update(update, kind);
+        (RecordOrigin { revision: update.revision, kind, is_first_read, not_before }, stored)
     }
 
-    /// Applies the records of an update that has been stored.
+    /// Applies what is stored after each change of an update.
     fn apply_stored(
         &self,
         topic: FleetTopic,
         update: &FleetUpdate,
         origin: RecordOrigin,
-        applied: &AppliedUpdate,
+        stored: Vec<StoredChange>,
     ) {
-        for named in &update.records {
-            if let Some(FleetRecord::Weights(weights)) = &named.record {
-                self.lock_weight_times().note_found(weights);
-            }
-            match applied.in_force.get(&named.name) {
-                Some(record) => {
-                    let record = Some(record.clone());
-                    self.apply(topic, &NamedRecord { name: named.name.clone(), record }, origin);
-                }
-                None if self.is_awaited(topic, named, origin, &applied.unchanged) => {}
-                None => self.apply(topic, named, origin),
+        for (found, change) in update.records.iter().zip(stored) {
+            self.note_found(topic, found, origin.revision);
+            if !self.is_awaited(topic, &change, origin) {
+                let named = NamedRecord { name: change.name, record: change.record };
+                self.apply(topic, &named, origin);
             }
         }
         match topic {
             FleetTopic::Weights => self.node_state.note_weights_read(),
             FleetTopic::Targets => self.weights_change_seen.notify_one(),
             FleetTopic::Evacuations => self.follow_evacuations(update, origin),
-            FleetTopic::Serving | FleetTopic::Entries => {}
+            FleetTopic::Serving => self.node_state.note_version_served(),
+            FleetTopic::Entries => {}
         }
         self.changes.send_modify(|count| *count += 1);
         if topic == FleetTopic::Entries {
@@ -482,6 +477,22 @@
         }
     }
 
+    /// Records what a change of an update says, whether or not it is in force.
+    fn note_found(&self, topic: FleetTopic, named: &NamedRecord, revision: StoreRevision) {
+        match &named.record {
+            Some(FleetRecord::Weights(weights)) => self.lock_weight_times().note_found(weights),
+            Some(FleetRecord::Serving(document)) => {
+                self.node_state.newest_version.note(document.version);
+            }
+            Some(FleetRecord::Unreadable(why)) => {
+                request_log!("invalid platform record", kv: {
+                    topic:, name = named.name.as_str(), why = why.as_str(), revision:,
+                });
+            }
+            _ => {}
+        }
+    }
+
     pub(super) fn entries_changed(&self) {
         self.node_state.note_entries_read();
         let entries = self.entries();
@@ -536,17 +547,12 @@
                 };
                 self.node_state.merge_crashes(&entry.crashes, &entry.name, source);
             }
-            Some(FleetRecord::Unreadable(why)) => {
-                request_log!("invalid platform record", kv: {
-                    name = named.name.as_str(), why = why.as_str(), revision:,
-                });
-                if topic == FleetTopic::Targets {
-                    self.remove_target(&named.name, "its record is invalid");
-                }
+            Some(FleetRecord::Unreadable(_)) if topic == FleetTopic::Targets => {
+                self.remove_target(&named.name, "its record is invalid");
             }
             None if topic == FleetTopic::Targets => self.handle_missing_target(&named.name),
             // Evacuations are followed as a whole, after all records of an update.
-            Some(FleetRecord::Evacuation(_)) | None => {}
+            Some(FleetRecord::Evacuation(_) | FleetRecord::Unreadable(_)) | None => {}
         }
     }
 
--- a/crates/skylarkpick-forward/src/fleet/retained_records.rs
+++ b/crates/skylarkpick-forward/src/fleet/retained_records.rs
@@ -59,6 +59,9 @@
                 not_before: None,
             };
             for named in &changed {
+                if let Some(FleetRecord::Serving(document)) = &named.record {
+                    self.node_state.newest_version.note(document.version);
+                }
                 spdlog::info!("record that another process retains applied", kv: {
                     topic:, name = named.name.as_str(), revision:,
                 });
--- a/crates/skylarkpick-forward/src/fleet/target_records.rs
+++ b/crates/skylarkpick-forward/src/fleet/target_records.rs
@@ -4,13 +4,9 @@
 use super::missing_targets::MissingTargets;
 use super::newest_record::is_earlier;
 use super::records::{FleetRecords, RecordOrigin, UpdateKind};
-use skylarkpick_interface::{
-    FleetRecord, FleetTopic, NamedRecord, RegisteredTarget, StoreRevision,
-};
-use std::{
-    collections::BTreeSet,
-    sync::{MutexGuard, PoisonError},
-};
+use super::topic_state::StoredChange;
+use skylarkpick_interface::{FleetRecord, FleetTopic, RegisteredTarget, StoreRevision};
+use std::sync::{MutexGuard, PoisonError};
 
 impl FleetRecords {
     pub(super) fn missing_targets(&self) -> MutexGuard<'_, MissingTargets> {
@@ -58,19 +54,16 @@
     pub(super) fn is_awaited(
         &self,
         topic: FleetTopic,
-        named: &NamedRecord,
+        change: &StoredChange,
         origin: RecordOrigin,
-        unchanged: &BTreeSet<String>,
     ) -> bool {
-        let Some(FleetRecord::Target(found)) = &named.record else { return false };
+        let Some(FleetRecord::Target(found)) = &change.record else { return false };
         if topic != FleetTopic::Targets {
             return false;
         }
         match origin.kind {
             UpdateKind::Changes => false,
-            UpdateKind::List => {
-                unchanged.contains(&named.name) && self.missing_targets().is_missing(&found.id)
-            }
+            UpdateKind::List => change.is_unchanged && self.missing_targets().is_missing(&found.id),
             UpdateKind::ListOfNewEra => {
                 let state = self.node_state.lock();
                 let known = state.placement.targets().get(&found.id);
--- a/crates/skylarkpick-forward/src/fleet/topic_state.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_state.rs
@@ -43,13 +43,15 @@
     pub(super) retained: usize,
 }
 
-/// Records of an update as they are in force.
-#[derive(Default)]
-pub(super) struct AppliedUpdate {
-    /// Records that differ from those of the update, since newer ones are known.
-    pub(super) in_force: BTreeMap<String, FleetRecord>,
-    /// Names of records that had been stored before.
-    pub(super) unchanged: BTreeSet<String>,
+/// State of a record after one change of an update. An update may hold several changes of a record, so
+/// the last of them has the record that is stored.
+pub(super) struct StoredChange {
+    pub(super) name: String,
+    /// The stored record, which is not that of the change if a newer one was known; `None` if it was
+    /// removed.
+    pub(super) record: Option<FleetRecord>,
+    /// Whether it had been stored before.
+    pub(super) is_unchanged: bool,
 }
 
 impl TopicState {
@@ -128,21 +130,16 @@
         })
     }
 
-    /// Stores the records of an update. A configuration or weights version never goes back.
-    pub(super) fn update(&mut self, update: &FleetUpdate, kind: UpdateKind) -> AppliedUpdate {
+    /// Stores the records of an update, and returns what is stored after each of its changes. A
+    /// configuration or weights version never goes back.
+    pub(super) fn update(&mut self, update: &FleetUpdate, kind: UpdateKind) -> Vec<StoredChange> {
         self.revision = self.revision.max(update.revision);
-        let mut applied = AppliedUpdate::default();
-        for named in &update.records {
-            if !self.store(named, update.revision, kind) {
-                applied.unchanged.insert(named.name.clone());
-            }
-            if let Some(in_force) = self.record(&named.name)
-                && Some(in_force) != named.record.as_ref()
-            {
-                applied.in_force.insert(named.name.clone(), in_force.clone());
-            }
-        }
-        applied
+        let store = |named: &NamedRecord| {
+            let is_unchanged = !self.store(named, update.revision, kind);
+            let record = self.record(&named.name).cloned();
+            StoredChange { name: named.name.clone(), record, is_unchanged }
+        };
+        update.records.iter().map(store).collect()
     }
 
     /// Stores records that another process knows and the store may have lost. Returns those that are
--- a/crates/skylarkpick-forward/src/forwarding/hand_over.rs
+++ b/crates/skylarkpick-forward/src/forwarding/hand_over.rs
@@ -246,6 +246,7 @@
         {
             return Some(Refusal::Busy);
         }
+        self.node_state.newest_version.note(terms.serving_version);
         let version = self.node_state.serving().map_or(0, |serving| serving.version());
         (version < terms.serving_version).then_some(Refusal::Outdated)
     }
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -29,6 +29,7 @@
 mod log;
 #[cfg(test)]
 mod log_tests;
+mod newest_version;
 mod node;
 mod node_state;
 #[cfg(test)]
--- a/crates/skylarkpick-forward/src/node_state.rs
+++ b/crates/skylarkpick-forward/src/node_state.rs
@@ -4,6 +4,7 @@
     evacuations::EvacuationKnowledge,
     fair_turns::FairTurns,
     log::MatterLog,
+    newest_version::NewestVersion,
     peers::{BrittleNotice, LimitNotice},
     serving_index::ServingIndex,
 };
@@ -72,6 +73,8 @@
     pub(crate) evacuations: EvacuationKnowledge,
     /// Whether this process reaches no engine of a service that others reach.
     is_cut_off_from_engines: AtomicBool,
+    /// Newest version of the configuration that is known.
+    pub(crate) newest_version: NewestVersion,
     /// Headers that were logged as unreadable, by the address of their target.
     pub(crate) unreadable_headers: MatterLog<(SocketAddr, String)>,
     draining: AtomicBool,
@@ -166,6 +169,7 @@
             knows_evidence: AtomicBool::new(false),
             evacuations,
             is_cut_off_from_engines: AtomicBool::new(false),
+            newest_version: NewestVersion::default(),
             unreadable_headers: MatterLog::default(),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
--- a/crates/skylarkpick-forward/src/readiness.rs
+++ b/crates/skylarkpick-forward/src/readiness.rs
@@ -6,9 +6,10 @@
 use hyper::body::Incoming;
 use skylarkpick_http::{Handler, ResponseBody, empty_response, full_body};
 use skylarkpick_telemetry::{
-    BODIES_HELD_BYTES, BRITTLE_TARGETS, CONFIGURATION_VERSION, DATA_CENTRES_EVACUATED,
-    ENGINES_MEMORY_PERCENT, Exposition, PARTS_BLAMED, READY, REQUESTS_BLAMED, REQUESTS_UNDER_WAY,
-    REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING, TARGETS_COLD, metrics,
+    BODIES_HELD_BYTES, BRITTLE_TARGETS, CONFIGURATION_VERSION, CONFIGURATION_VERSION_KNOWN,
+    DATA_CENTRES_EVACUATED, ENGINES_MEMORY_PERCENT, Exposition, PARTS_BLAMED, READY,
+    REQUESTS_BLAMED, REQUESTS_UNDER_WAY, REQUESTS_WAITING, RUNNERS_LEAVING, RUNNERS_SERVING,
+    TARGETS_COLD, metrics,
 };
 use std::sync::Arc;
 
@@ -49,6 +50,7 @@
         metrics.set(&READY, u64::from(self.node_state.is_ready()), &[]);
         let version = self.node_state.serving().map_or(0, |serving| serving.version());
         metrics.set(&CONFIGURATION_VERSION, version, &[]);
+        metrics.set(&CONFIGURATION_VERSION_KNOWN, self.node_state.newest_version.get(), &[]);
         let (serving, leaving) = self.node_state.count_targets();
         metrics.set(&RUNNERS_SERVING, serving, &[]);
         metrics.set(&RUNNERS_LEAVING, leaving, &[]);
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -88,6 +88,14 @@
     description: "version of the active configuration",
 };
 
+/// Newest version of the configuration that the process has heard of.
+pub const CONFIGURATION_VERSION_KNOWN: Metric = Metric {
+    name: "configuration.version_known",
+    kind: MetricKind::Gauge,
+    tags: &[],
+    description: "newest configuration version that the process has heard of; equal to the active one",
+};
+
 /// Whether the process is ready for new requests. A draining process is not, though it still accepts
 /// requests for its notice period.
 pub const READY: Metric = Metric {
@@ -333,6 +341,7 @@
     ATTEMPTS_ENDED,
     PATCHES_ENDED,
     CONFIGURATION_VERSION,
+    CONFIGURATION_VERSION_KNOWN,
     READY,
     RUNNERS_SERVING,
     RUNNERS_LEAVING,
