Keep a removed or unreadable configuration stored while it is in force

A configuration or weights that were removed, missing in a list of the same era, or unreadable were dropped from the store of records, while requests were still served by them. An older version could then be stored beside the newer one that was served, and other processes were told the older one or none.

Change: a record whose version never goes back stays stored in these cases, as it already did after a return of the platform's store.

--- a/crates/skylarkpick-forward/src/fleet/newest_record.rs
+++ b/crates/skylarkpick-forward/src/fleet/newest_record.rs
@@ -14,6 +14,12 @@
     pub(super) is_known: bool,
 }
 
+/// Returns whether a record has a version that never goes back. Such a record stays in force when it is
+/// removed or can't be read.
+pub(super) fn is_versioned(record: &FleetRecord) -> bool {
+    matches!(record, FleetRecord::Serving(_) | FleetRecord::Weights(_))
+}
+
 /// Returns the newer one of a known and a found record. Only versions of the configuration and of
 /// weights tell; of other records, the found one counts. Known times of weights are kept.
 pub(super) fn newest_record(
@@ -37,6 +43,9 @@
             let newest = DesiredWeights { desired_since_ms: times, ..newest.clone() };
             NewestRecord { record: Some(FleetRecord::Weights(newest)), is_known }
         }
+        (Some(known), None | Some(FleetRecord::Unreadable(_))) if is_versioned(known) => {
+            NewestRecord { record: Some(known.clone()), is_known: true }
+        }
         (_, found) => NewestRecord { record: found.cloned(), is_known: false },
     }
 }
--- a/crates/skylarkpick-forward/src/fleet/several_changes_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/several_changes_tests.rs
@@ -217,6 +217,12 @@
             ],
             served: &["6"],
         },
+        Case {
+            name: "configuration: removed and added again with an older version",
+            topic,
+            steps: vec![known(), Step::Watch(at(12, vec![removed("main"), configuration(4)]))],
+            served: &["5"],
+        },
         Case {
             name: "configuration: removed and added again with a newer version",
             topic,
@@ -226,6 +232,34 @@
             ],
             served: &["6"],
         },
+        Case {
+            name: "configuration: changed and removed",
+            topic,
+            steps: vec![known(), Step::Watch(at(12, vec![configuration(6), removed("main")]))],
+            served: &["6"],
+        },
+        Case {
+            name: "configuration: missing in a list, then older",
+            topic,
+            steps: vec![
+                known(),
+                Step::List(at(12, vec![])),
+                Step::Watch(at(13, vec![configuration(4)])),
+            ],
+            served: &["5"],
+        },
+        Case {
+            name: "configuration: unreadable for a time, then older",
+            topic,
+            steps: vec![known(), Step::Watch(at(12, vec![unreadable("main"), configuration(4)]))],
+            served: &["5"],
+        },
+        Case {
+            name: "configuration: unreadable in the end",
+            topic,
+            steps: vec![known(), Step::Watch(at(12, vec![configuration(6), unreadable("main")]))],
+            served: &["6"],
+        },
     ]
 }
 
@@ -260,6 +294,12 @@
             ],
             served: &["6"],
         },
+        Case {
+            name: "weights: removed and added again with an older version",
+            topic,
+            steps: vec![known(), Step::Watch(at(12, vec![removed(MODEL), weights(4, &[])]))],
+            served: &["5"],
+        },
         Case {
             name: "weights: changes after a return of the store to an older version",
             topic,
--- a/crates/skylarkpick-forward/src/fleet/topic_state.rs
+++ b/crates/skylarkpick-forward/src/fleet/topic_state.rs
@@ -1,6 +1,6 @@
 //! Latest records of a topic of the platform, over returns of its store from older copies.
 
-use super::newest_record::newest_record;
+use super::newest_record::{is_versioned, newest_record};
 use super::records::UpdateKind;
 use skylarkpick_interface::{FleetRecord, FleetUpdate, NamedRecord, StoreRevision};
 use std::{
@@ -105,9 +105,7 @@
             if stored.record.is_none() {
                 continue;
             }
-            let is_versioned =
-                matches!(stored.record, Some(FleetRecord::Serving(_) | FleetRecord::Weights(_)));
-            if stored.is_retained || (is_new_era && is_versioned) {
+            if stored.record.as_ref().is_some_and(is_versioned) {
                 stored.is_retained = true;
                 retained += 1;
             } else {
