Apply records in the order in which they are stored

Two updates of a topic at the same time, such as a watch and a look-up, were stored under a lock and applied after it, so that the earlier one could be applied last. A target whose record was removed could then be served until the next list.

Change: storing and applying an update are one step of a lock of their own. Readers of the stored records don't wait for it.

--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -38,6 +38,9 @@
     pub(super) weights_changes: Mutex<Vec<WeightsChange>>,
     pub(super) weights_change_seen: Notify,
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
+    /// Held while records are stored and applied. Of two updates at the same time, the one that is stored
+    /// last is applied last.
+    applying: Mutex<()>,
     /// Latest era that another process has named.
     heard_era: watch::Sender<StoreEra>,
     /// Name of this process's VM.
@@ -94,6 +97,7 @@
             evacuations: EvacuationRecords::default(),
             weights_changes: Mutex::default(),
             weights_change_seen: Notify::new(),
+            applying: Mutex::default(),
             heard_era: watch::Sender::default(),
             node: node.to_string(),
             role: Mutex::new(CacheWatchRole::Undecided),
@@ -342,6 +346,7 @@
     }
 
     fn replace_from(&self, topic: FleetTopic, update: &FleetUpdate, source: RecordSource) -> bool {
+        let _applying = self.lock_applying();
         // Others must not receive the records between the two steps.
         let (era_change, origin, stored) = {
             let mut topics = self.topics();
@@ -414,6 +419,7 @@
     }
 
     fn apply_changes(&self, topic: FleetTopic, update: &FleetUpdate) -> bool {
+        let _applying = self.lock_applying();
         let (origin, stored) = {
             let mut topics = self.topics();
             let state = topics.entry(topic).or_default();
@@ -493,6 +499,11 @@
         }
     }
 
+    /// Locks the step from storing records to serving by them.
+    pub(super) fn lock_applying(&self) -> MutexGuard<'_, ()> {
+        self.applying.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(super) fn entries_changed(&self) {
         self.node_state.note_entries_read();
         let entries = self.entries();
--- a/crates/skylarkpick-forward/src/fleet/retained_records.rs
+++ b/crates/skylarkpick-forward/src/fleet/retained_records.rs
@@ -43,6 +43,7 @@
                 )
             });
             let of_topic: Vec<NamedRecord> = of_topic.cloned().collect();
+            let _applying = self.lock_applying();
             let (changed, revision) = {
                 let mut topics = self.topics();
                 let state = topics.entry(topic).or_default();
--- a/crates/skylarkpick-forward/src/fleet/several_changes_tests.rs
+++ b/crates/skylarkpick-forward/src/fleet/several_changes_tests.rs
@@ -12,7 +12,10 @@
     RegisteredTarget, StoreRevision, TokioClock,
 };
 use std::{
-    sync::Arc,
+    sync::{
+        Arc, Barrier,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, SystemTime},
 };
 
@@ -469,6 +472,43 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+// Guards against a target that is served although it was removed: its record was stored before the removal,
+// and applied after it by another task.
+#[test]
+fn updates_at_the_same_time_are_applied_in_the_order_in_which_they_are_stored() {
+    const ROUNDS: u64 = 100_000;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+    let (node_state, records) = {
+        let _entered = runtime.enter();
+        open()
+    };
+    records.replace(FleetTopic::Targets, &at(1, vec![]));
+    let rounds = Barrier::new(2);
+    let differing = AtomicU64::new(0);
+    let apply = |number: u64, change: fn(u64) -> NamedRecord| {
+        for round in 1..=ROUNDS {
+            let update = at(2 * round + number, vec![change(round)]);
+            rounds.wait();
+            records.update(FleetTopic::Targets, &update);
+            let is_leader = rounds.wait().is_leader();
+            let served = served(&node_state, &records, FleetTopic::Targets);
+            if is_leader && served != stored(&records, FleetTopic::Targets) {
+                differing.fetch_add(1, Ordering::Relaxed);
+            }
+            rounds.wait();
+        }
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(|| apply(0, |round| started("i-1", round)));
+        scope.spawn(|| apply(1, |_| removed("i-1")));
+    });
+    assert_eq!(
+        differing.into_inner(),
+        0,
+        "rounds of {ROUNDS} after which served and stored differ"
+    );
+}
+
 // Guards against an operator who can't see that a process serves by an older configuration than it knows.
 #[tokio::test(start_paused = true)]
 async fn the_newest_known_version_is_kept_beside_the_served_one() {
--- a/crates/skylarkpick-forward/src/fleet/target_records.rs
+++ b/crates/skylarkpick-forward/src/fleet/target_records.rs
@@ -21,6 +21,7 @@
     /// and the others are as their records say. So are those that left long ago by what was known
     /// before a return.
     pub(crate) fn remove_expired_targets(&self) {
+        let _applying = self.lock_applying();
         let now = self.node_state.now();
         let expired = self.missing_targets().take_expired(now);
         for target in expired {
