Bound the memory of a process whose settings name none

Cause: the budget of request bodies was turned on by the setting. Without it only each single body was bounded.

Change: a process always has a memory limit: the setting, else that of its control group, else the machine's, at most 1 GB since it shares the machine, else 512 MB. The limit of descriptors is the setting, else that of the process.

Red before: a_process_without_a_named_memory_has_a_bound, in all three crowds.

--- a/crates/skylarkpick-forward/src/forwarding/request_body.rs
+++ b/crates/skylarkpick-forward/src/forwarding/request_body.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use skylarkpick_http::{ReadBodyError, read_body};
+use skylarkpick_http::ReadBodyError;
 use skylarkpick_interface::RequestHead;
 use skylarkpick_schedule::{BodyId, BodyLedger, BodyLimits, BodyUse, NoRoom};
 use skylarkpick_telemetry::{BODIES_REFUSED, metrics};
@@ -23,9 +23,6 @@
     time::{Instant, sleep_until},
 };
 
-/// Timeout for receiving a body in a process whose memory is not known. Clients on the platform's links
-/// need far less.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// First buffer of a body of unknown size: what one read of a connection brings.
 const FIRST_BUFFER_BYTES: usize = 16_384;
 /// Size up to which the buffer of a body takes all that is announced at once. Larger ones grow as their
@@ -57,7 +54,7 @@
 
 /// Room of all request bodies of a process. Clones share it.
 #[derive(Clone)]
-pub(crate) struct BodyBudget(Option<Arc<Shared>>);
+pub(crate) struct BodyBudget(Arc<Shared>);
 
 struct Shared {
     opened: Instant,
@@ -73,23 +70,19 @@
 }
 
 impl BodyBudget {
-    /// Opens the budget of a process on a machine with this memory; without one nothing is bounded but
-    /// each body.
-    pub(crate) fn open(memory_bytes: Option<u64>) -> BodyBudget {
-        BodyBudget(memory_bytes.map(|bytes| {
-            let limits = BodyLimits::of_memory(usize::try_from(bytes).unwrap_or(usize::MAX));
-            let state = State { ledger: BodyLedger::open(limits), ended: BTreeMap::new() };
-            Arc::new(Shared {
-                opened: Instant::now(),
-                state: Mutex::new(state),
-                is_short: AtomicBool::new(false),
-            })
+    /// Opens the budget of a process.
+    pub(crate) fn open(limits: BodyLimits) -> BodyBudget {
+        let state = State { ledger: BodyLedger::open(limits), ended: BTreeMap::new() };
+        BodyBudget(Arc::new(Shared {
+            opened: Instant::now(),
+            state: Mutex::new(state),
+            is_short: AtomicBool::new(false),
         }))
     }
 
     /// Returns the bytes that bodies hold.
     pub(crate) fn use_bytes(&self) -> BodyUse {
-        self.0.as_ref().map_or(BodyUse::default(), |shared| shared.lock().ledger.use_bytes())
+        self.0.lock().ledger.use_bytes()
     }
 
     /// Reads a complete body of at most `size_limit_bytes`. It keeps its room until its last copy is
@@ -103,21 +96,17 @@
         B: Body<Data = Bytes> + Unpin,
         B::Error: Display,
     {
-        match &self.0 {
-            None => read_body(body, size_limit_bytes, BODY_TIMEOUT).await.map_err(Into::into),
-            Some(_) if body.is_end_stream() => Ok(Bytes::new()),
-            Some(shared) => Arrival::begin(shared).read(body, size_limit_bytes).await,
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
         }
+        Arrival::begin(&self.0).read(body, size_limit_bytes).await
     }
 }
 
 impl Forwarder {
-    /// Counts a body that was not read for this reason, and logs whose it is where bodies share a budget.
+    /// Counts a body that was not read for this reason, and logs whose it is.
     pub(super) fn note_refused_body(&self, head: &RequestHead, reason: &str, received: Instant) {
         metrics().count(&BODIES_REFUSED, &[("reason", reason)]);
-        if self.bodies.0.is_none() {
-            return;
-        }
         let serving = self.node_state.serving();
         let account = serving.and_then(|serving| serving.account(head.key.as_deref()?));
         request_log!("request body refused", kv: {
--- a/crates/skylarkpick-forward/src/lib.rs
+++ b/crates/skylarkpick-forward/src/lib.rs
@@ -29,6 +29,9 @@
 mod log;
 #[cfg(test)]
 mod log_tests;
+mod machine;
+#[cfg(test)]
+mod machine_tests;
 mod newest_version;
 mod node;
 mod node_state;
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -12,6 +12,7 @@
     forwarding::{BUFFERED_TOTAL_LIMIT_BYTES, BodyBudget, Forwarder},
     hand_over::ReachWatch,
     jitter::sleep_with_jitter,
+    machine::MachineLimits,
     node_state::NodeState,
     pauses::{PausingControl, send_limits},
     peers::{CacheRelay, NetworkParts, PeerClient, PeerMessageHandler, follow_relay, open_network},
@@ -23,7 +24,7 @@
     Clock, CrashReport, Dialect, FleetSource, FleetTopic, NodeSettings, ObjectStore,
     RegisteredEntry, TargetControl,
 };
-use skylarkpick_schedule::{PlacementPolicy, connection_limit};
+use skylarkpick_schedule::{BodyLimits, PlacementPolicy, connection_limit};
 use skylarkpick_telemetry::Exposition;
 use std::{
     net::SocketAddr,
@@ -106,7 +107,10 @@
             data_centre: settings.data_centre.clone(),
         });
         let pool = ConnectionPool::open();
-        let bodies = BodyBudget::open(settings.memory_limit_bytes);
+        let machine = MachineLimits::read(settings);
+        let memory_bytes = usize::try_from(machine.memory_bytes).unwrap_or(usize::MAX);
+        let body_limits = BodyLimits::of_memory(memory_bytes);
+        let bodies = BodyBudget::open(body_limits);
         let taken_over: Arc<AtomicUsize> = Arc::default();
         let reach = ReachWatch::open(
             node_state.clone(),
@@ -159,8 +163,7 @@
             ServerLimits::default(),
         )
         .await?;
-        let connections_limit =
-            connection_limit(settings.descriptor_limit, settings.memory_limit_bytes);
+        let connections_limit = connection_limit(machine.descriptors, Some(machine.memory_bytes));
         let listener =
             ClientListener::bind(settings.front_address, forwarder, connections_limit).await?;
         let mut tasks = JoinSet::new();
--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -27,6 +27,9 @@
 /// Memory of the smallest machine, of which a process may take `MEMORY_LIMIT_BYTES`.
 const SMALL_MACHINE: &str = "limits.memoryMb=160\n";
 const MEMORY_LIMIT_BYTES: usize = 100_000_000;
+/// Settings that name neither memory nor descriptors, and what such a process may take at most.
+const NO_LIMITS: &str = "";
+const UNNAMED_MEMORY_LIMIT_BYTES: usize = 1_000_000_000;
 /// Answer that no socket buffers whole.
 const LARGE_ANSWER_BYTES: usize = 1_048_576;
 /// Descriptors of a machine that has fewer than a crowd has clients.
@@ -271,6 +274,7 @@
         );
         let is_bounded = match settings {
             FEW_DESCRIPTORS => descriptors <= DESCRIPTOR_LIMIT,
+            NO_LIMITS => peak <= UNNAMED_MEMORY_LIMIT_BYTES,
             _ => peak <= MEMORY_LIMIT_BYTES,
         };
         if !is_bounded {
@@ -319,6 +323,21 @@
     assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
 }
 
+// Guards against a bound that a setting has to turn on: a process whose settings name no memory grows with
+// what clients send.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_process_without_a_named_memory_has_a_bound() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let names = [
+        "announced, all but the last byte",
+        "chunks of 64 KB, all but the last chunk",
+        "chunks without end",
+    ];
+    let unnamed = |case: Case| Case { settings: NO_LIMITS, ..case };
+    let cases = cases().into_iter().filter(|case| names.contains(&case.name)).map(unnamed);
+    play_all(cases.collect(), CLIENTS, lengthy()).await;
+}
+
 // Guards against whole bodies that pile up where targets don't read them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn whole_bodies_for_targets_that_do_not_read_them_are_bounded() {
