Keep large request bodies in mappings of their own

The memory of a process grew with each crowd of clients that sent large bodies: with limits.memoryMb=160, 76, 88, 94 and 102 MB after one to four crowds of 300 clients (100 allowed), 109 MB after five to twelve (trial).

Cause: buffers doubled on the heap, up to 4 MiB. What a crowd left behind was gaps of other sizes than the next one needed. A trial with a fixed threshold of the allocator for mappings stayed at 81 to 86 MB, which rules out memory that is never freed.

Change: a body above 64 KiB lies in an anonymous mapping (memmap2), which takes memory as bytes arrive and gives it back with the body. It takes room in steps of 64 KiB in place of doubling.

Red before: memory_stays_bounded_when_a_crowd_comes_again (102,248,448 bytes in round 3). After: 77 to 80 MB in eight rounds.

--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -3,6 +3,7 @@
 mod active_request;
 mod attempt;
 mod attempt_log;
+mod body_buffer;
 mod event_splitter;
 mod forwarder;
 mod hand_over;
--- a/crates/skylarkpick-forward/src/forwarding/request_body.rs
+++ b/crates/skylarkpick-forward/src/forwarding/request_body.rs
@@ -1,6 +1,6 @@
 //! Reads request bodies within the room that all bodies of a process have together.
 
-use super::{forwarder::Forwarder, response_stream::milliseconds};
+use super::{body_buffer::BodyBuffer, forwarder::Forwarder, response_stream::milliseconds};
 use crate::log::request_log;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -23,12 +23,6 @@
     time::{Instant, sleep_until},
 };
 
-/// First buffer of a body of unknown size: what one read of a connection brings.
-const FIRST_BUFFER_BYTES: usize = 16_384;
-/// Size up to which the buffer of a body takes all that is announced at once. Larger ones grow as their
-/// bytes arrive, since a client that announces a body need not send it.
-const ANNOUNCED_BUFFER_BYTES: usize = 65_536;
-
 /// Why a body was not read.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub(crate) enum RequestBodyError {
@@ -170,9 +164,10 @@
 /// A body that arrives. Its content is declared before its place, so that the memory is free before the
 /// room is.
 struct Arrival {
-    content: Vec<u8>,
+    content: BodyBuffer,
     place: BodyPlace,
     ended: Arc<Notify>,
+    arrived_bytes: usize,
 }
 
 impl Arrival {
@@ -183,7 +178,7 @@
         state.ended.insert(id, ended.clone());
         drop(state);
         let place = BodyPlace { shared: shared.clone(), id };
-        Arrival { content: Vec::new(), place, ended }
+        Arrival { content: BodyBuffer::empty(), place, ended, arrived_bytes: 0 }
     }
 
     async fn read<B>(
@@ -208,10 +203,13 @@
             let Some(frame) = frame else { break };
             let frame = frame.map_err(|error| ReadBodyError::Broken(error.to_string()))?;
             let Ok(chunk) = frame.into_data() else { continue };
-            if chunk.len() > size_limit_bytes - self.content.len() {
+            if chunk.len() > size_limit_bytes - self.arrived_bytes {
                 return Err(ReadBodyError::TooLarge(size_limit_bytes).into());
             }
-            self.take(&chunk, announced, size_limit_bytes)?;
+            self.keep(&chunk, announced, size_limit_bytes)?;
+            self.arrived_bytes += chunk.len();
+            let BodyPlace { shared, id } = &self.place;
+            shared.lock().ledger.note_arrived(*id, chunk.len(), shared.now());
         }
         Ok(self.complete())
     }
@@ -223,33 +221,27 @@
     }
 
     /// Adds a part of the body, of which at most `size_limit_bytes` arrive.
-    fn take(
+    fn keep(
         &mut self,
         chunk: &[u8],
         announced: Option<usize>,
         size_limit_bytes: usize,
     ) -> Result<(), NoRoom> {
-        let BodyPlace { shared, id } = &self.place;
-        let (capacity, needed) = (self.content.capacity(), self.content.len() + chunk.len());
-        if needed > capacity {
-            let most = announced.unwrap_or(size_limit_bytes);
-            let grown = match announced {
-                Some(announced) if announced <= ANNOUNCED_BUFFER_BYTES => announced,
-                _ => (capacity * 2).max(FIRST_BUFFER_BYTES).min(most),
-            };
-            let grown = grown.max(needed);
-            shared.grow(*id, grown - capacity)?;
-            self.content.reserve_exact(grown - self.content.len());
+        let room_bytes = self.content.missing_room_bytes(chunk.len(), announced, size_limit_bytes);
+        if room_bytes > 0 {
+            self.place.shared.grow(self.place.id, room_bytes)?;
         }
-        self.content.extend_from_slice(chunk);
-        shared.lock().ledger.note_arrived(*id, chunk.len(), shared.now());
-        Ok(())
+        let most_bytes = announced.unwrap_or(size_limit_bytes);
+        self.content.add(chunk, room_bytes, most_bytes).map_err(|error| {
+            request_log!("no memory for a request body", kv: { most_bytes, error: });
+            NoRoom
+        })
     }
 
     fn complete(mut self) -> Bytes {
-        self.content.shrink_to_fit();
+        let room_bytes = self.content.shrink();
         let mut state = self.place.shared.lock();
-        state.ledger.shrink(self.place.id, self.content.capacity());
+        state.ledger.shrink(self.place.id, room_bytes);
         state.ledger.complete(self.place.id);
         state.ended.remove(&self.place.id);
         drop(state);
@@ -259,12 +251,12 @@
 
 /// Content of a complete body, which keeps its room.
 struct KeptBody {
-    content: Vec<u8>,
+    content: BodyBuffer,
     _place: BodyPlace,
 }
 
 impl AsRef<[u8]> for KeptBody {
     fn as_ref(&self) -> &[u8] {
-        &self.content
+        self.content.content()
     }
 }
--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -32,6 +32,8 @@
 const UNNAMED_MEMORY_LIMIT_BYTES: usize = 1_000_000_000;
 /// Answer that no socket buffers whole.
 const LARGE_ANSWER_BYTES: usize = 1_048_576;
+/// Rounds of a crowd that comes again.
+const ROUNDS: usize = 8;
 /// Descriptors of a machine that has fewer than a crowd has clients.
 const FEW_DESCRIPTORS: &str = "limits.fileDescriptors=200\n";
 const DESCRIPTOR_LIMIT: usize = 200;
@@ -367,3 +369,29 @@
     let answer = Some(success_answer(&"a".repeat(LARGE_ANSWER_BYTES)));
     play_all(vec![case], CLIENTS, Conduct { answer, ..quick() }).await;
 }
+
+// Guards against memory that does not come back after a crowd, so that it grows with each.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn memory_stays_bounded_when_a_crowd_comes_again() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let objects = start_objects().await;
+    let _target = start_target(&objects, &RunLog::default(), lengthy());
+    let mut process = Process::start(&objects, SMALL_MACHINE).await;
+    let names = ["announced, all but the last byte", "chunks of 64 KB, all but the last chunk"];
+    let crowds: Vec<Case> = cases().into_iter().filter(|case| names.contains(&case.name)).collect();
+    for round in 0..ROUNDS {
+        let Case { name, head, piece, pieces, .. } = &crowds[round % crowds.len()];
+        let bytes = Arc::new((head.clone(), piece.clone(), *pieces));
+        let mut clients = JoinSet::new();
+        for number in 0..CLIENTS {
+            clients.spawn(write(process.front(), number, bytes.clone()));
+        }
+        let open = clients.join_all().await;
+        drop(open);
+        send_until_answered(&process, name, BODY_LIMIT_BYTES).await;
+        let peak = process.peak_resident_bytes();
+        println!("round {round}: peak {} MB", peak / 1_000_000);
+        assert!(peak <= MEMORY_LIMIT_BYTES, "round {round}: {peak} bytes");
+        assert!(process.is_running(), "round {round}: the process has ended");
+    }
+}
