Keep nothing of the body of a request that is refused for its key or route

Clients without a valid key could take the room of request bodies, which were read before the key was looked at.

Change: key and route are checked first. If the request is to be refused, its body is read to its end within the same pace and dropped, so that the client still gets the 401 or 404 and not a reset.

Red before: bodies_of_unknown_clients_take_no_room (bytes of an unknown client counted as arriving).

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -4,7 +4,7 @@
     active_request::ActiveRequest,
     attempt::{Attempt, AttemptOutcome, CompleteResponse, StreamingResponse},
     hand_over::mark_refused,
-    request_body::{BodyBudget, RequestBodyError},
+    request_body::{BodyBudget, Kept, RequestBodyError},
     request_identity::{Caller, request_number},
     response::{
         ClientBody, GatewayError, ResponseDeadline, close_connection, end_with_connection,
@@ -161,13 +161,14 @@
             self.note_refused_body(&head, "too_large", received);
             return Err(fail(too_large(), "the content length exceeds the limit"));
         }
-        let body = self.bodies.read(body, limit).await;
+        let authorized = self.authorize(&head, parts).await;
+        let kept = if authorized.is_ok() { Kept::Content } else { Kept::Nothing };
+        let body = self.bodies.read(body, limit, kept).await;
         let body = body.map_err(|error| {
             self.note_refused_body(&head, error.reason(), received);
             fail(body_failure(&error), &error.to_string())
         })?;
-        let (serving, route, account) =
-            self.authorize(&head, parts).await.map_err(|(error, why)| fail(error, &why))?;
+        let (serving, route, account) = authorized.map_err(|(error, why)| fail(error, &why))?;
         let longest = route.timeout;
         let timeout = head.deadline.map_or(longest, |deadline| deadline.min(longest));
         let service = pick_destination(&route.destinations, rand::random())
--- a/crates/skylarkpick-forward/src/forwarding/request_body.rs
+++ b/crates/skylarkpick-forward/src/forwarding/request_body.rs
@@ -80,11 +80,12 @@
     }
 
     /// Reads a complete body of at most `size_limit_bytes`. It keeps its room until its last copy is
-    /// dropped.
+    /// dropped. A body of which nothing is kept takes no room, and its content is empty.
     pub(crate) async fn read<B>(
         &self,
         body: B,
         size_limit_bytes: usize,
+        kept: Kept,
     ) -> Result<Bytes, RequestBodyError>
     where
         B: Body<Data = Bytes> + Unpin,
@@ -93,7 +94,7 @@
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
-        Arrival::begin(&self.0).read(body, size_limit_bytes).await
+        Arrival::begin(&self.0, kept).read(body, size_limit_bytes).await
     }
 }
 
@@ -161,24 +162,33 @@
     }
 }
 
+/// What is kept of a body that arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kept {
+    Content,
+    /// Its request is refused, for which it is read to its end so that its client gets the response.
+    Nothing,
+}
+
 /// A body that arrives. Its content is declared before its place, so that the memory is free before the
 /// room is.
 struct Arrival {
     content: BodyBuffer,
     place: BodyPlace,
     ended: Arc<Notify>,
+    kept: Kept,
     arrived_bytes: usize,
 }
 
 impl Arrival {
-    fn begin(shared: &Arc<Shared>) -> Arrival {
+    fn begin(shared: &Arc<Shared>, kept: Kept) -> Arrival {
         let ended = Arc::new(Notify::new());
         let mut state = shared.lock();
         let id = state.ledger.begin(shared.now());
         state.ended.insert(id, ended.clone());
         drop(state);
         let place = BodyPlace { shared: shared.clone(), id };
-        Arrival { content: BodyBuffer::empty(), place, ended, arrived_bytes: 0 }
+        Arrival { content: BodyBuffer::empty(), place, ended, kept, arrived_bytes: 0 }
     }
 
     async fn read<B>(
@@ -206,7 +216,9 @@
             if chunk.len() > size_limit_bytes - self.arrived_bytes {
                 return Err(ReadBodyError::TooLarge(size_limit_bytes).into());
             }
-            self.keep(&chunk, announced, size_limit_bytes)?;
+            if self.kept == Kept::Content {
+                self.keep(&chunk, announced, size_limit_bytes)?;
+            }
             self.arrived_bytes += chunk.len();
             let BodyPlace { shared, id } = &self.place;
             shared.lock().ledger.note_arrived(*id, chunk.len(), shared.now());
--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -395,3 +395,32 @@
         assert!(process.is_running(), "round {round}: the process has ended");
     }
 }
+
+// Guards against bodies that take room from others although their client is refused anyway.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bodies_of_unknown_clients_take_no_room() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let objects = start_objects().await;
+    let _target = start_target(&objects, &RunLog::default(), lengthy());
+    let process = Process::start(&objects, SMALL_MACHINE).await;
+    let head = |key: &str| {
+        format!(
+            "POST /write/u HTTP/1.1\r\nHost: h.example\r\nX-Skylarkpick-Attempt-Id: u\r\n\
+             X-Skylarkpick-Credential: {key}\r\nConnection: close\r\n\
+             Content-Length: {BODY_LIMIT_BYTES}\r\n\r\n"
+        )
+    };
+    let body = "b".repeat(BODY_LIMIT_BYTES - 1);
+    let mut unknown = TcpStream::connect(process.front()).await.unwrap();
+    unknown.write_all(head("unknown").as_bytes()).await.unwrap();
+    unknown.write_all(body.as_bytes()).await.unwrap();
+    assert_eq!(process.arriving_body_bytes().await, 0);
+    let mut known = TcpStream::connect(process.front()).await.unwrap();
+    known.write_all(head("k1").as_bytes()).await.unwrap();
+    known.write_all(body.as_bytes()).await.unwrap();
+    assert_ne!(process.arriving_body_bytes().await, 0, "the gauge counts other bodies");
+    unknown.write_all(b"b").await.unwrap();
+    let mut response = String::new();
+    unknown.read_to_string(&mut response).await.unwrap();
+    assert!(response.starts_with("HTTP/1.1 401 "), "{response}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,11 +15,17 @@
     sync::atomic::{AtomicU8, Ordering},
     time::Duration,
 };
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 
 /// Timeout of a step; far above its normal duration, so that only a test that hangs fails.
 pub const STEP_TIMEOUT: Duration = Duration::from_secs(30);
 pub const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Port of a VM on which its process serves metrics.
+const METRICS_PORT: u16 = 9_464;
 pub const SECOND: Duration = Duration::from_secs(1);
 
 /// An entry process of the binary and its files.
@@ -99,6 +105,19 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Returns the bytes of request bodies that arrive, from the metrics.
+    pub async fn arriving_body_bytes(&self) -> u64 {
+        let address = SocketAddr::new(self.location.address, METRICS_PORT);
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let request = "GET /metrics HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.unwrap();
+        let name = "skylarkpick_bodies_held_bytes{kind=\"arriving\"} ";
+        let value = response.lines().find_map(|line| line.strip_prefix(name));
+        value.expect("the gauge is there").trim().parse().unwrap()
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("log")).unwrap()
     }
