End the client connections that do least when all are taken

Clients that take all connections and send little kept everybody else out, for as long as heads and idle connections may last, and for good if they came again when they were closed.

Cause: further clients waited until a connection ended by itself. The queue of connections that wait to be accepted had 128 places; beyond it, attempts to connect are dropped, so that callers competed with the crowd for each free place.

A connection with a whole request never ends. A request whose body arrives gets a 503 with Retry-After; it was not sent to a target.

Weighed: a part of the connections that unfinished requests can't take. Without ending any, a crowd fills the other part and keeps slow callers out; with it, the part is not needed.

--- a/crates/skylarkpick-forward/src/client/activity.rs
+++ b/crates/skylarkpick-forward/src/client/activity.rs
@@ -1,5 +1,6 @@
 //! Tracks the phase of a client connection for its idle and head timeouts.
 
+use super::progress::Progress;
 use futures::FutureExt;
 use skylarkpick_interface::PeerStream;
 use socket2::SockRef;
@@ -175,13 +176,18 @@
 pub(super) struct ActivityStream<S> {
     stream: S,
     activity: Arc<Activity>,
+    progress: Arc<Progress>,
     /// Whether closing the socket resets the connection.
     resets: bool,
 }
 
 impl<S: RequestSocket> ActivityStream<S> {
-    pub(super) fn open(stream: S, activity: Arc<Activity>) -> ActivityStream<S> {
-        ActivityStream { stream, activity, resets: false }
+    pub(super) fn open(
+        stream: S,
+        activity: Arc<Activity>,
+        progress: Arc<Progress>,
+    ) -> ActivityStream<S> {
+        ActivityStream { stream, activity, progress, resets: false }
     }
 
     /// Lets the connection be reset when it closes, if only that keeps its client from taking a part
@@ -203,8 +209,10 @@
     ) -> Poll<std::io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        let arrived_bytes = buffer.filled().len() - before;
+        if arrived_bytes > 0 {
             self.activity.note_read();
+            self.progress.note_read(arrived_bytes);
         }
         polled
     }
--- a/crates/skylarkpick-forward/src/client/connection.rs
+++ b/crates/skylarkpick-forward/src/client/connection.rs
@@ -3,6 +3,7 @@
 use super::{
     activity::{Activity, ActivityStream, Phase, RequestSocket},
     departure::Departure,
+    progress::Progress,
     shared_socket::SharedSocket,
 };
 use crate::{
@@ -56,8 +57,9 @@
     let (_never, stopped) = watch::channel(false);
     let watch = OriginWatch::open(stream.link());
     let origin = RequestOrigin::Process(watch.clone());
+    let progress = Progress::open();
     tokio::select! {
-        () = serve(stream, forwarder, origin, stopped) => {}
+        () = serve(stream, forwarder, origin, progress, stopped) => {}
         silent = watch.silent() => {
             request_log!("handed-over stream ended: its process is silent", kv: {
                 request = silent.attempt_id.as_str(),
@@ -73,22 +75,25 @@
     stream: S,
     forwarder: Arc<Forwarder>,
     origin: RequestOrigin,
+    progress: Arc<Progress>,
     mut stopped: watch::Receiver<bool>,
 ) {
     let activity = Activity::open();
     let socket = SharedSocket::open(stream);
-    let io = TokioIo::new(ActivityStream::open(socket.clone(), activity.clone()));
+    let io = TokioIo::new(ActivityStream::open(socket.clone(), activity.clone(), progress.clone()));
     let mut departure = Departure::open(socket, activity.clone());
     let limits = forwarder.node_state.serving().map(|serving| *serving.limits());
     let head_size_bytes = limits.map_or(HEAD_SIZE_LIMIT_BYTES, |limits| limits.head_size_bytes);
     let head_timeout = limits.map_or(HEAD_TIMEOUT, |limits| limits.head_timeout);
     let idle_timeout = limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let service = {
-        let activity = activity.clone();
-        service_fn(move |request| {
-            let (forwarder, activity, origin) =
-                (forwarder.clone(), activity.clone(), origin.clone());
+        let (activity, progress) = (activity.clone(), progress.clone());
+        service_fn(move |mut request| {
+            let (forwarder, activity, origin, progress) =
+                (forwarder.clone(), activity.clone(), origin.clone(), progress.clone());
             activity.set(Phase::Busy);
+            progress.note_head();
+            request.extensions_mut().insert(progress.clone());
             async move {
                 let version = request.version();
                 let response = match &origin {
@@ -103,7 +108,7 @@
                 if let Some(deadline) = response.extensions().get::<ResponseDeadline>() {
                     activity.set_response_deadline(deadline.0);
                 }
-                Ok::<_, Infallible>(response.map(|body| track_activity(body, activity)))
+                Ok::<_, Infallible>(response.map(|body| track_activity(body, activity, progress)))
             }
         })
     };
@@ -129,6 +134,15 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = activity.wait_for_response() => {}
+            () = progress.connection_ended() => match activity.phase() {
+                Phase::Idle => {
+                    connection.as_mut().graceful_shutdown();
+                    is_stopping = true;
+                }
+                Phase::Head => return,
+                // The request has arrived in the meantime.
+                Phase::Busy => {}
+            },
             () = tokio::time::sleep_until(due) => {
                 if activity.deadline(head_timeout, idle_timeout) > due {
                     continue;
@@ -153,12 +167,17 @@
 struct ActivityBody {
     body: ClientBody,
     activity: Arc<Activity>,
+    progress: Arc<Progress>,
     /// Failure of the body that is still to be returned.
     failure: Option<IncompleteResponse>,
 }
 
-fn track_activity(body: ClientBody, activity: Arc<Activity>) -> ClientBody {
-    ActivityBody { body, activity, failure: None }.boxed_unsync()
+fn track_activity(
+    body: ClientBody,
+    activity: Arc<Activity>,
+    progress: Arc<Progress>,
+) -> ClientBody {
+    ActivityBody { body, activity, progress, failure: None }.boxed_unsync()
 }
 
 impl Body for ActivityBody {
@@ -201,5 +220,6 @@
             self.activity.note_body_end();
         }
         self.activity.set(Phase::Idle);
+        self.progress.note_response_sent();
     }
 }
--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -163,7 +163,7 @@
         }
         let authorized = self.authorize(&head, parts).await;
         let kept = if authorized.is_ok() { Kept::Content } else { Kept::Nothing };
-        let body = self.bodies.read(body, limit, kept).await;
+        let body = self.read_request_body(parts, body, limit, kept).await;
         let body = body.map_err(|error| {
             self.note_refused_body(&head, error.reason(), received);
             fail(body_failure(&error), &error.to_string())
--- a/crates/skylarkpick-forward/src/forwarding/request_body.rs
+++ b/crates/skylarkpick-forward/src/forwarding/request_body.rs
@@ -1,10 +1,11 @@
 //! Reads request bodies within the room that all bodies of a process have together.
 
 use super::{body_buffer::BodyBuffer, forwarder::Forwarder, response_stream::milliseconds};
-use crate::log::request_log;
+use crate::{client::Progress, log::request_log};
 use bytes::Bytes;
+use http::request::Parts;
 use http_body_util::BodyExt;
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use skylarkpick_http::ReadBodyError;
 use skylarkpick_interface::RequestHead;
 use skylarkpick_schedule::{BodyId, BodyLedger, BodyLimits, BodyUse, NoRoom};
@@ -99,6 +100,25 @@
 }
 
 impl Forwarder {
+    /// Reads the body of a request, unless its connection ends for another one in the meantime.
+    pub(super) async fn read_request_body(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        size_limit_bytes: usize,
+        kept: Kept,
+    ) -> Result<Bytes, RequestBodyError> {
+        let read = self.bodies.read(body, size_limit_bytes, kept);
+        let Some(progress) = parts.extensions.get::<Arc<Progress>>() else { return read.await };
+        let read = tokio::select! {
+            biased;
+            read = read => read?,
+            () = progress.body_ended() => return Err(NoRoom.into()),
+        };
+        progress.note_whole();
+        Ok(read)
+    }
+
     /// Counts a body that was not read for this reason, and logs whose it is.
     pub(super) fn note_refused_body(&self, head: &RequestHead, reason: &str, received: Instant) {
         metrics().count(&BODIES_REFUSED, &[("reason", reason)]);
--- a/crates/skylarkpick-forward/src/node.rs
+++ b/crates/skylarkpick-forward/src/node.rs
@@ -164,8 +164,9 @@
         )
         .await?;
         let connections_limit = connection_limit(machine.descriptors, Some(machine.memory_bytes));
-        let listener =
-            ClientListener::bind(settings.front_address, forwarder, connections_limit).await?;
+        let front = settings.front_address;
+        let pace = body_limits.pressed_pace;
+        let listener = ClientListener::bind(front, forwarder, connections_limit, pace).await?;
         let mut tasks = JoinSet::new();
         let topics =
             [FleetTopic::Serving, FleetTopic::Targets, FleetTopic::Weights, FleetTopic::Entries];
--- a/crates/skylarkpick-schedule/src/lib.rs
+++ b/crates/skylarkpick-schedule/src/lib.rs
@@ -29,7 +29,8 @@
     Admission, AdmissionDecision, AdmissionRequest, QueueDecision, Refusal, RefusalReason,
 };
 pub use client_bytes::{
-    BodyId, BodyLedger, BodyLimits, BodyPace, BodyUse, NoRoom, connection_limit,
+    BodyId, BodyLedger, BodyLimits, BodyPace, BodyUse, ConnectionId, ConnectionStage,
+    ConnectionState, NoRoom, connection_limit, connections_to_end,
 };
 pub use crashes::{
     CrashEvidence, CrashVerdict, EVIDENCE_LIFETIME, ReportSource, evidence_keepers, part_number,
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -122,6 +122,14 @@
     description: "runners that are leaving the fleet",
 };
 
+/// Client connections that ended for others, since all were taken.
+pub const CLIENT_CONNECTIONS_ENDED: Metric = Metric {
+    name: "clients.connections_ended",
+    kind: MetricKind::Counter,
+    tags: &[],
+    description: "client connections that ended for others, since all were taken",
+};
+
 /// Connections to targets that could not be opened.
 pub const CONNECTIONS_FAILED: Metric = Metric {
     name: "connections.failed",
@@ -345,6 +353,7 @@
     READY,
     RUNNERS_SERVING,
     RUNNERS_LEAVING,
+    CLIENT_CONNECTIONS_ENDED,
     CONNECTIONS_FAILED,
     SERVICES_CUT_OFF,
     REQUESTS_HANDED_OVER,
--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -30,10 +30,16 @@
 /// Settings that name neither memory nor descriptors, and what such a process may take at most.
 const NO_LIMITS: &str = "";
 const UNNAMED_MEMORY_LIMIT_BYTES: usize = 1_000_000_000;
+/// A machine that accepts fewer connections than `LARGE_CROWD`.
+const SMALL_MACHINE_OF_FEW_CONNECTIONS: &str = "limits.memoryMb=110\nlimits.fileDescriptors=1000\n";
+const SMALLER_MEMORY_LIMIT_BYTES: usize = 110_000_000;
+const LARGE_CROWD: usize = 700;
 /// Answer that no socket buffers whole.
 const LARGE_ANSWER_BYTES: usize = 1_048_576;
 /// Rounds of a crowd that comes again.
 const ROUNDS: usize = 8;
+/// Timeout for heads and idle connections beyond the duration of a test.
+const LONG_TIMEOUT_MS: u64 = 300_000;
 /// Descriptors of a machine that has fewer than a crowd has clients.
 const FEW_DESCRIPTORS: &str = "limits.fileDescriptors=200\n";
 const DESCRIPTOR_LIMIT: usize = 200;
@@ -277,6 +283,7 @@
         let is_bounded = match settings {
             FEW_DESCRIPTORS => descriptors <= DESCRIPTOR_LIMIT,
             NO_LIMITS => peak <= UNNAMED_MEMORY_LIMIT_BYTES,
+            SMALL_MACHINE_OF_FEW_CONNECTIONS => peak <= SMALLER_MEMORY_LIMIT_BYTES,
             _ => peak <= MEMORY_LIMIT_BYTES,
         };
         if !is_bounded {
@@ -340,6 +347,16 @@
     play_all(cases.collect(), CLIENTS, lengthy()).await;
 }
 
+// Guards against a crowd with more connections than are accepted that keeps ordinary requests out by the
+// time that its many small chunks take.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn ordinary_requests_are_answered_beside_many_tiny_chunks() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let is_tiny = |case: &Case| case.name == "chunks of one byte, all but the last chunk";
+    let few = |case: Case| Case { settings: SMALL_MACHINE_OF_FEW_CONNECTIONS, ..case };
+    play_all(cases().into_iter().filter(is_tiny).map(few).collect(), LARGE_CROWD, lengthy()).await;
+}
+
 // Guards against whole bodies that pile up where targets don't read them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn whole_bodies_for_targets_that_do_not_read_them_are_bounded() {
@@ -370,6 +387,53 @@
     play_all(vec![case], CLIENTS, Conduct { answer, ..quick() }).await;
 }
 
+/// Connects a client of a crowd whenever its connection has been closed.
+async fn write_again_and_again(
+    address: SocketAddr,
+    number: usize,
+    bytes: Arc<(String, String, usize)>,
+) {
+    loop {
+        if let Some(mut stream) = write(address, number, bytes.clone()).await {
+            let mut response = Vec::new();
+            // A connection that is reset has ended as well.
+            let _ = stream.read_to_end(&mut response).await;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+// Guards against clients that have all connections, send little or nothing, and come again when they are
+// closed, so that nobody else is served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn ordinary_callers_are_served_beside_a_crowd_that_has_all_connections() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    for (name, head, piece) in [
+        ("a head without its end", "X-More: ", ""),
+        ("a body without its last byte", "Content-Length: 60000\r\n\r\n", "b"),
+        ("a chunk without its end", "Transfer-Encoding: chunked\r\n\r\n", "ff\r\nb"),
+    ] {
+        let objects = start_objects().await;
+        let mut content = objects.state.get("config", "main").expect("the configuration is there");
+        content["limits"]["headerTimeoutMs"] = LONG_TIMEOUT_MS.into();
+        content["limits"]["idleTimeoutMs"] = LONG_TIMEOUT_MS.into();
+        objects.state.put("config", "main", content);
+        let _target = start_target(&objects, &RunLog::default(), lengthy());
+        let mut process = Process::start(&objects, FEW_DESCRIPTORS).await;
+        let bytes = Arc::new((head.to_string(), piece.to_string(), 1));
+        let mut clients = JoinSet::new();
+        for number in 0..CLIENTS {
+            clients.spawn(write_again_and_again(process.front(), number, bytes.clone()));
+        }
+        sleep(HOLD_TIME).await;
+        for size_bytes in [5, 60_000, BODY_LIMIT_BYTES] {
+            send_until_answered(&process, name, size_bytes).await;
+        }
+        assert!(process.open_descriptors() <= DESCRIPTOR_LIMIT, "{name}");
+        assert!(process.is_running(), "{name}: the process has ended");
+    }
+}
+
 // Guards against memory that does not come back after a crowd, so that it grows with each.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn memory_stays_bounded_when_a_crowd_comes_again() {
