--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -4,9 +4,10 @@
 
 mod support;
 
+use async_trait::async_trait;
 use skylarkpick_platform_standin::{
     AfterRequest, BodyRead, Conduct, Decide, ObjectServer, RouteSpec, RunLog, RunTarget,
-    configuration, success_answer,
+    TargetAddresses, configuration, success_answer,
 };
 use std::{
     net::{Ipv4Addr, SocketAddr},
@@ -460,6 +461,49 @@
     }
 }
 
+/// View of the platform in which no target can be reached.
+struct Unreachable;
+
+#[async_trait]
+impl TargetAddresses for Unreachable {
+    async fn of(&self, _: SocketAddr) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::LOCALHOST, 1))
+    }
+}
+
+// Guards against bodies that pile up where a process that reaches no target hands requests over, at either
+// of the two processes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_crowd_is_bounded_at_both_processes_of_which_one_hands_over() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let objects = start_objects().await;
+    let cut_off = objects.start_view(Arc::new(Unreachable)).await.unwrap();
+    let _target = start_target(&objects, &RunLog::default(), lengthy());
+    let mut helper = Process::start_linked(&objects, "entry-2", SMALL_MACHINE).await;
+    let mut origin = Process::start_linked(&cut_off, "entry-1", SMALL_MACHINE).await;
+    let head = format!("Content-Length: {BODY_LIMIT_BYTES}\r\n\r\n");
+    for (name, size_bytes) in
+        [("whole bodies", BODY_LIMIT_BYTES), ("all but the last byte", BODY_LIMIT_BYTES - 1)]
+    {
+        let bytes = Arc::new((head.clone(), "b".repeat(size_bytes), 1));
+        let mut clients = JoinSet::new();
+        for number in 0..CLIENTS {
+            clients.spawn(write(origin.front(), number, bytes.clone()));
+        }
+        let open = clients.join_all().await;
+        for (role, process) in [("origin", &mut origin), ("helper", &mut helper)] {
+            let peak = process.peak_resident_bytes();
+            println!("{name}, {role}: peak {} MB", peak / 1_000_000);
+            assert!(process.is_running(), "{name}: the {role} has ended");
+            assert!(peak <= MEMORY_LIMIT_BYTES, "{name}, {role}: {peak} bytes");
+        }
+        send_until_answered(&origin, name, 5).await;
+        drop(open);
+        send_until_answered(&origin, name, BODY_LIMIT_BYTES).await;
+        send_until_answered(&helper, name, BODY_LIMIT_BYTES).await;
+    }
+}
+
 // Guards against bodies that take room from others although their client is refused anyway.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn bodies_of_unknown_clients_take_no_room() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -38,15 +38,29 @@
 impl Process {
     /// Starts a process with these lines added to its settings, and waits until it serves requests.
     pub async fn start(objects: &ObjectServer, more_settings: &str) -> Process {
+        Process::start_named(objects, "entry-1", false, more_settings).await
+    }
+
+    /// Starts one of several processes that reach each other.
+    pub async fn start_linked(objects: &ObjectServer, name: &str, more_settings: &str) -> Process {
+        Process::start_named(objects, name, true, more_settings).await
+    }
+
+    async fn start_named(
+        objects: &ObjectServer,
+        name: &str,
+        has_peer_links: bool,
+        more_settings: &str,
+    ) -> Process {
         static NUMBER: AtomicU8 = AtomicU8::new(100);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let [.., high, low] = std::process::id().to_be_bytes();
         let location = NodeLocation {
-            name: "entry-1".to_string(),
+            name: name.to_string(),
             data_centre: "mnl-a".to_string(),
             address: IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number)),
             platform: objects.address(),
-            has_peer_links: false,
+            has_peer_links,
         };
         let folder = format!("skylarkpick-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(folder);
