Log once a second that all client connections are taken

A crowd that comes again and again wrote two lines for each few connections that ended, up to the limit of 200 lines a second that all lines about requests share. One line a second now tells how many have ended.

--- a/crates/skylarkpick-forward/src/client/listener.rs
+++ b/crates/skylarkpick-forward/src/client/listener.rs
@@ -4,7 +4,7 @@
     connection::{self, RequestOrigin},
     open_connections::OpenConnections,
 };
-use crate::{connection_pool::set_socket_options, forwarding::Forwarder, log::is_line_allowed};
+use crate::{connection_pool::set_socket_options, forwarding::Forwarder};
 use skylarkpick_schedule::BodyPace;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -109,13 +109,7 @@
     places: Places,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let mut was_full = false;
     loop {
-        let is_full = places.permits.available_permits() == 0;
-        if is_full && !was_full && is_line_allowed() {
-            spdlog::warn!("limit of client connections reached");
-        }
-        was_full = is_full;
         let accepted = tokio::select! {
             // Connections that wait to be accepted come before the end: closing the listener would reset
             // them, with requests that their clients have sent.
--- a/crates/skylarkpick-forward/src/client/open_connections.rs
+++ b/crates/skylarkpick-forward/src/client/open_connections.rs
@@ -1,15 +1,17 @@
 //! Client connections that are open.
 
 use super::progress::Progress;
-use crate::log::request_log;
 use skylarkpick_schedule::{BodyPace, ConnectionId, ConnectionState, connections_to_end};
 use skylarkpick_telemetry::{CLIENT_CONNECTIONS_ENDED, metrics};
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 use tokio::time::Instant;
 
+/// Shortest time between two lines about connections that are all taken.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
 /// Part of all connections that ends at once, so that the choice is not made anew for each client.
 const ENDED_DIVISOR: usize = 32;
 
@@ -26,6 +28,9 @@
 struct State {
     next_id: ConnectionId,
     connections: BTreeMap<ConnectionId, Arc<Progress>>,
+    /// Time of the last line about connections that are all taken, and those ended since.
+    logged_at: Option<Instant>,
+    ended_since: usize,
 }
 
 /// Entry of an open connection, until dropped.
@@ -56,7 +61,7 @@
 
     /// Has those connections ended that do least, if there are any that may end.
     pub(super) fn end_least_useful(&self) {
-        let state = self.lock();
+        let mut state = self.lock();
         let known = state.connections.iter();
         let states: Vec<ConnectionState> =
             known.filter_map(|(id, progress)| progress.state(*id, self.opened)).collect();
@@ -68,12 +73,14 @@
                 metrics().count(&CLIENT_CONNECTIONS_ENDED, &[]);
             }
         }
-        drop(state);
-        if !ended.is_empty() {
-            request_log!("client connections ended: all are taken", kv: {
-                ended = ended.len(), limit = self.limit,
-            });
+        state.ended_since += ended.len();
+        if state.logged_at.is_some_and(|at| at.elapsed() < LINE_INTERVAL) {
+            return;
         }
+        state.logged_at = Some(Instant::now());
+        let ended = std::mem::take(&mut state.ended_since);
+        drop(state);
+        spdlog::warn!("all client connections are taken", kv: { ended:, limit = self.limit });
     }
 }
 
