--- a/crates/skylarkpick-forward/src/fleet.rs
+++ b/crates/skylarkpick-forward/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Tracks the fleet: platform records, cache contents and weight rollouts.
 
+mod applied_records;
 mod cache_role;
 mod cache_watch;
 mod departed_targets;
--- a/crates/skylarkpick-forward/src/fleet/records.rs
+++ b/crates/skylarkpick-forward/src/fleet/records.rs
@@ -9,13 +9,11 @@
 use super::topic_state::{EraChange, StoredChange, TopicState};
 use super::weight_times::WeightTimes;
 use crate::peers::PeerRecords;
-use crate::{log::request_log, node_state::NodeState, serving_index::ServingIndex};
+use crate::{log::request_log, node_state::NodeState};
 use rand::seq::SliceRandom;
 use skylarkpick_interface::{
-    FleetRecord, FleetTopic, FleetUpdate, NamedRecord, RegisteredEntry, ServingDocument, StoreEra,
-    StoreRevision,
+    FleetRecord, FleetTopic, FleetUpdate, RegisteredEntry, StoreEra, StoreRevision,
 };
-use skylarkpick_schedule::ReportSource;
 use skylarkpick_telemetry::{RECORDS_OLDER, metrics};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -40,7 +38,7 @@
     topics: Mutex<BTreeMap<FleetTopic, TopicState>>,
     /// Held while records are stored and applied. Of two updates at the same time, the one that is stored
     /// last is applied last.
-    applying: Mutex<()>,
+    pub(super) applying: Mutex<()>,
     /// Latest era that another process has named.
     heard_era: watch::Sender<StoreEra>,
     /// Name of this process's VM.
@@ -455,55 +453,6 @@
         (RecordOrigin { revision: update.revision, kind, is_first_read, not_before }, stored)
     }
 
-    /// Applies what is stored after each change of an update.
-    fn apply_stored(
-        &self,
-        topic: FleetTopic,
-        update: &FleetUpdate,
-        origin: RecordOrigin,
-        stored: Vec<StoredChange>,
-    ) {
-        for (found, change) in update.records.iter().zip(stored) {
-            self.note_found(topic, found, origin.revision);
-            if !self.is_awaited(topic, &change, origin) {
-                let named = NamedRecord { name: change.name, record: change.record };
-                self.apply(topic, &named, origin);
-            }
-        }
-        match topic {
-            FleetTopic::Weights => self.node_state.note_weights_read(),
-            FleetTopic::Targets => self.weights_change_seen.notify_one(),
-            FleetTopic::Evacuations => self.follow_evacuations(update, origin),
-            FleetTopic::Serving => self.node_state.note_version_served(),
-            FleetTopic::Entries => {}
-        }
-        self.changes.send_modify(|count| *count += 1);
-        if topic == FleetTopic::Entries {
-            self.entries_changed();
-        }
-    }
-
-    /// Records what a change of an update says, whether or not it is in force.
-    fn note_found(&self, topic: FleetTopic, named: &NamedRecord, revision: StoreRevision) {
-        match &named.record {
-            Some(FleetRecord::Weights(weights)) => self.lock_weight_times().note_found(weights),
-            Some(FleetRecord::Serving(document)) => {
-                self.node_state.newest_version.note(document.version);
-            }
-            Some(FleetRecord::Unreadable(why)) => {
-                request_log!("invalid platform record", kv: {
-                    topic:, name = named.name.as_str(), why = why.as_str(), revision:,
-                });
-            }
-            _ => {}
-        }
-    }
-
-    /// Locks the step from storing records to serving by them.
-    pub(super) fn lock_applying(&self) -> MutexGuard<'_, ()> {
-        self.applying.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     pub(super) fn entries_changed(&self) {
         self.node_state.note_entries_read();
         let entries = self.entries();
@@ -544,35 +493,6 @@
     fn locked_role_decision(&self) -> MutexGuard<'_, RoleDecision> {
         self.role_decision.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    pub(super) fn apply(&self, topic: FleetTopic, named: &NamedRecord, origin: RecordOrigin) {
-        let revision = origin.revision;
-        match &named.record {
-            Some(FleetRecord::Serving(document)) => self.apply_serving(document, revision),
-            Some(FleetRecord::Target(target)) => self.apply_target(target, revision, origin.kind),
-            Some(FleetRecord::Weights(weights)) => self.apply_weights(weights, origin),
-            Some(FleetRecord::Entry(entry)) => {
-                let source = match entry.name == self.node {
-                    true => ReportSource::OwnRegistration,
-                    false => ReportSource::Registration,
-                };
-                self.node_state.merge_crashes(&entry.crashes, &entry.name, source);
-            }
-            Some(FleetRecord::Unreadable(_)) if topic == FleetTopic::Targets => {
-                self.remove_target(&named.name, "its record is invalid");
-            }
-            None if topic == FleetTopic::Targets => self.handle_missing_target(&named.name),
-            // Evacuations are followed as a whole, after all records of an update.
-            Some(FleetRecord::Evacuation(_) | FleetRecord::Unreadable(_)) | None => {}
-        }
-    }
-
-    fn apply_serving(&self, document: &ServingDocument, revision: StoreRevision) {
-        let (version, routes) = (document.version, document.routes.len());
-        if self.node_state.install_serving(ServingIndex::open(document.clone())) {
-            spdlog::info!("serving document applied", kv: { version, routes, revision: });
-        }
-    }
 }
 
 /// Logs an update of a topic that is ignored, since it is older than the stored records.
