--- a/crates/skylarkpick-forward/src/forwarding.rs
+++ b/crates/skylarkpick-forward/src/forwarding.rs
@@ -14,6 +14,8 @@
 mod response_stream;
 mod stream_binding;
 
+#[cfg(test)]
+mod body_buffer_tests;
 #[cfg(test)]
 mod request_body_tests;
 #[cfg(test)]
