Test a crowd at a process with half of a core

The tests of clients beyond the limits gave a process as much of the processor as it took, so that it read bodies as fast as they came. One now shares a core with a busy thread.

No product code changes, so the test shows no fault that was there before.

The choice of cases by name, which stood three times, is a function now.

--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -252,13 +252,29 @@
     play_all(cases(), CLIENTS, lengthy()).await;
 }
 
+/// Returns the cases with these names.
+fn cases_of(names: &[&str]) -> Vec<Case> {
+    cases().into_iter().filter(|case| names.contains(&case.name)).collect()
+}
+
 /// Plays each crowd against a process of its own; fails if one exceeds its bound.
 async fn play_all(cases: Vec<Case>, crowd: usize, conduct: Conduct) {
+    play_all_confined(cases, crowd, conduct, |_| ()).await;
+}
+
+/// The same, with what `confine` leaves to a process for as long as its result is kept.
+async fn play_all_confined<C>(
+    cases: Vec<Case>,
+    crowd: usize,
+    conduct: Conduct,
+    confine: impl Fn(&Process) -> C,
+) {
     let mut failures = Vec::new();
     for Case { name, head, piece, pieces, settings } in cases {
         let objects = start_objects().await;
         let _target = start_target(&objects, &RunLog::default(), conduct.clone());
         let mut process = Process::start(&objects, settings).await;
+        let _confined = confine(&process);
         let before = process.peak_resident_bytes();
         let mut clients = JoinSet::new();
         let bytes = Arc::new((head, piece, pieces));
@@ -344,18 +360,27 @@
         "chunks without end",
     ];
     let unnamed = |case: Case| Case { settings: NO_LIMITS, ..case };
-    let cases = cases().into_iter().filter(|case| names.contains(&case.name)).map(unnamed);
+    let cases = cases_of(&names).into_iter().map(unnamed);
     play_all(cases.collect(), CLIENTS, lengthy()).await;
 }
 
+// Guards against a process that hangs or grows where it gets half of a core, so that a crowd sends faster
+// than it reads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_process_with_half_of_a_core_outlives_a_crowd() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let names = ["announced, all but the last byte", "chunks of one byte, all but the last chunk"];
+    play_all_confined(cases_of(&names), CLIENTS, lengthy(), Process::share_core).await;
+}
+
 // Guards against a crowd with more connections than are accepted that keeps ordinary requests out by the
 // time that its many small chunks take.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn ordinary_requests_are_answered_beside_many_tiny_chunks() {
     let _turn = ONE_AT_A_TIME.lock().await;
-    let is_tiny = |case: &Case| case.name == "chunks of one byte, all but the last chunk";
+    let tiny = cases_of(&["chunks of one byte, all but the last chunk"]);
     let few = |case: Case| Case { settings: SMALL_MACHINE_OF_FEW_CONNECTIONS, ..case };
-    play_all(cases().into_iter().filter(is_tiny).map(few).collect(), LARGE_CROWD, lengthy()).await;
+    play_all(tiny.into_iter().map(few).collect(), LARGE_CROWD, lengthy()).await;
 }
 
 // Guards against whole bodies that pile up where targets don't read them.
@@ -443,7 +468,7 @@
     let _target = start_target(&objects, &RunLog::default(), lengthy());
     let mut process = Process::start(&objects, SMALL_MACHINE).await;
     let names = ["announced, all but the last byte", "chunks of 64 KB, all but the last chunk"];
-    let crowds: Vec<Case> = cases().into_iter().filter(|case| names.contains(&case.name)).collect();
+    let crowds = cases_of(&names);
     for round in 0..ROUNDS {
         let Case { name, head, piece, pieces, .. } = &crowds[round % crowds.len()];
         let bytes = Arc::new((head.clone(), piece.clone(), *pieces));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,7 +2,11 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a helper of a test fails the test")]
 #![allow(dead_code, reason = "each test uses some of the helpers")]
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::{
+    io::Errno,
+    process::{Pid, Signal, kill_process},
+    thread::{CpuSet, sched_getaffinity, sched_setaffinity},
+};
 use skylarkpick_platform_standin::{
     ClientRequest, FleetLimits, NodeLocation, ObjectServer, TargetState, TestClient, node_settings,
     registration,
@@ -12,7 +16,11 @@
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU8, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU8, Ordering},
+    },
+    thread,
     time::Duration,
 };
 use tokio::{
@@ -132,6 +140,22 @@
         value.expect("the gauge is there").trim().parse().unwrap()
     }
 
+    /// Leaves the process half of a core, which it shares with a thread that is always busy.
+    pub fn share_core(&self) -> BusyThread {
+        let allowed = sched_getaffinity(None).unwrap();
+        let core = (0..CpuSet::MAX_CPU).find(|core| allowed.is_set(*core)).unwrap();
+        let mut shared = CpuSet::new();
+        shared.set(core);
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        for task in tasks {
+            let id = task.unwrap().file_name().to_str().unwrap().parse().unwrap();
+            // A thread that has ended in the meantime needs no core.
+            let result = sched_setaffinity(Pid::from_raw(id), &shared);
+            assert!(matches!(result, Ok(()) | Err(Errno::SRCH)), "{result:?}");
+        }
+        BusyThread::spawn(shared)
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("log")).unwrap()
     }
@@ -168,6 +192,36 @@
     }
 }
 
+/// Thread that uses up a core until dropped.
+pub struct BusyThread {
+    is_stopped: Arc<AtomicBool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl BusyThread {
+    fn spawn(core: CpuSet) -> BusyThread {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let stopped = is_stopped.clone();
+        let thread = thread::spawn(move || {
+            sched_setaffinity(None, &core).unwrap();
+            while !stopped.load(Ordering::Relaxed) {
+                std::hint::spin_loop();
+            }
+        });
+        BusyThread { is_stopped, thread: Some(thread) }
+    }
+}
+
+impl Drop for BusyThread {
+    fn drop(&mut self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // A thread that panicked left the process more of the core.
+            let _ = thread.join();
+        }
+    }
+}
+
 /// Returns a request of the client account `acme`.
 pub fn request(
     id: String,
