Reserve for a large body only about twice what has arrived

A process ended beside a crowd of large bodies where its address space was limited: "memory allocation of 65536 bytes failed". A limit of the address space (ulimit -v) is how a process is held within the memory of its machine without control groups.

Cause: with its first 64 KiB a body got a mapping of the announced size, or of the limit of a body. The rest was reserved and not used, so that the room of bodies, which counts what is used, was kept. 300 clients reserved 957 MB for bodies at a process with 160 MB. A mapping that the system refused was handled (the body got a 503), but the next allocation of something else ended the process. Ruled out: memory that is in use (66 to 72 MB resident).

Change: a mapping that is full is replaced by one of twice the size. A body on the heap for which the system has no memory is refused as well.

--- a/crates/skylarkpick-forward/src/forwarding/body_buffer.rs
+++ b/crates/skylarkpick-forward/src/forwarding/body_buffer.rs
@@ -2,9 +2,9 @@
 
 use memmap2::{MmapMut, MmapOptions};
 
-/// Size up to which a body lies in the heap. Larger ones have a mapping of their own, whose memory is
-/// used as their bytes arrive and goes back to the system with them: on the heap, buffers that grow to
-/// different sizes leave gaps that the next ones don't fit into.
+/// Size up to which a body lies in the heap. Larger ones have a mapping of their own, whose memory goes
+/// back to the system with them: on the heap, buffers that grow to different sizes leave gaps that the
+/// next ones don't fit into.
 pub(super) const HEAP_LIMIT_BYTES: usize = 65_536;
 /// First buffer of a body of unknown size: what one read of a connection brings.
 const FIRST_BUFFER_BYTES: usize = 16_384;
@@ -25,6 +25,16 @@
     Mapped { map: MmapMut, length_bytes: usize },
 }
 
+impl Storage {
+    /// Returns the size of a body that fits.
+    fn capacity_bytes(&self) -> usize {
+        match self {
+            Storage::Heap(_) => HEAP_LIMIT_BYTES,
+            Storage::Mapped { map, .. } => map.len(),
+        }
+    }
+}
+
 impl BodyBuffer {
     pub(super) fn empty() -> BodyBuffer {
         BodyBuffer { storage: Storage::Heap(Vec::new()), room_bytes: 0 }
@@ -61,10 +71,10 @@
         room.min(most).max(needed) - self.room_bytes
     }
 
-    /// Adds bytes, for which the buffer takes further room.
+    /// Adds bytes to a body of at most `most_bytes`, for which the buffer takes further room.
     ///
     /// # Errors
-    /// Returns an error if the system has no memory for a body of `most_bytes`.
+    /// Returns an error if the system has no memory for them.
     pub(super) fn add(
         &mut self,
         bytes: &[u8],
@@ -72,17 +82,19 @@
         most_bytes: usize,
     ) -> std::io::Result<()> {
         self.room_bytes += missing_room_bytes;
-        if let Storage::Heap(content) = &self.storage
-            && content.len() + bytes.len() > HEAP_LIMIT_BYTES
-        {
-            let most_bytes = most_bytes.max(content.len() + bytes.len());
-            let mut map = MmapOptions::new().len(most_bytes).no_reserve_swap().map_anon()?;
-            map[..content.len()].copy_from_slice(content);
-            self.storage = Storage::Mapped { map, length_bytes: content.len() };
+        let content = self.content();
+        let (length_bytes, needed_bytes) = (content.len(), content.len() + bytes.len());
+        if needed_bytes > self.storage.capacity_bytes() {
+            // A mapping of the size that the body may have would count in full where the address space is
+            // limited or memory isn't overcommitted, and other allocations would fail.
+            let size_bytes = needed_bytes.next_power_of_two().min(most_bytes).max(needed_bytes);
+            let mut map = MmapOptions::new().len(size_bytes).map_anon()?;
+            map[..length_bytes].copy_from_slice(content);
+            self.storage = Storage::Mapped { map, length_bytes };
         }
         match &mut self.storage {
             Storage::Heap(content) => {
-                content.reserve_exact(self.room_bytes.saturating_sub(content.len()));
+                content.try_reserve_exact(self.room_bytes.saturating_sub(content.len()))?;
                 content.extend_from_slice(bytes);
             }
             Storage::Mapped { map, length_bytes } => {
--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -28,6 +28,10 @@
 /// Memory of the smallest machine, of which a process may take `MEMORY_LIMIT_BYTES`.
 const SMALL_MACHINE: &str = "limits.memoryMb=160\n";
 const MEMORY_LIMIT_BYTES: usize = 100_000_000;
+const SMALL_MACHINE_BYTES: usize = 160_000_000;
+/// Clients of a crowd in a limited address space, and its rounds.
+const CONFINED_CROWD: usize = 1_000;
+const CONFINED_ROUNDS: usize = 5;
 /// Settings that name neither memory nor descriptors, and what such a process may take at most.
 const NO_LIMITS: &str = "";
 const UNNAMED_MEMORY_LIMIT_BYTES: usize = 1_000_000_000;
@@ -276,6 +280,7 @@
         let mut process = Process::start(&objects, settings).await;
         let _confined = confine(&process);
         let before = process.peak_resident_bytes();
+        let address_space_before = process.address_space_bytes();
         let mut clients = JoinSet::new();
         let bytes = Arc::new((head, piece, pieces));
         for number in 0..crowd {
@@ -292,10 +297,12 @@
         assert!(process.is_running(), "{name}: the process has ended");
         let left_open = open.len();
         let peak = process.peak_resident_bytes();
+        let reserved = process.peak_address_space_bytes() - address_space_before;
         println!(
-            "{name}: {} MB before, peak {} MB, {descriptors} descriptors, {left_open} left open",
+            "{name}: {} MB before, peak {} MB, {} MB more reserved, {descriptors} descriptors, {left_open} left open",
             before / 1_000_000,
-            peak / 1_000_000
+            peak / 1_000_000,
+            reserved / 1_000_000,
         );
         let is_bounded = match settings {
             FEW_DESCRIPTORS => descriptors <= DESCRIPTOR_LIMIT,
@@ -306,6 +313,14 @@
         if !is_bounded {
             failures.push(format!("{name}: {} MB, {descriptors} descriptors", peak / 1_000_000));
         }
+        let reserved_limit = match settings {
+            SMALL_MACHINE => SMALL_MACHINE_BYTES,
+            SMALL_MACHINE_OF_FEW_CONNECTIONS => SMALLER_MEMORY_LIMIT_BYTES,
+            _ => UNNAMED_MEMORY_LIMIT_BYTES,
+        };
+        if reserved > reserved_limit {
+            failures.push(format!("{name}: {} MB more reserved", reserved / 1_000_000));
+        }
         // Ordinary requests are answered while the crowd is there; large ones once it has left.
         if settings != FEW_DESCRIPTORS {
             send_until_answered(&process, name, 5).await;
@@ -364,6 +379,55 @@
     play_all(cases.collect(), CLIENTS, lengthy()).await;
 }
 
+// Guards against the end of a process whose address space is limited: an allocation that fails ends it, and
+// bodies of one kind leave nothing for those of others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_process_outlives_mixed_clients_in_a_limited_address_space() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let kinds = cases_of(&[
+        "announced, all but the last byte",
+        "chunks of 64 KB, all but the last chunk",
+        "chunks of one byte, all but the last chunk",
+        "stalled bodies of ordinary size",
+        "requests behind one that takes long",
+    ]);
+    for round in 0..CONFINED_ROUNDS {
+        let objects = start_objects().await;
+        let _target = start_target(&objects, &RunLog::default(), lengthy());
+        let mut process = Process::start(&objects, SMALL_MACHINE).await;
+        process.limit_address_space(SMALL_MACHINE_BYTES);
+        play_confined(&mut process, &format!("mixed clients, round {round}"), &kinds).await;
+    }
+}
+
+/// Plays a crowd of clients of several kinds against a process whose memory is limited by the system.
+async fn play_confined(process: &mut Process, name: &str, kinds: &[Case]) {
+    let kinds: Vec<_> = kinds
+        .iter()
+        .map(|kind| Arc::new((kind.head.clone(), kind.piece.clone(), kind.pieces)))
+        .collect();
+    let mut clients = JoinSet::new();
+    for number in 0..CONFINED_CROWD {
+        clients.spawn(write(process.front(), number, kinds[number % kinds.len()].clone()));
+    }
+    let open = clients.join_all().await;
+    check_memory(process, name);
+    send_until_answered(process, name, 5).await;
+    drop(open);
+    send_until_answered(process, name, BODY_LIMIT_BYTES).await;
+    check_memory(process, name);
+}
+
+/// Fails if a process has ended, or if the system refused memory for a body.
+fn check_memory(process: &mut Process, name: &str) {
+    let is_running = process.is_running();
+    let log = process.log();
+    let last_lines: Vec<&str> = log.lines().rev().take(5).collect();
+    assert!(is_running, "{name}: the process has ended: {last_lines:#?}");
+    let refused = log.lines().filter(|line| line.contains("no memory for a request body")).count();
+    assert_eq!(refused, 0, "{name}: the system refused memory");
+}
+
 // Guards against a process that hangs or grows where it gets half of a core, so that a crowd sends faster
 // than it reads.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use rustix::{
     io::Errno,
-    process::{Pid, Signal, kill_process},
+    process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit},
     thread::{CpuSet, sched_getaffinity, sched_setaffinity},
 };
 use skylarkpick_platform_standin::{
@@ -114,14 +114,36 @@
         self.child.try_wait().unwrap().is_none()
     }
 
-    /// Returns the largest resident memory so far, from `/proc`.
+    /// Returns the largest resident memory so far.
     pub fn peak_resident_bytes(&self) -> usize {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// Returns the size of the address space.
+    pub fn address_space_bytes(&self) -> usize {
+        self.status_bytes("VmSize:")
+    }
+
+    /// Returns the largest address space so far. Reserved memory counts, which is not resident.
+    pub fn peak_address_space_bytes(&self) -> usize {
+        self.status_bytes("VmPeak:")
+    }
+
+    /// Returns a size from `/proc`.
+    fn status_bytes(&self, name: &str) -> usize {
         let path = format!("/proc/{}/status", self.child.id());
         let status = std::fs::read_to_string(path).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
         line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1_024
     }
 
+    /// Has the system refuse memory once the address space is larger by this than it is now.
+    pub fn limit_address_space(&self, more_bytes: usize) {
+        let most = u64::try_from(self.address_space_bytes() + more_bytes).unwrap();
+        let limit = Rlimit { current: Some(most), maximum: Some(most) };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::As, limit).unwrap();
+    }
+
     /// Returns the number of open descriptors, from `/proc`.
     pub fn open_descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
