Take no more memory than the address space of a process has left

A process whose settings name no memory ended beside large bodies where its address space was limited (ulimit -v) to less than the machine's memory.

Cause: without the setting, the memory came from the control group or the machine, of which the process took up to 1 GB. The limit of its address space was not looked at.

Change: what is left of the address space at the start counts if it is less.

--- a/crates/skylarkpick-forward/src/machine.rs
+++ b/crates/skylarkpick-forward/src/machine.rs
@@ -28,6 +28,8 @@
     Group,
     /// The memory of the machine.
     Machine,
+    /// The limit of the process's address space.
+    AddressSpace,
     /// None of these.
     Default,
 }
@@ -38,6 +40,8 @@
     /// Of the process's control group, if that is less than the machine's.
     pub(crate) group_bytes: Option<u64>,
     pub(crate) machine_bytes: Option<u64>,
+    /// What is left of the process's address space, if that is limited.
+    pub(crate) address_space_bytes: Option<u64>,
 }
 
 impl MachineLimits {
@@ -74,21 +78,34 @@
         system.refresh_memory();
         let machine_bytes = Some(system.total_memory()).filter(|bytes| *bytes > 0);
         let pid = Pid::from_u32(std::process::id());
-        let nothing = ProcessRefreshKind::nothing();
-        system.refresh_processes_specifics(ProcessesToUpdate::Some(&[pid]), false, nothing);
-        let group = system.process(pid).and_then(|process| process.cgroup_limits());
+        let sizes = ProcessRefreshKind::nothing().with_memory();
+        system.refresh_processes_specifics(ProcessesToUpdate::Some(&[pid]), false, sizes);
+        let process = system.process(pid);
+        let group = process.and_then(|process| process.cgroup_limits());
         let group_bytes = group.map(|limits| limits.total_memory);
         let is_limit = |bytes: &u64| *bytes > 0 && machine_bytes.is_none_or(|most| *bytes < most);
-        SystemMemory { group_bytes: group_bytes.filter(is_limit), machine_bytes }
+        let used_bytes = process.map_or(0, |process| process.virtual_memory());
+        let address_space_bytes = getrlimit(Resource::As).current;
+        SystemMemory {
+            group_bytes: group_bytes.filter(is_limit),
+            machine_bytes,
+            address_space_bytes: address_space_bytes.map(|bytes| bytes.saturating_sub(used_bytes)),
+        }
     }
 }
 
 /// Returns the memory of a process whose settings name it or not.
 pub(crate) fn choose_memory(named_bytes: Option<u64>, system: SystemMemory) -> (u64, LimitSource) {
-    match (named_bytes, system.group_bytes, system.machine_bytes) {
-        (Some(bytes), _, _) => (bytes, LimitSource::Settings),
-        (None, Some(bytes), _) => (bytes, LimitSource::Group),
-        (None, None, Some(bytes)) => (bytes.min(SHARED_MACHINE_BYTES), LimitSource::Machine),
-        (None, None, None) => (DEFAULT_MEMORY_BYTES, LimitSource::Default),
+    if let Some(bytes) = named_bytes {
+        return (bytes, LimitSource::Settings);
+    }
+    let (bytes, source) = match (system.group_bytes, system.machine_bytes) {
+        (Some(bytes), _) => (bytes, LimitSource::Group),
+        (None, Some(bytes)) => (bytes.min(SHARED_MACHINE_BYTES), LimitSource::Machine),
+        (None, None) => (DEFAULT_MEMORY_BYTES, LimitSource::Default),
+    };
+    match system.address_space_bytes {
+        Some(left_bytes) if left_bytes < bytes => (left_bytes, LimitSource::AddressSpace),
+        _ => (bytes, source),
     }
 }
--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -32,6 +32,8 @@
 /// Clients of a crowd in a limited address space, and its rounds.
 const CONFINED_CROWD: usize = 1_000;
 const CONFINED_ROUNDS: usize = 5;
+/// Address space of a process on a large machine, of which its code and its threads take a part.
+const ADDRESS_SPACE_BYTES: usize = 400_000_000;
 /// Settings that name neither memory nor descriptors, and what such a process may take at most.
 const NO_LIMITS: &str = "";
 const UNNAMED_MEMORY_LIMIT_BYTES: usize = 1_000_000_000;
@@ -400,6 +402,19 @@
     }
 }
 
+// Guards against a process whose settings name no memory and that takes more than its address space has
+// left, however large the machine is.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_process_without_a_named_memory_stays_within_its_address_space() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    for name in ["announced, all but the last byte", "stalled bodies of ordinary size"] {
+        let objects = start_objects().await;
+        let _target = start_target(&objects, &RunLog::default(), lengthy());
+        let mut process = Process::start_in_address_space(&objects, ADDRESS_SPACE_BYTES).await;
+        play_confined(&mut process, name, &cases_of(&[name])).await;
+    }
+}
+
 /// Plays a crowd of clients of several kinds against a process whose memory is limited by the system.
 async fn play_confined(process: &mut Process, name: &str, kinds: &[Case]) {
     let kinds: Vec<_> = kinds
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -43,23 +43,42 @@
     folder: PathBuf,
 }
 
+/// How a process starts.
+struct Start<'a> {
+    name: &'a str,
+    has_peer_links: bool,
+    /// Lines that are added to its settings.
+    settings: &'a str,
+    address_space_bytes: Option<usize>,
+}
+
+impl Default for Start<'_> {
+    fn default() -> Self {
+        Start { name: "entry-1", has_peer_links: false, settings: "", address_space_bytes: None }
+    }
+}
+
 impl Process {
     /// Starts a process with these lines added to its settings, and waits until it serves requests.
     pub async fn start(objects: &ObjectServer, more_settings: &str) -> Process {
-        Process::start_named(objects, "entry-1", false, more_settings).await
+        Process::start_with(objects, Start { settings: more_settings, ..Start::default() }).await
+    }
+
+    /// Starts a process whose address space is limited.
+    pub async fn start_in_address_space(objects: &ObjectServer, size_bytes: usize) -> Process {
+        let address_space_bytes = Some(size_bytes);
+        Process::start_with(objects, Start { address_space_bytes, ..Start::default() }).await
     }
 
     /// Starts one of several processes that reach each other.
     pub async fn start_linked(objects: &ObjectServer, name: &str, more_settings: &str) -> Process {
-        Process::start_named(objects, name, true, more_settings).await
+        let start =
+            Start { name, has_peer_links: true, settings: more_settings, ..Start::default() };
+        Process::start_with(objects, start).await
     }
 
-    async fn start_named(
-        objects: &ObjectServer,
-        name: &str,
-        has_peer_links: bool,
-        more_settings: &str,
-    ) -> Process {
+    async fn start_with(objects: &ObjectServer, start: Start<'_>) -> Process {
+        let Start { name, has_peer_links, settings: more_settings, address_space_bytes } = start;
         static NUMBER: AtomicU8 = AtomicU8::new(100);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let [.., high, low] = std::process::id().to_be_bytes();
@@ -83,8 +102,11 @@
         let text = node_settings(&location, &limits) + more_settings;
         std::fs::write(&settings, text).unwrap();
         let log = File::create(folder.join("log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_skylarkpick"))
-            .arg("node")
+        let kilobytes =
+            address_space_bytes.map_or("unlimited".to_string(), |it| (it / 1_024).to_string());
+        let child = Command::new("sh")
+            .args(["-c", "ulimit -v $0 && exec \"$@\"", &kilobytes])
+            .args([env!("CARGO_BIN_EXE_skylarkpick"), "node"])
             .env("SKYLARKPICK_CONFIG", &settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
