Refuse a request whose time ends while its body arrives

A body that arrived slowly enough to outlast its route's timeout, or its client's deadline, was read to its end. It took room from others meanwhile, and its client got 504 only then, which promises nothing.

Cause: the time of a request was looked at after its body, as the route was once found after it. The route is known before the body now.

Change: such a request is refused with 408 when its time ends; nothing has been sent to a target, so that the promise holds.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -162,15 +162,17 @@
             return Err(fail(too_large(), "the content length exceeds the limit"));
         }
         let authorized = self.authorize(&head, parts).await;
-        let kept = if authorized.is_ok() { Kept::Content } else { Kept::Nothing };
-        let body = self.read_request_body(parts, body, limit, kept).await;
+        let (kept, due) = match &authorized {
+            Ok((_, route, _)) => (Kept::Content, Some(received + time_allowed(&head, route))),
+            Err(_) => (Kept::Nothing, None),
+        };
+        let body = self.read_request_body(parts, body, limit, kept, due).await;
         let body = body.map_err(|error| {
             self.note_refused_body(&head, error.reason(), received);
             fail(body_failure(&error), &error.to_string())
         })?;
         let (serving, route, account) = authorized.map_err(|(error, why)| fail(error, &why))?;
-        let longest = route.timeout;
-        let timeout = head.deadline.map_or(longest, |deadline| deadline.min(longest));
+        let timeout = time_allowed(&head, &route);
         let service = pick_destination(&route.destinations, rand::random())
             .map(|destination| destination.service.clone())
             .unwrap_or_default();
@@ -717,6 +719,11 @@
 }
 
 /// Returns the response to a request whose body was not read. It has not run.
+/// Returns the time that a request has since its arrival.
+fn time_allowed(head: &RequestHead, route: &ServingRoute) -> Duration {
+    head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout))
+}
+
 fn body_failure(error: &RequestBodyError) -> GatewayError {
     let status = match error {
         RequestBodyError::NoRoom(_) => return GatewayError::NoRoom { wait: UNKNOWN_WAIT },
--- a/crates/skylarkpick-forward/src/forwarding/request_body.rs
+++ b/crates/skylarkpick-forward/src/forwarding/request_body.rs
@@ -21,7 +21,7 @@
 };
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 /// Why a body was not read.
@@ -100,15 +100,23 @@
 }
 
 impl Forwarder {
-    /// Reads the body of a request, unless its connection ends for another one in the meantime.
+    /// Reads the body of a request, unless its connection ends for another one in the meantime, or it is
+    /// due: a request without time left can't be served.
     pub(super) async fn read_request_body(
         &self,
         parts: &Parts,
         body: Incoming,
         size_limit_bytes: usize,
         kept: Kept,
+        due: Option<Instant>,
     ) -> Result<Bytes, RequestBodyError> {
+        let began = Instant::now();
         let read = self.bodies.read(body, size_limit_bytes, kept);
+        let read = async {
+            let Some(due) = due else { return read.await };
+            let too_slow = |_| Err(ReadBodyError::TooSlow(began.elapsed()).into());
+            timeout_at(due, read).await.unwrap_or_else(too_slow)
+        };
         let Some(progress) = parts.extensions.get::<Arc<Progress>>() else { return read.await };
         let read = tokio::select! {
             biased;
--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -59,6 +59,8 @@
 /// Pieces in which a client sends whose link of 10 Mbit/s carries another body as well: in 6.4 s.
 const SLOW_PIECE_BYTES: usize = 65_536;
 const SLOW_INTERVAL: Duration = Duration::from_millis(100);
+/// Time of a request, in which less than half of such a body arrives.
+const SHORT_DEADLINE_MS: u64 = 2_000;
 
 /// Time that a target takes for a request of a crowd, if one is complete.
 const CROWD_WORK: Duration = Duration::from_secs(60);
@@ -366,6 +368,37 @@
     assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
 }
 
+// Guards against a body that is read to its end, and takes room, although its request has no time left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_whose_time_ends_amid_its_body_is_refused_then() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let objects = start_objects().await;
+    let _target = start_target(&objects, &RunLog::default(), lengthy());
+    let process = Process::start(&objects, SMALL_MACHINE).await;
+    let stream = TcpStream::connect(process.front()).await.unwrap();
+    let (mut responses, mut requests) = stream.into_split();
+    let head = format!(
+        "POST /write/late HTTP/1.1\r\nHost: h.example\r\nX-Skylarkpick-Attempt-Id: late\r\n\
+         X-Skylarkpick-Credential: k1\r\nX-Skylarkpick-Deadline-Milliseconds: {SHORT_DEADLINE_MS}\r\n\
+         Content-Length: {BODY_LIMIT_BYTES}\r\n\r\n"
+    );
+    requests.write_all(head.as_bytes()).await.unwrap();
+    let writer = tokio::spawn(async move {
+        for _ in 0..BODY_LIMIT_BYTES / SLOW_PIECE_BYTES {
+            sleep(SLOW_INTERVAL).await;
+            if requests.write_all(&[b'b'; SLOW_PIECE_BYTES]).await.is_err() {
+                break;
+            }
+        }
+    });
+    let mut response = [0; 12];
+    responses.read_exact(&mut response).await.unwrap();
+    let is_whole = writer.is_finished();
+    writer.abort();
+    let response = String::from_utf8_lossy(&response);
+    assert_eq!(response, "HTTP/1.1 408", "whole body sent: {is_whole}");
+}
+
 // Guards against a bound that a setting has to turn on: a process whose settings name no memory grows with
 // what clients send.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
