--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -4,7 +4,7 @@
     active_request::ActiveRequest,
     attempt::{Attempt, AttemptOutcome, CompleteResponse, StreamingResponse},
     hand_over::mark_refused,
-    request_body::{BodyBudget, Kept, RequestBodyError},
+    request_body::{BodyBudget, Kept, RequestBodyError, time_allowed},
     request_identity::{Caller, request_number},
     response::{
         ClientBody, GatewayError, ResponseDeadline, close_connection, end_with_connection,
@@ -719,11 +719,6 @@
 }
 
 /// Returns the response to a request whose body was not read. It has not run.
-/// Returns the time that a request has since its arrival.
-fn time_allowed(head: &RequestHead, route: &ServingRoute) -> Duration {
-    head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout))
-}
-
 fn body_failure(error: &RequestBodyError) -> GatewayError {
     let status = match error {
         RequestBodyError::NoRoom(_) => return GatewayError::NoRoom { wait: UNKNOWN_WAIT },
--- a/crates/skylarkpick-forward/src/forwarding/request_body.rs
+++ b/crates/skylarkpick-forward/src/forwarding/request_body.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use skylarkpick_http::ReadBodyError;
-use skylarkpick_interface::RequestHead;
+use skylarkpick_interface::{RequestHead, ServingRoute};
 use skylarkpick_schedule::{BodyId, BodyLedger, BodyLimits, BodyUse, NoRoom};
 use skylarkpick_telemetry::{BODIES_REFUSED, metrics};
 use std::{
@@ -99,6 +99,11 @@
     }
 }
 
+/// Returns the time that a request has since its arrival.
+pub(super) fn time_allowed(head: &RequestHead, route: &ServingRoute) -> Duration {
+    head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout))
+}
+
 impl Forwarder {
     /// Reads the body of a request, unless its connection ends for another one in the meantime, or it is
     /// due: a request without time left can't be served.
