Tests: limit the address space only of processes that ask for it

A system whose own limit of the address space is fixed refuses to lift it, so that no process of these tests would start there. No check changes.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -102,11 +102,18 @@
         let text = node_settings(&location, &limits) + more_settings;
         std::fs::write(&settings, text).unwrap();
         let log = File::create(folder.join("log")).unwrap();
-        let kilobytes =
-            address_space_bytes.map_or("unlimited".to_string(), |it| (it / 1_024).to_string());
-        let child = Command::new("sh")
-            .args(["-c", "ulimit -v $0 && exec \"$@\"", &kilobytes])
-            .args([env!("CARGO_BIN_EXE_skylarkpick"), "node"])
+        let program = env!("CARGO_BIN_EXE_skylarkpick");
+        let mut command = match address_space_bytes {
+            Some(bytes) => {
+                let mut shell = Command::new("sh");
+                let kilobytes = (bytes / 1_024).to_string();
+                shell.args(["-c", "ulimit -v $0 && exec \"$@\"", &kilobytes, program]);
+                shell
+            }
+            None => Command::new(program),
+        };
+        let child = command
+            .arg("node")
             .env("SKYLARKPICK_CONFIG", &settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
