Check the deadline of a body where its pace is checked

A body that outlasts its request was ended by a timer of its own around the reader, which has one already: the earlier of the two times counts there now. The source of the memory limit, which is only logged, is no longer kept.

No change of conduct; the test of the case passes as before.

--- a/crates/skylarkpick-forward/src/forwarding/forwarder.rs
+++ b/crates/skylarkpick-forward/src/forwarding/forwarder.rs
@@ -162,11 +162,11 @@
             return Err(fail(too_large(), "the content length exceeds the limit"));
         }
         let authorized = self.authorize(&head, parts).await;
-        let (kept, due) = match &authorized {
+        let (kept, deadline) = match &authorized {
             Ok((_, route, _)) => (Kept::Content, Some(received + time_allowed(&head, route))),
             Err(_) => (Kept::Nothing, None),
         };
-        let body = self.read_request_body(parts, body, limit, kept, due).await;
+        let body = self.read_request_body(parts, body, limit, kept, deadline).await;
         let body = body.map_err(|error| {
             self.note_refused_body(&head, error.reason(), received);
             fail(body_failure(&error), &error.to_string())
--- a/crates/skylarkpick-forward/src/forwarding/request_body.rs
+++ b/crates/skylarkpick-forward/src/forwarding/request_body.rs
@@ -21,7 +21,7 @@
 };
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep_until, timeout_at},
+    time::{Instant, sleep_until},
 };
 
 /// Why a body was not read.
@@ -80,13 +80,15 @@
         self.0.lock().ledger.use_bytes()
     }
 
-    /// Reads a complete body of at most `size_limit_bytes`. It keeps its room until its last copy is
-    /// dropped. A body of which nothing is kept takes no room, and its content is empty.
+    /// Reads a complete body of at most `size_limit_bytes`, which is too slow after `deadline`. It keeps
+    /// its room until its last copy is dropped. A body of which nothing is kept takes no room, and its
+    /// content is empty.
     pub(crate) async fn read<B>(
         &self,
         body: B,
         size_limit_bytes: usize,
         kept: Kept,
+        deadline: Option<Instant>,
     ) -> Result<Bytes, RequestBodyError>
     where
         B: Body<Data = Bytes> + Unpin,
@@ -95,7 +97,7 @@
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
-        Arrival::begin(&self.0, kept).read(body, size_limit_bytes).await
+        Arrival::begin(&self.0, kept, deadline).read(body, size_limit_bytes).await
     }
 }
 
@@ -105,23 +107,17 @@
 }
 
 impl Forwarder {
-    /// Reads the body of a request, unless its connection ends for another one in the meantime, or it is
-    /// due: a request without time left can't be served.
+    /// Reads the body of a request, unless its connection ends for another one in the meantime, or its
+    /// deadline passes: a request without time left can't be served.
     pub(super) async fn read_request_body(
         &self,
         parts: &Parts,
         body: Incoming,
         size_limit_bytes: usize,
         kept: Kept,
-        due: Option<Instant>,
+        deadline: Option<Instant>,
     ) -> Result<Bytes, RequestBodyError> {
-        let began = Instant::now();
-        let read = self.bodies.read(body, size_limit_bytes, kept);
-        let read = async {
-            let Some(due) = due else { return read.await };
-            let too_slow = |_| Err(ReadBodyError::TooSlow(began.elapsed()).into());
-            timeout_at(due, read).await.unwrap_or_else(too_slow)
-        };
+        let read = self.bodies.read(body, size_limit_bytes, kept, deadline);
         let Some(progress) = parts.extensions.get::<Arc<Progress>>() else { return read.await };
         let read = tokio::select! {
             biased;
@@ -210,18 +206,20 @@
     place: BodyPlace,
     ended: Arc<Notify>,
     kept: Kept,
+    /// Time after which it is too slow, whatever its pace.
+    deadline: Option<Instant>,
     arrived_bytes: usize,
 }
 
 impl Arrival {
-    fn begin(shared: &Arc<Shared>, kept: Kept) -> Arrival {
+    fn begin(shared: &Arc<Shared>, kept: Kept, deadline: Option<Instant>) -> Arrival {
         let ended = Arc::new(Notify::new());
         let mut state = shared.lock();
         let id = state.ledger.begin(shared.now());
         state.ended.insert(id, ended.clone());
         drop(state);
         let place = BodyPlace { shared: shared.clone(), id };
-        Arrival { content: BodyBuffer::empty(), place, ended, kept, arrived_bytes: 0 }
+        Arrival { content: BodyBuffer::empty(), place, ended, kept, deadline, arrived_bytes: 0 }
     }
 
     async fn read<B>(
@@ -262,7 +260,8 @@
     /// Returns when the body is too slow; `None` if it has lost its room.
     fn due(&self) -> Option<Instant> {
         let BodyPlace { shared, id } = &self.place;
-        Some(shared.opened + shared.lock().ledger.due(*id)?)
+        let due = shared.opened + shared.lock().ledger.due(*id)?;
+        Some(self.deadline.map_or(due, |deadline| deadline.min(due)))
     }
 
     /// Adds a part of the body, of which at most `size_limit_bytes` arrive.
--- a/crates/skylarkpick-forward/src/forwarding/request_body_tests.rs
+++ b/crates/skylarkpick-forward/src/forwarding/request_body_tests.rs
@@ -85,7 +85,7 @@
         let budget = BodyBudget::open(BodyLimits::of_memory(case.memory_bytes));
         let interval = Duration::from_millis(case.interval_ms);
         let body = body(case.piece_bytes, case.pieces, interval, case.stalls);
-        let end = budget.read(body, SIZE_LIMIT_BYTES, Kept::Content).await;
+        let end = budget.read(body, SIZE_LIMIT_BYTES, Kept::Content, None).await;
         let seen = match &end {
             Ok(content) => Ok(content.len()),
             Err(RequestBodyError::Unread(ReadBodyError::TooLarge(_))) => Err("too_large"),
@@ -111,7 +111,7 @@
     let read = |pieces, interval, stall| {
         let budget = budget.clone();
         let body = body(65_536, pieces, interval, stall);
-        tokio::spawn(async move { budget.read(body, SIZE_LIMIT_BYTES, Kept::Content).await })
+        tokio::spawn(async move { budget.read(body, SIZE_LIMIT_BYTES, Kept::Content, None).await })
     };
     let stalled = read(60, quick, true);
     tokio::time::sleep(Duration::from_millis(500)).await;
--- a/crates/skylarkpick-forward/src/machine.rs
+++ b/crates/skylarkpick-forward/src/machine.rs
@@ -14,7 +14,6 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct MachineLimits {
     pub(crate) memory_bytes: u64,
-    pub(crate) memory_source: LimitSource,
     /// Open descriptors; `None` without a limit.
     pub(crate) descriptors: Option<u64>,
 }
@@ -54,7 +53,6 @@
         let (memory_bytes, memory_source) = choose_memory(settings.memory_limit_bytes, system);
         let limits = MachineLimits {
             memory_bytes,
-            memory_source,
             descriptors: settings.descriptor_limit.or_else(|| getrlimit(Resource::Nofile).current),
         };
         spdlog::info!("limits of the process", kv: {
