Let the activity of a client connection tell its progress

Two trackers of a connection, for its timeouts and for the choice of connections that end for others, were kept in step at each place that a request passes. The socket and the body of the response tell the first alone now, and it tells the second.

No change of conduct.

--- a/crates/skylarkpick-forward/src/client/activity.rs
+++ b/crates/skylarkpick-forward/src/client/activity.rs
@@ -46,6 +46,8 @@
 pub(super) struct Activity {
     state: Mutex<State>,
     response_begun: Notify,
+    /// Follows the same requests, for the choice of connections that end for others.
+    progress: Arc<Progress>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -58,14 +60,14 @@
 }
 
 impl Activity {
-    pub(super) fn open() -> Arc<Activity> {
+    pub(super) fn open(progress: Arc<Progress>) -> Arc<Activity> {
         let state = State {
             phase: Phase::Idle,
             since: Instant::now(),
             response_deadline: None,
             response_end: ResponseEnd::Marked,
         };
-        Arc::new(Activity { state: Mutex::new(state), response_begun: Notify::new() })
+        Arc::new(Activity { state: Mutex::new(state), response_begun: Notify::new(), progress })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -76,11 +78,23 @@
         self.lock().phase
     }
 
-    pub(super) fn set(&self, phase: Phase) {
+    fn set(&self, phase: Phase) {
         let mut state = self.lock();
         *state = State { phase, since: Instant::now(), response_deadline: None, ..*state };
     }
 
+    /// Notes that the head of a request has arrived.
+    pub(super) fn note_head(&self) {
+        self.set(Phase::Busy);
+        self.progress.note_head();
+    }
+
+    /// Notes that the response has been sent.
+    pub(super) fn note_response_sent(&self) {
+        self.set(Phase::Idle);
+        self.progress.note_response_sent();
+    }
+
     /// Notes that the response that is about to be sent may end with the connection.
     pub(super) fn end_with_connection(&self) {
         self.lock().response_end = ResponseEnd::WithConnection { is_reached: false };
@@ -108,11 +122,13 @@
         self.response_begun.notified().await;
     }
 
-    fn note_read(&self) {
+    fn note_read(&self, bytes: usize) {
         let mut state = self.lock();
         if state.phase == Phase::Idle {
             *state = State { phase: Phase::Head, since: Instant::now(), ..*state };
         }
+        drop(state);
+        self.progress.note_read(bytes);
     }
 
     /// Waits until no head is being received. The task that waits has to poll the connection as well:
@@ -176,18 +192,13 @@
 pub(super) struct ActivityStream<S> {
     stream: S,
     activity: Arc<Activity>,
-    progress: Arc<Progress>,
     /// Whether closing the socket resets the connection.
     resets: bool,
 }
 
 impl<S: RequestSocket> ActivityStream<S> {
-    pub(super) fn open(
-        stream: S,
-        activity: Arc<Activity>,
-        progress: Arc<Progress>,
-    ) -> ActivityStream<S> {
-        ActivityStream { stream, activity, progress, resets: false }
+    pub(super) fn open(stream: S, activity: Arc<Activity>) -> ActivityStream<S> {
+        ActivityStream { stream, activity, resets: false }
     }
 
     /// Lets the connection be reset when it closes, if only that keeps its client from taking a part
@@ -211,8 +222,7 @@
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         let arrived_bytes = buffer.filled().len() - before;
         if arrived_bytes > 0 {
-            self.activity.note_read();
-            self.progress.note_read(arrived_bytes);
+            self.activity.note_read(arrived_bytes);
         }
         polled
     }
--- a/crates/skylarkpick-forward/src/client/connection.rs
+++ b/crates/skylarkpick-forward/src/client/connection.rs
@@ -78,9 +78,9 @@
     progress: Arc<Progress>,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let activity = Activity::open();
+    let activity = Activity::open(progress.clone());
     let socket = SharedSocket::open(stream);
-    let io = TokioIo::new(ActivityStream::open(socket.clone(), activity.clone(), progress.clone()));
+    let io = TokioIo::new(ActivityStream::open(socket.clone(), activity.clone()));
     let mut departure = Departure::open(socket, activity.clone());
     let limits = forwarder.node_state.serving().map(|serving| *serving.limits());
     let head_size_bytes = limits.map_or(HEAD_SIZE_LIMIT_BYTES, |limits| limits.head_size_bytes);
@@ -89,10 +89,9 @@
     let service = {
         let (activity, progress) = (activity.clone(), progress.clone());
         service_fn(move |mut request| {
-            let (forwarder, activity, origin, progress) =
-                (forwarder.clone(), activity.clone(), origin.clone(), progress.clone());
-            activity.set(Phase::Busy);
-            progress.note_head();
+            let (forwarder, activity, origin) =
+                (forwarder.clone(), activity.clone(), origin.clone());
+            activity.note_head();
             request.extensions_mut().insert(progress.clone());
             async move {
                 let version = request.version();
@@ -108,7 +107,7 @@
                 if let Some(deadline) = response.extensions().get::<ResponseDeadline>() {
                     activity.set_response_deadline(deadline.0);
                 }
-                Ok::<_, Infallible>(response.map(|body| track_activity(body, activity, progress)))
+                Ok::<_, Infallible>(response.map(|body| track_activity(body, activity)))
             }
         })
     };
@@ -167,17 +166,12 @@
 struct ActivityBody {
     body: ClientBody,
     activity: Arc<Activity>,
-    progress: Arc<Progress>,
     /// Failure of the body that is still to be returned.
     failure: Option<IncompleteResponse>,
 }
 
-fn track_activity(
-    body: ClientBody,
-    activity: Arc<Activity>,
-    progress: Arc<Progress>,
-) -> ClientBody {
-    ActivityBody { body, activity, progress, failure: None }.boxed_unsync()
+fn track_activity(body: ClientBody, activity: Arc<Activity>) -> ClientBody {
+    ActivityBody { body, activity, failure: None }.boxed_unsync()
 }
 
 impl Body for ActivityBody {
@@ -219,7 +213,6 @@
         if self.body.is_end_stream() {
             self.activity.note_body_end();
         }
-        self.activity.set(Phase::Idle);
-        self.progress.note_response_sent();
+        self.activity.note_response_sent();
     }
 }
