Tests: one function for the heads and one for the clients of a crowd

The head of a request stood four times in the tests of clients beyond the limits, and the loop that connects a crowd four times. No check, bound or crowd changes; the id of a client's request stands in its path as well, where only its number stood.

--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -169,6 +169,25 @@
     ]
 }
 
+/// Returns the head of a request, with these lines after the common ones.
+fn request_head(id: &str, key: &str, more_lines: &str) -> String {
+    format!(
+        "POST /write/{id} HTTP/1.1\r\nHost: h.example\r\nX-Skylarkpick-Attempt-Id: {id}\r\n\
+         X-Skylarkpick-Credential: {key}\r\n{more_lines}"
+    )
+}
+
+/// Connects clients of several kinds in turn, each of which writes what its kind does.
+fn connect_crowd(address: SocketAddr, crowd: usize, kinds: &[Case]) -> JoinSet<Option<TcpStream>> {
+    let bytes = |kind: &Case| Arc::new((kind.head.clone(), kind.piece.clone(), kind.pieces));
+    let kinds: Vec<_> = kinds.iter().map(bytes).collect();
+    let mut clients = JoinSet::new();
+    for number in 0..crowd {
+        clients.spawn(write(address, number, kinds[number % kinds.len()].clone()));
+    }
+    clients
+}
+
 /// Writes what a client of a crowd writes; returns its connection, which stays open, unless the
 /// process has closed it.
 async fn write(
@@ -179,10 +198,7 @@
     let mut stream = TcpStream::connect(address).await.ok()?;
     let writes = async {
         let (head, piece, pieces) = &*bytes;
-        let head = format!(
-            "POST /write/{number} HTTP/1.1\r\nHost: h.example\r\n\
-             X-Skylarkpick-Attempt-Id: c{number}\r\nX-Skylarkpick-Credential: k1\r\n{head}"
-        );
+        let head = request_head(&format!("c{number}"), "k1", head);
         stream.write_all(head.as_bytes()).await?;
         for _ in 0..*pieces {
             stream.write_all(piece.as_bytes()).await?;
@@ -278,18 +294,15 @@
     confine: impl Fn(&Process) -> C,
 ) {
     let mut failures = Vec::new();
-    for Case { name, head, piece, pieces, settings } in cases {
+    for case in cases {
+        let Case { name, settings, .. } = case;
         let objects = start_objects().await;
         let _target = start_target(&objects, &RunLog::default(), conduct.clone());
         let mut process = Process::start(&objects, settings).await;
         let _confined = confine(&process);
         let before = process.peak_resident_bytes();
         let address_space_before = process.address_space_bytes();
-        let mut clients = JoinSet::new();
-        let bytes = Arc::new((head, piece, pieces));
-        for number in 0..crowd {
-            clients.spawn(write(process.front(), number, bytes.clone()));
-        }
+        let mut clients = connect_crowd(process.front(), crowd, &[case]);
         let mut open = Vec::new();
         let mut descriptors = 0;
         while let Some(client) = clients.join_next().await {
@@ -354,10 +367,8 @@
     };
     assert_eq!(log.runs().iter().filter(whole).count(), 10);
     let mut slow = TcpStream::connect(process.front()).await.unwrap();
-    let head = format!(
-        "POST /write/slow HTTP/1.1\r\nHost: h.example\r\nX-Skylarkpick-Attempt-Id: slow\r\n\
-         X-Skylarkpick-Credential: k1\r\nConnection: close\r\nContent-Length: {BODY_LIMIT_BYTES}\r\n\r\n"
-    );
+    let length = format!("Connection: close\r\nContent-Length: {BODY_LIMIT_BYTES}\r\n\r\n");
+    let head = request_head("slow", "k1", &length);
     slow.write_all(head.as_bytes()).await.unwrap();
     for _ in 0..BODY_LIMIT_BYTES / SLOW_PIECE_BYTES {
         sleep(SLOW_INTERVAL).await;
@@ -377,11 +388,11 @@
     let process = Process::start(&objects, SMALL_MACHINE).await;
     let stream = TcpStream::connect(process.front()).await.unwrap();
     let (mut responses, mut requests) = stream.into_split();
-    let head = format!(
-        "POST /write/late HTTP/1.1\r\nHost: h.example\r\nX-Skylarkpick-Attempt-Id: late\r\n\
-         X-Skylarkpick-Credential: k1\r\nX-Skylarkpick-Deadline-Milliseconds: {SHORT_DEADLINE_MS}\r\n\
+    let lines = format!(
+        "X-Skylarkpick-Deadline-Milliseconds: {SHORT_DEADLINE_MS}\r\n\
          Content-Length: {BODY_LIMIT_BYTES}\r\n\r\n"
     );
+    let head = request_head("late", "k1", &lines);
     requests.write_all(head.as_bytes()).await.unwrap();
     let writer = tokio::spawn(async move {
         for _ in 0..BODY_LIMIT_BYTES / SLOW_PIECE_BYTES {
@@ -450,14 +461,7 @@
 
 /// Plays a crowd of clients of several kinds against a process whose memory is limited by the system.
 async fn play_confined(process: &mut Process, name: &str, kinds: &[Case]) {
-    let kinds: Vec<_> = kinds
-        .iter()
-        .map(|kind| Arc::new((kind.head.clone(), kind.piece.clone(), kind.pieces)))
-        .collect();
-    let mut clients = JoinSet::new();
-    for number in 0..CONFINED_CROWD {
-        clients.spawn(write(process.front(), number, kinds[number % kinds.len()].clone()));
-    }
+    let clients = connect_crowd(process.front(), CONFINED_CROWD, kinds);
     let open = clients.join_all().await;
     check_memory(process, name);
     send_until_answered(process, name, 5).await;
@@ -582,15 +586,11 @@
     let names = ["announced, all but the last byte", "chunks of 64 KB, all but the last chunk"];
     let crowds = cases_of(&names);
     for round in 0..ROUNDS {
-        let Case { name, head, piece, pieces, .. } = &crowds[round % crowds.len()];
-        let bytes = Arc::new((head.clone(), piece.clone(), *pieces));
-        let mut clients = JoinSet::new();
-        for number in 0..CLIENTS {
-            clients.spawn(write(process.front(), number, bytes.clone()));
-        }
+        let crowd = &crowds[round % crowds.len()];
+        let clients = connect_crowd(process.front(), CLIENTS, std::slice::from_ref(crowd));
         let open = clients.join_all().await;
         drop(open);
-        send_until_answered(&process, name, BODY_LIMIT_BYTES).await;
+        send_until_answered(&process, crowd.name, BODY_LIMIT_BYTES).await;
         let peak = process.peak_resident_bytes();
         println!("round {round}: peak {} MB", peak / 1_000_000);
         assert!(peak <= MEMORY_LIMIT_BYTES, "round {round}: {peak} bytes");
@@ -622,12 +622,14 @@
     for (name, size_bytes) in
         [("whole bodies", BODY_LIMIT_BYTES), ("all but the last byte", BODY_LIMIT_BYTES - 1)]
     {
-        let bytes = Arc::new((head.clone(), "b".repeat(size_bytes), 1));
-        let mut clients = JoinSet::new();
-        for number in 0..CLIENTS {
-            clients.spawn(write(origin.front(), number, bytes.clone()));
-        }
-        let open = clients.join_all().await;
+        let case = Case {
+            name,
+            head: head.clone(),
+            piece: "b".repeat(size_bytes),
+            pieces: 1,
+            settings: SMALL_MACHINE,
+        };
+        let open = connect_crowd(origin.front(), CLIENTS, &[case]).join_all().await;
         for (role, process) in [("origin", &mut origin), ("helper", &mut helper)] {
             let peak = process.peak_resident_bytes();
             println!("{name}, {role}: peak {} MB", peak / 1_000_000);
@@ -648,13 +650,8 @@
     let objects = start_objects().await;
     let _target = start_target(&objects, &RunLog::default(), lengthy());
     let process = Process::start(&objects, SMALL_MACHINE).await;
-    let head = |key: &str| {
-        format!(
-            "POST /write/u HTTP/1.1\r\nHost: h.example\r\nX-Skylarkpick-Attempt-Id: u\r\n\
-             X-Skylarkpick-Credential: {key}\r\nConnection: close\r\n\
-             Content-Length: {BODY_LIMIT_BYTES}\r\n\r\n"
-        )
-    };
+    let length = format!("Connection: close\r\nContent-Length: {BODY_LIMIT_BYTES}\r\n\r\n");
+    let head = |key: &str| request_head("u", key, &length);
     let body = "b".repeat(BODY_LIMIT_BYTES - 1);
     let mut unknown = TcpStream::connect(process.front()).await.unwrap();
     unknown.write_all(head("unknown").as_bytes()).await.unwrap();
