--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -78,6 +78,26 @@
     }
 
     async fn start_with(objects: &ObjectServer, start: Start<'_>) -> Process {
+        let process = Process::spawn(objects, start);
+        let served = async {
+            for number in 0.. {
+                let sent = request(format!("first-{number}"), "write", SECOND, 0);
+                if process.send(sent).await.1 == Some(200) {
+                    break;
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        tokio::time::timeout(STEP_TIMEOUT, served).await.expect("the process serves");
+        process
+    }
+
+    /// Starts one of several processes that reach each other, without waiting until it serves.
+    pub fn spawn_linked(objects: &ObjectServer, name: &str) -> Process {
+        Process::spawn(objects, Start { name, has_peer_links: true, ..Start::default() })
+    }
+
+    fn spawn(objects: &ObjectServer, start: Start<'_>) -> Process {
         let Start { name, has_peer_links, settings: more_settings, address_space_bytes } = start;
         static NUMBER: AtomicU8 = AtomicU8::new(100);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
@@ -120,18 +140,13 @@
             .stderr(log)
             .spawn()
             .unwrap();
-        let process = Process { child, location, folder };
-        let served = async {
-            for number in 0.. {
-                let sent = request(format!("first-{number}"), "write", SECOND, 0);
-                if process.send(sent).await.1 == Some(200) {
-                    break;
-                }
-                sleep(POLL_INTERVAL).await;
-            }
-        };
-        tokio::time::timeout(STEP_TIMEOUT, served).await.expect("the process serves");
-        process
+        Process { child, location, folder }
+    }
+
+    /// Returns whether the process reports that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let response = get(self.location.ready_address(), "/readiness").await;
+        response.is_ok_and(|response| response.starts_with("HTTP/1.1 200 "))
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -181,11 +196,7 @@
     /// Returns the bytes of request bodies that arrive, from the metrics.
     pub async fn arriving_body_bytes(&self) -> u64 {
         let address = SocketAddr::new(self.location.address, METRICS_PORT);
-        let mut stream = TcpStream::connect(address).await.unwrap();
-        let request = "GET /metrics HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n";
-        stream.write_all(request.as_bytes()).await.unwrap();
-        let mut response = String::new();
-        stream.read_to_string(&mut response).await.unwrap();
+        let response = get(address, "/metrics").await.unwrap();
         let name = "skylarkpick_bodies_held_bytes{kind=\"arriving\"} ";
         let value = response.lines().find_map(|line| line.strip_prefix(name));
         value.expect("the gauge is there").trim().parse().unwrap()
@@ -273,6 +284,16 @@
     }
 }
 
+/// Sends a GET request on a connection of its own; returns the response with its head.
+async fn get(address: SocketAddr, path: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await?;
+    Ok(response)
+}
+
 /// Returns a request of the client account `acme`.
 pub fn request(
     id: String,
