--- a/crates/skylarkpick-telemetry/src/lib.rs
+++ b/crates/skylarkpick-telemetry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod definitions;
 mod exposition;
+mod logged_text;
 mod logs;
 mod metrics;
 
@@ -19,6 +20,7 @@
     STORE_ERAS_UNREADABLE, STREAMS_RESUMED, TARGETS_COLD, TARGETS_SLOWEST_PERCENT, WAITING_TURNS,
 };
 pub use exposition::Exposition;
+pub use logged_text::logged_start;
 pub use logs::{LogsError, open_logs, open_stdout_logs};
 pub use metrics::{Metrics, MetricsError, install_metrics, metrics};
 pub use spdlog::{Level, LevelFilter};
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -70,6 +70,12 @@
     entries: Vec<(String, Vec<u8>)>,
 }
 
+/// Ends of names that have a meaning in a URI, a log line or a label.
+const NAME_ENDS: [&str; 22] = [
+    "&", "&after=", "+", "#", "%", "%41", "%zz", "?", "?a=1", ";", " ", " a ", "=", "/", "/status",
+    "..", "\"", "'", "\\", "\n", "é", "日本",
+];
+
 impl Kind {
     /// Returns the content with this value of a field.
     fn with(&self, value: &[u8]) -> Vec<u8> {
@@ -87,6 +93,7 @@
         };
         let fields = |values: &[&[u8]]| values.iter().map(|value| self.with(value)).collect();
         let nested = |levels| [b"[".repeat(levels), b"]".repeat(levels)].concat();
+        let named = NAME_ENDS.map(|end| (end.to_string(), self.with(b"\"odd\"")));
         vec![
             row("none", Vec::new()),
             row(
@@ -96,6 +103,7 @@
                     .flat_map(|levels| [nested(levels), self.with(&nested(levels))])
                     .collect(),
             ),
+            Row { name: "names", entries: named.to_vec() },
             row(
                 "numbers",
                 fields(&[
