--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -259,6 +259,14 @@
     description: "updates of the platform's records that were ignored, since newer ones are known",
 };
 
+/// Responses of caches with parts that could not be decoded.
+pub const CACHES_UNREADABLE: Metric = Metric {
+    name: "caches.unreadable",
+    kind: MetricKind::Counter,
+    tags: &[],
+    description: "responses of caches in which a part or an event is unreadable and was left out",
+};
+
 /// Headers of targets that could not be decoded.
 pub const SIGNALS_UNREADABLE: Metric = Metric {
     name: "signals.unreadable",
@@ -370,6 +378,7 @@
     STORE_ERA,
     STORE_ERAS_UNREADABLE,
     RECORDS_OLDER,
+    CACHES_UNREADABLE,
     SIGNALS_UNREADABLE,
     BRITTLE_TARGETS,
     BRITTLE_REJECTIONS,
