Compare idle times of connections without adding to a clock

What callers saw: after an answer with Keep-Alive: timeout= each request for its runner panicked in the process, and its client's connection ended without an answer.

Cause: take_idle added the timeout to an Instant, which overflows.

Change: it compares the time since the connection became idle.

--- a/crates/skylarkpick-forward/src/connection_pool.rs
+++ b/crates/skylarkpick-forward/src/connection_pool.rs
@@ -190,7 +190,7 @@
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(connections) = idle.get_mut(&address) else { return (None, false) };
-        let is_expired = |it: &Idle| now >= it.since + it.limit;
+        let is_expired = |it: &Idle| now.duration_since(it.since) >= it.limit;
         let is_broken =
             |it: &Idle| it.channel.sender.is_closed() && it.is_limit_reported && !is_expired(it);
         let follows_broken = connections.iter().any(is_broken);
--- a/crates/skylarkpick-forward/src/connection_pool_tests.rs
+++ b/crates/skylarkpick-forward/src/connection_pool_tests.rs
@@ -67,11 +67,40 @@
 }
 
 async fn exchange(pool: &ConnectionPool, address: SocketAddr, attempt_id: &str) {
+    exchange_with_limit(pool, address, attempt_id, None).await;
+}
+
+async fn exchange_with_limit(
+    pool: &ConnectionPool,
+    address: SocketAddr,
+    attempt_id: &str,
+    reported_limit: Option<Duration>,
+) {
     let attempt_id = attempt_id.to_string();
     let mut connection = pool.connect(address, &attempt_id, Duration::from_secs(60)).await.unwrap();
     let response = connection.send(Request::new(Default::default())).await.unwrap();
     response.into_body().collect().await.unwrap();
-    pool.release(connection, None);
+    pool.release(connection, reported_limit);
+}
+
+// Guards against a panic at each request for a target that names an idle timeout beyond what a clock
+// can show.
+#[tokio::test]
+async fn a_connection_whose_target_names_a_very_long_idle_timeout_is_used_again() {
+    let limits = [
+        Duration::from_secs(i64::MAX as u64),
+        Duration::from_secs(u64::MAX),
+        Duration::MAX,
+        Duration::from_secs(60),
+    ];
+    for limit in limits {
+        let (address, opened) = start_server().await;
+        let pool = ConnectionPool::open();
+        for attempt_id in ["first", "second"] {
+            exchange_with_limit(&pool, address, attempt_id, Some(limit)).await;
+        }
+        assert_eq!(opened.load(Ordering::SeqCst), 1, "{limit:?}");
+    }
 }
 
 // Guards against a late copy of an answer to an attempt that arrives where the answer to a later send of
