Add slots and requests of targets without overflow

What callers would see: a target whose report names running requests and one that waits counted as idle and was sent requests first; with a registration of as many slots, the planner's sum of slots wrapped.

Cause: sums of 32-bit numbers that a target or another writer chooses.

Change: ReportedLoad::requests saturates; the planner adds in floating point, in which it compares the sums anyway.

Evidence: the new case of the rollout table and the new test of placement panic without the change in a debug build ("attempt to add with overflow"). Found by reading; not seen at a process.

--- a/crates/skylarkpick-interface/src/forward.rs
+++ b/crates/skylarkpick-interface/src/forward.rs
@@ -128,6 +128,19 @@
     pub slowness_percent: Option<u32>,
 }
 
+impl ReportedLoad {
+    /// Returns the requests at the target, running or waiting.
+    ///
+    /// ```
+    /// use skylarkpick_interface::ReportedLoad;
+    /// let load = ReportedLoad { running: 3, waiting: u32::MAX, ..ReportedLoad::default() };
+    /// assert_eq!(load.requests(), u32::MAX);
+    /// ```
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// Requests that a target takes from all processes together.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestLimit {
--- a/crates/skylarkpick-schedule/src/placement/brittle_place_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle_place_tests.rs
@@ -77,6 +77,17 @@
     assert_eq!(fill(&mut placement, now).len(), 0);
 }
 
+/// Guards against a report whose sum of requests overflows and makes a full target look idle.
+#[test]
+fn a_target_with_more_requests_than_32_bits_hold_is_not_idle() {
+    let mut placement = fleet(2);
+    let load =
+        |running, waiting| ReportedLoad { running, waiting, slots: 6, slowness_percent: None };
+    placement.observe_load("i-1", load(u32::MAX, 1), NOW);
+    placement.observe_load("i-2", load(5, 0), NOW);
+    assert_eq!(assigned(&placement, NOW).unwrap().target, "i-2");
+}
+
 #[test]
 fn a_target_that_reports_fewer_slots_than_its_record_names_runs_no_more() {
     let mut placement = brittle_fleet(1, 1);
--- a/crates/skylarkpick-schedule/src/placement/target.rs
+++ b/crates/skylarkpick-schedule/src/placement/target.rs
@@ -108,8 +108,7 @@
     /// others by the last load report.
     pub fn requests(&self, now: Duration) -> f64 {
         let others = self.last_report.map_or(0.0, |report| {
-            let total = report.load.running + report.load.waiting;
-            f64::from(total.saturating_sub(report.own_requests))
+            f64::from(report.load.requests().saturating_sub(report.own_requests))
                 * report_weight(now.saturating_sub(report.received_at))
         });
         others + f64::from(self.own_requests)
@@ -168,7 +167,7 @@
             TargetOutcome::Rejected => {
                 let had_free_slots = self.last_report.is_some_and(|report| {
                     report.received_at == now || now < report.received_at + FRESH_LOAD_AGE
-                } && report.load.running + report.load.waiting < report.load.slots);
+                } && report.load.requests() < report.load.slots);
                 let cooldown = if had_free_slots { SWAP_COOLDOWN } else { SHED_COOLDOWN };
                 self.rejecting_until = now + cooldown;
             }
--- a/crates/skylarkpick-schedule/src/rollout/plan.rs
+++ b/crates/skylarkpick-schedule/src/rollout/plan.rs
@@ -98,16 +98,16 @@
 impl Capacity {
     fn of(staying: &[&RolloutRunner], goal: &RolloutGoal) -> Capacity {
         let serving = staying.iter().filter(|runner| is_serving(runner, goal));
-        let slots: u32 = serving.clone().map(|runner| runner.slots).sum();
-        let runs: u32 = staying.iter().map(|runner| runner.runs).sum();
+        let slots: f64 = serving.clone().map(|runner| f64::from(runner.slots)).sum();
+        let runs: f64 = staying.iter().map(|runner| f64::from(runner.runs)).sum();
         let floor = (staying.len() as f64 * goal.serving_share_floor).ceil() as usize;
         Capacity {
             serving: serving.count(),
             // One runner may always load. Otherwise a small data centre could never change its
             // weights.
             serving_floor: floor.min(staying.len().saturating_sub(1)),
-            slots: f64::from(slots) * RUNS_PER_SLOT,
-            runs: f64::from(runs),
+            slots: slots * RUNS_PER_SLOT,
+            runs,
         }
     }
 
--- a/crates/skylarkpick-schedule/src/rollout/tests.rs
+++ b/crates/skylarkpick-schedule/src/rollout/tests.rs
@@ -41,6 +41,17 @@
 /// Each case starts with four runners on version 1. Version 2 is desired, and version 1 is still
 /// usable.
 const CASES: &[Case] = &[
+    Case {
+        name: "slots and runs whose sums 32 bits don't hold",
+        change: |runners, _| {
+            for runner in runners {
+                (runner.slots, runner.runs) = (u32::MAX, u32::MAX / 2);
+            }
+        },
+        loads_in_progress: 0,
+        order: &["r0", "r1"],
+        waiting: &[("r2", RolloutWait::LoadsLimit), ("r3", RolloutWait::LoadsLimit)],
+    },
     Case {
         name: "the limit of concurrent loads",
         change: |_, _| {},
