Bound the places of a brittle target

What callers would see: the end of the process, out of memory, when a service is brittle and the registration of one of its targets names slots.

Cause: each slot is a place of 24 bytes in memory, and dividing them takes time squared in their number.

Change: a target has at most 1,024 places.

Found by reading; not seen at a process.

--- a/crates/skylarkpick-schedule/src/placement/brittle.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle.rs
@@ -31,6 +31,9 @@
 const REJECTION_PAUSE_ELSEWHERE: Duration = Duration::from_millis(500);
 /// Factor on the room of a target that rejected a request, or that has just started.
 const ROOM_DECREASE: f64 = 0.5;
+/// Largest number of places at a target. Each takes memory, and a registration may name any number of
+/// slots.
+const PLACES_LIMIT: u32 = 1_024;
 /// Time in which the room of a target grows from none to all of its slots.
 const ROOM_GROWTH_TIME: Duration = Duration::from_secs(4);
 /// Requests waiting at a target up to which its room is not taken for full: it may not have read the
@@ -88,7 +91,7 @@
         }
     }
 
-    /// Returns how many places this process owns. No target has as many slots as the type holds.
+    /// Returns how many places this process owns, at most `PLACES_LIMIT`.
     fn places(&self) -> u32 {
         self.usable_from.len() as u32
     }
@@ -169,7 +172,7 @@
                 .values()
                 .map(|target| &target.registration)
                 .filter(|target| target.service == *service && !target.is_draining)
-                .map(|target| (target.id.clone(), target.slots.max(1)))
+                .map(|target| (target.id.clone(), target.slots.clamp(1, PLACES_LIMIT)))
                 .collect();
             self.divide(service, &slots, now);
         }
--- a/crates/skylarkpick-schedule/src/placement/brittle_place_tests.rs
+++ b/crates/skylarkpick-schedule/src/placement/brittle_place_tests.rs
@@ -4,7 +4,7 @@
     Assignment, Placement, PlacementDecision, TargetOutcome, UnplacedReason,
     test_fleet::{choose, fleet, registered},
 };
-use skylarkpick_interface::{EntryId, ReportedLoad, TargetId};
+use skylarkpick_interface::{EntryId, RegisteredTarget, ReportedLoad, TargetId};
 use std::{collections::BTreeMap, time::Duration};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -77,6 +77,25 @@
     assert_eq!(fill(&mut placement, now).len(), 0);
 }
 
+/// Guards against a place in memory for each slot of a registration that names billions of them.
+#[test]
+fn a_target_that_registers_very_many_slots_has_a_bounded_number_of_places() {
+    for slots in [5_000, u32::MAX] {
+        let mut placement = fleet(0);
+        placement.set_target(RegisteredTarget { slots, ..registered(1, 1) });
+        placement.set_entries("entry-0", names(1), NOW - SECOND * 10);
+        let assignment = assigned(&placement, NOW).unwrap();
+        placement.note_brittle(&assignment, NOW);
+        let mut under_way = 0_u32;
+        placement.refresh_places(NOW);
+        while let Some(assignment) = assigned(&placement, NOW).filter(|_| under_way < 5_000) {
+            placement.begin(&assignment, None, NOW);
+            under_way += 1;
+        }
+        assert_eq!(under_way, 1_024, "{slots} slots");
+    }
+}
+
 /// Guards against a report whose sum of requests overflows and makes a full target look idle.
 #[test]
 fn a_target_with_more_requests_than_32_bits_hold_is_not_idle() {
