Log an unreadable entry once, without its content

Cause: the line was written whenever a change was found, not when it changed the stored record; a target counted as removed although it was never known.

Change: the line is written when the stored record changes, with the first 200 bytes of the name; the counter records.unreadable counts the same. A record that was no target is not logged as removed.

--- a/crates/skylarkpick-forward/src/fleet/applied_records.rs
+++ b/crates/skylarkpick-forward/src/fleet/applied_records.rs
@@ -7,6 +7,7 @@
     FleetRecord, FleetTopic, FleetUpdate, NamedRecord, ServingDocument, StoreRevision,
 };
 use skylarkpick_schedule::ReportSource;
+use skylarkpick_telemetry::{RECORDS_UNREADABLE, logged_start, metrics};
 use std::sync::{MutexGuard, PoisonError};
 
 impl FleetRecords {
@@ -19,7 +20,7 @@
         stored: Vec<StoredChange>,
     ) {
         for (found, change) in update.records.iter().zip(stored) {
-            self.note_found(topic, found, origin.revision);
+            self.note_found(topic, found, &change, origin.revision);
             if !self.is_awaited(topic, &change, origin) {
                 let named = NamedRecord { name: change.name, record: change.record };
                 self.apply(topic, &named, origin);
@@ -39,15 +40,23 @@
     }
 
     /// Records what a change of an update says, whether or not it is in force.
-    fn note_found(&self, topic: FleetTopic, named: &NamedRecord, revision: StoreRevision) {
+    fn note_found(
+        &self,
+        topic: FleetTopic,
+        named: &NamedRecord,
+        change: &StoredChange,
+        revision: StoreRevision,
+    ) {
         match &named.record {
             Some(FleetRecord::Weights(weights)) => self.lock_weight_times().note_found(weights),
             Some(FleetRecord::Serving(document)) => {
                 self.node_state.newest_version.note(document.version);
             }
-            Some(FleetRecord::Unreadable(why)) => {
+            // Its writer may write it again with each heartbeat.
+            Some(FleetRecord::Unreadable(why)) if !change.is_unchanged => {
+                metrics().count(&RECORDS_UNREADABLE, &[("topic", &topic.to_string())]);
                 request_log!("invalid platform record", kv: {
-                    topic:, name = named.name.as_str(), why = why.as_str(), revision:,
+                    topic:, name = logged_start(&named.name), why = why.as_str(), revision:,
                 });
             }
             _ => {}
--- a/crates/skylarkpick-forward/src/fleet/target_records.rs
+++ b/crates/skylarkpick-forward/src/fleet/target_records.rs
@@ -159,6 +159,10 @@
         state.placement.remove_target(target);
         state.software_versions.remove_target(target, now);
         drop(state);
+        // A record that names no target may be found again and again.
+        if start.is_none() {
+            return;
+        }
         spdlog::info!("target removed", kv: { target, why });
         self.node_state.caches_changed.notify_waiters();
     }
--- a/crates/skylarkpick-forward/src/peers/network.rs
+++ b/crates/skylarkpick-forward/src/peers/network.rs
@@ -81,8 +81,9 @@
         Some(object) => object.value,
         None => create_authority(objects).await?,
     };
-    let record: AuthorityRecord =
-        serde_json::from_slice(&value).map_err(|error| error.to_string())?;
+    // The error would quote the key.
+    let record: AuthorityRecord = serde_json::from_slice(&value)
+        .map_err(|_| format!("the object {AUTHORITY_KEY} is unreadable"))?;
     Authority::open(record.certificate.as_bytes(), record.key.as_bytes())
         .map_err(|error| error.to_string())
 }
--- a/crates/skylarkpick-telemetry/src/definitions.rs
+++ b/crates/skylarkpick-telemetry/src/definitions.rs
@@ -259,6 +259,14 @@
     description: "updates of the platform's records that were ignored, since newer ones are known",
 };
 
+/// Platform records that could not be decoded.
+pub const RECORDS_UNREADABLE: Metric = Metric {
+    name: "records.unreadable",
+    kind: MetricKind::Counter,
+    tags: &["topic"],
+    description: "records of the platform that became unreadable, or so for another reason",
+};
+
 /// Responses of caches with parts that could not be decoded.
 pub const CACHES_UNREADABLE: Metric = Metric {
     name: "caches.unreadable",
@@ -378,6 +386,7 @@
     STORE_ERA,
     STORE_ERAS_UNREADABLE,
     RECORDS_OLDER,
+    RECORDS_UNREADABLE,
     CACHES_UNREADABLE,
     SIGNALS_UNREADABLE,
     BRITTLE_TARGETS,
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -156,6 +156,18 @@
     (0..TARGETS).map(start).collect()
 }
 
+/// Starts the store, with several entries of each kind of the operator and the targets.
+async fn start_fleet() -> (ObjectServer, Vec<RunTarget>) {
+    let objects = ObjectServer::start().await.unwrap();
+    objects.state.set_page_size(PAGE_SIZE);
+    objects.state.put("config", "main", configuration(3, &[ROUTE], &["k1".to_string()]));
+    for model in ["sala", "tala", "vala"] {
+        objects.state.put("versions", model, json!({ "model": model, "version": 1 }));
+    }
+    let targets = start_targets(&objects);
+    (objects, targets)
+}
+
 fn start_processes(objects: &ObjectServer) -> Vec<Process> {
     PROCESSES.iter().map(|name| Process::spawn_linked(objects, name)).collect()
 }
@@ -175,13 +187,7 @@
 /// Adds entries beside sound ones, kills the processes and starts them again. Returns what is wrong
 /// then.
 async fn play(kind: &Kind, row: &Row) -> Option<String> {
-    let objects = ObjectServer::start().await.unwrap();
-    objects.state.set_page_size(PAGE_SIZE);
-    objects.state.put("config", "main", configuration(3, &[ROUTE], &["k1".to_string()]));
-    for model in ["sala", "tala", "vala"] {
-        objects.state.put("versions", model, json!({ "model": model, "version": 1 }));
-    }
-    let _targets = start_targets(&objects);
+    let (objects, _targets) = start_fleet().await;
     let processes = start_processes(&objects);
     assert!(become_ready(&processes).await, "the processes become ready");
     for (end, content) in &row.entries {
@@ -236,3 +242,52 @@
 async fn odd_entries_beside_evacuations_stop_no_process() {
     play_all(&EVACUATION_KIND).await;
 }
+
+/// Waits until each process has logged a text.
+async fn wait_for_log(processes: &[Process], text: &str) {
+    let logged = async {
+        while !processes.iter().all(|process| process.log().contains(text)) {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(STEP_TIMEOUT, logged).await.expect("the processes log it");
+}
+
+// Guards against a log that an entry of another writer fills or breaks: with a line for each of its
+// heartbeats, with its name or with its content.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unreadable_entry_is_logged_once_and_without_its_content() {
+    let (objects, _targets) = start_fleet().await;
+    let processes = start_processes(&objects);
+    assert!(become_ready(&processes).await, "the processes become ready");
+    let ends = ["-odd", "\"\n\\", "é&\u{0}", &"-long".repeat(10_000)];
+    const ROUNDS: u32 = 4;
+    for round in 0..ROUNDS {
+        let content = String::from_utf8(TARGET_KIND.with(b"\"marked\"")).unwrap();
+        let content = content.replace("\"sequence\":1", &format!("\"sequence\":{round}"));
+        for end in ends {
+            objects.state.put_raw("servers", &format!("i-2{end}"), content.as_bytes());
+        }
+        let last = format!("last-{round}");
+        register(&objects, &last, SocketAddr::from((Ipv4Addr::LOCALHOST, 9)), 5);
+        wait_for_log(&processes, &last).await;
+    }
+    for process in &processes {
+        let log = process.log();
+        assert!(!log.contains("marked"), "the content is not logged");
+        let lines: Vec<serde_json::Value> = log
+            .lines()
+            .map(|line| serde_json::from_str(line).expect("each line is JSON"))
+            .collect();
+        let unreadable = lines.iter().filter(|it| it["payload"] == "invalid platform record");
+        let mut names: Vec<&str> =
+            unreadable.map(|it| it["kv"]["name"].as_str().unwrap()).collect();
+        names.sort_unstable();
+        let mut expected =
+            ends.map(|end| format!("i-2{end}").chars().take(200).collect::<String>());
+        expected.sort_unstable();
+        assert_eq!(names, expected);
+        assert!(log.lines().all(|line| line.len() < 2_000), "each line is bounded");
+        assert!(!lines.iter().any(|it| it["payload"] == "target removed"), "none was a target");
+    }
+}
