--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -76,6 +76,17 @@
     "..", "\"", "'", "\\", "\n", "é", "日本",
 ];
 
+/// Contents that could be read under another name, each with its kind and name.
+const MISPLACED: [(&str, &str, &str); 2] = [
+    (
+        "config",
+        "mine",
+        r#"{"version":99,"routes":[],"services":[],"limits":{"headerBytes":16384,"bodyBytes":1000,
+            "headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}"#,
+    ),
+    ("versions", "mine", r#"{"model":"tala","version":99}"#),
+];
+
 impl Kind {
     /// Returns the content with this value of a field.
     fn with(&self, value: &[u8]) -> Vec<u8> {
@@ -187,11 +198,23 @@
 /// Adds entries beside sound ones, kills the processes and starts them again. Returns what is wrong
 /// then.
 async fn play(kind: &Kind, row: &Row) -> Option<String> {
+    let named = row.entries.iter().map(|(end, content)| {
+        let name = format!("{}{end}", kind.prefix);
+        (kind.name, name, content.as_slice())
+    });
+    play_beside(&format!("{}, {}", kind.name, row.name), named).await
+}
+
+/// The same with entries of these kinds and names.
+async fn play_beside<'a>(
+    name: &str,
+    entries: impl Iterator<Item = (&'a str, String, &'a [u8])>,
+) -> Option<String> {
     let (objects, _targets) = start_fleet().await;
     let processes = start_processes(&objects);
     assert!(become_ready(&processes).await, "the processes become ready");
-    for (end, content) in &row.entries {
-        objects.state.put_raw(kind.name, &format!("{}{end}", kind.prefix), content);
+    for (kind, name, content) in entries {
+        objects.state.put_raw(kind, &name, content);
     }
     drop(processes);
     let processes = start_processes(&objects);
@@ -202,8 +225,7 @@
         answers.push(processes[number % processes.len()].send(sent).await.1);
     }
     let served = answers.iter().filter(|status| **status == Some(200)).count();
-    let Row { name, .. } = row;
-    println!("{}, {name}: ready {is_ready}, {served} of {REQUESTS} served", kind.name);
+    println!("{name}: ready {is_ready}, {served} of {REQUESTS} served");
     (!is_ready || served < REQUESTS)
         .then(|| format!("{name}: ready {is_ready}, {served} of {REQUESTS} served, {answers:?}"))
 }
@@ -243,6 +265,15 @@
     play_all(&EVACUATION_KIND).await;
 }
 
+// Guards against a configuration or weights that another writer puts in force under a name of its own.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn misplaced_contents_stop_no_process() {
+    for (kind, name, content) in MISPLACED {
+        let entry = (kind, name.to_string(), content.as_bytes());
+        assert_eq!(play_beside(kind, [entry].into_iter()).await, None);
+    }
+}
+
 /// Waits until each process has logged a text.
 async fn wait_for_log(processes: &[Process], text: &str) {
     let logged = async {
