Tests: share what a quick target does

The target of client_bytes that runs each request at once stands in the support module, and the tests of odd entries use it.

--- a/tests/client_bytes.rs
+++ b/tests/client_bytes.rs
@@ -6,15 +6,15 @@
 
 use async_trait::async_trait;
 use skylarkpick_platform_standin::{
-    AfterRequest, BodyRead, Conduct, Decide, ObjectServer, RouteSpec, RunLog, RunTarget,
-    TargetAddresses, configuration, success_answer,
+    BodyRead, Conduct, Decide, ObjectServer, RouteSpec, RunLog, RunTarget, TargetAddresses,
+    configuration, success_answer,
 };
 use std::{
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
-use support::{POLL_INTERVAL, Process, SECOND, STEP_TIMEOUT, register, request};
+use support::{POLL_INTERVAL, Process, SECOND, STEP_TIMEOUT, quick, register, request};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -227,18 +227,7 @@
     objects
 }
 
-/// What a target does with a request that it runs at once.
-fn quick() -> Conduct {
-    Conduct {
-        reads: BodyRead::Whole,
-        runs: true,
-        work: Duration::ZERO,
-        answer: Some(success_answer("ran")),
-        then: AfterRequest::Keep(Duration::ZERO),
-    }
-}
-
-/// What it does with one that takes long.
+/// What a target does with a request that takes long.
 fn lengthy() -> Conduct {
     Conduct { work: CROWD_WORK, ..quick() }
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -6,15 +6,14 @@
 
 use serde_json::json;
 use skylarkpick_platform_standin::{
-    AfterRequest, BodyRead, Conduct, Decide, ObjectServer, RouteSpec, RunLog, RunTarget,
-    configuration, success_answer,
+    Decide, ObjectServer, RouteSpec, RunLog, RunTarget, configuration,
 };
 use std::{
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
-use support::{POLL_INTERVAL, Process, SECOND, STEP_TIMEOUT, register, request};
+use support::{POLL_INTERVAL, Process, SECOND, STEP_TIMEOUT, quick, register, request};
 use tokio::time::sleep;
 
 const TARGETS: usize = 5;
@@ -61,7 +60,7 @@
         "headerTimeoutMs":1,"idleTimeoutMs":1}}"#,
 };
 const EVACUATION_KIND: Kind =
-    Kind { name: "evacuations", prefix: "hall", content: r#"{"reason":ODD}"# };
+    Kind { name: "evacuations", prefix: "mnl-b", content: r#"{"reason":ODD}"# };
 
 /// Odd entries that stand in the list together.
 struct Row {
@@ -151,13 +150,7 @@
 
 /// Targets that run each request at once.
 fn start_targets(objects: &ObjectServer) -> Vec<RunTarget> {
-    let decide: Decide = Arc::new(|_, _| Conduct {
-        reads: BodyRead::Whole,
-        runs: true,
-        work: Duration::ZERO,
-        answer: Some(success_answer("ran")),
-        then: AfterRequest::Keep(Duration::ZERO),
-    });
+    let decide: Decide = Arc::new(|_, _| quick());
     let start = |number: usize| {
         let (id, free) = (format!("i-{number}"), SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
         let target = RunTarget::start(free, &id, 5, RunLog::default(), decide.clone()).unwrap();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,8 +8,8 @@
     thread::{CpuSet, sched_getaffinity, sched_setaffinity},
 };
 use skylarkpick_platform_standin::{
-    ClientRequest, FleetLimits, NodeLocation, ObjectServer, TargetState, TestClient, node_settings,
-    registration,
+    AfterRequest, BodyRead, ClientRequest, Conduct, FleetLimits, NodeLocation, ObjectServer,
+    TargetState, TestClient, node_settings, registration, success_answer,
 };
 use std::{
     fs::File,
@@ -325,3 +325,14 @@
     let record = registration(address, TargetState::Ready, started_at_ms, Some("v1"));
     objects.state.put("servers", name, record);
 }
+
+/// What a target does with a request that it runs at once.
+pub fn quick() -> Conduct {
+    Conduct {
+        reads: BodyRead::Whole,
+        runs: true,
+        work: Duration::ZERO,
+        answer: Some(success_answer("ran")),
+        then: AfterRequest::Keep(Duration::ZERO),
+    }
+}
